--- /dev/null
+++ b/crates/cassiareel-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements.
--- /dev/null
+++ b/crates/cassiareel-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point.
+fn main() {}
--- /dev/null
+++ b/crates/cassiareel-standins/src/bin/demo.rs
@@ -0,0 +1,2 @@
+//! Demo.
+fn main() {}
--- /dev/null
+++ b/crates/cassiareel-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/crates/cassiareel/src/control/mod.rs
@@ -0,0 +1,3 @@
+/*!
+Moves between versions, placements and orders to engines, under lease and fencing number.
+*/
--- /dev/null
+++ b/crates/cassiareel/src/front/mod.rs
@@ -0,0 +1,3 @@
+/*!
+The interfaces of callers and of operators.
+*/
--- /dev/null
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -0,0 +1,15 @@
+/*!
+Decisions as pure state machines.
+
+Nothing here holds a socket, a clock, a thread or a random source: events and a [`Time`] go in,
+actions come out. The daemon, the tests, the model checks and the benchmarks run this same code.
+*/
+
+pub mod generation;
+mod ids;
+pub mod routing;
+
+pub use ids::{
+    AccountId, Attempt, BackendId, CallerId, DataCentreId, Fence, Incarnation, NodeId, Position,
+    RequestId, Revision, ServiceId, Time, TokenId, VersionId,
+};
--- /dev/null
+++ b/crates/cassiareel/src/kernel/routing/policy.rs
@@ -0,0 +1,82 @@
+//! The trait that policies implement, and its registry.
+
+use crate::{
+    kernel::{BackendId, DataCentreId},
+    plugin::Plugin,
+};
+
+/// What is known of a request when its backend server is chosen.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Chained hashes of the prompt's blocks, from the first.
+    pub prefix: Vec<u64>,
+    /// Tokens of the prompt, estimated.
+    pub prompt: u32,
+    /// Tokens that the answer may still have.
+    pub output: u32,
+    /// The node's own data centre.
+    pub data_centre: Option<DataCentreId>,
+}
+
+/// A backend server that the settings allow, as the node believes it to be.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Requests that run or wait there, with the node's own corrections.
+    pub outstanding: u32,
+    /// Tokens of memory that are free, with the node's own corrections.
+    pub free_tokens: u64,
+    /// Leading blocks of the prompt that its cache is believed to hold.
+    pub cached: u32,
+    /// Share of its full weight, from 0 for ejected to 1 for healthy.
+    pub health: f32,
+    /// Its recent time between tokens in milliseconds, or 0 when unknown.
+    pub token_ms: f32,
+}
+
+/// Why a candidate was passed over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Pass {
+    /// Another scored better.
+    Score,
+    /// It is ejected.
+    Ejected,
+    /// The request does not fit its memory.
+    Memory,
+}
+
+/// A policy's choice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The chosen candidate's index; none where no candidate is fit.
+    pub index: Option<usize>,
+    /// Each candidate's score, lower is better, with the reason it was passed over.
+    pub scores: Vec<(f64, Option<Pass>)>,
+}
+
+/// Chooses among candidates.
+pub trait Policy: Send + Sync {
+    /// Chooses; `random` is a fresh random number for ties and samples.
+    fn choose(&self, ask: &Ask, candidates: &[Candidate], random: u64) -> Choice;
+}
+
+inventory::collect!(Plugin<Box<dyn Policy>>);
+
+/// Builds the policy of a name, if one registered it.
+///
+/// # Examples
+///
+/// ```
+/// use cassiareel::kernel::routing::policy;
+///
+/// assert!(policy("least-outstanding").is_some());
+/// assert!(policy("no-such-policy").is_none());
+/// ```
+pub fn policy(name: &str) -> Option<Box<dyn Policy>> {
+    inventory::iter::<Plugin<Box<dyn Policy>>>()
+        .find(|plugin| plugin.name == name)
+        .map(|plugin| (plugin.build)())
+}
--- /dev/null
+++ b/crates/cassiareel/src/peer/mod.rs
@@ -0,0 +1,3 @@
+/*!
+Messages between nodes: HTTP with rmp-serde.
+*/
--- /dev/null
+++ b/crates/cassiareel/src/platform/mod.rs
@@ -0,0 +1,13 @@
+/*!
+What the platform gives: the object API, the VM list and the weight store.
+
+Each is a trait, met by a thin adapter at its published interface. The object API's adapter speaks
+the Kubernetes API conventions for custom objects: resource versions, conditional updates and
+watches. Another platform is one more adapter and touches no decision.
+*/
+
+mod objects;
+mod vms;
+
+pub use objects::{Object, Objects, StoreError, StoreVersion};
+pub use vms::{Vm, VmList, VmState};
--- /dev/null
+++ b/crates/cassiareel/src/settings/snapshot.rs
@@ -0,0 +1,133 @@
+//! The tree in the shape that requests look things up by.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use super::{ServiceKind, Tree};
+use crate::kernel::{AccountId, CallerId, DataCentreId, Revision, ServiceId, VersionId};
+
+/// Who calls.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Identity {
+    /// The client account.
+    pub account: AccountId,
+    /// The caller beneath it.
+    pub caller: CallerId,
+}
+
+/// A backend server of a version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Server {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+}
+
+/// Where a caller's requests for a service go.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// The service.
+    pub service: ServiceId,
+    /// What it is.
+    pub kind: ServiceKind,
+    /// Whether a call may run twice without harm.
+    pub idempotent: bool,
+    /// The version that new work goes to.
+    pub version: VersionId,
+    /// The version's backend servers.
+    pub servers: Arc<Vec<Server>>,
+}
+
+/// A revision of the tree, ready for look-ups.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// The revision.
+    pub revision: Revision,
+    /// The tree.
+    pub tree: Tree,
+    keys: HashMap<[u8; 32], Identity>,
+    servers: HashMap<(ServiceId, VersionId), Arc<Vec<Server>>>,
+}
+
+impl Snapshot {
+    /// Works a tree out.
+    pub fn new(revision: Revision, tree: Tree) -> Snapshot {
+        let keys = tree
+            .accounts
+            .iter()
+            .flat_map(|(account, node)| {
+                node.callers.iter().filter_map(|(caller, leaf)| {
+                    let identity = Identity {
+                        account: account.clone(),
+                        caller: caller.clone(),
+                    };
+                    Some((decode_digest(&leaf.key_digest)?, identity))
+                })
+            })
+            .collect();
+        let servers = tree
+            .services
+            .iter()
+            .flat_map(|(service, node)| {
+                node.versions.iter().map(|(version, placed)| {
+                    let list = placed
+                        .placements
+                        .iter()
+                        .flat_map(|(data_centre, placement)| {
+                            placement.servers.iter().map(|&addr| Server {
+                                addr,
+                                data_centre: data_centre.clone(),
+                            })
+                        })
+                        .collect();
+                    ((service.clone(), version.clone()), Arc::new(list))
+                })
+            })
+            .collect();
+        Snapshot {
+            revision,
+            tree,
+            keys,
+            servers,
+        }
+    }
+
+    /// Finds the caller of a key.
+    ///
+    /// The look-up is by digest, and the digest found is compared again in constant time, so that
+    /// the time taken tells nothing about a key.
+    pub fn identify(&self, key: &str) -> Option<&Identity> {
+        let digest = key_digest(key);
+        let (kept, identity) = self.keys.get_key_value(&digest)?;
+        bool::from(kept.ct_eq(&digest)).then_some(identity)
+    }
+
+    /// Finds where a caller's requests for a service go; none where it may not use the service.
+    pub fn route(&self, identity: &Identity, service: &str) -> Option<Route> {
+        let account = self.tree.accounts.get(&identity.account)?;
+        let name = account.services.iter().find(|s| &***s == service)?;
+        let node = self.tree.services.get(name)?;
+        let version = account.versions.get(name).unwrap_or(&node.version).clone();
+        let servers = self.servers.get(&(name.clone(), version.clone()))?.clone();
+        Some(Route {
+            service: name.clone(),
+            kind: node.kind,
+            idempotent: node.idempotent || node.kind == ServiceKind::Model,
+            version,
+            servers,
+        })
+    }
+}
+
+/// The digest of a key that the tree keeps: SHA-256.
+pub fn key_digest(key: &str) -> [u8; 32] {
+    Sha256::digest(key.as_bytes()).into()
+}
+
+/// Reads a digest in hexadecimal.
+fn decode_digest(text: &str) -> Option<[u8; 32]> {
+    hex::decode(text).ok()?.try_into().ok()
+}
--- /dev/null
+++ b/crates/cassiareel/src/wire/body.rs
@@ -0,0 +1,73 @@
+//! Bodies read whole, with their length compared to the header.
+
+use futures_lite::{io, AsyncReadExt};
+use snafu::Snafu;
+
+/// Why a body could not be read.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum BodyError {
+    /// The body is longer than the reader allows.
+    #[snafu(display("body is longer than the limit of {limit} bytes"))]
+    TooLong {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The connection ended before the announced length.
+    #[snafu(display("body ended after {got} of {announced} bytes"))]
+    Truncated {
+        /// Bytes that arrived.
+        got: usize,
+        /// Bytes that the header announced.
+        announced: usize,
+    },
+    /// The connection failed.
+    #[snafu(display("body could not be read: {kind}"))]
+    Broken {
+        /// The I/O error's kind.
+        kind: io::ErrorKind,
+    },
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// The announced length is the body's own, as taken from its `Content-Length`; a chunked body has
+/// none and ends with its last chunk.
+///
+/// # Errors
+///
+/// A body that is longer than the limit, cut short, or on a broken connection is an error; no part
+/// of it is returned.
+///
+/// # Examples
+///
+/// ```
+/// use cassiareel::wire::{read_body, BodyError};
+/// use http_types::Body;
+///
+/// let whole = Body::from_bytes(b"abc".to_vec());
+/// assert_eq!(smol::block_on(read_body(whole, 10)), Ok(b"abc".to_vec()));
+/// let cut = Body::from_reader(futures_lite::io::Cursor::new("abc"), Some(50));
+/// let err = smol::block_on(read_body(cut, 100)).unwrap_err();
+/// assert_eq!(err, BodyError::Truncated { got: 3, announced: 50 });
+/// ```
+pub async fn read_body(body: http_types::Body, limit: usize) -> Result<Vec<u8>, BodyError> {
+    let announced = body.len();
+    if announced.is_some_and(|n| n > limit) {
+        return Err(BodyError::TooLong { limit });
+    }
+    let mut bytes = Vec::with_capacity(announced.unwrap_or(0));
+    body.take(limit as u64 + 1)
+        .read_to_end(&mut bytes)
+        .await
+        .map_err(|err| BodyError::Broken { kind: err.kind() })?;
+    if bytes.len() > limit {
+        return Err(BodyError::TooLong { limit });
+    }
+    match announced {
+        Some(announced) if announced != bytes.len() => Err(BodyError::Truncated {
+            got: bytes.len(),
+            announced,
+        }),
+        _ => Ok(bytes),
+    }
+}
--- /dev/null
+++ b/crates/cassiareel/src/wire/client.rs
@@ -0,0 +1,80 @@
+//! Calls to other servers, with a bound on each stage.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use http_types::{Request, Response};
+use smol::{net::TcpStream, Timer};
+use snafu::Snafu;
+
+/// Bounds on a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time to connect.
+    pub connect: Duration,
+    /// Time from the connection to the response's head.
+    pub head: Duration,
+}
+
+impl Limits {
+    /// Bounds with one second to connect and `head` to the response's head.
+    pub fn new(head: Duration) -> Limits {
+        Limits {
+            connect: Duration::from_secs(1),
+            head,
+        }
+    }
+}
+
+/// Why a call got no response.
+///
+/// The distinction that matters is whether a byte of the request may have reached the server.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum SendError {
+    /// No connection: no byte was sent.
+    #[snafu(display("no connection to {addr}: {cause}"))]
+    NotSent {
+        /// The server.
+        addr: SocketAddr,
+        /// What failed.
+        cause: String,
+    },
+    /// The connection stood, but no whole response head came back.
+    #[snafu(display("no answer from {addr}: {cause}"))]
+    NoAnswer {
+        /// The server.
+        addr: SocketAddr,
+        /// What failed.
+        cause: String,
+    },
+}
+
+/// Sends a request on a connection of its own.
+///
+/// # Errors
+///
+/// [`SendError::NotSent`] promises that the server saw no byte of the request;
+/// [`SendError::NoAnswer`] promises nothing.
+pub async fn send(addr: SocketAddr, req: Request, limits: Limits) -> Result<Response, SendError> {
+    let stream = within(limits.connect, TcpStream::connect(addr))
+        .await
+        .and_then(|res| res.map_err(|err| err.to_string()))
+        .map_err(|cause| SendError::NotSent { addr, cause })?;
+    // Tokens are small writes that must not wait for an acknowledgement.
+    let _ = stream.set_nodelay(true);
+    within(limits.head, async_h1::connect(stream, req))
+        .await
+        .and_then(|res| res.map_err(|err| err.to_string()))
+        .map_err(|cause| SendError::NoAnswer { addr, cause })
+}
+
+/// Waits for a future for at most `limit`.
+async fn within<F, T>(limit: Duration, future: F) -> Result<T, String>
+where
+    F: Future<Output = T>,
+{
+    smol::future::or(async { Ok(future.await) }, async {
+        Timer::after(limit).await;
+        Err(format!("no result within {limit:?}"))
+    })
+    .await
+}
