Add an exhaustive search over kernel state machines

Cause: every protocol of the kernel is to be model checked on the code that the daemon runs. Change: kernel/check.rs, breadth first by pathfinding, with shortest traces and a check that quiet environments settle.

--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -5,6 +5,10 @@
 actions come out. The daemon, the tests, the model checks and the benchmarks run this same code.
 */
 
+#[cfg(test)]
+pub(crate) mod check;
+#[cfg(test)]
+mod check_tests;
 pub mod generation;
 mod ids;
 pub mod routing;
