Add baseline policies, the prefix index and balanced subsets of servers

Cause: a node had one policy, and no belief about caches or part of a large fleet. Change: round robin, random and power-of-two register beside least outstanding; a prefix index of fixed size follows cache events with holes; subsets by hash with a bound on both sides.

--- /dev/null
+++ b/crates/cassiareel/src/kernel/routing/feed_tests.rs
@@ -0,0 +1,87 @@
+//! Events that are late, doubled or missing leave the index right in the end.
+
+use test_case::test_case;
+
+use super::{CacheFeed, Fetch, PrefixIndex};
+use crate::backend::{CacheEvent, CacheEvents, CacheKind};
+
+fn stored(sequence: u64, block: u64) -> CacheEvent {
+    CacheEvent {
+        sequence,
+        kind: CacheKind::Stored,
+        block,
+    }
+}
+
+fn removed(sequence: u64, block: u64) -> CacheEvent {
+    CacheEvent {
+        sequence,
+        kind: CacheKind::Removed,
+        block,
+    }
+}
+
+fn answer(events: &[CacheEvent], next: u64) -> CacheEvents {
+    CacheEvents {
+        events: events.to_vec(),
+        snapshot: None,
+        next,
+    }
+}
+
+fn snapshot(blocks: &[u64], next: u64) -> CacheEvents {
+    CacheEvents {
+        events: Vec::new(),
+        snapshot: Some(blocks.to_vec()),
+        next,
+    }
+}
+
+struct Case {
+    answers: Vec<CacheEvents>,
+    fetch: Fetch,
+    gaps: u64,
+    held: &'static [u64],
+    gone: &'static [u64],
+}
+
+#[test_case(&Case {
+    answers: vec![snapshot(&[5, 6], 3), answer(&[stored(3, 7), removed(4, 5)], 5)],
+    fetch: Fetch::Since(5), gaps: 0, held: &[6, 7], gone: &[5],
+}; "in order")]
+#[test_case(&Case {
+    answers: vec![snapshot(&[5], 3), answer(&[stored(3, 7)], 4), answer(&[removed(3, 5), stored(4, 8)], 5)],
+    fetch: Fetch::Since(5), gaps: 0, held: &[5, 7, 8], gone: &[],
+}; "an event met twice is passed over")]
+#[test_case(&Case {
+    answers: vec![snapshot(&[5], 3), answer(&[stored(4, 7)], 5)],
+    fetch: Fetch::Full, gaps: 1, held: &[5, 7], gone: &[],
+}; "a hole asks for a snapshot")]
+#[test_case(&Case {
+    answers: vec![snapshot(&[5], 3), answer(&[], 9)],
+    fetch: Fetch::Full, gaps: 1, held: &[5], gone: &[],
+}; "a hole at the end is seen by the next number")]
+#[test_case(&Case {
+    answers: vec![snapshot(&[5], 3), answer(&[stored(4, 7)], 5), snapshot(&[7, 9], 6)],
+    fetch: Fetch::Since(6), gaps: 1, held: &[7, 9], gone: &[5],
+}; "a snapshot repairs a hole")]
+#[test_case(&Case {
+    answers: vec![snapshot(&[5], 30), answer(&[], 2)],
+    fetch: Fetch::Full, gaps: 1, held: &[5], gone: &[],
+}; "an engine that started anew")]
+fn feed(case: &Case) {
+    let index = PrefixIndex::new(256, 4);
+    let mut feed = CacheFeed::default();
+    assert_eq!(feed.fetch(), Fetch::Full);
+    for answer in &case.answers {
+        feed.apply(2, answer, &index);
+    }
+    assert_eq!((feed.fetch(), feed.gaps()), (case.fetch, case.gaps));
+    let mut depths = [0; 4];
+    for (blocks, depth) in [(case.held, 1), (case.gone, 0)] {
+        for &block in blocks {
+            index.depths(&[block], &mut depths);
+            assert_eq!(depths, [0, 0, depth, 0], "block {block}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiareel/src/kernel/routing/fitness.rs
@@ -0,0 +1,28 @@
+//! What every policy has in common: who is fit, and the shape of a choice.
+
+use super::{Candidate, Choice, Pass};
+
+/// Tells why a candidate can't be chosen at all.
+pub(super) fn fitness(candidate: &Candidate) -> Option<Pass> {
+    (candidate.health <= 0.0).then_some(Pass::Ejected)
+}
+
+/// Makes a choice of an index and each candidate's score and unfitness.
+pub(super) fn settle(index: Option<usize>, mut scores: Vec<(f64, Option<Pass>)>) -> Choice {
+    for (i, score) in scores.iter_mut().enumerate() {
+        if score.1.is_none() && index != Some(i) {
+            score.1 = Some(Pass::Score);
+        }
+    }
+    Choice { index, scores }
+}
+
+/// Finds the fit candidate with the lowest score, looking from `start` on, so that ties fall to the
+/// first one there.
+pub(super) fn lowest(scores: &[(f64, Option<Pass>)], start: u64) -> Option<usize> {
+    let start = (start % scores.len().max(1) as u64) as usize;
+    (0..scores.len())
+        .map(|i| (start + i) % scores.len())
+        .filter(|&i| scores[i].1.is_none())
+        .min_by(|&a, &b| scores[a].0.total_cmp(&scores[b].0))
+}
--- a/crates/cassiareel/src/kernel/routing/mod.rs
+++ b/crates/cassiareel/src/kernel/routing/mod.rs
@@ -3,10 +3,29 @@
 
 A [`Policy`] scores the candidates that the settings allow for a request. Policies are plug-ins that
 register themselves and are chosen by name in the settings; the plain ones are the baselines that
-the others are measured against.
+the others are measured against. A [`PrefixIndex`] holds what is believed of the engines' caches,
+and [`Subsets`] gives each node of a large fleet its part of the backend servers.
 */
 
+mod feed;
+#[cfg(test)]
+mod feed_tests;
+mod fitness;
 mod least;
 mod policy;
+#[cfg(test)]
+mod policy_tests;
+mod prefix;
+#[cfg(test)]
+mod prefix_tests;
+mod random;
+mod robin;
+mod subset;
+#[cfg(test)]
+mod subset_tests;
+mod two;
 
+pub use feed::{CacheFeed, Fetch};
 pub use policy::{policy, Ask, Candidate, Choice, Pass, Policy};
+pub use prefix::{PrefixIndex, Slot};
+pub use subset::Subsets;
