Let a dropped runtime drop its tasks

Cause: tasks hold spawners, and a spawner kept the executor alive, so that dropping a Runtime stopped its threads but left every socket open; a test killed a server so and its client waited for ever. Change: a Spawner holds the executor weakly. Test: runtime_drop failed before and passes now.

--- a/crates/cassiareel/src/runtime.rs
+++ b/crates/cassiareel/src/runtime.rs
@@ -10,7 +10,7 @@
     future::Future,
     sync::{
         atomic::{AtomicBool, Ordering},
-        Arc,
+        Arc, Weak,
     },
     thread,
     time::Duration,
@@ -22,7 +22,25 @@
 const PAUSE_POLL: Duration = Duration::from_millis(1);
 
 /// A handle that spawns tasks on a [`Runtime`].
-pub type Spawner = Arc<Executor<'static>>;
+///
+/// The handle does not keep the executor alive: tasks hold handles, and an executor that its own
+/// tasks kept alive would never drop them.
+#[derive(Clone, Debug)]
+pub struct Spawner(Weak<Executor<'static>>);
+
+impl Spawner {
+    /// Spawns a task; on a runtime that was dropped, the task is dropped at once.
+    pub fn spawn<F, T>(&self, future: F) -> Task<T>
+    where
+        F: Future<Output = T> + Send + 'static,
+        T: Send + 'static,
+    {
+        match self.0.upgrade() {
+            Some(executor) => executor.spawn(future),
+            None => Executor::new().spawn(future),
+        }
+    }
+}
 
 /// An executor with threads of its own.
 ///
@@ -37,7 +55,8 @@
 /// ```
 #[derive(Debug)]
 pub struct Runtime {
-    executor: Spawner,
+    // INVARIANT: only this field and the runtime's threads hold the executor for longer than a call.
+    executor: Arc<Executor<'static>>,
     paused: Arc<AtomicBool>,
     stop: Option<async_channel::Sender<()>>,
     threads: Vec<thread::JoinHandle<()>>,
@@ -50,7 +69,7 @@
     ///
     /// Panics when the operating system refuses a thread.
     pub fn new(name: &str, threads: usize) -> Runtime {
-        let executor: Spawner = Arc::new(Executor::new());
+        let executor = Arc::new(Executor::new());
         let paused = Arc::new(AtomicBool::new(false));
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let threads = (0..threads.max(1))
@@ -74,7 +93,7 @@
 
     /// Returns the handle that spawns tasks here.
     pub fn spawner(&self) -> Spawner {
-        self.executor.clone()
+        Spawner(Arc::downgrade(&self.executor))
     }
 
     /// Spawns a task.
