Add an object API in memory with injectable faults

Tests of storage, orders, leases and settings need a store that loses answers, refuses, lags and goes away, by script and by seed. It stands behind the same trait as the adapter.

--- a/crates/cassiareel/src/platform/mod.rs
+++ b/crates/cassiareel/src/platform/mod.rs
@@ -6,8 +6,12 @@
 watches. Another platform is one more adapter and touches no decision.
 */
 
+mod memory;
+#[cfg(test)]
+mod memory_tests;
 mod objects;
 mod vms;
 
+pub use memory::{Call, Chances, Counts, Fault, MemoryObjects, OBJECT_LIMIT};
 pub use objects::{Object, Objects, StoreError, StoreVersion};
 pub use vms::{Vm, VmList, VmState};
