Serve callers through a node: front, adapters, settings in force

Change: OpenAI endpoints checked whole, a driver that carries out the generation machine's actions, HTTP adapters of engines and services, a node that follows its settings and drains.

--- /dev/null
+++ b/crates/cassiareel/src/backend/http_engine.rs
@@ -0,0 +1,256 @@
+//! Model engines over HTTP, as docs/design/engine-interface.md says.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use futures_lite::{stream, StreamExt};
+use http_types::{Method, Request, Response, StatusCode, Url};
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use super::{CacheEvents, Engine, LoadReport, Order, Piece, Pieces, Start, StreamError};
+use crate::{
+    kernel::{generation::FinishReason, Attempt, Position, RequestId, TokenId},
+    wire::{self, Limits, SendError},
+};
+
+/// Largest answer to a control call, in bytes.
+const CONTROL_LIMIT: usize = 4 << 20;
+
+/// Time for a control call's answer to begin.
+const CONTROL_HEAD: Duration = Duration::from_secs(2);
+
+/// An engine that speaks HTTP.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpEngine {
+    addr: SocketAddr,
+    open: Limits,
+}
+
+impl HttpEngine {
+    /// An engine at an address, whose answer to a start may take `head` to begin.
+    pub fn new(addr: SocketAddr, head: Duration) -> HttpEngine {
+        HttpEngine {
+            addr,
+            open: Limits::new(head),
+        }
+    }
+
+    async fn stream(&self, req: Request) -> Result<Pieces, StreamError> {
+        let res = self.send(req, self.open).await?;
+        Ok(Box::pin(pieces(res)))
+    }
+
+    /// Sends a request and turns every status but success into a refusal.
+    async fn send(&self, req: Request, limits: Limits) -> Result<Response, StreamError> {
+        let mut res = wire::send(self.addr, req, limits)
+            .await
+            .map_err(|err| match err {
+                SendError::NotSent { .. } => StreamError::NotSent {
+                    cause: err.to_string(),
+                },
+                SendError::NoAnswer { .. } => StreamError::Lost {
+                    cause: err.to_string(),
+                },
+            })?;
+        if res.status().is_success() {
+            return Ok(res);
+        }
+        let body = wire::read_body(res.take_body(), CONTROL_LIMIT)
+            .await
+            .map_err(|err| StreamError::Lost {
+                cause: err.to_string(),
+            })?;
+        Err(StreamError::Refused {
+            status: res.status().into(),
+            message: String::from_utf8_lossy(&body).into_owned(),
+        })
+    }
+
+    /// Makes a control call and reads its whole answer.
+    async fn ask(&self, req: Request) -> Result<Vec<u8>, StreamError> {
+        let mut res = self.send(req, Limits::new(CONTROL_HEAD)).await?;
+        wire::read_body(res.take_body(), CONTROL_LIMIT)
+            .await
+            .map_err(|err| StreamError::Lost {
+                cause: err.to_string(),
+            })
+    }
+
+    fn request(&self, method: Method, path: &str) -> Request {
+        let url = format!("http://{}{path}", self.addr);
+        // INVARIANT: paths are constants, numbers and percent-encoded ids, so that the URL is valid.
+        Request::new(method, Url::parse(&url).expect("the path is valid"))
+    }
+}
+
+#[async_trait]
+impl Engine for HttpEngine {
+    async fn open(&self, start: &Start) -> Result<Pieces, StreamError> {
+        let mut body = (*start.body).clone();
+        body.insert("stream".into(), json!(true));
+        body.remove("stream_options");
+        body.insert(
+            "request_id".into(),
+            json!(name(&start.request, start.attempt)),
+        );
+        body.insert("priority".into(), json!(start.priority));
+        if !start.prior.is_empty() {
+            body.insert("prior_token_ids".into(), json!(*start.prior));
+            body.insert("prior_text_bytes".into(), json!(start.prior_text));
+        }
+        let mut req = self.request(Method::Post, start.path);
+        req.set_content_type(http_types::mime::JSON);
+        req.set_body(Value::Object(body).to_string());
+        self.stream(req).await
+    }
+
+    async fn attach(
+        &self,
+        request: &RequestId,
+        attempt: Attempt,
+        from: Position,
+        from_text: usize,
+    ) -> Result<Pieces, StreamError> {
+        let path = format!(
+            "/v1/streams/{}?from={from}&from_text={from_text}",
+            encoded(request, attempt)
+        );
+        self.stream(self.request(Method::Get, &path)).await
+    }
+
+    async fn cancel(&self, request: &RequestId, attempt: Attempt) -> Result<(), StreamError> {
+        let path = format!("/v1/streams/{}", encoded(request, attempt));
+        self.ask(self.request(Method::Delete, &path))
+            .await
+            .map(drop)
+    }
+
+    async fn load(&self) -> Result<LoadReport, StreamError> {
+        let body = self.ask(self.request(Method::Get, "/load")).await?;
+        parse(&body)
+    }
+
+    async fn cache(&self, since: u64, full: bool) -> Result<CacheEvents, StreamError> {
+        let path = if full {
+            "/cache/events?full=1".to_owned()
+        } else {
+            format!("/cache/events?since={since}")
+        };
+        let body = self.ask(self.request(Method::Get, &path)).await?;
+        parse(&body)
+    }
+
+    async fn order(&self, order: &Order) -> Result<(), StreamError> {
+        let mut req = self.request(Method::Post, "/orders");
+        req.set_content_type(http_types::mime::JSON);
+        req.set_body(json!(order).to_string());
+        self.ask(req).await.map(drop)
+    }
+}
+
+/// An event of an engine's stream.
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    id: String,
+    position: Position,
+    token_ids: Vec<TokenId>,
+    text: String,
+    finish_reason: Option<FinishReason>,
+    usage: Option<Usage>,
+}
+
+/// The token counts at the end of an engine's stream.
+#[derive(Debug, Deserialize)]
+struct Usage {
+    prompt_tokens: u32,
+}
+
+/// The name of an attempt's stream.
+fn name(request: &RequestId, attempt: Attempt) -> String {
+    format!("{request}#{attempt}")
+}
+
+/// The name of an attempt's stream in a path; ids are of unreserved characters.
+fn encoded(request: &RequestId, attempt: Attempt) -> String {
+    format!("{request}%23{attempt}")
+}
+
+/// Reads a stream's events; it ends after its last piece, or with an error.
+fn pieces(res: Response) -> impl stream::Stream<Item = Result<Piece, StreamError>> + Send {
+    let events = async_sse::decode(res);
+    stream::unfold(Some(events), |events| async {
+        let mut events = events?;
+        match next_piece(&mut events).await {
+            Ok(piece @ Piece::Finished { .. }) => Some((Ok(piece), None)),
+            Ok(piece) => Some((Ok(piece), Some(events))),
+            Err(err) => Some((Err(err), None)),
+        }
+    })
+}
+
+/// Reads the next event that carries a piece.
+async fn next_piece(events: &mut async_sse::Decoder<Response>) -> Result<Piece, StreamError> {
+    loop {
+        match events.next().await {
+            Some(Ok(async_sse::Event::Message(message))) => return piece(message.data()),
+            Some(Ok(async_sse::Event::Retry(_))) => {}
+            Some(Err(err)) => {
+                return Err(StreamError::Lost {
+                    cause: err.to_string(),
+                })
+            }
+            None => {
+                return Err(StreamError::Lost {
+                    cause: "the stream ended before its finish".into(),
+                })
+            }
+        }
+    }
+}
+
+/// Reads a piece from an event's data.
+fn piece(data: &[u8]) -> Result<Piece, StreamError> {
+    let chunk: Chunk = parse(data)?;
+    let (request, attempt) = chunk
+        .id
+        .rsplit_once('#')
+        .and_then(|(request, attempt)| Some((request.into(), attempt.parse().ok()?)))
+        .ok_or_else(|| StreamError::Malformed {
+            cause: format!("{:?} is not the id of an attempt", chunk.id),
+        })?;
+    Ok(match chunk.finish_reason {
+        None => Piece::Tokens {
+            request,
+            attempt,
+            position: chunk.position,
+            ids: chunk.token_ids,
+            text: chunk.text,
+        },
+        Some(reason) => Piece::Finished {
+            request,
+            attempt,
+            position: chunk.position,
+            reason,
+            prompt_tokens: chunk.usage.map_or(0, |usage| usage.prompt_tokens),
+        },
+    })
+}
+
+/// Reads JSON.
+fn parse<'a, T>(data: &'a [u8]) -> Result<T, StreamError>
+where
+    T: Deserialize<'a>,
+{
+    serde_json::from_slice(data).map_err(|err| StreamError::Malformed {
+        cause: err.to_string(),
+    })
+}
+
+/// Whether a refusal means that another engine may take the request.
+pub(crate) fn is_transient(status: u16) -> bool {
+    matches!(
+        StatusCode::try_from(status),
+        Ok(StatusCode::NotFound | StatusCode::ServiceUnavailable | StatusCode::TooManyRequests)
+    )
+}
--- /dev/null
+++ b/crates/cassiareel/src/backend/http_service.rs
@@ -0,0 +1,91 @@
+//! Plain services over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use http_types::{headers, Request, StatusCode, Url};
+
+use super::{Answer, Call, CallError, Service};
+use crate::wire::{self, Limits, SendError};
+
+/// Largest answer of a plain service, in bytes.
+const ANSWER_LIMIT: usize = 1 << 20;
+
+/// The header by which a service says that it did not run a call it refuses.
+const NOT_RUN: &str = "x-not-run";
+
+/// The header that carries a call's name on each hop.
+const REQUEST_ID: &str = "x-request-id";
+
+/// A plain service's backend server that speaks HTTP.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpService {
+    addr: SocketAddr,
+    limits: Limits,
+}
+
+impl HttpService {
+    /// A service at an address, whose answer may take `head` to begin.
+    pub fn new(addr: SocketAddr, head: Duration) -> HttpService {
+        HttpService {
+            addr,
+            limits: Limits::new(head),
+        }
+    }
+
+    fn request(&self, call: &Call) -> Result<Request, CallError> {
+        let url = format!("http://{}{}", self.addr, call.path);
+        let url = Url::parse(&url).map_err(|err| CallError::NotRun {
+            cause: format!("{url:?} is not a URL: {err}"),
+        })?;
+        let mut req = Request::new(call.method, url);
+        req.set_body(call.body.clone());
+        let media = call.media.as_deref().unwrap_or("application/octet-stream");
+        req.insert_header(headers::CONTENT_TYPE, media);
+        req.insert_header("idempotency-key", call.name.as_str());
+        req.insert_header(REQUEST_ID, call.name.as_str());
+        Ok(req)
+    }
+}
+
+#[async_trait]
+impl Service for HttpService {
+    async fn call(&self, call: &Call) -> Result<Answer, CallError> {
+        let req = self.request(call)?;
+        let mut res = wire::send(self.addr, req, self.limits)
+            .await
+            .map_err(|err| match err {
+                SendError::NotSent { .. } => CallError::NotRun {
+                    cause: err.to_string(),
+                },
+                SendError::NoAnswer { .. } => CallError::Unknown {
+                    cause: err.to_string(),
+                },
+            })?;
+        if let Some(name) = res.header(REQUEST_ID) {
+            if name.as_str() != call.name {
+                let cause = format!("the answer is for {:?}, not {:?}", name.as_str(), call.name);
+                return Err(CallError::Unknown { cause });
+            }
+        }
+        let not_run = res.header(NOT_RUN).is_some();
+        let media = res
+            .header(headers::CONTENT_TYPE)
+            .map(|value| value.as_str().to_owned());
+        let status = res.status();
+        let body = wire::read_body(res.take_body(), ANSWER_LIMIT)
+            .await
+            .map_err(|err| CallError::Unknown {
+                cause: err.to_string(),
+            })?;
+        if not_run && status != StatusCode::Ok {
+            let cause = String::from_utf8_lossy(&body).into_owned();
+            return Err(CallError::NotRun { cause });
+        }
+        Ok(Answer {
+            status: status.into(),
+            media,
+            body,
+        })
+    }
+}
--- a/crates/cassiareel/src/backend/mod.rs
+++ b/crates/cassiareel/src/backend/mod.rs
@@ -6,8 +6,15 @@
 */
 
 mod engine;
+mod http_engine;
+mod http_service;
+mod service;
 
 pub use engine::{
     CacheEvent, CacheEvents, CacheKind, Engine, LoadReport, Order, OrderKind, Piece, Pieces, Start,
     StreamError,
 };
+pub(crate) use http_engine::is_transient;
+pub use http_engine::HttpEngine;
+pub use http_service::HttpService;
+pub use service::{Answer, Call, CallError, Service};
--- /dev/null
+++ b/crates/cassiareel/src/front/answer.rs
@@ -0,0 +1,172 @@
+//! Answers in the shapes of the OpenAI HTTP API.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::Serialize;
+
+use super::Endpoint;
+use crate::kernel::generation::FinishReason;
+
+/// What all parts of one answer carry.
+#[derive(Clone, Debug)]
+pub(super) struct Shape {
+    /// The request's name.
+    pub(super) id: String,
+    /// The model, as the caller named it.
+    pub(super) model: String,
+    /// When the answer began, in seconds of the Unix epoch.
+    pub(super) created: u64,
+    /// The endpoint.
+    pub(super) endpoint: Endpoint,
+}
+
+/// The token counts of an answer.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(super) struct Usage {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+}
+
+impl Usage {
+    /// Counts of a prompt and its answer.
+    pub(super) fn new(prompt: u32, completion: u32) -> Usage {
+        Usage {
+            prompt_tokens: prompt,
+            completion_tokens: completion,
+            total_tokens: prompt + completion,
+        }
+    }
+}
+
+impl Shape {
+    /// The shape of an answer that begins now.
+    pub(super) fn new(id: &str, model: &str, endpoint: Endpoint) -> Shape {
+        let created = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| since.as_secs());
+        Shape {
+            id: id.to_owned(),
+            model: model.to_owned(),
+            created,
+            endpoint,
+        }
+    }
+
+    /// Appends an event with text to a buffer.
+    pub(super) fn text(&self, out: &mut Vec<u8>, text: &str, first: bool) {
+        let choice = match self.endpoint {
+            Endpoint::Completions => Choice {
+                text: Some(text),
+                ..Choice::default()
+            },
+            Endpoint::Chat => Choice {
+                delta: Some(Delta {
+                    role: first.then_some("assistant"),
+                    content: Some(text),
+                }),
+                ..Choice::default()
+            },
+        };
+        self.event(out, &[choice], None);
+    }
+
+    /// Appends the events that end a stream to a buffer.
+    pub(super) fn finish(&self, out: &mut Vec<u8>, reason: FinishReason, usage: Option<Usage>) {
+        let mut choice = Choice {
+            finish_reason: Some(reason),
+            ..Choice::default()
+        };
+        match self.endpoint {
+            Endpoint::Completions => choice.text = Some(""),
+            Endpoint::Chat => choice.delta = Some(Delta::default()),
+        }
+        self.event(out, &[choice], None);
+        if usage.is_some() {
+            self.event(out, &[], usage);
+        }
+        out.extend_from_slice(b"data: [DONE]\n\n");
+    }
+
+    /// The body of an answer that is not streamed.
+    pub(super) fn whole(&self, text: &str, reason: FinishReason, usage: Usage) -> Vec<u8> {
+        let mut choice = Choice {
+            finish_reason: Some(reason),
+            ..Choice::default()
+        };
+        match self.endpoint {
+            Endpoint::Completions => choice.text = Some(text),
+            Endpoint::Chat => {
+                choice.message = Some(Delta {
+                    role: Some("assistant"),
+                    content: Some(text),
+                });
+            }
+        }
+        let object = match self.endpoint {
+            Endpoint::Completions => "text_completion",
+            Endpoint::Chat => "chat.completion",
+        };
+        let mut out = Vec::new();
+        self.write(&mut out, object, &[choice], Some(usage));
+        out
+    }
+
+    fn event(&self, out: &mut Vec<u8>, choices: &[Choice<'_>], usage: Option<Usage>) {
+        let object = match self.endpoint {
+            Endpoint::Completions => "text_completion",
+            Endpoint::Chat => "chat.completion.chunk",
+        };
+        out.extend_from_slice(b"data: ");
+        self.write(out, object, choices, usage);
+        out.extend_from_slice(b"\n\n");
+    }
+
+    fn write(&self, out: &mut Vec<u8>, object: &str, choices: &[Choice<'_>], usage: Option<Usage>) {
+        let part = Part {
+            id: &self.id,
+            object,
+            created: self.created,
+            model: &self.model,
+            choices,
+            usage,
+        };
+        // INVARIANT: the parts are strings and numbers, which always have a JSON form.
+        serde_json::to_writer(out, &part).expect("a part of an answer is JSON");
+    }
+}
+
+/// An answer or a part of one.
+#[derive(Serialize)]
+struct Part<'a> {
+    id: &'a str,
+    object: &'a str,
+    created: u64,
+    model: &'a str,
+    choices: &'a [Choice<'a>],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+/// The only choice of an answer.
+#[derive(Default, Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Delta<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Delta<'a>>,
+    logprobs: Option<()>,
+    finish_reason: Option<FinishReason>,
+}
+
+/// A chat message or a part of one.
+#[derive(Default, Serialize)]
+struct Delta<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
--- /dev/null
+++ b/crates/cassiareel/src/front/generate.rs
@@ -0,0 +1,381 @@
+//! The driver of one generation: carries out the machine's actions.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
+use slog::{info, Logger};
+use smol::Timer;
+
+use super::{
+    answer::{Shape, Usage},
+    choose::Place,
+    Chooser, Prompt, Refusal,
+};
+use crate::{
+    backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
+    kernel::{
+        generation::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend},
+        Attempt, RequestId, Time, TokenId,
+    },
+    runtime::Spawner,
+    settings::Route,
+};
+
+/// What a driver tells the handler that waits for the answer.
+#[derive(Debug)]
+pub(super) enum Signal {
+    /// The first tokens are there: the answer can begin.
+    Began,
+    /// The answer is whole.
+    Complete {
+        text: String,
+        reason: FinishReason,
+        usage: Usage,
+    },
+    /// The answer ended without being whole.
+    Refused(Refusal),
+}
+
+/// Drives one generation to its end.
+pub(super) struct Driver {
+    pub(super) id: RequestId,
+    pub(super) prompt: Prompt,
+    pub(super) route: Route,
+    pub(super) shape: Shape,
+    pub(super) chooser: Arc<Chooser>,
+    pub(super) spawner: Spawner,
+    pub(super) log: Logger,
+    /// Where a streamed answer goes; an answer that is not streamed is gathered.
+    pub(super) out: Option<piper::Writer>,
+    pub(super) signal: async_channel::Sender<Signal>,
+}
+
+/// The state of a driver at work.
+struct Work {
+    driver: Driver,
+    origin: Instant,
+    machine: Generation,
+    place: Option<Place>,
+    pieces: Option<Pieces>,
+    wake: Time,
+    tokens: Vec<TokenId>,
+    text: String,
+    text_bytes: usize,
+    prompt_tokens: u32,
+    refused: Option<Refusal>,
+    buf: Vec<u8>,
+}
+
+/// Time for an engine to begin its answer's head.
+const ENGINE_HEAD: Duration = Duration::from_secs(10);
+
+/// Time that a refused caller is asked to wait.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+impl Driver {
+    /// Runs the generation until its answer has ended.
+    pub(super) async fn run(self) {
+        let limits = Limits {
+            queue: Duration::from_secs(5),
+            first: Duration::from_secs(10),
+            between: Duration::from_millis(1500),
+            retry: Duration::from_millis(50),
+            attempts: 8,
+        };
+        let (machine, actions) = Generation::start(limits, Duration::ZERO);
+        let mut work = Work {
+            driver: self,
+            origin: Instant::now(),
+            machine,
+            place: None,
+            pieces: None,
+            wake: Duration::ZERO,
+            tokens: Vec::new(),
+            text: String::new(),
+            text_bytes: 0,
+            prompt_tokens: 0,
+            refused: None,
+            buf: Vec::new(),
+        };
+        work.perform(actions).await;
+        while !work.machine.is_ended() {
+            let event = work.next().await;
+            let actions = work.machine.step(work.now(), event);
+            work.perform(actions).await;
+        }
+    }
+}
+
+impl Work {
+    fn now(&self) -> Time {
+        self.origin.elapsed()
+    }
+
+    /// Waits for the next event: a piece that is there goes before a timer that is due.
+    async fn next(&mut self) -> Event {
+        let attempt = self.machine.attempt();
+        let due = self.origin + self.wake;
+        let timer = async {
+            Timer::at(due).await;
+            None
+        };
+        let piece = match &mut self.pieces {
+            Some(pieces) => async { Some(pieces.next().await) }.or(timer).await,
+            None => timer.await,
+        };
+        match piece {
+            None => Event::Tick,
+            Some(Some(Ok(piece))) => self.event(piece),
+            Some(Some(Err(err))) => self.lost(attempt, &err),
+            Some(None) => Event::Lost {
+                attempt,
+                how: Loss::Reset,
+            },
+        }
+    }
+
+    /// Turns a piece into an event, checking whose answer it is.
+    fn event(&mut self, piece: Piece) -> Event {
+        let current = self.machine.attempt();
+        let (request, attempt, event) = match piece {
+            Piece::Tokens {
+                request,
+                attempt,
+                position,
+                ids,
+                text,
+            } => {
+                let event = Event::Tokens {
+                    attempt,
+                    position,
+                    ids,
+                    text,
+                };
+                (request, attempt, event)
+            }
+            Piece::Finished {
+                request,
+                attempt,
+                position,
+                reason,
+                prompt_tokens,
+            } => {
+                self.prompt_tokens = prompt_tokens;
+                let event = Event::Finished {
+                    attempt,
+                    position,
+                    reason,
+                };
+                (request, attempt, event)
+            }
+        };
+        if request == self.driver.id && attempt == current {
+            return event;
+        }
+        info!(self.driver.log, "answer of another request";
+            "got" => &*request, "got_attempt" => attempt, "attempt" => current);
+        Event::Lost {
+            attempt: current,
+            how: Loss::Mismatch,
+        }
+    }
+
+    /// Turns a stream's error into an event.
+    fn lost(&mut self, attempt: Attempt, err: &StreamError) -> Event {
+        info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
+        let how = match err {
+            StreamError::Refused { status, message } => {
+                if !crate::backend::is_transient(*status) {
+                    self.refused = Some(engine_refusal(*status, message));
+                    return Event::NotChosen {
+                        attempt,
+                        why: NoBackend::Unplaced,
+                    };
+                }
+                Loss::Refused
+            }
+            StreamError::NotSent { .. } => Loss::Refused,
+            StreamError::Malformed { .. } => Loss::Mismatch,
+            StreamError::Lost { .. } => Loss::Reset,
+        };
+        Event::Lost { attempt, how }
+    }
+
+    /// Carries actions out, and those that follow from them.
+    async fn perform(&mut self, actions: Vec<Action>) {
+        let mut queue = std::collections::VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
+            if let Some(event) = self.act(action).await {
+                queue.extend(self.machine.step(self.now(), event));
+            }
+        }
+    }
+
+    /// Carries one action out; what it led to at once is an event.
+    async fn act(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Choose { attempt, exclude } => Some(self.choose(attempt, &exclude)),
+            Action::Open { attempt, .. } => self.open(attempt).await,
+            Action::Cancel { attempt, .. } => {
+                self.cancel(attempt);
+                None
+            }
+            Action::Emit { ids, text, .. } => self.emit(ids, &text).await,
+            Action::Wake { at } => {
+                self.wake = at;
+                None
+            }
+            Action::End(ending) => {
+                self.finish(ending).await;
+                None
+            }
+        }
+    }
+
+    fn choose(&mut self, attempt: Attempt, exclude: &[crate::kernel::BackendId]) -> Event {
+        self.pieces = None;
+        self.place = self.driver.chooser.choose(&self.driver.route, exclude);
+        let chosen = self.place.as_ref().map(|place| place.addr.to_string());
+        info!(self.driver.log, "routed"; "attempt" => attempt, "version" => &*self.driver.route.version,
+            "choice" => chosen.as_deref(), "excluded" => exclude.join(" "),
+            "candidates" => self.driver.route.servers.len());
+        match chosen {
+            Some(backend) => Event::Chosen {
+                attempt,
+                backend: backend.into(),
+            },
+            None if self.driver.route.servers.is_empty() => Event::NotChosen {
+                attempt,
+                why: NoBackend::Unplaced,
+            },
+            None => Event::NotChosen {
+                attempt,
+                why: NoBackend::Busy,
+            },
+        }
+    }
+
+    async fn open(&mut self, attempt: Attempt) -> Option<Event> {
+        let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
+        let mut body = (*self.driver.prompt.body).clone();
+        let model = format!(
+            "{}@{}",
+            self.driver.route.service, self.driver.route.version
+        );
+        body.insert("model".into(), model.into());
+        let start = Start {
+            request: self.driver.id.clone(),
+            attempt,
+            path: self.driver.prompt.endpoint.path(),
+            body: Arc::new(body),
+            prior: Arc::new(self.tokens.clone()),
+            prior_text: self.text_bytes,
+            priority: 0,
+        };
+        match engine.open(&start).await {
+            Ok(pieces) => {
+                self.pieces = Some(pieces);
+                None
+            }
+            Err(err) => Some(self.lost(attempt, &err)),
+        }
+    }
+
+    /// Cancels an attempt in the background: the next one doesn't wait for it.
+    fn cancel(&mut self, attempt: Attempt) {
+        self.pieces = None;
+        let Some(place) = self.place.take() else {
+            return;
+        };
+        let id = self.driver.id.clone();
+        let cancel = async move {
+            let engine = HttpEngine::new(place.addr, ENGINE_HEAD);
+            let _ = engine.cancel(&id, attempt).await;
+        };
+        self.driver.spawner.spawn(cancel).detach();
+    }
+
+    async fn emit(&mut self, ids: Vec<TokenId>, text: &str) -> Option<Event> {
+        let first = self.tokens.is_empty();
+        self.tokens.extend(ids);
+        self.text_bytes += text.len();
+        if first {
+            let _ = self.driver.signal.try_send(Signal::Began);
+        }
+        let Some(out) = &mut self.driver.out else {
+            self.text.push_str(text);
+            return None;
+        };
+        if text.is_empty() && !first {
+            return None;
+        }
+        self.buf.clear();
+        self.driver.shape.text(&mut self.buf, text, first);
+        match out.write_all(&self.buf).await {
+            Ok(()) => None,
+            Err(_) => Some(Event::Abandoned),
+        }
+    }
+
+    async fn finish(&mut self, ending: Ending) {
+        let tokens = self.tokens.len() as u32;
+        info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
+            "attempts" => self.machine.attempt());
+        self.place = None;
+        self.pieces = None;
+        let usage = Usage::new(self.prompt_tokens, tokens);
+        let signal = match ending {
+            Ending::Complete(reason) => {
+                self.write_finish(reason, usage).await;
+                Signal::Complete {
+                    text: std::mem::take(&mut self.text),
+                    reason,
+                    usage,
+                }
+            }
+            Ending::NotRun | Ending::Abandoned => {
+                let busy =
+                    || Refusal::busy("no backend server can take the request now", RETRY_AFTER);
+                Signal::Refused(self.refused.take().unwrap_or_else(busy))
+            }
+            Ending::Partial => {
+                let words = format!(
+                    "the answer is whole up to token {tokens} and can't go on; ask again for the rest"
+                );
+                let refusal = Refusal::busy(words, RETRY_AFTER).with_code("partial");
+                self.write_error(&refusal).await;
+                Signal::Refused(refusal)
+            }
+        };
+        let _ = self.driver.signal.try_send(signal);
+    }
+
+    async fn write_finish(&mut self, reason: FinishReason, usage: Usage) {
+        let Some(out) = &mut self.driver.out else {
+            return;
+        };
+        // An answer without tokens begins with its end.
+        let _ = self.driver.signal.try_send(Signal::Began);
+        self.buf.clear();
+        let usage = self.driver.prompt.usage.then_some(usage);
+        self.driver.shape.finish(&mut self.buf, reason, usage);
+        let _ = out.write_all(&self.buf).await;
+    }
+
+    async fn write_error(&mut self, refusal: &Refusal) {
+        if let Some(out) = &mut self.driver.out {
+            let event = format!("data: {}\n\n", refusal.body());
+            let _ = out.write_all(event.as_bytes()).await;
+        }
+    }
+}
+
+/// Passes an engine's refusal on.
+fn engine_refusal(status: u16, message: &str) -> Refusal {
+    let status =
+        http_types::StatusCode::try_from(status).unwrap_or(http_types::StatusCode::BadGateway);
+    Refusal::new(status, format!("the engine refused: {message}"))
+}
--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -1,3 +1,22 @@
 /*!
-The interfaces of callers and of operators.
+The interface of callers: the completions and chat endpoints of the OpenAI HTTP API, and plain
+services by path.
+
+Every request is identified by its caller's key, checked whole before anything runs, and given a
+name that its answer carries, so that nothing is matched by the order of arrival. Each refusal says
+in `x-outcome` whether the work was not run, ran, or is unknown.
 */
+
+mod answer;
+mod api;
+mod choose;
+mod generate;
+mod refusal;
+mod request;
+mod service;
+
+pub use api::Front;
+pub use refusal::{Outcome, Refusal};
+pub use request::{Endpoint, Prompt};
+
+use choose::Chooser;
--- /dev/null
+++ b/crates/cassiareel/src/front/request.rs
@@ -0,0 +1,237 @@
+//! Requests for generations, checked whole.
+
+use std::sync::Arc;
+
+use serde_json::{json, Map, Value};
+
+use super::Refusal;
+
+/// Tokens of an answer where the caller names no bound.
+const DEFAULT_TOKENS: u64 = 1024;
+
+/// Largest bound on an answer's tokens that a caller may name.
+const MOST_TOKENS: u64 = 1 << 20;
+
+/// Fields that would change the answer's shape and are not served.
+const UNSERVED: [&str; 7] = [
+    "best_of",
+    "echo",
+    "functions",
+    "logprobs",
+    "suffix",
+    "tools",
+    "top_logprobs",
+];
+
+/// An endpoint for generations.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Endpoint {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Completions,
+}
+
+impl Endpoint {
+    /// The path, the same at nodes and engines.
+    pub fn path(self) -> &'static str {
+        match self {
+            Endpoint::Chat => "/v1/chat/completions",
+            Endpoint::Completions => "/v1/completions",
+        }
+    }
+}
+
+/// A request for a generation that has been checked.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// The model, which is the service's name.
+    pub model: String,
+    /// The text that engines cache prefixes of.
+    pub text: String,
+    /// The bound on the answer's tokens.
+    pub tokens: u32,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Whether a stream ends with the token counts.
+    pub usage: bool,
+    /// The body for engines, without what the node sets itself.
+    pub body: Arc<Map<String, Value>>,
+}
+
+impl Prompt {
+    /// Checks a body.
+    ///
+    /// # Errors
+    ///
+    /// The refusal names the first field that is wrong, with its value.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cassiareel::front::{Endpoint, Prompt};
+    ///
+    /// let body = br#"{"model": "draft", "prompt": "Once", "max_tokens": 5}"#;
+    /// let prompt = Prompt::parse(Endpoint::Completions, body).unwrap();
+    /// assert_eq!((prompt.text.as_str(), prompt.tokens), ("Once", 5));
+    /// assert!(Prompt::parse(Endpoint::Completions, b"{}").is_err());
+    /// ```
+    pub fn parse(endpoint: Endpoint, body: &[u8]) -> Result<Prompt, Refusal> {
+        let mut body = object(body)?;
+        if let Some(field) = UNSERVED.iter().find(|f| is_set(body.get(**f))) {
+            let message = format!("{field:?} is not served; leave it out");
+            return Err(Refusal::invalid(field, message));
+        }
+        if let Some(n) = body.remove("n").filter(|n| !n.is_null() && *n != json!(1)) {
+            return Err(Refusal::invalid(
+                "n",
+                format!("\"n\" is {n}, only 1 is served"),
+            ));
+        }
+        let model = string(&body, "model")?;
+        let text = match endpoint {
+            Endpoint::Completions => prompt_text(&mut body)?,
+            Endpoint::Chat => messages_text(&body)?,
+        };
+        let tokens = bound(&mut body)?;
+        body.insert("max_tokens".into(), json!(tokens));
+        check_stop(&body)?;
+        let stream = flag(&body, "stream")?;
+        let usage = body
+            .get("stream_options")
+            .and_then(|options| options.get("include_usage"))
+            .is_some_and(|value| *value == json!(true));
+        Ok(Prompt {
+            endpoint,
+            model,
+            text,
+            tokens,
+            stream,
+            usage,
+            body: Arc::new(body),
+        })
+    }
+}
+
+/// Reads a JSON object.
+fn object(body: &[u8]) -> Result<Map<String, Value>, Refusal> {
+    let bad = |message: String| Refusal::new(http_types::StatusCode::BadRequest, message);
+    let text = std::str::from_utf8(body).map_err(|err| bad(format!("body is not UTF-8: {err}")))?;
+    match serde_json::from_str(text) {
+        Ok(Value::Object(map)) => Ok(map),
+        Ok(_) => Err(bad("body is JSON but not an object".into())),
+        Err(err) => Err(bad(format!("body is not JSON: {err}"))),
+    }
+}
+
+/// Reports whether a field asks for something.
+fn is_set(value: Option<&Value>) -> bool {
+    !matches!(
+        value,
+        None | Some(Value::Null | Value::Bool(false)) | Some(Value::Number(_))
+    ) || value.is_some_and(|v| v.as_u64().is_some_and(|n| n > 1))
+}
+
+/// Reads a string that must not be empty.
+fn string(body: &Map<String, Value>, field: &str) -> Result<String, Refusal> {
+    match body.get(field) {
+        Some(Value::String(text)) if !text.is_empty() => Ok(text.clone()),
+        Some(other) => Err(Refusal::invalid(
+            field,
+            format!("{field:?} is {other}, not a string that is not empty"),
+        )),
+        None => Err(Refusal::invalid(field, format!("{field:?} is missing"))),
+    }
+}
+
+/// Reads a boolean that may be left out.
+fn flag(body: &Map<String, Value>, field: &str) -> Result<bool, Refusal> {
+    match body.get(field) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(value)) => Ok(*value),
+        Some(other) => Err(Refusal::invalid(
+            field,
+            format!("{field:?} is {other}, not true or false"),
+        )),
+    }
+}
+
+/// Reads the prompt: a string, or a list of one string, which becomes that string.
+fn prompt_text(body: &mut Map<String, Value>) -> Result<String, Refusal> {
+    let only = match body.get("prompt") {
+        Some(Value::Array(list)) if list.len() == 1 => Some(list[0].clone()),
+        Some(Value::Array(list)) => {
+            let message = format!(
+                "\"prompt\" is a list of {}, only one string is served",
+                list.len()
+            );
+            return Err(Refusal::invalid("prompt", message));
+        }
+        _ => None,
+    };
+    if let Some(only) = only {
+        body.insert("prompt".into(), only);
+    }
+    string(body, "prompt")
+}
+
+/// Reads the texts of a chat's messages, joined by newlines.
+fn messages_text(body: &Map<String, Value>) -> Result<String, Refusal> {
+    let messages = match body.get("messages") {
+        Some(Value::Array(list)) if !list.is_empty() => list,
+        Some(other) => {
+            let message = format!("\"messages\" is {other}, not a list that is not empty");
+            return Err(Refusal::invalid("messages", message));
+        }
+        None => return Err(Refusal::invalid("messages", "\"messages\" is missing")),
+    };
+    let texts: Result<Vec<&str>, Refusal> = messages.iter().enumerate().map(content).collect();
+    Ok(texts?.join("\n"))
+}
+
+/// Reads a chat message's text.
+fn content((i, message): (usize, &Value)) -> Result<&str, Refusal> {
+    if !message.get("role").is_some_and(Value::is_string) {
+        let message = format!("message {i} has no \"role\"");
+        return Err(Refusal::invalid("messages", message));
+    }
+    message
+        .get("content")
+        .and_then(Value::as_str)
+        .ok_or_else(|| {
+            let message = format!("message {i} has no \"content\" that is a string");
+            Refusal::invalid("messages", message)
+        })
+}
+
+/// Takes the bound on the answer's tokens, under either of its names.
+fn bound(body: &mut Map<String, Value>) -> Result<u32, Refusal> {
+    let newer = body.remove("max_completion_tokens");
+    let older = body.remove("max_tokens");
+    match newer.or(older) {
+        None | Some(Value::Null) => Ok(DEFAULT_TOKENS as u32),
+        Some(value) => match value.as_u64() {
+            Some(n) if (1..=MOST_TOKENS).contains(&n) => Ok(n as u32),
+            _ => Err(Refusal::invalid(
+                "max_tokens",
+                format!("\"max_tokens\" is {value}, not a whole number from 1 to {MOST_TOKENS}"),
+            )),
+        },
+    }
+}
+
+/// Checks that stop sequences are a string or a list of at most four.
+fn check_stop(body: &Map<String, Value>) -> Result<(), Refusal> {
+    let fits = match body.get("stop") {
+        None | Some(Value::Null | Value::String(_)) => true,
+        Some(Value::Array(list)) => list.len() <= 4 && list.iter().all(Value::is_string),
+        Some(_) => false,
+    };
+    if fits {
+        return Ok(());
+    }
+    let message = "\"stop\" is not a string or a list of at most four strings";
+    Err(Refusal::invalid("stop", message))
+}
--- /dev/null
+++ b/crates/cassiareel/src/front/service.rs
@@ -0,0 +1,81 @@
+//! Plain services by path.
+
+use std::time::Duration;
+
+use http_types::{headers, Request, Response, StatusCode};
+use slog::{info, Logger};
+
+use super::{Chooser, Outcome, Refusal};
+use crate::{
+    backend::{Answer, Call, CallError, HttpService, Service},
+    settings::Route,
+    wire,
+};
+
+/// Time for a plain service's answer to begin.
+const SERVICE_HEAD: Duration = Duration::from_secs(10);
+
+/// Time that a refused caller is asked to wait.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Calls a plain service once and passes its answer on.
+pub(super) async fn call(
+    chooser: &Chooser,
+    route: &Route,
+    call: &Call,
+    log: &Logger,
+) -> Result<Answer, Refusal> {
+    let Some(place) = chooser.choose(route, &[]) else {
+        return Err(Refusal::busy(
+            "no backend server can take the call now",
+            RETRY_AFTER,
+        ));
+    };
+    info!(log, "routed"; "version" => &*route.version, "choice" => %place.addr);
+    let service = HttpService::new(place.addr, SERVICE_HEAD);
+    service.call(call).await.map_err(|err| {
+        info!(log, "call lost"; "cause" => %err);
+        match err {
+            CallError::NotRun { .. } => Refusal::busy(err.to_string(), RETRY_AFTER),
+            CallError::Unknown { .. } => {
+                Refusal::new(StatusCode::BadGateway, err.to_string()).with_outcome(Outcome::Unknown)
+            }
+        }
+    })
+}
+
+/// Reads a caller's call.
+pub(super) async fn read(
+    req: &mut Request,
+    path: &str,
+    name: &str,
+    limit: usize,
+) -> Result<Call, Refusal> {
+    let body = wire::read_body(req.take_body(), limit)
+        .await
+        .map_err(|err| super::api::body_refusal(&err))?;
+    let query = req
+        .url()
+        .query()
+        .map_or_else(String::new, |q| format!("?{q}"));
+    Ok(Call {
+        method: req.method(),
+        path: format!("{path}{query}"),
+        media: req
+            .header(headers::CONTENT_TYPE)
+            .map(|value| value.as_str().to_owned()),
+        body,
+        name: name.to_owned(),
+    })
+}
+
+/// The caller's answer.
+pub(super) fn response(answer: Answer) -> Response {
+    let mut res = Response::new(answer.status);
+    res.insert_header("x-outcome", Outcome::Ran.name());
+    res.set_body(answer.body);
+    if let Some(media) = answer.media {
+        res.insert_header(headers::CONTENT_TYPE, media);
+    }
+    res
+}
--- a/crates/cassiareel/src/lib.rs
+++ b/crates/cassiareel/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod control;
 pub mod front;
 pub mod kernel;
+pub mod node;
 pub mod observe;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/cassiareel/src/node/options.rs
@@ -0,0 +1,37 @@
+//! What a node is told of itself.
+
+use std::net::SocketAddr;
+
+use crate::kernel::{DataCentreId, NodeId};
+
+/// A node's own facts, from its daemon's settings file.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The node's name.
+    pub name: NodeId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// The address for callers.
+    pub listen: SocketAddr,
+    /// The address for peers and operators.
+    pub control: SocketAddr,
+    /// Control addresses of some peers, to join by.
+    pub peers: Vec<SocketAddr>,
+    /// Threads that run its tasks.
+    pub threads: usize,
+}
+
+impl Options {
+    /// A node of a name in a data centre, on free loopback ports, without peers.
+    pub fn new(name: &str, data_centre: &str) -> Options {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Options {
+            name: name.into(),
+            data_centre: data_centre.into(),
+            listen: any,
+            control: any,
+            peers: Vec::new(),
+            threads: 2,
+        }
+    }
+}
