Add stand-ins of the model engine and the object API, and the object API's adapter

Why: the thin path needs both; an answer is known beforehand, so that a client can tell a missing, repeated or foreign token. Change: Objects::list gives the store's version with the objects, since a watch that goes on from the newest object of a quiet kind is expired again after each listing; a watch shows deletions with a null spec; an expired watch has an error of its own.

--- /dev/null
+++ b/crates/cassiareel-standins/src/engine/batch.rs
@@ -0,0 +1,184 @@
+//! Continuous batching, as steps without a clock.
+
+use std::{sync::Arc, time::Duration};
+
+use cassiareel::kernel::{generation::FinishReason, Position};
+
+use super::{
+    model::{token_bytes, Model},
+    stream::Stream,
+};
+
+/// How long an engine's steps take.
+#[derive(Clone, Copy, Debug)]
+pub struct Speed {
+    /// A step's time for the first request.
+    pub step: Duration,
+    /// Further time for each request in the batch.
+    pub request: Duration,
+    /// Further time for each token of a prompt that is read.
+    pub prefill: Duration,
+}
+
+/// Bounds on a batch.
+#[derive(Clone, Copy, Debug)]
+pub struct Capacity {
+    /// Requests that run at one time.
+    pub batch: usize,
+    /// Requests that wait.
+    pub queue: usize,
+    /// Tokens that fit in memory.
+    pub tokens: u64,
+    /// Tokens of prompts read in a step.
+    pub prefill: u32,
+    /// How long a stream that nobody reads goes on.
+    pub grace: Duration,
+}
+
+/// A request in the engine.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) stream: Arc<Stream>,
+    pub(super) model: Model,
+    pub(super) position: Position,
+    pub(super) limit: Position,
+    pub(super) ignore_eos: bool,
+    pub(super) unread: u32,
+    pub(super) priority: i32,
+}
+
+/// What a step led to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Outcome {
+    /// The engine goes on.
+    Ran,
+    /// The requests outgrew the memory.
+    Overflow,
+}
+
+/// The requests of an engine.
+#[derive(Debug, Default)]
+pub(super) struct Batch {
+    running: Vec<Job>,
+    // INVARIANT: in the order in which they will run.
+    waiting: Vec<Job>,
+}
+
+impl Batch {
+    /// Requests that run.
+    pub(super) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Requests that wait.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Tokens that the running requests hold.
+    pub(super) fn used(&self) -> u64 {
+        self.running.iter().map(Job::tokens).sum()
+    }
+
+    /// Puts a request in the queue; false when it is full.
+    pub(super) fn submit(&mut self, job: Job, capacity: &Capacity) -> bool {
+        if self.waiting.len() >= capacity.queue {
+            return false;
+        }
+        let at = self
+            .waiting
+            .partition_point(|other| other.priority <= job.priority);
+        self.waiting.insert(at, job);
+        true
+    }
+
+    /// Removes the request of a stream.
+    pub(super) fn remove(&mut self, id: &str) {
+        self.running.retain(|job| job.stream.id != id);
+        self.waiting.retain(|job| job.stream.id != id);
+    }
+
+    /// Admits requests and tells how long the next step takes; none when there is no work.
+    pub(super) fn plan(
+        &mut self,
+        speed: &Speed,
+        capacity: &Capacity,
+        now: Duration,
+    ) -> Option<Duration> {
+        let stays =
+            |job: &Job| !job.stream.is_cut() && !job.stream.is_forgotten(now, capacity.grace);
+        self.running.retain(stays);
+        self.waiting.retain(stays);
+        self.admit(capacity);
+        if self.running.is_empty() {
+            return None;
+        }
+        let unread: u32 = self.running.iter().map(|job| job.unread).sum();
+        let count = self.running.len() as u32;
+        let prefill = speed.prefill * unread.min(capacity.prefill);
+        Some(speed.step + speed.request * (count - 1) + prefill)
+    }
+
+    /// Carries the planned step out.
+    pub(super) fn commit(&mut self, capacity: &Capacity, now: Duration) -> Outcome {
+        let mut budget = capacity.prefill;
+        self.running.retain_mut(|job| !job.step(&mut budget, now));
+        if self.used() > capacity.tokens {
+            Outcome::Overflow
+        } else {
+            Outcome::Ran
+        }
+    }
+
+    fn admit(&mut self, capacity: &Capacity) {
+        let mut used = self.used();
+        while self.running.len() < capacity.batch {
+            // A request that can't ever fit is run all the same: real engines learn it the hard way.
+            let fits = |job: &Job| used + job.tokens() <= capacity.tokens || used == 0;
+            if !self.waiting.first().is_some_and(fits) {
+                return;
+            }
+            let job = self.waiting.remove(0);
+            used += job.tokens();
+            self.running.push(job);
+        }
+    }
+}
+
+impl Job {
+    fn tokens(&self) -> u64 {
+        u64::from(self.stream.prompt_tokens) + u64::from(self.position)
+    }
+
+    /// Reads a part of the prompt or adds a token; true when the answer has ended.
+    fn step(&mut self, budget: &mut u32, now: Duration) -> bool {
+        let read = self.unread.min(*budget);
+        self.unread -= read;
+        *budget -= read;
+        if self.unread > 0 {
+            return false;
+        }
+        if let Some(reason) = self.ended() {
+            self.stream.finish(reason);
+            return true;
+        }
+        let id = self.model.token(self.position);
+        let bytes = token_bytes(id).expect("the model stays in its vocabulary");
+        self.position += 1;
+        if self.stream.push(id, bytes, now) {
+            return true;
+        }
+        let ended = self.ended();
+        if let Some(reason) = ended {
+            self.stream.finish(reason);
+        }
+        ended.is_some()
+    }
+
+    fn ended(&self) -> Option<FinishReason> {
+        if !self.ignore_eos && self.position >= self.model.natural_end() {
+            return Some(FinishReason::Stop);
+        }
+        (self.position >= self.limit).then_some(FinishReason::Length)
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-standins/src/engine/stream.rs
@@ -0,0 +1,270 @@
+//! A stream of the engine, and the body that sends it.
+
+use std::{
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard},
+    task::{Context, Poll, Waker},
+    time::Duration,
+};
+
+use cassiareel::kernel::{generation::FinishReason, TokenId};
+use futures_lite::{io, AsyncBufRead, AsyncRead};
+use serde::Serialize;
+
+use super::text::Text;
+
+/// A stream: the whole answer so far, and who reads it.
+#[derive(Debug)]
+pub(super) struct Stream {
+    pub(super) id: String,
+    pub(super) prompt_tokens: u32,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    ids: Vec<TokenId>,
+    text: Text,
+    end: Option<FinishReason>,
+    cut: Option<Cut>,
+    reader: u64,
+    waker: Option<Waker>,
+    detached: Option<Duration>,
+    seen: Duration,
+}
+
+/// How a stream is cut.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// The connection is reset.
+    Reset,
+    /// The body ends cleanly, without its last event.
+    Early,
+}
+
+impl Stream {
+    pub(super) fn new(id: String, prompt_tokens: u32, ids: Vec<TokenId>, text: Text) -> Stream {
+        Stream {
+            id,
+            prompt_tokens,
+            state: Mutex::new(State {
+                ids,
+                text,
+                end: None,
+                cut: None,
+                reader: 0,
+                waker: None,
+                detached: None,
+                seen: Duration::ZERO,
+            }),
+        }
+    }
+
+    /// Takes a token; true when a stop sequence ended the answer.
+    pub(super) fn push(&self, id: TokenId, bytes: &[u8], now: Duration) -> bool {
+        let mut state = self.lock();
+        state.seen = now;
+        state.ids.push(id);
+        let stopped = state.text.push(bytes);
+        if stopped {
+            state.end = Some(FinishReason::Stop);
+        }
+        state.wake();
+        stopped
+    }
+
+    /// Takes a token that the caller has already; true when a stop sequence had ended the answer.
+    pub(super) fn replay(&self, bytes: &[u8]) -> bool {
+        let mut state = self.lock();
+        let stopped = state.text.push(bytes);
+        if stopped {
+            state.end = Some(FinishReason::Stop);
+        }
+        stopped
+    }
+
+    /// Ends the answer.
+    pub(super) fn finish(&self, reason: FinishReason) {
+        let mut state = self.lock();
+        state.text.finish();
+        state.end = Some(reason);
+        state.wake();
+    }
+
+    /// Cuts the stream.
+    pub(super) fn cut(&self, how: Cut) {
+        let mut state = self.lock();
+        state.cut = Some(how);
+        state.wake();
+    }
+
+    /// Reports whether the stream was cut.
+    pub(super) fn is_cut(&self) -> bool {
+        self.lock().cut.is_some()
+    }
+
+    /// Reports whether nobody has read since before `now - grace`.
+    pub(super) fn is_forgotten(&self, now: Duration, grace: Duration) -> bool {
+        let mut state = self.lock();
+        state.seen = now;
+        state.detached.is_some_and(|since| now >= since + grace)
+    }
+
+    /// Attaches a reader, which takes the place of an earlier one; none where the stream has not
+    /// come as far as `position` or `sent`.
+    pub(super) fn attach(self: &Arc<Stream>, position: usize, sent: usize) -> Option<Reader> {
+        let mut state = self.lock();
+        if position > state.ids.len() || sent > state.text.ready() {
+            return None;
+        }
+        state.reader += 1;
+        state.detached = None;
+        state.wake();
+        Some(Reader {
+            ticket: state.reader,
+            position,
+            sent,
+            buf: Vec::new(),
+            at: 0,
+            finished: false,
+            stream: self.clone(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+impl State {
+    fn wake(&mut self) {
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// The body of a streamed answer.
+///
+/// Tokens that are ready together are sent as one event.
+#[derive(Debug)]
+pub(super) struct Reader {
+    stream: Arc<Stream>,
+    ticket: u64,
+    position: usize,
+    sent: usize,
+    buf: Vec<u8>,
+    at: usize,
+    finished: bool,
+}
+
+/// An event as it is sent.
+#[derive(Serialize)]
+struct Event<'a> {
+    id: &'a str,
+    position: usize,
+    token_ids: &'a [TokenId],
+    text: &'a str,
+    finish_reason: Option<FinishReason>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct Usage {
+    prompt_tokens: u32,
+    completion_tokens: usize,
+}
+
+impl Reader {
+    /// Writes the next events to the buffer; false where there are none yet.
+    fn fill(&mut self, state: &State) -> bool {
+        self.buf.clear();
+        self.at = 0;
+        let ids = &state.ids[self.position..];
+        let text = state.text.since(self.sent);
+        if !ids.is_empty() || !text.is_empty() {
+            self.write(&Event {
+                id: &self.stream.id.clone(),
+                position: self.position,
+                token_ids: ids,
+                text,
+                finish_reason: None,
+                usage: None,
+            });
+            self.position += ids.len();
+            self.sent += text.len();
+        }
+        if let Some(reason) = state.end {
+            self.write(&Event {
+                id: &self.stream.id.clone(),
+                position: self.position,
+                token_ids: &[],
+                text: "",
+                finish_reason: Some(reason),
+                usage: Some(Usage {
+                    prompt_tokens: self.stream.prompt_tokens,
+                    completion_tokens: self.position,
+                }),
+            });
+            self.buf.extend_from_slice(b"data: [DONE]\n\n");
+            self.finished = true;
+        }
+        !self.buf.is_empty()
+    }
+
+    fn write(&mut self, event: &Event<'_>) {
+        self.buf.extend_from_slice(b"data: ");
+        serde_json::to_writer(&mut self.buf, event).expect("a vector takes all writes");
+        self.buf.extend_from_slice(b"\n\n");
+    }
+}
+
+impl AsyncBufRead for Reader {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        if this.at == this.buf.len() && !this.finished {
+            let stream = this.stream.clone();
+            let mut state = stream.lock();
+            if state.reader != this.ticket || state.cut == Some(Cut::Reset) {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+            }
+            if !this.fill(&state) && state.cut.is_none() {
+                state.waker = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
+        }
+        Poll::Ready(Ok(&this.buf[this.at..]))
+    }
+
+    fn consume(self: Pin<&mut Self>, amount: usize) {
+        self.get_mut().at += amount;
+    }
+}
+
+impl AsyncRead for Reader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let ready = match self.as_mut().poll_fill_buf(cx) {
+            Poll::Ready(Ok(ready)) => ready,
+            Poll::Ready(Err(err)) => return Poll::Ready(Err(err)),
+            Poll::Pending => return Poll::Pending,
+        };
+        let n = ready.len().min(out.len());
+        out[..n].copy_from_slice(&ready[..n]);
+        self.consume(n);
+        Poll::Ready(Ok(n))
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        let mut state = self.stream.lock();
+        if state.reader == self.ticket {
+            state.detached = Some(state.seen);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-standins/src/feed.rs
@@ -0,0 +1,89 @@
+//! A body fed by a channel.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use async_channel::{Receiver, Sender};
+use futures_lite::{io, AsyncBufRead, AsyncRead, Stream};
+use smol::Timer;
+
+/// A part of a body.
+#[derive(Clone, Debug)]
+pub(crate) enum Part {
+    /// Bytes to send.
+    Bytes(Vec<u8>),
+    /// The connection is reset here.
+    Reset,
+}
+
+/// A body that sends what its channel gives, until the channel closes or a time has passed.
+#[derive(Debug)]
+pub(crate) struct Feed {
+    parts: Pin<Box<Receiver<Part>>>,
+    end: Timer,
+    buf: Vec<u8>,
+    at: usize,
+    ended: bool,
+}
+
+impl Feed {
+    /// A feed that ends cleanly after `limit`, with the sender that feeds it.
+    pub(crate) fn new(limit: Duration) -> (Sender<Part>, Feed) {
+        let (sender, parts) = async_channel::unbounded();
+        let feed = Feed {
+            parts: Box::pin(parts),
+            end: Timer::after(limit),
+            buf: Vec::new(),
+            at: 0,
+            ended: false,
+        };
+        (sender, feed)
+    }
+}
+
+impl AsyncBufRead for Feed {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        while this.at == this.buf.len() && !this.ended {
+            match this.parts.as_mut().poll_next(cx) {
+                Poll::Ready(Some(Part::Bytes(bytes))) => {
+                    this.buf = bytes;
+                    this.at = 0;
+                }
+                Poll::Ready(Some(Part::Reset)) => {
+                    return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                }
+                Poll::Ready(None) => this.ended = true,
+                Poll::Pending if Pin::new(&mut this.end).poll(cx).is_ready() => this.ended = true,
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        Poll::Ready(Ok(&this.buf[this.at..]))
+    }
+
+    fn consume(self: Pin<&mut Self>, amount: usize) {
+        self.get_mut().at += amount;
+    }
+}
+
+impl AsyncRead for Feed {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let ready = match self.as_mut().poll_fill_buf(cx) {
+            Poll::Ready(Ok(ready)) => ready,
+            Poll::Ready(Err(err)) => return Poll::Ready(Err(err)),
+            Poll::Pending => return Poll::Pending,
+        };
+        let n = ready.len().min(out.len());
+        out[..n].copy_from_slice(&ready[..n]);
+        self.consume(n);
+        Poll::Ready(Ok(n))
+    }
+}
--- a/crates/cassiareel-standins/src/lib.rs
+++ b/crates/cassiareel-standins/src/lib.rs
@@ -1,1 +1,12 @@
-//! Stand-ins.
+/*!
+Small stand-ins of what cassiareel meets outside itself.
+
+Each one listens on loopback, speaks the interface of the system whose place it takes, and has its
+faults injected from outside. They are fakes for tests and the demo, not a simulator: a model
+[`engine`] and an object API ([`objects`]).
+*/
+
+pub mod engine;
+mod feed;
+pub mod objects;
+mod respond;
--- /dev/null
+++ b/crates/cassiareel-standins/src/objects/mod.rs
@@ -0,0 +1,71 @@
+/*!
+The platform's object API, in the Kubernetes API conventions for custom objects.
+
+Paths are `/apis/cassiareel.dev/v1/namespaces/default/{kind}[/{name}]`. Each write gives the object
+a new resource version, updates and deletions name the version that they replace, and a watch
+streams the later ones.
+*/
+
+mod server;
+mod store;
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use cassiareel::{
+    runtime::Runtime,
+    wire::{serve, Bounds, Served},
+};
+use smol::net::TcpListener;
+
+use server::Server;
+
+/// A running object API; dropping it kills it, and its objects are lost.
+#[derive(Debug)]
+pub struct ObjectApi {
+    served: Served,
+    server: Arc<Server>,
+    _runtime: Runtime,
+}
+
+impl ObjectApi {
+    /// Starts an empty one on a free loopback port, with a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub fn start() -> io::Result<ObjectApi> {
+        ObjectApi::bind(([127, 0, 0, 1], 0).into())
+    }
+
+    /// Starts an empty one at an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub fn bind(addr: SocketAddr) -> io::Result<ObjectApi> {
+        let listener = smol::block_on(TcpListener::bind(addr))?;
+        let runtime = Runtime::new("objects", 1);
+        let server = Server::new();
+        let served = serve(
+            &runtime.spawner(),
+            listener,
+            Bounds::default(),
+            server.clone(),
+        )?;
+        Ok(ObjectApi {
+            served,
+            server,
+            _runtime: runtime,
+        })
+    }
+
+    /// Resets the connection of every watch.
+    pub fn drop_watches(&self) {
+        self.server.drop_watches();
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.served.addr
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-standins/src/objects/server.rs
@@ -0,0 +1,269 @@
+//! The object API's HTTP interface.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use async_channel::Sender;
+use cassiareel::wire::{read_body, BodyError, BoxFuture, Handler};
+use http_types::{mime, Body, Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::store::{Metadata, Refusal, Store, Stored, WatchEvent};
+use crate::{
+    feed::{Feed, Part},
+    respond::{json, param, segments},
+};
+
+/// Largest object, in bytes.
+const OBJECT_LIMIT: usize = 1 << 20;
+/// How long a watch lasts whose client names no time.
+const WATCH_TIME: Duration = Duration::from_secs(300);
+
+/// The object API behind its listener.
+#[derive(Debug, Default)]
+pub(super) struct Server {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    store: Store,
+    watchers: Vec<Watcher>,
+}
+
+/// A client that waits for changes of a kind.
+#[derive(Debug)]
+struct Watcher {
+    kind: String,
+    feed: Sender<Part>,
+}
+
+/// What a deletion may carry in its body.
+#[derive(Default, Deserialize)]
+struct DeleteOptions {
+    #[serde(default)]
+    preconditions: Preconditions,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Preconditions {
+    #[serde(default)]
+    resource_version: Option<String>,
+}
+
+impl Server {
+    pub(super) fn new() -> Arc<Server> {
+        Arc::new(Server::default())
+    }
+
+    async fn answer(&self, mut req: Request) -> Response {
+        let path = segments(&req);
+        let path: Vec<_> = path.iter().map(String::as_str).collect();
+        let ["apis", "cassiareel.dev", "v1", "namespaces", "default", kind, rest @ ..] = &path[..]
+        else {
+            return status(StatusCode::NotFound, "NotFound", "no such path");
+        };
+        let body = match read_body(req.take_body(), OBJECT_LIMIT).await {
+            Ok(body) => body,
+            Err(err @ BodyError::TooLong { .. }) => {
+                let code = StatusCode::PayloadTooLarge;
+                return status(code, "RequestEntityTooLarge", &err.to_string());
+            }
+            Err(err) => return status(StatusCode::BadRequest, "BadRequest", &err.to_string()),
+        };
+        match (req.method(), rest) {
+            (Method::Get, []) if param(&req, "watch").is_some() => self.watch(kind, &req),
+            (Method::Get, []) => self.list(kind),
+            (Method::Post, []) => self.create(kind, &body),
+            (Method::Get, [name]) => self.get(kind, name),
+            (Method::Put, [name]) => self.update(kind, name, &body),
+            (Method::Delete, [name]) => self.delete(kind, name, &body),
+            _ => status(
+                StatusCode::MethodNotAllowed,
+                "MethodNotAllowed",
+                "no such method here",
+            ),
+        }
+    }
+
+    fn get(&self, kind: &str, name: &str) -> Response {
+        match self.lock().store.get(kind, name) {
+            Some(object) => json(StatusCode::Ok, object),
+            None => refusal(Refusal::Missing, name),
+        }
+    }
+
+    fn list(&self, kind: &str) -> Response {
+        let state = self.lock();
+        let list = json!({
+            "apiVersion": super::store::API_VERSION,
+            "kind": "List",
+            "metadata": {"resourceVersion": state.store.version().to_string()},
+            "items": state.store.list(kind),
+        });
+        json(StatusCode::Ok, &list)
+    }
+
+    fn create(&self, kind: &str, body: &[u8]) -> Response {
+        let object = match parse(body) {
+            Ok(object) => object,
+            Err(res) => return *res,
+        };
+        let name = object.metadata.name.clone();
+        let done = self.write(kind, |store| store.create(kind, object));
+        match done {
+            Ok(object) => json(StatusCode::Created, &object),
+            Err(why) => refusal(why, &name),
+        }
+    }
+
+    fn update(&self, kind: &str, name: &str, body: &[u8]) -> Response {
+        let object = match parse(body) {
+            Ok(object) => object,
+            Err(res) => return *res,
+        };
+        if object.metadata.name != name {
+            let why = "metadata.name differs from the path";
+            return status(StatusCode::BadRequest, "BadRequest", why);
+        }
+        match self.write(kind, |store| store.update(kind, object)) {
+            Ok(object) => json(StatusCode::Ok, &object),
+            Err(why) => refusal(why, name),
+        }
+    }
+
+    fn delete(&self, kind: &str, name: &str, body: &[u8]) -> Response {
+        let options: DeleteOptions = if body.is_empty() {
+            DeleteOptions::default()
+        } else {
+            match serde_json::from_slice(body) {
+                Ok(options) => options,
+                Err(err) => {
+                    return status(StatusCode::BadRequest, "BadRequest", &err.to_string());
+                }
+            }
+        };
+        let version = options.preconditions.resource_version;
+        match self.write(kind, |store| store.delete(kind, name, version.as_deref())) {
+            Ok(object) => json(StatusCode::Ok, &object),
+            Err(why) => refusal(why, name),
+        }
+    }
+
+    /// Carries a write out and tells the watchers of its kind.
+    fn write<F>(&self, kind: &str, write: F) -> Result<Stored, Refusal>
+    where
+        F: FnOnce(&mut Store) -> Result<Stored, Refusal>,
+    {
+        let mut state = self.lock();
+        let before = state.store.version();
+        let object = write(&mut state.store)?;
+        let events = state.store.since(kind, before).unwrap_or_default();
+        let part = lines(&events);
+        state
+            .watchers
+            .retain(|w| w.kind != kind || w.feed.try_send(part.clone()).is_ok());
+        Ok(object)
+    }
+
+    fn watch(&self, kind: &str, req: &Request) -> Response {
+        let since = param(req, "resourceVersion").unwrap_or_default();
+        let Ok(since) = since.parse::<u64>() else {
+            return status(
+                StatusCode::BadRequest,
+                "BadRequest",
+                "resourceVersion is no number",
+            );
+        };
+        let limit = param(req, "timeoutSeconds")
+            .and_then(|text| text.parse().ok())
+            .map_or(WATCH_TIME, Duration::from_secs);
+        let mut state = self.lock();
+        let Some(events) = state.store.since(kind, since) else {
+            return status(
+                StatusCode::Gone,
+                "Expired",
+                "the resource version is too old",
+            );
+        };
+        let (sender, feed) = Feed::new(limit);
+        if !events.is_empty() {
+            let _ = sender.try_send(lines(&events));
+        }
+        state.watchers.retain(|w| !w.feed.is_closed());
+        state.watchers.push(Watcher {
+            kind: kind.to_owned(),
+            feed: sender,
+        });
+        let mut res = Response::new(StatusCode::Ok);
+        res.set_body(Body::from_reader(feed, None));
+        res.set_content_type(mime::JSON);
+        res
+    }
+
+    /// Resets the connection of every watch.
+    pub(super) fn drop_watches(&self) {
+        for watcher in self.lock().watchers.drain(..) {
+            let _ = watcher.feed.try_send(Part::Reset);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+impl Handler for Server {
+    fn handle(&self, req: Request, _: SocketAddr) -> BoxFuture<'_, Response> {
+        Box::pin(self.answer(req))
+    }
+}
+
+/// Reads an object.
+fn parse(body: &[u8]) -> Result<Stored, Box<Response>> {
+    let object: Stored = serde_json::from_slice(body)
+        .map_err(|err| status(StatusCode::BadRequest, "BadRequest", &err.to_string()))?;
+    let Metadata { name, .. } = &object.metadata;
+    if name.is_empty() || name.contains('/') {
+        let why = "metadata.name must be a path segment";
+        return Err(status(StatusCode::UnprocessableEntity, "Invalid", why).into());
+    }
+    Ok(object)
+}
+
+/// Events as a watch sends them, one a line.
+fn lines(events: &[WatchEvent]) -> Part {
+    let mut bytes = Vec::new();
+    for event in events {
+        serde_json::to_writer(&mut bytes, event).expect("a vector takes all writes");
+        bytes.push(b'\n');
+    }
+    Part::Bytes(bytes)
+}
+
+/// A refused write as the API words it.
+fn refusal(why: Refusal, name: &str) -> Response {
+    match why {
+        Refusal::Exists => status(StatusCode::Conflict, "AlreadyExists", name),
+        Refusal::Missing => status(StatusCode::NotFound, "NotFound", name),
+        Refusal::Stale => status(StatusCode::Conflict, "Conflict", name),
+    }
+}
+
+/// A `Status` object.
+fn status(code: StatusCode, reason: &str, message: &str) -> Response {
+    let body = json!({
+        "kind": "Status",
+        "apiVersion": "v1",
+        "status": "Failure",
+        "code": code as u16,
+        "reason": reason,
+        "message": message,
+    });
+    json(code, &body)
+}
--- /dev/null
+++ b/crates/cassiareel/src/platform/http_objects.rs
@@ -0,0 +1,455 @@
+//! The object API over HTTP.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use futures_lite::{future, io::BufReader, AsyncBufReadExt};
+use http_types::{headers, mime, Body, Method, Request, Response, StatusCode, Url};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use smol::Timer;
+
+use super::{Listing, Object, Objects, StoreError, StoreVersion};
+use crate::wire::{read_body, send, Limits, SendError};
+
+/// The path under which the system's own kinds live.
+const ROOT: [&str; 5] = ["apis", "cassiareel.dev", "v1", "namespaces", "default"];
+/// The API version of the system's own kinds.
+const API_VERSION: &str = "cassiareel.dev/v1";
+/// Time for a call's answer, unless the caller sets another.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest answer to a read of one object, in bytes: an object's megabyte and its envelope.
+const OBJECT_LIMIT: usize = 2 << 20;
+/// Longest answer to a list, in bytes.
+const LIST_LIMIT: usize = 64 << 20;
+/// How long to wait where a refusal does not say.
+const DEFAULT_WAIT: Duration = Duration::from_secs(1);
+
+/// The object API at an address, in the Kubernetes API conventions for custom objects.
+///
+/// Each call has a connection of its own. A write's error says whether the write may have taken
+/// effect:
+///
+/// | what came back | error |
+/// | --- | --- |
+/// | no connection | `NotDone` |
+/// | 409; 404 to an update or deletion | `Conflict` |
+/// | 429, or 503 with `Retry-After` | `Throttled` |
+/// | another 4xx | `Invalid` |
+/// | another status, no answer, a cut or malformed answer | `Ambiguous` |
+///
+/// # Examples
+///
+/// ```no_run
+/// use cassiareel::platform::{HttpObjects, Objects};
+///
+/// let objects = HttpObjects::new("127.0.0.1:8001".parse().unwrap());
+/// let found = smol::block_on(objects.get("leases", "draft"));
+/// ```
+#[derive(Clone, Debug)]
+pub struct HttpObjects {
+    addr: SocketAddr,
+    timeout: Duration,
+}
+
+impl HttpObjects {
+    /// The object API at `addr`, whose calls may take two seconds.
+    pub fn new(addr: SocketAddr) -> HttpObjects {
+        HttpObjects {
+            addr,
+            timeout: TIMEOUT,
+        }
+    }
+
+    /// Sets how long a call may take; a watch may take its own wait besides.
+    pub fn timeout(self, timeout: Duration) -> HttpObjects {
+        HttpObjects { timeout, ..self }
+    }
+
+    fn request(&self, method: Method, kind: &str, name: Option<&str>) -> Request {
+        let mut url = Url::parse(&format!("http://{}/", self.addr)).expect("an address is a host");
+        if let Ok(mut path) = url.path_segments_mut() {
+            path.clear().extend(ROOT).push(kind).extend(name);
+        }
+        Request::new(method, url)
+    }
+
+    /// Makes a call and reads its whole answer.
+    async fn call(&self, req: Request, limit: usize) -> Result<Answer, CallError> {
+        let exchange = async {
+            let mut res = send(self.addr, req, Limits::new(self.timeout)).await?;
+            let body = read_body(res.take_body(), limit).await;
+            let body = body.map_err(|err| CallError::Lost(err.to_string()))?;
+            Ok(Answer::new(&res, body))
+        };
+        // The time to connect is bounded apart, and an error there promises more.
+        let whole = Limits::new(self.timeout).connect + self.timeout;
+        within(whole, exchange)
+            .await
+            .unwrap_or_else(|| Err(CallError::Lost(format!("no whole answer in {whole:?}"))))
+    }
+
+    /// Makes a write and tells the version that it gave.
+    async fn write(&self, req: Request, name: &str) -> Result<Wire, StoreError> {
+        let answer = self
+            .call(req, OBJECT_LIMIT)
+            .await
+            .map_err(|err| match err {
+                CallError::NotSent(cause) => StoreError::NotDone { cause },
+                CallError::Lost(cause) => StoreError::Ambiguous { cause },
+            })?;
+        answer.check_write(name)?;
+        answer
+            .parse()
+            .map_err(|cause| StoreError::Ambiguous { cause })
+    }
+
+    /// Makes a read; none where the object is not there.
+    async fn read<T>(&self, req: Request, limit: usize) -> Result<Option<T>, StoreError>
+    where
+        T: for<'de> Deserialize<'de>,
+    {
+        let answer = self.call(req, limit).await.map_err(CallError::of_read)?;
+        if answer.status == StatusCode::NotFound {
+            return Ok(None);
+        }
+        answer.check_read()?;
+        answer
+            .parse()
+            .map(Some)
+            .map_err(|cause| StoreError::Invalid { cause })
+    }
+}
+
+#[async_trait]
+impl Objects for HttpObjects {
+    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
+        let req = self.request(Method::Get, kind, Some(name));
+        let found: Option<Wire> = self.read(req, OBJECT_LIMIT).await?;
+        found.map(|wire| wire.into_object(kind)).transpose()
+    }
+
+    async fn create(&self, object: &Object) -> Result<StoreVersion, StoreError> {
+        let mut req = self.request(Method::Post, &object.kind, None);
+        req.set_body(Wire::body(object, None));
+        let written = self.write(req, &object.name).await?;
+        written.version().map_err(|err| ambiguous(&err))
+    }
+
+    async fn update(&self, object: &Object) -> Result<StoreVersion, StoreError> {
+        let mut req = self.request(Method::Put, &object.kind, Some(&object.name));
+        req.set_body(Wire::body(object, Some(object.version)));
+        let written = self.write(req, &object.name).await?;
+        written.version().map_err(|err| ambiguous(&err))
+    }
+
+    async fn delete(&self, object: &Object) -> Result<(), StoreError> {
+        let mut req = self.request(Method::Delete, &object.kind, Some(&object.name));
+        let options = serde_json::json!({
+            "apiVersion": "v1",
+            "kind": "DeleteOptions",
+            "preconditions": {"resourceVersion": object.version.to_string()},
+        });
+        req.set_body(options);
+        self.write(req, &object.name).await.map(drop)
+    }
+
+    async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
+        let req = self.request(Method::Get, kind, None);
+        let list: Option<WireList> = self.read(req, LIST_LIMIT).await?;
+        let list = list.ok_or_else(|| StoreError::Invalid {
+            cause: format!("the kind {kind} is not known"),
+        })?;
+        let version = parse_version(list.metadata.resource_version.as_deref())?;
+        let objects: Result<_, _> = list
+            .items
+            .into_iter()
+            .map(|wire| wire.into_object(kind))
+            .collect();
+        Ok(Listing {
+            objects: objects?,
+            version,
+        })
+    }
+
+    async fn watch(
+        &self,
+        kind: &str,
+        since: StoreVersion,
+        wait: Duration,
+    ) -> Result<Vec<Object>, StoreError> {
+        let mut req = self.request(Method::Get, kind, None);
+        let seconds = wait.as_secs().max(1);
+        req.url_mut()
+            .query_pairs_mut()
+            .append_pair("watch", "1")
+            .append_pair("resourceVersion", &since.to_string())
+            .append_pair("timeoutSeconds", &seconds.to_string());
+        let limits = Limits::new(self.timeout);
+        let mut res = send(self.addr, req, limits)
+            .await
+            .map_err(|err| CallError::from(err).of_read())?;
+        if res.status() != StatusCode::Ok {
+            let body = read_body(res.take_body(), OBJECT_LIMIT).await;
+            Answer::new(&res, body.unwrap_or_default()).check_read()?;
+        }
+        let mut lines = Lines::new(res);
+        match within(wait, lines.batch(kind)).await {
+            Some(objects) => objects,
+            None => Ok(Vec::new()),
+        }
+    }
+}
+
+/// Why a call gave no answer.
+enum CallError {
+    /// No byte of the call was sent.
+    NotSent(String),
+    /// The call was sent, and its answer lost.
+    Lost(String),
+}
+
+impl CallError {
+    /// A read has no effect that could be in doubt.
+    fn of_read(self) -> StoreError {
+        let (CallError::NotSent(cause) | CallError::Lost(cause)) = self;
+        StoreError::NotDone { cause }
+    }
+}
+
+impl From<SendError> for CallError {
+    fn from(err: SendError) -> CallError {
+        let cause = err.to_string();
+        match err {
+            SendError::NotSent { .. } => CallError::NotSent(cause),
+            SendError::NoAnswer { .. } => CallError::Lost(cause),
+        }
+    }
+}
+
+/// A whole answer.
+struct Answer {
+    status: StatusCode,
+    wait: Option<Duration>,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    fn new(res: &Response, body: Vec<u8>) -> Answer {
+        let wait = res
+            .header(headers::RETRY_AFTER)
+            .and_then(|value| value.as_str().parse().ok())
+            .map(Duration::from_secs);
+        Answer {
+            status: res.status(),
+            wait,
+            body,
+        }
+    }
+
+    /// Sorts the refusals of a write by whether it may have taken effect.
+    fn check_write(&self, name: &str) -> Result<(), StoreError> {
+        match (self.status, self.wait) {
+            (status, _) if status.is_success() => Ok(()),
+            (StatusCode::Conflict | StatusCode::NotFound, _) => Err(StoreError::Conflict {
+                name: name.to_owned(),
+            }),
+            (StatusCode::TooManyRequests, wait) => Err(StoreError::Throttled {
+                wait: wait.unwrap_or(DEFAULT_WAIT),
+            }),
+            (StatusCode::ServiceUnavailable, Some(wait)) => Err(StoreError::Throttled { wait }),
+            (status, _) if status.is_client_error() => Err(StoreError::Invalid {
+                cause: self.message(),
+            }),
+            _ => Err(StoreError::Ambiguous {
+                cause: self.message(),
+            }),
+        }
+    }
+
+    fn check_read(&self) -> Result<(), StoreError> {
+        match self.check_write("") {
+            Err(StoreError::Ambiguous { cause }) => Err(StoreError::NotDone { cause }),
+            Err(_) if self.status == StatusCode::Gone => Err(StoreError::Expired),
+            other => other,
+        }
+    }
+
+    fn parse<T>(&self) -> Result<T, String>
+    where
+        T: for<'de> Deserialize<'de>,
+    {
+        serde_json::from_slice(&self.body).map_err(|err| format!("malformed answer: {err}"))
+    }
+
+    /// The status and the API's own words.
+    fn message(&self) -> String {
+        let status: Option<Value> = serde_json::from_slice(&self.body).ok();
+        let words = status.and_then(|s| Some(s.get("message")?.as_str()?.to_owned()));
+        format!("{} {}", self.status as u16, words.unwrap_or_default())
+    }
+}
+
+/// An object as the API carries it.
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Wire {
+    #[serde(default)]
+    api_version: String,
+    #[serde(default)]
+    kind: String,
+    metadata: Metadata,
+    #[serde(default)]
+    spec: Value,
+}
+
+#[derive(Default, Deserialize, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Metadata {
+    #[serde(default)]
+    name: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    resource_version: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct WireList {
+    metadata: Metadata,
+    items: Vec<Wire>,
+}
+
+impl Wire {
+    fn body(object: &Object, version: Option<StoreVersion>) -> Body {
+        let wire = Wire {
+            api_version: API_VERSION.to_owned(),
+            kind: object.kind.clone(),
+            metadata: Metadata {
+                name: object.name.clone(),
+                resource_version: version.map(|v| v.to_string()),
+            },
+            spec: object.spec.clone(),
+        };
+        let mut body = Body::from_string(
+            serde_json::to_string(&wire).expect("an object's parts are valid JSON"),
+        );
+        body.set_mime(mime::JSON);
+        body
+    }
+
+    fn version(&self) -> Result<StoreVersion, StoreError> {
+        parse_version(self.metadata.resource_version.as_deref())
+    }
+
+    fn into_object(self, kind: &str) -> Result<Object, StoreError> {
+        Ok(Object {
+            version: self.version()?,
+            kind: kind.to_owned(),
+            name: self.metadata.name,
+            spec: self.spec,
+        })
+    }
+}
+
+/// An event of a watch.
+#[derive(Deserialize)]
+struct WatchEvent {
+    #[serde(rename = "type")]
+    change: String,
+    object: Value,
+}
+
+impl WatchEvent {
+    /// The changed object, with a null spec where it was deleted; none for a bookmark.
+    fn into_object(self, kind: &str) -> Result<Option<Object>, StoreError> {
+        let parse = |value| {
+            let wire: Wire = serde_json::from_value(value).map_err(|err| StoreError::Invalid {
+                cause: format!("malformed event: {err}"),
+            })?;
+            wire.into_object(kind)
+        };
+        match self.change.as_str() {
+            "ADDED" | "MODIFIED" => parse(self.object).map(Some),
+            "DELETED" => parse(self.object).map(|mut object| {
+                object.spec = Value::Null;
+                Some(object)
+            }),
+            "ERROR" if self.object["code"] == 410 => Err(StoreError::Expired),
+            "ERROR" => Err(StoreError::NotDone {
+                cause: self.object.to_string(),
+            }),
+            _ => Ok(None),
+        }
+    }
+}
+
+/// The lines of a watch.
+struct Lines {
+    reader: BufReader<Body>,
+}
+
+impl Lines {
+    fn new(mut res: Response) -> Lines {
+        Lines {
+            reader: BufReader::new(res.take_body()),
+        }
+    }
+
+    /// Waits for an event, and takes with it those that have come already.
+    async fn batch(&mut self, kind: &str) -> Result<Vec<Object>, StoreError> {
+        let mut objects = Vec::new();
+        loop {
+            let next = if objects.is_empty() {
+                Some(self.next().await?)
+            } else {
+                future::poll_once(self.next()).await.transpose()?
+            };
+            match next {
+                Some(Some(event)) => objects.extend(event.into_object(kind)?),
+                Some(None) | None => return Ok(objects),
+            }
+        }
+    }
+
+    /// The next event; none at the end.
+    async fn next(&mut self) -> Result<Option<WatchEvent>, StoreError> {
+        let mut line = Vec::new();
+        let read = self.reader.read_until(b'\n', &mut line).await;
+        let n = read.map_err(|err| StoreError::NotDone {
+            cause: format!("watch was cut: {}", err.kind()),
+        })?;
+        if n == 0 {
+            return Ok(None);
+        }
+        serde_json::from_slice(&line)
+            .map(Some)
+            .map_err(|err| StoreError::Invalid {
+                cause: format!("malformed event: {err}"),
+            })
+    }
+}
+
+fn parse_version(text: Option<&str>) -> Result<StoreVersion, StoreError> {
+    text.and_then(|text| text.parse().ok())
+        .ok_or_else(|| StoreError::Invalid {
+            cause: format!("resourceVersion is {text:?}, not a number"),
+        })
+}
+
+/// After a write was accepted, a malformed answer leaves only its version unknown.
+fn ambiguous(err: &StoreError) -> StoreError {
+    StoreError::Ambiguous {
+        cause: err.to_string(),
+    }
+}
+
+/// Waits for a future for at most `limit`.
+async fn within<F, T>(limit: Duration, future: F) -> Option<T>
+where
+    F: Future<Output = T>,
+{
+    let expired = async {
+        Timer::after(limit).await;
+        None
+    };
+    future::or(async { Some(future.await) }, expired).await
+}
--- a/crates/cassiareel/src/platform/memory.rs
+++ b/crates/cassiareel/src/platform/memory.rs
@@ -15,7 +15,7 @@
 use async_trait::async_trait;
 use futures_lite::FutureExt;
 
-use super::{Object, Objects, StoreError, StoreVersion};
+use super::{Listing, Object, Objects, StoreError, StoreVersion};
 
 /// The largest object that is taken, in bytes of JSON.
 pub const OBJECT_LIMIT: usize = 1 << 20;
@@ -231,8 +231,11 @@
         .map(drop)
     }
 
-    async fn list(&self, kind: &str) -> Result<Vec<Object>, StoreError> {
-        self.read(Call::List, |state, at| state.list(kind, at))
+    async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
+        self.read(Call::List, |state, at| Listing {
+            objects: state.list(kind, at),
+            version: at,
+        })
     }
 
     async fn watch(
@@ -241,11 +244,7 @@
         since: StoreVersion,
         wait: Duration,
     ) -> Result<Vec<Object>, StoreError> {
-        let read = |state: &State, at| -> Vec<Object> {
-            let mut newer = state.list(kind, at);
-            newer.retain(|object| object.version > since);
-            newer
-        };
+        let read = |state: &State, at| state.changes(kind, since, at);
         let deadline = smol::Timer::after(wait);
         let found = self.read(Call::Watch, read)?;
         if !found.is_empty() {
@@ -391,6 +390,22 @@
             .collect()
     }
 
+    /// The last changes of objects after a version; a deleted one has a null spec.
+    fn changes(&self, kind: &str, since: StoreVersion, at: StoreVersion) -> Vec<Object> {
+        self.objects
+            .iter()
+            .filter(|((k, _), _)| k == kind)
+            .filter_map(|((_, name), writes)| {
+                let (version, object) = writes.iter().rev().find(|(v, _)| *v <= at)?;
+                let deleted = || Object {
+                    version: *version,
+                    ..Object::new(kind, name, serde_json::Value::Null)
+                };
+                (*version > since).then(|| object.clone().unwrap_or_else(deleted))
+            })
+            .collect()
+    }
+
     fn check_version(&self, object: &Object) -> Result<(), StoreError> {
         match self.current(&object.kind, &object.name) {
             Some(kept) if kept.version == object.version => Ok(()),
--- a/crates/cassiareel/src/platform/memory_tests.rs
+++ b/crates/cassiareel/src/platform/memory_tests.rs
@@ -79,7 +79,7 @@
         store.set_lag(1);
         assert_eq!(store.get("k", "a").await.unwrap().unwrap(), object(v1, 1));
         store.set_lag(2);
-        assert_eq!(store.list("k").await.unwrap(), Vec::new());
+        assert_eq!(store.list("k").await.unwrap().objects, Vec::new());
     });
 }
 
@@ -142,3 +142,21 @@
     assert_eq!(run(7), run(7));
     assert_ne!(run(7), run(8));
 }
+
+#[test]
+fn a_watch_shows_a_deletion_with_a_null_spec() {
+    smol::block_on(async {
+        let store = MemoryObjects::new(1);
+        let v1 = store.create(&object(0, 1)).await.unwrap();
+        store.delete(&object(v1, 1)).await.unwrap();
+        let seen = store.watch("k", v1, Duration::ZERO).await.unwrap();
+        assert_eq!(seen.len(), 1);
+        assert_eq!(seen[0].spec, serde_json::Value::Null);
+        assert!(seen[0].version > v1);
+        let listing = store.list("k").await.unwrap();
+        assert_eq!(
+            (listing.objects, listing.version),
+            (Vec::new(), seen[0].version)
+        );
+    });
+}
--- a/crates/cassiareel/src/platform/mod.rs
+++ b/crates/cassiareel/src/platform/mod.rs
@@ -6,12 +6,14 @@
 watches. Another platform is one more adapter and touches no decision.
 */
 
+mod http_objects;
 mod memory;
 #[cfg(test)]
 mod memory_tests;
 mod objects;
 mod vms;
 
+pub use http_objects::HttpObjects;
 pub use memory::{Call, Chances, Counts, Fault, MemoryObjects, OBJECT_LIMIT};
-pub use objects::{Object, Objects, StoreError, StoreVersion};
+pub use objects::{Listing, Object, Objects, StoreError, StoreVersion};
 pub use vms::{Vm, VmList, VmState};
--- a/crates/cassiareel/src/platform/objects.rs
+++ b/crates/cassiareel/src/platform/objects.rs
@@ -34,6 +34,15 @@
     }
 }
 
+/// The objects of a kind.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    /// The objects, in no order.
+    pub objects: Vec<Object>,
+    /// The store's version at the listing, from which a watch goes on.
+    pub version: StoreVersion,
+}
+
 /// Why a call of the object API did not succeed.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum StoreError {
@@ -61,6 +70,9 @@
         /// How long to wait.
         wait: Duration,
     },
+    /// The version that a watch named is older than the store's memory of changes: list again.
+    #[snafu(display("the object API no longer knows the changes since that version"))]
+    Expired,
     /// The object or the answer is not as the interface says.
     #[snafu(display("the object API refused the object: {cause}"))]
     Invalid {
@@ -105,10 +117,13 @@
     /// # Errors
     ///
     /// Any [`StoreError`] but a conflict.
-    async fn list(&self, kind: &str) -> Result<Vec<Object>, StoreError>;
+    async fn list(&self, kind: &str) -> Result<Listing, StoreError>;
 
     /// Waits at most `wait` for objects of a kind newer than `since`; empty when none came.
     ///
+    /// A deleted object comes with a null spec and the version of its deletion. After
+    /// [`StoreError::Expired`] only a new listing tells what changed.
+    ///
     /// # Errors
     ///
     /// Any [`StoreError`] but a conflict.
