Test that each bad input gets its 4xx and the node goes on

Cause: the decoders of callers' requests had no test. Change: a table of 25 bad requests against a node over loopback.

--- /dev/null
+++ b/crates/cassiareel/tests/bad_input.rs
@@ -0,0 +1,143 @@
+//! Each kind of bad input gets its 4xx, and the node goes on serving.
+
+mod common;
+
+use common::{exchange, node, settings, KEY};
+
+/// A bad request and the answer that it must get.
+struct Case {
+    name: &'static str,
+    /// The request, sent on a connection of its own.
+    request: Vec<u8>,
+    /// The status line that comes back.
+    status: &'static str,
+    /// Words that the answer must have.
+    words: &'static str,
+}
+
+/// A request to an endpoint with a key and a body.
+fn post(path: &str, key: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: n\r\nconnection: close\r\nauthorization: Bearer {key}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// A completions request with the right key.
+fn completion(body: &[u8]) -> Vec<u8> {
+    post("/v1/completions", KEY, body)
+}
+
+/// A chat request with the right key.
+fn chat(body: &[u8]) -> Vec<u8> {
+    post("/v1/chat/completions", KEY, body)
+}
+
+fn cases() -> Vec<Case> {
+    let case = |name, request, status, words| Case {
+        name,
+        request,
+        status,
+        words,
+    };
+    let good = br#"{"model":"draft","prompt":"x"}"#;
+    let mut cut = completion(good);
+    cut.truncate(cut.len() - 5);
+    vec![
+        case("no HTTP at all", b"hello\r\n\r\n".to_vec(), "400", "error"),
+        case("no host", b"GET /v1/models HTTP/1.1\r\n\r\n".to_vec(), "400", "error"),
+        case(
+            "both length headers",
+            b"POST /v1/completions HTTP/1.1\r\nhost: n\r\ncontent-length: 3\r\n\
+              transfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+                .to_vec(),
+            "400",
+            "Content-Length",
+        ),
+        case(
+            "long head",
+            format!("GET / HTTP/1.1\r\nhost: n\r\nx: {}\r\n\r\n", "y".repeat(9000)).into_bytes(),
+            "4",
+            "8kb",
+        ),
+        case("cut body", cut, "400", "ended after"),
+        case("long body", completion(&vec![b' '; 2 << 20]), "413", "longer than"),
+        case("no key", b"GET /v1/models HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n".to_vec(), "401", "no key"),
+        case("wrong key", post("/v1/completions", "other", good), "401", "not known"),
+        case("wrong UTF-8", completion(b"{\"model\": \"\xff\"}"), "400", "UTF-8"),
+        case("not JSON", completion(b"{"), "400", "not JSON"),
+        case("not an object", completion(b"[]"), "400", "not an object"),
+        case("no model", completion(br#"{"prompt":"x"}"#), "400", "model"),
+        case("unknown model", completion(br#"{"model":"no","prompt":"x"}"#), "404", "does not exist"),
+        case("plain service as model", completion(br#"{"model":"orders","prompt":"x"}"#), "404", "does not exist"),
+        case("no prompt", completion(br#"{"model":"draft"}"#), "400", "prompt"),
+        case("two prompts", completion(br#"{"model":"draft","prompt":["a","b"]}"#), "400", "list of 2"),
+        case("two choices", completion(br#"{"model":"draft","prompt":"x","n":2}"#), "400", "only 1"),
+        case("no tokens", completion(br#"{"model":"draft","prompt":"x","max_tokens":0}"#), "400", "max_tokens"),
+        case("tools", chat(br#"{"model":"draft","messages":[{"role":"user","content":"x"}],"tools":[{}]}"#), "400", "tools"),
+        case("no messages", chat(br#"{"model":"draft","messages":[]}"#), "400", "messages"),
+        case("no role", chat(br#"{"model":"draft","messages":[{"content":"x"}]}"#), "400", "role"),
+        case("five stops", completion(br#"{"model":"draft","prompt":"x","stop":["1","2","3","4","5"]}"#), "400", "stop"),
+        case("unknown path", post("/v2/x", KEY, b""), "404", "nothing at"),
+        case("unknown service", post("/services/no/x", KEY, b""), "404", "does not exist"),
+        case(
+            "bad request name",
+            format!("GET /v1/models HTTP/1.1\r\nhost: n\r\nx-request-id: {}\r\nconnection: close\r\n\r\n", "n".repeat(129)).into_bytes(),
+            "400",
+            "x-request-id",
+        ),
+    ]
+}
+
+#[test]
+fn each_bad_input_gets_its_answer() {
+    let node = node(&settings());
+    let addr = node.addr().expect("the node serves");
+    for case in cases() {
+        let answer = exchange(addr, &case.request);
+        let status = format!("HTTP/1.1 {}", case.status);
+        assert!(answer.starts_with(&status), "{}: {answer:?}", case.name);
+        assert!(answer.contains(case.words), "{}: {answer:?}", case.name);
+        let models = format!(
+            "GET /v1/models HTTP/1.1\r\nhost: n\r\nauthorization: Bearer {KEY}\r\nconnection: close\r\n\r\n"
+        );
+        let after = exchange(addr, models.as_bytes());
+        assert!(
+            after.contains("\"draft\""),
+            "after {}: {after:?}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn a_refusal_on_a_connection_leaves_its_other_work() {
+    let node = node(&settings());
+    let addr = node.addr().expect("the node serves");
+    let bad = br#"{"model":"no","prompt":"x"}"#;
+    let mut bytes = completion(bad);
+    let keep = String::from_utf8(bytes.clone())
+        .expect("text")
+        .replace("connection: close\r\n", "");
+    bytes = keep.into_bytes();
+    let mut stream = std::net::TcpStream::connect(addr).expect("the node listens");
+    for _ in 0..3 {
+        std::io::Write::write_all(&mut stream, &bytes).expect("the connection stands");
+        let mut head = [0; 12];
+        std::io::Read::read_exact(&mut stream, &mut head).expect("an answer comes");
+        assert_eq!(&head, b"HTTP/1.1 404");
+        drain(&mut stream);
+    }
+}
+
+/// Reads the rest of an answer, up to the end of its body.
+fn drain(stream: &mut std::net::TcpStream) {
+    let mut seen = Vec::new();
+    let mut byte = [0];
+    while !seen.ends_with(b"}}") {
+        std::io::Read::read_exact(stream, &mut byte).expect("the answer is whole");
+        seen.push(byte[0]);
+    }
+}
--- /dev/null
+++ b/crates/cassiareel/tests/common/mod.rs
@@ -0,0 +1,67 @@
+//! What tests over loopback share: a node with settings in force, and raw requests.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpStream},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use cassiareel::{
+    node::{Node, Options},
+    platform::{MemoryObjects, Object, Objects},
+    settings::key_digest,
+};
+use serde_json::json;
+
+/// The key of the test's caller.
+pub const KEY: &str = "test-key";
+
+/// Settings with one model and one plain service, without backend servers.
+pub fn settings() -> String {
+    let digest = hex::encode(key_digest(KEY));
+    format!(
+        r#"
+[regions.r.data_centres.d1]
+
+[services.draft]
+version = "v1"
+[services.draft.versions.v1]
+
+[services.orders]
+kind = "plain"
+version = "v1"
+[services.orders.versions.v1]
+
+[accounts.shops]
+services = ["draft", "orders"]
+[accounts.shops.callers.desk]
+key_digest = "{digest}"
+"#
+    )
+}
+
+/// A node on loopback whose settings are in force.
+pub fn node(tree: &str) -> Node {
+    let objects = Arc::new(MemoryObjects::new(1));
+    let head = Object::new("settings", "head", json!({"revision": 1, "tree": tree}));
+    smol::block_on(objects.create(&head)).expect("memory takes the object");
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let node = Node::start(Options::new("n1", "d1"), objects, &log).expect("loopback has ports");
+    while node.settings().revision == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    node
+}
+
+/// Sends bytes on a connection of its own, closes the sending side, and returns all that comes back.
+pub fn exchange(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).expect("the node listens");
+    // The server may answer and close before it has read everything.
+    let _ = stream.write_all(bytes);
+    let _ = stream.shutdown(Shutdown::Write);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
