--- a/crates/cassiareel-standins/src/engine/mod.rs
+++ b/crates/cassiareel-standins/src/engine/mod.rs
@@ -123,6 +123,11 @@
         self.life.lock().expect("no holder panics").is_none()
     }
 
+    /// Requests in its running batch at this moment.
+    pub fn running(&self) -> usize {
+        self.server.running()
+    }
+
     /// Cuts every stream that runs, and stops working on them.
     pub fn cut_streams(&self, how: Cut) {
         self.server.cut_streams(how);
--- a/crates/cassiareel-standins/src/engine/server.rs
+++ b/crates/cassiareel-standins/src/engine/server.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Requests in the running batch.
+    pub(super) fn running(&self) -> usize {
+        self.lock().batch.running()
+    }
+
     /// Cuts every stream.
     pub(super) fn cut_streams(&self, how: Cut) {
         self.lock()
