Add health groups, engine ledgers, rate limits and the fair queue

Cause: nothing judged backend servers, bounded an engine's memory or held what waits. Change: outlier ejection with a floor, half-open trials that take idempotent calls alone, gradual return; ledgers whose shares never add up to more than an engine; buckets that are one atomic; a queue fair by account and caller in tokens, with deadlines, push-out and early refusal. A time to come back without margin was short by the one job of another account that came in between; it has 10% now.

--- /dev/null
+++ b/crates/cassiareel/src/kernel/admission/ledger.rs
@@ -0,0 +1,88 @@
+//! The tokens of an engine's memory that a node's own requests hold and may still hold.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Part of an engine's memory that is given to nobody, so that a node which joins before the others
+/// know of it does not overflow the engine.
+const RESERVE: f64 = 0.15;
+
+/// Part of the memory, after the reserve, that belongs to the engine's primary node. It lets some
+/// node of a large fleet place a request that is larger than an even share.
+const PRIMARY: f64 = 0.25;
+
+/// The part of an engine's memory that a node may fill.
+///
+/// The parts of all nodes that agree on the list of nodes add up to 1 less the reserve. Each node
+/// counts the sharers of the platform's list of VMs, not those that it reaches, so that a partition
+/// makes no part larger.
+///
+/// # Examples
+///
+/// ```
+/// use cassiareel::kernel::admission::memory_share;
+///
+/// let all: f64 = (0..6).map(|node| memory_share(6, node == 0)).sum();
+/// assert!((all - 0.85).abs() < 1e-9);
+/// ```
+pub fn memory_share(sharers: u32, primary: bool) -> f64 {
+    let owned = if primary { PRIMARY } else { 0.0 };
+    (1.0 - RESERVE) * ((1.0 - PRIMARY) / f64::from(sharers.max(1)) + owned)
+}
+
+/// A sum of held tokens under a bound.
+///
+/// # Examples
+///
+/// ```
+/// use cassiareel::kernel::admission::Ledger;
+///
+/// let ledger = Ledger::default();
+/// ledger.set_bound(100);
+/// assert!(ledger.hold(60));
+/// assert!(!ledger.hold(60));
+/// ledger.release(60);
+/// assert!(ledger.hold(60));
+/// ```
+#[derive(Debug, Default)]
+pub struct Ledger {
+    // INVARIANT: hold never takes this above the bound of its moment.
+    held: AtomicU64,
+    bound: AtomicU64,
+}
+
+impl Ledger {
+    /// Sets the bound. What is held above a lower bound stays until it is released.
+    pub fn set_bound(&self, tokens: u64) {
+        self.bound.store(tokens, Ordering::Relaxed);
+    }
+
+    /// Holds tokens if they fit.
+    pub fn hold(&self, tokens: u64) -> bool {
+        let bound = self.bound.load(Ordering::Relaxed);
+        let fits = |held: u64| held.checked_add(tokens).filter(|&sum| sum <= bound);
+        self.held
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, fits)
+            .is_ok()
+    }
+
+    /// Releases tokens.
+    pub fn release(&self, tokens: u64) {
+        let before = self.held.fetch_sub(tokens, Ordering::AcqRel);
+        debug_assert!(
+            before >= tokens,
+            "released {tokens} of {before} held tokens"
+        );
+    }
+
+    /// Tokens held.
+    pub fn held(&self) -> u64 {
+        self.held.load(Ordering::Relaxed)
+    }
+
+    /// Tokens that can still be held.
+    pub fn free(&self) -> u64 {
+        self.bound
+            .load(Ordering::Relaxed)
+            .saturating_sub(self.held())
+    }
+}
--- /dev/null
+++ b/crates/cassiareel/src/kernel/admission/queue_tests.rs
@@ -0,0 +1,304 @@
+//! Fairness between accounts and callers, deadlines, bounds and honest times to come back.
+
+use std::{collections::HashMap, time::Duration};
+
+use test_case::test_case;
+
+use super::{Bounds, FairQueue, Job, Refusal, Who};
+
+const T0: Duration = Duration::ZERO;
+
+fn job(account: &str, caller: &str, cost: u64) -> Job<u64> {
+    Job {
+        who: Who {
+            account: account.into(),
+            caller: caller.into(),
+            account_weight: 1.0,
+            caller_weight: 1.0,
+        },
+        priority: 0,
+        cost,
+        deadline: Duration::from_secs(1_000),
+        item: 0,
+    }
+}
+
+fn secs(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Jain's index of fairness: 1 where all are equal, 1/n where one has all.
+fn jain(values: impl Iterator<Item = f64> + Clone) -> f64 {
+    let n = values.clone().count() as f64;
+    let sum: f64 = values.clone().sum();
+    let squares: f64 = values.map(|v| v * v).sum();
+    sum * sum / (n * squares)
+}
+
+#[test]
+fn one_account_at_ten_times_the_demand_does_not_starve_the_others() {
+    let mut queue = FairQueue::new(Bounds {
+        jobs: 100_000,
+        account: 100_000,
+        caller: 100_000,
+    });
+    let mut rng = fastrand::Rng::with_seed(7);
+    for round in 0..200 {
+        for account in 0..10 {
+            let count = if account == 0 { 10 } else { 1 };
+            for _ in 0..count {
+                let cost = rng.u64(50..2_000);
+                queue
+                    .push(
+                        T0,
+                        job(&format!("a{account}"), &format!("c{}", round % 5), cost),
+                    )
+                    .unwrap();
+            }
+        }
+    }
+    let mut served: HashMap<String, f64> = HashMap::new();
+    for _ in 0..1_500 {
+        let job = queue.pop(T0).expect("jobs wait");
+        *served.entry(job.who.account.to_string()).or_default() += job.cost as f64;
+    }
+    let index = jain(served.values().copied());
+    println!("Jain's index over {} accounts: {index:.4}", served.len());
+    assert!(served.len() == 10 && index >= 0.95, "{index} {served:?}");
+}
+
+#[test]
+fn one_caller_of_a_reseller_does_not_starve_the_other_999() {
+    let mut queue = FairQueue::new(Bounds {
+        jobs: 100_000,
+        account: 100_000,
+        caller: 100_000,
+    });
+    for caller in 0..1_000 {
+        let count = if caller == 0 { 3_000 } else { 3 };
+        for _ in 0..count {
+            queue
+                .push(T0, job("reseller", &format!("c{caller}"), 100))
+                .unwrap();
+        }
+    }
+    let mut served: HashMap<String, f64> = HashMap::new();
+    for _ in 0..2_500 {
+        let job = queue.pop(T0).expect("jobs wait");
+        *served.entry(job.who.caller.to_string()).or_default() += 1.0;
+    }
+    assert_eq!(served.len(), 1_000);
+    assert!(jain(served.values().copied()) >= 0.95);
+}
+
+#[test]
+fn it_is_work_conserving_and_keeps_weights() {
+    let mut queue = FairQueue::new(Bounds::default());
+    let heavy = |weight| {
+        let mut job = job("heavy", "c", 100);
+        job.who.account_weight = weight;
+        job
+    };
+    for _ in 0..150 {
+        queue.push(T0, heavy(3.0)).unwrap();
+        queue.push(T0, job("light", "c", 100)).unwrap();
+    }
+    let first: Vec<_> = (0..100)
+        .map(|_| queue.pop(T0).unwrap().who.account)
+        .collect();
+    let count = first.iter().filter(|a| &***a == "heavy").count();
+    assert!((74..=76).contains(&count), "{count}");
+    assert_eq!((0..200).filter(|_| queue.pop(T0).is_some()).count(), 200);
+    assert!(queue.is_empty() && queue.pop(T0).is_none());
+}
+
+#[test]
+fn an_account_that_was_away_earns_nothing_and_debts_stay() {
+    let mut queue = FairQueue::new(Bounds::default());
+    for _ in 0..100 {
+        queue.push(T0, job("busy", "c", 100)).unwrap();
+    }
+    for _ in 0..50 {
+        queue.pop(T0);
+    }
+    // One at a time, the account "late" still gets no more than half.
+    let (mut late, mut waits) = (0, false);
+    for _ in 0..20 {
+        if !waits {
+            queue.push(T0, job("late", "c", 100)).unwrap();
+        }
+        waits = &*queue.pop(T0).unwrap().who.account != "late";
+        late += u32::from(!waits);
+    }
+    assert!((9..=11).contains(&late), "{late}");
+}
+
+#[test]
+fn priority_then_deadline_order_one_callers_jobs() {
+    let mut queue = FairQueue::new(Bounds::default());
+    for (priority, deadline, item) in [(1, 5, 3), (0, 9, 2), (0, 4, 1), (2, 1, 4)] {
+        let mut job = job("a", "c", 10);
+        (job.priority, job.deadline, job.item) = (priority, Duration::from_secs(deadline), item);
+        queue.push(T0, job).unwrap();
+    }
+    let order: Vec<u64> = std::iter::from_fn(|| queue.pop(T0))
+        .map(|job| job.item)
+        .collect();
+    assert_eq!(order, [1, 2, 3, 4]);
+}
+
+#[test]
+fn a_full_queue_drops_the_largest_accounts_last_job_for_a_small_account() {
+    let mut queue = FairQueue::new(Bounds {
+        jobs: 20,
+        account: 20,
+        caller: 20,
+    });
+    for i in 0..20 {
+        let mut job = job("large", "c", 100);
+        job.item = i;
+        queue.push(T0, job).unwrap();
+    }
+    let left = queue
+        .push(T0, job("large", "d", 100))
+        .unwrap()
+        .expect("c leaves for d");
+    assert_eq!((&*left.job.who.caller, left.job.item), ("c", 19));
+    assert!(matches!(left.why, Refusal::Full(_)));
+    let left = queue
+        .push(T0, job("small", "c", 100))
+        .unwrap()
+        .expect("one leaves")
+        .job;
+    assert_eq!(
+        (&*left.who.account, left.item, queue.len()),
+        ("large", 18, 20)
+    );
+    let back = queue
+        .push(T0, job("large", "c", 100))
+        .expect_err("its own part is largest")
+        .job;
+    assert_eq!((&*back.who.account, queue.len()), ("large", 20));
+}
+
+#[test]
+fn expired_jobs_leave_at_their_deadline() {
+    let mut queue = FairQueue::new(Bounds::default());
+    for deadline in [3, 1, 2] {
+        let mut job = job("a", "c", 10);
+        job.deadline = Duration::from_secs(deadline);
+        queue.push(T0, job).unwrap();
+    }
+    assert_eq!(queue.next_deadline(), Some(secs(1.0)));
+    assert_eq!(queue.expire(secs(0.9)).len(), 0);
+    assert_eq!(queue.expire(secs(2.0)).len(), 2);
+    assert_eq!((queue.len(), queue.next_deadline()), (1, Some(secs(3.0))));
+}
+
+#[test]
+fn a_job_that_would_come_too_late_is_refused_with_a_time_that_is_enough() {
+    let mut queue = FairQueue::new(Bounds {
+        jobs: 10_000,
+        account: 10_000,
+        caller: 10_000,
+    });
+    // 10 jobs of 100 tokens are served a second.
+    let mut now = T0;
+    for _ in 0..150 {
+        queue.push(now, job("a", "c", 100)).unwrap();
+    }
+    for _ in 0..50 {
+        now += secs(0.1);
+        queue.pop(now).expect("jobs wait");
+    }
+    let late = |now: Duration| {
+        let mut job = job("a", "c", 100);
+        job.deadline = now + secs(4.0);
+        job
+    };
+    let refused = queue
+        .push(now, late(now))
+        .expect_err("100 jobs wait for 10 s");
+    let Refusal::Late(retry) = refused.why else {
+        panic!("{:?}", refused.why);
+    };
+    assert!((5.0..7.0).contains(&retry.as_secs_f64()), "{retry:?}");
+    let mut small = job("b", "c", 100);
+    small.deadline = now + secs(0.5);
+    queue
+        .push(now, small)
+        .expect("another account has a turn at once");
+    let until = now + retry;
+    while now < until {
+        now += secs(0.1);
+        queue.pop(now).expect("jobs wait");
+    }
+    queue
+        .push(now, late(now))
+        .expect("the named time was enough");
+}
+
+#[test]
+fn a_large_job_does_not_hold_up_small_ones_and_is_not_starved() {
+    let mut queue = FairQueue::new(Bounds::default());
+    queue.push(T0, job("large", "c", 5_000)).unwrap();
+    let mut before = 0;
+    loop {
+        queue.push(T0, job("small", "c", 100)).unwrap();
+        // Room for the large job never comes while small ones are taken.
+        match queue.pop_fit(T0, |job| job.cost < 1_000) {
+            Some(_) => before += 1,
+            None => break,
+        }
+        assert!(before < 1_000, "the large job starves");
+    }
+    assert!(before >= 64, "{before}");
+    assert_eq!(queue.pop(T0).expect("room at last").cost, 5_000);
+}
+
+#[test]
+fn what_a_job_cost_above_its_estimate_is_charged() {
+    let mut queue = FairQueue::new(Bounds::default());
+    for _ in 0..50 {
+        queue.push(T0, job("a", "c", 100)).unwrap();
+        queue.push(T0, job("b", "c", 100)).unwrap();
+    }
+    let mut a = 0;
+    for _ in 0..40 {
+        let job = queue.pop(T0).unwrap();
+        if &*job.who.account == "a" {
+            a += 1;
+            queue.charge(&job.who, 200);
+        }
+    }
+    assert!(
+        (9..=11).contains(&a),
+        "{a}: a third of the jobs at three times the cost"
+    );
+}
+
+#[test_case(1_000, 10)]
+#[test_case(10, 1_000)]
+fn what_is_remembered_is_bounded(accounts: u64, callers: u64) {
+    let mut queue = FairQueue::new(Bounds {
+        jobs: 500,
+        account: 300,
+        caller: 100,
+    });
+    let mut rng = fastrand::Rng::with_seed(11);
+    for step in 0..20_000u64 {
+        let who = (
+            format!("a{}", rng.u64(0..accounts)),
+            format!("c{}", rng.u64(0..callers)),
+        );
+        let _ = queue.push(Duration::from_millis(step), job(&who.0, &who.1, 100));
+        if step % 2 == 0 {
+            queue.pop(Duration::from_millis(step));
+        }
+        assert!(queue.len() <= 500);
+    }
+    println!("{} accounts remembered", queue.accounts());
+    assert!(queue.accounts() <= 2 * 500 + 8);
+    while queue.pop(Duration::from_secs(30)).is_some() {}
+    assert!(queue.accounts() <= 16, "{}", queue.accounts());
+}
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -5,11 +5,13 @@
 actions come out. The daemon, the tests, the model checks and the benchmarks run this same code.
 */
 
+pub mod admission;
 #[cfg(test)]
 pub(crate) mod check;
 #[cfg(test)]
 mod check_tests;
 pub mod generation;
+pub mod health;
 mod ids;
 pub mod routing;
 
