--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -2,20 +2,18 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use arc_swap::ArcSwap;
 use futures_lite::io::BufReader;
 use http_types::{headers, Body, Method, Request, Response, StatusCode};
 use serde_json::json;
-use slog::{info, o, Logger};
+use slog::{info, o};
 
 use super::{
     answer::Shape,
     generate::{Driver, Signal},
-    service, Chooser, Endpoint, Prompt, Refusal,
+    service, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
     kernel::RequestId,
-    runtime::Spawner,
     settings::{Identity, Route, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
 };
@@ -37,21 +35,13 @@
 
 /// Serves callers.
 pub struct Front {
-    settings: Arc<ArcSwap<Snapshot>>,
-    chooser: Arc<Chooser>,
-    spawner: Spawner,
-    log: Logger,
+    parts: Arc<Parts>,
 }
 
 impl Front {
-    /// A front that reads settings, spawns its generations and logs its decisions.
-    pub fn new(settings: Arc<ArcSwap<Snapshot>>, spawner: Spawner, log: Logger) -> Front {
-        Front {
-            settings,
-            chooser: Arc::new(Chooser::new()),
-            spawner,
-            log,
-        }
+    /// A front that works with a node's parts.
+    pub fn new(parts: Arc<Parts>) -> Front {
+        Front { parts }
     }
 
     async fn answer(&self, mut req: Request) -> Response {
@@ -62,7 +52,7 @@
         let mut res = match self.dispatch(&mut req, &name).await {
             Ok(res) => res,
             Err(refusal) => {
-                info!(self.log, "refused"; "request" => &name, "path" => req.url().path(),
+                info!(self.parts.log, "refused"; "request" => &name, "path" => req.url().path(),
                     "refusal" => refusal.body().to_string());
                 refusal.response()
             }
@@ -72,7 +62,7 @@
     }
 
     async fn dispatch(&self, req: &mut Request, name: &str) -> Result<Response, Refusal> {
-        let snapshot = self.settings.load_full();
+        let snapshot = self.parts.settings.load_full();
         let identity = identify(&snapshot, req)?;
         let path = req.url().path().to_owned();
         match (req.method(), path.as_str()) {
@@ -109,7 +99,7 @@
         let prompt = Prompt::parse(endpoint, &body)?;
         let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
         let id: RequestId = format!("g-{:016x}", fastrand::u64(..)).into();
-        let log = self.log.new(
+        let log = self.parts.log.new(
             o!("request" => name.to_owned(), "generation" => id.to_string(),
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()),
@@ -128,13 +118,12 @@
             shape: shape.clone(),
             prompt,
             route,
-            chooser: self.chooser.clone(),
-            spawner: self.spawner.clone(),
+            parts: self.parts.clone(),
             log,
             out,
             signal,
         };
-        self.spawner.spawn(driver.run()).detach();
+        self.parts.spawner.spawn(driver.run()).detach();
         match reader {
             Some(reader) => streamed(reader, &signals).await,
             None => gathered(&shape, &signals).await,
@@ -151,11 +140,11 @@
     ) -> Result<Response, Refusal> {
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
         let route = route(snapshot, identity, service, ServiceKind::Plain)?;
-        let log = self.log.new(o!("request" => name.to_owned(),
+        let log = self.parts.log.new(o!("request" => name.to_owned(),
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()));
         let call = service::read(req, &format!("/{path}"), name, BODY_LIMIT).await?;
-        service::call(&self.chooser, &route, &call, &log)
+        service::call(&self.parts.chooser, &route, &call, &log)
             .await
             .map(service::response)
     }
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -12,15 +12,16 @@
 use super::{
     answer::{Shape, Usage},
     choose::Place,
-    Chooser, Prompt, Refusal,
+    Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
+    hooks::{self, Step},
     kernel::{
         generation::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend},
         Attempt, RequestId, Time, TokenId,
     },
-    runtime::Spawner,
+    observe::{self, Counter},
     settings::Route,
 };
 
@@ -45,8 +46,7 @@
     pub(super) prompt: Prompt,
     pub(super) route: Route,
     pub(super) shape: Shape,
-    pub(super) chooser: Arc<Chooser>,
-    pub(super) spawner: Spawner,
+    pub(super) parts: Arc<Parts>,
     pub(super) log: Logger,
     /// Where a streamed answer goes; an answer that is not streamed is gathered.
     pub(super) out: Option<piper::Writer>,
@@ -175,6 +175,11 @@
         if request == self.driver.id && attempt == current {
             return event;
         }
+        let service = ("service", &*self.driver.route.service);
+        self.driver
+            .parts
+            .metrics
+            .count(Counter::Mismatches, 1, &[service]);
         info!(self.driver.log, "answer of another request";
             "got" => &*request, "got_attempt" => attempt, "attempt" => current);
         Event::Lost {
@@ -185,6 +190,11 @@
 
     /// Turns a stream's error into an event.
     fn lost(&mut self, attempt: Attempt, err: &StreamError) -> Event {
+        let service = ("service", &*self.driver.route.service);
+        self.driver
+            .parts
+            .metrics
+            .count(Counter::LostAttempts, 1, &[service]);
         info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
         let how = match err {
             StreamError::Refused { status, message } => {
@@ -214,6 +224,12 @@
         }
     }
 
+    /// Passes a step at which tests bring faults about.
+    async fn pass(&mut self, step: Step) {
+        let parts = self.driver.parts.clone();
+        hooks::pass(&*parts.hooks, step).await;
+    }
+
     /// Carries one action out; what it led to at once is an event.
     async fn act(&mut self, action: Action) -> Option<Event> {
         match action {
@@ -237,7 +253,11 @@
 
     fn choose(&mut self, attempt: Attempt, exclude: &[crate::kernel::BackendId]) -> Event {
         self.pieces = None;
-        self.place = self.driver.chooser.choose(&self.driver.route, exclude);
+        self.place = self
+            .driver
+            .parts
+            .chooser
+            .choose(&self.driver.route, exclude);
         let chosen = self.place.as_ref().map(|place| place.addr.to_string());
         info!(self.driver.log, "routed"; "attempt" => attempt, "version" => &*self.driver.route.version,
             "choice" => chosen.as_deref(), "excluded" => exclude.join(" "),
@@ -259,6 +279,7 @@
     }
 
     async fn open(&mut self, attempt: Attempt) -> Option<Event> {
+        self.pass(Step::AttemptChosen).await;
         let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
         let mut body = (*self.driver.prompt.body).clone();
         let model = format!(
@@ -278,6 +299,7 @@
         match engine.open(&start).await {
             Ok(pieces) => {
                 self.pieces = Some(pieces);
+                self.pass(Step::AttemptOpened).await;
                 None
             }
             Err(err) => Some(self.lost(attempt, &err)),
@@ -295,11 +317,20 @@
             let engine = HttpEngine::new(place.addr, ENGINE_HEAD);
             let _ = engine.cancel(&id, attempt).await;
         };
-        self.driver.spawner.spawn(cancel).detach();
+        self.driver.parts.spawner.spawn(cancel).detach();
     }
 
     async fn emit(&mut self, ids: Vec<TokenId>, text: &str) -> Option<Event> {
+        self.pass(Step::TokensTaken).await;
         let first = self.tokens.is_empty();
+        let service = &*self.driver.route.service;
+        if first {
+            let tags = [("service", service)];
+            self.driver
+                .parts
+                .metrics
+                .time(observe::Timer::FirstToken, self.now(), &tags);
+        }
         self.tokens.extend(ids);
         self.text_bytes += text.len();
         if first {
@@ -314,10 +345,11 @@
         }
         self.buf.clear();
         self.driver.shape.text(&mut self.buf, text, first);
-        match out.write_all(&self.buf).await {
-            Ok(()) => None,
-            Err(_) => Some(Event::Abandoned),
+        if out.write_all(&self.buf).await.is_err() {
+            return Some(Event::Abandoned);
         }
+        self.pass(Step::TokensPassed).await;
+        None
     }
 
     async fn finish(&mut self, ending: Ending) {
@@ -327,6 +359,8 @@
         self.place = None;
         self.pieces = None;
         let usage = Usage::new(self.prompt_tokens, tokens);
+        self.count(ending, tokens);
+        self.pass(Step::AnswerEnded).await;
         let signal = match ending {
             Ending::Complete(reason) => {
                 self.write_finish(reason, usage).await;
@@ -353,6 +387,20 @@
         let _ = self.driver.signal.try_send(signal);
     }
 
+    /// Counts an ended generation.
+    fn count(&self, ending: Ending, tokens: u32) {
+        let service = ("service", &*self.driver.route.service);
+        let outcome = match ending {
+            Ending::Complete(_) => "complete",
+            Ending::NotRun => "not_run",
+            Ending::Partial => "partial",
+            Ending::Abandoned => "abandoned",
+        };
+        let metrics = &self.driver.parts.metrics;
+        metrics.count(Counter::Requests, 1, &[service, ("outcome", outcome)]);
+        metrics.count(Counter::Tokens, tokens.into(), &[service]);
+    }
+
     async fn write_finish(&mut self, reason: FinishReason, usage: Usage) {
         let Some(out) = &mut self.driver.out else {
             return;
--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -11,11 +11,13 @@
 mod api;
 mod choose;
 mod generate;
+mod parts;
 mod refusal;
 mod request;
 mod service;
 
 pub use api::Front;
+pub use parts::Parts;
 pub use refusal::{Outcome, Refusal};
 pub use request::{Endpoint, Prompt};
 
--- /dev/null
+++ b/crates/cassiareel/src/front/parts.rs
@@ -0,0 +1,56 @@
+//! What all requests of a node work with.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use slog::Logger;
+
+use super::Chooser;
+use crate::{
+    hooks::{Hooks, NoHooks},
+    observe::Metrics,
+    runtime::Spawner,
+    settings::Snapshot,
+};
+
+/// The parts of a node that requests work with.
+pub struct Parts {
+    /// The settings in force.
+    pub settings: Arc<ArcSwap<Snapshot>>,
+    /// Where tasks run.
+    pub spawner: Spawner,
+    /// Where decisions are logged.
+    pub log: Logger,
+    /// Where figures go.
+    pub metrics: Arc<Metrics>,
+    /// What listens to the steps of a request.
+    pub hooks: Arc<dyn Hooks>,
+    /// What chooses backend servers.
+    pub(super) chooser: Chooser,
+}
+
+impl Parts {
+    /// Parts without metrics or hooks.
+    pub fn new(settings: Arc<ArcSwap<Snapshot>>, spawner: Spawner, log: Logger) -> Parts {
+        Parts {
+            settings,
+            spawner,
+            log,
+            metrics: Arc::new(Metrics::none()),
+            hooks: Arc::new(NoHooks),
+            chooser: Chooser::new(),
+        }
+    }
+
+    /// Sends figures to `metrics`.
+    pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Parts {
+        self.metrics = metrics;
+        self
+    }
+
+    /// Tells `hooks` of the steps of requests.
+    pub fn with_hooks(mut self, hooks: Arc<dyn Hooks>) -> Parts {
+        self.hooks = hooks;
+        self
+    }
+}
--- a/crates/cassiareel/src/lib.rs
+++ b/crates/cassiareel/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod backend;
 pub mod control;
 pub mod front;
+pub mod hooks;
 pub mod kernel;
 pub mod node;
 pub mod observe;
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -24,7 +24,7 @@
 pub use options::Options;
 
 use crate::{
-    front::Front,
+    front::{Front, Parts},
     platform::Objects,
     runtime::Runtime,
     settings::Snapshot,
@@ -58,7 +58,10 @@
         let spawner = runtime.spawner();
         let settings = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
         let open = Arc::new(mount::Open::default());
-        let front = Front::new(settings.clone(), spawner.clone(), log.clone());
+        let parts = Parts::new(settings.clone(), spawner, log.clone())
+            .with_metrics(options.metrics.clone())
+            .with_hooks(options.hooks.clone());
+        let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
         let control = Mounts::new(open.clone(), settings.clone());
         let follow = follow::follow(objects, settings.clone(), log.clone());
--- a/crates/cassiareel/src/node/options.rs
+++ b/crates/cassiareel/src/node/options.rs
@@ -1,8 +1,12 @@
 //! What a node is told of itself.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
-use crate::kernel::{DataCentreId, NodeId};
+use crate::{
+    hooks::{Hooks, NoHooks},
+    kernel::{DataCentreId, NodeId},
+    observe::Metrics,
+};
 
 /// A node's own facts, from its daemon's settings file.
 #[derive(Clone, Debug)]
@@ -19,6 +23,10 @@
     pub peers: Vec<SocketAddr>,
     /// Threads that run its tasks.
     pub threads: usize,
+    /// Where its figures go.
+    pub metrics: Arc<Metrics>,
+    /// What listens to the steps of its protocols.
+    pub hooks: Arc<dyn Hooks>,
 }
 
 impl Options {
@@ -32,6 +40,8 @@
             control: any,
             peers: Vec::new(),
             threads: 2,
+            metrics: Arc::new(Metrics::none()),
+            hooks: Arc::new(NoHooks),
         }
     }
 }
