Share the test fleet and caller as library modules of the stand-ins

Cause: the fault matrix, the demo and the tests need the same fleet. Change: fleet.rs and caller.rs in place of test support.

--- /dev/null
+++ b/crates/cassiareel-standins/src/caller.rs
@@ -0,0 +1,140 @@
+/*!
+A caller as a stock client would be: it sends, reads events, and comes back with the last event's id
+when its connection is lost.
+*/
+
+use std::{net::SocketAddr, time::Duration};
+
+use cassiareel::wire::{self, Limits, SendError};
+use futures_lite::StreamExt;
+use http_types::{Method, Request, Response, StatusCode, Url};
+use serde_json::Value;
+
+/// Time for an answer to begin.
+const HEAD: Duration = Duration::from_secs(60);
+
+/// A streamed answer as its caller sees it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// The text so far.
+    pub text: String,
+    /// Why the answer ended, as the API says it.
+    pub finish: Option<String>,
+    /// Tokens by the answer's own count.
+    pub tokens: Option<u64>,
+    /// The error that ended it.
+    pub error: Option<Value>,
+    /// The stream came to its `[DONE]`.
+    pub done: bool,
+    /// The id of the last event.
+    pub last: Option<String>,
+}
+
+/// A caller with a key.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    key: String,
+}
+
+impl Caller {
+    /// A caller with a key.
+    pub fn new(key: &str) -> Caller {
+        Caller {
+            key: key.to_owned(),
+        }
+    }
+
+    /// Posts a body and returns the answer when its head is there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node can't be reached or does not begin to answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `path` is not a path.
+    pub async fn post(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Result<Response, SendError> {
+        let url = Url::parse(&format!("http://{addr}{path}")).expect("the path is valid");
+        let mut req = Request::new(Method::Post, url);
+        req.insert_header("authorization", format!("Bearer {}", self.key));
+        for (name, value) in headers {
+            req.insert_header(*name, *value);
+        }
+        req.set_body(body);
+        req.set_content_type(http_types::mime::JSON);
+        wire::send(addr, req, Limits::new(HEAD)).await
+    }
+
+    /// Sends a completions request that is streamed and reads on into `seen`, after the events that
+    /// it has already; `at` is called after each event. True when the answer came to an end.
+    pub async fn stream<F>(&self, addr: SocketAddr, body: &Value, seen: &mut Seen, at: F) -> bool
+    where
+        F: FnMut(&Seen),
+    {
+        let last = seen.last.clone();
+        let headers: Vec<(&str, &str)> = last
+            .iter()
+            .map(|id| ("last-event-id", id.as_str()))
+            .collect();
+        let sent = self.post(addr, "/v1/completions", &headers, body.to_string());
+        let Ok(mut res) = sent.await else {
+            return false;
+        };
+        if res.status() == StatusCode::Ok {
+            return read(res, seen, at).await;
+        }
+        let bytes = res.body_bytes().await.unwrap_or_default();
+        let answer: Value = serde_json::from_slice(&bytes).unwrap_or_default();
+        seen.error = Some(answer["error"].clone());
+        true
+    }
+}
+
+/// Reads events into `seen`; false when the connection was lost before the answer's end.
+pub async fn read<F>(res: Response, seen: &mut Seen, mut at: F) -> bool
+where
+    F: FnMut(&Seen),
+{
+    let mut events = async_sse::decode(res);
+    while let Some(Ok(event)) = events.next().await {
+        let async_sse::Event::Message(message) = event else {
+            continue;
+        };
+        if message.data() == b"[DONE]" {
+            seen.done = true;
+            return true;
+        }
+        if let Some(id) = message.id() {
+            seen.last = Some(id.clone());
+        }
+        let part: Value = serde_json::from_slice(message.data()).unwrap_or_default();
+        take(seen, &part);
+        if seen.error.is_some() {
+            return true;
+        }
+        at(seen);
+    }
+    false
+}
+
+/// Takes an event's data in.
+fn take(seen: &mut Seen, part: &Value) {
+    if !part["error"].is_null() {
+        seen.error = Some(part["error"].clone());
+        return;
+    }
+    let choice = &part["choices"][0];
+    seen.text.push_str(choice["text"].as_str().unwrap_or(""));
+    if let Some(reason) = choice["finish_reason"].as_str() {
+        seen.finish = Some(reason.to_owned());
+    }
+    if let Some(tokens) = part["usage"]["completion_tokens"].as_u64() {
+        seen.tokens = Some(tokens);
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-standins/src/fleet.rs
@@ -0,0 +1,184 @@
+/*!
+A small fleet in one process: engines, an object API and nodes.
+
+Each node has threads of its own, so that it can be killed or frozen alone.
+*/
+
+use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
+
+use cassiareel::{
+    hooks::{Hooks, NoHooks},
+    kernel::Revision,
+    node::{Node, Options},
+    platform::{HttpObjects, Object, Objects},
+    settings::key_digest,
+};
+use serde_json::json;
+use slog::Logger;
+
+use crate::{
+    engine::{Engine, EngineOptions},
+    objects::ObjectApi,
+};
+
+/// The key of the fleet's only caller.
+pub const KEY: &str = "fleet-key";
+
+/// Nodes in a data centre.
+const NODES_PER_DATA_CENTRE: usize = 2;
+
+/// How often waiting for a state looks at it.
+const POLL: Duration = Duration::from_millis(1);
+
+/// How a fleet is made.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Count of engines.
+    pub engines: usize,
+    /// Count of nodes.
+    pub nodes: usize,
+    /// What listens to the steps of the nodes.
+    pub hooks: Arc<dyn Hooks>,
+    /// Where the nodes log.
+    pub log: Logger,
+}
+
+impl FleetOptions {
+    /// Engines and nodes that log nothing.
+    pub fn new(engines: usize, nodes: usize) -> FleetOptions {
+        FleetOptions {
+            engines,
+            nodes,
+            hooks: Arc::new(NoHooks),
+            log: Logger::root(slog::Discard, slog::o!()),
+        }
+    }
+}
+
+/// Engines, an object API and nodes that read their settings from it.
+pub struct Fleet {
+    /// The engines, which serve version `v1` of the model `draft`.
+    pub engines: Vec<Engine>,
+    /// The object API.
+    pub objects: ObjectApi,
+    nodes: Vec<Option<Node>>,
+    revision: Revision,
+}
+
+impl Fleet {
+    /// Starts a fleet with its settings in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when loopback has no free ports.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the object API, which has no faults yet, does not take the settings.
+    pub fn start(options: &FleetOptions) -> io::Result<Fleet> {
+        let engines = (0..options.engines)
+            .map(|_| Engine::start(EngineOptions::new("draft@v1")))
+            .collect::<io::Result<Vec<Engine>>>()?;
+        let objects = ObjectApi::start()?;
+        let nodes = (0..options.nodes)
+            .map(|i| node(i, &objects, options).map(Some))
+            .collect::<io::Result<Vec<Option<Node>>>>()?;
+        let mut fleet = Fleet {
+            engines,
+            objects,
+            nodes,
+            revision: 0,
+        };
+        let tree = fleet.tree();
+        fleet.apply(&tree);
+        Ok(fleet)
+    }
+
+    /// Settings that place every engine and give the caller all services.
+    pub fn tree(&self) -> String {
+        let servers: Vec<String> = self
+            .engines
+            .iter()
+            .map(|engine| format!("{:?}", engine.addr().to_string()))
+            .collect();
+        format!(
+            r#"
+[regions.r.data_centres.d0]
+[services.draft]
+version = "v1"
+[services.draft.versions.v1.placements.d0]
+servers = [{}]
+[accounts.shops]
+services = ["draft"]
+[accounts.shops.callers.desk]
+key_digest = "{}"
+"#,
+            servers.join(", "),
+            hex::encode(key_digest(KEY))
+        )
+    }
+
+    /// Accepts settings and waits until they are in force on every node.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the object API does not take them.
+    pub fn apply(&mut self, tree: &str) {
+        self.revision += 1;
+        let api = HttpObjects::new(self.objects.addr());
+        let spec = json!({"revision": self.revision, "tree": tree});
+        let written = smol::block_on(async {
+            match api.get("settings", "head").await? {
+                Some(old) => api.update(&Object { spec, ..old }).await,
+                None => api.create(&Object::new("settings", "head", spec)).await,
+            }
+        });
+        written.expect("the object API takes the settings");
+        for node in self.nodes.iter().flatten() {
+            while node.settings().revision < self.revision {
+                thread::sleep(POLL);
+            }
+        }
+    }
+
+    /// The address of a node for callers; none once it was killed.
+    pub fn addr(&self, node: usize) -> Option<SocketAddr> {
+        self.nodes.get(node)?.as_ref()?.addr()
+    }
+
+    /// A node; none once it was killed.
+    pub fn node(&self, node: usize) -> Option<&Node> {
+        self.nodes.get(node)?.as_ref()
+    }
+
+    /// Kills a node: its connections are reset and its address refuses.
+    pub fn kill_node(&mut self, node: usize) {
+        if let Some(node) = self.nodes.get_mut(node) {
+            drop(node.take());
+        }
+    }
+
+    /// Takes a node out, for a planned stop.
+    pub fn take_node(&mut self, node: usize) -> Option<Node> {
+        self.nodes.get_mut(node)?.take()
+    }
+
+    /// The engine that has a running request, if one has.
+    pub fn busy_engine(&self) -> Option<&Engine> {
+        self.engines
+            .iter()
+            .filter(|engine| !engine.is_dead())
+            .find(|engine| engine.running() > 0)
+    }
+}
+
+/// Starts a node.
+fn node(i: usize, objects: &ObjectApi, options: &FleetOptions) -> io::Result<Node> {
+    let data_centre = format!("d{}", i / NODES_PER_DATA_CENTRE);
+    let own = Options {
+        hooks: options.hooks.clone(),
+        ..Options::new(&format!("n{i}"), &data_centre)
+    };
+    let api = Arc::new(HttpObjects::new(objects.addr()));
+    Node::start(own, api, &options.log)
+}
--- a/crates/cassiareel-standins/tests/path.rs
+++ b/crates/cassiareel-standins/tests/path.rs
@@ -1,23 +1,40 @@
 //! The whole path: callers, nodes, engines and settings, over loopback.
 
-mod common;
+use cassiareel_standins::{
+    caller::{Caller, Seen},
+    engine::truth,
+    fleet::{Fleet, FleetOptions, KEY},
+};
+use serde_json::{json, Value};
 
-use cassiareel_standins::engine::truth;
-use common::{complete, read, Fleet};
-use serde_json::json;
+/// A fleet of engines and nodes.
+fn fleet(engines: usize, nodes: usize) -> Fleet {
+    Fleet::start(&FleetOptions::new(engines, nodes)).expect("loopback has ports")
+}
+
+/// A streamed request whose answer does not end by itself.
+fn body(prompt: &str, tokens: u32) -> Value {
+    json!({"model": "draft", "prompt": prompt, "max_tokens": tokens, "ignore_eos": true,
+        "stream": true, "stream_options": {"include_usage": true}})
+}
+
+/// Streams an answer from a node, with a look at each event.
+fn stream<F>(fleet: &Fleet, node: usize, body: &Value, at: F) -> Seen
+where
+    F: FnMut(&Seen),
+{
+    let addr = fleet.addr(node).expect("the node serves");
+    let mut seen = Seen::default();
+    smol::block_on(Caller::new(KEY).stream(addr, body, &mut seen, at));
+    seen
+}
 
 #[test]
 fn a_stream_is_whole_at_every_node() {
-    let fleet = Fleet::start(2, 6);
+    let fleet = fleet(2, 6);
     let (ids, text) = truth("draft@v1", "Once upon a time", 64);
     for node in 0..6 {
-        let body = json!({"model": "draft", "prompt": "Once upon a time", "max_tokens": 64, "ignore_eos": true,
-            "stream": true, "stream_options": {"include_usage": true}});
-        let seen = smol::block_on(async {
-            let res = complete(fleet.addr(node), &body).await;
-            assert_eq!(res.status(), 200);
-            read(res, |_| ()).await
-        });
+        let seen = stream(&fleet, node, &body("Once upon a time", 64), |_| ());
         assert_eq!(seen.text, text, "node {node}: {seen:?}");
         assert_eq!(seen.tokens, Some(ids.len() as u64));
         assert!(seen.done, "{seen:?}");
@@ -26,11 +43,14 @@
 
 #[test]
 fn an_answer_that_is_not_streamed_is_whole() {
-    let fleet = Fleet::start(1, 1);
+    let fleet = fleet(1, 1);
     let (ids, text) = truth("draft@v1", "A flask for", 32);
     let body = json!({"model": "draft", "prompt": "A flask for", "max_tokens": 32});
-    let answer: serde_json::Value = smol::block_on(async {
-        let mut res = complete(fleet.addr(0), &body).await;
+    let addr = fleet.addr(0).expect("the node serves");
+    let answer: Value = smol::block_on(async {
+        let caller = Caller::new(KEY);
+        let sent = caller.post(addr, "/v1/completions", &[], body.to_string());
+        let mut res = sent.await.expect("the node answers");
         let bytes = res.body_bytes().await.expect("the answer is whole");
         serde_json::from_slice(&bytes).expect("the answer is JSON")
     });
@@ -39,29 +59,19 @@
 }
 
 #[test]
-fn a_stream_goes_on_after_its_engine_was_killed() {
-    let fleet = Fleet::start(3, 1);
-    let (_, text) = truth("draft@v1", "To the best of uncles", 80);
-    let body = json!({"model": "draft", "prompt": "To the best of uncles", "max_tokens": 80, "ignore_eos": true,
-        "stream": true});
+fn a_stream_goes_on_after_two_engines_were_killed() {
+    let fleet = fleet(3, 1);
+    let prompt = "To the best of uncles";
+    let (_, text) = truth("draft@v1", prompt, 80);
+    let mut events = 0;
     let mut killed = 0;
-    let seen = smol::block_on(async {
-        let res = complete(fleet.addr(0), &body).await;
-        read(res, |count| {
-            // Two engines of three die, one after the other, in the middle of the answer.
-            if count == 10 || count == 30 {
-                let busy = fleet
-                    .engines
-                    .iter()
-                    .filter(|e| !e.is_dead())
-                    .find(|e| e.running() > 0);
-                if let Some(engine) = busy {
-                    engine.kill();
-                    killed += 1;
-                }
-            }
-        })
-        .await
+    let seen = stream(&fleet, 0, &body(prompt, 80), |_| {
+        events += 1;
+        if events == 10 || events == 30 {
+            let engine = fleet.busy_engine().expect("an engine runs the answer");
+            engine.kill();
+            killed += 1;
+        }
     });
     assert_eq!(killed, 2);
     assert_eq!(seen.text, text);
@@ -70,14 +80,18 @@
 
 #[test]
 fn a_request_without_a_live_engine_is_refused_as_not_run() {
-    let fleet = Fleet::start(1, 1);
+    let fleet = fleet(1, 1);
     fleet.engines[0].kill();
-    let body = json!({"model": "draft", "prompt": "x", "stream": true});
-    let res = smol::block_on(complete(fleet.addr(0), &body));
+    let addr = fleet.addr(0).expect("the node serves");
+    let sent = smol::block_on(Caller::new(KEY).post(
+        addr,
+        "/v1/completions",
+        &[],
+        body("x", 5).to_string(),
+    ));
+    let res = sent.expect("the node answers");
     assert_eq!(res.status(), 503);
-    assert_eq!(
-        res.header("x-outcome").expect("it says what ran").as_str(),
-        "not_run"
-    );
+    let outcome = res.header("x-outcome").expect("it says what ran");
+    assert_eq!(outcome.as_str(), "not_run");
     assert!(res.header("retry-after").is_some());
 }
