--- a/crates/cassiareel-standins/src/fleet.rs
+++ b/crates/cassiareel-standins/src/fleet.rs
@@ -124,6 +124,20 @@
     ///
     /// Panics when the object API does not take them.
     pub fn apply(&mut self, tree: &str) {
+        self.accept(tree);
+        for node in self.nodes.iter().flatten() {
+            while node.settings().revision < self.revision {
+                thread::sleep(POLL);
+            }
+        }
+    }
+
+    /// Accepts settings.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the object API does not take them.
+    pub fn accept(&mut self, tree: &str) {
         self.revision += 1;
         let api = HttpObjects::new(self.objects.addr());
         let spec = json!({"revision": self.revision, "tree": tree});
@@ -134,11 +148,6 @@
             }
         });
         written.expect("the object API takes the settings");
-        for node in self.nodes.iter().flatten() {
-            while node.settings().revision < self.revision {
-                thread::sleep(POLL);
-            }
-        }
     }
 
     /// The address of a node for callers; none once it was killed.
--- a/crates/cassiareel-standins/src/lib.rs
+++ b/crates/cassiareel-standins/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod engine;
 mod feed;
 pub mod fleet;
+pub mod matrix;
 pub mod objects;
 mod respond;
