Add the node's table of backend servers and the first-token policy

Cause: the node's choice knew in-flight counts alone, behind a lock. Change: a table replaced by read-copy-update, with atomics for load, memory and health; late reports corrected by own sends, other sharers' part included; prefix beliefs from own sends and cache events; health by route and server; trials; pollers within 6 KB/s. The policy first-token expects the time to the first token. The share of an engine's memory is even now: a primary's larger part could overflow the engine at a change of membership. Conclusion: the table is ready to be wired in; the thin path still uses its own choice.

--- /dev/null
+++ b/crates/cassiareel/src/engines/decision.rs
@@ -0,0 +1,138 @@
+//! Why a backend server was chosen, for the log and for operators.
+
+use std::fmt::Write;
+
+use crate::kernel::{
+    routing::{Candidate, Choice, Pass},
+    BackendId,
+};
+
+/// Candidates that a decision names; the others are counted.
+const NAMED: usize = 6;
+
+/// Why the choice fell as it did.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// The policy scored it best, or drew it among the best.
+    Policy,
+    /// It was ejected, and this request tries it.
+    Trial,
+    /// No candidate is fit.
+    NoneFit,
+    /// The settings place no backend server.
+    Unplaced,
+}
+
+impl Reason {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::Policy => "policy",
+            Reason::Trial => "trial",
+            Reason::NoneFit => "none_fit",
+            Reason::Unplaced => "unplaced",
+        }
+    }
+}
+
+/// A candidate of a decision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Considered {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Its score; lower is better.
+    pub score: f64,
+    /// Leading blocks of the prompt that it is believed to hold.
+    pub cached: u32,
+    /// Requests believed to be outstanding there.
+    pub outstanding: u32,
+    /// Why it was passed over; none for the chosen one.
+    pub passed: Option<Pass>,
+}
+
+/// A routing decision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The policy's name.
+    pub policy: &'static str,
+    /// Why.
+    pub reason: Reason,
+    /// The chosen backend server.
+    pub chosen: Option<BackendId>,
+    /// The chosen one and the best of the others.
+    pub named: Vec<Considered>,
+    /// Candidates that are not named.
+    pub left_out: usize,
+}
+
+impl Decision {
+    /// A decision without candidates.
+    pub(super) fn unplaced(policy: &'static str) -> Decision {
+        Decision {
+            policy,
+            reason: Reason::Unplaced,
+            chosen: None,
+            named: Vec::new(),
+            left_out: 0,
+        }
+    }
+
+    /// Tells a choice.
+    pub(super) fn new(
+        policy: &'static str,
+        reason: Reason,
+        candidates: &[Candidate<'_>],
+        choice: &Choice,
+    ) -> Decision {
+        let mut order: Vec<usize> = (0..candidates.len()).collect();
+        // The chosen one first, then the fit ones by score, then the others.
+        let rank = |&i: &usize| {
+            let (score, passed) = &choice.scores[i];
+            let class = match passed {
+                None => 0u8,
+                Some(Pass::Score) => 1,
+                Some(_) => 2,
+            };
+            (class, score.max(0.0).to_bits())
+        };
+        if order.len() > NAMED {
+            order.select_nth_unstable_by_key(NAMED - 1, rank);
+            order.truncate(NAMED);
+        }
+        order.sort_unstable_by_key(rank);
+        let named: Vec<Considered> = order
+            .iter()
+            .map(|&i| Considered {
+                backend: candidates[i].backend.clone(),
+                score: choice.scores[i].0,
+                cached: candidates[i].cached,
+                outstanding: candidates[i].outstanding,
+                passed: choice.scores[i].1,
+            })
+            .collect();
+        Decision {
+            policy,
+            reason,
+            chosen: choice.index.map(|i| candidates[i].backend.clone()),
+            left_out: candidates.len() - named.len(),
+            named,
+        }
+    }
+
+    /// The candidates in one field of a log line, such as
+    /// `10.0.0.1:80 score=12.5 cached=3 outstanding=4 chosen; 10.0.0.2:80 score=...`.
+    pub fn candidates(&self) -> String {
+        let mut text = String::new();
+        for (i, c) in self.named.iter().enumerate() {
+            let separator = if i > 0 { "; " } else { "" };
+            let passed = c.passed.map_or("chosen", Pass::name);
+            // Writing to a string does not fail.
+            let _ = write!(
+                text,
+                "{separator}{} score={:.1} cached={} outstanding={} {passed}",
+                c.backend, c.score, c.cached, c.outstanding
+            );
+        }
+        text
+    }
+}
--- a/crates/cassiareel/src/kernel/routing/feed.rs
+++ b/crates/cassiareel/src/engines/feed.rs
@@ -1,7 +1,7 @@
 //! One backend server's cache events, in the order of their sequence numbers.
 
-use super::{prefix::Slot, PrefixIndex};
 use crate::backend::{CacheEvents, CacheKind};
+use crate::kernel::routing::{PrefixIndex, Slot};
 
 /// What to ask an engine for next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/cassiareel/src/kernel/routing/feed_tests.rs
+++ b/crates/cassiareel/src/engines/feed_tests.rs
@@ -2,8 +2,11 @@
 
 use test_case::test_case;
 
-use super::{CacheFeed, Fetch, PrefixIndex};
-use crate::backend::{CacheEvent, CacheEvents, CacheKind};
+use super::{CacheFeed, Fetch};
+use crate::{
+    backend::{CacheEvent, CacheEvents, CacheKind},
+    kernel::routing::PrefixIndex,
+};
 
 fn stored(sequence: u64, block: u64) -> CacheEvent {
     CacheEvent {
--- /dev/null
+++ b/crates/cassiareel/src/engines/mod.rs
@@ -0,0 +1,33 @@
+/*!
+A node's table of backend servers.
+
+[`Engines`] holds, for each version in the settings, the servers that the node uses and what it
+believes of each: load, memory, cache and health. The table is replaced as a whole when settings or
+membership change (read-copy-update), and everything that changes from request to request is atomic,
+so that choosing takes no lock.
+
+A choice returns a [`Ticket`], which holds the request's part of the server's memory until it is
+dropped, and a [`Decision`], which says for the log why the server was chosen.
+*/
+
+mod decision;
+mod feed;
+#[cfg(test)]
+mod feed_tests;
+mod judge;
+mod member;
+mod poll;
+mod pool;
+mod table;
+#[cfg(test)]
+mod table_tests;
+mod ticket;
+
+pub use decision::{Considered, Decision, Reason};
+pub use feed::{CacheFeed, Fetch};
+pub use judge::{Moved, RouteId};
+pub use member::Member;
+pub use poll::{poll, Connect};
+pub use pool::PoolId;
+pub use table::{Engines, Fleet, Options, Placement, Request};
+pub use ticket::Ticket;
--- /dev/null
+++ b/crates/cassiareel/src/engines/pool.rs
@@ -0,0 +1,81 @@
+//! The servers of one version, with their health on each route.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        atomic::{AtomicBool, AtomicU32, Ordering},
+        Arc,
+    },
+};
+
+use super::{judge::RouteId, Member};
+
+/// A service's version, such as `draft@v1`.
+pub type PoolId = Arc<str>;
+
+/// The servers of a version.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pool {
+    pub(super) members: Vec<Arc<Member>>,
+    // Standing on every route, which the loss of connections decides.
+    pub(super) base: Arc<Standing>,
+    pub(super) routes: HashMap<RouteId, Arc<Standing>>,
+}
+
+/// The health of a pool's servers on one route, by their place in the pool.
+#[derive(Debug, Default)]
+pub(super) struct Standing {
+    weights: Box<[AtomicU32]>,
+    trials: Box<[AtomicBool]>,
+}
+
+impl Standing {
+    /// Full health for a count of servers.
+    pub(super) fn new(count: usize) -> Standing {
+        Standing {
+            weights: (0..count).map(|_| AtomicU32::new(1f32.to_bits())).collect(),
+            trials: (0..count).map(|_| AtomicBool::new(false)).collect(),
+        }
+    }
+
+    /// A server's weight.
+    pub(super) fn weight(&self, i: usize) -> f32 {
+        f32::from_bits(self.weights[i].load(Ordering::Relaxed))
+    }
+
+    /// Sets a server's weight.
+    pub(super) fn set_weight(&self, i: usize, weight: f32) {
+        self.weights[i].store(weight.to_bits(), Ordering::Relaxed);
+    }
+
+    /// Offers a trial of a server.
+    pub(super) fn offer(&self, i: usize) {
+        self.trials[i].store(true, Ordering::Release);
+    }
+
+    /// Withdraws an offered trial.
+    pub(super) fn withdraw(&self, i: usize) {
+        self.trials[i].store(false, Ordering::Release);
+    }
+
+    /// Takes an offered trial; of several takers one gets it.
+    pub(super) fn take(&self, i: usize) -> bool {
+        self.trials[i].load(Ordering::Relaxed) && self.trials[i].swap(false, Ordering::AcqRel)
+    }
+}
+
+impl Pool {
+    /// A server's weight on a route.
+    pub(super) fn weight(&self, route: Option<&Standing>, i: usize) -> f32 {
+        let base = self.base.weight(i);
+        route.map_or(base, |route| base.min(route.weight(i)))
+    }
+
+    /// Takes a trial of a server, where its weight is 0 for the reason that the trial is offered on.
+    pub(super) fn take_trial(&self, route: Option<&Standing>, i: usize) -> bool {
+        if self.base.weight(i) <= 0.0 {
+            return self.base.take(i);
+        }
+        route.is_some_and(|route| route.weight(i) <= 0.0 && route.take(i))
+    }
+}
--- /dev/null
+++ b/crates/cassiareel/src/engines/table_tests.rs
@@ -0,0 +1,310 @@
+//! The table chooses by what it was told, holds memory, and keeps beliefs over its replacement.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{Engines, Fleet, Options, Placement, PoolId, Reason, Request, RouteId, Ticket};
+use crate::{
+    backend::{CacheEvents, LoadReport},
+    kernel::{
+        health::Outcome,
+        routing::{Ask, Pass},
+        BackendId,
+    },
+};
+
+const T0: Duration = Duration::from_secs(1);
+
+fn fleet(nodes: usize) -> Fleet {
+    Fleet {
+        nodes: (0..nodes).map(|i| format!("n{i}").into()).collect(),
+        own: "n0".into(),
+        subset: 64,
+    }
+}
+
+fn placement(servers: &[&str]) -> Placement {
+    Placement {
+        pool: "draft@v1".into(),
+        model: true,
+        servers: servers.iter().map(|&s| (s.into(), "d1".into())).collect(),
+    }
+}
+
+fn engines(servers: &[&str], nodes: usize) -> Engines {
+    let engines = Engines::new(Options::default()).expect("the default policy is registered");
+    engines.update(&[placement(servers)], &fleet(nodes));
+    for server in servers {
+        engines.on_load(T0, server, &report(100_000));
+    }
+    engines
+}
+
+fn report(total: u64) -> LoadReport {
+    LoadReport {
+        total_tokens: total,
+        token_ms: 20.0,
+        versions: vec!["draft@v1".into()],
+        ..LoadReport::default()
+    }
+}
+
+fn ask() -> Ask {
+    Ask {
+        prompt: 100,
+        output: 100,
+        idempotent: true,
+        ..Ask::default()
+    }
+}
+
+fn choose(
+    engines: &Engines,
+    now: Duration,
+    ask: &Ask,
+    exclude: &[BackendId],
+) -> (Reason, Option<Ticket>) {
+    let (pool, route): (PoolId, RouteId) = ("draft@v1".into(), "/v1/completions".into());
+    let request = Request {
+        pool: &pool,
+        route: &route,
+        ask,
+        exclude,
+    };
+    let (decision, ticket) = engines.choose(now, &request, 3);
+    assert_eq!(decision.chosen.is_some(), ticket.is_some());
+    (decision.reason, ticket)
+}
+
+#[test]
+fn memory_is_held_until_the_ticket_is_dropped_and_never_passes_the_share() {
+    let engines = engines(&["e1", "e2"], 6);
+    let mut tickets = Vec::new();
+    let mut small = ask();
+    small.prompt = 1;
+    loop {
+        let (reason, ticket) = choose(&engines, T0, &small, &[]);
+        let Some(mut ticket) = ticket else {
+            assert_eq!(reason, Reason::NoneFit);
+            break;
+        };
+        ticket.first_token(T0);
+        tickets.push(ticket);
+    }
+    // A sixth of 85,000 tokens at each of two engines, 101 tokens a request.
+    assert_eq!(tickets.len(), 2 * (85_000 / 6 / 101));
+    for name in ["e1", "e2"] {
+        assert!(engines.held(name) * 6 <= 100_000);
+    }
+    drop(tickets);
+    assert_eq!((engines.held("e1"), engines.held("e2")), (0, 0));
+    assert!(choose(&engines, T0, &small, &[]).1.is_some());
+}
+
+#[test]
+fn what_waits_for_a_first_token_is_bounded() {
+    let engines = engines(&["e1"], 1);
+    let mut ask = ask();
+    ask.prompt = 5_000;
+    let first = choose(&engines, T0, &ask, &[]).1.expect("nothing waits");
+    let mut second = choose(&engines, T0, &ask, &[])
+        .1
+        .expect("5,000 of 8,192 tokens wait");
+    assert!(choose(&engines, T0, &ask, &[]).1.is_none());
+    second.first_token(T0);
+    assert!(choose(&engines, T0, &ask, &[]).1.is_some());
+    drop(first);
+}
+
+#[test]
+fn own_sends_and_cache_events_draw_requests_with_the_same_prefix() {
+    let engines = engines(&["e1", "e2", "e3"], 1);
+    let mut ask = ask();
+    ask.prompt = 700;
+    ask.prefix = (1..=40).collect();
+    let mut first = choose(&engines, T0, &ask, &[]).1.expect("all are fit");
+    first.first_token(T0 + Duration::from_millis(100));
+    let home = first.backend().clone();
+    first.end(T0 + Duration::from_millis(200), Some(Outcome::Success));
+    for _ in 0..5 {
+        let mut ticket = choose(&engines, T0, &ask, &[]).1.expect("all are fit");
+        assert_eq!(ticket.backend(), &home);
+        ticket.first_token(T0 + Duration::from_millis(100));
+    }
+    // The engine's own word goes before the belief.
+    let empty = CacheEvents {
+        snapshot: Some(Vec::new()),
+        next: 1,
+        ..CacheEvents::default()
+    };
+    engines.on_cache(&home, &empty);
+    let other = if &*home == "e1" { "e2" } else { "e1" };
+    let held = CacheEvents {
+        snapshot: Some(ask.prefix.clone()),
+        next: 1,
+        ..CacheEvents::default()
+    };
+    engines.on_cache(other, &held);
+    assert_eq!(
+        &**choose(&engines, T0, &ask, &[]).1.expect("fit").backend(),
+        other
+    );
+}
+
+#[test]
+fn a_lost_server_is_ejected_on_every_route_and_tried_by_one_request() {
+    let engines = engines(&["e1", "e2", "e3", "e4"], 1);
+    for _ in 0..3 {
+        engines.on_lost("e2");
+    }
+    assert_eq!(engines.tick(T0).len(), 1);
+    for _ in 0..20 {
+        let ticket = choose(&engines, T0, &ask(), &[]).1.expect("three are fit");
+        assert_ne!(&**ticket.backend(), "e2");
+    }
+    let later = T0 + Duration::from_secs(6);
+    engines.tick(later);
+    let mut order = ask();
+    order.idempotent = false;
+    let (reason, _) = choose(&engines, later, &order, &[]);
+    assert_eq!(reason, Reason::Policy, "a non-idempotent call was a trial");
+    let (reason, ticket) = choose(&engines, later, &ask(), &[]);
+    let ticket = ticket.expect("a trial");
+    assert_eq!((reason, &**ticket.backend()), (Reason::Trial, "e2"));
+    assert_eq!(
+        choose(&engines, later, &ask(), &[]).0,
+        Reason::Policy,
+        "two trials at a time"
+    );
+    ticket.end(later, Some(Outcome::Success));
+    engines.tick(later);
+    let (reason, second) = choose(&engines, later, &ask(), &[]);
+    assert_eq!(reason, Reason::Trial);
+    second.expect("a trial").end(later, Some(Outcome::Success));
+    engines.tick(later);
+    assert_eq!(choose(&engines, later, &ask(), &[]).0, Reason::Policy);
+}
+
+#[test]
+fn a_dropped_trial_is_offered_again() {
+    let engines = engines(&["e1", "e2", "e3", "e4"], 1);
+    for _ in 0..3 {
+        engines.on_lost("e2");
+    }
+    engines.tick(T0);
+    let later = T0 + Duration::from_secs(6);
+    engines.tick(later);
+    drop(choose(&engines, later, &ask(), &[]).1.expect("a trial"));
+    engines.tick(later);
+    assert_eq!(choose(&engines, later, &ask(), &[]).0, Reason::Trial);
+}
+
+#[test]
+fn faults_on_one_route_leave_the_others() {
+    let engines = engines(&["e1", "e2", "e3", "e4"], 1);
+    let pool: PoolId = "draft@v1".into();
+    let (bad, good): (RouteId, RouteId) = ("/bad".into(), "/good".into());
+    let ask = ask();
+    let request = |route| Request {
+        pool: &pool,
+        route,
+        ask: &ask,
+        exclude: &[],
+    };
+    for i in 0..200 {
+        let ticket = engines.choose(T0, &request(&bad), i).1.expect("fit");
+        let fault = &**ticket.backend() == "e1";
+        ticket.end(
+            T0,
+            Some(if fault {
+                Outcome::Fault
+            } else {
+                Outcome::Success
+            }),
+        );
+        engines.tick(T0);
+    }
+    let passed = |route| {
+        let (decision, _) = engines.choose(T0, &request(route), 1);
+        let named = decision
+            .named
+            .iter()
+            .find(|c| &*c.backend == "e1")
+            .expect("named");
+        named.passed
+    };
+    assert_eq!(passed(&bad), Some(Pass::Ejected));
+    assert_ne!(passed(&good), Some(Pass::Ejected));
+}
+
+#[test]
+fn leaving_unloaded_and_excluded_servers_are_passed_over() {
+    let engines = engines(&["e1", "e2", "e3"], 1);
+    let leaving = LoadReport {
+        leaving: true,
+        sequence: 1,
+        ..report(100_000)
+    };
+    engines.on_load(T0, "e1", &leaving);
+    let unloaded = LoadReport {
+        versions: vec!["draft@v0".into()],
+        sequence: 1,
+        ..report(100_000)
+    };
+    engines.on_load(T0, "e2", &unloaded);
+    let ticket = choose(&engines, T0, &ask(), &[]).1.expect("e3 is fit");
+    assert_eq!(&**ticket.backend(), "e3");
+    let (reason, none) = choose(&engines, T0, &ask(), &["e3".into()]);
+    assert_eq!((reason, none.is_none()), (Reason::NoneFit, true));
+}
+
+#[test]
+fn a_replaced_table_keeps_what_is_known_and_tickets_outlive_it() {
+    let engines = engines(&["e1", "e2"], 1);
+    let ticket = choose(&engines, T0, &ask(), &["e1".into()])
+        .1
+        .expect("e2 is fit");
+    engines.update(&[placement(&["e2", "e3"])], &fleet(1));
+    assert_eq!(engines.held("e2"), 200);
+    assert!(engines.member("e1").is_none());
+    engines.update(&[placement(&["e3"])], &fleet(1));
+    drop(ticket);
+    let pool: PoolId = "other@v1".into();
+    let route: RouteId = "/".into();
+    let ask = ask();
+    let request = Request {
+        pool: &pool,
+        route: &route,
+        ask: &ask,
+        exclude: &[],
+    };
+    let (decision, none) = engines.choose(T0, &request, 1);
+    assert_eq!((decision.reason, none.is_none()), (Reason::Unplaced, true));
+}
+
+#[test]
+fn threads_choose_while_the_table_is_replaced() {
+    let engines = Arc::new(engines(&["e1", "e2", "e3"], 2));
+    std::thread::scope(|scope| {
+        for _ in 0..3 {
+            let engines = engines.clone();
+            scope.spawn(move || {
+                for _ in 0..500 {
+                    let (_, ticket) = choose(&engines, T0, &ask(), &[]);
+                    if let Some(mut ticket) = ticket {
+                        ticket.first_token(T0);
+                    }
+                }
+            });
+        }
+        for i in 0..100 {
+            let servers: &[&str] = if i % 2 == 0 {
+                &["e1", "e2"]
+            } else {
+                &["e1", "e2", "e3"]
+            };
+            engines.update(&[placement(servers)], &fleet(2));
+            engines.tick(T0);
+        }
+    });
+    assert_eq!((engines.held("e1"), engines.held("e2")), (0, 0));
+}
--- a/crates/cassiareel/src/front/choose.rs
+++ b/crates/cassiareel/src/front/choose.rs
@@ -54,17 +54,25 @@
                 .map(|server| outstanding.entry(server.addr).or_default().clone())
                 .collect()
         };
+        let names: Vec<BackendId> = servers
+            .iter()
+            .map(|server| server.addr.to_string().into())
+            .collect();
         let candidates: Vec<Candidate> = servers
             .iter()
             .zip(&counts)
-            .map(|(server, count)| Candidate {
-                backend: server.addr.to_string().into(),
-                data_centre: server.data_centre.clone(),
+            .zip(&names)
+            .map(|((server, count), backend)| Candidate {
+                backend,
+                data_centre: &server.data_centre,
                 outstanding: count.load(Ordering::Relaxed),
+                backlog: 0,
                 free_tokens: u64::MAX,
                 cached: 0,
                 health: 1.0,
                 token_ms: 0.0,
+                pace: 1.0,
+                barred: None,
             })
             .collect();
         let choice = self
--- a/crates/cassiareel/src/kernel/admission/ledger.rs
+++ b/crates/cassiareel/src/kernel/admission/ledger.rs
@@ -6,10 +6,6 @@
 /// know of it does not overflow the engine.
 const RESERVE: f64 = 0.15;
 
-/// Part of the memory, after the reserve, that belongs to the engine's primary node. It lets some
-/// node of a large fleet place a request that is larger than an even share.
-const PRIMARY: f64 = 0.25;
-
 /// The part of an engine's memory that a node may fill.
 ///
 /// The parts of all nodes that agree on the list of nodes add up to 1 less the reserve. Each node
@@ -21,12 +17,11 @@
 /// ```
 /// use cassiareel::kernel::admission::memory_share;
 ///
-/// let all: f64 = (0..6).map(|node| memory_share(6, node == 0)).sum();
+/// let all: f64 = (0..6).map(|_| memory_share(6)).sum();
 /// assert!((all - 0.85).abs() < 1e-9);
 /// ```
-pub fn memory_share(sharers: u32, primary: bool) -> f64 {
-    let owned = if primary { PRIMARY } else { 0.0 };
-    (1.0 - RESERVE) * ((1.0 - PRIMARY) / f64::from(sharers.max(1)) + owned)
+pub fn memory_share(sharers: u32) -> f64 {
+    (1.0 - RESERVE) / f64::from(sharers.max(1))
 }
 
 /// A sum of held tokens under a bound.
--- a/crates/cassiareel/src/kernel/routing/fitness.rs
+++ b/crates/cassiareel/src/kernel/routing/fitness.rs
@@ -1,10 +1,18 @@
 //! What every policy has in common: who is fit, and the shape of a choice.
 
-use super::{Candidate, Choice, Pass};
+use super::{Ask, Candidate, Choice, Pass};
 
 /// Tells why a candidate can't be chosen at all.
-pub(super) fn fitness(candidate: &Candidate) -> Option<Pass> {
-    (candidate.health <= 0.0).then_some(Pass::Ejected)
+pub(super) fn fitness(ask: &Ask, candidate: &Candidate<'_>) -> Option<Pass> {
+    if candidate.barred.is_some() {
+        candidate.barred
+    } else if candidate.health <= 0.0 {
+        Some(Pass::Ejected)
+    } else if ask.tokens() > candidate.free_tokens {
+        Some(Pass::Memory)
+    } else {
+        None
+    }
 }
 
 /// Makes a choice of an index and each candidate's score and unfitness.
--- a/crates/cassiareel/src/kernel/routing/least.rs
+++ b/crates/cassiareel/src/kernel/routing/least.rs
@@ -14,10 +14,10 @@
 struct LeastOutstanding;
 
 impl Policy for LeastOutstanding {
-    fn choose(&self, _ask: &Ask, candidates: &[Candidate], random: u64) -> Choice {
+    fn choose(&self, ask: &Ask, candidates: &[Candidate<'_>], random: u64) -> Choice {
         let scores: Vec<_> = candidates
             .iter()
-            .map(|c| (f64::from(c.outstanding), fitness(c)))
+            .map(|c| (f64::from(c.outstanding), fitness(ask, c)))
             .collect();
         settle(lowest(&scores, random), scores)
     }
--- a/crates/cassiareel/src/kernel/routing/mod.rs
+++ b/crates/cassiareel/src/kernel/routing/mod.rs
@@ -7,11 +7,14 @@
 and [`Subsets`] gives each node of a large fleet its part of the backend servers.
 */
 
-mod feed;
-#[cfg(test)]
-mod feed_tests;
+mod blocks;
+mod expect;
+mod first_token;
 mod fitness;
 mod least;
+mod load;
+#[cfg(test)]
+mod load_tests;
 mod policy;
 #[cfg(test)]
 mod policy_tests;
@@ -25,7 +28,9 @@
 mod subset_tests;
 mod two;
 
-pub use feed::{CacheFeed, Fetch};
+pub use blocks::{blocks, BLOCK_TOKENS};
+pub(crate) use expect::{expected_ms, unread_tokens};
+pub use load::{Load, Reported};
 pub use policy::{policy, Ask, Candidate, Choice, Pass, Policy};
 pub use prefix::{PrefixIndex, Slot};
 pub use subset::Subsets;
--- a/crates/cassiareel/src/kernel/routing/policy.rs
+++ b/crates/cassiareel/src/kernel/routing/policy.rs
@@ -10,24 +10,35 @@
 pub struct Ask {
     /// Chained hashes of the prompt's blocks, from the first.
     pub prefix: Vec<u64>,
-    /// Tokens of the prompt, estimated.
+    /// Tokens of the prompt, estimated, with those of the answer so far.
     pub prompt: u32,
     /// Tokens that the answer may still have.
     pub output: u32,
     /// The node's own data centre.
     pub data_centre: Option<DataCentreId>,
+    /// Whether it may run twice without harm, and so may try a server that was ejected.
+    pub idempotent: bool,
+}
+
+impl Ask {
+    /// Tokens of an engine's memory that the request may come to hold.
+    pub fn tokens(&self) -> u64 {
+        u64::from(self.prompt) + u64::from(self.output)
+    }
 }
 
 /// A backend server that the settings allow, as the node believes it to be.
 #[derive(Clone, Debug)]
-pub struct Candidate {
+pub struct Candidate<'a> {
     /// The backend server.
-    pub backend: BackendId,
+    pub backend: &'a BackendId,
     /// Its data centre.
-    pub data_centre: DataCentreId,
+    pub data_centre: &'a DataCentreId,
     /// Requests that run or wait there, with the node's own corrections.
     pub outstanding: u32,
-    /// Tokens of memory that are free, with the node's own corrections.
+    /// Tokens of prompts that wait there for their first token, with the node's own corrections.
+    pub backlog: u64,
+    /// Tokens of memory that the node may still fill there.
     pub free_tokens: u64,
     /// Leading blocks of the prompt that its cache is believed to hold.
     pub cached: u32,
@@ -35,10 +46,14 @@
     pub health: f32,
     /// Its recent time between tokens in milliseconds, or 0 when unknown.
     pub token_ms: f32,
+    /// Its recent times to the first token over those expected of it; 1 when unknown.
+    pub pace: f32,
+    /// Why it can't be chosen, where the node's table knows already.
+    pub barred: Option<Pass>,
 }
 
 /// Why a candidate was passed over.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Pass {
     /// Another scored better.
     Score,
@@ -46,6 +61,29 @@
     Ejected,
     /// The request does not fit its memory.
     Memory,
+    /// Enough waits there for its first token; more waits better at the node.
+    Busy,
+    /// It is about to leave.
+    Leaving,
+    /// It has not loaded the version.
+    Unloaded,
+    /// The request was lost there before.
+    Excluded,
+}
+
+impl Pass {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Pass::Score => "score",
+            Pass::Ejected => "ejected",
+            Pass::Memory => "memory",
+            Pass::Busy => "busy",
+            Pass::Leaving => "leaving",
+            Pass::Unloaded => "unloaded",
+            Pass::Excluded => "excluded",
+        }
+    }
 }
 
 /// A policy's choice.
@@ -60,7 +98,7 @@
 /// Chooses among candidates.
 pub trait Policy: Send + Sync {
     /// Chooses; `random` is a fresh random number for ties and samples.
-    fn choose(&self, ask: &Ask, candidates: &[Candidate], random: u64) -> Choice;
+    fn choose(&self, ask: &Ask, candidates: &[Candidate<'_>], random: u64) -> Choice;
 }
 
 inventory::collect!(Plugin<Box<dyn Policy>>);
--- a/crates/cassiareel/src/kernel/routing/random.rs
+++ b/crates/cassiareel/src/kernel/routing/random.rs
@@ -14,8 +14,8 @@
 struct Random;
 
 impl Policy for Random {
-    fn choose(&self, _ask: &Ask, candidates: &[Candidate], random: u64) -> Choice {
-        let scores: Vec<_> = candidates.iter().map(|c| (0.0, fitness(c))).collect();
+    fn choose(&self, ask: &Ask, candidates: &[Candidate<'_>], random: u64) -> Choice {
+        let scores: Vec<_> = candidates.iter().map(|c| (0.0, fitness(ask, c))).collect();
         let fit = scores.iter().filter(|s| s.1.is_none()).count();
         let nth = (random % fit.max(1) as u64) as usize;
         let index = (0..scores.len())
--- a/crates/cassiareel/src/kernel/routing/robin.rs
+++ b/crates/cassiareel/src/kernel/routing/robin.rs
@@ -19,8 +19,8 @@
 }
 
 impl Policy for RoundRobin {
-    fn choose(&self, _ask: &Ask, candidates: &[Candidate], _random: u64) -> Choice {
-        let scores: Vec<_> = candidates.iter().map(|c| (0.0, fitness(c))).collect();
+    fn choose(&self, ask: &Ask, candidates: &[Candidate<'_>], _random: u64) -> Choice {
+        let scores: Vec<_> = candidates.iter().map(|c| (0.0, fitness(ask, c))).collect();
         let turn = self.next.fetch_add(1, Ordering::Relaxed);
         settle(lowest(&scores, turn), scores)
     }
--- a/crates/cassiareel/src/kernel/routing/two.rs
+++ b/crates/cassiareel/src/kernel/routing/two.rs
@@ -17,10 +17,10 @@
 struct PowerOfTwo;
 
 impl Policy for PowerOfTwo {
-    fn choose(&self, _ask: &Ask, candidates: &[Candidate], random: u64) -> Choice {
+    fn choose(&self, ask: &Ask, candidates: &[Candidate<'_>], random: u64) -> Choice {
         let scores: Vec<_> = candidates
             .iter()
-            .map(|c| (f64::from(c.outstanding), fitness(c)))
+            .map(|c| (f64::from(c.outstanding), fitness(ask, c)))
             .collect();
         let fit = scores.iter().filter(|s| s.1.is_none()).count() as u64;
         if fit == 0 {
--- a/crates/cassiareel/src/lib.rs
+++ b/crates/cassiareel/src/lib.rs
@@ -11,6 +11,7 @@
 - [`kernel`] holds every decision as a pure state machine: events and a time in, actions out.
 - [`settings`] is the typed tree that operators edit.
 - [`platform`], [`backend`] and [`peer`] meet the outside through traits and thin HTTP adapters.
+- [`engines`] is a node's table of backend servers, which requests choose from without a lock.
 - [`front`] serves callers and operators, [`control`] drives moves and placements, and [`observe`]
   writes the decision log and the metrics.
 - [`wire`] and [`runtime`] are the plumbing: HTTP by library with the checks it lacks, and threads.
@@ -18,6 +19,7 @@
 
 pub mod backend;
 pub mod control;
+pub mod engines;
 pub mod front;
 pub mod kernel;
 pub mod node;
