--- a/crates/cassiareel/src/lib.rs
+++ b/crates/cassiareel/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod control;
 pub mod engines;
 pub mod front;
+pub mod hooks;
 pub mod kernel;
 pub mod node;
 pub mod observe;
