--- a/crates/cassiareel-standins/src/fleet.rs
+++ b/crates/cassiareel-standins/src/fleet.rs
@@ -63,6 +63,7 @@
     pub objects: ObjectApi,
     nodes: Vec<Option<Node>>,
     revision: Revision,
+    options: FleetOptions,
 }
 
 impl Fleet {
@@ -88,6 +89,7 @@
             objects,
             nodes,
             revision: 0,
+            options: options.clone(),
         };
         let tree = fleet.tree();
         fleet.apply(&tree);
@@ -172,6 +174,21 @@
         self.nodes.get_mut(node)?.take()
     }
 
+    /// Starts a node in the place of one that was killed or taken out, and waits until its settings
+    /// are in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when loopback has no free ports.
+    pub fn replace_node(&mut self, place: usize) -> io::Result<()> {
+        let started = node(place, &self.objects, &self.options)?;
+        while started.settings().revision < self.revision {
+            thread::sleep(POLL);
+        }
+        self.nodes[place] = Some(started);
+        Ok(())
+    }
+
     /// The engine that has a running request, if one has.
     pub fn busy_engine(&self) -> Option<&Engine> {
         self.engines
--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -14,6 +14,8 @@
 mod parts;
 mod refusal;
 mod request;
+#[cfg(test)]
+mod request_tests;
 mod service;
 
 pub use api::Front;
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -2,7 +2,8 @@
 A node: the parts of the daemon, wired.
 
 A node serves callers on one address, and peers and operators on another. It owns its threads, so
-that dropping it ends all that it does at once; a planned stop goes through [`Node::drain`].
+that dropping it ends all that it does at once; a planned stop goes through [`Node::leave`] and
+[`Node::stop`].
 */
 
 mod follow;
@@ -43,8 +44,8 @@
     runtime: Runtime,
 }
 
-/// Time between looks at the open requests of a node that drains.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time between looks at the open requests of a node that stops.
+const STOP_POLL: Duration = Duration::from_millis(20);
 
 impl Node {
     /// Starts a node.
@@ -81,7 +82,7 @@
         })
     }
 
-    /// The address for callers; none once the node drains.
+    /// The address for callers; none once the node stops.
     pub fn addr(&self) -> Option<SocketAddr> {
         self.callers.as_ref().map(|served| served.addr)
     }
@@ -106,23 +107,29 @@
         &self.runtime
     }
 
-    /// Stops taking new work and waits at most `limit` for what was accepted; false when some of it
-    /// was left.
-    pub async fn drain(&mut self, limit: Duration) -> bool {
+    /// Turns readiness off; requests that still come are served, and their connections closed.
+    ///
+    /// The balancer looks at readiness only now and then, so that a planned stop gives it time
+    /// between this and [`Node::stop`].
+    pub fn leave(&self) {
         self.open.leave();
-        info!(self.log, "draining"; "open" => self.open.count());
-        let until = Instant::now() + limit;
-        while self.open.count() > 0 && Instant::now() < until {
-            Timer::after(DRAIN_POLL).await;
-        }
-        // New connections are taken until nothing is open, since the balancer looks at readiness
-        // only now and then; each request on them is still served.
+        info!(self.log, "leaving"; "open" => self.open.count());
+    }
+
+    /// Stops accepting connections and waits at most `limit` until every request that was accepted
+    /// is answered whole; returns how many were not.
+    pub async fn stop(&mut self, limit: Duration) -> usize {
+        self.leave();
         if let Some(served) = self.callers.take() {
             served.stop_accepting();
         }
+        let until = Instant::now() + limit;
+        while self.open.count() > 0 && Instant::now() < until {
+            Timer::after(STOP_POLL).await;
+        }
         let left = self.open.count();
-        info!(self.log, "drained"; "left" => left);
-        left == 0
+        info!(self.log, "stopped"; "left" => left);
+        left
     }
 }
 
--- a/crates/cassiareel/src/node/mount.rs
+++ b/crates/cassiareel/src/node/mount.rs
@@ -9,7 +9,7 @@
 };
 
 use arc_swap::ArcSwap;
-use http_types::{Request, Response, StatusCode};
+use http_types::{headers, Request, Response, StatusCode};
 
 use crate::{
     settings::Snapshot,
@@ -99,6 +99,9 @@
         // The request is open until its answer is written whole, which is when its body is dropped.
         let body = res.take_body();
         let len = body.len();
+        if self.open.leaving.load(Ordering::SeqCst) {
+            res.insert_header(headers::CONNECTION, "close");
+        }
         res.set_body(http_types::Body::from_reader(
             Held { body, _hold: hold },
             len,
