--- a/crates/cassiareel-standins/src/engine/batch.rs
+++ b/crates/cassiareel-standins/src/engine/batch.rs
@@ -6,7 +6,8 @@
 
 use super::{
     model::{token_bytes, Model},
-    stream::Stream,
+    stream::{Cut, Stream},
+    Failure,
 };
 
 /// How long an engine's steps take.
@@ -43,17 +44,32 @@
     pub(super) position: Position,
     pub(super) limit: Position,
     pub(super) ignore_eos: bool,
+    /// Tokens of the prompt and of earlier attempts that must be read before the next token.
     pub(super) unread: u32,
+    pub(super) blocks: Vec<u64>,
     pub(super) priority: i32,
+    pub(super) failure: Option<Failure>,
+    pub(super) steps: u32,
 }
 
-/// What a step led to.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Whether an engine outlived a step.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum Outcome {
     /// The engine goes on.
+    #[default]
     Ran,
-    /// The requests outgrew the memory.
-    Overflow,
+    /// The requests outgrew the memory, or one of them crashed the engine.
+    Dead,
+}
+
+/// What a step did.
+#[derive(Debug, Default)]
+pub(super) struct Done {
+    pub(super) outcome: Outcome,
+    /// Tokens generated.
+    pub(super) tokens: u64,
+    /// Blocks of each prompt that was read to its end.
+    pub(super) read: Vec<Vec<u64>>,
 }
 
 /// The requests of an engine.
@@ -99,14 +115,8 @@
     }
 
     /// Admits requests and tells how long the next step takes; none when there is no work.
-    pub(super) fn plan(
-        &mut self,
-        speed: &Speed,
-        capacity: &Capacity,
-        now: Duration,
-    ) -> Option<Duration> {
-        let stays =
-            |job: &Job| !job.stream.is_cut() && !job.stream.is_forgotten(now, capacity.grace);
+    pub(super) fn plan(&mut self, speed: &Speed, capacity: &Capacity) -> Option<Duration> {
+        let stays = |job: &Job| !job.stream.is_cut() && !job.stream.is_forgotten(capacity.grace);
         self.running.retain(stays);
         self.waiting.retain(stays);
         self.admit(capacity);
@@ -120,14 +130,15 @@
     }
 
     /// Carries the planned step out.
-    pub(super) fn commit(&mut self, capacity: &Capacity, now: Duration) -> Outcome {
+    pub(super) fn commit(&mut self, capacity: &Capacity) -> Done {
         let mut budget = capacity.prefill;
-        self.running.retain_mut(|job| !job.step(&mut budget, now));
+        let mut done = Done::default();
+        self.running
+            .retain_mut(|job| !job.step(&mut budget, &mut done));
         if self.used() > capacity.tokens {
-            Outcome::Overflow
-        } else {
-            Outcome::Ran
+            done.outcome = Outcome::Dead;
         }
+        done
     }
 
     fn admit(&mut self, capacity: &Capacity) {
@@ -150,14 +161,49 @@
         u64::from(self.stream.prompt_tokens) + u64::from(self.position)
     }
 
-    /// Reads a part of the prompt or adds a token; true when the answer has ended.
-    fn step(&mut self, budget: &mut u32, now: Duration) -> bool {
+    /// Reads a part of the prompt or adds a token; true when the request is done with.
+    fn step(&mut self, budget: &mut u32, done: &mut Done) -> bool {
         let read = self.unread.min(*budget);
         self.unread -= read;
         *budget -= read;
         if self.unread > 0 {
             return false;
         }
+        if !self.blocks.is_empty() {
+            done.read.push(std::mem::take(&mut self.blocks));
+        }
+        self.steps += 1;
+        match self.fail() {
+            Failed::Not => self.generate(done),
+            Failed::Waits => false,
+            Failed::Over => true,
+            Failed::Crashed => {
+                done.outcome = Outcome::Dead;
+                true
+            }
+        }
+    }
+
+    /// Lets the request's failure come, if it is due.
+    fn fail(&self) -> Failed {
+        match self.failure {
+            Some(Failure::Crash(tokens)) if self.position >= tokens => Failed::Crashed,
+            Some(Failure::Reset(tokens)) if self.position >= tokens => {
+                self.stream.cut(Cut::Reset);
+                Failed::Over
+            }
+            Some(Failure::EndEarly(tokens)) if self.position >= tokens => {
+                self.stream.cut(Cut::Early);
+                Failed::Over
+            }
+            Some(Failure::Stall(tokens)) if self.position >= tokens => Failed::Waits,
+            Some(Failure::Slow(factor)) if self.steps % factor.max(1) != 0 => Failed::Waits,
+            _ => Failed::Not,
+        }
+    }
+
+    /// Adds a token; true when the answer has ended.
+    fn generate(&mut self, done: &mut Done) -> bool {
         if let Some(reason) = self.ended() {
             self.stream.finish(reason);
             return true;
@@ -165,7 +211,8 @@
         let id = self.model.token(self.position);
         let bytes = token_bytes(id).expect("the model stays in its vocabulary");
         self.position += 1;
-        if self.stream.push(id, bytes, now) {
+        done.tokens += 1;
+        if self.stream.push(id, bytes) {
             return true;
         }
         let ended = self.ended();
@@ -182,3 +229,11 @@
         (self.position >= self.limit).then_some(FinishReason::Length)
     }
 }
+
+/// What a failure does to a request in a step.
+enum Failed {
+    Not,
+    Waits,
+    Over,
+    Crashed,
+}
--- a/crates/cassiareel-standins/src/engine/mod.rs
+++ b/crates/cassiareel-standins/src/engine/mod.rs
@@ -7,17 +7,28 @@
 */
 
 mod batch;
+#[cfg(test)]
+mod batch_tests;
+mod cache;
+#[cfg(test)]
+mod cache_tests;
+mod faults;
 mod model;
+mod options;
+mod reports;
+#[cfg(test)]
+mod reports_tests;
 mod request;
 mod server;
+mod state;
 mod stream;
 mod text;
+mod versions;
 
 use std::{
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
 };
 
 use cassiareel::{
@@ -27,45 +38,13 @@
 use smol::net::TcpListener;
 
 pub use batch::{Capacity, Speed};
+pub use faults::{Failure, Fault, Faults};
 pub use model::truth;
+pub use options::{CacheOptions, EngineOptions};
 use server::Server;
+pub use state::Stats;
 pub use stream::Cut;
 
-/// How an engine is made.
-#[derive(Clone, Debug)]
-pub struct EngineOptions {
-    /// Where it listens; port 0 takes a free one.
-    pub addr: SocketAddr,
-    /// Versions that are loaded at the start, such as `draft@v1`.
-    pub versions: Vec<String>,
-    /// How long its steps take.
-    pub speed: Speed,
-    /// What it can hold.
-    pub capacity: Capacity,
-}
-
-impl EngineOptions {
-    /// An engine on a free loopback port, with a version loaded and a step of 10 milliseconds.
-    pub fn new(version: &str) -> EngineOptions {
-        EngineOptions {
-            addr: ([127, 0, 0, 1], 0).into(),
-            versions: vec![version.to_owned()],
-            speed: Speed {
-                step: Duration::from_millis(10),
-                request: Duration::from_micros(50),
-                prefill: Duration::from_micros(10),
-            },
-            capacity: Capacity {
-                batch: 256,
-                queue: 256,
-                tokens: 200_000,
-                prefill: 2_048,
-                grace: Duration::from_secs(5),
-            },
-        }
-    }
-}
-
 /// A running engine; dropping it kills it.
 ///
 /// # Examples
@@ -103,6 +82,8 @@
         let served = serve(&runtime.spawner(), listener, bounds, server.clone())?;
         let runner = server.clone();
         runtime.spawn(async move { runner.run().await }).detach();
+        let loader = server.clone();
+        runtime.spawn(async move { loader.fetch().await }).detach();
         let addr = served.addr;
         *life.lock().expect("no holder panics") = Some((served, runtime));
         Ok(Engine { addr, life, server })
@@ -123,6 +104,16 @@
         self.life.lock().expect("no holder panics").is_none()
     }
 
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.server.set_faults(faults);
+    }
+
+    /// What it did so far.
+    pub fn stats(&self) -> Stats {
+        self.server.stats()
+    }
+
     /// Cuts every stream that runs, and stops working on them.
     pub fn cut_streams(&self, how: Cut) {
         self.server.cut_streams(how);
--- /dev/null
+++ b/crates/cassiareel-standins/src/engine/options.rs
@@ -0,0 +1,73 @@
+//! How an engine is made.
+
+use std::{net::SocketAddr, time::Duration};
+
+use super::{Capacity, Speed};
+
+/// How an engine is made.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// Where it listens; port 0 takes a free one.
+    pub addr: SocketAddr,
+    /// Versions that are loaded at the start, such as `draft@v1`.
+    pub versions: Vec<String>,
+    /// Seed of its random faults.
+    pub seed: u64,
+    /// How long its steps take.
+    pub speed: Speed,
+    /// What it can hold.
+    pub capacity: Capacity,
+    /// How late its load report is.
+    pub load_lag: Duration,
+    /// Its prefix cache.
+    pub cache: CacheOptions,
+    /// Whether it refuses an order whose fencing number is lower than one it has met.
+    pub checks_fencing: bool,
+    /// The weight store from which it loads versions; without one they load at once.
+    pub weights: Option<SocketAddr>,
+}
+
+/// A prefix cache and how its events are told.
+#[derive(Clone, Copy, Debug)]
+pub struct CacheOptions {
+    /// Blocks that it holds before it evicts the least recently used one.
+    pub blocks: usize,
+    /// How late its events are.
+    pub lag: Duration,
+    /// The chance of each event to be lost, from 0 to 1.
+    pub lose: f64,
+    /// Events that it still tells; older ones are forgotten.
+    pub history: usize,
+}
+
+impl EngineOptions {
+    /// An engine on a free loopback port, with a version loaded and a step of 10 milliseconds.
+    pub fn new(version: &str) -> EngineOptions {
+        EngineOptions {
+            addr: ([127, 0, 0, 1], 0).into(),
+            versions: vec![version.to_owned()],
+            seed: 1,
+            speed: Speed {
+                step: Duration::from_millis(10),
+                request: Duration::from_micros(50),
+                prefill: Duration::from_micros(10),
+            },
+            capacity: Capacity {
+                batch: 256,
+                queue: 256,
+                tokens: 200_000,
+                prefill: 2_048,
+                grace: Duration::from_secs(5),
+            },
+            load_lag: Duration::ZERO,
+            cache: CacheOptions {
+                blocks: 4_096,
+                lag: Duration::ZERO,
+                lose: 0.0,
+                history: 8_192,
+            },
+            checks_fencing: true,
+            weights: None,
+        }
+    }
+}
--- a/crates/cassiareel-standins/src/engine/server.rs
+++ b/crates/cassiareel-standins/src/engine/server.rs
@@ -1,42 +1,48 @@
-//! The engine's HTTP interface, and the task that runs its batch.
+//! The engine's HTTP interface, and the tasks behind it.
 
 use std::{
-    collections::HashMap,
     fmt,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
 
+use async_channel::{Receiver, Sender};
 use cassiareel::{
-    backend::LoadReport,
+    backend::Order,
     wire::{read_body, BoxFuture, Handler},
 };
-use http_types::{headers, Body, Method, Response, StatusCode};
+use http_types::{headers, Body, Method, Request, Response, StatusCode};
 use serde_json::json;
 use smol::Timer;
 
 use super::{
-    batch::{Batch, Job, Outcome},
+    batch::Outcome,
     end,
-    model::{token_bytes, Model},
-    request::{count_tokens, Request},
-    stream::{Cut, Stream},
-    text::Text,
-    EngineOptions, Life,
+    state::{Refused, State},
+    stream::{Cut, Reader},
+    versions::Ordered,
+    EngineOptions, Faults, Life, Stats,
+};
+use crate::{
+    respond::{json, param, read_json, segments},
+    weights,
 };
-use crate::respond::{json, param, segments};
 
 /// Longest body of a request, in bytes.
 const BODY_LIMIT: usize = 16 << 20;
+/// Time before the engine asks the weight store again.
+const FETCH_PAUSE: Duration = Duration::from_millis(200);
 
 /// An engine behind its listener.
 pub(super) struct Server {
-    options: EngineOptions,
     origin: Instant,
     life: Life,
-    work: async_channel::Sender<()>,
-    arrived: async_channel::Receiver<()>,
+    weights: Option<SocketAddr>,
+    work: Sender<()>,
+    arrived: Receiver<()>,
+    fetch: Sender<String>,
+    fetches: Receiver<String>,
     state: Mutex<State>,
 }
 
@@ -46,25 +52,19 @@
     }
 }
 
-/// What changes while the engine runs.
-#[derive(Default)]
-struct State {
-    batch: Batch,
-    streams: HashMap<String, Arc<Stream>>,
-    token_time: Duration,
-    reports: u64,
-}
-
 impl Server {
     pub(super) fn new(options: EngineOptions, life: Life) -> Arc<Server> {
         let (work, arrived) = async_channel::bounded(1);
+        let (fetch, fetches) = async_channel::unbounded();
         Arc::new(Server {
-            options,
             origin: Instant::now(),
             life,
+            weights: options.weights,
             work,
             arrived,
-            state: Mutex::default(),
+            fetch,
+            fetches,
+            state: Mutex::new(State::new(options)),
         })
     }
 
@@ -72,44 +72,43 @@
     pub(super) async fn run(&self) {
         let mut due = Instant::now();
         loop {
-            let Some(step) = self.plan() else {
+            let step = self.lock().plan(self.now());
+            let Some(step) = step else {
                 let _ = self.arrived.recv().await;
                 due = Instant::now();
                 continue;
             };
             due = (due + step).max(Instant::now());
             Timer::at(due).await;
-            if self.commit(step) == Outcome::Overflow {
+            let outcome = self.lock().commit(self.now());
+            if outcome == Outcome::Dead {
                 return end(&self.life);
             }
         }
     }
 
-    /// Cuts every stream.
+    /// Fetches versions one after the other.
+    pub(super) async fn fetch(&self) {
+        while let Ok(version) = self.fetches.recv().await {
+            if let Some(addr) = self.weights {
+                while weights::fetch(addr, &version).await.is_err() {
+                    Timer::after(FETCH_PAUSE).await;
+                }
+            }
+            self.lock().fetched(&version, self.now());
+        }
+    }
+
     pub(super) fn cut_streams(&self, how: Cut) {
-        self.lock()
-            .streams
-            .values()
-            .for_each(|stream| stream.cut(how));
+        self.lock().cut(how);
     }
 
-    fn plan(&self) -> Option<Duration> {
-        let now = self.now();
-        let mut state = self.lock();
-        let grace = self.options.capacity.grace;
-        state
-            .streams
-            .retain(|_, stream| !stream.is_cut() && !stream.is_forgotten(now, grace));
-        state
-            .batch
-            .plan(&self.options.speed, &self.options.capacity, now)
+    pub(super) fn set_faults(&self, faults: Faults) {
+        self.lock().set_faults(faults, self.now());
     }
 
-    fn commit(&self, step: Duration) -> Outcome {
-        let now = self.now();
-        let mut state = self.lock();
-        state.token_time = step;
-        state.batch.commit(&self.options.capacity, now)
+    pub(super) fn stats(&self) -> Stats {
+        self.lock().stats
     }
 
     fn now(&self) -> Duration {
@@ -120,146 +119,132 @@
         self.state.lock().expect("no holder panics")
     }
 
-    async fn answer(&self, mut req: http_types::Request) -> Response {
+    async fn answer(&self, mut req: Request) -> Response {
         let path = segments(&req);
         let path: Vec<_> = path.iter().map(String::as_str).collect();
-        match (req.method(), &path[..]) {
+        let result = match (req.method(), &path[..]) {
             (Method::Post, ["v1", "completions"] | ["v1", "chat", "completions"]) => {
-                match read_body(req.take_body(), BODY_LIMIT).await {
-                    Ok(body) => self.start(&body),
-                    Err(err) => refuse(StatusCode::BadRequest, &err.to_string()),
-                }
+                self.start(&mut req).await
             }
             (Method::Get, ["v1", "streams", id]) => self.attach(id, &req),
-            (Method::Delete, ["v1", "streams", id]) => self.cancel(id),
-            (Method::Get, ["load"]) => json(StatusCode::Ok, &self.load()),
-            (Method::Get, ["health"]) => Response::new(StatusCode::Ok),
-            _ => refuse(StatusCode::NotFound, "no such path"),
-        }
-    }
-
-    fn start(&self, body: &[u8]) -> Response {
-        let request = match Request::parse(body) {
-            Ok(request) => request,
-            Err(err) => return refuse(StatusCode::BadRequest, &err),
-        };
-        let prompt = match request.text() {
-            Ok(prompt) => prompt,
-            Err(err) => return refuse(StatusCode::BadRequest, &err),
+            (Method::Delete, ["v1", "streams", id]) => {
+                self.lock().cancel(id);
+                Ok(Response::new(StatusCode::NoContent))
+            }
+            (Method::Get, ["load"]) => Ok(json(StatusCode::Ok, &self.lock().load(self.now()))),
+            (Method::Get, ["cache", "events"]) => self.cache(&req),
+            (Method::Post, ["orders"]) => self.order(&mut req).await,
+            (Method::Get, ["health"]) => Ok(Response::new(StatusCode::Ok)),
+            (method, ["control", what]) => self.control(method, what, &mut req).await,
+            _ => Err(Refused::new(StatusCode::NotFound, "no such path")),
         };
-        if !self.options.versions.contains(&request.model) {
-            return refuse(StatusCode::NotFound, "the version is not loaded");
-        }
-        self.submit(&request, &prompt)
+        result.unwrap_or_else(|refused| refusal(&refused))
     }
 
-    fn submit(&self, request: &Request, prompt: &str) -> Response {
-        let id = request.request_id.clone().unwrap_or_else(fresh_id);
-        let prior = &request.prior_token_ids;
-        let text = Text::new(request.stops(), request.prior_text_bytes);
-        let tokens = count_tokens(prompt);
-        let stream = Arc::new(Stream::new(id.clone(), tokens, prior.clone(), text));
-        let mut stopped = false;
-        for &token in prior {
-            let Some(bytes) = token_bytes(token) else {
-                return refuse(StatusCode::BadRequest, "no such token in the vocabulary");
-            };
-            stopped = stopped || stream.replay(bytes);
-        }
-        let Some(reader) = stream.attach(prior.len(), request.prior_text_bytes) else {
-            return refuse(StatusCode::BadRequest, "prior text is past prior tokens");
-        };
-        let mut state = self.lock();
-        if state.streams.contains_key(&id) {
-            return refuse(StatusCode::BadRequest, "the request id is in use");
-        }
-        let job = Job {
-            stream: stream.clone(),
-            model: Model::new(&request.model, prompt),
-            position: prior.len() as u32,
-            limit: request.limit(),
-            ignore_eos: request.ignore_eos,
-            unread: tokens + prior.len() as u32,
-            priority: request.priority,
-        };
-        if !stopped && !state.batch.submit(job, &self.options.capacity) {
-            let mut res = refuse(StatusCode::ServiceUnavailable, "the engine is full");
-            res.insert_header(headers::RETRY_AFTER, "1");
-            return res;
-        }
-        state.streams.insert(id, stream);
+    async fn start(&self, req: &mut Request) -> Result<Response, Refused> {
+        let body = read_body(req.take_body(), BODY_LIMIT)
+            .await
+            .map_err(|err| Refused::new(StatusCode::BadRequest, err.to_string()))?;
+        let reader = self.lock().start(req.url().path(), &body)?;
         let _ = self.work.try_send(());
-        events(Body::from_reader(reader, None))
+        Ok(events(reader))
     }
 
-    fn attach(&self, id: &str, req: &http_types::Request) -> Response {
-        let number = |name| param(req, name).map_or(Some(0), |text| text.parse().ok());
-        let (Some(from), Some(sent)) = (number("from"), number("from_text")) else {
-            return refuse(StatusCode::BadRequest, "from and from_text are numbers");
-        };
-        let Some(stream) = self.lock().streams.get(id).cloned() else {
-            return refuse(StatusCode::NotFound, "there is no such stream");
+    fn attach(&self, id: &str, req: &Request) -> Result<Response, Refused> {
+        let from = number(req, "from")?.unwrap_or(0);
+        let sent = number(req, "from_text")?.unwrap_or(0);
+        let reader = self.lock().attach(id, from as usize, sent as usize)?;
+        Ok(events(reader))
+    }
+
+    fn cache(&self, req: &Request) -> Result<Response, Refused> {
+        let since = match param(req, "full") {
+            Some(_) => None,
+            None => Some(number(req, "since")?.unwrap_or(0)),
         };
-        match stream.attach(from, sent) {
-            Some(reader) => events(Body::from_reader(reader, None)),
-            None => refuse(StatusCode::BadRequest, "the stream has not come that far"),
-        }
+        let events = self.lock().cache_events(since, self.now());
+        Ok(json(StatusCode::Ok, &events))
     }
 
-    fn cancel(&self, id: &str) -> Response {
-        let mut state = self.lock();
-        if let Some(stream) = state.streams.remove(id) {
-            stream.cut(Cut::Reset);
-            state.batch.remove(id);
+    async fn order(&self, req: &mut Request) -> Result<Response, Refused> {
+        let order: Order = parse(req).await?;
+        let ordered = self.lock().order(&order, self.now());
+        match ordered {
+            Ordered::Fetch(version) => drop(self.fetch.try_send(version)),
+            Ordered::Done => {}
+            Ordered::Old => {
+                let why = format!("fencing number {} is old", order.fence);
+                return Err(Refused::new(StatusCode::Conflict, why));
+            }
         }
-        Response::new(StatusCode::NoContent)
+        Ok(Response::new(StatusCode::Accepted))
     }
 
-    fn load(&self) -> LoadReport {
-        let mut state = self.lock();
-        state.reports += 1;
-        LoadReport {
-            sequence: state.reports,
-            running: state.batch.running() as u32,
-            waiting: state.batch.waiting() as u32,
-            used_tokens: state.batch.used(),
-            total_tokens: self.options.capacity.tokens,
-            token_ms: state.token_time.as_secs_f64() * 1e3,
-            age_ms: 0,
-            versions: self
-                .options
-                .versions
-                .iter()
-                .map(|v| v.as_str().into())
-                .collect(),
-            leaving: false,
+    /// Faults and counts, for tests and the demo.
+    async fn control(
+        &self,
+        method: Method,
+        what: &str,
+        req: &mut Request,
+    ) -> Result<Response, Refused> {
+        match (method, what) {
+            (Method::Get, "faults") => Ok(json(StatusCode::Ok, &self.lock().faults)),
+            (Method::Put, "faults") => {
+                self.set_faults(parse(req).await?);
+                Ok(Response::new(StatusCode::NoContent))
+            }
+            (Method::Get, "stats") => Ok(json(StatusCode::Ok, &self.stats())),
+            (Method::Post, "cut") => {
+                self.cut_streams(Cut::Reset);
+                Ok(Response::new(StatusCode::NoContent))
+            }
+            (Method::Post, "kill") => {
+                end(&self.life);
+                Ok(Response::new(StatusCode::NoContent))
+            }
+            _ => Err(Refused::new(StatusCode::NotFound, "no such control")),
         }
     }
 }
 
 impl Handler for Server {
-    fn handle(&self, req: http_types::Request, _: SocketAddr) -> BoxFuture<'_, Response> {
+    fn handle(&self, req: Request, _: SocketAddr) -> BoxFuture<'_, Response> {
         Box::pin(self.answer(req))
     }
 }
 
-/// A name for a stream whose caller gave none.
-fn fresh_id() -> String {
-    format!("cmpl-{:016x}", fastrand::u64(..))
+/// Reads a JSON body.
+async fn parse<T>(req: &mut Request) -> Result<T, Refused>
+where
+    T: for<'de> serde::Deserialize<'de>,
+{
+    read_json(req)
+        .await
+        .map_err(|why| Refused::new(StatusCode::BadRequest, why))
+}
+
+/// Reads a number from a request's query.
+fn number(req: &Request, name: &str) -> Result<Option<u64>, Refused> {
+    let why = || Refused::new(StatusCode::BadRequest, format!("{name} is no number"));
+    param(req, name)
+        .map(|text| text.parse().map_err(|_| why()))
+        .transpose()
 }
 
 /// A stream of events.
-fn events(body: Body) -> Response {
+fn events(reader: Reader) -> Response {
     let mut res = Response::new(StatusCode::Ok);
-    res.set_body(body);
+    res.set_body(Body::from_reader(reader, None));
     res.insert_header(headers::CONTENT_TYPE, "text/event-stream");
     res
 }
 
-/// A refusal before anything ran.
-fn refuse(status: StatusCode, why: &str) -> Response {
-    json(
-        status,
-        &json!({"error": {"message": why, "type": "engine_error"}}),
-    )
+/// A refusal as a JSON error object.
+fn refusal(refused: &Refused) -> Response {
+    let error = json!({"message": refused.why, "type": "engine_error"});
+    let mut res = json(refused.status, &json!({ "error": error }));
+    if refused.status == StatusCode::ServiceUnavailable {
+        res.insert_header(headers::RETRY_AFTER, "1");
+    }
+    res
 }
--- a/crates/cassiareel-standins/src/engine/stream.rs
+++ b/crates/cassiareel-standins/src/engine/stream.rs
@@ -4,7 +4,7 @@
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll, Waker},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cassiareel::kernel::{generation::FinishReason, TokenId};
@@ -29,8 +29,7 @@
     cut: Option<Cut>,
     reader: u64,
     waker: Option<Waker>,
-    detached: Option<Duration>,
-    seen: Duration,
+    detached: Option<Instant>,
 }
 
 /// How a stream is cut.
@@ -55,15 +54,13 @@
                 reader: 0,
                 waker: None,
                 detached: None,
-                seen: Duration::ZERO,
             }),
         }
     }
 
     /// Takes a token; true when a stop sequence ended the answer.
-    pub(super) fn push(&self, id: TokenId, bytes: &[u8], now: Duration) -> bool {
+    pub(super) fn push(&self, id: TokenId, bytes: &[u8]) -> bool {
         let mut state = self.lock();
-        state.seen = now;
         state.ids.push(id);
         let stopped = state.text.push(bytes);
         if stopped {
@@ -103,11 +100,11 @@
         self.lock().cut.is_some()
     }
 
-    /// Reports whether nobody has read since before `now - grace`.
-    pub(super) fn is_forgotten(&self, now: Duration, grace: Duration) -> bool {
-        let mut state = self.lock();
-        state.seen = now;
-        state.detached.is_some_and(|since| now >= since + grace)
+    /// Reports whether nobody has read for longer than `grace`.
+    pub(super) fn is_forgotten(&self, grace: Duration) -> bool {
+        self.lock()
+            .detached
+            .is_some_and(|since| since.elapsed() >= grace)
     }
 
     /// Attaches a reader, which takes the place of an earlier one; none where the stream has not
@@ -264,7 +261,7 @@
     fn drop(&mut self) {
         let mut state = self.stream.lock();
         if state.reader == self.ticket {
-            state.detached = Some(state.seen);
+            state.detached = Some(Instant::now());
         }
     }
 }
--- a/crates/cassiareel-standins/src/feed.rs
+++ b/crates/cassiareel-standins/src/feed.rs
@@ -4,7 +4,7 @@
     future::Future,
     pin::Pin,
     task::{Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_channel::{Receiver, Sender};
@@ -24,19 +24,20 @@
 #[derive(Debug)]
 pub(crate) struct Feed {
     parts: Pin<Box<Receiver<Part>>>,
-    end: Timer,
+    end: Option<Timer>,
     buf: Vec<u8>,
     at: usize,
     ended: bool,
 }
 
 impl Feed {
-    /// A feed that ends cleanly after `limit`, with the sender that feeds it.
+    /// A feed that ends cleanly after `limit` or, where that is past the clock's range, never; with
+    /// the sender that feeds it.
     pub(crate) fn new(limit: Duration) -> (Sender<Part>, Feed) {
         let (sender, parts) = async_channel::unbounded();
         let feed = Feed {
             parts: Box::pin(parts),
-            end: Timer::after(limit),
+            end: Instant::now().checked_add(limit).map(Timer::at),
             buf: Vec::new(),
             at: 0,
             ended: false,
@@ -58,7 +59,7 @@
                     return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
                 }
                 Poll::Ready(None) => this.ended = true,
-                Poll::Pending if Pin::new(&mut this.end).poll(cx).is_ready() => this.ended = true,
+                Poll::Pending if expired(&mut this.end, cx) => this.ended = true,
                 Poll::Pending => return Poll::Pending,
             }
         }
@@ -87,3 +88,9 @@
         Poll::Ready(Ok(n))
     }
 }
+
+/// Reports whether a timer has fired.
+fn expired(end: &mut Option<Timer>, cx: &mut Context<'_>) -> bool {
+    end.as_mut()
+        .is_some_and(|end| Pin::new(end).poll(cx).is_ready())
+}
--- a/crates/cassiareel-standins/src/lib.rs
+++ b/crates/cassiareel-standins/src/lib.rs
@@ -2,11 +2,23 @@
 Small stand-ins of what cassiareel meets outside itself.
 
 Each one listens on loopback, speaks the interface of the system whose place it takes, and has its
-faults injected from outside. They are fakes for tests and the demo, not a simulator: a model
-[`engine`] and an object API ([`objects`]).
+faults injected from outside, by a seed: through its handle, or over HTTP under `/control`. They are
+fakes for tests and the demo, not a simulator.
+
+- [`engine`]: a model engine.
+- [`service`]: a plain service with a ledger that counts every run of each order.
+- [`objects`]: the platform's object API.
+- [`vms`]: the platform's VM list, which lags.
+- [`weights`]: the rate-limited weight store.
 */
 
 pub mod engine;
 mod feed;
 pub mod objects;
+mod rate;
+#[cfg(test)]
+mod rate_tests;
 mod respond;
+pub mod service;
+pub mod vms;
+pub mod weights;
--- /dev/null
+++ b/crates/cassiareel-standins/src/objects/faults.rs
@@ -0,0 +1,103 @@
+//! What goes wrong with the object API, as its control interface sets it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// The faults of the object API. Chances are from 0 to 1.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Whether the API is away, and how.
+    pub outage: Option<Outage>,
+    /// Time before each answer, in milliseconds.
+    pub delay_ms: u64,
+    /// The chance of a write whose answer is lost after it took effect.
+    pub lose_after: f64,
+    /// The chance of a write that is lost before it takes effect.
+    pub lose_before: f64,
+    /// The chance of a read that is answered from an old replica.
+    pub stale: f64,
+    /// How many writes old the old replica is.
+    pub stale_writes: u64,
+    /// The chance of an event of a watch that cuts it instead of coming.
+    pub drop_watch: f64,
+}
+
+/// How the API is away.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outage {
+    /// Each call is answered with status 503 and a time to wait, before it takes effect.
+    Refuse,
+    /// Each call is answered with status 500 before it takes effect, which its writer can't know.
+    Fail,
+    /// No call is answered.
+    Hang,
+}
+
+/// What the API allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rates {
+    /// Reads a second, a waiting watch counted as one.
+    pub reads: f64,
+    /// Writes a second.
+    pub writes: f64,
+}
+
+impl Default for Rates {
+    /// Two thousand reads and several hundred writes a second.
+    fn default() -> Rates {
+        Rates {
+            reads: 2_000.0,
+            writes: 500.0,
+        }
+    }
+}
+
+/// The class of a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Class {
+    Read,
+    Write,
+    Watch,
+}
+
+/// What meets a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Loss {
+    /// The call is answered with status 503 and a time to wait.
+    Refused,
+    /// The call is answered with status 500, and has no effect.
+    Failed,
+    /// The call is never answered, and has no effect.
+    Hung,
+    /// The call's connection is reset before it takes effect.
+    Before,
+    /// The call's connection is reset after it took effect.
+    After,
+}
+
+impl Faults {
+    /// The loss of a call that a random number from 0 to 1 draws.
+    pub(super) fn draw(&self, class: Class, draw: f64) -> Option<Loss> {
+        match self.outage {
+            Some(Outage::Refuse) => return Some(Loss::Refused),
+            Some(Outage::Fail) => return Some(Loss::Failed),
+            Some(Outage::Hang) => return Some(Loss::Hung),
+            None => {}
+        }
+        if class != Class::Write {
+            return None;
+        }
+        if draw < self.lose_before {
+            return Some(Loss::Before);
+        }
+        (draw < self.lose_before + self.lose_after).then_some(Loss::After)
+    }
+
+    /// Time before each answer.
+    pub(super) fn delay(&self) -> Duration {
+        Duration::from_millis(self.delay_ms)
+    }
+}
--- a/crates/cassiareel-standins/src/objects/mod.rs
+++ b/crates/cassiareel-standins/src/objects/mod.rs
@@ -6,8 +6,12 @@
 streams the later ones.
 */
 
+mod faults;
+mod gate;
 mod server;
 mod store;
+#[cfg(test)]
+mod store_tests;
 
 use std::{io, net::SocketAddr, sync::Arc};
 
@@ -17,6 +21,8 @@
 };
 use smol::net::TcpListener;
 
+pub use faults::{Faults, Outage, Rates};
+pub use gate::Counts;
 use server::Server;
 
 /// A running object API; dropping it kills it, and its objects are lost.
@@ -34,18 +40,18 @@
     ///
     /// Fails when no port can be bound.
     pub fn start() -> io::Result<ObjectApi> {
-        ObjectApi::bind(([127, 0, 0, 1], 0).into())
+        ObjectApi::bind(([127, 0, 0, 1], 0).into(), Rates::default(), 1)
     }
 
-    /// Starts an empty one at an address.
+    /// Starts an empty one at an address, with what it allows and a seed for its random faults.
     ///
     /// # Errors
     ///
     /// Fails when the address can't be bound.
-    pub fn bind(addr: SocketAddr) -> io::Result<ObjectApi> {
+    pub fn bind(addr: SocketAddr, rates: Rates, seed: u64) -> io::Result<ObjectApi> {
         let listener = smol::block_on(TcpListener::bind(addr))?;
         let runtime = Runtime::new("objects", 1);
-        let server = Server::new();
+        let server = Server::new(rates, seed);
         let served = serve(
             &runtime.spawner(),
             listener,
@@ -59,6 +65,16 @@
         })
     }
 
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.server.set_faults(faults);
+    }
+
+    /// Calls so far.
+    pub fn counts(&self) -> Counts {
+        self.server.counts()
+    }
+
     /// Resets the connection of every watch.
     pub fn drop_watches(&self) {
         self.server.drop_watches();
--- a/crates/cassiareel-standins/src/objects/server.rs
+++ b/crates/cassiareel-standins/src/objects/server.rs
@@ -8,29 +8,37 @@
 
 use async_channel::Sender;
 use cassiareel::wire::{read_body, BodyError, BoxFuture, Handler};
-use http_types::{mime, Body, Method, Request, Response, StatusCode};
+use http_types::{headers, mime, Body, Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
+use smol::Timer;
 
-use super::store::{Metadata, Refusal, Store, Stored, WatchEvent};
+use super::{
+    faults::{Class, Faults, Loss, Rates},
+    gate::{Counts, Gate},
+    store::{Metadata, Refusal, Store, Stored, WatchEvent, API_VERSION},
+};
 use crate::{
     feed::{Feed, Part},
-    respond::{json, param, segments},
+    respond::{cut, hang, json, param, read_json, segments},
 };
 
 /// Largest object, in bytes.
 const OBJECT_LIMIT: usize = 1 << 20;
+/// Time to wait that an outage names.
+const OUTAGE_WAIT: Duration = Duration::from_secs(1);
 /// How long a watch lasts whose client names no time.
 const WATCH_TIME: Duration = Duration::from_secs(300);
 
 /// The object API behind its listener.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Server {
     state: Mutex<State>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    gate: Gate,
     store: Store,
     watchers: Vec<Watcher>,
 }
@@ -57,17 +65,30 @@
 }
 
 impl Server {
-    pub(super) fn new() -> Arc<Server> {
-        Arc::new(Server::default())
+    pub(super) fn new(rates: Rates, seed: u64) -> Arc<Server> {
+        Arc::new(Server {
+            state: Mutex::new(State {
+                gate: Gate::new(rates, seed),
+                store: Store::default(),
+                watchers: Vec::new(),
+            }),
+        })
     }
 
     async fn answer(&self, mut req: Request) -> Response {
         let path = segments(&req);
         let path: Vec<_> = path.iter().map(String::as_str).collect();
-        let ["apis", "cassiareel.dev", "v1", "namespaces", "default", kind, rest @ ..] = &path[..]
-        else {
-            return status(StatusCode::NotFound, "NotFound", "no such path");
-        };
+        match &path[..] {
+            ["apis", "cassiareel.dev", "v1", "namespaces", "default", kind, rest @ ..] => {
+                self.pass(&mut req, kind, rest).await
+            }
+            ["control", what] => self.control(&mut req, what).await,
+            _ => status(StatusCode::NotFound, "NotFound", "no such path"),
+        }
+    }
+
+    /// Lets a call through the gate, and lets its fault meet it.
+    async fn pass(&self, req: &mut Request, kind: &str, rest: &[&str]) -> Response {
         let body = match read_body(req.take_body(), OBJECT_LIMIT).await {
             Ok(body) => body,
             Err(err @ BodyError::TooLong { .. }) => {
@@ -76,13 +97,41 @@
             }
             Err(err) => return status(StatusCode::BadRequest, "BadRequest", &err.to_string()),
         };
+        let class = match req.method() {
+            Method::Get if param(req, "watch").is_some() => Class::Watch,
+            Method::Get => Class::Read,
+            _ => Class::Write,
+        };
+        let call = format!("{} {kind}", req.method());
+        let passed = self.lock().gate.pass(class, call);
+        let delay = self.lock().gate.faults.delay();
+        let loss = match passed {
+            Ok(loss) => loss,
+            Err(throttled) => return wait(StatusCode::TooManyRequests, throttled.wait),
+        };
+        Timer::after(delay).await;
+        match loss {
+            Some(Loss::Refused) => wait(StatusCode::ServiceUnavailable, OUTAGE_WAIT),
+            Some(Loss::Failed) => status(
+                StatusCode::InternalServerError,
+                "InternalError",
+                "injected fault",
+            ),
+            Some(Loss::Hung) => hang().await,
+            Some(Loss::Before) => cut(Response::new(StatusCode::Ok)).await,
+            Some(Loss::After) => cut(self.dispatch(req, kind, rest, &body)).await,
+            None => self.dispatch(req, kind, rest, &body),
+        }
+    }
+
+    fn dispatch(&self, req: &Request, kind: &str, rest: &[&str], body: &[u8]) -> Response {
         match (req.method(), rest) {
-            (Method::Get, []) if param(&req, "watch").is_some() => self.watch(kind, &req),
+            (Method::Get, []) if param(req, "watch").is_some() => self.watch(kind, req),
             (Method::Get, []) => self.list(kind),
-            (Method::Post, []) => self.create(kind, &body),
+            (Method::Post, []) => self.create(kind, body),
             (Method::Get, [name]) => self.get(kind, name),
-            (Method::Put, [name]) => self.update(kind, name, &body),
-            (Method::Delete, [name]) => self.delete(kind, name, &body),
+            (Method::Put, [name]) => self.update(kind, name, body),
+            (Method::Delete, [name]) => self.delete(kind, name, body),
             _ => status(
                 StatusCode::MethodNotAllowed,
                 "MethodNotAllowed",
@@ -91,20 +140,61 @@
         }
     }
 
+    /// Faults and counts, for tests and the demo.
+    async fn control(&self, req: &mut Request, what: &str) -> Response {
+        match (req.method(), what) {
+            (Method::Get, "faults") => json(StatusCode::Ok, &self.lock().gate.faults),
+            (Method::Put, "faults") => match read_json(req).await {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    Response::new(StatusCode::NoContent)
+                }
+                Err(why) => status(StatusCode::BadRequest, "BadRequest", &why),
+            },
+            (Method::Get, "counts") => json(StatusCode::Ok, &self.counts()),
+            (Method::Post, "drop-watches") => {
+                self.drop_watches();
+                Response::new(StatusCode::NoContent)
+            }
+            _ => status(StatusCode::NotFound, "NotFound", "no such control"),
+        }
+    }
+
+    /// Sets the faults; an outage cuts the watches that wait.
+    pub(super) fn set_faults(&self, faults: Faults) {
+        self.lock().gate.faults = faults;
+        if faults.outage.is_some() {
+            self.drop_watches();
+        }
+    }
+
+    pub(super) fn counts(&self) -> Counts {
+        let mut state = self.lock();
+        state.watchers.retain(|w| !w.feed.is_closed());
+        let watching = state.watchers.len() as u64;
+        Counts {
+            watching,
+            ..state.gate.counts.clone()
+        }
+    }
+
     fn get(&self, kind: &str, name: &str) -> Response {
-        match self.lock().store.get(kind, name) {
+        let mut state = self.lock();
+        let version = state.read_version();
+        match state.store.get_at(kind, name, version) {
             Some(object) => json(StatusCode::Ok, object),
             None => refusal(Refusal::Missing, name),
         }
     }
 
     fn list(&self, kind: &str) -> Response {
-        let state = self.lock();
+        let mut state = self.lock();
+        let version = state.read_version();
         let list = json!({
-            "apiVersion": super::store::API_VERSION,
+            "apiVersion": API_VERSION,
             "kind": "List",
-            "metadata": {"resourceVersion": state.store.version().to_string()},
-            "items": state.store.list(kind),
+            "metadata": {"resourceVersion": version.to_string()},
+            "items": state.store.list_at(kind, version),
         });
         json(StatusCode::Ok, &list)
     }
@@ -164,10 +254,7 @@
         let before = state.store.version();
         let object = write(&mut state.store)?;
         let events = state.store.since(kind, before).unwrap_or_default();
-        let part = lines(&events);
-        state
-            .watchers
-            .retain(|w| w.kind != kind || w.feed.try_send(part.clone()).is_ok());
+        state.tell(kind, &events);
         Ok(object)
     }
 
@@ -218,6 +305,30 @@
     }
 }
 
+impl State {
+    /// The version that a read is answered at: the newest, unless an old replica answers.
+    fn read_version(&mut self) -> u64 {
+        let old = self.gate.staleness();
+        self.store.version().saturating_sub(old)
+    }
+
+    /// Tells the watchers of a kind.
+    fn tell(&mut self, kind: &str, events: &[WatchEvent]) {
+        let State { gate, watchers, .. } = self;
+        let part = lines(events);
+        watchers.retain(|watcher| {
+            if watcher.kind != kind {
+                return true;
+            }
+            if gate.drops_watch() {
+                let _ = watcher.feed.try_send(Part::Reset);
+                return false;
+            }
+            watcher.feed.try_send(part.clone()).is_ok()
+        });
+    }
+}
+
 impl Handler for Server {
     fn handle(&self, req: Request, _: SocketAddr) -> BoxFuture<'_, Response> {
         Box::pin(self.answer(req))
@@ -255,6 +366,14 @@
     }
 }
 
+/// A refusal before the call took effect, with the time to wait in whole seconds.
+fn wait(code: StatusCode, wait: Duration) -> Response {
+    let mut res = status(code, "TooManyRequests", "ask again later");
+    let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
+    res.insert_header(headers::RETRY_AFTER, seconds.to_string());
+    res
+}
+
 /// A `Status` object.
 fn status(code: StatusCode, reason: &str, message: &str) -> Response {
     let body = json!({
--- a/crates/cassiareel-standins/src/objects/store.rs
+++ b/crates/cassiareel-standins/src/objects/store.rs
@@ -1,12 +1,12 @@
 //! The objects and their versions.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 /// Changes that a watch may still ask for.
-const HISTORY: usize = 4_096;
+pub(super) const HISTORY: usize = 4_096;
 
 /// The API version that objects carry.
 pub(super) const API_VERSION: &str = "cassiareel.dev/v1";
@@ -58,11 +58,16 @@
     Stale,
 }
 
+/// An object's kind and name.
+type Key = (String, String);
+
 /// All objects.
 #[derive(Debug, Default)]
 pub(super) struct Store {
     version: u64,
-    objects: BTreeMap<(String, String), Stored>,
+    objects: BTreeMap<Key, Stored>,
+    /// What each change of the history replaced; none where there was no object.
+    replaced: VecDeque<(u64, Key, Option<Stored>)>,
     history: VecDeque<(u64, String, WatchEvent)>,
     forgotten: u64,
 }
@@ -77,11 +82,30 @@
         self.objects.get(&(kind.to_owned(), name.to_owned()))
     }
 
-    pub(super) fn list(&self, kind: &str) -> Vec<&Stored> {
-        self.objects
+    /// An object as it was after the write of a version, as far as the history goes back.
+    pub(super) fn get_at(&self, kind: &str, name: &str, version: u64) -> Option<&Stored> {
+        let later = self
+            .replaced
             .iter()
-            .filter(|((k, _), _)| k == kind)
-            .map(|(_, object)| object)
+            .find(|(v, key, _)| *v > version && key.0 == kind && key.1 == name);
+        match later {
+            Some((_, _, before)) => before.as_ref(),
+            None => self.get(kind, name),
+        }
+    }
+
+    /// The objects of a kind as they were after the write of a version.
+    pub(super) fn list_at(&self, kind: &str, version: u64) -> Vec<&Stored> {
+        let names: BTreeSet<&String> = self
+            .objects
+            .keys()
+            .chain(self.replaced.iter().map(|(_, key, _)| key))
+            .filter(|(k, _)| k == kind)
+            .map(|(_, name)| name)
+            .collect();
+        names
+            .into_iter()
+            .filter_map(|name| self.get_at(kind, name, version))
             .collect()
     }
 
@@ -137,8 +161,9 @@
         self.version += 1;
         object.api_version = API_VERSION.to_owned();
         object.metadata.resource_version = Some(self.version.to_string());
-        let name = object.metadata.name.clone();
-        self.objects.insert((kind.to_owned(), name), object.clone());
+        let key = (kind.to_owned(), object.metadata.name.clone());
+        let before = self.objects.insert(key.clone(), object.clone());
+        self.replaced.push_back((self.version, key, before));
         let event = WatchEvent {
             change,
             object: object.clone(),
@@ -146,6 +171,7 @@
         self.history
             .push_back((self.version, kind.to_owned(), event));
         if self.history.len() > HISTORY {
+            self.replaced.pop_front();
             if let Some((version, ..)) = self.history.pop_front() {
                 self.forgotten = version;
             }
--- a/crates/cassiareel-standins/src/respond.rs
+++ b/crates/cassiareel-standins/src/respond.rs
@@ -1,8 +1,16 @@
 //! Responses that the stand-ins share.
 
-use http_types::{mime, Request, Response, StatusCode};
+use std::time::Duration;
+
+use cassiareel::wire::read_body;
+use http_types::{mime, Body, Request, Response, StatusCode};
 use percent_encoding::percent_decode_str;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+
+use crate::feed::{Feed, Part};
+
+/// Longest body of a control call, in bytes.
+const CONTROL_LIMIT: usize = 1 << 20;
 
 /// A JSON response.
 pub(crate) fn json<T>(status: StatusCode, value: &T) -> Response
@@ -32,3 +40,34 @@
         .find(|(key, _)| key == name)
         .map(|(_, value)| value.into_owned())
 }
+
+/// Reads a JSON body.
+///
+/// # Errors
+///
+/// Says what is wrong with the body.
+pub(crate) async fn read_json<T>(req: &mut Request) -> Result<T, String>
+where
+    T: for<'de> Deserialize<'de>,
+{
+    let body = read_body(req.take_body(), CONTROL_LIMIT)
+        .await
+        .map_err(|err| err.to_string())?;
+    serde_json::from_slice(&body).map_err(|err| err.to_string())
+}
+
+/// Lets a response's connection be reset in the middle of its body.
+pub(crate) async fn cut(mut res: Response) -> Response {
+    let whole = res.take_body().into_bytes().await.unwrap_or_default();
+    let (sender, feed) = Feed::new(Duration::MAX);
+    let half = whole[..whole.len() / 2].to_vec();
+    let _ = sender.try_send(Part::Bytes(half));
+    let _ = sender.try_send(Part::Reset);
+    res.set_body(Body::from_reader(feed, Some(whole.len().max(1))));
+    res
+}
+
+/// An answer that never comes.
+pub(crate) async fn hang() -> Response {
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/cassiareel-standins/src/vms.rs
@@ -0,0 +1,162 @@
+/*!
+The platform's VM list, which lags behind the truth.
+
+`GET /instances` answers in the shape of the Compute Engine API's list of instances.
+*/
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use cassiareel::{
+    platform::{Vm, VmState},
+    runtime::Runtime,
+    wire::{serve, Bounds, BoxFuture, Handler, Served},
+};
+use http_types::{Method, Request, Response, StatusCode};
+use serde_json::{json, Value};
+use smol::net::TcpListener;
+
+use crate::respond::{hang, json, segments};
+
+/// Lists that are kept to answer late from.
+const KEPT: usize = 256;
+
+/// A running VM list; dropping it kills it.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use cassiareel::platform::{HttpVms, Vm, VmList, VmState};
+/// use cassiareel_standins::vms::VmApi;
+///
+/// let api = VmApi::start(Duration::ZERO).unwrap();
+/// let vm = Vm {
+///     name: "node-1".into(),
+///     addr: [127, 0, 0, 1].into(),
+///     data_centre: "hr-zagreb-a".into(),
+///     state: VmState::Live,
+/// };
+/// api.set(vec![vm.clone()]);
+/// assert_eq!(smol::block_on(HttpVms::new(api.addr()).list()), Ok(vec![vm]));
+/// ```
+#[derive(Debug)]
+pub struct VmApi {
+    served: Served,
+    state: Arc<Mutex<State>>,
+    _runtime: Runtime,
+}
+
+impl VmApi {
+    /// Starts an empty list whose answers are `lag` late.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub fn start(lag: Duration) -> io::Result<VmApi> {
+        let listener = smol::block_on(TcpListener::bind(("127.0.0.1", 0)))?;
+        let runtime = Runtime::new("vms", 1);
+        let state = Arc::new(Mutex::new(State::new(lag)));
+        let handler = Arc::new(Server(state.clone()));
+        let served = serve(&runtime.spawner(), listener, Bounds::default(), handler)?;
+        Ok(VmApi {
+            served,
+            state,
+            _runtime: runtime,
+        })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.served.addr
+    }
+
+    /// Replaces the list; answers show it after the lag.
+    pub fn set(&self, vms: Vec<Vm>) {
+        lock(&self.state).set(vms);
+    }
+
+    /// Starts or ends an outage, in which calls are not answered.
+    pub fn set_outage(&self, outage: bool) {
+        lock(&self.state).outage = outage;
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    lag: Duration,
+    outage: bool,
+    // INVARIANT: oldest first, and never empty.
+    lists: VecDeque<(Instant, Vec<Vm>)>,
+}
+
+impl State {
+    fn new(lag: Duration) -> State {
+        State {
+            lag,
+            outage: false,
+            lists: [(Instant::now(), Vec::new())].into(),
+        }
+    }
+
+    fn set(&mut self, vms: Vec<Vm>) {
+        self.lists.push_back((Instant::now(), vms));
+        if self.lists.len() > KEPT {
+            self.lists.pop_front();
+        }
+    }
+
+    /// The list as it was `lag` ago.
+    fn late(&self) -> &[Vm] {
+        let old = |(at, _): &&(Instant, Vec<Vm>)| at.elapsed() >= self.lag;
+        let list = self.lists.iter().rev().find(old);
+        list.map_or(&[], |(_, vms)| vms)
+    }
+}
+
+struct Server(Arc<Mutex<State>>);
+
+impl Server {
+    async fn answer(&self, req: &Request) -> Response {
+        if lock(&self.0).outage {
+            return hang().await;
+        }
+        let path = segments(req);
+        if req.method() != Method::Get || path != ["instances"] {
+            return json(StatusCode::NotFound, &json!({"error": "no such path"}));
+        }
+        let items: Vec<Value> = lock(&self.0).late().iter().map(instance).collect();
+        let list = json!({"kind": "compute#instanceList", "items": items});
+        json(StatusCode::Ok, &list)
+    }
+}
+
+impl Handler for Server {
+    fn handle(&self, req: Request, _: SocketAddr) -> BoxFuture<'_, Response> {
+        Box::pin(async move { self.answer(&req).await })
+    }
+}
+
+/// A VM as the API shows it.
+fn instance(vm: &Vm) -> Value {
+    let status = match vm.state {
+        VmState::Live => "RUNNING",
+        VmState::Leaving => "STOPPING",
+    };
+    let addr: IpAddr = vm.addr;
+    json!({
+        "name": vm.name,
+        "zone": format!("projects/cassiareel/zones/{}", vm.data_centre),
+        "status": status,
+        "networkInterfaces": [{"networkIP": addr}],
+    })
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().expect("no holder panics")
+}
--- /dev/null
+++ b/crates/cassiareel-standins/src/weights.rs
@@ -0,0 +1,198 @@
+/*!
+The weight store, whose rate all its readers share.
+
+`GET /weights` lists the versions and their sizes as JSON, `GET /weights/{version}` gives the bytes.
+*/
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+use cassiareel::{
+    runtime::Runtime,
+    wire::{send, serve, Bounds, BoxFuture, Handler, Limits, Served},
+};
+use futures_lite::{
+    io::{self, BufReader},
+    AsyncRead,
+};
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
+use serde_json::json;
+use smol::{net::TcpListener, Timer};
+
+use crate::{
+    rate::Bucket,
+    respond::{json, segments},
+};
+
+/// Bytes that a reader is given at a time.
+const CHUNK: usize = 64 << 10;
+
+/// A running weight store; dropping it kills it.
+#[derive(Debug)]
+pub struct WeightStore {
+    served: Served,
+    _runtime: Runtime,
+}
+
+impl WeightStore {
+    /// Starts a store of versions by their sizes in bytes, which gives `rate` bytes a second to all
+    /// its readers together.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cassiareel_standins::weights::{fetch, WeightStore};
+    ///
+    /// let store = WeightStore::start([("draft@v1".to_owned(), 1_000)].into(), 1e9).unwrap();
+    /// assert_eq!(smol::block_on(fetch(store.addr(), "draft@v1")), Ok(1_000));
+    /// assert!(smol::block_on(fetch(store.addr(), "draft@v2")).is_err());
+    /// ```
+    pub fn start(sizes: BTreeMap<String, usize>, rate: f64) -> io::Result<WeightStore> {
+        let listener = smol::block_on(TcpListener::bind(("127.0.0.1", 0)))?;
+        let runtime = Runtime::new("weights", 1);
+        let server = Arc::new(Server {
+            origin: Instant::now(),
+            sizes,
+            bucket: Mutex::new(Bucket::new(rate, CHUNK as f64)),
+        });
+        let handler = Arc::new(Shared(server));
+        let served = serve(&runtime.spawner(), listener, Bounds::default(), handler)?;
+        Ok(WeightStore {
+            served,
+            _runtime: runtime,
+        })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.served.addr
+    }
+}
+
+/// Fetches a version and tells its size in bytes.
+///
+/// # Errors
+///
+/// Says why the version could not be fetched whole.
+pub async fn fetch(addr: SocketAddr, version: &str) -> Result<usize, String> {
+    let mut url = Url::parse(&format!("http://{addr}/weights/")).map_err(|err| err.to_string())?;
+    if let Ok(mut path) = url.path_segments_mut() {
+        path.pop_if_empty().push(version);
+    }
+    let req = Request::new(Method::Get, url);
+    let mut res = send(addr, req, Limits::new(Duration::from_secs(10)))
+        .await
+        .map_err(|err| err.to_string())?;
+    if res.status() != StatusCode::Ok {
+        return Err(format!("the weight store answered {}", res.status()));
+    }
+    let body = res.take_body();
+    let announced = body.len();
+    let got = io::copy(body, io::sink())
+        .await
+        .map_err(|err| err.to_string())?;
+    match announced {
+        Some(announced) if announced as u64 == got => Ok(announced),
+        _ => Err(format!(
+            "the weights ended after {got} of {announced:?} bytes"
+        )),
+    }
+}
+
+struct Server {
+    origin: Instant,
+    sizes: BTreeMap<String, usize>,
+    bucket: Mutex<Bucket>,
+}
+
+struct Shared(Arc<Server>);
+
+impl Server {
+    /// Pays for a chunk, and tells how long to wait until it may be sent.
+    fn pay(&self, bytes: usize) -> Duration {
+        let mut bucket = self.bucket.lock().expect("no holder panics");
+        bucket.reserve(bytes as f64, self.origin.elapsed())
+    }
+}
+
+impl Shared {
+    fn answer(&self, req: &Request) -> Response {
+        let path = segments(req);
+        let path: Vec<_> = path.iter().map(String::as_str).collect();
+        match (req.method(), &path[..]) {
+            (Method::Get, ["weights"]) => json(StatusCode::Ok, &self.0.sizes),
+            (Method::Get, ["weights", version]) => match self.0.sizes.get(*version) {
+                Some(&size) => {
+                    let paced = Paced::new(self.0.clone(), size);
+                    let mut res = Response::new(StatusCode::Ok);
+                    let reader = BufReader::with_capacity(CHUNK, paced);
+                    res.set_body(Body::from_reader(reader, Some(size)));
+                    res
+                }
+                None => json(StatusCode::NotFound, &json!({"error": "no such version"})),
+            },
+            _ => json(StatusCode::NotFound, &json!({"error": "no such path"})),
+        }
+    }
+}
+
+impl Handler for Shared {
+    fn handle(&self, req: Request, _: SocketAddr) -> BoxFuture<'_, Response> {
+        Box::pin(async move { self.answer(&req) })
+    }
+}
+
+/// Zeros at the store's rate.
+struct Paced {
+    server: Arc<Server>,
+    left: usize,
+    paid: usize,
+    wait: Option<Timer>,
+}
+
+impl Paced {
+    fn new(server: Arc<Server>, left: usize) -> Paced {
+        Paced {
+            server,
+            left,
+            paid: 0,
+            wait: None,
+        }
+    }
+}
+
+impl AsyncRead for Paced {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        if this.left > 0 && this.paid == 0 {
+            this.paid = this.left.min(CHUNK);
+            this.wait = Some(Timer::after(this.server.pay(this.paid)));
+        }
+        if let Some(wait) = &mut this.wait {
+            if Pin::new(wait).poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+            this.wait = None;
+        }
+        let n = this.paid.min(out.len());
+        out[..n].fill(0);
+        this.paid -= n;
+        this.left -= n;
+        Poll::Ready(Ok(n))
+    }
+}
--- a/crates/cassiareel-standins/tests/engine.rs
+++ b/crates/cassiareel-standins/tests/engine.rs
@@ -3,10 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use cassiareel::{
-    backend::{Engine as _, HttpEngine, Piece, Pieces, Start, StreamError},
-    kernel::{generation::FinishReason, TokenId},
+    backend::{Engine as _, HttpEngine, Order, OrderKind, Piece, Pieces, Start, StreamError},
+    kernel::{generation::FinishReason, TokenId, VersionId},
+};
+use cassiareel_standins::{
+    engine::{truth, Cut, Engine, EngineOptions, Failure, Fault, Faults},
+    weights::WeightStore,
 };
-use cassiareel_standins::engine::{truth, Cut, Engine, EngineOptions};
 use futures_lite::StreamExt;
 use serde_json::{json, Value};
 use test_case::test_case;
@@ -209,3 +212,251 @@
         assert!(matches!(load, Err(StreamError::NotSent { .. })), "{load:?}");
     });
 }
+
+/// A fault of a version, and what shows of it.
+#[derive(Clone)]
+struct Bad {
+    fault: Fault,
+    /// What becomes of each of three requests that are sent one after the other.
+    shows: [Shows; 3],
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Shows {
+    Whole,
+    Refused(u16),
+    LostAfter(usize),
+}
+
+const WHOLE: Shows = Shows::Whole;
+
+#[test_case(Bad { fault: Fault::default(), shows: [Shows::Refused(500); 3] }; "at once")]
+#[test_case(Bad {
+    fault: Fault { failure: Failure::Reset(4), after_requests: 2, ..Fault::default() },
+    shows: [WHOLE, WHOLE, Shows::LostAfter(4)],
+}; "late")]
+#[test_case(Bad {
+    fault: Fault { failure: Failure::EndEarly(2), path: Some("/v1/completions".into()), ..Fault::default() },
+    shows: [Shows::LostAfter(2); 3],
+}; "on this route")]
+#[test_case(Bad {
+    fault: Fault { path: Some("/v1/chat/completions".into()), ..Fault::default() },
+    shows: [WHOLE; 3],
+}; "on another route")]
+#[test_case(Bad {
+    fault: Fault { above_running: 1, ..Fault::default() },
+    shows: [WHOLE; 3],
+}; "under load that is not there")]
+#[test_case(Bad {
+    fault: Fault { failure: Failure::Slow(3), ..Fault::default() },
+    shows: [WHOLE; 3],
+}; "slow")]
+fn a_bad_version_shows_itself_as_told(bad: Bad) {
+    let engine = Engine::start(options()).unwrap();
+    engine.set_faults(Faults {
+        versions: [(VERSION.to_owned(), bad.fault)].into(),
+        ..Faults::default()
+    });
+    let adapter = adapter(&engine);
+    let fields = json!({"max_tokens": 8, "ignore_eos": true});
+    for (i, shows) in bad.shows.into_iter().enumerate() {
+        let mut start = start(&fields, &[], 0);
+        start.attempt = i as u32;
+        let shown = smol::block_on(async {
+            match adapter.open(&start).await {
+                Ok(mut pieces) => match Got::read(&mut pieces, 0, usize::MAX).await {
+                    got if got.lost => Shows::LostAfter(got.ids.len()),
+                    got => {
+                        assert_eq!(got.text, truth(VERSION, PROMPT, 8).1);
+                        Shows::Whole
+                    }
+                },
+                Err(StreamError::Refused { status, .. }) => Shows::Refused(status),
+                Err(err) => panic!("{err}"),
+            }
+        });
+        assert_eq!(shown, shows, "request {i}");
+    }
+}
+
+#[test]
+fn a_fault_under_load_hits_while_another_request_runs() {
+    let engine = Engine::start(options()).unwrap();
+    let fault = Fault {
+        above_running: 1,
+        ..Fault::default()
+    };
+    engine.set_faults(Faults {
+        versions: [(VERSION.to_owned(), fault)].into(),
+        ..Faults::default()
+    });
+    smol::block_on(async {
+        let fields = json!({"max_tokens": 10_000, "ignore_eos": true});
+        let adapter = adapter(&engine);
+        let mut pieces = adapter.open(&start(&fields, &[], 0)).await.unwrap();
+        assert_eq!(Got::read(&mut pieces, 0, 1).await.ids.len(), 1);
+        let mut second = start(&fields, &[], 0);
+        second.attempt = 2;
+        let err = adapter.open(&second).await.err();
+        assert!(matches!(
+            err,
+            Some(StreamError::Refused { status: 500, .. })
+        ));
+    });
+}
+
+#[test]
+fn a_poisoned_prompt_kills_the_engine() {
+    let engine = Engine::start(options()).unwrap();
+    engine.set_faults(Faults {
+        poison: Some("dedication".to_owned()),
+        ..Faults::default()
+    });
+    smol::block_on(async {
+        let opened = adapter(&engine).open(&start(&json!({}), &[], 0)).await;
+        if let Ok(mut pieces) = opened {
+            assert!(Got::read(&mut pieces, 0, usize::MAX).await.lost);
+        }
+        while !engine.is_dead() {
+            smol::Timer::after(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+#[test]
+fn a_cancelled_stream_is_gone_and_its_memory_free() {
+    let engine = Engine::start(options()).unwrap();
+    smol::block_on(async {
+        let adapter = adapter(&engine);
+        let fields = json!({"max_tokens": 10_000, "ignore_eos": true});
+        let mut pieces = adapter.open(&start(&fields, &[], 0)).await.unwrap();
+        assert_eq!(Got::read(&mut pieces, 0, 2).await.ids.len(), 2);
+        while adapter.load().await.unwrap().running == 0 {}
+        adapter.cancel(&"r1".into(), 1).await.unwrap();
+        adapter.cancel(&"r1".into(), 1).await.unwrap();
+        assert!(Got::read(&mut pieces, 2, usize::MAX).await.lost);
+        let gone = adapter.attach(&"r1".into(), 1, 0, 0).await.err();
+        assert!(matches!(
+            gone,
+            Some(StreamError::Refused { status: 404, .. })
+        ));
+        // The next plan of the batch reports the memory as free.
+        while adapter.load().await.unwrap().used_tokens > 0 {}
+        assert_eq!(engine.stats().cancelled, 1);
+    });
+}
+
+#[test]
+fn a_stream_that_nobody_reads_is_forgotten_after_its_grace() {
+    let mut options = options();
+    options.capacity.grace = Duration::ZERO;
+    let engine = Engine::start(options).unwrap();
+    smol::block_on(async {
+        let adapter = adapter(&engine);
+        let fields = json!({"max_tokens": 100_000, "ignore_eos": true});
+        let mut pieces = adapter.open(&start(&fields, &[], 0)).await.unwrap();
+        Got::read(&mut pieces, 0, 2).await;
+        drop(pieces);
+        // An attach that comes before the next step still finds the stream.
+        loop {
+            match adapter.attach(&"r1".into(), 1, 2, 0).await {
+                Ok(_) => smol::Timer::after(Duration::from_millis(1)).await,
+                Err(StreamError::Refused { status: 404, .. }) => return,
+                Err(err) => panic!("{err}"),
+            };
+        }
+    });
+}
+
+#[test]
+fn a_prefix_is_found_in_the_cache_and_told() {
+    let engine = Engine::start(options()).unwrap();
+    smol::block_on(async {
+        let adapter = adapter(&engine);
+        let long = "The same long prefix of many prompts. ".repeat(10);
+        for attempt in 1..=2 {
+            let mut start = start(&json!({"max_tokens": 1, "ignore_eos": true}), &[], 0);
+            start.attempt = attempt;
+            Arc::make_mut(&mut start.body).insert("prompt".into(), json!(long));
+            let mut pieces = adapter.open(&start).await.unwrap();
+            assert!(!Got::read(&mut pieces, 0, usize::MAX).await.lost);
+        }
+        let blocks = long.len() / 64;
+        assert_eq!(engine.stats().cached_blocks, blocks as u64);
+        let told = adapter.cache(0, false).await.unwrap();
+        assert_eq!((told.events.len(), told.next), (blocks, blocks as u64));
+        let full = adapter.cache(0, true).await.unwrap();
+        assert_eq!(full.snapshot.map(|list| list.len()), Some(blocks));
+    });
+}
+
+/// Orders to an engine, and what it makes of the last one.
+#[derive(Clone, Copy)]
+struct Orders {
+    checks: bool,
+    fences: [u64; 2],
+    taken: bool,
+}
+
+#[test_case(Orders { checks: true, fences: [7, 8], taken: true }; "a higher fence")]
+#[test_case(Orders { checks: true, fences: [7, 7], taken: true }; "the same fence")]
+#[test_case(Orders { checks: true, fences: [7, 6], taken: false }; "an old fence")]
+#[test_case(Orders { checks: false, fences: [7, 6], taken: true }; "an old fence that is not checked")]
+fn an_order_is_taken_by_its_fence(orders: Orders) {
+    let mut options = options();
+    options.checks_fencing = orders.checks;
+    let engine = Engine::start(options).unwrap();
+    let order = |fence, version: &str| Order {
+        fence,
+        kind: OrderKind::Load {
+            version: version.into(),
+        },
+    };
+    smol::block_on(async {
+        let adapter = adapter(&engine);
+        let [first, second] = orders.fences;
+        adapter.order(&order(first, "draft@v2")).await.unwrap();
+        let res = adapter.order(&order(second, "draft@v3")).await;
+        assert_eq!(res.is_ok(), orders.taken, "{res:?}");
+        wait_loaded(&adapter, "draft@v2").await;
+        if orders.taken {
+            wait_loaded(&adapter, "draft@v3").await;
+        }
+    });
+}
+
+async fn wait_loaded(adapter: &HttpEngine, version: &str) {
+    let version = VersionId::from(version);
+    while !adapter.load().await.unwrap().versions.contains(&version) {
+        smol::Timer::after(Duration::from_millis(1)).await;
+    }
+}
+
+#[test]
+fn a_version_loads_through_the_weight_store_and_unloads() {
+    let store = WeightStore::start([("draft@v2".to_owned(), 100_000)].into(), 1e9).unwrap();
+    let mut options = options();
+    options.weights = Some(store.addr());
+    let engine = Engine::start(options).unwrap();
+    smol::block_on(async {
+        let adapter = adapter(&engine);
+        let version: VersionId = "draft@v2".into();
+        let load = OrderKind::Load {
+            version: version.clone(),
+        };
+        let order = Order {
+            fence: 1,
+            kind: load,
+        };
+        // An order that is met twice changes nothing.
+        adapter.order(&order).await.unwrap();
+        adapter.order(&order).await.unwrap();
+        wait_loaded(&adapter, &version).await;
+        let kind = OrderKind::Unload {
+            version: version.clone(),
+        };
+        adapter.order(&Order { fence: 1, kind }).await.unwrap();
+        let versions = adapter.load().await.unwrap().versions;
+        assert_eq!(versions, [VersionId::from(VERSION)]);
+    });
+}
--- a/crates/cassiareel-standins/tests/objects.rs
+++ b/crates/cassiareel-standins/tests/objects.rs
@@ -6,7 +6,7 @@
     platform::{HttpObjects, Object, Objects, StoreError},
     runtime::Runtime,
 };
-use cassiareel_standins::objects::ObjectApi;
+use cassiareel_standins::objects::{Faults, ObjectApi, Outage, Rates};
 use serde_json::json;
 use smol::{io::AsyncWriteExt, net::TcpListener};
 use test_case::test_case;
@@ -137,3 +137,120 @@
     });
     (addr, task)
 }
+
+/// A fault that meets a write, what the writer is told, and whether it took effect.
+#[derive(Clone, Copy)]
+struct Met {
+    faults: Faults,
+    error: fn(&StoreError) -> bool,
+    done: bool,
+}
+
+const NONE: Faults = Faults {
+    outage: None,
+    delay_ms: 0,
+    lose_after: 0.0,
+    lose_before: 0.0,
+    stale: 0.0,
+    stale_writes: 0,
+    drop_watch: 0.0,
+};
+
+#[test_case(Met { faults: Faults { lose_after: 1.0, ..NONE }, error: AMBIGUOUS, done: true }; "answer lost")]
+#[test_case(Met { faults: Faults { lose_before: 1.0, ..NONE }, error: AMBIGUOUS, done: false }; "call lost")]
+#[test_case(Met { faults: Faults { outage: Some(Outage::Refuse), ..NONE }, error: THROTTLED, done: false }; "refusing")]
+#[test_case(Met { faults: Faults { outage: Some(Outage::Fail), ..NONE }, error: AMBIGUOUS, done: false }; "failing")]
+#[test_case(Met { faults: Faults { outage: Some(Outage::Hang), ..NONE }, error: AMBIGUOUS, done: false }; "hanging")]
+#[test_case(Met { faults: Faults { delay_ms: 5_000, ..NONE }, error: AMBIGUOUS, done: false }; "slow")]
+fn a_fault_meets_a_write_as_told(met: Met) {
+    let api = ObjectApi::start().unwrap();
+    let objects = HttpObjects::new(api.addr()).timeout(Duration::from_millis(300));
+    smol::block_on(async {
+        api.set_faults(met.faults);
+        let err = objects.create(&object(0, 1)).await.unwrap_err();
+        assert!((met.error)(&err), "{err:?}");
+        api.set_faults(NONE);
+        let found = objects.get("leases", "draft").await.unwrap();
+        assert_eq!(found.is_some(), met.done);
+    });
+}
+
+#[test]
+fn an_old_replica_answers_reads_but_does_not_judge_writes() {
+    let api = ObjectApi::start().unwrap();
+    let objects = HttpObjects::new(api.addr());
+    smol::block_on(async {
+        let v1 = objects.create(&object(0, 1)).await.unwrap();
+        let v2 = objects.update(&object(v1, 2)).await.unwrap();
+        api.set_faults(Faults {
+            stale: 1.0,
+            stale_writes: 1,
+            ..NONE
+        });
+        let found = objects.get("leases", "draft").await.unwrap();
+        assert_eq!(found, Some(object(v1, 1)));
+        let listing = objects.list("leases").await.unwrap();
+        assert_eq!(
+            (listing.objects, listing.version),
+            (vec![object(v1, 1)], v1)
+        );
+        assert!(objects.update(&object(v1, 3)).await.is_err());
+        objects.delete(&object(v2, 2)).await.unwrap();
+        let found = objects.get("leases", "draft").await.unwrap();
+        assert_eq!(found, Some(object(v2, 2)));
+    });
+}
+
+#[test]
+fn a_call_over_the_rate_is_throttled_and_counted() {
+    let rates = Rates {
+        reads: 1_000.0,
+        writes: 0.001,
+    };
+    let api = ObjectApi::bind(([127, 0, 0, 1], 0).into(), rates, 1).unwrap();
+    let objects = HttpObjects::new(api.addr());
+    smol::block_on(async {
+        let v1 = objects.create(&object(0, 1)).await.unwrap();
+        let err = objects.update(&object(v1, 2)).await.unwrap_err();
+        assert!(THROTTLED(&err), "{err:?}");
+        let found = objects.get("leases", "draft").await.unwrap();
+        assert_eq!(found, Some(object(v1, 1)));
+    });
+    let counts = api.counts();
+    assert_eq!((counts.reads, counts.writes, counts.throttled), (1, 2, 1));
+    assert_eq!(counts.by_kind["PUT leases"], 1);
+}
+
+#[test]
+fn a_watch_that_is_cut_is_an_error_and_loses_nothing() {
+    let api = ObjectApi::start().unwrap();
+    let objects = HttpObjects::new(api.addr());
+    smol::block_on(async {
+        let v1 = objects.create(&object(0, 1)).await.unwrap();
+        let watch = objects.watch("leases", v1, LONG);
+        let cut = async {
+            while api.counts().watching == 0 {
+                smol::Timer::after(Duration::from_millis(1)).await;
+            }
+            api.set_faults(Faults {
+                drop_watch: 1.0,
+                ..NONE
+            });
+            objects.update(&object(v1, 2)).await.unwrap()
+        };
+        let (seen, v2) = futures_lite::future::zip(watch, cut).await;
+        assert!(matches!(seen, Err(StoreError::NotDone { .. })), "{seen:?}");
+        let seen = objects.watch("leases", v1, LONG).await.unwrap();
+        assert_eq!(seen, [object(v2, 2)]);
+    });
+}
+
+#[test]
+fn a_watch_from_a_forgotten_version_has_expired() {
+    let runtime = Runtime::new("once", 1);
+    let gone = "HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n";
+    let (addr, served) = answer_once(&runtime, gone);
+    let res = smol::block_on(HttpObjects::new(addr).watch("leases", 1, LONG));
+    assert_eq!(res, Err(StoreError::Expired));
+    smol::block_on(served);
+}
--- a/crates/cassiareel/src/platform/mod.rs
+++ b/crates/cassiareel/src/platform/mod.rs
@@ -7,6 +7,7 @@
 */
 
 mod http_objects;
+mod http_vms;
 mod memory;
 #[cfg(test)]
 mod memory_tests;
@@ -14,6 +15,7 @@
 mod vms;
 
 pub use http_objects::HttpObjects;
+pub use http_vms::HttpVms;
 pub use memory::{Call, Chances, Counts, Fault, MemoryObjects, OBJECT_LIMIT};
 pub use objects::{Listing, Object, Objects, StoreError, StoreVersion};
 pub use vms::{Vm, VmList, VmState};
