--- a/crates/cassiareel-standins/src/engine/mod.rs
+++ b/crates/cassiareel-standins/src/engine/mod.rs
@@ -114,6 +114,11 @@
         self.server.stats()
     }
 
+    /// Requests in its running batch at this moment.
+    pub fn running(&self) -> usize {
+        self.server.running()
+    }
+
     /// Cuts every stream that runs, and stops working on them.
     pub fn cut_streams(&self, how: Cut) {
         self.server.cut_streams(how);
--- a/crates/cassiareel-standins/src/engine/server.rs
+++ b/crates/cassiareel-standins/src/engine/server.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Requests in the running batch.
+    pub(super) fn running(&self) -> usize {
+        self.lock().running()
+    }
+
+    /// Cuts every stream.
     pub(super) fn cut_streams(&self, how: Cut) {
         self.lock().cut(how);
     }
--- a/crates/cassiareel-standins/src/engine/state.rs
+++ b/crates/cassiareel-standins/src/engine/state.rs
@@ -93,6 +93,11 @@
         state
     }
 
+    /// Requests in the running batch.
+    pub(super) fn running(&self) -> usize {
+        self.batch.running()
+    }
+
     /// Plans the next step and tells how long it takes; none when there is no work.
     pub(super) fn plan(&mut self, now: Duration) -> Option<Duration> {
         let grace = self.options.capacity.grace;
--- a/crates/cassiareel-standins/src/lib.rs
+++ b/crates/cassiareel-standins/src/lib.rs
@@ -10,10 +10,15 @@
 - [`objects`]: the platform's object API.
 - [`vms`]: the platform's VM list, which lags.
 - [`weights`]: the rate-limited weight store.
+
+A [`fleet`] runs nodes beside them in one process, a [`caller`] reads answers as a stock client would,
+and the [`matrix`] brings every fault about at every step.
 */
 
+pub mod caller;
 pub mod engine;
 mod feed;
+pub mod fleet;
 pub mod objects;
 mod rate;
 #[cfg(test)]
