--- a/crates/cassiareel-standins/src/lib.rs
+++ b/crates/cassiareel-standins/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod engine;
 mod feed;
 pub mod fleet;
+pub mod matrix;
 pub mod objects;
 mod rate;
 #[cfg(test)]
