--- a/crates/cassiareel-standins/src/fleet.rs
+++ b/crates/cassiareel-standins/src/fleet.rs
@@ -4,7 +4,13 @@
 Each node has threads of its own, so that it can be killed or frozen alone.
 */
 
-use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use cassiareel::{
     hooks::{Hooks, NoHooks},
@@ -30,6 +36,9 @@
 /// How often waiting for a state looks at it.
 const POLL: Duration = Duration::from_millis(1);
 
+/// Bound on waiting, past which a node does not come to a state.
+const HANG: Duration = Duration::from_secs(30);
+
 /// How a fleet is made.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -124,13 +133,11 @@
     ///
     /// # Panics
     ///
-    /// Panics when the object API does not take them.
+    /// Panics when the object API does not take them, or a node refuses them.
     pub fn apply(&mut self, tree: &str) {
         self.accept(tree);
         for node in self.nodes.iter().flatten() {
-            while node.settings().revision < self.revision {
-                thread::sleep(POLL);
-            }
+            wait(node, self.revision);
         }
     }
 
@@ -180,11 +187,13 @@
     /// # Errors
     ///
     /// Fails when loopback has no free ports.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the node refuses the settings.
     pub fn replace_node(&mut self, place: usize) -> io::Result<()> {
         let started = node(place, &self.objects, &self.options)?;
-        while started.settings().revision < self.revision {
-            thread::sleep(POLL);
-        }
+        wait(&started, self.revision);
         self.nodes[place] = Some(started);
         Ok(())
     }
@@ -198,6 +207,20 @@
     }
 }
 
+/// Waits until settings are in force on a node.
+///
+/// # Panics
+///
+/// Panics past any time that a node needs: it has refused the settings.
+fn wait(node: &Node, revision: Revision) {
+    let until = Instant::now() + HANG;
+    while node.settings().revision < revision {
+        let name = &node.options().name;
+        assert!(Instant::now() < until, "{name} refuses revision {revision}");
+        thread::sleep(POLL);
+    }
+}
+
 /// Starts a node.
 fn node(i: usize, objects: &ObjectApi, options: &FleetOptions) -> io::Result<Node> {
     let data_centre = format!("d{}", i / NODES_PER_DATA_CENTRE);
--- a/crates/cassiareel/tests/common/mod.rs
+++ b/crates/cassiareel/tests/common/mod.rs
@@ -5,7 +5,7 @@
     net::{Shutdown, SocketAddr, TcpStream},
     sync::Arc,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cassiareel::{
@@ -49,7 +49,9 @@
     smol::block_on(objects.create(&head)).expect("memory takes the object");
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let node = Node::start(Options::new("n1", "d1"), objects, &log).expect("loopback has ports");
+    let until = Instant::now() + Duration::from_secs(30);
     while node.settings().revision == 0 {
+        assert!(Instant::now() < until, "the node refuses the settings");
         thread::sleep(Duration::from_millis(1));
     }
     node
