--- /dev/null
+++ b/crates/cassiareel-bench/src/bin/capacity/logs.rs
@@ -0,0 +1,110 @@
+//! The cost of decision lines and of metrics.
+
+use std::{
+    io,
+    net::UdpSocket,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
+    time::Instant,
+};
+
+use cassiareel::observe::{json_logger, Counter, Metrics};
+use cassiareel_bench::process;
+
+use super::Figure;
+
+/// The figures of logs and metrics.
+pub const FIGURES: [Figure; 4] = [
+    Figure {
+        name: "decision line, processor time of the process",
+        unit: "us",
+        per: "line",
+        sizes: &[50_000, 100_000, 200_000],
+        run: |lines| write_lines(lines).0,
+    },
+    Figure {
+        name: "decision line, time of the request's thread",
+        unit: "us",
+        per: "line",
+        sizes: &[2_000, 4_000, 8_000],
+        run: |lines| write_lines(lines).1,
+    },
+    Figure {
+        name: "decision line, bytes written",
+        unit: "bytes",
+        per: "line",
+        sizes: &[2_000, 4_000, 8_000],
+        run: |lines| write_lines(lines).2,
+    },
+    Figure {
+        name: "metric by UDP, processor time of the process",
+        unit: "us",
+        per: "metric",
+        sizes: &[100_000, 200_000, 400_000],
+        run: send_metrics,
+    },
+];
+
+/// Lines between waits for the writing thread, so that none is dropped.
+const LINES_BATCH: usize = 4_000;
+
+/// Counts the bytes that are written to it.
+#[derive(Clone, Default)]
+struct Sink(Arc<AtomicU64>);
+
+impl io::Write for Sink {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.fetch_add(buf.len() as u64, Ordering::Relaxed);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes routing lines: microseconds of the process, of this thread, and bytes, in all.
+fn write_lines(lines: usize) -> (f64, f64, f64) {
+    let sink = Sink::default();
+    let cpu = process::cpu();
+    let mut own = 0.0;
+    let mut left = lines;
+    while left > 0 {
+        let batch = left.min(LINES_BATCH);
+        let log = json_logger(sink.clone());
+        let log = log.new(slog::o!("node" => "zg1-a", "request" => "r-0123456789abcdef",
+            "generation" => "g-0123456789abcdef", "account" => "wedding-shops", "caller" => "till-7",
+            "service" => "draft"));
+        let start = Instant::now();
+        for i in 0..batch {
+            slog::info!(log, "routed"; "attempt" => 1, "version" => "v1", "policy" => "first-token",
+                "choice" => "10.20.30.40:8000", "score" => i, "reason" => "cached prefix",
+                "candidates" => "10.20.30.41:8000 1.25 score, 10.20.30.42:8000 1.50 score");
+        }
+        own += start.elapsed().as_secs_f64() * 1e6;
+        // Dropping the last logger waits until every line is written.
+        drop(log);
+        left -= batch;
+    }
+    let cpu = (process::cpu() - cpu).as_secs_f64() * 1e6;
+    (cpu, own, sink.0.load(Ordering::Relaxed) as f64)
+}
+
+/// Sends metrics to a socket of this process: microseconds of the process in all.
+fn send_metrics(metrics: usize) -> f64 {
+    let server = UdpSocket::bind(("127.0.0.1", 0)).expect("loopback has ports");
+    let addr = server.local_addr().expect("the socket is bound");
+    let cpu = process::cpu();
+    let sender = Metrics::udp(addr).expect("loopback has ports");
+    for _ in 0..metrics {
+        sender.count(
+            Counter::Requests,
+            1,
+            &[("service", "draft"), ("outcome", "complete")],
+        );
+    }
+    drop(sender);
+    (process::cpu() - cpu).as_secs_f64() * 1e6
+}
--- /dev/null
+++ b/crates/cassiareel-bench/src/bin/capacity/settings.rs
@@ -0,0 +1,106 @@
+//! The cost of the settings in force.
+
+use std::{fmt::Write as _, hint::black_box, time::Instant};
+
+use cassiareel::settings::{key_digest, Snapshot, Tree};
+use cassiareel_bench::process;
+
+use super::Figure;
+
+/// Callers beneath each client account of a measured tree.
+const CALLERS: usize = 10;
+
+/// The figures of settings.
+pub const FIGURES: [Figure; 4] = [
+    Figure {
+        name: "settings, bytes of TOML",
+        unit: "bytes",
+        per: "client account of 10 callers",
+        sizes: &[200, 800, 1_700],
+        run: |accounts| text(accounts).len() as f64,
+    },
+    Figure {
+        name: "settings, time to read and put in force",
+        unit: "us",
+        per: "client account of 10 callers",
+        sizes: &[200, 800, 1_700],
+        run: time_to_force,
+    },
+    Figure {
+        name: "settings, resident memory in force",
+        unit: "bytes",
+        per: "client account of 10 callers",
+        sizes: &[800, 1_700, 3_400],
+        run: resident,
+    },
+    Figure {
+        name: "look-up of key and route, time of the request's thread",
+        unit: "us",
+        per: "look-up",
+        sizes: &[50_000, 100_000, 200_000],
+        run: look_up,
+    },
+];
+
+/// A tree with client accounts of ten callers each, six models and their backend servers.
+fn text(accounts: usize) -> String {
+    let mut out = String::from("[regions.r.data_centres.d]\n");
+    for model in 0..6 {
+        // Writing to a string can't fail.
+        let _ = writeln!(out, "[services.m{model}]\nversion = \"v1\"");
+        let servers: Vec<String> = (0..138)
+            .map(|i| format!("\"10.{model}.0.{i}:80\""))
+            .collect();
+        let _ = writeln!(out, "[services.m{model}.versions.v1.placements.d]");
+        let _ = writeln!(out, "servers = [{}]", servers.join(", "));
+    }
+    for account in 0..accounts {
+        let _ = writeln!(out, "[accounts.a{account}]\nservices = [\"m0\", \"m1\"]");
+        for caller in 0..CALLERS {
+            let digest = hex(&key_digest(&format!("{account}.{caller}")));
+            let _ = writeln!(out, "[accounts.a{account}.callers.c{caller}]");
+            let _ = writeln!(out, "key_digest = \"{digest}\"");
+        }
+    }
+    out
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn snapshot(text: &str) -> Snapshot {
+    let tree: Tree = toml::from_str(text).expect("the text is a tree");
+    Snapshot::new(1, tree)
+}
+
+fn time_to_force(accounts: usize) -> f64 {
+    let text = text(accounts);
+    let start = Instant::now();
+    black_box(snapshot(&text));
+    start.elapsed().as_secs_f64() * 1e6
+}
+
+/// Snapshots of one tree that are held at a time, so that reading the text hardly counts.
+const HELD: usize = 16;
+
+fn resident(accounts: usize) -> f64 {
+    let tree: Tree = toml::from_str(&text(accounts)).expect("the text is a tree");
+    let before = process::resident();
+    let held: Vec<Snapshot> = (0..HELD).map(|_| Snapshot::new(1, tree.clone())).collect();
+    let after = process::resident();
+    // What is given back would be taken again by the next run and not be seen to grow.
+    std::mem::forget(black_box(held));
+    after.saturating_sub(before) as f64 / HELD as f64
+}
+
+fn look_up(count: usize) -> f64 {
+    let snapshot = snapshot(&text(1_700));
+    let start = Instant::now();
+    for i in 0..count {
+        let key = format!("{}.{}", i % 1_700, i % CALLERS);
+        let identity = snapshot.identify(&key).expect("the key is known");
+        black_box(snapshot.route(identity, "m1"));
+    }
+    start.elapsed().as_secs_f64() * 1e6
+}
