--- a/crates/cassiareel/src/kernel/routing/mod.rs
+++ b/crates/cassiareel/src/kernel/routing/mod.rs
@@ -9,4 +9,4 @@
 mod least;
 mod policy;
 
-pub use policy::{policy, Ask, Candidate, Choice, Pass, Policy};
+pub use policy::{policy, policy_names, Ask, Candidate, Choice, Pass, Policy};
--- a/crates/cassiareel/src/kernel/routing/policy.rs
+++ b/crates/cassiareel/src/kernel/routing/policy.rs
@@ -80,3 +80,12 @@
         .find(|plugin| plugin.name == name)
         .map(|plugin| (plugin.build)())
 }
+
+/// Names of the policies that registered themselves, in order.
+pub fn policy_names() -> Vec<&'static str> {
+    let mut names: Vec<_> = inventory::iter::<Plugin<Box<dyn Policy>>>()
+        .map(|plugin| plugin.name)
+        .collect();
+    names.sort_unstable();
+    names
+}
--- a/crates/cassiareel/src/settings/snapshot.rs
+++ b/crates/cassiareel/src/settings/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
-use sha2::{Digest, Sha256};
+use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
 
 use super::{ServiceKind, Tree};
@@ -59,12 +59,14 @@
             .accounts
             .iter()
             .flat_map(|(account, node)| {
-                node.callers.iter().filter_map(|(caller, leaf)| {
+                node.callers.iter().flat_map(|(caller, leaf)| {
                     let identity = Identity {
                         account: account.clone(),
                         caller: caller.clone(),
                     };
-                    Some((decode_digest(&leaf.key_digest)?, identity))
+                    leaf.keys
+                        .values()
+                        .map(move |digest| (digest.0, identity.clone()))
                 })
             })
             .collect();
@@ -126,8 +128,3 @@
 pub fn key_digest(key: &str) -> [u8; 32] {
     Sha256::digest(key.as_bytes()).into()
 }
-
-/// Reads a digest in hexadecimal.
-fn decode_digest(text: &str) -> Option<[u8; 32]> {
-    hex::decode(text).ok()?.try_into().ok()
-}
