--- a/crates/cassiareel/src/settings/check/accounts.rs
+++ b/crates/cassiareel/src/settings/check/accounts.rs
@@ -32,7 +32,7 @@
 
 fn check_services(tree: &Tree, path: &Path, account: &Account, faults: &mut Faults) {
     for (i, service) in account.services.iter().enumerate() {
-        let path = path.child("services").child(i);
+        let path = path.child("services").element(i);
         if !tree.services.contains_key(service) {
             faults.push(path, quote(service), no_service(tree, service));
         } else if account.services[..i].contains(service) {
--- a/crates/cassiareel/src/settings/check/policies.rs
+++ b/crates/cassiareel/src/settings/check/policies.rs
@@ -6,7 +6,7 @@
 use crate::{
     kernel::routing,
     settings::{
-        policy::{Group, Limits, Membership, Moves, Policy, Resolved, Routing},
+        policy::{Group, Limits, Membership, Moves, Policy, PolicyId, Resolved, Routing},
         units::Share,
         Faults, Path, Scope, Tree,
     },
@@ -196,27 +196,36 @@
 fn check_cycles(tree: &Tree, faults: &mut Faults) {
     let mut known = BTreeSet::new();
     for start in tree.policies.keys() {
-        let mut walk = vec![start];
-        while let Some(next) = tree
-            .policies
-            .get(walk[walk.len() - 1])
-            .and_then(|p| p.base.as_ref())
-        {
-            if let Some(at) = walk.iter().position(|name| *name == next) {
-                let cycle = &walk[at..];
-                if cycle.iter().all(|name| known.insert(*name)) {
-                    let problem = format!(
-                        "a cycle: {} builds on {}: let one of them build on nothing",
-                        list(cycle.iter().map(|name| format!("{name} which"))),
-                        next
-                    );
-                    let path = Path::root().join(&["policies", next, "base"]);
-                    faults.push(path, "", problem.replace(" which,", ","));
-                }
-                break;
-            }
-            walk.push(next);
+        let Some(cycle) = find_cycle(tree, start) else {
+            continue;
+        };
+        if !cycle.iter().all(|name| known.insert(*name)) {
+            continue;
+        }
+        let next = cycle.get(1).unwrap_or(&cycle[0]);
+        let walk: Vec<&str> = cycle
+            .iter()
+            .chain([&cycle[0]])
+            .map(|name| &***name)
+            .collect();
+        let problem = format!(
+            "a cycle: {}: let one of them build on nothing",
+            walk.join(" -> ")
+        );
+        let path = Path::root().join(&["policies", cycle[0], "base"]);
+        faults.push(path, quote(next), problem);
+    }
+}
+
+/// Follows what a policy builds on until it ends or comes back to a name, and gives that circle.
+fn find_cycle<'a>(tree: &'a Tree, start: &'a PolicyId) -> Option<Vec<&'a PolicyId>> {
+    let mut walk = vec![start];
+    loop {
+        let next = tree.policies.get(walk[walk.len() - 1])?.base.as_ref()?;
+        if let Some(at) = walk.iter().position(|name| *name == next) {
+            return Some(walk.split_off(at));
         }
+        walk.push(next);
     }
 }
 
--- a/crates/cassiareel/src/settings/check/services.rs
+++ b/crates/cassiareel/src/settings/check/services.rs
@@ -73,11 +73,11 @@
         }
         if placement.surge == Some(0) {
             let problem = "nothing could ever be loaded: write at least 1";
-            faults.push(path.child("surge"), 0, problem);
+            faults.push(path.child("surge"), "0", problem);
         }
         let mut seen = BTreeSet::new();
         for (i, server) in placement.servers.iter().enumerate() {
-            let path = path.child("servers").child(i);
+            let path = path.child("servers").element(i);
             let value = quote(&server.to_string());
             if !seen.insert(server) {
                 faults.push(path, value, "listed twice: leave one out");
@@ -107,7 +107,7 @@
                         continue;
                     }
                     let path = Path::root().join(&["services", service, "versions", label]);
-                    let path = path.join(&["placements", place, "servers"]).child(i);
+                    let path = path.join(&["placements", place, "servers"]).element(i);
                     let problem = format!(
                         "this backend server is one of service {} in {}: each serves one service \
                          in one data centre",
@@ -151,7 +151,7 @@
                     "placements here take {sum} accelerators: write at least {sum}, or place fewer \
                      servers"
                 );
-                faults.push(path.child("accelerators"), has, problem);
+                faults.push(path.child("accelerators"), has.to_string(), problem);
             }
         }
     }
--- a/crates/cassiareel/src/settings/fault.rs
+++ b/crates/cassiareel/src/settings/fault.rs
@@ -48,11 +48,11 @@
     pub fn push<P, V>(&mut self, path: Path, value: V, problem: P)
     where
         P: Into<String>,
-        V: ToString,
+        V: Into<String>,
     {
         self.faults.push(Fault {
             path,
-            value: value.to_string(),
+            value: value.into(),
             problem: problem.into(),
         });
     }
--- a/crates/cassiareel/src/settings/mod.rs
+++ b/crates/cassiareel/src/settings/mod.rs
@@ -14,12 +14,18 @@
 mod fault;
 mod origin;
 mod parse;
+#[cfg(test)]
+mod parse_tests;
 mod path;
 pub mod policy;
 mod resolve;
+#[cfg(test)]
+mod resolve_tests;
 mod snapshot;
 mod tree;
 pub mod units;
+#[cfg(test)]
+mod units_tests;
 
 pub use diff::{diff, patch, Change};
 pub use fault::{Fault, Faults};
--- a/crates/cassiareel/src/settings/parse.rs
+++ b/crates/cassiareel/src/settings/parse.rs
@@ -56,8 +56,14 @@
             }
         };
         let base = take_revision(&mut table, &mut faults);
-        let tree = read(Value::Table(table), &mut faults);
-        check(&tree, &mut faults);
+        let mut removed = Vec::new();
+        let tree = read(Value::Table(table), &mut removed, &mut faults);
+        let mut rest = Faults::default();
+        check(&tree, &mut rest);
+        for fault in rest.faults {
+            let path = original_path(&fault.path, &removed);
+            faults.faults.push(Fault { path, ..fault });
+        }
         faults.or(Draft { base, tree })
     }
 
@@ -98,26 +104,26 @@
     let revision = value.as_integer().and_then(|n| Revision::try_from(n).ok());
     if revision.is_none() {
         let problem = "not a revision: write the whole number that `cassiareel settings get` gave";
-        faults.push(Path::root().child(REVISION_KEY), value, problem);
+        faults.push(Path::root().child(REVISION_KEY), value.to_string(), problem);
     }
     revision
 }
 
 /// Reads the tree, noting and taking out what does not fit.
-fn read(mut root: Value, faults: &mut Faults) -> Tree {
-    let mut removed = Vec::new();
+fn read(mut root: Value, removed: &mut Vec<Path>, faults: &mut Faults) -> Tree {
     loop {
         let err = match serde_path_to_error::deserialize::<_, Tree>(root.clone()) {
             Ok(tree) => return tree,
             Err(err) => err,
         };
         let found: Vec<Segment> = err.path().iter().cloned().collect();
-        let problem = err.inner().message().to_owned();
         let taken = take(&mut root, &found);
+        let path = original_path(&to_path(&found), removed);
+        removed.push(path.clone());
         faults.faults.push(Fault {
-            path: original_path(&found, &mut removed),
+            path,
             value: taken.as_ref().map(Value::to_string).unwrap_or_default(),
-            problem,
+            problem: err.inner().message().to_owned(),
         });
         if taken.is_none() || faults.faults.len() >= FAULT_LIMIT {
             return Tree::default();
@@ -139,18 +145,25 @@
     }
 }
 
-/// The path in the operator's text, where elements that were taken out still count.
-fn original_path(found: &[Segment], removed: &mut Vec<Path>) -> Path {
-    let mut path = Path::root();
-    for segment in found {
-        path = match segment {
+fn to_path(segments: &[Segment]) -> Path {
+    segments
+        .iter()
+        .fold(Path::root(), |path, segment| match segment {
             Segment::Map { key } => path.child(key),
-            Segment::Seq { index } => original_element(&path, *index, removed),
+            Segment::Seq { index } => path.element(*index),
             _ => path,
-        };
-    }
-    removed.push(path.clone());
-    path
+        })
+}
+
+/// The path in the operator's text, where elements that were taken out still count.
+fn original_path(found: &Path, removed: &[Path]) -> Path {
+    found
+        .names()
+        .iter()
+        .fold(Path::root(), |path, name| match name.parse() {
+            Ok(index) => original_element(&path, index, removed),
+            Err(_) => path.child(name),
+        })
 }
 
 fn original_element(array: &Path, index: usize, removed: &[Path]) -> Path {
@@ -170,7 +183,7 @@
             }
         },
     );
-    array.child(index)
+    array.element(index)
 }
 
 /// Reads one node or value of a tree, for tests and tools.
--- a/crates/cassiareel/src/settings/path.rs
+++ b/crates/cassiareel/src/settings/path.rs
@@ -42,15 +42,17 @@
     }
 
     /// The path of a child.
-    pub fn child<S>(&self, name: S) -> Path
-    where
-        S: ToString,
-    {
+    pub fn child(&self, name: &str) -> Path {
         let mut names = self.names.clone();
-        names.push(name.to_string());
+        names.push(name.to_owned());
         Path { names }
     }
 
+    /// The path of an element of an array, counted from 0.
+    pub fn element(&self, index: usize) -> Path {
+        self.child(&index.to_string())
+    }
+
     /// The path of a descendant, given name by name.
     pub fn join(&self, names: &[&str]) -> Path {
         names
--- a/crates/cassiareel/src/settings/resolve.rs
+++ b/crates/cassiareel/src/settings/resolve.rs
@@ -81,7 +81,7 @@
     pub(super) fn with_bases(&self, policy: &Policy) -> Policy {
         let mut merged = Policy::default();
         self.visit_base(policy, self.policies.len(), &mut |_, base| {
-            merged.merge(base)
+            merged.merge(base);
         });
         merged
     }
--- a/crates/cassiareel/src/settings/units.rs
+++ b/crates/cassiareel/src/settings/units.rs
@@ -400,7 +400,7 @@
     }
     let (name, factor) = units
         .iter()
-        .find(|(_, factor)| value.is_multiple_of(*factor))
+        .find(|(_, factor)| value % factor == 0)
         .expect("the smallest unit divides each value");
     format!("{}{name}", value / factor)
 }
