--- a/crates/cassiareel/src/settings/parse_tests.rs
+++ b/crates/cassiareel/src/settings/parse_tests.rs
@@ -242,20 +242,26 @@
     says: "not a revision",
 }; "a wrong revision")]
 fn one_fault_is_found(case: Case) {
+    let Case {
+        text,
+        path,
+        value,
+        says,
+    } = case;
     // A bare key has to come before the first table.
-    let text = match case.text.starts_with('[') {
-        true => format!("{BASE}\n{}", case.text),
-        false => format!("{}\n{BASE}", case.text),
+    let text = match text.starts_with('[') {
+        true => format!("{BASE}\n{text}"),
+        false => format!("{text}\n{BASE}"),
     };
     let found = faults(&text);
-    if case.says.is_empty() {
+    if says.is_empty() {
         assert_eq!(found, Vec::new());
         return;
     }
     assert_eq!(found.len(), 1, "{found:#?}");
-    assert_eq!(found[0].path.to_string(), case.path);
-    assert_eq!(found[0].value, case.value);
-    assert!(found[0].problem.contains(case.says), "{}", found[0].problem);
+    assert_eq!(found[0].path.to_string(), path);
+    assert_eq!(found[0].value, value);
+    assert!(found[0].problem.contains(says), "{}", found[0].problem);
 }
 
 #[test]
--- a/crates/cassiareel/src/settings/resolve_tests.rs
+++ b/crates/cassiareel/src/settings/resolve_tests.rs
@@ -140,18 +140,19 @@
     from: Some("accounts.a.callers.c.policy"),
 })]
 fn the_nearest_node_counts(case: Case) {
+    let Case { scope, queue, from } = case;
     let tree = Draft::parse(TREE).unwrap().tree;
-    let resolved = tree.resolve(&case.scope);
-    assert_eq!(resolved.time.queue, Duration::from_secs(case.queue));
-    let origins = tree.origins(&case.scope);
-    let queue = origins
+    let resolved = tree.resolve(&scope);
+    assert_eq!(resolved.time.queue, Duration::from_secs(queue));
+    let origins = tree.origins(&scope);
+    let found = origins
         .iter()
         .find(|origin| origin.name.to_string() == "time.queue")
         .unwrap();
-    assert_eq!(queue.value, format!("\"{}s\"", case.queue));
+    assert_eq!(found.value, format!("\"{}s\"", queue));
     assert_eq!(
-        queue.from.as_ref().map(ToString::to_string).as_deref(),
-        case.from
+        found.from.as_ref().map(ToString::to_string).as_deref(),
+        from
     );
 }
 
