--- a/crates/cassiareel/src/settings/parse_tests.rs
+++ b/crates/cassiareel/src/settings/parse_tests.rs
@@ -36,6 +36,7 @@
     assert_eq!(faults(BASE), Vec::new());
 }
 
+#[derive(Clone, Copy)]
 struct Case {
     /// What is added to the base.
     text: &'static str,
--- a/crates/cassiareel/src/settings/resolve_tests.rs
+++ b/crates/cassiareel/src/settings/resolve_tests.rs
@@ -51,6 +51,7 @@
 queue = "11s"
 "#;
 
+#[derive(Clone, Copy)]
 struct Case {
     scope: Scope<'static>,
     queue: u64,
