--- a/crates/cassiareel/tests/common/mod.rs
+++ b/crates/cassiareel/tests/common/mod.rs
@@ -37,7 +37,7 @@
 [accounts.shops]
 services = ["draft", "orders"]
 [accounts.shops.callers.desk]
-key_digest = "{digest}"
+keys.first = "{digest}"
 "#
     )
 }
