--- a/crates/cassiareel-standins/src/fleet.rs
+++ b/crates/cassiareel-standins/src/fleet.rs
@@ -113,7 +113,7 @@
 [accounts.shops]
 services = ["draft"]
 [accounts.shops.callers.desk]
-key_digest = "{}"
+keys.first = "{}"
 "#,
             servers.join(", "),
             hex::encode(key_digest(KEY))
