--- a/crates/cassiareel-standins/src/demo/tree.rs
+++ b/crates/cassiareel-standins/src/demo/tree.rs
@@ -4,7 +4,7 @@
 
 use cassiareel::{
     kernel::{DataCentreId, ServiceId, VersionId},
-    settings::{key_digest, Account, Caller, ServiceKind, Tree},
+    settings::{key_digest, units::Digest, Account, Caller, ServiceKind, Tree},
 };
 
 use super::{ACCOUNT, KEY};
@@ -22,7 +22,8 @@
 /// A caller with a key.
 pub(super) fn caller(key: &str) -> Caller {
     Caller {
-        key_digest: hex::encode(key_digest(key)),
+        keys: [("first".to_owned(), Digest(key_digest(key)))].into(),
+        ..Caller::default()
     }
 }
 
