Take bounds, timeouts and attempts from the settings; linger after refusals

Cause: bounds were constants, and a refusal of a long body could be lost to a reset, since a socket closed with unread bytes resets.

--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -14,13 +14,10 @@
 };
 use crate::{
     kernel::RequestId,
-    settings::{Identity, Route, ServiceKind, Snapshot},
+    settings::{Identity, Route, Scope, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
 };
 
-/// Largest body of a request, in bytes.
-const BODY_LIMIT: usize = 1 << 20;
-
 /// Bytes of an answer held for a caller that reads slowly.
 const OUT_BYTES: usize = 16 * 1024;
 
@@ -93,11 +90,16 @@
         identity: &Identity,
         endpoint: Endpoint,
     ) -> Result<Response, Refusal> {
-        let body = wire::read_body(req.take_body(), BODY_LIMIT)
-            .await
-            .map_err(|err| body_refusal(&err))?;
+        let body = self.body(req, snapshot).await?;
         let prompt = Prompt::parse(endpoint, &body)?;
         let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        let policy = snapshot.tree.resolve(&Scope {
+            service: Some(&route.service),
+            version: Some(&route.version),
+            account: Some(&identity.account),
+            caller: Some(&identity.caller),
+            ..self.parts.scope()
+        });
         let id: RequestId = format!("g-{:016x}", fastrand::u64(..)).into();
         let log = self.parts.log.new(
             o!("request" => name.to_owned(), "generation" => id.to_string(),
@@ -119,6 +121,7 @@
             prompt,
             route,
             parts: self.parts.clone(),
+            policy,
             log,
             out,
             signal,
@@ -130,6 +133,15 @@
         }
     }
 
+    /// Reads a request's whole body, within the bounds of the node's data centre.
+    async fn body(&self, req: &mut Request, snapshot: &Snapshot) -> Result<Vec<u8>, Refusal> {
+        let bounds = snapshot.tree.resolve(&self.parts.scope()).bounds;
+        let limit = usize::try_from(bounds.body).unwrap_or(usize::MAX);
+        wire::read_body_within(req.take_body(), limit, bounds.body_time)
+            .await
+            .map_err(|err| body_refusal(&err))
+    }
+
     async fn serve(
         &self,
         req: &mut Request,
@@ -143,7 +155,8 @@
         let log = self.parts.log.new(o!("request" => name.to_owned(),
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()));
-        let call = service::read(req, &format!("/{path}"), name, BODY_LIMIT).await?;
+        let body = self.body(req, snapshot).await?;
+        let call = service::read(req, &format!("/{path}"), name, body);
         service::call(&self.parts.chooser, &route, &call, &log)
             .await
             .map(service::response)
@@ -157,9 +170,10 @@
 }
 
 /// Turns a body that could not be read into a refusal.
-pub(super) fn body_refusal(err: &BodyError) -> Refusal {
+fn body_refusal(err: &BodyError) -> Refusal {
     let status = match err {
         BodyError::TooLong { .. } => StatusCode::PayloadTooLarge,
+        BodyError::Slow { .. } => StatusCode::RequestTimeout,
         BodyError::Truncated { .. } | BodyError::Broken { .. } => StatusCode::BadRequest,
     };
     Refusal::new(status, err.to_string())
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -22,7 +22,7 @@
         Attempt, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
-    settings::Route,
+    settings::{Resolved, Route},
 };
 
 /// What a driver tells the handler that waits for the answer.
@@ -47,6 +47,8 @@
     pub(super) route: Route,
     pub(super) shape: Shape,
     pub(super) parts: Arc<Parts>,
+    /// Every policy along the request's path.
+    pub(super) policy: Resolved,
     pub(super) log: Logger,
     /// Where a streamed answer goes; an answer that is not streamed is gathered.
     pub(super) out: Option<piper::Writer>,
@@ -79,11 +81,11 @@
     /// Runs the generation until its answer has ended.
     pub(super) async fn run(self) {
         let limits = Limits {
-            queue: Duration::from_secs(5),
-            first: Duration::from_secs(10),
-            between: Duration::from_millis(1500),
-            retry: Duration::from_millis(50),
-            attempts: 8,
+            queue: self.policy.time.queue,
+            first: self.policy.time.first_token,
+            between: self.policy.time.between_tokens,
+            retry: self.policy.retries.pause,
+            attempts: self.policy.retries.attempts,
         };
         let (machine, actions) = Generation::start(limits, Duration::ZERO);
         let mut work = Work {
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -8,15 +8,18 @@
 use super::Chooser;
 use crate::{
     hooks::{Hooks, NoHooks},
+    kernel::DataCentreId,
     observe::Metrics,
     runtime::Spawner,
-    settings::Snapshot,
+    settings::{Scope, Snapshot},
 };
 
 /// The parts of a node that requests work with.
 pub struct Parts {
     /// The settings in force.
     pub settings: Arc<ArcSwap<Snapshot>>,
+    /// The node's data centre.
+    pub data_centre: DataCentreId,
     /// Where tasks run.
     pub spawner: Spawner,
     /// Where decisions are logged.
@@ -31,9 +34,15 @@
 
 impl Parts {
     /// Parts without metrics or hooks.
-    pub fn new(settings: Arc<ArcSwap<Snapshot>>, spawner: Spawner, log: Logger) -> Parts {
+    pub fn new(
+        settings: Arc<ArcSwap<Snapshot>>,
+        data_centre: DataCentreId,
+        spawner: Spawner,
+        log: Logger,
+    ) -> Parts {
         Parts {
             settings,
+            data_centre,
             spawner,
             log,
             metrics: Arc::new(Metrics::none()),
@@ -42,6 +51,14 @@
         }
     }
 
+    /// The nodes of the settings tree that every request to this node meets.
+    pub(super) fn scope(&self) -> Scope<'_> {
+        Scope {
+            data_centre: Some(&self.data_centre),
+            ..Scope::default()
+        }
+    }
+
     /// Sends figures to `metrics`.
     pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Parts {
         self.metrics = metrics;
--- a/crates/cassiareel/src/front/service.rs
+++ b/crates/cassiareel/src/front/service.rs
@@ -9,7 +9,6 @@
 use crate::{
     backend::{Answer, Call, CallError, HttpService, Service},
     settings::Route,
-    wire,
 };
 
 /// Time for a plain service's answer to begin.
@@ -45,20 +44,12 @@
 }
 
 /// Reads a caller's call.
-pub(super) async fn read(
-    req: &mut Request,
-    path: &str,
-    name: &str,
-    limit: usize,
-) -> Result<Call, Refusal> {
-    let body = wire::read_body(req.take_body(), limit)
-        .await
-        .map_err(|err| super::api::body_refusal(&err))?;
+pub(super) fn read(req: &Request, path: &str, name: &str, body: Vec<u8>) -> Call {
     let query = req
         .url()
         .query()
         .map_or_else(String::new, |q| format!("?{q}"));
-    Ok(Call {
+    Call {
         method: req.method(),
         path: format!("{path}{query}"),
         media: req
@@ -66,7 +57,7 @@
             .map(|value| value.as_str().to_owned()),
         body,
         name: name.to_owned(),
-    })
+    }
 }
 
 /// The caller's answer.
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -26,10 +26,11 @@
 
 use crate::{
     front::{Front, Parts},
+    kernel::DataCentreId,
     platform::Objects,
     runtime::Runtime,
-    settings::Snapshot,
-    wire::{self, Bounds, Served},
+    settings::{Scope, Snapshot},
+    wire::{self, Bounds, BoundsSource, Served},
 };
 
 /// A running node.
@@ -59,16 +60,23 @@
         let spawner = runtime.spawner();
         let settings = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
         let open = Arc::new(mount::Open::default());
-        let parts = Parts::new(settings.clone(), spawner, log.clone())
-            .with_metrics(options.metrics.clone())
-            .with_hooks(options.hooks.clone());
+        let parts = Parts::new(
+            settings.clone(),
+            options.data_centre.clone(),
+            spawner,
+            log.clone(),
+        )
+        .with_metrics(options.metrics.clone())
+        .with_hooks(options.hooks.clone());
         let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
         let control = Mounts::new(open.clone(), settings.clone());
         let follow = follow::follow(objects, settings.clone(), log.clone());
         runtime.spawn(follow).detach();
-        let callers = serve(&runtime, options.listen, callers)?;
-        let control = serve(&runtime, options.control, control)?;
+        let bounds = bounds(settings.clone(), options.data_centre.clone());
+        let callers = serve(&runtime, options.listen, bounds, callers)?;
+        let fixed: BoundsSource = Arc::new(Bounds::default);
+        let control = serve(&runtime, options.control, fixed, control)?;
         info!(log, "started"; "listen" => %callers.addr, "control" => %control.addr,
             "data_centre" => &*options.data_centre);
         Ok(Node {
@@ -134,12 +142,29 @@
 }
 
 /// Binds an address and serves it.
-fn serve(runtime: &Runtime, addr: SocketAddr, mounts: Mounts) -> io::Result<Served> {
+fn serve(
+    runtime: &Runtime,
+    addr: SocketAddr,
+    bounds: BoundsSource,
+    mounts: Mounts,
+) -> io::Result<Served> {
     let listener = smol::block_on(TcpListener::bind(addr))?;
-    wire::serve(
-        &runtime.spawner(),
-        listener,
-        Bounds::default(),
-        Arc::new(mounts),
-    )
+    wire::serve_within(&runtime.spawner(), listener, bounds, Arc::new(mounts))
+}
+
+/// The bounds on callers that the settings in force give a data centre.
+fn bounds(settings: Arc<ArcSwap<Snapshot>>, data_centre: DataCentreId) -> BoundsSource {
+    Arc::new(move || {
+        let scope = Scope {
+            data_centre: Some(&data_centre),
+            ..Scope::default()
+        };
+        let bounds = settings.load().tree.resolve(&scope).bounds;
+        Bounds {
+            connections: bounds.connections as usize,
+            head_bytes: usize::try_from(bounds.head).unwrap_or(usize::MAX),
+            head: bounds.head_time,
+            write: bounds.write_time,
+        }
+    })
 }
--- a/crates/cassiareel/src/settings/policy.rs
+++ b/crates/cassiareel/src/settings/policy.rs
@@ -192,8 +192,8 @@
 group! {
     /// Bounds on requests and connections.
     BoundPolicy => Bounds {
-        /// Bytes of a request's head.
-        head: u64 as "Option<Size>" = 16 << 10,
+        /// Bytes of a request's head; the HTTP library reads no more than 8 KiB.
+        head: u64 as "Option<Size>" = 8 << 10,
         /// Bytes of a request's body.
         body: u64 as "Option<Size>" = 4 << 20,
         /// Time for a request's head to arrive.
--- a/crates/cassiareel/src/wire/body.rs
+++ b/crates/cassiareel/src/wire/body.rs
@@ -1,6 +1,9 @@
 //! Bodies read whole, with their length compared to the header.
 
-use futures_lite::{io, AsyncReadExt};
+use std::time::Duration;
+
+use futures_lite::{io, AsyncReadExt, FutureExt};
+use smol::Timer;
 use snafu::Snafu;
 
 /// Why a body could not be read.
@@ -20,6 +23,12 @@
         /// Bytes that the header announced.
         announced: usize,
     },
+    /// The body did not arrive in time.
+    #[snafu(display("body did not arrive within {limit:?}"))]
+    Slow {
+        /// The limit.
+        limit: Duration,
+    },
     /// The connection failed.
     #[snafu(display("body could not be read: {kind}"))]
     Broken {
@@ -71,3 +80,20 @@
         _ => Ok(bytes),
     }
 }
+
+/// Reads a whole body like [`read_body`], in a bounded time.
+///
+/// # Errors
+///
+/// A body that takes longer than `time` is an error too.
+pub async fn read_body_within(
+    body: http_types::Body,
+    limit: usize,
+    time: Duration,
+) -> Result<Vec<u8>, BodyError> {
+    let late = async {
+        Timer::after(time).await;
+        Err(BodyError::Slow { limit: time })
+    };
+    read_body(body, limit).or(late).await
+}
--- a/crates/cassiareel/src/wire/mod.rs
+++ b/crates/cassiareel/src/wire/mod.rs
@@ -11,9 +11,9 @@
 mod client;
 mod server;
 
-pub use body::{read_body, BodyError};
+pub use body::{read_body, read_body_within, BodyError};
 pub use client::{send, Limits, SendError};
-pub use server::{serve, Bounds, Handler, Served};
+pub use server::{serve, serve_within, Bounds, BoundsSource, Handler, Served, MOST_HEAD_BYTES};
 
 /// A boxed future, as trait objects return it.
 pub type BoxFuture<'a, T> = std::pin::Pin<Box<dyn std::future::Future<Output = T> + Send + 'a>>;
--- a/crates/cassiareel/src/wire/server.rs
+++ b/crates/cassiareel/src/wire/server.rs
@@ -25,6 +25,8 @@
 pub struct Bounds {
     /// Connections at one time; more are answered with 503 and closed.
     pub connections: usize,
+    /// Bytes of a request's head, in its headers' names and values; at most [`MOST_HEAD_BYTES`].
+    pub head_bytes: usize,
     /// Time for a request's head to arrive whole.
     pub head: Duration,
     /// Time for one write to make progress before the client counts as gone.
@@ -35,12 +37,19 @@
     fn default() -> Bounds {
         Bounds {
             connections: 4096,
+            head_bytes: MOST_HEAD_BYTES,
             head: Duration::from_secs(10),
             write: Duration::from_secs(30),
         }
     }
 }
 
+/// Tells the bounds that count at the moment.
+pub type BoundsSource = Arc<dyn Fn() -> Bounds + Send + Sync>;
+
+/// The longest head that the HTTP library reads, in bytes.
+pub const MOST_HEAD_BYTES: usize = 8 * 1024;
+
 /// Answers requests.
 pub trait Handler: Send + Sync {
     /// Answers one request from the client at `from`.
@@ -62,7 +71,7 @@
     }
 }
 
-/// Serves a listener until the returned value is dropped or its executor is.
+/// Serves a listener, within fixed bounds, until the returned value is dropped or its executor is.
 ///
 /// # Errors
 ///
@@ -72,6 +81,20 @@
     listener: TcpListener,
     bounds: Bounds,
     handler: Arc<dyn Handler>,
+) -> io::Result<Served> {
+    serve_within(spawner, listener, Arc::new(move || bounds), handler)
+}
+
+/// Serves a listener like [`serve`], within bounds that may change.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn serve_within(
+    spawner: &Spawner,
+    listener: TcpListener,
+    source: BoundsSource,
+    handler: Arc<dyn Handler>,
 ) -> io::Result<Served> {
     let addr = listener.local_addr()?;
     let connections = Arc::new(AtomicUsize::new(0));
@@ -84,6 +107,7 @@
                 continue;
             };
             let slot = Slot::new(&connections);
+            let bounds = source();
             let full = slot.taken > bounds.connections;
             let handler = handler.clone();
             tasks
@@ -129,16 +153,24 @@
                 .await
             }
         };
+        if head_bytes(&req) > bounds.head_bytes {
+            let why = format!(
+                "the head is longer than the limit of {} bytes",
+                bounds.head_bytes
+            );
+            return refuse(stream, StatusCode::RequestHeaderFieldsTooLarge, &why).await;
+        }
         let method = req.method();
         let close = wants_close(req.header(headers::CONNECTION));
         let res = handler.handle(req, from).await;
         let close = close || wants_close(res.header(headers::CONNECTION));
-        if !write(&stream, res, method, bounds.write).await || close {
+        if !write(&stream, res, method, bounds.write).await {
             return;
         }
         // What the handler left unread would be taken for the next head.
-        if io::copy(&mut rest, &mut io::sink()).await.is_err() {
-            return;
+        let unread = io::copy((&mut rest).take(MOST_UNREAD), &mut io::sink()).await;
+        if close || unread.map_or(true, |n| n == MOST_UNREAD) {
+            return linger(&stream).await;
         }
     }
 }
@@ -166,9 +198,24 @@
     }
 }
 
+/// The bytes of a request's target, header names and values.
+fn head_bytes(req: &Request) -> usize {
+    let headers: usize = req
+        .iter()
+        .flat_map(|(name, values)| {
+            values
+                .iter()
+                .map(move |v| name.as_str().len() + v.as_str().len())
+        })
+        .sum();
+    headers + req.url().as_str().len()
+}
+
 /// Answers a request that could not be read, and closes.
 async fn refuse(stream: TcpStream, status: StatusCode, why: &str) {
-    let status = if status.is_server_error() && status != StatusCode::ServiceUnavailable {
+    let status = if why.contains(LONG_HEAD) {
+        StatusCode::RequestHeaderFieldsTooLarge
+    } else if status.is_server_error() && status != StatusCode::ServiceUnavailable {
         StatusCode::BadRequest
     } else {
         status
@@ -180,7 +227,24 @@
         serde_json::json!({"error": {"message": why, "type": "invalid_request_error", "code": null, "param": null}})
             .to_string(),
     );
-    write(&stream, res, Method::Get, Duration::from_secs(1)).await;
+    if write(&stream, res, Method::Get, LINGER).await {
+        linger(&stream).await;
+    }
+}
+
+/// Closes the sending side and takes what the client still sends for a while.
+///
+/// A socket that is closed with bytes unread resets its connection, and the client could lose the
+/// answer that was just written.
+async fn linger(stream: &TcpStream) {
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+    let rest = async {
+        let _ = io::copy(stream.clone().take(MOST_LINGER), &mut io::sink()).await;
+    };
+    let late = async {
+        Timer::after(LINGER).await;
+    };
+    rest.or(late).await;
 }
 
 /// Reports whether a `Connection` header asks to close.
@@ -188,6 +252,18 @@
     header.is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"))
 }
 
+/// Words of the HTTP library's error for a head past [`MOST_HEAD_BYTES`].
+const LONG_HEAD: &str = "Head byte length";
+
+/// Bytes of a request's body that are read for nothing to keep its connection.
+const MOST_UNREAD: u64 = 64 * 1024;
+
+/// Bytes that are taken from a client after the last answer on its connection.
+const MOST_LINGER: u64 = 64 << 20;
+
+/// Time that a client has to read its last answer.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// Bytes of a response encoded before a write.
 const WRITE_BUFFER: usize = 8 * 1024;
 
--- a/crates/cassiareel/tests/bad_input.rs
+++ b/crates/cassiareel/tests/bad_input.rs
@@ -59,11 +59,11 @@
         case(
             "long head",
             format!("GET / HTTP/1.1\r\nhost: n\r\nx: {}\r\n\r\n", "y".repeat(9000)).into_bytes(),
-            "4",
+            "431",
             "8kb",
         ),
         case("cut body", cut, "400", "ended after"),
-        case("long body", completion(&vec![b' '; 2 << 20]), "413", "longer than"),
+        case("long body", completion(&vec![b' '; 6 << 20]), "413", "longer than"),
         case("no key", b"GET /v1/models HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n".to_vec(), "401", "no key"),
         case("wrong key", post("/v1/completions", "other", good), "401", "not known"),
         case("wrong UTF-8", completion(b"{\"model\": \"\xff\"}"), "400", "UTF-8"),
@@ -141,3 +141,68 @@
         seen.push(byte[0]);
     }
 }
+
+/// A request past a bound of the settings, and the answer that it must get.
+struct BoundCase {
+    bounds: &'static str,
+    request: Vec<u8>,
+    status: &'static str,
+}
+
+#[test]
+fn the_bounds_of_the_settings_count() {
+    let long = vec![b' '; 2_000];
+    let mut slow = completion(b"{}");
+    slow.truncate(slow.len() - 1);
+    let cases = [
+        BoundCase {
+            bounds: "body = \"1KiB\"",
+            request: completion(&long),
+            status: "413",
+        },
+        BoundCase {
+            bounds: "head = \"100B\"",
+            request: completion(b"{}"),
+            status: "431",
+        },
+        BoundCase {
+            bounds: "body_time = \"1ms\"",
+            request: slow.clone(),
+            status: "408",
+        },
+        BoundCase {
+            bounds: "head_time = \"1ms\"",
+            request: b"POST /v1/completions HTTP/1.1\r\n".to_vec(),
+            status: "408",
+        },
+    ];
+    for case in cases {
+        let tree = format!("[platform.policy.bounds]\n{}\n{}", case.bounds, settings());
+        let node = node(&tree);
+        let addr = node.addr().expect("the node serves");
+        let mut stream = std::net::TcpStream::connect(addr).expect("the node listens");
+        // The sending side stays open: a slow client is not one that has gone.
+        let _ = std::io::Write::write_all(&mut stream, &case.request);
+        let mut head = [0; 12];
+        std::io::Read::read_exact(&mut stream, &mut head).expect("an answer comes");
+        let status = format!("HTTP/1.1 {}", case.status);
+        assert_eq!(String::from_utf8_lossy(&head), status, "{}", case.bounds);
+    }
+}
+
+#[test]
+fn connections_past_the_bound_are_refused() {
+    let tree = format!("[platform.policy.bounds]\nconnections = 1\n{}", settings());
+    let node = node(&tree);
+    let addr = node.addr().expect("the node serves");
+    let mut first = std::net::TcpStream::connect(addr).expect("the node listens");
+    let mut second = std::net::TcpStream::connect(addr).expect("the node listens");
+    let mut head = [0; 12];
+    std::io::Read::read_exact(&mut second, &mut head).expect("an answer comes");
+    assert_eq!(&head, b"HTTP/1.1 503");
+    let models =
+        format!("GET /v1/models HTTP/1.1\r\nhost: n\r\nauthorization: Bearer {KEY}\r\n\r\n");
+    std::io::Write::write_all(&mut first, models.as_bytes()).expect("the first goes on");
+    std::io::Read::read_exact(&mut first, &mut head).expect("an answer comes");
+    assert_eq!(&head, b"HTTP/1.1 200");
+}
