Go on with a generation at any node by signed tickets in event ids

Change: a ticket names the engine's stream and how far the caller has come, under a code that binds it to the caller and its request; any node takes the live stream up again; a caller that sends its text goes on even when node and engine died together; a reader that another replaced ends without cancelling.

--- a/crates/cassiareel-standins/src/bin/faults.rs
+++ b/crates/cassiareel-standins/src/bin/faults.rs
@@ -42,7 +42,9 @@
 fn tables(args: &Args) -> (String, usize) {
     let mut text = String::from(INTRODUCTION);
     let mut broken = 0;
-    broken += table(&Generations, args, &mut text);
+    for with_text in [false, true] {
+        broken += table(&Generations { with_text }, args, &mut text);
+    }
     (text, broken)
 }
 
--- a/crates/cassiareel-standins/src/caller.rs
+++ b/crates/cassiareel-standins/src/caller.rs
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug)]
 pub struct Caller {
     key: String,
+    sends_text: bool,
 }
 
 impl Caller {
@@ -41,9 +42,16 @@
     pub fn new(key: &str) -> Caller {
         Caller {
             key: key.to_owned(),
+            sends_text: false,
         }
     }
 
+    /// Sends the text that it has when it comes back, which a stock client doesn't.
+    pub fn with_text(mut self) -> Caller {
+        self.sends_text = true;
+        self
+    }
+
     /// Posts a body and returns the answer when its head is there.
     ///
     /// # Errors
@@ -78,6 +86,10 @@
         F: FnMut(&Seen),
     {
         let last = seen.last.clone();
+        let mut body = body.clone();
+        if self.sends_text && last.is_some() {
+            body["resume_text"] = seen.text.clone().into();
+        }
         let headers: Vec<(&str, &str)> = last
             .iter()
             .map(|id| ("last-event-id", id.as_str()))
--- a/crates/cassiareel-standins/src/engine/request.rs
+++ b/crates/cassiareel-standins/src/engine/request.rs
@@ -35,6 +35,10 @@
     pub(super) prior_token_ids: Vec<TokenId>,
     #[serde(default)]
     pub(super) prior_text_bytes: usize,
+    #[serde(default)]
+    pub(super) prior_text: Option<String>,
+    #[serde(default)]
+    pub(super) prior_tokens: usize,
 }
 
 #[derive(Debug, Deserialize)]
--- a/crates/cassiareel-standins/src/engine/state.rs
+++ b/crates/cassiareel-standins/src/engine/state.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use cassiareel::backend::{CacheEvents, LoadReport, Order};
+use cassiareel::{
+    backend::{CacheEvents, LoadReport, Order},
+    kernel::TokenId,
+};
 use http_types::StatusCode;
 use serde::{Deserialize, Serialize};
 
@@ -178,19 +181,21 @@
         if self.streams.contains_key(&id) {
             return Err(bad("the request id is in use"));
         }
-        let prior = &request.prior_token_ids;
-        let text = Text::new(request.stops(), request.prior_text_bytes);
+        let model = Model::new(&request.model, prompt);
+        let Prior { ids, sent, shift } = prior(request, &model).map_err(bad)?;
+        let prior = &ids;
+        let text = Text::new(request.stops(), sent);
         let tokens = count_tokens(prompt);
-        let stream = Arc::new(Stream::new(id.clone(), tokens, prior.clone(), text));
+        let stream = Stream::new(id.clone(), tokens, prior.clone(), text).with_shift(shift);
+        let stream = Arc::new(stream);
         let mut stopped = false;
         for &token in prior {
             let bytes = token_bytes(token).ok_or_else(|| bad("no such token in the vocabulary"))?;
             stopped = stopped || stream.replay(bytes);
         }
         let reader = stream
-            .attach(prior.len(), request.prior_text_bytes)
+            .attach(prior.len() + shift, sent)
             .ok_or_else(|| bad("prior text is past prior tokens"))?;
-        let model = Model::new(&request.model, prompt);
         let blocks = blocks(prompt);
         let hits = self.cache.hits(&blocks);
         let job = Job {
@@ -301,3 +306,48 @@
 fn fresh_id() -> String {
     format!("cmpl-{:016x}", fastrand::u64(..))
 }
+
+/// What the caller has already.
+struct Prior {
+    ids: Vec<TokenId>,
+    /// Bytes of text that the caller has.
+    sent: usize,
+    /// Positions between the tokens that the text is cut into and those that it had been.
+    shift: usize,
+}
+
+/// Works out what the caller has, from its tokens or from its text.
+fn prior(request: &Request, model: &Model) -> Result<Prior, &'static str> {
+    let Some(text) = &request.prior_text else {
+        return Ok(Prior {
+            ids: request.prior_token_ids.clone(),
+            sent: request.prior_text_bytes,
+            shift: 0,
+        });
+    };
+    let ids = tokens_of(model, text.as_bytes()).ok_or("the prior text is not this model's")?;
+    let shift = request
+        .prior_tokens
+        .checked_sub(ids.len())
+        .ok_or("the prior text has more tokens than it says")?;
+    Ok(Prior {
+        ids,
+        sent: text.len(),
+        shift,
+    })
+}
+
+/// Cuts a text into the tokens that are whole in it; none where another model wrote it.
+fn tokens_of(model: &Model, text: &[u8]) -> Option<Vec<TokenId>> {
+    let mut ids = Vec::new();
+    let mut rest = text;
+    loop {
+        let id = model.token(ids.len() as u32);
+        let bytes = token_bytes(id)?;
+        match rest.strip_prefix(bytes) {
+            Some(after) => rest = after,
+            None => return bytes.starts_with(rest).then_some(ids),
+        }
+        ids.push(id);
+    }
+}
--- a/crates/cassiareel-standins/src/engine/stream.rs
+++ b/crates/cassiareel-standins/src/engine/stream.rs
@@ -18,6 +18,8 @@
 pub(super) struct Stream {
     pub(super) id: String,
     pub(super) prompt_tokens: u32,
+    /// Added to positions, where the prior text was cut into fewer tokens than it had been.
+    shift: usize,
     state: Mutex<State>,
 }
 
@@ -46,6 +48,7 @@
         Stream {
             id,
             prompt_tokens,
+            shift: 0,
             state: Mutex::new(State {
                 ids,
                 text,
@@ -58,6 +61,12 @@
         }
     }
 
+    /// Counts positions from `shift` on.
+    pub(super) fn with_shift(mut self, shift: usize) -> Stream {
+        self.shift = shift;
+        self
+    }
+
     /// Takes a token; true when a stop sequence ended the answer.
     pub(super) fn push(&self, id: TokenId, bytes: &[u8]) -> bool {
         let mut state = self.lock();
@@ -110,6 +119,7 @@
     /// Attaches a reader, which takes the place of an earlier one; none where the stream has not
     /// come as far as `position` or `sent`.
     pub(super) fn attach(self: &Arc<Stream>, position: usize, sent: usize) -> Option<Reader> {
+        let position = position.checked_sub(self.shift)?;
         let mut state = self.lock();
         if position > state.ids.len() || sent > state.text.ready() {
             return None;
@@ -162,11 +172,29 @@
     position: usize,
     token_ids: &'a [TokenId],
     text: &'a str,
-    finish_reason: Option<FinishReason>,
+    finish_reason: Option<End>,
     #[serde(skip_serializing_if = "Option::is_none")]
     usage: Option<Usage>,
 }
 
+/// How a stream ends, as it is sent.
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+enum End {
+    Length,
+    Replaced,
+    Stop,
+}
+
+impl From<FinishReason> for End {
+    fn from(reason: FinishReason) -> End {
+        match reason {
+            FinishReason::Length => End::Length,
+            FinishReason::Stop => End::Stop,
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct Usage {
     prompt_tokens: u32,
@@ -183,7 +211,7 @@
         if !ids.is_empty() || !text.is_empty() {
             self.write(&Event {
                 id: &self.stream.id.clone(),
-                position: self.position,
+                position: self.position + self.stream.shift,
                 token_ids: ids,
                 text,
                 finish_reason: None,
@@ -195,13 +223,13 @@
         if let Some(reason) = state.end {
             self.write(&Event {
                 id: &self.stream.id.clone(),
-                position: self.position,
+                position: self.position + self.stream.shift,
                 token_ids: &[],
                 text: "",
-                finish_reason: Some(reason),
+                finish_reason: Some(reason.into()),
                 usage: Some(Usage {
                     prompt_tokens: self.stream.prompt_tokens,
-                    completion_tokens: self.position,
+                    completion_tokens: self.position + self.stream.shift,
                 }),
             });
             self.buf.extend_from_slice(b"data: [DONE]\n\n");
@@ -210,6 +238,21 @@
         !self.buf.is_empty()
     }
 
+    /// Writes the event that tells a reader that another has taken its place.
+    fn replaced(&mut self) {
+        self.buf.clear();
+        self.at = 0;
+        self.write(&Event {
+            id: &self.stream.id.clone(),
+            position: self.position + self.stream.shift,
+            token_ids: &[],
+            text: "",
+            finish_reason: Some(End::Replaced),
+            usage: None,
+        });
+        self.finished = true;
+    }
+
     fn write(&mut self, event: &Event<'_>) {
         self.buf.extend_from_slice(b"data: ");
         serde_json::to_writer(&mut self.buf, event).expect("a vector takes all writes");
@@ -223,10 +266,11 @@
         if this.at == this.buf.len() && !this.finished {
             let stream = this.stream.clone();
             let mut state = stream.lock();
-            if state.reader != this.ticket || state.cut == Some(Cut::Reset) {
+            if state.reader != this.ticket {
+                this.replaced();
+            } else if state.cut == Some(Cut::Reset) {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
-            }
-            if !this.fill(&state) && state.cut.is_none() {
+            } else if !this.fill(&state) && state.cut.is_none() {
                 state.waker = Some(cx.waker().clone());
                 return Poll::Pending;
             }
--- a/crates/cassiareel-standins/src/fleet.rs
+++ b/crates/cassiareel-standins/src/fleet.rs
@@ -14,7 +14,7 @@
 
 use cassiareel::{
     hooks::{Hooks, NoHooks},
-    kernel::Revision,
+    kernel::{Keyring, Revision},
     node::{Node, Options},
     platform::{HttpObjects, Object, Objects, StoreError},
     settings::key_digest,
@@ -219,6 +219,7 @@
     let data_centre = format!("d{}", i / NODES_PER_DATA_CENTRE);
     let own = Options {
         hooks: options.hooks.clone(),
+        keyring: Arc::new(Keyring::new(&[(1, KEY.as_bytes())])),
         ..Options::new(&format!("n{i}"), &data_centre)
     };
     let api = Arc::new(HttpObjects::new(objects.addr()));
--- a/crates/cassiareel-standins/src/matrix/generation.rs
+++ b/crates/cassiareel-standins/src/matrix/generation.rs
@@ -22,8 +22,11 @@
 };
 
 /// Streamed generations.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Generations;
+#[derive(Clone, Copy, Debug)]
+pub struct Generations {
+    /// Callers send the text that they have when they come back; stock clients don't.
+    pub with_text: bool,
+}
 
 const INVARIANTS: [&str; 3] = [
     "no token is missing or repeated, and no text of another generation is mixed in",
@@ -71,7 +74,10 @@
 
 impl Protocol for Generations {
     fn name(&self) -> &'static str {
-        "Generations"
+        match self.with_text {
+            true => "Generations, callers that send the text they have",
+            false => "Generations, stock callers",
+        }
     }
 
     fn invariants(&self) -> &'static [&'static str] {
@@ -118,7 +124,11 @@
         let calling = {
             let body = body(&prompt);
             let cut = cut.1.clone();
-            thread::spawn(move || smol::block_on(call(addrs, body, cut)))
+            let caller = match self.with_text {
+                true => Caller::new(KEY).with_text(),
+                false => Caller::new(KEY),
+            };
+            thread::spawn(move || smol::block_on(call(&caller, addrs, body, cut)))
         };
         reach(&key)?;
         let mut cut = Some(cut.0);
@@ -210,11 +220,11 @@
 
 /// Calls the first node, and after a loss the others in turn; a closed channel is a loss too.
 async fn call(
+    caller: &Caller,
     addrs: Vec<std::net::SocketAddr>,
     body: Value,
     cut: async_channel::Receiver<()>,
 ) -> Seen {
-    let caller = Caller::new(KEY);
     let mut seen = Seen::default();
     for i in 0..CALLER_TRIES {
         let addr = addrs[i % addrs.len()];
--- a/crates/cassiareel-standins/tests/engine.rs
+++ b/crates/cassiareel-standins/tests/engine.rs
@@ -80,6 +80,7 @@
         body: Arc::new(body),
         prior: Arc::new(prior.to_vec()),
         prior_text,
+        known: None,
         priority: 0,
     }
 }
--- a/crates/cassiareel/src/backend/engine.rs
+++ b/crates/cassiareel/src/backend/engine.rs
@@ -26,6 +26,8 @@
     pub prior: Arc<Vec<TokenId>>,
     /// Bytes of text that the caller has from earlier attempts.
     pub prior_text: usize,
+    /// The text and the count of the tokens that the caller has, where its tokens are not known.
+    pub known: Option<(String, Position)>,
     /// Lower runs earlier.
     pub priority: i32,
 }
@@ -84,6 +86,9 @@
         /// What failed.
         cause: String,
     },
+    /// Another reader has taken the stream up.
+    #[snafu(display("the stream was taken up by another reader"))]
+    Replaced,
     /// The engine sent what its interface does not allow.
     #[snafu(display("engine sent a malformed piece: {cause}"))]
     Malformed {
--- a/crates/cassiareel/src/backend/http_engine.rs
+++ b/crates/cassiareel/src/backend/http_engine.rs
@@ -99,6 +99,10 @@
             body.insert("prior_token_ids".into(), json!(*start.prior));
             body.insert("prior_text_bytes".into(), json!(start.prior_text));
         }
+        if let Some((text, tokens)) = &start.known {
+            body.insert("prior_text".into(), json!(text));
+            body.insert("prior_tokens".into(), json!(tokens));
+        }
         let mut req = self.request(Method::Post, start.path);
         req.set_content_type(http_types::mime::JSON);
         req.set_body(Value::Object(body).to_string());
@@ -156,10 +160,19 @@
     position: Position,
     token_ids: Vec<TokenId>,
     text: String,
-    finish_reason: Option<FinishReason>,
+    finish_reason: Option<End>,
     usage: Option<Usage>,
 }
 
+/// How a stream ends.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum End {
+    Length,
+    Replaced,
+    Stop,
+}
+
 /// The token counts at the end of an engine's stream.
 #[derive(Debug, Deserialize)]
 struct Usage {
@@ -219,7 +232,13 @@
         .ok_or_else(|| StreamError::Malformed {
             cause: format!("{:?} is not the id of an attempt", chunk.id),
         })?;
-    Ok(match chunk.finish_reason {
+    let reason = match chunk.finish_reason {
+        None => None,
+        Some(End::Length) => Some(FinishReason::Length),
+        Some(End::Stop) => Some(FinishReason::Stop),
+        Some(End::Replaced) => return Err(StreamError::Replaced),
+    };
+    Ok(match reason {
         None => Piece::Tokens {
             request,
             attempt,
--- a/crates/cassiareel/src/front/answer.rs
+++ b/crates/cassiareel/src/front/answer.rs
@@ -53,8 +53,11 @@
         }
     }
 
-    /// Appends an event with text to a buffer.
-    pub(super) fn text(&self, out: &mut Vec<u8>, text: &str, first: bool) {
+    /// Appends an event with text to a buffer, under an id.
+    pub(super) fn text(&self, out: &mut Vec<u8>, id: &str, text: &str, first: bool) {
+        out.extend_from_slice(b"id: ");
+        out.extend_from_slice(id.as_bytes());
+        out.push(b'\n');
         let choice = match self.endpoint {
             Endpoint::Completions => Choice {
                 text: Some(text),
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -10,10 +10,13 @@
 use super::{
     answer::Shape,
     generate::{Driver, Signal},
-    service, Endpoint, Parts, Prompt, Refusal,
+    service, Endpoint, Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
-    kernel::RequestId,
+    kernel::{
+        ticket::{Binding, TextDigest, Ticket},
+        RequestId,
+    },
     settings::{Identity, Route, Scope, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
 };
@@ -27,6 +30,9 @@
 /// The header by which a caller names its request, and that its answer carries.
 const REQUEST_ID: &str = "x-request-id";
 
+/// The header by which a caller that lost its connection comes back.
+const LAST_EVENT_ID: &str = "last-event-id";
+
 /// Longest name of a request, in bytes.
 const REQUEST_ID_BYTES: usize = 128;
 
@@ -92,7 +98,14 @@
     ) -> Result<Response, Refusal> {
         let body = self.body(req, snapshot).await?;
         let prompt = Prompt::parse(endpoint, &body)?;
-        let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        let mut route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        let ticket = self.ticket(req, identity, &prompt)?;
+        if let Some(ticket) = &ticket {
+            // A generation stays on its version for life, whatever the settings say by now.
+            route = snapshot
+                .pin(route, &ticket.version)
+                .ok_or_else(|| gone(ticket))?;
+        }
         let policy = snapshot.tree.resolve(&Scope {
             service: Some(&route.service),
             version: Some(&route.version),
@@ -122,6 +135,8 @@
             route,
             parts: self.parts.clone(),
             policy,
+            identity: identity.clone(),
+            ticket,
             log,
             out,
             signal,
@@ -133,6 +148,36 @@
         }
     }
 
+    /// Reads the ticket of a caller that came back.
+    fn ticket(
+        &self,
+        req: &Request,
+        identity: &Identity,
+        prompt: &Prompt,
+    ) -> Result<Option<Ticket>, Refusal> {
+        let Some(header) = req.header(LAST_EVENT_ID).filter(|_| prompt.stream) else {
+            return Ok(None);
+        };
+        let binding = Binding {
+            account: &identity.account,
+            caller: &identity.caller,
+            request: &prompt.digest,
+        };
+        let refusal =
+            |message: String| Refusal::invalid(LAST_EVENT_ID, message).with_code("bad_ticket");
+        let ticket = Ticket::open(header.as_str(), &self.parts.keyring, &binding)
+            .map_err(|err| refusal(err.to_string()))?;
+        if let Some(text) = &prompt.resume {
+            let mut digest = TextDigest::default();
+            digest.push(text);
+            if digest.value() != ticket.digest {
+                let words = "\"resume_text\" is not the text up to the event of this id";
+                return Err(refusal(words.to_owned()));
+            }
+        }
+        Ok(Some(ticket))
+    }
+
     /// Reads a request's whole body, within the bounds of the node's data centre.
     async fn body(&self, req: &mut Request, snapshot: &Snapshot) -> Result<Vec<u8>, Refusal> {
         let bounds = snapshot.tree.resolve(&self.parts.scope()).bounds;
@@ -232,6 +277,17 @@
         })
 }
 
+/// The refusal of a generation whose version is no longer in the settings.
+fn gone(ticket: &Ticket) -> Refusal {
+    let message = format!(
+        "the answer is whole up to token {}; version {:?} that gave it is gone, ask anew",
+        ticket.position, &*ticket.version
+    );
+    Refusal::new(StatusCode::Gone, message)
+        .with_code("partial")
+        .with_outcome(Outcome::Ran)
+}
+
 /// Lists the models that a caller may use.
 fn models(snapshot: &Snapshot, identity: &Identity) -> Response {
     let services = &snapshot.tree.services;
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -18,11 +18,14 @@
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
     hooks::{self, Step},
     kernel::{
-        generation::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend},
-        Attempt, RequestId, Time, TokenId,
+        generation::{
+            Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend, Resume,
+        },
+        ticket::{Binding, TextDigest, Ticket},
+        Attempt, BackendId, Position, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
-    settings::{Resolved, Route},
+    settings::{Identity, Resolved, Route},
 };
 
 /// What a driver tells the handler that waits for the answer.
@@ -46,6 +49,10 @@
     pub(super) prompt: Prompt,
     pub(super) route: Route,
     pub(super) shape: Shape,
+    /// The caller, for tickets.
+    pub(super) identity: Identity,
+    /// Where the generation goes on, if a caller came back with a ticket.
+    pub(super) ticket: Option<Ticket>,
     pub(super) parts: Arc<Parts>,
     /// Every policy along the request's path.
     pub(super) policy: Resolved,
@@ -63,9 +70,18 @@
     place: Option<Place>,
     pieces: Option<Pieces>,
     wake: Time,
+    /// The name of the current attempt's stream at its engine.
+    stream: RequestId,
+    /// The current attempt's engine.
+    backend: BackendId,
+    /// Tokens that the caller had before this node took over.
+    base: Position,
+    /// Tokens since.
     tokens: Vec<TokenId>,
+    /// The text, where the answer is not streamed or may have to go on after text alone.
     text: String,
     text_bytes: usize,
+    digest: TextDigest,
     prompt_tokens: u32,
     refused: Option<Refusal>,
     buf: Vec<u8>,
@@ -87,8 +103,23 @@
             retry: self.policy.retries.pause,
             attempts: self.policy.retries.attempts,
         };
-        let (machine, actions) = Generation::start(limits, Duration::ZERO);
+        let (machine, actions) = match &self.ticket {
+            None => Generation::start(limits, Duration::ZERO),
+            Some(ticket) => Generation::resume(limits, Duration::ZERO, self.resume(ticket)),
+        };
+        let (stream, backend) = match &self.ticket {
+            None => (self.id.clone(), "".into()),
+            Some(ticket) => (ticket.generation.clone(), ticket.backend.clone()),
+        };
+        let known = self.prompt.resume.clone().unwrap_or_default();
+        let mut digest = TextDigest::default();
+        digest.push(&known);
         let mut work = Work {
+            stream,
+            backend,
+            base: machine.position(),
+            text_bytes: self.ticket.as_ref().map_or(0, |t| t.text as usize),
+            digest,
             driver: self,
             origin: Instant::now(),
             machine,
@@ -96,8 +127,7 @@
             pieces: None,
             wake: Duration::ZERO,
             tokens: Vec::new(),
-            text: String::new(),
-            text_bytes: 0,
+            text: known,
             prompt_tokens: 0,
             refused: None,
             buf: Vec::new(),
@@ -111,6 +141,18 @@
     }
 }
 
+impl Driver {
+    /// Where the generation of a ticket goes on.
+    fn resume(&self, ticket: &Ticket) -> Resume {
+        Resume {
+            attempt: ticket.attempt,
+            backend: ticket.backend.clone(),
+            position: ticket.position,
+            continues: ticket.position == 0 || self.prompt.resume.is_some(),
+        }
+    }
+}
+
 impl Work {
     fn now(&self) -> Time {
         self.origin.elapsed()
@@ -174,7 +216,7 @@
                 (request, attempt, event)
             }
         };
-        if request == self.driver.id && attempt == current {
+        if request == self.stream && attempt == current {
             return event;
         }
         let service = ("service", &*self.driver.route.service);
@@ -210,6 +252,7 @@
                 Loss::Refused
             }
             StreamError::NotSent { .. } => Loss::Refused,
+            StreamError::Replaced => return Event::Replaced { attempt },
             StreamError::Malformed { .. } => Loss::Mismatch,
             StreamError::Lost { .. } => Loss::Reset,
         };
@@ -237,6 +280,7 @@
         match action {
             Action::Choose { attempt, exclude } => Some(self.choose(attempt, &exclude)),
             Action::Open { attempt, .. } => self.open(attempt).await,
+            Action::Attach { attempt, backend } => self.attach(attempt, &backend).await,
             Action::Cancel { attempt, .. } => {
                 self.cancel(attempt);
                 None
@@ -253,7 +297,7 @@
         }
     }
 
-    fn choose(&mut self, attempt: Attempt, exclude: &[crate::kernel::BackendId]) -> Event {
+    fn choose(&mut self, attempt: Attempt, exclude: &[BackendId]) -> Event {
         self.pieces = None;
         self.place = self
             .driver
@@ -265,10 +309,11 @@
             "choice" => chosen.as_deref(), "excluded" => exclude.join(" "),
             "candidates" => self.driver.route.servers.len());
         match chosen {
-            Some(backend) => Event::Chosen {
-                attempt,
-                backend: backend.into(),
-            },
+            Some(backend) => {
+                self.backend = backend.into();
+                let backend = self.backend.clone();
+                Event::Chosen { attempt, backend }
+            }
             None if self.driver.route.servers.is_empty() => Event::NotChosen {
                 attempt,
                 why: NoBackend::Unplaced,
@@ -283,6 +328,8 @@
     async fn open(&mut self, attempt: Attempt) -> Option<Event> {
         self.pass(Step::AttemptChosen).await;
         let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
+        // Another node may use the numbers of a stream that this one took over.
+        self.stream = self.driver.id.clone();
         let mut body = (*self.driver.prompt.body).clone();
         let model = format!(
             "{}@{}",
@@ -290,12 +337,13 @@
         );
         body.insert("model".into(), model.into());
         let start = Start {
-            request: self.driver.id.clone(),
+            request: self.stream.clone(),
             attempt,
             path: self.driver.prompt.endpoint.path(),
             body: Arc::new(body),
-            prior: Arc::new(self.tokens.clone()),
+            prior: Arc::new(self.prior()),
             prior_text: self.text_bytes,
+            known: (self.base > 0).then(|| (self.text.clone(), self.machine.position())),
             priority: 0,
         };
         match engine.open(&start).await {
@@ -308,13 +356,48 @@
         }
     }
 
+    /// The caller's tokens, where they are known from the first.
+    fn prior(&self) -> Vec<TokenId> {
+        match self.base {
+            0 => self.tokens.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes up the live stream of an attempt again.
+    async fn attach(&mut self, attempt: Attempt, backend: &BackendId) -> Option<Event> {
+        self.pieces = None;
+        let Ok(addr) = backend.parse() else {
+            let how = Loss::Refused;
+            return Some(Event::Lost { attempt, how });
+        };
+        let engine = HttpEngine::new(addr, ENGINE_HEAD);
+        let from = self.machine.position();
+        let attached = engine
+            .attach(&self.stream, attempt, from, self.text_bytes)
+            .await;
+        info!(self.driver.log, "attached"; "attempt" => attempt, "choice" => &**backend,
+            "position" => from, "found" => attached.is_ok());
+        match attached {
+            Ok(pieces) => {
+                self.pieces = Some(pieces);
+                None
+            }
+            // Whatever the engine says of a stream that it hasn't, another attempt may go on.
+            Err(_) => Some(Event::Lost {
+                attempt,
+                how: Loss::Refused,
+            }),
+        }
+    }
+
     /// Cancels an attempt in the background: the next one doesn't wait for it.
     fn cancel(&mut self, attempt: Attempt) {
         self.pieces = None;
         let Some(place) = self.place.take() else {
             return;
         };
-        let id = self.driver.id.clone();
+        let id = self.stream.clone();
         let cancel = async move {
             let engine = HttpEngine::new(place.addr, ENGINE_HEAD);
             let _ = engine.cancel(&id, attempt).await;
@@ -324,7 +407,8 @@
 
     async fn emit(&mut self, ids: Vec<TokenId>, text: &str) -> Option<Event> {
         self.pass(Step::TokensTaken).await;
-        let first = self.tokens.is_empty();
+        let first = self.tokens.is_empty() && self.base == 0;
+        let began = self.tokens.is_empty();
         let service = &*self.driver.route.service;
         if first {
             let tags = [("service", service)];
@@ -335,18 +419,21 @@
         }
         self.tokens.extend(ids);
         self.text_bytes += text.len();
-        if first {
+        self.digest.push(text);
+        if began {
             let _ = self.driver.signal.try_send(Signal::Began);
         }
-        let Some(out) = &mut self.driver.out else {
+        if self.driver.out.is_none() || self.base > 0 {
             self.text.push_str(text);
-            return None;
-        };
+        }
+        self.driver.out.as_ref()?;
         if text.is_empty() && !first {
             return None;
         }
         self.buf.clear();
-        self.driver.shape.text(&mut self.buf, text, first);
+        let ticket = self.ticket();
+        self.driver.shape.text(&mut self.buf, &ticket, text, first);
+        let out = self.driver.out.as_mut()?;
         if out.write_all(&self.buf).await.is_err() {
             return Some(Event::Abandoned);
         }
@@ -355,7 +442,7 @@
     }
 
     async fn finish(&mut self, ending: Ending) {
-        let tokens = self.tokens.len() as u32;
+        let tokens = self.machine.position();
         info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
             "attempts" => self.machine.attempt());
         self.place = None;
@@ -389,6 +476,25 @@
         let _ = self.driver.signal.try_send(signal);
     }
 
+    /// The ticket for the event that the buffer is about to hold.
+    fn ticket(&self) -> String {
+        let ticket = Ticket {
+            generation: self.stream.clone(),
+            attempt: self.machine.attempt(),
+            backend: self.backend.clone(),
+            version: self.driver.route.version.clone(),
+            position: self.machine.position(),
+            text: self.text_bytes as u32,
+            digest: self.digest.value(),
+        };
+        let binding = Binding {
+            account: &self.driver.identity.account,
+            caller: &self.driver.identity.caller,
+            request: &self.driver.prompt.digest,
+        };
+        ticket.seal(&self.driver.parts.keyring, &binding)
+    }
+
     /// Counts an ended generation.
     fn count(&self, ending: Ending, tokens: u32) {
         let service = ("service", &*self.driver.route.service);
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -8,7 +8,7 @@
 use super::Chooser;
 use crate::{
     hooks::{Hooks, NoHooks},
-    kernel::DataCentreId,
+    kernel::{DataCentreId, Keyring},
     observe::Metrics,
     runtime::Spawner,
     settings::{Scope, Snapshot},
@@ -26,6 +26,8 @@
     pub log: Logger,
     /// Where figures go.
     pub metrics: Arc<Metrics>,
+    /// The keys that sign tickets.
+    pub keyring: Arc<Keyring>,
     /// What listens to the steps of a request.
     pub hooks: Arc<dyn Hooks>,
     /// What chooses backend servers.
@@ -46,6 +48,7 @@
             spawner,
             log,
             metrics: Arc::new(Metrics::none()),
+            keyring: Arc::new(Keyring::random()),
             hooks: Arc::new(NoHooks),
             chooser: Chooser::new(),
         }
@@ -65,6 +68,12 @@
         self
     }
 
+    /// Signs tickets with `keyring`.
+    pub fn with_keyring(mut self, keyring: Arc<Keyring>) -> Parts {
+        self.keyring = keyring;
+        self
+    }
+
     /// Tells `hooks` of the steps of requests.
     pub fn with_hooks(mut self, hooks: Arc<dyn Hooks>) -> Parts {
         self.hooks = hooks;
--- a/crates/cassiareel/src/front/request.rs
+++ b/crates/cassiareel/src/front/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use serde_json::{json, Map, Value};
+use sha2::{Digest as _, Sha256};
 
 use super::Refusal;
 
@@ -12,6 +13,9 @@
 /// Largest bound on an answer's tokens that a caller may name.
 const MOST_TOKENS: u64 = 1 << 20;
 
+/// The field by which a caller that came back sends the text that it has.
+const RESUME_TEXT: &str = "resume_text";
+
 /// Fields that would change the answer's shape and are not served.
 const UNSERVED: [&str; 7] = [
     "best_of",
@@ -57,6 +61,10 @@
     pub stream: bool,
     /// Whether a stream ends with the token counts.
     pub usage: bool,
+    /// The text that the caller has, if it came back and sent it.
+    pub resume: Option<String>,
+    /// The digest of the request, the text that the caller has apart.
+    pub digest: [u8; 32],
     /// The body for engines, without what the node sets itself.
     pub body: Arc<Map<String, Value>>,
 }
@@ -90,6 +98,14 @@
                 format!("\"n\" is {n}, only 1 is served"),
             ));
         }
+        let resume = match body.remove(RESUME_TEXT) {
+            None | Some(Value::Null) => None,
+            Some(Value::String(text)) => Some(text),
+            Some(other) => {
+                let message = format!("{RESUME_TEXT:?} is {other}, not a string");
+                return Err(Refusal::invalid(RESUME_TEXT, message));
+            }
+        };
         let model = string(&body, "model")?;
         let text = match endpoint {
             Endpoint::Completions => prompt_text(&mut body)?,
@@ -110,11 +126,23 @@
             tokens,
             stream,
             usage,
+            resume,
+            digest: digest(endpoint, &body),
             body: Arc::new(body),
         })
     }
 }
 
+/// The digest of a checked body; its fields come in the order of their names.
+fn digest(endpoint: Endpoint, body: &Map<String, Value>) -> [u8; 32] {
+    // INVARIANT: a map that was read from JSON has a JSON form.
+    let bytes = serde_json::to_vec(body).expect("a body is JSON");
+    let mut hash = Sha256::new();
+    hash.update(endpoint.path());
+    hash.update(bytes);
+    hash.finalize().into()
+}
+
 /// Reads a JSON object.
 fn object(body: &[u8]) -> Result<Map<String, Value>, Refusal> {
     let bad = |message: String| Refusal::new(http_types::StatusCode::BadRequest, message);
--- a/crates/cassiareel/src/kernel/generation/action.rs
+++ b/crates/cassiareel/src/kernel/generation/action.rs
@@ -11,7 +11,10 @@
     NotRun,
     /// The answer is whole up to a position, and can't go on.
     Partial,
-    /// The caller went away.
+    /// The caller went away, or is served by another node.
+    ///
+    /// The attempt is not cancelled: the caller may have come back to another node already, which
+    /// reads the same stream. An engine ends a stream that nobody reads by itself.
     Abandoned,
 }
 
@@ -32,6 +35,13 @@
         /// The backend server.
         backend: BackendId,
     },
+    /// Take up the attempt's live stream again, after the tokens passed on so far.
+    Attach {
+        /// The attempt.
+        attempt: Attempt,
+        /// The backend server.
+        backend: BackendId,
+    },
     /// Cancel the attempt at a backend server, so that it works for nobody.
     Cancel {
         /// The attempt.
--- a/crates/cassiareel/src/kernel/generation/event.rs
+++ b/crates/cassiareel/src/kernel/generation/event.rs
@@ -80,8 +80,13 @@
         /// How.
         how: Loss,
     },
-    /// The caller is gone for good.
+    /// The caller's connection is gone; it may come back to any node.
     Abandoned,
+    /// Another node has taken up the attempt's stream for the caller.
+    Replaced {
+        /// The attempt.
+        attempt: Attempt,
+    },
     /// Time passed.
     Tick,
 }
--- a/crates/cassiareel/src/kernel/generation/machine.rs
+++ b/crates/cassiareel/src/kernel/generation/machine.rs
@@ -28,7 +28,12 @@
     /// None was fit; another look comes at a time.
     Waiting { until: Time, again: Time },
     /// The attempt runs; the next token is due at a time.
-    Running { backend: BackendId, due: Time },
+    Running {
+        backend: BackendId,
+        due: Time,
+        /// No token has come since its stream was taken up again.
+        attached: bool,
+    },
     /// The answer has ended.
     Ended,
 }
@@ -61,9 +66,24 @@
     // INVARIANT: the caller was given exactly the tokens 0..position, in order, once.
     position: Position,
     lost: Vec<BackendId>,
+    /// A new attempt can go on after the caller's tokens.
+    continues: bool,
     stage: Stage,
 }
 
+/// Where a generation stands that goes on at another node.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Resume {
+    /// The attempt that ran.
+    pub attempt: Attempt,
+    /// Its backend server.
+    pub backend: BackendId,
+    /// Tokens that the caller has.
+    pub position: Position,
+    /// What the caller has is known here, so that a new attempt can go on after it.
+    pub continues: bool,
+}
+
 impl Generation {
     /// Starts a generation; the actions choose the first backend server.
     pub fn start(limits: Limits, now: Time) -> (Generation, Vec<Action>) {
@@ -72,6 +92,7 @@
             attempt: 1,
             position: 0,
             lost: Vec::new(),
+            continues: true,
             stage: Stage::Choosing {
                 until: now + limits.queue,
             },
@@ -80,6 +101,20 @@
         (generation, vec![action])
     }
 
+    /// Goes on with a generation that another node had; the action takes up the live stream.
+    pub fn resume(limits: Limits, now: Time, from: Resume) -> (Generation, Vec<Action>) {
+        let mut generation = Generation {
+            limits,
+            attempt: from.attempt,
+            position: from.position,
+            lost: Vec::new(),
+            continues: from.continues,
+            stage: Stage::Ended,
+        };
+        let actions = generation.attach(now, from.backend);
+        (generation, actions)
+    }
+
     /// The current attempt.
     pub fn attempt(&self) -> Attempt {
         self.attempt
@@ -124,7 +159,8 @@
                 }
                 self.end(Ending::Complete(reason))
             }
-            Event::Lost { attempt, how } if attempt == self.attempt => self.lose(now, how),
+            Event::Lost { attempt, how } if attempt == self.attempt => self.falter(now, how),
+            Event::Replaced { attempt } if attempt == self.attempt => self.abandon(),
             Event::Abandoned => self.abandon(),
             Event::Tick => self.tick(now),
             _ => Vec::new(),
@@ -146,6 +182,7 @@
         self.stage = Stage::Running {
             backend: backend.clone(),
             due,
+            attached: false,
         };
         vec![
             Action::Open {
@@ -177,12 +214,13 @@
         ids: Vec<u32>,
         text: String,
     ) -> Vec<Action> {
-        let Stage::Running { due, .. } = &mut self.stage else {
+        let Stage::Running { due, attached, .. } = &mut self.stage else {
             return Vec::new();
         };
         if position != self.position {
             return self.lose(now, Loss::Mismatch);
         }
+        *attached = false;
         *due = now + self.limits.between;
         let at = *due;
         self.position += ids.len() as Position;
@@ -196,6 +234,38 @@
         ]
     }
 
+    /// Takes up the live stream of the attempt, in the hope that only the connection was lost.
+    fn attach(&mut self, now: Time, backend: BackendId) -> Vec<Action> {
+        let due = now + self.limits.between;
+        self.stage = Stage::Running {
+            backend: backend.clone(),
+            due,
+            attached: true,
+        };
+        vec![
+            Action::Attach {
+                attempt: self.attempt,
+                backend,
+            },
+            Action::Wake { at: due },
+        ]
+    }
+
+    /// Takes a loss: after a reset the engine may live on, and its stream is taken up again once.
+    fn falter(&mut self, now: Time, how: Loss) -> Vec<Action> {
+        match &self.stage {
+            Stage::Running {
+                backend,
+                attached: false,
+                ..
+            } if how == Loss::Reset => {
+                let backend = backend.clone();
+                self.attach(now, backend)
+            }
+            _ => self.lose(now, how),
+        }
+    }
+
     fn lose(&mut self, now: Time, how: Loss) -> Vec<Action> {
         let Stage::Running { backend, .. } = &self.stage else {
             return Vec::new();
@@ -209,7 +279,7 @@
             });
         }
         self.lost.push(backend);
-        if self.attempt >= self.limits.attempts {
+        if !self.continues || self.attempt >= self.limits.attempts {
             actions.extend(self.give_up());
             return actions;
         }
@@ -235,17 +305,10 @@
     }
 
     fn abandon(&mut self) -> Vec<Action> {
-        let mut actions = Vec::new();
-        if let Stage::Running { backend, .. } = &self.stage {
-            actions.push(Action::Cancel {
-                attempt: self.attempt,
-                backend: backend.clone(),
-            });
-        }
-        if self.stage != Stage::Ended {
-            actions.extend(self.end(Ending::Abandoned));
+        match self.stage {
+            Stage::Ended => Vec::new(),
+            _ => self.end(Ending::Abandoned),
         }
-        actions
     }
 
     fn give_up(&mut self) -> Vec<Action> {
--- a/crates/cassiareel/src/kernel/generation/mod.rs
+++ b/crates/cassiareel/src/kernel/generation/mod.rs
@@ -13,4 +13,4 @@
 
 pub use action::{Action, Ending};
 pub use event::{Event, FinishReason, Loss, NoBackend};
-pub use machine::{Generation, Limits};
+pub use machine::{Generation, Limits, Resume};
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -13,7 +13,13 @@
 pub mod generation;
 pub mod health;
 mod ids;
+mod keyring;
 pub mod routing;
+pub mod ticket;
+#[cfg(test)]
+mod ticket_tests;
+
+pub use keyring::{KeyId, Keyring, Mac, MAC_BYTES};
 
 pub use ids::{
     AccountId, Attempt, BackendId, CallerId, DataCentreId, Fence, Incarnation, NodeId, Position,
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -67,6 +67,7 @@
             log.clone(),
         )
         .with_metrics(options.metrics.clone())
+        .with_keyring(options.keyring.clone())
         .with_hooks(options.hooks.clone());
         let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
--- a/crates/cassiareel/src/node/options.rs
+++ b/crates/cassiareel/src/node/options.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     hooks::{Hooks, NoHooks},
-    kernel::{DataCentreId, NodeId},
+    kernel::{DataCentreId, Keyring, NodeId},
     observe::Metrics,
 };
 
@@ -25,12 +25,14 @@
     pub threads: usize,
     /// Where its figures go.
     pub metrics: Arc<Metrics>,
+    /// The keys that the nodes share.
+    pub keyring: Arc<Keyring>,
     /// What listens to the steps of its protocols.
     pub hooks: Arc<dyn Hooks>,
 }
 
 impl Options {
-    /// A node of a name in a data centre, on free loopback ports, without peers.
+    /// A node of a name in a data centre, on free loopback ports, without peers, with a key of its own.
     pub fn new(name: &str, data_centre: &str) -> Options {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         Options {
@@ -41,6 +43,7 @@
             peers: Vec::new(),
             threads: 2,
             metrics: Arc::new(Metrics::none()),
+            keyring: Arc::new(Keyring::random()),
             hooks: Arc::new(NoHooks),
         }
     }
--- a/crates/cassiareel/src/settings/snapshot.rs
+++ b/crates/cassiareel/src/settings/snapshot.rs
@@ -122,6 +122,17 @@
             servers,
         })
     }
+
+    /// Turns a route to another version of its service; none where the tree has no such version.
+    pub fn pin(&self, route: Route, version: &VersionId) -> Option<Route> {
+        let key = (route.service.clone(), version.clone());
+        let servers = self.servers.get(&key)?.clone();
+        Some(Route {
+            version: version.clone(),
+            servers,
+            ..route
+        })
+    }
 }
 
 /// The digest of a key that the tree keeps: SHA-256.
