--- a/crates/cassiareel/src/kernel/check.rs
+++ b/crates/cassiareel/src/kernel/check.rs
@@ -9,7 +9,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{hash_map::DefaultHasher, HashMap},
+    collections::{hash_map::DefaultHasher, HashMap, HashSet},
     fmt,
     hash::{Hash, Hasher},
 };
@@ -84,6 +84,7 @@
     let deepest = Cell::new(0);
     let depths = RefCell::new(HashMap::from([(digest(&initial), 0)]));
     let stuck = RefCell::new(None);
+    let settled = RefCell::new(HashSet::new());
     let successors = |state: &M::State| {
         states.set(states.get() + 1);
         assert!(states.get() <= bound, "more than {bound} states");
@@ -102,7 +103,7 @@
         if model.invariant(state).is_err() {
             return true;
         }
-        if !settles(model, state) {
+        if !settles(model, state, &mut settled.borrow_mut()) {
             *stuck.borrow_mut() = Some("a quiet environment leads to an end");
             return true;
         }
@@ -127,16 +128,27 @@
 /// Quiet steps allowed before a model counts as stuck.
 const QUIET_STEPS: usize = 1_000;
 
-/// Reports whether quiet steps from a state come to an end.
-fn settles<M>(model: &M, state: &M::State) -> bool
+/// Reports whether quiet steps from a state come to an end, and adds those on the way to the states
+/// that are known to.
+fn settles<M>(model: &M, state: &M::State, settled: &mut HashSet<u64>) -> bool
 where
     M: Model,
 {
-    let mut next = model.quiet(state);
-    for _ in 0..QUIET_STEPS {
-        match next {
-            Some(state) => next = model.quiet(&state),
-            None => return true,
+    let mut path = Vec::new();
+    let mut state = state.clone();
+    while path.len() < QUIET_STEPS {
+        let key = digest(&state);
+        if settled.contains(&key) {
+            settled.extend(path);
+            return true;
+        }
+        path.push(key);
+        match model.quiet(&state) {
+            Some(next) => state = next,
+            None => {
+                settled.extend(path);
+                return true;
+            }
         }
     }
     false
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -11,6 +11,7 @@
 mod check_tests;
 pub mod generation;
 mod ids;
+pub mod order;
 pub mod routing;
 
 pub use ids::{
