--- /dev/null
+++ b/crates/cassiareel-standins/src/objects/store.rs
@@ -0,0 +1,181 @@
+//! The objects and their versions.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Changes that a watch may still ask for.
+pub(super) const HISTORY: usize = 4_096;
+
+/// The API version that objects carry.
+pub(super) const API_VERSION: &str = "cassiareel.dev/v1";
+
+/// An object as the API shows it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct Stored {
+    #[serde(default)]
+    pub(super) api_version: String,
+    #[serde(default)]
+    pub(super) kind: String,
+    pub(super) metadata: Metadata,
+    #[serde(default)]
+    pub(super) spec: Value,
+}
+
+/// The part of an object that the API itself reads.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct Metadata {
+    pub(super) name: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) resource_version: Option<String>,
+}
+
+/// What became of an object.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub(super) enum Change {
+    Added,
+    Modified,
+    Deleted,
+}
+
+/// A change as a watch shows it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(super) struct WatchEvent {
+    #[serde(rename = "type")]
+    pub(super) change: Change,
+    pub(super) object: Stored,
+}
+
+/// Why a write was refused; it had no effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Refusal {
+    Exists,
+    Missing,
+    Stale,
+}
+
+/// An object's kind and name.
+type Key = (String, String);
+
+/// All objects.
+#[derive(Debug, Default)]
+pub(super) struct Store {
+    version: u64,
+    objects: BTreeMap<Key, Stored>,
+    /// What each change of the history replaced; none where there was no object.
+    replaced: VecDeque<(u64, Key, Option<Stored>)>,
+    history: VecDeque<(u64, String, WatchEvent)>,
+    forgotten: u64,
+}
+
+impl Store {
+    /// The version of the last write.
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub(super) fn get(&self, kind: &str, name: &str) -> Option<&Stored> {
+        self.objects.get(&(kind.to_owned(), name.to_owned()))
+    }
+
+    /// An object as it was after the write of a version, as far as the history goes back.
+    pub(super) fn get_at(&self, kind: &str, name: &str, version: u64) -> Option<&Stored> {
+        let later = self
+            .replaced
+            .iter()
+            .find(|(v, key, _)| *v > version && key.0 == kind && key.1 == name);
+        match later {
+            Some((_, _, before)) => before.as_ref(),
+            None => self.get(kind, name),
+        }
+    }
+
+    /// The objects of a kind as they were after the write of a version.
+    pub(super) fn list_at(&self, kind: &str, version: u64) -> Vec<&Stored> {
+        let names: BTreeSet<&String> = self
+            .objects
+            .keys()
+            .chain(self.replaced.iter().map(|(_, key, _)| key))
+            .filter(|(k, _)| k == kind)
+            .map(|(_, name)| name)
+            .collect();
+        names
+            .into_iter()
+            .filter_map(|name| self.get_at(kind, name, version))
+            .collect()
+    }
+
+    pub(super) fn create(&mut self, kind: &str, object: Stored) -> Result<Stored, Refusal> {
+        if self.get(kind, &object.metadata.name).is_some() {
+            return Err(Refusal::Exists);
+        }
+        Ok(self.write(kind, object, Change::Added))
+    }
+
+    pub(super) fn update(&mut self, kind: &str, object: Stored) -> Result<Stored, Refusal> {
+        let old = self
+            .get(kind, &object.metadata.name)
+            .ok_or(Refusal::Missing)?;
+        // As in Kubernetes, an update without a version is unconditional.
+        let named = &object.metadata.resource_version;
+        if named.is_some() && *named != old.metadata.resource_version {
+            return Err(Refusal::Stale);
+        }
+        Ok(self.write(kind, object, Change::Modified))
+    }
+
+    pub(super) fn delete(
+        &mut self,
+        kind: &str,
+        name: &str,
+        version: Option<&str>,
+    ) -> Result<Stored, Refusal> {
+        let old = self.get(kind, name).ok_or(Refusal::Missing)?.clone();
+        if version.is_some() && version != old.metadata.resource_version.as_deref() {
+            return Err(Refusal::Stale);
+        }
+        let last = self.write(kind, old, Change::Deleted);
+        self.objects.remove(&(kind.to_owned(), name.to_owned()));
+        Ok(last)
+    }
+
+    /// The changes of a kind after a version; none when the store has forgotten some of them.
+    pub(super) fn since(&self, kind: &str, version: u64) -> Option<Vec<WatchEvent>> {
+        if version < self.forgotten {
+            return None;
+        }
+        let events = self
+            .history
+            .iter()
+            .filter(|(v, k, _)| *v > version && k == kind)
+            .map(|(_, _, event)| event.clone())
+            .collect();
+        Some(events)
+    }
+
+    fn write(&mut self, kind: &str, mut object: Stored, change: Change) -> Stored {
+        self.version += 1;
+        object.api_version = API_VERSION.to_owned();
+        object.metadata.resource_version = Some(self.version.to_string());
+        let key = (kind.to_owned(), object.metadata.name.clone());
+        let before = self.objects.insert(key.clone(), object.clone());
+        self.replaced.push_back((self.version, key, before));
+        let event = WatchEvent {
+            change,
+            object: object.clone(),
+        };
+        self.history
+            .push_back((self.version, kind.to_owned(), event));
+        if self.history.len() > HISTORY {
+            self.replaced.pop_front();
+            if let Some((version, ..)) = self.history.pop_front() {
+                self.forgotten = version;
+            }
+        }
+        object
+    }
+}
