--- a/crates/cassiareel/src/kernel/order/machine.rs
+++ b/crates/cassiareel/src/kernel/order/machine.rs
@@ -76,7 +76,7 @@
     AnyBody,
     /// Says that no earlier call ran without having read the record.
     AssumeFresh,
-    /// Never asks again after a read failed.
+    /// Waits for ever after a read failed.
     ForgetRead,
 }
 
@@ -212,7 +212,7 @@
             Event::Read(None) if self.is_mutated("ForgetRead") => self.stay(Stage::Reading),
             Event::Read(None) if now < self.until => self.pause(now),
             Event::Read(None) => self.refuse(),
-            Event::Tick if now >= self.until => self.refuse(),
+            Event::Tick if now >= self.until && !self.is_mutated("ForgetRead") => self.refuse(),
             _ => self.stay(Stage::Reading),
         }
     }
