--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -12,7 +12,7 @@
 use super::{
     answer::{Shape, Usage},
     choose::Place,
-    Parts, Prompt, Refusal,
+    Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
@@ -22,7 +22,7 @@
         Attempt, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
-    settings::Route,
+    settings::{Resolved, Route},
 };
 
 /// What a driver tells the handler that waits for the answer.
@@ -47,6 +47,8 @@
     pub(super) route: Route,
     pub(super) shape: Shape,
     pub(super) parts: Arc<Parts>,
+    /// Every policy along the request's path.
+    pub(super) policy: Resolved,
     pub(super) log: Logger,
     /// Where a streamed answer goes; an answer that is not streamed is gathered.
     pub(super) out: Option<piper::Writer>,
@@ -72,6 +74,12 @@
 /// Time for an engine to begin its answer's head.
 const ENGINE_HEAD: Duration = Duration::from_secs(10);
 
+/// Shortest time without a token after which an engine may count as silent.
+const SILENCE_FLOOR: Duration = Duration::from_millis(1200);
+
+/// Time for an engine to take up a live stream again.
+const ATTACH: Duration = Duration::from_millis(150);
+
 /// Time that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -79,11 +87,13 @@
     /// Runs the generation until its answer has ended.
     pub(super) async fn run(self) {
         let limits = Limits {
-            queue: Duration::from_secs(5),
-            first: Duration::from_secs(10),
-            between: Duration::from_millis(1500),
-            retry: Duration::from_millis(50),
-            attempts: 8,
+            queue: self.policy.time.queue,
+            first: self.policy.time.first_token,
+            floor: SILENCE_FLOOR.min(self.policy.time.between_tokens),
+            between: self.policy.time.between_tokens,
+            attach: ATTACH,
+            retry: self.policy.retries.pause,
+            attempts: self.policy.retries.attempts,
         };
         let (machine, actions) = Generation::start(limits, Duration::ZERO);
         let mut work = Work {
@@ -235,6 +245,7 @@
         match action {
             Action::Choose { attempt, exclude } => Some(self.choose(attempt, &exclude)),
             Action::Open { attempt, .. } => self.open(attempt).await,
+            Action::Attach { attempt, .. } => self.attach(attempt).await,
             Action::Cancel { attempt, .. } => {
                 self.cancel(attempt);
                 None
@@ -306,6 +317,35 @@
         }
     }
 
+    /// Takes up the live stream of an attempt whose connection was lost.
+    async fn attach(&mut self, attempt: Attempt) -> Option<Event> {
+        self.pieces = None;
+        let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
+        let from = self.machine.position();
+        let attached = async {
+            engine
+                .attach(&self.driver.id, attempt, from, self.text_bytes)
+                .await
+                .map_err(|err| err.to_string())
+        };
+        let bound = async {
+            Timer::after(ATTACH).await;
+            Err(format!("no answer within {ATTACH:?}"))
+        };
+        match attached.or(bound).await {
+            Ok(pieces) => {
+                info!(self.driver.log, "live stream taken up again"; "attempt" => attempt, "from" => from);
+                self.pieces = Some(pieces);
+                Some(Event::Attached { attempt })
+            }
+            Err(cause) => {
+                info!(self.driver.log, "live stream is gone"; "attempt" => attempt, "cause" => cause);
+                let how = Loss::Reset;
+                Some(Event::Lost { attempt, how })
+            }
+        }
+    }
+
     /// Cancels an attempt in the background: the next one doesn't wait for it.
     fn cancel(&mut self, attempt: Attempt) {
         self.pieces = None;
@@ -379,7 +419,9 @@
                 let words = format!(
                     "the answer is whole up to token {tokens} and can't go on; ask again for the rest"
                 );
-                let refusal = Refusal::busy(words, RETRY_AFTER).with_code("partial");
+                let refusal = Refusal::busy(words, RETRY_AFTER)
+                    .with_code("partial")
+                    .with_outcome(Outcome::Ran);
                 self.write_error(&refusal).await;
                 Signal::Refused(refusal)
             }
--- a/crates/cassiareel/src/kernel/generation/event.rs
+++ b/crates/cassiareel/src/kernel/generation/event.rs
@@ -80,6 +80,15 @@
         /// How.
         how: Loss,
     },
+    /// The live stream of the attempt was taken up again.
+    Attached {
+        /// The attempt.
+        attempt: Attempt,
+    },
+    /// The caller has not read for so long that the engine should not wait for it.
+    Stalled,
+    /// The caller reads again.
+    Drained,
     /// The caller is gone for good.
     Abandoned,
     /// Time passed.
