Keep the tree in the object API as one revision

Part objects named by digest first, then one conditional write of the head, which is the acceptance. A refused edit shows both sides by path against the revision they share; an edit that touches other paths may go on top if its author asks. Lost answers are settled by reading back a random number of the author's. Old parts are collected by conditional deletes after a grace time.

--- a/crates/cassiareel-bench/src/bin/capacity/settings.rs
+++ b/crates/cassiareel-bench/src/bin/capacity/settings.rs
@@ -59,7 +59,7 @@
         for caller in 0..CALLERS {
             let digest = hex(&key_digest(&format!("{account}.{caller}")));
             let _ = writeln!(out, "[accounts.a{account}.callers.c{caller}]");
-            let _ = writeln!(out, "key_digest = \"{digest}\"");
+            let _ = writeln!(out, "keys.first = \"{digest}\"");
         }
     }
     out
--- a/crates/cassiareel/src/platform/memory.rs
+++ b/crates/cassiareel/src/platform/memory.rs
@@ -121,6 +121,11 @@
         self.lock().script.push_back(Scripted { call, skip, fault });
     }
 
+    /// Scripted faults that no call has met yet.
+    pub fn pending(&self) -> usize {
+        self.lock().script.len()
+    }
+
     /// Sets the chances of random faults.
     pub fn set_chances(&self, chances: Chances) {
         self.lock().chances = chances;
--- a/crates/cassiareel/src/settings/mod.rs
+++ b/crates/cassiareel/src/settings/mod.rs
@@ -9,32 +9,48 @@
 by path, and [`Tree::origins`] tells which node says a value.
 */
 
+mod apply;
 mod check;
+mod collect;
 mod diff;
+mod errors;
 mod fault;
+mod head;
 mod origin;
 mod parse;
 #[cfg(test)]
 mod parse_tests;
+mod parts;
 mod path;
 pub mod policy;
 mod resolve;
 #[cfg(test)]
 mod resolve_tests;
 mod snapshot;
+mod store;
+#[cfg(test)]
+mod store_tests;
 mod tree;
 pub mod units;
 #[cfg(test)]
 mod units_tests;
 
+pub use apply::{apply, Applied, Edit};
+pub use collect::{collect, GRACE};
 pub use diff::{diff, patch, Change};
+pub use errors::{ApplyError, LoadError};
 pub use fault::{Fault, Faults};
+pub use head::{Accepted, Head};
 pub use origin::Origin;
 pub use parse::Draft;
+pub use parts::{split, text_digest, Part, PartRef};
 pub use path::Path;
 pub use policy::{Group, Policy, PolicyId, Resolved};
 pub use resolve::{Layer, Scope};
 pub use snapshot::{key_digest, Identity, Route, Server, Snapshot};
+pub use store::{
+    fetch, is_whole, load, read_revision, read_tree, Loaded, HEAD_KIND, HEAD_NAME, PART_KIND,
+};
 pub use tree::{
     Account, Caller, DataCentre, Keys, Operator, Placement, Platform, Region, Reserve, RouteNode,
     Service, ServiceKind, Tree, Use, Version,
