--- a/crates/cassiareel/src/node/follow.rs
+++ b/crates/cassiareel/src/node/follow.rs
@@ -7,8 +7,8 @@
 use smol::Timer;
 
 use crate::{
-    platform::{Object, Objects},
-    settings::{Snapshot, Tree},
+    platform::{Object, Objects, StoreVersion},
+    settings::{fetch, LoadError, Snapshot, HEAD_KIND, HEAD_NAME},
 };
 
 /// How long a watch waits for news.
@@ -25,13 +25,13 @@
 ) {
     let mut since = 0;
     loop {
-        match objects.watch("settings", since, WATCH).await {
-            Ok(news) => {
-                for object in news {
-                    since = since.max(object.version);
-                    adopt(&object, &settings, &log);
-                }
-            }
+        let seen = match objects.watch(HEAD_KIND, since, WATCH).await {
+            Ok(news) => adopt(&*objects, &news, &settings, &log).await,
+            Err(err) => Err(err.into()),
+        };
+        match seen {
+            // A head whose revision could not be read is asked for again.
+            Ok(version) => since = since.max(version),
             Err(err) => {
                 warn!(log, "settings not followed"; "cause" => %err);
                 Timer::after(RETRY).await;
@@ -40,18 +40,22 @@
     }
 }
 
-/// Puts a revision in force if it is newer and whole.
-fn adopt(object: &Object, settings: &ArcSwap<Snapshot>, log: &Logger) {
-    let tree = object.spec["tree"].as_str().map(toml::from_str::<Tree>);
-    let revision = object.spec["revision"].as_u64().unwrap_or(0);
-    match tree {
-        // INVARIANT: the revision in force only rises.
-        Some(Ok(tree)) if revision > settings.load().revision => {
-            settings.store(Arc::new(Snapshot::new(revision, tree)));
-            info!(log, "settings in force"; "revision" => revision);
-        }
-        Some(Ok(_)) => {}
-        Some(Err(err)) => warn!(log, "settings refused"; "revision" => revision, "cause" => %err),
-        None => warn!(log, "settings refused"; "revision" => revision, "cause" => "no tree"),
+/// Puts a revision in force if it is newer and whole, and returns the head's version.
+async fn adopt(
+    objects: &dyn Objects,
+    news: &[Object],
+    settings: &ArcSwap<Snapshot>,
+    log: &Logger,
+) -> Result<StoreVersion, LoadError> {
+    let Some(head) = news.iter().find(|object| object.name == HEAD_NAME) else {
+        return Ok(0);
+    };
+    let loaded = fetch(objects, head).await?;
+    let revision = loaded.revision();
+    // INVARIANT: the revision in force only rises.
+    if revision > settings.load().revision {
+        settings.store(Arc::new(Snapshot::new(revision, loaded.tree)));
+        info!(log, "settings in force"; "revision" => revision);
     }
+    Ok(head.version)
 }
--- a/crates/cassiareel/src/settings/mod.rs
+++ b/crates/cassiareel/src/settings/mod.rs
@@ -27,6 +27,8 @@
 #[cfg(test)]
 mod resolve_tests;
 mod snapshot;
+#[cfg(test)]
+mod snapshot_tests;
 mod store;
 #[cfg(test)]
 mod store_tests;
--- a/crates/cassiareel/src/settings/snapshot.rs
+++ b/crates/cassiareel/src/settings/snapshot.rs
@@ -5,7 +5,7 @@
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
 
-use super::{ServiceKind, Tree};
+use super::{DataCentre, Resolved, Scope, ServiceKind, Tree};
 use crate::kernel::{AccountId, CallerId, DataCentreId, Revision, ServiceId, VersionId};
 
 /// Who calls.
@@ -107,12 +107,48 @@
         bool::from(kept.ct_eq(&digest)).then_some(identity)
     }
 
+    /// Finds the operator of a key.
+    pub fn operator(&self, key: &str) -> Option<&str> {
+        let digest = key_digest(key);
+        self.tree
+            .platform
+            .operators
+            .iter()
+            .find(|(_, node)| {
+                // Digests are compared in constant time.
+                node.keys
+                    .values()
+                    .any(|kept| bool::from(kept.0.ct_eq(&digest)))
+            })
+            .map(|(name, _)| name.as_str())
+    }
+
     /// Finds where a caller's requests for a service go; none where it may not use the service.
     pub fn route(&self, identity: &Identity, service: &str) -> Option<Route> {
+        self.route_at(identity, service, None)
+    }
+
+    /// Finds where a caller's requests for a service go when they come to a node in a data centre.
+    ///
+    /// The version is the caller's, else the client account's, else the data centre's, else the
+    /// service's own.
+    pub fn route_at(
+        &self,
+        identity: &Identity,
+        service: &str,
+        data_centre: Option<&str>,
+    ) -> Option<Route> {
         let account = self.tree.accounts.get(&identity.account)?;
         let name = account.services.iter().find(|s| &***s == service)?;
         let node = self.tree.services.get(name)?;
-        let version = account.versions.get(name).unwrap_or(&node.version).clone();
+        let version = account
+            .callers
+            .get(&identity.caller)
+            .and_then(|caller| caller.versions.get(name))
+            .or_else(|| account.versions.get(name))
+            .or_else(|| self.place(data_centre?)?.versions.get(name))
+            .unwrap_or(&node.version)
+            .clone();
         let servers = self.servers.get(&(name.clone(), version.clone()))?.clone();
         Some(Route {
             service: name.clone(),
@@ -122,6 +158,28 @@
             servers,
         })
     }
+
+    /// Reports whether a call of a service's path may run twice without harm.
+    pub fn is_idempotent(&self, service: &str, path: &str) -> bool {
+        let route = self.tree.find_route(service, path);
+        let said = route.and_then(|(_, route)| route.idempotent);
+        let node = self.tree.services.get(service);
+        said.unwrap_or_else(|| {
+            node.is_some_and(|node| node.idempotent || node.kind == ServiceKind::Model)
+        })
+    }
+
+    /// Works out every value for a request.
+    pub fn policy(&self, scope: &Scope) -> Resolved {
+        self.tree.resolve(scope)
+    }
+
+    fn place(&self, name: &str) -> Option<&DataCentre> {
+        self.tree
+            .regions
+            .values()
+            .find_map(|region| region.data_centres.get(name))
+    }
 }
 
 /// The digest of a key that the tree keeps: SHA-256.
--- a/crates/cassiareel/src/settings/store_tests.rs
+++ b/crates/cassiareel/src/settings/store_tests.rs
@@ -108,10 +108,7 @@
         let one = edit(Some(1), named("one"));
         let two = edit(Some(1), named("two"));
         let (first, second) = smol::future::zip(apply(&store, &one), apply(&store, &two)).await;
-        assert_eq!(
-            first.as_ref().is_ok() as u8 + second.as_ref().is_ok() as u8,
-            1
-        );
+        assert_eq!(u8::from(first.is_ok()) + u8::from(second.is_ok()), 1);
         let (winner, err) = match (first, second) {
             (Ok(_), Err(err)) => ("one", err),
             (Err(err), Ok(_)) => ("two", err),
