Compare routing policies on a model of engines in virtual time

Cause: nothing showed whether the policy is better than simple ones. Change: 36 engines, one three times slower and one that dies, Zipf prefixes and bursts, driven by the library's own table and queue; homes of prefixes that all nodes agree on by hash; a bounded credit for callers that seldom have more than one request waiting.

--- /dev/null
+++ b/crates/cassiareel-bench/src/bin/policies.rs
@@ -0,0 +1,49 @@
+//! Compares routing policies on the same load in virtual time, and draws the figures.
+
+use std::{error::Error, path::PathBuf, process::ExitCode};
+
+use cassiareel_bench::{
+    compare::{self, Check, Row},
+    plot,
+};
+use gumdrop::Options;
+
+/// Compares routing policies on the same load in virtual time.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "seed of everything that is drawn", default = "1")]
+    seed: u64,
+    #[options(help = "directory for the drawings; none are drawn without it")]
+    out: Option<PathBuf>,
+}
+
+fn main() -> Result<ExitCode, Box<dyn Error>> {
+    let args = Args::parse_args_default_or_exit();
+    let saturation = compare::saturation(args.seed);
+    println!(
+        "saturation of the best baseline: {saturation:.1} good requests a second, seed {}",
+        args.seed
+    );
+    let rows = compare::rows(args.seed, saturation);
+    println!("{}", Row::HEAD);
+    rows.iter().for_each(|row| println!("{row}"));
+    let uneven = compare::uneven(args.seed, saturation);
+    println!("first account at 10x demand, load 1.5:\n{uneven}");
+    for (rate, row) in compare::cache_rates(args.seed, saturation) {
+        println!("cache events at {rate} bytes a second and node, load 0.8:\n{row}");
+    }
+    let checks = Check::all(&rows, &uneven);
+    checks.iter().for_each(|check| println!("{check}"));
+    if let Some(out) = args.out {
+        plot::first_token(&rows, &out.join("routing-first-token.svg"))?;
+        plot::goodput(&rows, &out.join("routing-goodput.svg"))?;
+    }
+    let met = checks.iter().all(|check| check.met);
+    Ok(if met {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- a/crates/cassiareel-bench/src/lib.rs
+++ b/crates/cassiareel-bench/src/lib.rs
@@ -2,8 +2,12 @@
 Measurements of cassiareel.
 
 The binaries measure; the library holds what they share: a least-squares [`fit`], whose slopes the
-capacity page multiplies by the sizes, and readings of this [`process`].
+capacity page multiplies by the sizes, readings of this [`process`], and a [`model`] of engines in
+virtual time.
 */
 
+pub mod compare;
 pub mod fit;
+pub mod model;
+pub mod plot;
 pub mod process;
--- /dev/null
+++ b/crates/cassiareel-bench/src/model/mod.rs
@@ -0,0 +1,19 @@
+/*!
+A small model of engines in virtual time, which compares routing policies.
+
+The nodes of a run are the library's own [`Engines`](cassiareel::engines::Engines) and
+[`FairQueue`](cassiareel::kernel::admission::FairQueue); only engines, callers and the clock are
+modelled. A run is decided by its seed.
+*/
+
+mod cache;
+mod engine;
+mod node;
+mod result;
+mod run;
+mod workload;
+
+pub use engine::Speed;
+pub use result::{jain, Result};
+pub use run::{run, Scenario};
+pub use workload::{Demand, Workload};
--- a/crates/cassiareel/src/engines/member.rs
+++ b/crates/cassiareel/src/engines/member.rs
@@ -8,7 +8,7 @@
     backend::LoadReport,
     kernel::{
         admission::{memory_share, Ledger},
-        routing::{Load, Reported, Slot},
+        routing::{home_seed, Load, Reported, Slot},
         BackendId, DataCentreId, Time, VersionId,
     },
 };
@@ -24,6 +24,7 @@
     /// Its data centre.
     pub data_centre: DataCentreId,
     pub(super) slot: Option<Slot>,
+    pub(super) seed: u64,
     pub(super) load: Load,
     pub(super) memory: Ledger,
     model: bool,
@@ -43,6 +44,7 @@
         model: bool,
     ) -> Member {
         let member = Member {
+            seed: home_seed(&backend),
             backend,
             data_centre,
             slot,
--- a/crates/cassiareel/src/engines/mod.rs
+++ b/crates/cassiareel/src/engines/mod.rs
@@ -27,7 +27,7 @@
 pub use feed::{CacheFeed, Fetch};
 pub use judge::{Moved, RouteId};
 pub use member::Member;
-pub use poll::{poll, Connect};
+pub use poll::{answer_bytes, poll, Connect, ANSWER_BYTES, CACHE_RATE, REPORT_BYTES, REPORT_RATE};
 pub use pool::PoolId;
 pub use table::{Engines, Fleet, Options, Placement, Request};
 pub use ticket::Ticket;
--- a/crates/cassiareel/src/engines/poll.rs
+++ b/crates/cassiareel/src/engines/poll.rs
@@ -25,19 +25,19 @@
 /// Time between looks at outcomes and at the table.
 const TICK: Duration = Duration::from_millis(100);
 /// Bytes a second that the node spends on reports.
-const REPORT_RATE: Rate = Rate {
+pub const REPORT_RATE: Rate = Rate {
     per_second: 4_000.0,
     burst: 16_000.0,
 };
 /// Bytes a second that the node spends on cache events.
-const CACHE_RATE: Rate = Rate {
+pub const CACHE_RATE: Rate = Rate {
     per_second: 2_000.0,
     burst: 64_000.0,
 };
 /// Bytes of a report with its request and heads.
-const REPORT_BYTES: f64 = 600.0;
+pub const REPORT_BYTES: f64 = 600.0;
 /// Bytes of an answer with cache events, without the events.
-const ANSWER_BYTES: f64 = 400.0;
+pub const ANSWER_BYTES: f64 = 400.0;
 /// Bytes of a cache event.
 const EVENT_BYTES: f64 = 70.0;
 /// Bytes of a block in a snapshot.
@@ -146,14 +146,16 @@
         };
         if let Ok(answer) = engine.cache(since, full).await {
             let now = self.rates.origin.elapsed();
-            self.rates.caches.charge(now, &CACHE_RATE, bytes(&answer));
+            self.rates
+                .caches
+                .charge(now, &CACHE_RATE, answer_bytes(&answer));
             self.engines.on_cache(&self.backend, &answer);
         }
     }
 }
 
 /// Bytes of an answer above [`ANSWER_BYTES`].
-fn bytes(answer: &CacheEvents) -> f64 {
+pub fn answer_bytes(answer: &CacheEvents) -> f64 {
     let blocks = answer.snapshot.as_ref().map_or(0, Vec::len);
     answer.events.len() as f64 * EVENT_BYTES + blocks as f64 * BLOCK_BYTES
 }
--- a/crates/cassiareel/src/engines/table.rs
+++ b/crates/cassiareel/src/engines/table.rs
@@ -379,6 +379,7 @@
         if !request.ask.prefix.is_empty() {
             self.index.depths(&request.ask.prefix, &mut depths);
         }
+        let key = routing::prefix_key(&request.ask.prefix);
         let candidate = |(i, member): (usize, &'a Arc<Member>)| {
             let sharers = member.sharers();
             Candidate {
@@ -388,6 +389,7 @@
                 backlog: member.load.backlog(sharers),
                 free_tokens: member.memory.free(),
                 cached: member.slot.map_or(0, |slot| depths[slot]),
+                home: key.map_or(0, |key| routing::home_weight(member.seed, key)),
                 health: pool.weight(route, i),
                 token_ms: member.load.token_ms(),
                 pace: member.load.pace(),
@@ -456,7 +458,8 @@
         trial: bool,
     ) -> Ticket {
         let read = unread_tokens(request.ask, candidate.cached);
-        let expected = Duration::from_secs_f64(expected_ms(request.ask, candidate) / 1e3);
+        let expected =
+            Duration::from_secs_f64(expected_ms(request.ask, candidate, candidate.cached) / 1e3);
         member.load.send(now, read);
         if let Some(slot) = member.slot {
             self.index.insert(slot, &request.ask.prefix);
--- a/crates/cassiareel/src/front/choose.rs
+++ b/crates/cassiareel/src/front/choose.rs
@@ -69,6 +69,7 @@
                 backlog: 0,
                 free_tokens: u64::MAX,
                 cached: 0,
+                home: 0,
                 health: 1.0,
                 token_ms: 0.0,
                 pace: 1.0,
--- a/crates/cassiareel/src/kernel/admission/queue.rs
+++ b/crates/cassiareel/src/kernel/admission/queue.rs
@@ -258,7 +258,8 @@
         let callers: f64 = account.callers.values().map(|c| c.weight).sum();
         let part = (account.weight / accounts) * (caller.weight / callers);
         // All that waits bounds the wait too: a part that others leave is served to the rest.
-        let own = caller.cost_before(priority) as f64 / part;
+        let lag = account.schedule.lag(&who.caller, caller.weight);
+        let own = caller.cost_before(priority).saturating_sub(lag) as f64 / part;
         let all: u64 = self.accounts.values().map(|a| a.cost).sum();
         Duration::try_from_secs_f64(own.min(all as f64) / rate).unwrap_or(MOST_RETRY)
     }
--- a/crates/cassiareel/src/kernel/routing/expect.rs
+++ b/crates/cassiareel/src/kernel/routing/expect.rs
@@ -17,12 +17,12 @@
 /// The expected time, in milliseconds: a step, the reading of what waits and of the request's own
 /// prompt, and the other requests' part of each step. A [`Load`](super::Load) learns by how much a
 /// server differs from it.
-pub(crate) fn expected_ms(ask: &Ask, c: &Candidate<'_>) -> f64 {
+pub(crate) fn expected_ms(ask: &Ask, c: &Candidate<'_>, cached: u32) -> f64 {
     let step = if c.token_ms > 0.0 {
         f64::from(c.token_ms)
     } else {
         STEP_MS
     };
-    let read = (c.backlog + unread_tokens(ask, c.cached)) as f64;
+    let read = (c.backlog + unread_tokens(ask, cached)) as f64;
     step + read * PREFILL_MS + f64::from(c.outstanding) * LOAD_MS
 }
--- a/crates/cassiareel/src/kernel/routing/mod.rs
+++ b/crates/cassiareel/src/kernel/routing/mod.rs
@@ -11,6 +11,7 @@
 mod expect;
 mod first_token;
 mod fitness;
+mod home;
 mod least;
 mod load;
 #[cfg(test)]
@@ -30,6 +31,7 @@
 
 pub use blocks::{blocks, BLOCK_TOKENS};
 pub(crate) use expect::{expected_ms, unread_tokens};
+pub(crate) use home::{home_seed, home_weight, prefix_key};
 pub use load::{Load, Reported};
 pub use policy::{policy, Ask, Candidate, Choice, Pass, Policy};
 pub use prefix::{PrefixIndex, Slot};
--- a/crates/cassiareel/src/kernel/routing/policy.rs
+++ b/crates/cassiareel/src/kernel/routing/policy.rs
@@ -42,6 +42,8 @@
     pub free_tokens: u64,
     /// Leading blocks of the prompt that its cache is believed to hold.
     pub cached: u32,
+    /// Its weight as a home of the prompt's prefix, the same at every node; 0 without a prefix.
+    pub home: u64,
     /// Share of its full weight, from 0 for ejected to 1 for healthy.
     pub health: f32,
     /// Its recent time between tokens in milliseconds, or 0 when unknown.
--- a/crates/cassiareel/src/kernel/routing/policy_tests.rs
+++ b/crates/cassiareel/src/kernel/routing/policy_tests.rs
@@ -17,6 +17,7 @@
         backlog: 0,
         free_tokens: 10_000,
         cached: 0,
+        home: 0,
         health,
         token_ms: 20.0,
         pace: 1.0,
