--- a/crates/cassiareel-standins/src/fleet.rs
+++ b/crates/cassiareel-standins/src/fleet.rs
@@ -4,13 +4,19 @@
 Each node has threads of its own, so that it can be killed or frozen alone.
 */
 
-use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use cassiareel::{
     hooks::{Hooks, NoHooks},
     kernel::Revision,
     node::{Node, Options},
-    platform::{HttpObjects, Object, Objects},
+    platform::{HttpObjects, Object, Objects, StoreError},
     settings::key_digest,
 };
 use serde_json::json;
@@ -30,6 +36,9 @@
 /// How often waiting for a state looks at it.
 const POLL: Duration = Duration::from_millis(1);
 
+/// Bound on waiting, past which a node does not come to a state.
+const HANG: Duration = Duration::from_secs(30);
+
 /// How a fleet is made.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -63,6 +72,7 @@
     pub objects: ObjectApi,
     nodes: Vec<Option<Node>>,
     revision: Revision,
+    options: FleetOptions,
 }
 
 impl Fleet {
@@ -88,6 +98,7 @@
             objects,
             nodes,
             revision: 0,
+            options: options.clone(),
         };
         let tree = fleet.tree();
         fleet.apply(&tree);
@@ -111,7 +122,7 @@
 [accounts.shops]
 services = ["draft"]
 [accounts.shops.callers.desk]
-key_digest = "{}"
+keys.first = "{}"
 "#,
             servers.join(", "),
             hex::encode(key_digest(KEY))
@@ -122,25 +133,25 @@
     ///
     /// # Panics
     ///
-    /// Panics when the object API does not take them.
+    /// Panics when the object API does not take them, or a node refuses them.
     pub fn apply(&mut self, tree: &str) {
-        self.revision += 1;
-        let api = HttpObjects::new(self.objects.addr());
-        let spec = json!({"revision": self.revision, "tree": tree});
-        let written = smol::block_on(async {
-            match api.get("settings", "head").await? {
-                Some(old) => api.update(&Object { spec, ..old }).await,
-                None => api.create(&Object::new("settings", "head", spec)).await,
-            }
-        });
-        written.expect("the object API takes the settings");
+        self.accept(tree);
         for node in self.nodes.iter().flatten() {
-            while node.settings().revision < self.revision {
-                thread::sleep(POLL);
-            }
+            wait(node, self.revision);
         }
     }
 
+    /// Accepts settings.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the object API does not take them.
+    pub fn accept(&mut self, tree: &str) {
+        self.revision += 1;
+        let written = publish(self.objects.addr(), self.revision, tree);
+        written.expect("the object API takes the settings");
+    }
+
     /// The address of a node for callers; none once it was killed.
     pub fn addr(&self, node: usize) -> Option<SocketAddr> {
         self.nodes.get(node)?.as_ref()?.addr()
@@ -163,6 +174,23 @@
         self.nodes.get_mut(node)?.take()
     }
 
+    /// Starts a node in the place of one that was killed or taken out, and waits until its settings
+    /// are in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when loopback has no free ports.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the node refuses the settings.
+    pub fn replace_node(&mut self, place: usize) -> io::Result<()> {
+        let started = node(place, &self.objects, &self.options)?;
+        wait(&started, self.revision);
+        self.nodes[place] = Some(started);
+        Ok(())
+    }
+
     /// The engine that has a running request, if one has.
     pub fn busy_engine(&self) -> Option<&Engine> {
         self.engines
@@ -172,6 +200,20 @@
     }
 }
 
+/// Waits until settings are in force on a node.
+///
+/// # Panics
+///
+/// Panics past any time that a node needs: it has refused the settings.
+fn wait(node: &Node, revision: Revision) {
+    let until = Instant::now() + HANG;
+    while node.settings().revision < revision {
+        let name = &node.options().name;
+        assert!(Instant::now() < until, "{name} refuses revision {revision}");
+        thread::sleep(POLL);
+    }
+}
+
 /// Starts a node.
 fn node(i: usize, objects: &ObjectApi, options: &FleetOptions) -> io::Result<Node> {
     let data_centre = format!("d{}", i / NODES_PER_DATA_CENTRE);
@@ -182,3 +224,20 @@
     let api = Arc::new(HttpObjects::new(objects.addr()));
     Node::start(own, api, &options.log)
 }
+
+/// Writes a revision of the settings to an object API.
+///
+/// # Errors
+///
+/// Fails when the object API does not take it.
+pub fn publish(addr: SocketAddr, revision: Revision, tree: &str) -> Result<(), StoreError> {
+    let api = HttpObjects::new(addr);
+    let spec = json!({"revision": revision, "tree": tree});
+    smol::block_on(async {
+        match api.get("settings", "head").await? {
+            Some(old) => api.update(&Object { spec, ..old }).await,
+            None => api.create(&Object::new("settings", "head", spec)).await,
+        }
+        .map(drop)
+    })
+}
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -2,7 +2,8 @@
 A node: the parts of the daemon, wired.
 
 A node serves callers on one address, and peers and operators on another. It owns its threads, so
-that dropping it ends all that it does at once; a planned stop goes through [`Node::drain`].
+that dropping it ends all that it does at once; a planned stop goes through [`Node::leave`] and
+[`Node::stop`].
 */
 
 mod follow;
@@ -25,10 +26,11 @@
 
 use crate::{
     front::{Front, Parts},
+    kernel::DataCentreId,
     platform::Objects,
     runtime::Runtime,
-    settings::Snapshot,
-    wire::{self, Bounds, Served},
+    settings::{Scope, Snapshot},
+    wire::{self, Bounds, BoundsSource, Served},
 };
 
 /// A running node.
@@ -43,8 +45,8 @@
     runtime: Runtime,
 }
 
-/// Time between looks at the open requests of a node that drains.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time between looks at the open requests of a node that stops.
+const STOP_POLL: Duration = Duration::from_millis(20);
 
 impl Node {
     /// Starts a node.
@@ -58,16 +60,23 @@
         let spawner = runtime.spawner();
         let settings = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
         let open = Arc::new(mount::Open::default());
-        let parts = Parts::new(settings.clone(), spawner, log.clone())
-            .with_metrics(options.metrics.clone())
-            .with_hooks(options.hooks.clone());
+        let parts = Parts::new(
+            settings.clone(),
+            options.data_centre.clone(),
+            spawner,
+            log.clone(),
+        )
+        .with_metrics(options.metrics.clone())
+        .with_hooks(options.hooks.clone());
         let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
         let control = Mounts::new(open.clone(), settings.clone());
         let follow = follow::follow(objects, settings.clone(), log.clone());
         runtime.spawn(follow).detach();
-        let callers = serve(&runtime, options.listen, callers)?;
-        let control = serve(&runtime, options.control, control)?;
+        let bounds = bounds(settings.clone(), options.data_centre.clone());
+        let callers = serve(&runtime, options.listen, bounds, callers)?;
+        let fixed: BoundsSource = Arc::new(Bounds::default);
+        let control = serve(&runtime, options.control, fixed, control)?;
         info!(log, "started"; "listen" => %callers.addr, "control" => %control.addr,
             "data_centre" => &*options.data_centre);
         Ok(Node {
@@ -81,7 +90,7 @@
         })
     }
 
-    /// The address for callers; none once the node drains.
+    /// The address for callers; none once the node stops.
     pub fn addr(&self) -> Option<SocketAddr> {
         self.callers.as_ref().map(|served| served.addr)
     }
@@ -106,33 +115,56 @@
         &self.runtime
     }
 
-    /// Stops taking new work and waits at most `limit` for what was accepted; false when some of it
-    /// was left.
-    pub async fn drain(&mut self, limit: Duration) -> bool {
+    /// Turns readiness off; requests that still come are served, and their connections closed.
+    ///
+    /// The balancer looks at readiness only now and then, so that a planned stop gives it time
+    /// between this and [`Node::stop`].
+    pub fn leave(&self) {
         self.open.leave();
-        info!(self.log, "draining"; "open" => self.open.count());
-        let until = Instant::now() + limit;
-        while self.open.count() > 0 && Instant::now() < until {
-            Timer::after(DRAIN_POLL).await;
-        }
-        // New connections are taken until nothing is open, since the balancer looks at readiness
-        // only now and then; each request on them is still served.
+        info!(self.log, "leaving"; "open" => self.open.count());
+    }
+
+    /// Stops accepting connections and waits at most `limit` until every request that was accepted
+    /// is answered whole; returns how many were not.
+    pub async fn stop(&mut self, limit: Duration) -> usize {
+        self.leave();
         if let Some(served) = self.callers.take() {
             served.stop_accepting();
         }
+        let until = Instant::now() + limit;
+        while self.open.count() > 0 && Instant::now() < until {
+            Timer::after(STOP_POLL).await;
+        }
         let left = self.open.count();
-        info!(self.log, "drained"; "left" => left);
-        left == 0
+        info!(self.log, "stopped"; "left" => left);
+        left
     }
 }
 
 /// Binds an address and serves it.
-fn serve(runtime: &Runtime, addr: SocketAddr, mounts: Mounts) -> io::Result<Served> {
+fn serve(
+    runtime: &Runtime,
+    addr: SocketAddr,
+    bounds: BoundsSource,
+    mounts: Mounts,
+) -> io::Result<Served> {
     let listener = smol::block_on(TcpListener::bind(addr))?;
-    wire::serve(
-        &runtime.spawner(),
-        listener,
-        Bounds::default(),
-        Arc::new(mounts),
-    )
+    wire::serve_within(&runtime.spawner(), listener, bounds, Arc::new(mounts))
+}
+
+/// The bounds on callers that the settings in force give a data centre.
+fn bounds(settings: Arc<ArcSwap<Snapshot>>, data_centre: DataCentreId) -> BoundsSource {
+    Arc::new(move || {
+        let scope = Scope {
+            data_centre: Some(&data_centre),
+            ..Scope::default()
+        };
+        let bounds = settings.load().tree.resolve(&scope).bounds;
+        Bounds {
+            connections: bounds.connections as usize,
+            head_bytes: usize::try_from(bounds.head).unwrap_or(usize::MAX),
+            head: bounds.head_time,
+            write: bounds.write_time,
+        }
+    })
 }
--- /dev/null
+++ b/crates/cassiareel/src/settings/resolve_tests.rs
@@ -0,0 +1,384 @@
+//! Tests of inheritance: precedence, origins, merging and round trips.
+
+use std::time::Duration;
+
+use proptest::{
+    collection::{btree_map, vec},
+    option,
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use test_case::test_case;
+
+use super::{
+    diff, patch,
+    units::{Rate, Share},
+    Account, Caller, Draft, Policy, PolicyId, Resolved, Scope, Tree, Use,
+};
+
+/// A tree in which each node of one request says its own value.
+const TREE: &str = r#"
+[platform.policy.time]
+queue = "1s"
+first_token = "1s"
+[policies.slow.time]
+queue = "8s"
+connect = "8s"
+[policies.slower]
+base = "slow"
+time.connect = "9s"
+[regions.r.policy.time]
+queue = "2s"
+[regions.r.data_centres.d1.policy.time]
+queue = "3s"
+[services.desk]
+kind = "plain"
+version = "v1"
+policy.time.queue = "4s"
+[services.desk.routes."/entries".policy.time]
+queue = "5s"
+[services.desk.versions.v1.policy.time]
+queue = "6s"
+[services.desk.versions.v1.placements.d1]
+servers = ["10.0.0.1:80"]
+policy.time.queue = "7s"
+[accounts.a]
+services = ["desk"]
+policy.base = "slower"
+[accounts.a.uses.desk.policy.time]
+queue = "10s"
+[accounts.a.callers.c.policy.time]
+queue = "11s"
+"#;
+
+#[derive(Clone, Copy)]
+struct Case {
+    scope: Scope<'static>,
+    queue: u64,
+    from: Option<&'static str>,
+}
+
+const NOWHERE: Scope<'static> = Scope {
+    data_centre: None,
+    service: None,
+    path: None,
+    version: None,
+    placement: None,
+    account: None,
+    caller: None,
+};
+
+#[test_case(Case { scope: NOWHERE, queue: 1, from: Some("platform.policy") })]
+#[test_case(Case {
+    scope: Scope { data_centre: Some("d1"), ..NOWHERE },
+    queue: 3,
+    from: Some("regions.r.data_centres.d1.policy"),
+})]
+#[test_case(Case {
+    scope: Scope { data_centre: Some("d9"), ..NOWHERE },
+    queue: 1,
+    from: Some("platform.policy"),
+})]
+#[test_case(Case {
+    scope: Scope { data_centre: Some("d1"), service: Some("desk"), ..NOWHERE },
+    queue: 4,
+    from: Some("services.desk.policy"),
+})]
+#[test_case(Case {
+    scope: Scope { service: Some("desk"), path: Some("/entries/7"), ..NOWHERE },
+    queue: 5,
+    from: Some("services.desk.routes.\"/entries\".policy"),
+})]
+#[test_case(Case {
+    scope: Scope { service: Some("desk"), path: Some("/entries2"), ..NOWHERE },
+    queue: 4,
+    from: Some("services.desk.policy"),
+})]
+#[test_case(Case {
+    scope: Scope {
+        service: Some("desk"),
+        path: Some("/entries"),
+        version: Some("v1"),
+        ..NOWHERE
+    },
+    queue: 6,
+    from: Some("services.desk.versions.v1.policy"),
+})]
+#[test_case(Case {
+    scope: Scope {
+        service: Some("desk"),
+        version: Some("v1"),
+        placement: Some("d1"),
+        ..NOWHERE
+    },
+    queue: 7,
+    from: Some("services.desk.versions.v1.placements.d1.policy"),
+})]
+#[test_case(Case {
+    scope: Scope { account: Some("a"), ..NOWHERE },
+    queue: 8,
+    from: Some("policies.slow"),
+})]
+#[test_case(Case {
+    scope: Scope {
+        service: Some("desk"),
+        version: Some("v1"),
+        placement: Some("d1"),
+        account: Some("a"),
+        ..NOWHERE
+    },
+    queue: 10,
+    from: Some("accounts.a.uses.desk.policy"),
+})]
+#[test_case(Case {
+    scope: Scope {
+        service: Some("desk"),
+        account: Some("a"),
+        caller: Some("c"),
+        ..NOWHERE
+    },
+    queue: 11,
+    from: Some("accounts.a.callers.c.policy"),
+})]
+fn the_nearest_node_counts(case: Case) {
+    let Case { scope, queue, from } = case;
+    let tree = Draft::parse(TREE).unwrap().tree;
+    let resolved = tree.resolve(&scope);
+    assert_eq!(resolved.time.queue, Duration::from_secs(queue));
+    let origins = tree.origins(&scope);
+    let found = origins
+        .iter()
+        .find(|origin| origin.name.to_string() == "time.queue")
+        .unwrap();
+    assert_eq!(found.value, format!("\"{}s\"", queue));
+    assert_eq!(
+        found.from.as_ref().map(ToString::to_string).as_deref(),
+        from
+    );
+}
+
+#[test]
+fn a_value_that_no_node_says_is_built_in() {
+    let tree = Draft::parse(TREE).unwrap().tree;
+    let origins = tree.origins(&NOWHERE);
+    let drain = origins
+        .iter()
+        .find(|origin| origin.name.to_string() == "time.drain")
+        .unwrap();
+    assert_eq!(
+        (drain.value.as_str(), drain.from.as_ref()),
+        ("\"2min\"", None)
+    );
+    // The named policy adds to what its own base says.
+    let scope = Scope {
+        account: Some("a"),
+        ..NOWHERE
+    };
+    assert_eq!(tree.resolve(&scope).time.connect, Duration::from_secs(9));
+}
+
+#[test]
+fn a_cycle_in_a_tree_that_was_not_checked_ends() {
+    let mut tree = Tree::default();
+    let base = Some(PolicyId::from("a"));
+    tree.policies.insert(
+        "a".into(),
+        Policy {
+            base: base.clone(),
+            ..Policy::default()
+        },
+    );
+    tree.platform.policy.base = base;
+    assert_eq!(tree.resolve(&NOWHERE), Resolved::default());
+}
+
+/// Runs a property over cases that are the same in every run.
+fn check<S, F>(strategy: S, property: F)
+where
+    S: Strategy,
+    F: Fn(S::Value) -> Result<(), TestCaseError>,
+{
+    let config = Config {
+        cases: 200,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(config, rng)
+        .run(&strategy, property)
+        .unwrap();
+}
+
+fn policies() -> impl Strategy<Value = Policy> {
+    let share = (0u32..=1_000_000).prop_map(Share::from_ppm);
+    (
+        option::of((1u64..1 << 40).prop_map(Duration::from_millis)),
+        option::of(option::of((1u64..1_000_000).prop_map(Rate::each_second))),
+        option::of(option::of(1u32..)),
+        option::of(1024u64..1 << 24),
+        option::of(share.clone()),
+        option::of(vec(share, 0..4)),
+        option::of(0.1f64..10.0),
+    )
+        .prop_map(|(queue, requests, open, stream, ejected, steps, weight)| {
+            let mut policy = Policy::default();
+            policy.time.queue = queue;
+            policy.limits.requests = requests;
+            policy.limits.open_requests = open;
+            policy.buffers.stream = stream;
+            policy.routing.ejected = ejected;
+            policy.moves.steps = steps;
+            policy.limits.weight = weight;
+            policy
+        })
+}
+
+fn accounts() -> impl Strategy<Value = Account> {
+    let callers = btree_map("[a-z]{1,3}", policies(), 0..4);
+    (policies(), policies(), callers).prop_map(|(policy, usage, callers)| Account {
+        services: vec!["draft".into()],
+        policy,
+        uses: [("draft".into(), Use { policy: usage })].into(),
+        callers: callers
+            .into_iter()
+            .map(|(name, policy)| {
+                let caller = Caller {
+                    policy,
+                    ..Caller::default()
+                };
+                (name.into(), caller)
+            })
+            .collect(),
+        ..Account::default()
+    })
+}
+
+fn trees() -> impl Strategy<Value = Tree> {
+    (policies(), btree_map("[a-z]{1,3}", accounts(), 0..4)).prop_map(|(policy, accounts)| {
+        let mut tree = Tree::default();
+        tree.platform.policy = policy;
+        tree.accounts = accounts
+            .into_iter()
+            .map(|(name, account)| (name.into(), account))
+            .collect();
+        tree
+    })
+}
+
+#[test]
+fn a_tree_comes_back_from_toml() {
+    check(trees(), |tree| {
+        let back: Tree = toml::from_str(&tree.to_toml()).unwrap();
+        prop_assert_eq!(&back, &tree);
+        prop_assert_eq!(back.to_toml(), tree.to_toml());
+        Ok(())
+    });
+}
+
+#[test]
+fn a_merge_is_the_same_as_applying_one_after_the_other() {
+    check((policies(), policies(), policies()), |(a, b, c)| {
+        let mut one_by_one = Resolved::default();
+        [&a, &b, &c]
+            .into_iter()
+            .for_each(|policy| one_by_one.apply(policy));
+        let mut left = a.clone();
+        left.merge(&b);
+        left.merge(&c);
+        let mut right = b;
+        right.merge(&c);
+        let mut whole = a;
+        whole.merge(&right);
+        prop_assert_eq!(&left, &whole);
+        let mut merged = Resolved::default();
+        merged.apply(&left);
+        prop_assert_eq!(merged, one_by_one);
+        Ok(())
+    });
+}
+
+#[test]
+fn a_child_that_says_nothing_has_its_parents_values() {
+    check(trees(), |mut tree| {
+        tree.accounts.insert("new".into(), Account::default());
+        let scope = Scope {
+            account: Some("new"),
+            ..NOWHERE
+        };
+        prop_assert_eq!(tree.resolve(&scope), tree.resolve(&NOWHERE));
+        Ok(())
+    });
+}
+
+#[test]
+fn origins_and_values_agree() {
+    check(trees(), |tree| {
+        for (name, account) in &tree.accounts {
+            for caller in account.callers.keys() {
+                let scope = Scope {
+                    service: Some("draft"),
+                    account: Some(name),
+                    caller: Some(caller),
+                    ..NOWHERE
+                };
+                let said = toml::Table::try_from(tree.resolve(&scope).said()).unwrap();
+                for origin in tree.origins(&scope) {
+                    let [group, value] = origin.name.names() else {
+                        panic!("two names")
+                    };
+                    prop_assert_eq!(said[group][value].to_string(), origin.value);
+                }
+            }
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_difference_patches_one_tree_into_the_other() {
+    let patched = std::cell::Cell::new(0);
+    check((trees(), trees()), |(old, new)| {
+        let changes = diff(&old, &new);
+        prop_assert_eq!(changes.is_empty(), old == new);
+        // The trees name a service that is not there, so only the values are compared.
+        let mut service = Draft::parse(SERVICE).unwrap().tree;
+        let (mut old, mut new) = (old, new);
+        std::mem::swap(&mut old.services, &mut service.services);
+        new.services = old.services.clone();
+        new.regions = service.regions.clone();
+        old.regions = service.regions;
+        if new.check().is_ok() {
+            patched.set(patched.get() + 1);
+            prop_assert_eq!(patch(&old, &changes).unwrap(), new);
+        }
+        Ok(())
+    });
+    assert!(
+        patched.get() >= 10,
+        "only {} right trees were drawn",
+        patched.get()
+    );
+}
+
+/// A service that the accounts of random trees may use.
+const SERVICE: &str = r#"
+[regions.r.data_centres.d1]
+[services.draft]
+version = "v1"
+versions.v1.placements.d1.servers = ["10.0.0.1:80"]
+"#;
+
+#[test]
+fn edits_clash_where_one_holds_the_other() {
+    let base = Draft::parse(TREE).unwrap().tree;
+    let mut one = base.clone();
+    one.accounts.remove("a");
+    let mut two = base.clone();
+    two.accounts.get_mut("a").unwrap().services.clear();
+    let mut three = base.clone();
+    three.platform.name = "x".into();
+    let [one, two, three] = [one, two, three].map(|tree| diff(&base, &tree).remove(0));
+    assert!(one.clashes(&two) && two.clashes(&one));
+    assert!(!one.clashes(&three) && !two.clashes(&three));
+    assert!(!one.clashes(&one.clone()));
+}
