Run non-idempotent calls through records of the object API

Cause: calls of services that may not be repeated were sent like all others. Change: crates/cassiareel/src/orders drives the order machine over the object API, one object an order; front/order carries the call, asks the service after a lost answer and states what ran; operators' list, settle and expiry are functions of Orders. A status from 500 without the service's word counts as a lost answer. Conclusion: no case runs an order twice; a node's death between record and send, and an order lost before the service has it, end as unknown.

--- a/crates/cassiareel-standins/src/matrix/mod.rs
+++ b/crates/cassiareel-standins/src/matrix/mod.rs
@@ -9,7 +9,7 @@
 
 mod cell;
 mod fault;
-mod gate;
+pub mod gate;
 mod generation;
 mod page;
 
--- /dev/null
+++ b/crates/cassiareel-standins/tests/orders.rs
@@ -0,0 +1,185 @@
+//! Non-idempotent calls through nodes, a store and a service that fail.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use cassiareel::hooks::Step;
+use cassiareel_standins::{
+    caller::Caller,
+    fleet::{Fleet, FleetOptions, KEY},
+    matrix::gate::Gate,
+    objects::{self, Outage},
+    service::{Faults, Ledger, PlainService},
+};
+use serde_json::json;
+use test_case::test_case;
+
+/// Nodes, a store and a service.
+struct Place {
+    fleet: Fleet,
+    ledger: Ledger,
+    service: PlainService,
+}
+
+/// Settings with a service whose calls may not be repeated.
+fn tree(fleet: &Fleet, service: SocketAddr) -> String {
+    let services = format!(
+        r#"
+[services.orders]
+kind = "plain"
+version = "v1"
+[services.orders.policy]
+time.answer = "400ms"
+[services.orders.versions.v1.placements.d0]
+servers = ["{service}"]
+"#
+    );
+    fleet.tree().replace(
+        "services = [\"draft\"]",
+        "services = [\"draft\", \"orders\"]",
+    ) + &services
+}
+
+impl Place {
+    fn new(options: &FleetOptions) -> Place {
+        let ledger = Ledger::default();
+        let service = PlainService::start("orders@v1", &ledger).expect("loopback has ports");
+        let mut fleet = Fleet::start(options).expect("loopback has ports");
+        let tree = tree(&fleet, service.addr());
+        fleet.apply(&tree);
+        Place {
+            fleet,
+            ledger,
+            service,
+        }
+    }
+
+    /// Sends an order to a node; returns the status and what it says of the work.
+    fn order(&self, node: usize, key: &str, text: &str) -> Option<(u16, String)> {
+        let addr = self.fleet.addr(node)?;
+        smol::block_on(send(addr, key, text))
+    }
+}
+
+async fn send(addr: SocketAddr, key: &str, text: &str) -> Option<(u16, String)> {
+    let body = json!({"order": "81", "text": text}).to_string();
+    let headers = [("idempotency-key", key)];
+    let sent = Caller::new(KEY)
+        .post(addr, "/services/orders/engrave", &headers, body)
+        .await;
+    let res = sent.ok()?;
+    let says = res.header("x-outcome").map(|says| says.as_str().to_owned());
+    Some((res.status().into(), says.unwrap_or_default()))
+}
+
+fn said(status: u16, outcome: &str) -> Option<(u16, String)> {
+    Some((status, outcome.to_owned()))
+}
+
+#[derive(Clone, Copy)]
+struct Case {
+    faults: Faults,
+    first: (u16, &'static str),
+    repeat: (u16, &'static str),
+    runs: u32,
+}
+
+const NONE: Faults = Faults {
+    delay_ms: 0,
+    refuse: 0.0,
+    fail: 0.0,
+    lose_before: 0.0,
+    lose_after: 0.0,
+    hang: 0.0,
+    late: 0.0,
+    cross: 0.0,
+};
+
+const RAN: (u16, &str) = (200, "ran");
+const NOT_RUN: (u16, &str) = (503, "not_run");
+const UNKNOWN: (u16, &str) = (503, "unknown");
+
+#[test_case(Case { faults: NONE, first: RAN, repeat: RAN, runs: 1 }; "none")]
+#[test_case(Case { faults: Faults { refuse: 1.0, ..NONE }, first: NOT_RUN, repeat: RAN, runs: 1 }; "refused")]
+#[test_case(Case { faults: Faults { lose_after: 1.0, ..NONE }, first: RAN, repeat: RAN, runs: 1 }; "answer lost")]
+#[test_case(Case { faults: Faults { hang: 1.0, ..NONE }, first: RAN, repeat: RAN, runs: 1 }; "service hangs")]
+#[test_case(Case { faults: Faults { cross: 1.0, ..NONE }, first: RAN, repeat: RAN, runs: 1 }; "own answer again")]
+#[test_case(Case { faults: Faults { lose_before: 1.0, ..NONE }, first: UNKNOWN, repeat: UNKNOWN, runs: 0 }; "order lost")]
+#[test_case(Case { faults: Faults { fail: 1.0, ..NONE }, first: UNKNOWN, repeat: UNKNOWN, runs: 0 }; "service fails")]
+fn a_fault_of_the_service_leaves_at_most_one_run(case: Case) {
+    let place = Place::new(&FleetOptions::new(1, 2));
+    place.service.set_faults(case.faults);
+    let first = place.order(0, "k", "For Ana");
+    assert_eq!(first, said(case.first.0, case.first.1));
+    place.service.set_faults(NONE);
+    let mut repeat = place.order(1, "k", "For Ana");
+    // The first node may just write what became of the order.
+    while repeat == said(503, "unknown") && case.repeat != UNKNOWN {
+        repeat = place.order(1, "k", "For Ana");
+    }
+    assert_eq!(repeat, said(case.repeat.0, case.repeat.1));
+    assert_eq!(place.ledger.runs_of_number("81"), case.runs);
+}
+
+#[test]
+fn an_order_is_refused_while_the_store_is_away() {
+    let place = Place::new(&FleetOptions::new(1, 2));
+    place.fleet.objects.set_faults(objects::Faults {
+        outage: Some(Outage::Refuse),
+        ..objects::Faults::default()
+    });
+    assert_eq!(place.order(0, "k", "For Ana"), said(503, "not_run"));
+    assert_eq!(place.ledger.runs_of_number("81"), 0);
+    place.fleet.objects.set_faults(objects::Faults::default());
+    assert_eq!(place.order(1, "k", "For Ana"), said(200, "ran"));
+    assert_eq!(place.ledger.runs_of_number("81"), 1);
+}
+
+#[test]
+fn a_key_with_another_body_is_refused() {
+    let place = Place::new(&FleetOptions::new(1, 2));
+    assert_eq!(place.order(0, "k", "For Ana"), said(200, "ran"));
+    assert_eq!(place.order(1, "k", "For Eva"), said(422, "not_run"));
+    assert_eq!(place.ledger.runs_of_number("81"), 1);
+}
+
+/// A node is killed at a step; the repeat goes to another node.
+#[test_case(Step::OrderRecording, 200, "ran", 1; "before its record")]
+#[test_case(Step::OrderRecorded, 503, "unknown", 0; "between record and send")]
+#[test_case(Step::OrderAnswered, 503, "unknown", 1; "before the outcome is stored")]
+#[test_case(Step::OrderStored, 200, "ran", 1; "after the outcome is stored")]
+fn a_node_killed_at_a_step_never_doubles(step: Step, status: u16, says: &str, runs: u32) {
+    let (gate, key) = Gate::new(step, 1);
+    let options = FleetOptions {
+        hooks: Arc::new(gate),
+        ..FleetOptions::new(1, 2)
+    };
+    let mut place = Place::new(&options);
+    let addr = place.fleet.addr(0).expect("the node serves");
+    let first = smol::spawn(send(addr, "k", "For Ana"));
+    smol::block_on(key.reached());
+    place.fleet.kill_node(0);
+    drop(smol::block_on(first));
+    assert_eq!(place.order(1, "k", "For Ana"), said(status, says));
+    assert_eq!(place.ledger.runs_of_number("81"), runs);
+}
+
+#[test]
+fn two_nodes_run_one_order_once() {
+    let place = Place::new(&FleetOptions::new(1, 2));
+    for round in 0..20 {
+        let key = format!("k{round}");
+        let addrs = [0, 1].map(|node| place.fleet.addr(node).expect("the node serves"));
+        let sends = addrs.map(|addr| {
+            let key = key.clone();
+            smol::spawn(async move { send(addr, &key, "For Ana").await })
+        });
+        let said: Vec<_> = sends.into_iter().map(smol::block_on).collect();
+        assert!(
+            said.iter().flatten().any(|(status, _)| *status == 200),
+            "{said:?}"
+        );
+    }
+    let entries = place.ledger.entries();
+    assert_eq!(entries.len(), 20);
+    assert!(entries.values().all(|entry| entry.runs == 1), "{entries:?}");
+}
--- a/crates/cassiareel/src/backend/http_service.rs
+++ b/crates/cassiareel/src/backend/http_service.rs
@@ -3,9 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
-use http_types::{headers, Request, StatusCode, Url};
+use http_types::{headers, Method, Request, StatusCode, Url};
+use serde::Deserialize;
 
-use super::{Answer, Call, CallError, Service};
+use super::{Answer, Call, CallError, Inquiry, Service};
 use crate::wire::{self, Limits, SendError};
 
 /// Largest answer of a plain service, in bytes.
@@ -88,4 +89,35 @@
             body,
         })
     }
+
+    async fn ask(&self, name: &str) -> Result<Inquiry, CallError> {
+        let lost = |cause: String| CallError::Unknown { cause };
+        let url = format!("http://{}/orders/{name}", self.addr);
+        let url = Url::parse(&url).map_err(|err| lost(err.to_string()))?;
+        let mut res = wire::send(self.addr, Request::new(Method::Get, url), self.limits)
+            .await
+            .map_err(|err| lost(err.to_string()))?;
+        if res.status() != StatusCode::Ok {
+            return Ok(Inquiry::Unsure);
+        }
+        let media = res
+            .header(headers::CONTENT_TYPE)
+            .map(|value| value.as_str().to_owned());
+        let body = wire::read_body(res.take_body(), ANSWER_LIMIT)
+            .await
+            .map_err(|err| lost(err.to_string()))?;
+        let found: Found = serde_json::from_slice(&body).map_err(|err| lost(err.to_string()))?;
+        // The words must be about this call: answers cross.
+        if found.order != name || found.state != "ran" {
+            return Ok(Inquiry::Unsure);
+        }
+        Ok(Inquiry::Ran { media, body })
+    }
+}
+
+/// A service's words about a call.
+#[derive(Deserialize)]
+struct Found {
+    order: String,
+    state: String,
 }
--- a/crates/cassiareel/src/backend/mod.rs
+++ b/crates/cassiareel/src/backend/mod.rs
@@ -17,4 +17,4 @@
 pub(crate) use http_engine::is_transient;
 pub use http_engine::HttpEngine;
 pub use http_service::HttpService;
-pub use service::{Answer, Call, CallError, Service};
+pub use service::{Answer, Call, CallError, Inquiry, Service};
--- a/crates/cassiareel/src/backend/service.rs
+++ b/crates/cassiareel/src/backend/service.rs
@@ -30,6 +30,20 @@
     pub body: Vec<u8>,
 }
 
+/// What a service says of a call it is asked about.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Inquiry {
+    /// It ran.
+    Ran {
+        /// The media type of the words.
+        media: Option<String>,
+        /// The service's words.
+        body: Vec<u8>,
+    },
+    /// The service can't say; the call may still arrive there.
+    Unsure,
+}
+
 /// Why a call gave no whole answer.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum CallError {
@@ -56,4 +70,11 @@
     ///
     /// Only [`CallError::NotRun`] promises that the call did not run.
     async fn call(&self, call: &Call) -> Result<Answer, CallError>;
+
+    /// Asks what became of a call.
+    ///
+    /// # Errors
+    ///
+    /// A service that can't be asked is an error, and says nothing about the call.
+    async fn ask(&self, name: &str) -> Result<Inquiry, CallError>;
 }
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -10,7 +10,7 @@
 use super::{
     answer::Shape,
     generate::{Driver, Signal},
-    service, Endpoint, Parts, Prompt, Refusal,
+    order, service, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
     kernel::RequestId,
@@ -157,6 +157,17 @@
             "service" => route.service.to_string()));
         let body = self.body(req, snapshot).await?;
         let call = service::read(req, &format!("/{path}"), name, body);
+        if !route.idempotent && !is_safe(call.method) {
+            let key = order::key(req)?;
+            let policy = snapshot.tree.resolve(&Scope {
+                service: Some(&route.service),
+                version: Some(&route.version),
+                account: Some(&identity.account),
+                caller: Some(&identity.caller),
+                ..self.parts.scope()
+            });
+            return order::call(&self.parts, identity, route, &policy, call, &key, log).await;
+        }
         service::call(&self.parts.chooser, &route, &call, &log)
             .await
             .map(service::response)
@@ -169,6 +180,11 @@
     }
 }
 
+/// Reports whether a method only looks (RFC 9110, section 9.2.1).
+fn is_safe(method: Method) -> bool {
+    matches!(method, Method::Get | Method::Head | Method::Options)
+}
+
 /// Turns a body that could not be read into a refusal.
 fn body_refusal(err: &BodyError) -> Refusal {
     let status = match err {
--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -11,6 +11,7 @@
 mod api;
 mod choose;
 mod generate;
+mod order;
 mod parts;
 mod refusal;
 mod request;
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -10,6 +10,8 @@
     hooks::{Hooks, NoHooks},
     kernel::DataCentreId,
     observe::Metrics,
+    orders::Orders,
+    platform::Objects,
     runtime::Spawner,
     settings::{Scope, Snapshot},
 };
@@ -28,6 +30,8 @@
     pub metrics: Arc<Metrics>,
     /// What listens to the steps of a request.
     pub hooks: Arc<dyn Hooks>,
+    /// Non-idempotent calls; none where no store keeps their records.
+    pub(super) orders: Option<Orders>,
     /// What chooses backend servers.
     pub(super) chooser: Chooser,
 }
@@ -47,6 +51,7 @@
             log,
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
+            orders: None,
             chooser: Chooser::new(),
         }
     }
@@ -59,6 +64,18 @@
         }
     }
 
+    /// Keeps records of non-idempotent calls in `objects`, with the metrics and hooks set so far.
+    pub fn with_orders(mut self, objects: Arc<dyn Objects>) -> Parts {
+        self.orders = Some(Orders::new(
+            objects,
+            self.spawner.clone(),
+            self.hooks.clone(),
+            self.metrics.clone(),
+            self.log.clone(),
+        ));
+        self
+    }
+
     /// Sends figures to `metrics`.
     pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Parts {
         self.metrics = metrics;
--- a/crates/cassiareel/src/kernel/order/machine_tests.rs
+++ b/crates/cassiareel/src/kernel/order/machine_tests.rs
@@ -34,6 +34,8 @@
     faults: u8,
     /// Whether the service can be told to refuse an attempt from now on.
     bars: bool,
+    /// Whether operators settle orders and records expire.
+    desk: bool,
     mutation: Option<Mutation>,
     /// The defect that deletes a record of a key that does not state its age.
     forgets: bool,
@@ -416,6 +418,9 @@
             state.lapsed = true;
             next.push(("the claim lapses".to_owned(), state));
         }
+        if !self.desk {
+            return next;
+        }
         let open = matches!(record.state, State::Claimed | State::Unknown);
         if open && world.lapsed && !world.settled {
             let mut state = world.clone();
@@ -517,6 +522,7 @@
         digests,
         faults,
         bars,
+        desk: faults < 2,
         mutation: None,
         forgets: false,
         only: None,
@@ -563,6 +569,7 @@
     let model = Calls {
         mutation: defect.mutation,
         forgets: defect.forgets,
+        desk: true,
         only: Some(defect.breaks),
         ..calls(defect.digests, 2, false)
     };
--- a/crates/cassiareel/src/lib.rs
+++ b/crates/cassiareel/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod kernel;
 pub mod node;
 pub mod observe;
+pub mod orders;
 pub mod peer;
 pub mod platform;
 pub mod plugin;
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -67,7 +67,8 @@
             log.clone(),
         )
         .with_metrics(options.metrics.clone())
-        .with_hooks(options.hooks.clone());
+        .with_hooks(options.hooks.clone())
+        .with_orders(objects.clone());
         let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
         let control = Mounts::new(open.clone(), settings.clone());
--- /dev/null
+++ b/crates/cassiareel/src/orders/courier.rs
@@ -0,0 +1,26 @@
+//! What carries an order to its service.
+
+use crate::{
+    kernel::order::{Outcome, Told},
+    wire::BoxFuture,
+};
+
+/// What became of a sent order, as far as its courier saw.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Delivery {
+    /// The service answered under the order's name.
+    Answered(Outcome),
+    /// No byte went out, or the service said that it ran nothing.
+    NotSent,
+    /// The answer was lost, crossed, or does not say whether the order ran.
+    Lost,
+}
+
+/// Carries orders to a service.
+pub trait Courier: Send + Sync {
+    /// Sends an order under its name, once.
+    fn send(&self, name: &str) -> BoxFuture<'static, Delivery>;
+
+    /// Asks the service what became of an order.
+    fn ask(&self, name: &str) -> BoxFuture<'static, Told>;
+}
--- /dev/null
+++ b/crates/cassiareel/src/orders/desk.rs
@@ -0,0 +1,169 @@
+//! What operators see of orders and do about them.
+
+use std::time::Duration;
+
+use snafu::Snafu;
+
+use super::{
+    store::{now_ms, object, KIND},
+    Orders,
+};
+use crate::{
+    kernel::order::{Expiry, Record, State, Verdict},
+    platform::{Object, StoreError},
+};
+
+/// An order that waits for an operator, or may still be under way.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Open {
+    /// The order's name, as its service knows it.
+    pub name: String,
+    /// Its record.
+    pub record: Record,
+    /// Time since the record was last written.
+    pub age: Duration,
+}
+
+/// Why an order was not settled.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum SettleError {
+    /// There is no such order.
+    #[snafu(display("there is no order {name:?}"))]
+    Missing {
+        /// The name.
+        name: String,
+    },
+    /// Its outcome is known.
+    #[snafu(display("order {name:?} is not open: {state}"))]
+    Known {
+        /// The name.
+        name: String,
+        /// What is known.
+        state: String,
+    },
+    /// It may still be under way.
+    #[snafu(display(
+        "order {name:?} was written {age:?} ago and may still run; wait for {wait:?}"
+    ))]
+    Young {
+        /// The name.
+        name: String,
+        /// Time since the record was last written.
+        age: Duration,
+        /// Time after which it can be settled.
+        wait: Duration,
+    },
+    /// The store did not take it.
+    #[snafu(display("{source}"))]
+    Store {
+        /// What the store said.
+        source: StoreError,
+    },
+}
+
+impl Orders {
+    /// Lists the orders that are claimed or unknown, the oldest first.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store can't be read.
+    pub async fn open(&self) -> Result<Vec<Open>, StoreError> {
+        let listing = self.records().objects.list(KIND).await?;
+        let mut open: Vec<Open> = listing
+            .objects
+            .into_iter()
+            .filter_map(|object| {
+                let name = object.name.clone();
+                let record = self.records().parse(object, Duration::ZERO)?.record;
+                let age = Duration::from_millis(now_ms().saturating_sub(record.since_ms));
+                let is_open = matches!(record.state, State::Claimed | State::Unknown);
+                is_open.then_some(Open { name, record, age })
+            })
+            .collect();
+        open.sort_by_key(|order| std::cmp::Reverse(order.age));
+        Ok(open)
+    }
+
+    /// Settles an order that has been open for at least `wait`.
+    ///
+    /// The verdict is final for its key: a repeat is told it and never runs.
+    ///
+    /// # Errors
+    ///
+    /// An order that is young, known or missing is not touched.
+    pub async fn settle(
+        &self,
+        name: &str,
+        verdict: Verdict,
+        wait: Duration,
+    ) -> Result<(), SettleError> {
+        let missing = || SettleError::Missing {
+            name: name.to_owned(),
+        };
+        let kept = self
+            .records()
+            .objects
+            .get(KIND, name)
+            .await
+            .map_err(|source| SettleError::Store { source })?
+            .ok_or_else(missing)?;
+        let version = kept.version;
+        let record = self
+            .records()
+            .parse(kept, Duration::ZERO)
+            .ok_or_else(missing)?
+            .record;
+        let age = Duration::from_millis(now_ms().saturating_sub(record.since_ms));
+        if !matches!(record.state, State::Claimed | State::Unknown) {
+            return Err(SettleError::Known {
+                name: name.to_owned(),
+                state: format!("{:?}", record.state),
+            });
+        }
+        if age < wait {
+            let name = name.to_owned();
+            return Err(SettleError::Young { name, age, wait });
+        }
+        let settled = Record {
+            since_ms: now_ms(),
+            state: State::Settled { verdict },
+            ..record
+        };
+        self.replace(&settled, version)
+            .await
+            .map_err(|source| SettleError::Store { source })
+    }
+
+    /// Applies the expiry rule to every record; returns how many were shrunk or deleted.
+    ///
+    /// One node at a time is enough; two do no harm, as each write names the version that it
+    /// replaces.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store can't be read; a record that can't be written waits for the next time.
+    pub async fn expire(&self, keep: Duration) -> Result<usize, StoreError> {
+        let listing = self.records().objects.list(KIND).await?;
+        let mut changed = 0;
+        for kept in listing.objects {
+            let Some(read) = self.records().parse(kept.clone(), Duration::ZERO) else {
+                continue;
+            };
+            let done = match read.record.expire(now_ms(), keep) {
+                Expiry::Keep => continue,
+                Expiry::Shrink(record) => self.replace(&record, read.version).await,
+                Expiry::Delete => self.records().objects.delete(&kept).await,
+            };
+            changed += usize::from(done.is_ok());
+        }
+        Ok(changed)
+    }
+
+    async fn replace(&self, record: &Record, version: u64) -> Result<(), StoreError> {
+        let object = Object {
+            version,
+            ..object(record)
+        };
+        self.records().objects.update(&object).await.map(drop)
+    }
+}
--- /dev/null
+++ b/crates/cassiareel/src/orders/driver_tests.rs
@@ -0,0 +1,201 @@
+//! Orders against a store in memory and a service that does as it is told.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use slog::{o, Discard, Logger};
+use test_case::test_case;
+
+use super::{Courier, Delivery, Orders, Request, SettleError};
+use crate::{
+    hooks::NoHooks,
+    kernel::order::{Earlier, Limits, Outcome, Reply, Told, Verdict},
+    observe::Metrics,
+    platform::{Call, Fault, MemoryObjects},
+    runtime::Runtime,
+    wire::BoxFuture,
+};
+
+const LIMITS: Limits = Limits {
+    claim: Duration::from_secs(10),
+    answer: Duration::from_secs(10),
+    ask: Duration::from_secs(10),
+    retry: Duration::from_millis(1),
+    sends: 2,
+};
+
+fn outcome() -> Outcome {
+    Outcome {
+        status: 200,
+        mime: "text/plain".to_owned(),
+        body: b"engraved".to_vec(),
+    }
+}
+
+/// A service that meets each send with the next delivery, and counts what it ran.
+#[derive(Clone)]
+struct Service {
+    deliveries: Arc<Mutex<Vec<Delivery>>>,
+    told: Told,
+    sends: Arc<Mutex<u32>>,
+}
+
+impl Service {
+    fn new(deliveries: &[Delivery], told: Told) -> Service {
+        Service {
+            deliveries: Arc::new(Mutex::new(deliveries.to_vec())),
+            told,
+            sends: Arc::default(),
+        }
+    }
+}
+
+impl Courier for Service {
+    fn send(&self, _name: &str) -> BoxFuture<'static, Delivery> {
+        let mut deliveries = self.deliveries.lock().expect("no holder panics");
+        let next = if deliveries.is_empty() {
+            Delivery::Answered(outcome())
+        } else {
+            deliveries.remove(0)
+        };
+        if next != Delivery::NotSent {
+            *self.sends.lock().expect("no holder panics") += 1;
+        }
+        Box::pin(async { next })
+    }
+
+    fn ask(&self, _name: &str) -> BoxFuture<'static, Told> {
+        let told = self.told.clone();
+        Box::pin(async { told })
+    }
+}
+
+/// Two nodes over one store.
+struct World {
+    store: Arc<MemoryObjects>,
+    nodes: [Orders; 2],
+    _runtime: Runtime,
+}
+
+impl World {
+    fn new() -> World {
+        let runtime = Runtime::new("orders", 1);
+        let store = Arc::new(MemoryObjects::new(1));
+        let node = || {
+            Orders::new(
+                store.clone(),
+                runtime.spawner(),
+                Arc::new(NoHooks),
+                Arc::new(Metrics::none()),
+                Logger::root(Discard, o!()),
+            )
+        };
+        World {
+            nodes: [node(), node()],
+            store,
+            _runtime: runtime,
+        }
+    }
+
+    fn call(&self, node: usize, digest: &str, service: &Service) -> Reply {
+        let request = Request {
+            account: "zrinski".into(),
+            caller: "shop".into(),
+            service: "orders".into(),
+            key: "gift-set-81".into(),
+            digest: digest.into(),
+        };
+        let log = Logger::root(Discard, o!());
+        let courier = Arc::new(service.clone());
+        smol::block_on(self.nodes[node].call(request, LIMITS, courier, log))
+            .expect("the node does not stop")
+    }
+}
+
+fn ran(repeat: bool) -> Reply {
+    Reply::Outcome {
+        outcome: outcome(),
+        repeat,
+    }
+}
+
+const NOT_RUN: Reply = Reply::NotRun {
+    earlier: Earlier::NotRun,
+};
+
+struct Case {
+    store: Vec<(Call, usize, Fault)>,
+    service: Service,
+    replies: Vec<Reply>,
+    sends: u32,
+}
+
+fn plain() -> Service {
+    Service::new(&[], Told::Unsure)
+}
+
+#[test_case(&Case { store: vec![], service: plain(), replies: vec![ran(false), ran(true)], sends: 1 }; "no fault")]
+#[test_case(&Case { store: vec![(Call::Create, 0, Fault::LoseAnswer)], service: plain(), replies: vec![ran(false), ran(true)], sends: 1 }; "answer of the claim lost")]
+#[test_case(&Case { store: vec![(Call::Create, 0, Fault::LoseCall)], service: plain(), replies: vec![ran(false), ran(true)], sends: 1 }; "claim lost")]
+#[test_case(&Case { store: vec![(Call::Create, 0, Fault::Refuse)], service: plain(), replies: vec![Reply::NotRun { earlier: Earlier::Unread }, ran(false), ran(true)], sends: 1 }; "store down at the claim")]
+#[test_case(&Case { store: vec![(Call::Update, 0, Fault::LoseAnswer)], service: plain(), replies: vec![ran(false), ran(true)], sends: 1 }; "answer of the outcome lost")]
+#[test_case(&Case { store: vec![], service: Service::new(&[Delivery::NotSent], Told::Unsure), replies: vec![ran(false), ran(true)], sends: 1 }; "one server refuses")]
+#[test_case(&Case { store: vec![], service: Service::new(&[Delivery::NotSent, Delivery::NotSent], Told::Unsure), replies: vec![NOT_RUN, ran(false), ran(true)], sends: 1 }; "every server refuses, a repeat runs")]
+#[test_case(&Case { store: vec![], service: Service::new(&[Delivery::Lost], Told::Ran(outcome())), replies: vec![ran(false), ran(true)], sends: 1 }; "answer lost, service knows")]
+#[test_case(&Case { store: vec![], service: Service::new(&[Delivery::Lost], Told::Unsure), replies: vec![Reply::Unknown, Reply::Unknown], sends: 1 }; "answer lost, service does not know")]
+#[test_case(&Case { store: vec![], service: Service::new(&[Delivery::Lost], Told::Barred), replies: vec![NOT_RUN, ran(false)], sends: 2 }; "answer lost, service bars the attempt")]
+fn each_fault_leaves_one_run_and_a_true_reply(case: &Case) {
+    let world = World::new();
+    for (call, skip, fault) in &case.store {
+        world.store.fail(*call, *skip, fault.clone());
+    }
+    for (i, reply) in case.replies.iter().enumerate() {
+        // What an earlier call still writes is waited for by the record, not by time.
+        let mut got = world.call(i % 2, "d", &case.service);
+        while got == Reply::InProgress {
+            got = world.call(i % 2, "d", &case.service);
+        }
+        assert_eq!(got, *reply, "reply {i}");
+    }
+    assert_eq!(
+        *case.service.sends.lock().expect("no holder panics"),
+        case.sends
+    );
+}
+
+#[test]
+fn a_key_stands_for_one_body() {
+    let world = World::new();
+    assert_eq!(world.call(0, "d", &plain()), ran(false));
+    let other = plain();
+    assert_eq!(world.call(1, "e", &other), Reply::KeyReused);
+    assert_eq!(*other.sends.lock().expect("no holder panics"), 0);
+}
+
+#[test]
+fn operators_list_and_settle_unknown_orders() {
+    let world = World::new();
+    let service = Service::new(&[Delivery::Lost], Told::Unsure);
+    assert_eq!(world.call(0, "d", &service), Reply::Unknown);
+    // The repeat ends only after the record says unknown or claimed; both are open.
+    let open = smol::block_on(world.nodes[1].open()).expect("the store is there");
+    assert_eq!(open.len(), 1);
+    let settle = |wait| {
+        let name = &open[0].name;
+        smol::block_on(world.nodes[1].settle(name, Verdict::NotRun, wait))
+    };
+    let young = settle(Duration::from_secs(3600));
+    assert!(matches!(young, Err(SettleError::Young { .. })), "{young:?}");
+    while let Err(err) = settle(Duration::ZERO) {
+        // The first call may just write that the order is unknown.
+        assert!(matches!(err, SettleError::Store { .. }), "{err}");
+    }
+    assert_eq!(world.call(0, "d", &service), Reply::SettledNotRun);
+    assert!(matches!(
+        settle(Duration::ZERO),
+        Err(SettleError::Known { .. })
+    ));
+    assert_eq!(*service.sends.lock().expect("no holder panics"), 1);
+}
