--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -11,6 +11,9 @@
 mod api;
 mod choose;
 mod generate;
+mod operator;
+#[cfg(test)]
+mod operator_tests;
 mod parts;
 mod refusal;
 mod request;
@@ -19,6 +22,7 @@
 mod service;
 
 pub use api::Front;
+pub use operator::{Decisions, NodeStatus, Operator, StatusSource, OPERATOR_PATH};
 pub use parts::Parts;
 pub use refusal::{Outcome, Refusal};
 pub use request::{Endpoint, Prompt};
--- /dev/null
+++ b/crates/cassiareel/src/front/operator_tests.rs
@@ -0,0 +1,92 @@
+//! Tests of the operators' interface.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use http_types::{Method, Request, StatusCode, Url};
+use slog::{info, o, Logger};
+use test_case::test_case;
+
+use super::{Decisions, NodeStatus, Operator};
+use crate::{
+    observe::Recent,
+    settings::{key_digest, Draft, Snapshot},
+    wire::Handler,
+};
+
+fn operator(revision: u64) -> Operator {
+    let digest = hex::encode(key_digest("k-ana"));
+    let text = format!("[platform.operators.ana.keys]\ndesk = \"{digest}\"");
+    let tree = match revision {
+        0 => Default::default(),
+        _ => Draft::parse(&text).unwrap().tree,
+    };
+    let settings = Arc::new(ArcSwap::from_pointee(Snapshot::new(revision, tree)));
+    let recent = Recent::new();
+    let log = recent.tee(&Logger::root(slog::Discard, o!()));
+    info!(log, "routed"; "request" => "a b", "choice" => "10.0.0.1:80");
+    let status = NodeStatus {
+        name: "n1".into(),
+        data_centre: "d1".into(),
+        revision,
+        leaving: false,
+        open: 3,
+        uptime: 7,
+    };
+    Operator::new(settings, recent, Arc::new(move || status.clone()))
+}
+
+fn ask(operator: &Operator, path: &str, key: Option<&str>) -> (StatusCode, String) {
+    let url = Url::parse(&format!("http://127.0.0.1{path}")).unwrap();
+    let mut req = Request::new(Method::Get, url);
+    if let Some(key) = key {
+        req.insert_header("authorization", format!("Bearer {key}"));
+    }
+    smol::block_on(async {
+        let from = "127.0.0.1:1".parse().unwrap();
+        let mut res = operator.handle(req, from).await;
+        (res.status(), res.body_string().await.unwrap())
+    })
+}
+
+#[test_case(1, None, "no operator's key"; "without a key")]
+#[test_case(1, Some("k-rex"), "is no operator's"; "with another key")]
+#[test_case(1, Some(""), "is no operator's"; "with an empty key")]
+#[test_case(0, Some("k-ana"), "no settings are in force"; "before settings are in force")]
+fn a_call_without_a_right_key_is_refused(revision: u64, key: Option<&str>, says: &str) {
+    let operator = operator(revision);
+    for path in [
+        "/operator/status",
+        "/operator/decisions?request=x",
+        "/operator/x",
+    ] {
+        let (status, body) = ask(&operator, path, key);
+        assert_eq!(status, StatusCode::Unauthorized);
+        assert!(body.contains(says), "{body}");
+    }
+}
+
+#[test]
+fn an_operator_reads_status_and_decisions() {
+    let operator = operator(4);
+    let (status, body) = ask(&operator, "/operator/status", Some("k-ana"));
+    assert_eq!(status, StatusCode::Ok);
+    let node: NodeStatus = serde_json::from_str(&body).unwrap();
+    assert_eq!((node.revision, node.open), (4, 3));
+    let (_, body) = ask(
+        &operator,
+        "/operator/decisions?request=a%20b",
+        Some("k-ana"),
+    );
+    let decisions: Decisions = serde_json::from_str(&body).unwrap();
+    assert_eq!(decisions.lines[0]["choice"], "10.0.0.1:80");
+    let (_, body) = ask(&operator, "/operator/decisions?request=c", Some("k-ana"));
+    let decisions: Decisions = serde_json::from_str(&body).unwrap();
+    assert!(decisions.lines.is_empty());
+}
+
+#[test_case("/operator/decisions", StatusCode::BadRequest)]
+#[test_case("/operator/nothing", StatusCode::NotFound)]
+fn a_wrong_call_gets_its_status(path: &str, status: StatusCode) {
+    assert_eq!(ask(&operator(1), path, Some("k-ana")).0, status);
+}
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -25,8 +25,9 @@
 pub use options::Options;
 
 use crate::{
-    front::{Front, Parts},
+    front::{Front, NodeStatus, Operator, Parts, StatusSource, OPERATOR_PATH},
     kernel::DataCentreId,
+    observe::Recent,
     platform::Objects,
     runtime::Runtime,
     settings::{Scope, Snapshot},
@@ -55,7 +56,8 @@
     ///
     /// Fails when an address can't be bound.
     pub fn start(options: Options, objects: Arc<dyn Objects>, log: &Logger) -> io::Result<Node> {
-        let log = log.new(o!("node" => options.name.to_string()));
+        let recent = Recent::new();
+        let log = recent.tee(&log.new(o!("node" => options.name.to_string())));
         let runtime = Runtime::new(&options.name, options.threads);
         let spawner = runtime.spawner();
         let settings = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
@@ -70,7 +72,10 @@
         .with_hooks(options.hooks.clone());
         let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
-        let control = Mounts::new(open.clone(), settings.clone());
+        let status = status(&options, settings.clone(), open.clone());
+        let operator = Operator::new(settings.clone(), recent, status);
+        let control =
+            Mounts::new(open.clone(), settings.clone()).with(OPERATOR_PATH, Arc::new(operator));
         let follow = follow::follow(objects, settings.clone(), log.clone());
         runtime.spawn(follow).detach();
         let bounds = bounds(settings.clone(), options.data_centre.clone());
@@ -141,6 +146,24 @@
     }
 }
 
+/// What tells operators the status of a node.
+fn status(
+    options: &Options,
+    settings: Arc<ArcSwap<Snapshot>>,
+    open: Arc<mount::Open>,
+) -> StatusSource {
+    let (name, data_centre) = (options.name.clone(), options.data_centre.clone());
+    let start = Instant::now();
+    Arc::new(move || NodeStatus {
+        name: name.clone(),
+        data_centre: data_centre.clone(),
+        revision: settings.load().revision,
+        leaving: open.is_leaving(),
+        open: open.count(),
+        uptime: start.elapsed().as_secs(),
+    })
+}
+
 /// Binds an address and serves it.
 fn serve(
     runtime: &Runtime,
--- a/crates/cassiareel/src/node/mount.rs
+++ b/crates/cassiareel/src/node/mount.rs
@@ -29,6 +29,11 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Reports whether readiness is off.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
     /// Requests of callers that are not answered whole.
     pub(super) fn count(&self) -> usize {
         self.requests.load(Ordering::SeqCst)
--- a/crates/cassiareel/src/observe/mod.rs
+++ b/crates/cassiareel/src/observe/mod.rs
@@ -9,6 +9,10 @@
 mod metrics;
 #[cfg(test)]
 mod metrics_tests;
+mod recent;
+#[cfg(test)]
+mod recent_tests;
 
 pub use log::json_logger;
 pub use metrics::{Counter, Gauge, Metrics, Timer};
+pub use recent::Recent;
