Run a node as a daemon

Its own settings file and flags name what a VM has to know; every fault of both is named at once. SIGTERM turns readiness off, gives the balancer time, and finishes what is open.

--- a/crates/cassiareel/src/settings/mod.rs
+++ b/crates/cassiareel/src/settings/mod.rs
@@ -44,7 +44,7 @@
 pub use fault::{Fault, Faults};
 pub use head::{Accepted, Head};
 pub use origin::Origin;
-pub use parse::Draft;
+pub use parse::{read_all, Draft};
 pub use parts::{split, text_digest, Part, PartRef};
 pub use path::Path;
 pub use policy::{Group, Policy, PolicyId, Resolved};
--- a/crates/cassiareel/src/settings/parse.rs
+++ b/crates/cassiareel/src/settings/parse.rs
@@ -48,16 +48,10 @@
     /// ```
     pub fn parse(text: &str) -> Result<Draft, Faults> {
         let mut faults = Faults::default();
-        let mut table = match text.parse::<Table>() {
-            Ok(table) => table,
-            Err(err) => {
-                faults.push(Path::root(), "", err.to_string().trim_end());
-                return Err(faults);
-            }
-        };
+        let mut table = read_text(text)?;
         let base = take_revision(&mut table, &mut faults);
         let mut removed = Vec::new();
-        let tree = read(Value::Table(table), &mut removed, &mut faults);
+        let tree: Tree = read(Value::Table(table), &mut removed, &mut faults);
         let mut rest = Faults::default();
         check(&tree, &mut rest);
         for fault in rest.faults {
@@ -109,10 +103,34 @@
     revision
 }
 
-/// Reads the tree, noting and taking out what does not fit.
-fn read(mut root: Value, removed: &mut Vec<Path>, faults: &mut Faults) -> Tree {
+/// Reads a value of any type in TOML, adding every part that does not fit to `faults`.
+///
+/// # Errors
+///
+/// Fails where the text is not TOML at all.
+pub fn read_all<T>(text: &str, faults: &mut Faults) -> Result<T, Faults>
+where
+    T: Default + for<'de> Deserialize<'de>,
+{
+    let table = read_text(text)?;
+    Ok(read(Value::Table(table), &mut Vec::new(), faults))
+}
+
+fn read_text(text: &str) -> Result<Table, Faults> {
+    text.parse::<Table>().map_err(|err| {
+        let mut faults = Faults::default();
+        faults.push(Path::root(), "", err.to_string().trim_end());
+        faults
+    })
+}
+
+/// Reads a value, noting and taking out what does not fit.
+fn read<T>(mut root: Value, removed: &mut Vec<Path>, faults: &mut Faults) -> T
+where
+    T: Default + for<'de> Deserialize<'de>,
+{
     loop {
-        let err = match serde_path_to_error::deserialize::<_, Tree>(root.clone()) {
+        let err = match serde_path_to_error::deserialize::<_, T>(root.clone()) {
             Ok(tree) => return tree,
             Err(err) => err,
         };
@@ -126,7 +144,7 @@
             problem: err.inner().message().to_owned(),
         });
         if taken.is_none() || faults.faults.len() >= FAULT_LIMIT {
-            return Tree::default();
+            return T::default();
         }
     }
 }
--- /dev/null
+++ b/crates/cassiareeld/src/config_tests.rs
@@ -0,0 +1,98 @@
+//! Tests of the daemon's own settings.
+
+use std::time::Duration;
+
+use test_case::test_case;
+
+use crate::{args::Args, config::Config};
+
+const FILE: &str = include_str!("../../../examples/node.toml");
+
+fn paths(text: &str, args: &Args) -> Vec<String> {
+    match Config::read(text, args) {
+        Ok(_) => Vec::new(),
+        Err(faults) => faults
+            .faults
+            .iter()
+            .map(|fault| fault.path.to_string())
+            .collect(),
+    }
+}
+
+#[test]
+fn the_example_is_right() {
+    let config = Config::read(FILE, &Args::default()).unwrap();
+    assert_eq!(config.name, "zg-1-a");
+    assert_eq!(config.grace, Duration::from_secs(5));
+    assert_eq!(config.peers.len(), 2);
+}
+
+#[test]
+fn a_flag_counts_over_the_file() {
+    let args = Args {
+        name: Some("other".into()),
+        listen: Some("10.0.0.9:1".into()),
+        peer: vec!["10.0.0.8:2".into()],
+        threads: Some("7".into()),
+        grace: Some("250ms".into()),
+        ..Args::default()
+    };
+    let config = Config::read(FILE, &args).unwrap();
+    assert_eq!(config.name, "other");
+    assert_eq!(config.listen, "10.0.0.9:1".parse().unwrap());
+    assert_eq!(config.peers, ["10.0.0.8:2".parse().unwrap()]);
+    assert_eq!(
+        (config.threads, config.grace),
+        (7, Duration::from_millis(250))
+    );
+}
+
+#[test]
+fn every_missing_value_is_named_at_once() {
+    let wanted = ["control", "data_centre", "listen", "name", "objects"];
+    assert_eq!(paths("", &Args::default()), wanted);
+}
+
+#[test]
+fn faults_of_the_file_and_the_flags_come_together() {
+    let text = "name = \"n\"\ndata_center = \"d\"\nlisten = \"10.0.0.1\"\nthreads = 0\n\
+                control = \"10.0.0.1:9\"\npeers = [\"10.0.0.1:9\"]\ngrace = \"5\"";
+    let args = Args {
+        objects: Some("store:80".into()),
+        ..Args::default()
+    };
+    let wanted = [
+        "--objects",
+        "data_center",
+        "data_centre",
+        "grace",
+        "listen",
+        "peers",
+        "threads",
+    ];
+    assert_eq!(paths(text, &args), wanted);
+}
+
+#[test_case("control = \"10.11.0.1:8080\"", "control"; "one address for two")]
+#[test_case("objects = \"0.0.0.0:8280\"", "objects"; "no address to call")]
+#[test_case("control = \"10.11.0.1:0\"", "control"; "no port")]
+fn a_wrong_address_is_named(line: &str, path: &str) {
+    let name = line.split(' ').next().unwrap();
+    let text: String = FILE
+        .lines()
+        .filter(|kept| !kept.starts_with(name))
+        .chain([line])
+        .map(|line| format!("{line}\n"))
+        .collect();
+    assert_eq!(paths(&text, &Args::default()), [path]);
+}
+
+#[test]
+fn a_file_that_is_not_there_is_a_fault() {
+    let args = Args {
+        settings: Some("/nonexistent/node.toml".into()),
+        ..Args::default()
+    };
+    let err = Config::load(&args).unwrap_err();
+    assert!(err.to_string().contains("can't be read"), "{err}");
+}
--- a/crates/cassiareeld/src/main.rs
+++ b/crates/cassiareeld/src/main.rs
@@ -1,2 +1,73 @@
-//! Entry point.
-fn main() {}
+/*!
+The node daemon of cassiareel.
+
+It reads its own settings file and flags, names every fault of them at once, starts a node, and
+stops it gracefully at SIGTERM or SIGINT. What the node does for callers comes from the tree of
+settings in the object API; its own file holds only what a VM has to know to reach that.
+
+# Exit codes
+
+| code | meaning |
+| --- | --- |
+| 0 | stopped, and every accepted request was answered whole |
+| 1 | stopped, and some requests were cut at the end of the drain time |
+| 2 | the daemon's own settings are wrong, or the node could not be started |
+*/
+
+mod args;
+mod config;
+#[cfg(test)]
+mod config_tests;
+mod stop;
+
+use std::{io, process::ExitCode, sync::Arc};
+
+use cassiareel::{node::Node, observe::json_logger, platform::HttpObjects};
+use gumdrop::Options as _;
+use slog::{error, info, Logger};
+
+use args::Args;
+use config::Config;
+
+/// Exit code for wrong settings or a node that does not start.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    let config = match Config::load(&args) {
+        Ok(config) => config,
+        Err(faults) => {
+            eprintln!("cassiareeld: the daemon's settings are wrong; nothing was started");
+            eprintln!("{faults}");
+            return EXIT_USAGE.into();
+        }
+    };
+    if args.check {
+        println!("the daemon's settings are right");
+        return ExitCode::SUCCESS;
+    }
+    let log = json_logger(io::stdout());
+    match run(config, &log) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(err) => {
+            error!(log, "not started"; "cause" => %err);
+            drop(log);
+            eprintln!("cassiareeld: the node could not be started: {err}");
+            EXIT_USAGE.into()
+        }
+    }
+}
+
+/// Runs a node until a signal stops it, and returns how many requests were cut.
+fn run(config: Config, log: &Logger) -> io::Result<usize> {
+    let signals = stop::listen()?;
+    let objects = Arc::new(HttpObjects::new(config.objects));
+    let grace = config.grace;
+    let mut node = Node::start(config.into_options()?, objects, log)?;
+    let signal = smol::block_on(signals.recv()).unwrap_or_default();
+    info!(log, "signal"; "signal" => signal, "open" => "finishing");
+    let drain = stop::drain_time(&node);
+    let left = smol::block_on(stop::stop(&mut node, grace, drain, &signals));
+    Ok(left)
+}
