--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -11,6 +11,9 @@
 mod api;
 mod choose;
 mod generate;
+mod operator;
+#[cfg(test)]
+mod operator_tests;
 mod order;
 mod parts;
 mod refusal;
@@ -20,6 +23,7 @@
 mod service;
 
 pub use api::Front;
+pub use operator::{Decisions, NodeStatus, Operator, StatusSource, OPERATOR_PATH};
 pub use parts::Parts;
 pub use refusal::{Outcome, Refusal};
 pub use request::{Endpoint, Prompt};
