--- a/crates/cassiareel-standins/src/demo/deployment.rs
+++ b/crates/cassiareel-standins/src/demo/deployment.rs
@@ -10,7 +10,7 @@
 };
 
 use cassiareel::{
-    kernel::{ServiceId, VersionId},
+    kernel::{Keyring, ServiceId, VersionId},
     node::{Node, Options},
     platform::HttpObjects,
     settings::{ServiceKind, Tree},
@@ -188,12 +188,14 @@
         return Err(io::Error::other("the settings name no data centre"));
     }
     let api = Arc::new(HttpObjects::new(objects.addr()));
+    let keyring = Arc::new(Keyring::new(&[(1, super::KEY.as_bytes())]));
     (0..NODES)
         .map(|i| {
             let data_centre = &data_centres[i % data_centres.len()];
             let options = Options {
                 listen: loopback(ports.callers, i),
                 control: loopback(ports.control, i),
+                keyring: keyring.clone(),
                 ..Options::new(&format!("node-{}", i + 1), data_centre)
             };
             Node::start(options, api.clone(), log).map(Some)
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -12,7 +12,7 @@
 use super::{
     answer::{Shape, Usage},
     choose::Place,
-    Parts, Prompt, Refusal,
+    Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
@@ -90,6 +90,12 @@
 /// Time for an engine to begin its answer's head.
 const ENGINE_HEAD: Duration = Duration::from_secs(10);
 
+/// Shortest time without a token after which an engine may count as silent.
+const SILENCE_FLOOR: Duration = Duration::from_millis(1200);
+
+/// Time for an engine to take up a live stream again.
+const ATTACH: Duration = Duration::from_millis(150);
+
 /// Time that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -99,7 +105,9 @@
         let limits = Limits {
             queue: self.policy.time.queue,
             first: self.policy.time.first_token,
+            floor: SILENCE_FLOOR.min(self.policy.time.between_tokens),
             between: self.policy.time.between_tokens,
+            attach: ATTACH,
             retry: self.policy.retries.pause,
             attempts: self.policy.retries.attempts,
         };
@@ -281,8 +289,13 @@
             Action::Choose { attempt, exclude } => Some(self.choose(attempt, &exclude)),
             Action::Open { attempt, .. } => self.open(attempt).await,
             Action::Attach { attempt, backend } => self.attach(attempt, &backend).await,
-            Action::Cancel { attempt, .. } => {
-                self.cancel(attempt);
+            Action::Detach { .. } => {
+                self.pieces = None;
+                self.place = None;
+                None
+            }
+            Action::Cancel { attempt, backend } => {
+                self.cancel(attempt, &backend);
                 None
             }
             Action::Emit { ids, text, .. } => self.emit(ids, &text).await,
@@ -364,7 +377,7 @@
         }
     }
 
-    /// Takes up the live stream of an attempt again.
+    /// Takes up the live stream of an attempt whose connection was lost.
     async fn attach(&mut self, attempt: Attempt, backend: &BackendId) -> Option<Event> {
         self.pieces = None;
         let Ok(addr) = backend.parse() else {
@@ -373,34 +386,43 @@
         };
         let engine = HttpEngine::new(addr, ENGINE_HEAD);
         let from = self.machine.position();
-        let attached = engine
-            .attach(&self.stream, attempt, from, self.text_bytes)
-            .await;
-        info!(self.driver.log, "attached"; "attempt" => attempt, "choice" => &**backend,
-            "position" => from, "found" => attached.is_ok());
-        match attached {
+        let attached = async {
+            engine
+                .attach(&self.stream, attempt, from, self.text_bytes)
+                .await
+                .map_err(|err| err.to_string())
+        };
+        let bound = async {
+            Timer::after(ATTACH).await;
+            Err(format!("no answer within {ATTACH:?}"))
+        };
+        match attached.or(bound).await {
             Ok(pieces) => {
+                info!(self.driver.log, "live stream taken up again"; "attempt" => attempt, "from" => from);
                 self.pieces = Some(pieces);
-                None
+                Some(Event::Attached { attempt })
+            }
+            Err(cause) => {
+                info!(self.driver.log, "live stream is gone"; "attempt" => attempt, "cause" => cause);
+                let how = Loss::Reset;
+                Some(Event::Lost { attempt, how })
             }
-            // Whatever the engine says of a stream that it hasn't, another attempt may go on.
-            Err(_) => Some(Event::Lost {
-                attempt,
-                how: Loss::Refused,
-            }),
         }
     }
 
     /// Cancels an attempt in the background: the next one doesn't wait for it.
-    fn cancel(&mut self, attempt: Attempt) {
+    fn cancel(&mut self, attempt: Attempt, backend: &BackendId) {
         self.pieces = None;
-        let Some(place) = self.place.take() else {
+        let place = self.place.take();
+        let Ok(addr) = backend.parse() else {
             return;
         };
         let id = self.stream.clone();
         let cancel = async move {
-            let engine = HttpEngine::new(place.addr, ENGINE_HEAD);
+            let engine = HttpEngine::new(addr, ENGINE_HEAD);
             let _ = engine.cancel(&id, attempt).await;
+            // The place counts as taken until the engine has let go.
+            drop(place);
         };
         self.driver.parts.spawner.spawn(cancel).detach();
     }
@@ -468,7 +490,9 @@
                 let words = format!(
                     "the answer is whole up to token {tokens} and can't go on; ask again for the rest"
                 );
-                let refusal = Refusal::busy(words, RETRY_AFTER).with_code("partial");
+                let refusal = Refusal::busy(words, RETRY_AFTER)
+                    .with_code("partial")
+                    .with_outcome(Outcome::Ran);
                 self.write_error(&refusal).await;
                 Signal::Refused(refusal)
             }
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -10,6 +10,8 @@
     hooks::{Hooks, NoHooks},
     kernel::{DataCentreId, Keyring},
     observe::Metrics,
+    orders::Orders,
+    platform::Objects,
     runtime::Spawner,
     settings::{Scope, Snapshot},
 };
@@ -30,6 +32,8 @@
     pub keyring: Arc<Keyring>,
     /// What listens to the steps of a request.
     pub hooks: Arc<dyn Hooks>,
+    /// Non-idempotent calls; none where no store keeps their records.
+    pub(super) orders: Option<Orders>,
     /// What chooses backend servers.
     pub(super) chooser: Chooser,
 }
@@ -50,6 +54,7 @@
             metrics: Arc::new(Metrics::none()),
             keyring: Arc::new(Keyring::random()),
             hooks: Arc::new(NoHooks),
+            orders: None,
             chooser: Chooser::new(),
         }
     }
@@ -62,6 +67,18 @@
         }
     }
 
+    /// Keeps records of non-idempotent calls in `objects`, with the metrics and hooks set so far.
+    pub fn with_orders(mut self, objects: Arc<dyn Objects>) -> Parts {
+        self.orders = Some(Orders::new(
+            objects,
+            self.spawner.clone(),
+            self.hooks.clone(),
+            self.metrics.clone(),
+            self.log.clone(),
+        ));
+        self
+    }
+
     /// Sends figures to `metrics`.
     pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Parts {
         self.metrics = metrics;
--- a/crates/cassiareel/src/kernel/generation/action.rs
+++ b/crates/cassiareel/src/kernel/generation/action.rs
@@ -9,12 +9,9 @@
     Complete(FinishReason),
     /// Nothing ran: no backend server could take it in time.
     NotRun,
-    /// The answer is whole up to a position, and can't go on.
+    /// An engine began, and the answer, whole up to the position reached, can't go on.
     Partial,
     /// The caller went away, or is served by another node.
-    ///
-    /// The attempt is not cancelled: the caller may have come back to another node already, which
-    /// reads the same stream. An engine ends a stream that nobody reads by itself.
     Abandoned,
 }
 
@@ -42,6 +39,14 @@
         /// The backend server.
         backend: BackendId,
     },
+    /// Let go of the attempt's stream without a cancel: an engine ends a stream that nobody reads by
+    /// itself, and the caller may have come back to another node, which reads it already.
+    Detach {
+        /// The attempt.
+        attempt: Attempt,
+        /// The backend server.
+        backend: BackendId,
+    },
     /// Cancel the attempt at a backend server, so that it works for nobody.
     Cancel {
         /// The attempt.
--- a/crates/cassiareel/src/kernel/generation/machine.rs
+++ b/crates/cassiareel/src/kernel/generation/machine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Action, Ending, Event, Loss, NoBackend};
+use super::{Action, Ending, Event, Loss, NoBackend, Pace};
 use crate::kernel::{Attempt, BackendId, Position, Time};
 
 /// Bounds on a generation.
@@ -12,14 +12,24 @@
     pub queue: Duration,
     /// Time from opening an attempt to its first token.
     pub first: Duration,
-    /// Time between tokens.
+    /// Shortest time without a token after which an engine may count as silent.
+    pub floor: Duration,
+    /// Longest time without a token, whatever the engine's pace.
     pub between: Duration,
+    /// Time for a live stream to be taken up again.
+    pub attach: Duration,
     /// Time between looks for a backend server while none is fit.
     pub retry: Duration,
-    /// Attempts in all.
+    /// Attempts that may be lost in all.
     pub attempts: u32,
 }
 
+/// How late a timer may be before the node itself counts as having been paused.
+const PAUSED: Duration = Duration::from_millis(250);
+
+/// Times that the live stream of one attempt is taken up again.
+const ATTACHES: u32 = 3;
+
 /// Where the current attempt stands.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Stage {
@@ -28,16 +38,33 @@
     /// None was fit; another look comes at a time.
     Waiting { until: Time, again: Time },
     /// The attempt runs; the next token is due at a time.
-    Running {
-        backend: BackendId,
-        due: Time,
-        /// No token has come since its stream was taken up again.
-        attached: bool,
-    },
+    Running { backend: BackendId, due: Time },
+    /// The live stream of the attempt is asked for again, until a deadline.
+    Attaching { backend: BackendId, until: Time },
+    /// The caller doesn't read, and nothing runs.
+    Parked,
     /// The answer has ended.
     Ended,
 }
 
+/// A defect that the model check must find.
+#[cfg(test)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Mutation {
+    /// Takes tokens of every attempt.
+    AnyAttempt,
+    /// Takes tokens at any position.
+    AnyPosition,
+    /// Does not cancel a lost attempt.
+    NoCancel,
+    /// Says "not run" although an engine began.
+    NotRunAfterLoss,
+    /// Takes the end of an answer at any position.
+    AnyEnd,
+    /// Waits for ever for a live stream.
+    NoAttachBound,
+}
+
 /// A generation.
 ///
 /// # Examples
@@ -49,7 +76,9 @@
 /// let limits = Limits {
 ///     queue: Duration::from_secs(1),
 ///     first: Duration::from_secs(5),
-///     between: Duration::from_secs(1),
+///     floor: Duration::from_millis(1200),
+///     between: Duration::from_secs(10),
+///     attach: Duration::from_millis(150),
 ///     retry: Duration::from_millis(50),
 ///     attempts: 4,
 /// };
@@ -66,9 +95,16 @@
     // INVARIANT: the caller was given exactly the tokens 0..position, in order, once.
     position: Position,
     lost: Vec<BackendId>,
+    losses: u32,
+    attaches: u32,
+    pace: Pace,
+    // INVARIANT: set once an engine may have begun.
+    ran: bool,
     /// A new attempt can go on after the caller's tokens.
     continues: bool,
     stage: Stage,
+    #[cfg(test)]
+    pub(crate) mutation: Option<Mutation>,
 }
 
 /// Where a generation stands that goes on at another node.
@@ -92,10 +128,16 @@
             attempt: 1,
             position: 0,
             lost: Vec::new(),
+            losses: 0,
+            attaches: 0,
+            pace: Pace::default(),
+            ran: false,
             continues: true,
             stage: Stage::Choosing {
                 until: now + limits.queue,
             },
+            #[cfg(test)]
+            mutation: None,
         };
         let action = generation.choose();
         (generation, vec![action])
@@ -103,16 +145,22 @@
 
     /// Goes on with a generation that another node had; the action takes up the live stream.
     pub fn resume(limits: Limits, now: Time, from: Resume) -> (Generation, Vec<Action>) {
-        let mut generation = Generation {
-            limits,
+        let until = now + limits.attach;
+        let (mut generation, _) = Generation::start(limits, now);
+        generation.attempt = from.attempt;
+        generation.position = from.position;
+        generation.attaches = 1;
+        generation.ran = true;
+        generation.continues = from.continues;
+        generation.stage = Stage::Attaching {
+            backend: from.backend.clone(),
+            until,
+        };
+        let attach = Action::Attach {
             attempt: from.attempt,
-            position: from.position,
-            lost: Vec::new(),
-            continues: from.continues,
-            stage: Stage::Ended,
+            backend: from.backend,
         };
-        let actions = generation.attach(now, from.backend);
-        (generation, actions)
+        (generation, vec![attach, Action::Wake { at: until }])
     }
 
     /// The current attempt.
@@ -145,7 +193,9 @@
                 position,
                 ids,
                 text,
-            } if attempt == self.attempt => self.accept(now, position, ids, text),
+            } if attempt == self.attempt || self.is_mutated("AnyAttempt") => {
+                self.accept(now, position, ids, text)
+            }
             Event::Finished {
                 attempt,
                 position,
@@ -154,13 +204,16 @@
                 if !matches!(self.stage, Stage::Running { .. }) {
                     return Vec::new();
                 }
-                if position != self.position {
+                if position != self.position && !self.is_mutated("AnyEnd") {
                     return self.lose(now, Loss::Mismatch);
                 }
                 self.end(Ending::Complete(reason))
             }
-            Event::Lost { attempt, how } if attempt == self.attempt => self.falter(now, how),
-            Event::Replaced { attempt } if attempt == self.attempt => self.abandon(),
+            Event::Attached { attempt } if attempt == self.attempt => self.attached(now),
+            Event::Lost { attempt, how } if attempt == self.attempt => self.lose(now, how),
+            Event::Replaced { attempt } if attempt == self.attempt => self.leave(),
+            Event::Stalled => self.park(),
+            Event::Drained => self.unpark(now),
             Event::Abandoned => self.abandon(),
             Event::Tick => self.tick(now),
             _ => Vec::new(),
@@ -182,7 +235,6 @@
         self.stage = Stage::Running {
             backend: backend.clone(),
             due,
-            attached: false,
         };
         vec![
             Action::Open {
@@ -214,16 +266,20 @@
         ids: Vec<u32>,
         text: String,
     ) -> Vec<Action> {
-        let Stage::Running { due, attached, .. } = &mut self.stage else {
+        if !matches!(self.stage, Stage::Running { .. }) {
             return Vec::new();
-        };
-        if position != self.position {
+        }
+        let next = position + ids.len() as Position;
+        if next <= self.position && !ids.is_empty() && !self.is_mutated("AnyPosition") {
+            // Tokens that came twice.
+            return Vec::new();
+        }
+        if position != self.position && !self.is_mutated("AnyPosition") {
             return self.lose(now, Loss::Mismatch);
         }
-        *attached = false;
-        *due = now + self.limits.between;
-        let at = *due;
-        self.position += ids.len() as Position;
+        self.pace.arrived(now);
+        self.position = next;
+        let at = self.await_token(now);
         vec![
             Action::Emit {
                 position,
@@ -234,77 +290,160 @@
         ]
     }
 
-    /// Takes up the live stream of the attempt, in the hope that only the connection was lost.
-    fn attach(&mut self, now: Time, backend: BackendId) -> Vec<Action> {
-        let due = now + self.limits.between;
+    /// Gives the engine its time for the next token, and returns the deadline.
+    fn await_token(&mut self, now: Time) -> Time {
+        let at = now + self.pace.patience(self.limits.floor, self.limits.between);
+        if let Stage::Running { due, .. } = &mut self.stage {
+            *due = at;
+        }
+        at
+    }
+
+    fn attached(&mut self, now: Time) -> Vec<Action> {
+        let Stage::Attaching { backend, .. } = &self.stage else {
+            return Vec::new();
+        };
+        self.pace.interrupt();
         self.stage = Stage::Running {
             backend: backend.clone(),
-            due,
-            attached: true,
+            due: now,
         };
-        vec![
-            Action::Attach {
-                attempt: self.attempt,
-                backend,
-            },
-            Action::Wake { at: due },
-        ]
+        let at = self.await_token(now);
+        vec![Action::Wake { at }]
     }
 
-    /// Takes a loss: after a reset the engine may live on, and its stream is taken up again once.
-    fn falter(&mut self, now: Time, how: Loss) -> Vec<Action> {
+    fn lose(&mut self, now: Time, how: Loss) -> Vec<Action> {
         match &self.stage {
-            Stage::Running {
-                backend,
-                attached: false,
-                ..
-            } if how == Loss::Reset => {
+            // The engine may be alive, and only its connection lost.
+            Stage::Running { backend, .. } if how == Loss::Reset && self.attaches < ATTACHES => {
+                self.ran = true;
+                self.attaches += 1;
+                let until = now + self.limits.attach;
+                let backend = backend.clone();
+                self.stage = Stage::Attaching {
+                    backend: backend.clone(),
+                    until,
+                };
+                let attempt = self.attempt;
+                vec![
+                    Action::Attach { attempt, backend },
+                    Action::Wake { at: until },
+                ]
+            }
+            Stage::Running { backend, .. } => {
+                self.ran |= how != Loss::Refused;
+                let backend = backend.clone();
+                self.replace(now, backend, how != Loss::Refused)
+            }
+            Stage::Attaching { backend, .. } => {
                 let backend = backend.clone();
-                self.attach(now, backend)
+                self.replace(now, backend, true)
             }
-            _ => self.lose(now, how),
+            _ => Vec::new(),
         }
     }
 
-    fn lose(&mut self, now: Time, how: Loss) -> Vec<Action> {
-        let Stage::Running { backend, .. } = &self.stage else {
-            return Vec::new();
-        };
-        let backend = backend.clone();
+    /// Gives an attempt up and goes on with the next.
+    fn replace(&mut self, now: Time, backend: BackendId, cancel: bool) -> Vec<Action> {
         let mut actions = Vec::new();
-        if how != Loss::Refused {
+        if cancel && !self.is_mutated("NoCancel") {
             actions.push(Action::Cancel {
                 attempt: self.attempt,
                 backend: backend.clone(),
             });
         }
         self.lost.push(backend);
-        if !self.continues || self.attempt >= self.limits.attempts {
+        self.losses += 1;
+        if !self.continues || self.losses >= self.limits.attempts {
             actions.extend(self.give_up());
             return actions;
         }
+        actions.push(self.next(now));
+        actions
+    }
+
+    /// Begins the next attempt.
+    fn next(&mut self, now: Time) -> Action {
         self.attempt += 1;
+        self.attaches = 0;
+        self.pace = Pace::default();
         self.stage = Stage::Choosing {
             until: now + self.limits.queue,
         };
-        actions.push(self.choose());
-        actions
+        self.choose()
+    }
+
+    /// Frees the engine of a caller that doesn't read.
+    fn park(&mut self) -> Vec<Action> {
+        let cancel = self.cancel();
+        if !matches!(self.stage, Stage::Ended) {
+            self.ran |= !cancel.is_empty();
+            self.stage = Stage::Parked;
+        }
+        cancel
+    }
+
+    fn unpark(&mut self, now: Time) -> Vec<Action> {
+        if self.stage != Stage::Parked {
+            return Vec::new();
+        }
+        vec![self.next(now)]
+    }
+
+    /// Cancels what runs.
+    fn cancel(&self) -> Vec<Action> {
+        match &self.stage {
+            Stage::Running { backend, .. } | Stage::Attaching { backend, .. } => {
+                vec![Action::Cancel {
+                    attempt: self.attempt,
+                    backend: backend.clone(),
+                }]
+            }
+            _ => Vec::new(),
+        }
     }
 
     fn tick(&mut self, now: Time) -> Vec<Action> {
-        match self.stage {
-            Stage::Running { due, .. } if now >= due => self.lose(now, Loss::Silent),
-            Stage::Running { due, .. } => vec![Action::Wake { at: due }],
-            Stage::Waiting { until, again } if now >= again => {
-                self.stage = Stage::Choosing { until };
+        match &self.stage {
+            Stage::Running { due, .. } if now > *due + PAUSED => {
+                // The node was paused itself: what the engine sent meanwhile is looked at first.
+                self.pace.interrupt();
+                let at = self.await_token(now);
+                vec![Action::Wake { at }]
+            }
+            Stage::Running { due, .. } if now >= *due => self.lose(now, Loss::Silent),
+            Stage::Running { due, .. } => vec![Action::Wake { at: *due }],
+            Stage::Attaching { until, .. }
+                if now >= *until && !self.is_mutated("NoAttachBound") =>
+            {
+                self.lose(now, Loss::Silent)
+            }
+            Stage::Attaching { until, .. } => vec![Action::Wake { at: *until }],
+            Stage::Waiting { until, again } if now >= *again => {
+                self.stage = Stage::Choosing { until: *until };
                 vec![self.choose()]
             }
-            Stage::Waiting { again, .. } => vec![Action::Wake { at: again }],
-            Stage::Choosing { .. } | Stage::Ended => Vec::new(),
+            Stage::Waiting { again, .. } => vec![Action::Wake { at: *again }],
+            Stage::Choosing { .. } | Stage::Ended | Stage::Parked => Vec::new(),
         }
     }
 
+    /// Lets go of the engine: the caller may be reading the same stream through another node.
     fn abandon(&mut self) -> Vec<Action> {
+        let detach = match &self.stage {
+            Stage::Running { backend, .. } | Stage::Attaching { backend, .. } => {
+                Some(Action::Detach {
+                    attempt: self.attempt,
+                    backend: backend.clone(),
+                })
+            }
+            _ => None,
+        };
+        detach.into_iter().chain(self.leave()).collect()
+    }
+
+    /// Ends for a caller that is not here any more.
+    fn leave(&mut self) -> Vec<Action> {
         match self.stage {
             Stage::Ended => Vec::new(),
             _ => self.end(Ending::Abandoned),
@@ -312,12 +451,26 @@
     }
 
     fn give_up(&mut self) -> Vec<Action> {
-        let ran = self.position > 0;
-        self.end(if ran { Ending::Partial } else { Ending::NotRun })
+        let ran = self.ran && !self.is_mutated("NotRunAfterLoss");
+        self.end(if ran || self.position > 0 {
+            Ending::Partial
+        } else {
+            Ending::NotRun
+        })
     }
 
     fn end(&mut self, ending: Ending) -> Vec<Action> {
         self.stage = Stage::Ended;
         vec![Action::End(ending)]
     }
+
+    #[cfg(test)]
+    fn is_mutated(&self, name: &str) -> bool {
+        self.mutation.is_some_and(|m| format!("{m:?}") == name)
+    }
+
+    #[cfg(not(test))]
+    fn is_mutated(&self, _name: &str) -> bool {
+        false
+    }
 }
--- /dev/null
+++ b/crates/cassiareel/src/kernel/generation/machine_tests.rs
@@ -0,0 +1,423 @@
+//! Exhaustive search over one generation, two engines and a caller that fail.
+
+use std::time::Duration;
+
+use test_case::test_case;
+
+use super::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, Mutation, NoBackend};
+use crate::kernel::{
+    check::{search, Model, Report},
+    Attempt, BackendId, Position, Time, TokenId,
+};
+
+/// Tokens of the whole answer.
+const LENGTH: Position = 3;
+/// Backend servers.
+const ENGINES: [&str; 2] = ["e0", "e1"];
+/// States that a search may reach.
+const BOUND: usize = 2_000_000;
+
+const LIMITS: Limits = Limits {
+    queue: Duration::from_secs(1),
+    first: Duration::from_secs(1),
+    floor: Duration::from_secs(1),
+    between: Duration::from_secs(1),
+    attach: Duration::from_secs(1),
+    retry: Duration::from_secs(1),
+    attempts: 3,
+};
+
+struct Answers {
+    faults: u8,
+    mutation: Option<Mutation>,
+    /// The only invariant to check, to show that it finds a defect by itself.
+    only: Option<&'static str>,
+}
+
+/// An attempt's stream at its engine.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Stream {
+    attempt: Attempt,
+    /// The tokens that it goes on from, and its own.
+    tokens: Vec<TokenId>,
+    /// The next token on the connection.
+    cursor: usize,
+    /// Whether it works at its engine.
+    alive: bool,
+    /// Whether what it sent may still arrive.
+    heard: bool,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct World {
+    machine: Generation,
+    pending: Vec<Action>,
+    streams: Vec<Stream>,
+    emitted: Vec<TokenId>,
+    ending: Option<Ending>,
+    stalled: bool,
+    /// When the machine asked to be woken.
+    wake: Time,
+    faults: u8,
+    broken: Option<&'static str>,
+}
+
+/// The token that an attempt makes at a position: no two attempts make the same.
+fn token(attempt: Attempt, position: usize) -> TokenId {
+    attempt * 100 + position as TokenId
+}
+
+impl World {
+    fn tell(&mut self, now: Time, event: Event) {
+        let actions = self.machine.step(now, event);
+        self.take(actions);
+    }
+
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Wake { at } => self.wake = at,
+                Action::Emit { position, ids, .. } => self.emit(position, &ids),
+                // An engine ends a detached stream by itself, as the interface page says.
+                Action::Cancel { attempt, .. } | Action::Detach { attempt, .. } => {
+                    self.cancel(attempt);
+                }
+                Action::End(ending) => self.end(ending),
+                other => self.pending.push(other),
+            }
+        }
+    }
+
+    /// Cancels an attempt; the driver gives up an open that is still out.
+    fn cancel(&mut self, attempt: Attempt) {
+        self.pending
+            .retain(|a| !matches!(a, Action::Open { attempt: a, .. } if *a == attempt));
+        self.streams
+            .iter_mut()
+            .filter(|stream| stream.attempt == attempt)
+            .for_each(|stream| stream.alive = false);
+    }
+
+    fn emit(&mut self, position: Position, ids: &[TokenId]) {
+        if position as usize != self.emitted.len() {
+            self.broken.get_or_insert("no token is missing or repeated");
+        }
+        self.emitted.extend(ids);
+        let whole = self.streams.iter().any(|stream| {
+            stream.tokens.len() >= self.emitted.len()
+                && stream.tokens[..self.emitted.len()] == self.emitted[..]
+        });
+        if !whole {
+            self.broken.get_or_insert("no two generations are mixed");
+        }
+    }
+
+    fn end(&mut self, ending: Ending) {
+        if self.ending.replace(ending).is_some() {
+            self.broken.get_or_insert("one end");
+        }
+        match ending {
+            Ending::Complete(_) if self.emitted.len() != LENGTH as usize => {
+                self.broken.get_or_insert("a complete answer is whole");
+            }
+            Ending::NotRun if !self.streams.is_empty() => {
+                self.broken.get_or_insert("not run means not run");
+            }
+            _ => {}
+        }
+    }
+
+    fn open(&mut self, attempt: Attempt) {
+        let prior = self.emitted.len();
+        let mut tokens = self.emitted.clone();
+        tokens.extend((prior..LENGTH as usize).map(|i| token(attempt, i)));
+        self.streams.push(Stream {
+            attempt,
+            tokens,
+            cursor: prior,
+            alive: true,
+            heard: true,
+        });
+    }
+
+    fn lose(&mut self, attempt: Attempt, how: Loss) {
+        self.tell(Time::ZERO, Event::Lost { attempt, how });
+    }
+
+    /// A stream's next piece arrives.
+    fn deliver(&mut self, at: usize) {
+        let stream = &mut self.streams[at];
+        let attempt = stream.attempt;
+        let position = stream.cursor as Position;
+        let event = match stream.tokens.get(stream.cursor) {
+            Some(&id) => {
+                stream.cursor += 1;
+                Event::Tokens {
+                    attempt,
+                    position,
+                    ids: vec![id],
+                    text: String::new(),
+                }
+            }
+            None => {
+                stream.alive = false;
+                stream.heard = false;
+                Event::Finished {
+                    attempt,
+                    position,
+                    reason: FinishReason::Stop,
+                }
+            }
+        };
+        self.tell(Time::ZERO, event);
+    }
+}
+
+impl Answers {
+    /// What may become of a pending action.
+    fn carry(&self, world: &World) -> Vec<(String, World)> {
+        let mut base = world.clone();
+        if base.pending.is_empty() {
+            return Vec::new();
+        }
+        let action = base.pending.remove(0);
+        let mut next = Vec::new();
+        let mut push = |label: &str, cost: u8, change: &dyn Fn(&mut World)| {
+            if cost <= base.faults {
+                let mut state = base.clone();
+                state.faults -= cost;
+                change(&mut state);
+                next.push((label.to_owned(), state));
+            }
+        };
+        match action {
+            Action::Choose { attempt, exclude } => {
+                let fit = ENGINES
+                    .iter()
+                    .find(|e| !exclude.iter().any(|x| **x == ***e));
+                match fit {
+                    Some(engine) => push("choose", 0, &|w| {
+                        let backend: BackendId = (*engine).into();
+                        w.tell(Time::ZERO, Event::Chosen { attempt, backend });
+                    }),
+                    None => push("no engine is left", 0, &|w| {
+                        let why = NoBackend::Busy;
+                        w.tell(Time::ZERO, Event::NotChosen { attempt, why });
+                    }),
+                }
+                push("every engine is busy", 1, &|w| {
+                    let why = NoBackend::Busy;
+                    w.tell(LIMITS.queue, Event::NotChosen { attempt, why });
+                });
+            }
+            Action::Open { attempt, .. } => {
+                push("open", 0, &|w| w.open(attempt));
+                push("engine refuses", 1, &|w| w.lose(attempt, Loss::Refused));
+                push("connection lost while it opens", 1, &|w| {
+                    w.open(attempt);
+                    w.lose(attempt, Loss::Reset);
+                });
+            }
+            Action::Attach { attempt, .. } => {
+                push("attach", 0, &|w| {
+                    let position = w.machine.position() as usize;
+                    let stream = w
+                        .streams
+                        .iter_mut()
+                        .find(|s| s.attempt == attempt && s.alive);
+                    match stream {
+                        Some(stream) => {
+                            stream.cursor = position;
+                            stream.heard = true;
+                            w.tell(Time::ZERO, Event::Attached { attempt });
+                        }
+                        None => w.lose(attempt, Loss::Refused),
+                    }
+                });
+                push("attach is not answered", 1, &|_| {});
+            }
+            _ => {}
+        }
+        next
+    }
+
+    fn stream_steps(&self, world: &World) -> Vec<(String, World)> {
+        let mut next = Vec::new();
+        for (at, stream) in world.streams.iter().enumerate() {
+            let attempt = stream.attempt;
+            if stream.heard && !world.stalled {
+                let mut state = world.clone();
+                state.deliver(at);
+                next.push((format!("{attempt}: piece"), state));
+            }
+            if world.faults == 0 {
+                continue;
+            }
+            let mut faulty = world.clone();
+            faulty.faults -= 1;
+            if stream.heard && stream.cursor > 0 {
+                let mut state = faulty.clone();
+                state.streams[at].cursor -= 1;
+                state.deliver(at);
+                next.push((format!("{attempt}: piece twice"), state));
+            }
+            if stream.heard && stream.cursor + 1 < stream.tokens.len() {
+                let mut state = faulty.clone();
+                state.streams[at].cursor += 1;
+                state.deliver(at);
+                next.push((format!("{attempt}: piece lost"), state));
+            }
+            if stream.heard {
+                // An end that comes before its tokens.
+                let mut state = faulty.clone();
+                state.streams[at].cursor = stream.tokens.len();
+                state.deliver(at);
+                next.push((format!("{attempt}: end without its tokens"), state));
+            }
+            if stream.alive {
+                let mut state = faulty.clone();
+                state.lose(attempt, Loss::Reset);
+                next.push((format!("{attempt}: connection lost"), state));
+                let mut state = faulty.clone();
+                state.streams[at].alive = false;
+                state.lose(attempt, Loss::Reset);
+                next.push((format!("{attempt}: engine killed"), state));
+            }
+        }
+        next
+    }
+
+    fn caller_steps(&self, world: &World) -> Vec<(String, World)> {
+        let mut next = Vec::new();
+        if world.faults > 0 && world.ending.is_none() {
+            let mut state = world.clone();
+            state.faults -= 1;
+            state.tell(Time::ZERO, Event::Abandoned);
+            next.push(("caller goes".to_owned(), state));
+            let mut state = world.clone();
+            state.faults -= 1;
+            state.tell(state.wake, Event::Tick);
+            next.push(("a bound passes in silence".to_owned(), state));
+        }
+        if world.faults > 0 && world.ending.is_none() && !world.stalled && !world.emitted.is_empty()
+        {
+            let mut state = world.clone();
+            state.faults -= 1;
+            state.stalled = true;
+            state.tell(Time::ZERO, Event::Stalled);
+            next.push(("caller stops reading".to_owned(), state));
+        }
+        if world.stalled {
+            let mut state = world.clone();
+            state.stalled = false;
+            state.tell(Time::ZERO, Event::Drained);
+            next.push(("caller reads again".to_owned(), state));
+        }
+        next
+    }
+}
+
+impl Model for Answers {
+    type State = World;
+
+    fn initial(&self) -> World {
+        let (mut machine, actions) = Generation::start(LIMITS, Time::ZERO);
+        machine.mutation = self.mutation;
+        let mut world = World {
+            machine,
+            pending: Vec::new(),
+            streams: Vec::new(),
+            emitted: Vec::new(),
+            ending: None,
+            stalled: false,
+            wake: Time::ZERO,
+            faults: self.faults,
+            broken: None,
+        };
+        world.take(actions);
+        world
+    }
+
+    fn steps(&self, world: &World) -> Vec<(String, World)> {
+        let mut next = self.carry(world);
+        next.extend(self.stream_steps(world));
+        next.extend(self.caller_steps(world));
+        next
+    }
+
+    fn invariant(&self, world: &World) -> Result<(), &'static str> {
+        let idle = world.ending.is_some() && world.streams.iter().any(|stream| stream.alive);
+        let broken = [world.broken, idle.then_some("no engine works for nobody")];
+        broken
+            .into_iter()
+            .flatten()
+            .find(|broken| self.only.is_none_or(|only| only == *broken))
+            .map_or(Ok(()), Err)
+    }
+
+    fn quiet(&self, world: &World) -> Option<World> {
+        if world.ending.is_some() {
+            return None;
+        }
+        let calm = World {
+            faults: 0,
+            ..world.clone()
+        };
+        if let Some((_, next)) = self.carry(&calm).into_iter().next() {
+            return Some(next);
+        }
+        if calm.stalled {
+            return self
+                .caller_steps(&calm)
+                .into_iter()
+                .next()
+                .map(|(_, next)| next);
+        }
+        let current = calm.machine.attempt();
+        let at = calm
+            .streams
+            .iter()
+            .position(|s| s.attempt == current && s.heard && s.alive);
+        let mut next = calm;
+        match at {
+            Some(at) => next.deliver(at),
+            None => next.tell(next.wake, Event::Tick),
+        }
+        Some(next)
+    }
+}
+
+fn run(model: &Answers) -> Report {
+    let report = search(model, BOUND);
+    println!(
+        "generation, {} faults, {:?}: {report}, bound {BOUND}",
+        model.faults, model.mutation
+    );
+    report
+}
+
+#[test]
+fn answers_are_whole_or_say_how_far() {
+    let report = run(&Answers {
+        faults: 3,
+        mutation: None,
+        only: None,
+    });
+    assert!(report.violation.is_none(), "{report}");
+}
+
+#[test_case(Mutation::AnyAttempt, "no two generations are mixed")]
+#[test_case(Mutation::AnyPosition, "no token is missing or repeated")]
+#[test_case(Mutation::NoCancel, "no engine works for nobody")]
+#[test_case(Mutation::NotRunAfterLoss, "not run means not run")]
+#[test_case(Mutation::AnyEnd, "a complete answer is whole")]
+#[test_case(Mutation::NoAttachBound, "a quiet environment leads to an end")]
+fn defects_are_caught(mutation: Mutation, breaks: &'static str) {
+    let report = run(&Answers {
+        faults: 3,
+        mutation: Some(mutation),
+        only: Some(breaks),
+    });
+    let violation = report.violation.expect("the search finds the defect");
+    assert_eq!(violation.invariant, breaks);
+}
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -14,6 +14,7 @@
 pub mod health;
 mod ids;
 mod keyring;
+pub mod order;
 pub mod routing;
 pub mod ticket;
 #[cfg(test)]
