Give operators a command line

Settings, client accounts, keys, backend servers, versions, the nodes' status, and why a request went where it went. Each error says the next step, each report prints as JSON, and the exit codes tell refused, conflict, not reached, unknown and late apart.

--- /dev/null
+++ b/crates/cassiareel-cli/src/context.rs
@@ -0,0 +1,117 @@
+//! What commands work with: the object API, the nodes, and who asks.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use cassiareel::platform::{HttpObjects, Objects};
+
+use crate::{Args, Code, Error, NodeClient};
+
+/// The object API, the nodes, and who asks.
+#[derive(Clone)]
+pub struct Context {
+    /// The object API, where it was named.
+    pub objects: Option<Arc<dyn Objects>>,
+    /// Control addresses of nodes.
+    pub nodes: Vec<SocketAddr>,
+    /// The operator's key for nodes.
+    pub key: Option<String>,
+    /// The operator's name, for the history.
+    pub author: String,
+}
+
+impl Context {
+    /// Reads the options and, where one is left out, its environment variable.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address is none.
+    pub fn new(args: &Args) -> Result<Context, Error> {
+        let objects = match text(args.object_api.as_ref(), "CASSIAREEL_OBJECT_API") {
+            Some(addr) => {
+                let objects = HttpObjects::new(address("--object-api", &addr)?);
+                Some(Arc::new(objects) as Arc<dyn Objects>)
+            }
+            None => None,
+        };
+        let nodes = text(args.nodes.as_ref(), "CASSIAREEL_NODES").unwrap_or_default();
+        let nodes = nodes
+            .split([',', ' '])
+            .filter(|addr| !addr.is_empty())
+            .map(|addr| address("--nodes", addr))
+            .collect::<Result<_, _>>()?;
+        let author = text(args.author.as_ref(), "CASSIAREEL_AUTHOR")
+            .or_else(|| std::env::var("USER").ok())
+            .unwrap_or_else(|| "unknown".to_owned());
+        Ok(Context {
+            objects,
+            nodes,
+            key: text(args.key.as_ref(), "CASSIAREEL_KEY"),
+            author,
+        })
+    }
+
+    /// The object API.
+    ///
+    /// # Errors
+    ///
+    /// Fails where none was named.
+    pub fn objects(&self) -> Result<&dyn Objects, Error> {
+        self.objects.as_deref().ok_or_else(|| {
+            Error::new(
+                Code::Usage,
+                "the object API is not named",
+                "give --object-api ADDR or set CASSIAREEL_OBJECT_API",
+            )
+        })
+    }
+
+    /// Clients of all nodes.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no node or no key was given.
+    pub fn nodes(&self) -> Result<Vec<NodeClient>, Error> {
+        if self.nodes.is_empty() {
+            return Err(Error::new(
+                Code::Usage,
+                "no node is named",
+                "give --nodes ADDR,ADDR (control addresses) or set CASSIAREEL_NODES",
+            ));
+        }
+        let Some(key) = &self.key else {
+            return Err(Error::new(
+                Code::Usage,
+                "no operator's key is given",
+                "set CASSIAREEL_KEY or give --key; `cassiareel keys add --operator NAME` makes one",
+            ));
+        };
+        let client = |addr: &SocketAddr| NodeClient::new(*addr, key);
+        Ok(self.nodes.iter().map(client).collect())
+    }
+}
+
+/// Milliseconds since 1970.
+pub(crate) fn now() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+fn text(option: Option<&String>, variable: &str) -> Option<String> {
+    option.cloned().or_else(|| std::env::var(variable).ok())
+}
+
+fn address(option: &str, text: &str) -> Result<SocketAddr, Error> {
+    text.parse().map_err(|_| {
+        Error::new(
+            Code::Usage,
+            format!("{option}: `{text}` is not an address"),
+            "write an IP number and a port, such as 10.11.0.100:8280",
+        )
+    })
+}
--- /dev/null
+++ b/crates/cassiareel-cli/src/keys.rs
@@ -0,0 +1,159 @@
+//! Commands on keys of callers and operators.
+
+use std::collections::btree_map::Entry;
+
+use cassiareel::{
+    platform::Objects,
+    settings::{key_digest, units::Digest, Keys, Tree},
+};
+use serde_json::json;
+
+use crate::{
+    accounts::no_account,
+    report::{heading, table},
+    settings::{applied_report, change},
+    Code, Error, Report,
+};
+
+/// Bytes of a key from the operating system's random numbers.
+const KEY_BYTES: usize = 32;
+
+/// What a key begins with, so that scanners for leaked keys can tell it.
+const KEY_PREFIX: &str = "crk-";
+
+/// Digits of a digest that a list shows.
+const DIGEST_DIGITS: usize = 12;
+
+/// Whose key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyOwner<'a> {
+    /// A caller's.
+    Caller {
+        /// The client account.
+        account: &'a str,
+        /// The caller beneath it.
+        caller: &'a str,
+    },
+    /// An operator's.
+    Operator(&'a str),
+}
+
+impl KeyOwner<'_> {
+    /// The owner in words.
+    fn words(&self) -> String {
+        match self {
+            KeyOwner::Caller { account, caller } => format!("caller {caller} of {account}"),
+            KeyOwner::Operator(name) => format!("operator {name}"),
+        }
+    }
+
+    /// The owner's keys; an owner that is not there is added.
+    fn keys<'t>(&self, tree: &'t mut Tree) -> Result<&'t mut Keys, Error> {
+        match *self {
+            KeyOwner::Operator(name) => {
+                let node = tree.platform.operators.entry(name.to_owned()).or_default();
+                Ok(&mut node.keys)
+            }
+            KeyOwner::Caller { account, caller } => {
+                if !tree.accounts.contains_key(account) {
+                    return Err(no_account(tree, account));
+                }
+                let node = tree.accounts.entry(account.into()).or_default();
+                Ok(&mut node.callers.entry(caller.into()).or_default().keys)
+            }
+        }
+    }
+}
+
+/// Lists the names and digests of all keys.
+pub fn list_keys(tree: &Tree) -> Report {
+    let mut rows = vec![heading(&["owner", "key", "digest"])];
+    let mut list = Vec::new();
+    let mut add = |owner: KeyOwner<'_>, keys: &Keys| {
+        for (name, digest) in keys {
+            let digest = digest.to_string();
+            let short = digest[..DIGEST_DIGITS].to_owned();
+            rows.push(vec![owner.words(), name.clone(), short]);
+            list.push(json!({"owner": owner.words(), "key": name, "digest": digest}));
+        }
+    };
+    for (name, operator) in &tree.platform.operators {
+        add(KeyOwner::Operator(name), &operator.keys);
+    }
+    for (account, node) in &tree.accounts {
+        for (caller, leaf) in &node.callers {
+            add(KeyOwner::Caller { account, caller }, &leaf.keys);
+        }
+    }
+    Report::new(table(&rows), json!({"keys": list}))
+}
+
+/// Makes a key, keeps its digest, and tells the key this once.
+///
+/// # Errors
+///
+/// Fails where there is a key of the name, and as [`cassiareel::settings::apply`] does.
+pub async fn add_key(
+    objects: &dyn Objects,
+    author: &str,
+    owner: KeyOwner<'_>,
+    name: &str,
+) -> Result<Report, Error> {
+    let key = new_key()?;
+    let add = |tree: &mut Tree| match owner.keys(tree)?.entry(name.to_owned()) {
+        Entry::Vacant(slot) => {
+            slot.insert(Digest(key_digest(&key)));
+            Ok(())
+        }
+        Entry::Occupied(_) => Err(Error::new(
+            Code::Refused,
+            format!("{} has a key {name} already", owner.words()),
+            "give the new key another --name, and remove the old one when nobody uses it",
+        )),
+    };
+    let note = format!("add key {name} of {}", owner.words());
+    let applied = change(objects, author, &note, add).await?;
+    let revision = applied.revision;
+    let text = format!(
+        "key {name} of {}, in force with revision {revision}; it is kept nowhere, so keep it now:\n{key}",
+        owner.words()
+    );
+    let json = json!({"owner": owner.words(), "name": name, "key": key, "revision": revision});
+    Ok(Report::new(text, json))
+}
+
+/// Removes a key.
+///
+/// # Errors
+///
+/// Fails where there is none of the name, and as [`cassiareel::settings::apply`] does.
+pub async fn remove_key(
+    objects: &dyn Objects,
+    author: &str,
+    owner: KeyOwner<'_>,
+    name: &str,
+) -> Result<Report, Error> {
+    let remove = |tree: &mut Tree| match owner.keys(tree)?.remove(name) {
+        Some(_) => Ok(()),
+        None => Err(Error::new(
+            Code::Refused,
+            format!("{} has no key {name}", owner.words()),
+            "`cassiareel keys list` names them",
+        )),
+    };
+    let note = format!("remove key {name} of {}", owner.words());
+    let applied = change(objects, author, &note, remove).await?;
+    Ok(applied_report(&applied))
+}
+
+fn new_key() -> Result<String, Error> {
+    let mut bytes = [0; KEY_BYTES];
+    getrandom::fill(&mut bytes).map_err(|err| {
+        Error::new(
+            Code::Refused,
+            format!("the operating system gave no random numbers: {err}"),
+            "run the command on another machine",
+        )
+    })?;
+    Ok(format!("{KEY_PREFIX}{}", hex::encode(bytes)))
+}
--- /dev/null
+++ b/crates/cassiareel-cli/src/lib.rs
@@ -0,0 +1,37 @@
+/*!
+The operators' command line of cassiareel.
+
+Settings, client accounts and keys are changed through the platform's object API, under the same
+checks and conditions for every operator; nodes are only asked. Each command is a function that
+takes the object API or the nodes and gives a [`Report`], which prints as text or JSON.
+*/
+
+mod accounts;
+mod args;
+mod context;
+mod error;
+mod explain;
+mod fleet;
+mod keys;
+mod nodes;
+mod report;
+mod run;
+mod settings;
+mod status;
+mod wait;
+
+pub use accounts::{accounts, add_account, remove_account};
+pub use args::{globals_first, Args};
+pub use context::Context;
+pub use error::{Code, Error};
+pub use explain::{explain, tell, Line};
+pub use fleet::{servers, versions};
+pub use keys::{add_key, list_keys, remove_key, KeyOwner};
+pub use nodes::NodeClient;
+pub use report::Report;
+pub use run::run;
+pub use settings::{
+    apply_file, diff_files, get, history, show, validate, ApplyOptions, ShowOptions,
+};
+pub use status::status;
+pub use wait::wait;
--- /dev/null
+++ b/crates/cassiareel-cli/src/nodes.rs
@@ -0,0 +1,82 @@
+//! Calls to the operators' interface of nodes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cassiareel::{
+    front::{Decisions, NodeStatus, OPERATOR_PATH},
+    wire::{read_body, send, Limits},
+};
+use http_types::{Method, Request, Url};
+use serde::de::DeserializeOwned;
+
+/// Time to a node's answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The largest answer of a node, in bytes.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// A node, asked with an operator's key.
+#[derive(Clone, Debug)]
+pub struct NodeClient {
+    /// Its control address.
+    pub addr: SocketAddr,
+    key: String,
+}
+
+impl NodeClient {
+    /// The node at a control address.
+    pub fn new(addr: SocketAddr, key: &str) -> NodeClient {
+        NodeClient {
+            addr,
+            key: key.to_owned(),
+        }
+    }
+
+    /// Asks for the status.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is no answer.
+    pub async fn status(&self) -> Result<NodeStatus, String> {
+        self.get("status", &[]).await
+    }
+
+    /// Asks for the decision lines of a request.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is no answer.
+    pub async fn decisions(&self, request: &str) -> Result<Decisions, String> {
+        self.get("decisions", &[("request", request)]).await
+    }
+
+    async fn get<T>(&self, call: &str, query: &[(&str, &str)]) -> Result<T, String>
+    where
+        T: DeserializeOwned,
+    {
+        let mut url = Url::parse(&format!("http://{}{OPERATOR_PATH}{call}", self.addr))
+            .map_err(|err| err.to_string())?;
+        if !query.is_empty() {
+            url.query_pairs_mut().extend_pairs(query);
+        }
+        let mut req = Request::new(Method::Get, url);
+        req.insert_header("authorization", format!("Bearer {}", self.key));
+        req.insert_header("connection", "close");
+        let mut res = send(self.addr, req, Limits::new(TIMEOUT))
+            .await
+            .map_err(|err| err.to_string())?;
+        let body = read_body(res.take_body(), ANSWER_LIMIT)
+            .await
+            .map_err(|err| err.to_string())?;
+        if !res.status().is_success() {
+            return Err(refusal(&body).unwrap_or_else(|| res.status().to_string()));
+        }
+        serde_json::from_slice(&body).map_err(|err| err.to_string())
+    }
+}
+
+/// The message of a refusal.
+fn refusal(body: &[u8]) -> Option<String> {
+    let body: serde_json::Value = serde_json::from_slice(body).ok()?;
+    Some(body["error"]["message"].as_str()?.to_owned())
+}
--- /dev/null
+++ b/crates/cassiareel-cli/src/run.rs
@@ -0,0 +1,207 @@
+//! The commands of the command line, carried out.
+
+use std::{fs, time::Duration};
+
+use cassiareel::settings::units::Span;
+
+use crate::{
+    accounts, add_account, add_key, apply_file,
+    args::{
+        AccountArgs, AccountsCommand, ApplyArgs, Command, GetArgs, KeyArgs, KeysCommand,
+        SettingsCommand, ShowArgs,
+    },
+    diff_files, explain, get, history, list_keys, remove_account, remove_key, servers,
+    settings::{accepted, read_draft},
+    show, status, validate, versions, wait, ApplyOptions, Args, Code, Context, Error, KeyOwner,
+    Report, ShowOptions,
+};
+
+/// How long `apply --wait` waits where it is not told.
+const WAIT: Duration = Duration::from_secs(10);
+
+/// The name of a key that is given none.
+const KEY_NAME: &str = "first";
+
+/// Carries a command out.
+///
+/// # Errors
+///
+/// Fails with what was wrong and what to do next.
+pub async fn run(args: Args) -> Result<Report, Error> {
+    let context = Context::new(&args)?;
+    match args.command {
+        Some(Command::Settings(args)) => run_settings(&context, args.command).await,
+        Some(Command::Accounts(args)) => run_accounts(&context, args.command).await,
+        Some(Command::Keys(args)) => run_keys(&context, args.command).await,
+        Some(Command::Status(_)) => {
+            let nodes = context.nodes()?;
+            // The nodes' own word is worth showing also while the object API is away.
+            let head = match context.objects() {
+                Ok(objects) => accepted(objects).await.ok(),
+                Err(_) => None,
+            };
+            Ok(status(&nodes, head.map(|head| head.revision())).await)
+        }
+        Some(Command::Servers(args)) => {
+            let tree = accepted(context.objects()?).await?.tree;
+            servers(&tree, args.service.as_deref())
+        }
+        Some(Command::Versions(args)) => {
+            let tree = accepted(context.objects()?).await?.tree;
+            versions(&tree, args.service.as_deref())
+        }
+        Some(Command::Explain(args)) => explain(&context.nodes()?, &args.request).await,
+        None => Err(no_command()),
+    }
+}
+
+async fn run_settings(
+    context: &Context,
+    command: Option<SettingsCommand>,
+) -> Result<Report, Error> {
+    match command {
+        Some(SettingsCommand::Validate(args)) => validate(&args.file),
+        Some(SettingsCommand::Diff(args)) => {
+            let objects = match &args.other {
+                Some(_) => None,
+                None => Some(context.objects()?),
+            };
+            diff_files(objects, &args.file, args.other.as_deref()).await
+        }
+        Some(SettingsCommand::Get(args)) => write(get(context.objects()?).await?, &args),
+        Some(SettingsCommand::Apply(args)) => run_apply(context, args).await,
+        Some(SettingsCommand::Show(args)) => run_show(context, args).await,
+        Some(SettingsCommand::History(args)) => history(context.objects()?, args.revision).await,
+        None => Err(no_command()),
+    }
+}
+
+/// Writes a tree to a file where one was named.
+fn write(report: Report, args: &GetArgs) -> Result<Report, Error> {
+    let Some(file) = &args.file else {
+        return Ok(report);
+    };
+    fs::write(file, &report.text).map_err(|err| {
+        Error::new(
+            Code::Refused,
+            format!("{file} can't be written: {err}"),
+            "name another file",
+        )
+    })?;
+    let text = format!("{file} is written; edit it, then `cassiareel settings diff {file}`");
+    Ok(Report { text, ..report })
+}
+
+async fn run_apply(context: &Context, args: ApplyArgs) -> Result<Report, Error> {
+    // What waiting needs is looked at before anything is changed.
+    let nodes = match args.wait {
+        true => context.nodes()?,
+        false => Vec::new(),
+    };
+    let limit = match args.timeout.as_deref().map(Span::parse) {
+        None => WAIT,
+        Some(Ok(limit)) => limit,
+        Some(Err(err)) => {
+            let message = format!("--timeout: {err}");
+            return Err(Error::new(Code::Usage, message, "run the command again"));
+        }
+    };
+    let options = ApplyOptions {
+        base: args.base,
+        rebase: args.rebase,
+        note: args.note.unwrap_or_default(),
+    };
+    let objects = context.objects()?;
+    let (applied, report) = apply_file(objects, &context.author, &args.file, &options).await?;
+    if !args.wait {
+        return Ok(report);
+    }
+    let waited = wait(&nodes, applied.revision, limit).await;
+    let mut json = report.json;
+    json["wait"] = waited.json;
+    Ok(Report {
+        text: format!("{}\n{}", report.text, waited.text),
+        json,
+        code: waited.code,
+    })
+}
+
+async fn run_show(context: &Context, args: ShowArgs) -> Result<Report, Error> {
+    let tree = match &args.file {
+        Some(file) => read_draft(file)?.tree,
+        None => accepted(context.objects()?).await?.tree,
+    };
+    let options = ShowOptions {
+        path: args.path.unwrap_or_default(),
+        origin: args.origin,
+        service: args.service,
+        version: args.version,
+        data_centre: args.data_centre,
+    };
+    show(&tree, &options)
+}
+
+async fn run_accounts(
+    context: &Context,
+    command: Option<AccountsCommand>,
+) -> Result<Report, Error> {
+    let objects = context.objects()?;
+    match command {
+        Some(AccountsCommand::List(_)) => Ok(accounts(&accepted(objects).await?.tree)),
+        Some(AccountsCommand::Add(AccountArgs { name, services, .. })) => {
+            let services = services.unwrap_or_default();
+            let services: Vec<&str> = services
+                .split(',')
+                .filter(|name| !name.is_empty())
+                .collect();
+            add_account(objects, &context.author, &name, &services).await
+        }
+        Some(AccountsCommand::Remove(args)) => {
+            remove_account(objects, &context.author, &args.name).await
+        }
+        None => Err(no_command()),
+    }
+}
+
+async fn run_keys(context: &Context, command: Option<KeysCommand>) -> Result<Report, Error> {
+    let objects = context.objects()?;
+    match command {
+        Some(KeysCommand::List(_)) => Ok(list_keys(&accepted(objects).await?.tree)),
+        Some(KeysCommand::Add(args)) => {
+            let name = args.name.as_deref().unwrap_or(KEY_NAME);
+            add_key(objects, &context.author, owner(&args)?, name).await
+        }
+        Some(KeysCommand::Remove(args)) => {
+            let name = args.name.as_deref().unwrap_or(KEY_NAME);
+            remove_key(objects, &context.author, owner(&args)?, name).await
+        }
+        None => Err(no_command()),
+    }
+}
+
+/// Whose key the command line names.
+fn owner(args: &KeyArgs) -> Result<KeyOwner<'_>, Error> {
+    let KeyArgs {
+        account,
+        caller,
+        operator,
+        ..
+    } = args;
+    match (account.as_deref(), caller.as_deref(), operator.as_deref()) {
+        (None, None, Some(name)) => Ok(KeyOwner::Operator(name)),
+        (Some(account), Some(caller), None) => Ok(KeyOwner::Caller { account, caller }),
+        _ => Err(Error::new(
+            Code::Usage,
+            "whose key is not clear",
+            "give ACCOUNT CALLER, or --operator NAME",
+        )),
+    }
+}
+
+fn no_command() -> Error {
+    Error::new(
+        Code::Usage,
+        "no command was given",
+        "`cassiareel --help` lists the commands",
+    )
+}
--- /dev/null
+++ b/crates/cassiareel-cli/src/settings.rs
@@ -0,0 +1,332 @@
+//! Commands on the tree of settings.
+
+use std::{fs, time::Duration};
+
+use cassiareel::{
+    kernel::Revision,
+    platform::Objects,
+    settings::{
+        self, diff, read_revision, units::Span, Applied, Draft, Edit, Loaded, Path, Scope, Tree,
+    },
+};
+use serde_json::{json, Value};
+
+use crate::{
+    context::now,
+    error::lines,
+    report::{heading, table},
+    Code, Error, Report,
+};
+
+/// Reads a file with a tree.
+pub(crate) fn read_draft(file: &str) -> Result<Draft, Error> {
+    let text = fs::read_to_string(file).map_err(|err| {
+        Error::new(
+            Code::Refused,
+            format!("{file} can't be read: {err}"),
+            "name a file that `cassiareel settings get FILE` wrote",
+        )
+    })?;
+    Ok(Draft::parse(&text)?)
+}
+
+/// Reads the accepted revision.
+pub(crate) async fn accepted(objects: &dyn Objects) -> Result<Loaded, Error> {
+    settings::load(objects).await?.ok_or_else(|| {
+        Error::new(
+            Code::Refused,
+            "no settings are accepted yet",
+            "write a tree, such as examples/zrinski.toml, and run `cassiareel settings apply FILE`",
+        )
+    })
+}
+
+/// Checks a file.
+///
+/// # Errors
+///
+/// Fails with every fault.
+pub fn validate(file: &str) -> Result<Report, Error> {
+    let tree = read_draft(file)?.tree;
+    let text = format!(
+        "{file} is right: {} services, {} client accounts",
+        tree.services.len(),
+        tree.accounts.len()
+    );
+    Ok(Report::new(text, json!({"file": file, "faults": []})))
+}
+
+/// Compares a file with another, or with the accepted tree.
+///
+/// # Errors
+///
+/// Fails where one can't be read.
+pub async fn diff_files(
+    objects: Option<&dyn Objects>,
+    file: &str,
+    other: Option<&str>,
+) -> Result<Report, Error> {
+    let new = read_draft(file)?.tree;
+    let old = match (other, objects) {
+        (Some(other), _) => read_draft(other)?.tree,
+        (None, Some(objects)) => accepted(objects).await?.tree,
+        (None, None) => Tree::default(),
+    };
+    let changes = diff(&old, &new);
+    let text = match changes.is_empty() {
+        true => "no difference".to_owned(),
+        false => lines(&changes),
+    };
+    Ok(Report::new(text, json!({"changes": changes})))
+}
+
+/// Gives the accepted tree as a file to edit.
+///
+/// # Errors
+///
+/// Fails where it can't be read.
+pub async fn get(objects: &dyn Objects) -> Result<Report, Error> {
+    let loaded = accepted(objects).await?;
+    let draft = Draft {
+        base: Some(loaded.revision()),
+        tree: loaded.tree,
+    };
+    let json = json!({"revision": draft.base, "tree": draft.tree});
+    Ok(Report::new(draft.to_toml(), json))
+}
+
+/// How to apply.
+#[derive(Clone, Debug, Default)]
+pub struct ApplyOptions {
+    /// The revision that the file was made from, where it does not say.
+    pub base: Option<Revision>,
+    /// Make the edit on top of others' where they touch different paths.
+    pub rebase: bool,
+    /// What the edit is for.
+    pub note: String,
+}
+
+/// Makes a file the next revision.
+///
+/// # Errors
+///
+/// Fails as [`settings::apply`] does.
+pub async fn apply_file(
+    objects: &dyn Objects,
+    author: &str,
+    file: &str,
+    options: &ApplyOptions,
+) -> Result<(Applied, Report), Error> {
+    let draft = read_draft(file)?;
+    let edit = Edit {
+        base: options.base.or(draft.base),
+        tree: draft.tree,
+        author: author.to_owned(),
+        note: options.note.clone(),
+        time: now(),
+        rebase: options.rebase,
+    };
+    let applied = settings::apply(objects, &edit).await?;
+    let report = applied_report(&applied);
+    Ok((applied, report))
+}
+
+/// Changes the accepted tree by a function, again on top of each edit that comes between.
+pub(crate) async fn change<F>(
+    objects: &dyn Objects,
+    author: &str,
+    note: &str,
+    edit: F,
+) -> Result<Applied, Error>
+where
+    F: Fn(&mut Tree) -> Result<(), Error>,
+{
+    let loaded = accepted(objects).await?;
+    let mut tree = loaded.tree.clone();
+    edit(&mut tree)?;
+    let edit = Edit {
+        base: Some(loaded.revision()),
+        tree,
+        author: author.to_owned(),
+        note: note.to_owned(),
+        time: now(),
+        rebase: true,
+    };
+    Ok(settings::apply(objects, &edit).await?)
+}
+
+/// Tells what was accepted.
+pub(crate) fn applied_report(applied: &Applied) -> Report {
+    let Applied {
+        revision, changes, ..
+    } = applied;
+    let text = match changes.is_empty() {
+        true => format!("nothing changes: revision {revision} is so already"),
+        false => format!("revision {revision} is accepted\n{}", lines(changes)),
+    };
+    let json = json!({"revision": revision, "changes": changes});
+    Report::new(text, json)
+}
+
+/// What to show.
+#[derive(Clone, Debug, Default)]
+pub struct ShowOptions {
+    /// The path; the root where it is empty.
+    pub path: String,
+    /// Whether to show each value with the node that says it.
+    pub origin: bool,
+    /// For requests to this service.
+    pub service: Option<String>,
+    /// For requests to this version of it.
+    pub version: Option<String>,
+    /// For requests that come to nodes in this data centre.
+    pub data_centre: Option<String>,
+}
+
+/// Shows a node of a tree, or every value that holds there.
+///
+/// # Errors
+///
+/// Fails where there is nothing at the path.
+pub fn show(tree: &Tree, options: &ShowOptions) -> Result<Report, Error> {
+    let path = Path::parse(&options.path);
+    let value = find(tree, &path)?;
+    if !options.origin {
+        let text = match &value {
+            toml::Value::Table(table) => table.to_string(),
+            other => other.to_string(),
+        };
+        let json = serde_json::to_value(&value).unwrap_or(Value::Null);
+        return Ok(Report::new(text, json));
+    }
+    let scope = scope(&path, options);
+    let origins = tree.origins(&scope);
+    let mut rows = vec![heading(&["value", "is", "said by"])];
+    rows.extend(origins.iter().map(|origin| {
+        let from = origin.from.as_ref();
+        let from = from.map_or("built in".to_owned(), ToString::to_string);
+        vec![origin.name.to_string(), origin.value.clone(), from]
+    }));
+    Ok(Report::new(table(&rows), json!({"values": origins})))
+}
+
+/// The value at a path of a tree.
+fn find(tree: &Tree, path: &Path) -> Result<toml::Value, Error> {
+    let table = toml::Table::try_from(tree)
+        .map_err(|err| Error::new(Code::Refused, err.to_string(), "report this with the tree"))?;
+    let mut value = toml::Value::Table(table);
+    for (depth, name) in path.names().iter().enumerate() {
+        let next = value.as_table().and_then(|table| table.get(name)).cloned();
+        let Some(next) = next else {
+            let names: Vec<&str> = path.names()[..depth].iter().map(String::as_str).collect();
+            let above = Path::root().join(&names);
+            let known: Vec<&str> = value
+                .as_table()
+                .map(|table| table.keys().map(String::as_str).collect())
+                .unwrap_or_default();
+            return Err(Error::new(
+                Code::Refused,
+                format!("there is no {path} in the tree"),
+                format!("`{above}` has: {}", known.join(", ")),
+            ));
+        };
+        value = next;
+    }
+    Ok(value)
+}
+
+/// The scope of the requests that meet a node.
+fn scope<'a>(path: &'a Path, options: &'a ShowOptions) -> Scope<'a> {
+    let mut scope = Scope {
+        data_centre: options.data_centre.as_deref(),
+        service: options.service.as_deref(),
+        version: options.version.as_deref(),
+        ..Scope::default()
+    };
+    let names: Vec<&str> = path.names().iter().map(String::as_str).collect();
+    match names.as_slice() {
+        ["regions", _, "data_centres", name, ..] => scope.data_centre = Some(name),
+        ["services", service, rest @ ..] => {
+            scope.service = Some(service);
+            match rest {
+                ["routes", start, ..] => scope.path = Some(start),
+                ["versions", version, rest @ ..] => {
+                    scope.version = Some(version);
+                    if let ["placements", place, ..] = rest {
+                        scope.placement = Some(place);
+                    }
+                }
+                _ => {}
+            }
+        }
+        ["accounts", account, rest @ ..] => {
+            scope.account = Some(account);
+            match rest {
+                ["uses", service, ..] => scope.service = Some(service),
+                ["callers", caller, ..] => scope.caller = Some(caller),
+                _ => {}
+            }
+        }
+        _ => {}
+    }
+    scope
+}
+
+/// Lists revisions, or tells what one changed.
+///
+/// # Errors
+///
+/// Fails where a revision is not remembered.
+pub async fn history(objects: &dyn Objects, revision: Option<Revision>) -> Result<Report, Error> {
+    let loaded = accepted(objects).await?;
+    let Some(revision) = revision else {
+        return Ok(list(&loaded));
+    };
+    let unknown = |revision| {
+        Error::new(
+            Code::Refused,
+            format!("revision {revision} is not remembered"),
+            "`cassiareel settings history` lists those that are",
+        )
+    };
+    let this = loaded
+        .head
+        .find(revision)
+        .ok_or_else(|| unknown(revision))?;
+    let new = read_revision(objects, this).await?;
+    let old = match revision {
+        1 => Tree::default(),
+        _ => {
+            let before = loaded.head.find(revision - 1);
+            let before = before.ok_or_else(|| unknown(revision - 1))?;
+            read_revision(objects, before).await?
+        }
+    };
+    let changes = diff(&old, &new);
+    let text = format!(
+        "revision {revision} by {}: {}\n{}",
+        this.author,
+        this.note,
+        lines(&changes)
+    );
+    Ok(Report::new(
+        text,
+        json!({"accepted": this, "changes": changes}),
+    ))
+}
+
+fn list(loaded: &Loaded) -> Report {
+    let mut rows = vec![heading(&["revision", "age", "author", "note"])];
+    let time = now();
+    rows.extend(loaded.head.revisions().map(|old| {
+        let age = Duration::from_millis(time.saturating_sub(old.time));
+        vec![
+            old.revision.to_string(),
+            Span::format(Duration::from_secs(age.as_secs())),
+            old.author.clone(),
+            old.note.clone(),
+        ]
+    }));
+    let revisions: Vec<_> = loaded.head.revisions().collect();
+    Report::new(table(&rows), json!({"revisions": revisions}))
+}
--- /dev/null
+++ b/crates/cassiareel-cli/src/wait.rs
@@ -0,0 +1,53 @@
+//! Waiting until a revision is in force on every node.
+
+use std::time::{Duration, Instant};
+
+use cassiareel::kernel::Revision;
+use serde_json::json;
+use smol::Timer;
+
+use crate::{status::ask_all, Code, NodeClient, Report};
+
+/// Time between two questions to a node.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Waits until each node has a revision or a later one in force, and names those that have not.
+pub async fn wait(nodes: &[NodeClient], revision: Revision, limit: Duration) -> Report {
+    let start = Instant::now();
+    let answers = ask_all(nodes, move |node| wait_one(node, revision, start + limit)).await;
+    let late: Vec<String> = nodes
+        .iter()
+        .zip(answers)
+        .filter_map(|(node, late)| Some(format!("{}: {}", node.addr, late?)))
+        .collect();
+    let took = start.elapsed().as_millis();
+    let json = json!({"revision": revision, "millis": took as u64, "late": late});
+    if late.is_empty() {
+        let text = format!(
+            "revision {revision} is in force on all {} nodes after {took} ms",
+            nodes.len()
+        );
+        return Report::new(text, json);
+    }
+    let text = format!(
+        "revision {revision} is accepted, but not in force after {took} ms on:\n{}\nnext: `cassiareel \
+         status` shows when it is; see \"A node is behind\" in docs/OPERATIONS.md",
+        late.join("\n")
+    );
+    Report::new(text, json).with_code(Code::Late)
+}
+
+/// Waits for one node; gives the reason where it has not the revision in time.
+async fn wait_one(node: NodeClient, revision: Revision, until: Instant) -> Option<String> {
+    loop {
+        let late = match node.status().await {
+            Ok(status) if status.revision >= revision => return None,
+            Ok(status) => format!("revision {} is in force", status.revision),
+            Err(cause) => cause,
+        };
+        if Instant::now() >= until {
+            return Some(late);
+        }
+        Timer::after(POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-cli/tests/command.rs
@@ -0,0 +1,60 @@
+//! The command itself: help, JSON and exit codes.
+
+use std::process::{Command, Output};
+
+use test_case::test_case;
+
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/bangkok.toml");
+
+fn command(words: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_cassiareel"))
+        .args(words)
+        .env_remove("CASSIAREEL_OBJECT_API")
+        .env_remove("CASSIAREEL_NODES")
+        .env_remove("CASSIAREEL_KEY")
+        .output()
+        .expect("the command can be started")
+}
+
+#[test_case(&["--help"], "Exit codes"; "of the command")]
+#[test_case(&[], "Exit codes"; "without words")]
+#[test_case(&["settings"], "validate"; "of a group without a command")]
+#[test_case(&["settings", "apply", "--help"], "--rebase"; "of a command")]
+#[test_case(&["keys", "add", "--help"], "--operator"; "of another command")]
+fn help_is_printed(words: &[&str], part: &str) {
+    let Output { status, stdout, .. } = command(words);
+    let text = String::from_utf8(stdout).expect("help is text");
+    assert_eq!(status.code(), Some(0), "{text}");
+    assert!(text.starts_with("Usage: cassiareel"), "{text}");
+    assert!(text.contains(part), "{text}");
+}
+
+#[test_case(&["settings", "validate", EXAMPLE], 0; "a right file")]
+#[test_case(&["settings", "validate", "/nonexistent"], 1; "a file that is not there")]
+#[test_case(&["settings", "validate"], 2; "no file")]
+#[test_case(&["settngs"], 2; "no such command")]
+#[test_case(&["settings", "get"], 2; "no object API")]
+#[test_case(&["--object-api", "store", "settings", "get"], 2; "an address by name")]
+#[test_case(&["status", "--nodes", "127.0.0.1:9"], 2; "no key")]
+#[test_case(&["settings", "get", "--object-api=127.0.0.1:9"], 4; "an object API that is away")]
+#[test_case(&["status", "--nodes=127.0.0.1:9", "--key=k"], 4; "a node that is away")]
+#[test_case(&["explain", "r1", "--nodes=127.0.0.1:9", "--key=k"], 4; "a request at such a node")]
+#[test_case(&["keys", "add", "--object-api=127.0.0.1:9"], 2; "a key of nobody")]
+fn the_exit_code_tells(words: &[&str], code: i32) {
+    let Output { status, stderr, .. } = command(words);
+    assert_eq!(status.code(), Some(code));
+    let said = String::from_utf8(stderr).expect("errors are text");
+    // A report is printed whole, also where its code is not 0; an error has its next step.
+    assert_eq!(
+        said.contains("next: "),
+        code != 0 && words[0] != "status" || code == 2
+    );
+}
+
+#[test]
+fn an_error_is_json_where_that_is_asked() {
+    let Output { stdout, .. } = command(&["settings", "validate", "/nonexistent", "--json"]);
+    let error: serde_json::Value = serde_json::from_slice(&stdout).expect("the output is JSON");
+    assert_eq!(error["code"], 1);
+    assert!(error["next"].as_str().is_some_and(|next| !next.is_empty()));
+}
--- a/crates/cassiareel/src/observe/recent.rs
+++ b/crates/cassiareel/src/observe/recent.rs
@@ -9,6 +9,7 @@
     collections::VecDeque,
     fmt,
     sync::{Arc, Mutex, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use serde_json::{Map, Value};
@@ -20,6 +21,9 @@
 /// The field that names the request.
 const REQUEST: &str = "request";
 
+/// The field that a kept line's time is added as, in milliseconds since 1970.
+const TIME: &str = "time_ms";
+
 /// The last decision lines, shared by all who hold it.
 #[derive(Clone, Debug)]
 pub struct Recent {
@@ -135,12 +139,18 @@
         let Fields(mut fields) = fields;
         if let Some(Value::String(request)) = fields.get(REQUEST).cloned() {
             fields.insert("msg".into(), record.msg().to_string().into());
+            fields.insert(TIME.into(), unix_millis().into());
             self.recent.keep(request, Value::Object(fields).to_string());
         }
         Drain::log(&self.log, record, values)
     }
 }
 
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// Gathers fields as JSON; of two fields of one name the first counts.
 struct Fields(Map<String, Value>);
 
