--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -14,6 +14,7 @@
 mod operator;
 #[cfg(test)]
 mod operator_tests;
+mod order;
 mod parts;
 mod refusal;
 mod request;
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -13,6 +13,7 @@
 pub mod generation;
 pub mod health;
 mod ids;
+pub mod order;
 pub mod routing;
 
 pub use ids::{
