Choose in less time: set prefix depths once, keep which servers lack a version

Change: depths are set where a server's row of blocks ends; a pool keeps which servers lack its version; a decision keeps its best candidates in one pass.

--- a/crates/cassiareel-bench/benches/choose.rs
+++ b/crates/cassiareel-bench/benches/choose.rs
@@ -1,9 +1,135 @@
-//! Time to choose a backend server.
+//! Time to choose a backend server, and to admit a request beneath its account and caller.
+
+use std::{hint::black_box, sync::Arc, time::Duration};
+
+use cassiareel::{
+    backend::LoadReport,
+    engines::{Engines, Fleet, Options, Placement, PoolId, Request, RouteId},
+    kernel::{
+        admission::{Bounds, FairQueue, Job, Who},
+        routing::Ask,
+        BackendId,
+    },
+};
 use criterion::{criterion_group, criterion_main, Criterion};
 
+/// Runners to choose among; the last one is a whole large fleet.
+const RUNNERS: [usize; 3] = [36, 200, 830];
+/// Client accounts of a large fleet.
+const ACCOUNTS: usize = 1_700;
+/// Callers of each account.
+const CALLERS: usize = 1_000;
+/// Time of every choice; reports are of the same moment.
+const NOW: Duration = Duration::from_secs(1);
+
+/// A table of runners that reported, in one pool.
+fn table(runners: usize) -> Engines {
+    let options = Options {
+        slots: runners,
+        ..Options::default()
+    };
+    let engines = Engines::new(options).expect("the policy is registered");
+    let servers: Vec<BackendId> = (0..runners)
+        .map(|i| format!("10.0.{}.{}:80", i / 256, i % 256).into())
+        .collect();
+    let placement = Placement {
+        pool: "draft@v1".into(),
+        model: true,
+        servers: servers
+            .iter()
+            .map(|name| (name.clone(), "d1".into()))
+            .collect(),
+    };
+    let fleet = Fleet {
+        nodes: vec!["n0".into()],
+        own: "n0".into(),
+        subset: runners,
+    };
+    engines.update(&[placement], &fleet);
+    let mut rng = fastrand::Rng::with_seed(1);
+    for name in &servers {
+        let report = LoadReport {
+            running: rng.u32(0..40),
+            total_tokens: 1_000_000,
+            token_ms: 10.0 + 20.0 * rng.f64(),
+            ..LoadReport::default()
+        };
+        engines.on_load(NOW, name, &report);
+    }
+    engines
+}
+
+fn ask(rng: &mut fastrand::Rng) -> Ask {
+    let prefix = rng.u64(1..500);
+    Ask {
+        prefix: (0..64).map(|i| prefix * 1_000 + i).collect(),
+        prompt: 1_100,
+        output: 200,
+        idempotent: true,
+        ..Ask::default()
+    }
+}
+
+/// Chooses once and gives the place back.
+fn choose_once(engines: &Engines, pool: &PoolId, route: &RouteId, ask: &Ask, random: u64) {
+    let request = Request {
+        pool,
+        route,
+        ask,
+        exclude: &[],
+    };
+    let (decision, ticket) = engines.choose(NOW, &request, random);
+    black_box(&decision);
+    if let Some(mut ticket) = ticket {
+        ticket.first_token(NOW);
+    }
+}
+
 fn choose(c: &mut Criterion) {
-    c.bench_function("noop", |b| b.iter(|| 1 + 1));
+    let (pool, route): (PoolId, RouteId) = ("draft@v1".into(), "/v1/completions".into());
+    for runners in RUNNERS {
+        let engines = table(runners);
+        let mut rng = fastrand::Rng::with_seed(2);
+        let asks: Vec<Ask> = (0..512).map(|_| ask(&mut rng)).collect();
+        let mut i = 0;
+        c.bench_function(&format!("choose among {runners}"), |b| {
+            b.iter(|| {
+                i += 1;
+                choose_once(&engines, &pool, &route, &asks[i % 512], i as u64);
+            });
+        });
+    }
+}
+
+fn admit(c: &mut Criterion) {
+    let names = |kind: &str, count: usize| -> Vec<Arc<str>> {
+        (0..count).map(|i| format!("{kind}{i}").into()).collect()
+    };
+    let (accounts, callers) = (names("a", ACCOUNTS), names("c", CALLERS));
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut job = || Job {
+        who: Who {
+            account: accounts[rng.usize(..ACCOUNTS)].clone(),
+            caller: callers[rng.usize(..CALLERS)].clone(),
+            account_weight: 1.0,
+            caller_weight: 1.0,
+        },
+        priority: 0,
+        cost: 1_000,
+        deadline: Duration::from_secs(1_000),
+        item: (),
+    };
+    let mut queue = FairQueue::new(Bounds::default());
+    for _ in 0..4_000 {
+        let _ = queue.push(NOW, job());
+    }
+    c.bench_function("queue and take with 4000 waiting of 1.7 M callers", |b| {
+        b.iter(|| {
+            let _ = black_box(queue.push(NOW, job()));
+            black_box(queue.pop(NOW));
+        });
+    });
 }
 
-criterion_group!(benches, choose);
+criterion_group!(benches, choose, admit);
 criterion_main!(benches);
--- /dev/null
+++ b/crates/cassiareel-bench/src/bin/choose_tail.rs
@@ -0,0 +1,128 @@
+//! The tail of the time to choose a backend server, with several threads at once.
+
+use std::{
+    error::Error,
+    time::{Duration, Instant},
+};
+
+use cassiareel::{
+    backend::LoadReport,
+    engines::{Engines, Fleet, Options, Placement, PoolId, Request, RouteId},
+    kernel::{routing::Ask, BackendId},
+};
+use hdrhistogram::Histogram;
+
+/// Runners to choose among: today's, a subset, and whole fleets.
+const RUNNERS: [usize; 4] = [36, 64, 200, 830];
+/// Threads that choose at once.
+const THREADS: [usize; 2] = [1, 2];
+/// Choices of each thread.
+const CHOICES: u64 = 20_000;
+/// Time of every choice; reports are of the same moment.
+const NOW: Duration = Duration::from_secs(1);
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!("| runners | threads | p50 us | p99 us | index bytes |");
+    println!("| --- | --- | --- | --- | --- |");
+    for runners in RUNNERS {
+        let engines = table(runners);
+        for threads in THREADS {
+            let times = measure(&engines, threads)?;
+            println!(
+                "| {runners} | {threads} | {:.1} | {:.1} | {} |",
+                times.value_at_quantile(0.5) as f64 / 1e3,
+                times.value_at_quantile(0.99) as f64 / 1e3,
+                engines.index_bytes(),
+            );
+        }
+    }
+    Ok(())
+}
+
+/// Chooses on several threads and gathers the times, in nanoseconds.
+fn measure(engines: &Engines, threads: usize) -> Result<Histogram<u64>, Box<dyn Error>> {
+    let mut all = Histogram::new(3)?;
+    let each = std::thread::scope(|scope| {
+        let runs: Vec<_> = (0..threads)
+            .map(|t| scope.spawn(move || choose(engines, t as u64)))
+            .collect();
+        runs.into_iter().map(|run| run.join()).collect::<Vec<_>>()
+    });
+    for times in each {
+        let times = times.map_err(|_| "a thread panicked")?;
+        for nanos in times {
+            all.record(nanos)?;
+        }
+    }
+    Ok(all)
+}
+
+fn choose(engines: &Engines, seed: u64) -> Vec<u64> {
+    let (pool, route): (PoolId, RouteId) = ("draft@v1".into(), "/v1/completions".into());
+    let mut rng = fastrand::Rng::with_seed(seed);
+    (0..CHOICES)
+        .map(|_| {
+            let ask = ask(&mut rng);
+            let request = Request {
+                pool: &pool,
+                route: &route,
+                ask: &ask,
+                exclude: &[],
+            };
+            let start = Instant::now();
+            let (_decision, ticket) = engines.choose(NOW, &request, rng.u64(..));
+            let took = start.elapsed().as_nanos() as u64;
+            if let Some(mut ticket) = ticket {
+                ticket.first_token(NOW);
+            }
+            took
+        })
+        .collect()
+}
+
+fn ask(rng: &mut fastrand::Rng) -> Ask {
+    let prefix = rng.u64(1..500);
+    Ask {
+        prefix: (0..64).map(|i| prefix * 1_000 + i).collect(),
+        prompt: 1_100,
+        output: 200,
+        idempotent: true,
+        ..Ask::default()
+    }
+}
+
+/// A table of runners that reported, in one pool.
+fn table(runners: usize) -> Engines {
+    let options = Options {
+        slots: runners,
+        ..Options::default()
+    };
+    let engines = Engines::new(options).expect("the policy is registered");
+    let servers: Vec<BackendId> = (0..runners)
+        .map(|i| format!("10.0.{}.{}:80", i / 256, i % 256).into())
+        .collect();
+    let placement = Placement {
+        pool: "draft@v1".into(),
+        model: true,
+        servers: servers
+            .iter()
+            .map(|name| (name.clone(), "d1".into()))
+            .collect(),
+    };
+    let fleet = Fleet {
+        nodes: vec!["n0".into()],
+        own: "n0".into(),
+        subset: runners,
+    };
+    engines.update(&[placement], &fleet);
+    for name in &servers {
+        let report = LoadReport {
+            running: fastrand::Rng::with_seed(name.len() as u64).u32(0..40),
+            total_tokens: 1_000_000,
+            token_ms: 15.0,
+            ..LoadReport::default()
+        };
+        engines.on_load(NOW, name, &report);
+    }
+    engines
+}
--- a/crates/cassiareel/src/engines/decision.rs
+++ b/crates/cassiareel/src/engines/decision.rs
@@ -84,22 +84,7 @@
         candidates: &[Candidate<'_>],
         choice: &Choice,
     ) -> Decision {
-        let mut order: Vec<usize> = (0..candidates.len()).collect();
-        // The chosen one first, then the fit ones by score, then the others.
-        let rank = |&i: &usize| {
-            let (score, passed) = &choice.scores[i];
-            let class = match passed {
-                None => 0u8,
-                Some(Pass::Score) => 1,
-                Some(_) => 2,
-            };
-            (class, score.max(0.0).to_bits())
-        };
-        if order.len() > NAMED {
-            order.select_nth_unstable_by_key(NAMED - 1, rank);
-            order.truncate(NAMED);
-        }
-        order.sort_unstable_by_key(rank);
+        let order = best(choice);
         let named: Vec<Considered> = order
             .iter()
             .map(|&i| Considered {
@@ -136,3 +121,27 @@
         text
     }
 }
+
+/// The chosen candidate, then the fit ones by score, then the others; the first few of them.
+fn best(choice: &Choice) -> Vec<usize> {
+    let rank = |i: usize| {
+        let (score, passed) = &choice.scores[i];
+        let class = match passed {
+            None => 0u8,
+            Some(Pass::Score) => 1,
+            Some(_) => 2,
+        };
+        (class, score.max(0.0).to_bits())
+    };
+    let mut best: Vec<((u8, u64), usize)> = Vec::with_capacity(NAMED + 1);
+    for i in 0..choice.scores.len() {
+        let rank = rank(i);
+        if best.len() == NAMED && best[NAMED - 1].0 <= rank {
+            continue;
+        }
+        let at = best.partition_point(|(other, _)| *other <= rank);
+        best.insert(at, (rank, i));
+        best.truncate(NAMED);
+    }
+    best.into_iter().map(|(_, i)| i).collect()
+}
--- a/crates/cassiareel/src/engines/pool.rs
+++ b/crates/cassiareel/src/engines/pool.rs
@@ -14,12 +14,14 @@
 pub type PoolId = Arc<str>;
 
 /// The servers of a version.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Pool {
     pub(super) members: Vec<Arc<Member>>,
     // Standing on every route, which the loss of connections decides.
     pub(super) base: Arc<Standing>,
     pub(super) routes: HashMap<RouteId, Arc<Standing>>,
+    // Servers that are known to lack the version.
+    lacking: Arc<[AtomicBool]>,
 }
 
 /// The health of a pool's servers on one route, by their place in the pool.
@@ -65,6 +67,28 @@
 }
 
 impl Pool {
+    /// A pool of healthy servers.
+    pub(super) fn new(members: Vec<Arc<Member>>) -> Pool {
+        Pool {
+            base: Arc::new(Standing::new(members.len())),
+            routes: HashMap::new(),
+            lacking: members.iter().map(|_| AtomicBool::new(false)).collect(),
+            members,
+        }
+    }
+
+    /// Brings up to date which servers lack the version.
+    pub(super) fn note_lacking(&self, id: &str) {
+        for (lacking, member) in self.lacking.iter().zip(&self.members) {
+            lacking.store(member.lacks(id), Ordering::Relaxed);
+        }
+    }
+
+    /// Reports whether a server is known to lack the version.
+    pub(super) fn is_lacking(&self, i: usize) -> bool {
+        self.lacking[i].load(Ordering::Relaxed)
+    }
+
     /// A server's weight on a route.
     pub(super) fn weight(&self, route: Option<&Standing>, i: usize) -> f32 {
         let base = self.base.weight(i);
--- a/crates/cassiareel/src/engines/table.rs
+++ b/crates/cassiareel/src/engines/table.rs
@@ -295,6 +295,7 @@
         }
         for (id, pool) in &table.pools {
             writer.judge.publish(now, id, pool);
+            pool.note_lacking(id);
         }
         moved
     }
@@ -361,11 +362,9 @@
                 member
             })
             .collect();
-        Pool {
-            base: Arc::new(Standing::new(members.len())),
-            routes: HashMap::new(),
-            members,
-        }
+        let pool = Pool::new(members);
+        pool.note_lacking(&placement.pool);
+        pool
     }
 
     fn candidates<'a>(
@@ -393,20 +392,21 @@
                 health: pool.weight(route, i),
                 token_ms: member.load.token_ms(),
                 pace: member.load.pace(),
-                barred: self.barred(request, member),
+                barred: self.barred(request, pool, i),
             }
         };
         pool.members.iter().enumerate().map(candidate).collect()
     }
 
     /// Tells why a server can't be chosen, whatever the policy.
-    fn barred(&self, request: &Request<'_>, member: &Member) -> Option<Pass> {
+    fn barred(&self, request: &Request<'_>, pool: &Pool, i: usize) -> Option<Pass> {
+        let member = &pool.members[i];
         let backlog = member.load.own_backlog() * u64::from(member.sharers());
         if request.exclude.contains(&member.backend) {
             Some(Pass::Excluded)
         } else if member.is_leaving() {
             Some(Pass::Leaving)
-        } else if member.lacks(request.pool) {
+        } else if pool.is_lacking(i) {
             Some(Pass::Unloaded)
         } else if member.is_model() && backlog >= self.options.backlog {
             Some(Pass::Busy)
--- a/crates/cassiareel/src/engines/table_tests.rs
+++ b/crates/cassiareel/src/engines/table_tests.rs
@@ -251,6 +251,7 @@
         ..report(100_000)
     };
     engines.on_load(T0, "e2", &unloaded);
+    engines.tick(T0);
     let ticket = choose(&engines, T0, &ask(), &[]).1.expect("e3 is fit");
     assert_eq!(&**ticket.backend(), "e3");
     let (reason, none) = choose(&engines, T0, &ask(), &["e3".into()]);
--- a/crates/cassiareel/src/kernel/routing/prefix.rs
+++ b/crates/cassiareel/src/kernel/routing/prefix.rs
@@ -128,18 +128,21 @@
         let mut live = vec![u64::MAX; self.words];
         for (depth, &block) in prefix.iter().enumerate() {
             let Some(entry) = self.find(block) else {
-                return;
+                return settle_depths(&live, depth as u32, depths);
             };
             let mut any = 0;
             for (w, live) in live.iter_mut().enumerate() {
-                *live &= self.bits[entry * self.words + w].load(Ordering::Relaxed);
+                let held = self.bits[entry * self.words + w].load(Ordering::Relaxed);
+                // Depths are set where a server's row of blocks ends, not at each block.
+                set_depths(*live & !held, w * WORD, depth as u32, depths);
+                *live &= held;
                 any |= *live;
-                set_depths(*live, w * WORD, depth as u32 + 1, depths);
             }
             if any == 0 {
                 return;
             }
         }
+        settle_depths(&live, prefix.len() as u32, depths);
     }
 
     /// Finds a block's entry.
@@ -192,8 +195,18 @@
     }
 }
 
+/// Sets the depth of the servers that hold every block so far.
+fn settle_depths(live: &[u64], depth: u32, depths: &mut [u32]) {
+    for (w, &word) in live.iter().enumerate() {
+        set_depths(word, w * WORD, depth, depths);
+    }
+}
+
 /// Sets the depth of each server whose bit is set.
 fn set_depths(mut word: u64, base: usize, depth: u32, depths: &mut [u32]) {
+    if depth == 0 {
+        return;
+    }
     while word != 0 {
         let slot = base + word.trailing_zeros() as usize;
         if slot < depths.len() {
