Route and admit the node's requests through the engines table and the fair queue

Cause: the thin path chose by in-flight counts under a lock, and admitted everything. Change: limits of account and caller, then the fair queue of the version, then the policy of the settings; places carry outcomes to health; one line a decision with policy, reason, scores and the count of candidates left out; a refusal over a limit is 429 with the exact time to come back. The default policy of the settings is first-token. Measured: tests of cassiareel and cassiareel-standins pass; the first choice of a generation is made at its turn in the queue, later ones at once. Conclusion: wired. The list of nodes that share the engines still has to be told by membership (Parts::set_nodes); until then a node counts itself alone.

--- /dev/null
+++ b/crates/cassiareel/src/engines/gate_tests.rs
@@ -0,0 +1,149 @@
+//! Requests wait for room in turn, and get their answer at once when they are given up on.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures_lite::FutureExt;
+
+use super::{Engines, Fleet, Gate, Options, Placed, Placement, Wanted};
+use crate::{
+    backend::LoadReport,
+    kernel::{
+        admission::{Bounds, Refusal, Who},
+        routing::Ask,
+    },
+    runtime::Runtime,
+};
+
+/// A gate before one engine with room for one request of [`wanted`].
+fn gate(runtime: &Runtime) -> Gate {
+    let engines = Engines::new(Options::default()).expect("the default policy is registered");
+    let placement = Placement {
+        pool: "draft@v1".into(),
+        model: true,
+        servers: vec![("e1".into(), "d1".into())],
+    };
+    let fleet = Fleet {
+        nodes: vec!["n0".into()],
+        own: "n0".into(),
+        subset: 64,
+    };
+    engines.update(&[placement], &fleet);
+    let report = LoadReport {
+        total_tokens: 1_000,
+        ..LoadReport::default()
+    };
+    engines.on_load(Duration::ZERO, "e1", &report);
+    let (gate, keeper) = Gate::new(Arc::new(engines), Instant::now(), Bounds::default());
+    runtime.spawn(keeper).detach();
+    gate
+}
+
+fn wanted(account: &str, deadline: Duration) -> Wanted {
+    Wanted {
+        pool: "draft@v1".into(),
+        route: "/v1/completions".into(),
+        ask: Ask {
+            prompt: 300,
+            output: 300,
+            idempotent: true,
+            ..Ask::default()
+        },
+        who: Who {
+            account: account.into(),
+            caller: "c".into(),
+            account_weight: 1.0,
+            caller_weight: 1.0,
+        },
+        priority: 0,
+        deadline,
+    }
+}
+
+/// Long enough that a test which waits it out has failed.
+const LONG: Duration = Duration::from_secs(30);
+
+async fn within(
+    wait: impl std::future::Future<Output = Result<Placed, Refusal>>,
+) -> Result<Placed, Refusal> {
+    let late = async {
+        smol::Timer::after(LONG).await;
+        panic!("no answer from the gate");
+    };
+    wait.or(late).await
+}
+
+#[test]
+fn a_request_gets_the_room_that_another_leaves() {
+    let runtime = Runtime::new("gate", 1);
+    let gate = gate(&runtime);
+    smol::block_on(async {
+        let (_, first) = within(gate.enter(wanted("a", LONG)))
+            .await
+            .expect("room for one");
+        let waits = gate.enter(wanted("b", LONG));
+        let leaves = async {
+            while gate.waiting() == 0 {
+                smol::Timer::after(Duration::from_millis(1)).await;
+            }
+            drop(first);
+            std::future::pending().await
+        };
+        let (decision, ticket) = within(waits.or(leaves))
+            .await
+            .expect("the room is free again");
+        assert_eq!(decision.chosen.as_deref(), Some("e1"));
+        drop(ticket);
+        assert_eq!(gate.waiting(), 0);
+    });
+}
+
+#[test]
+fn a_request_that_is_given_up_on_gets_its_answer() {
+    let runtime = Runtime::new("gate", 1);
+    let gate = gate(&runtime);
+    smol::block_on(async {
+        let _first = within(gate.enter(wanted("a", LONG)))
+            .await
+            .expect("room for one");
+        let refusal = within(gate.enter(wanted("b", Duration::from_millis(50)))).await;
+        assert!(
+            matches!(refusal, Err(Refusal::Expired(_) | Refusal::Late(_))),
+            "{refusal:?}"
+        );
+        assert_eq!(gate.waiting(), 0);
+    });
+}
+
+#[test]
+fn a_caller_that_goes_away_leaves_no_request_behind() {
+    let runtime = Runtime::new("gate", 1);
+    let gate = gate(&runtime);
+    smol::block_on(async {
+        let (_, first) = within(gate.enter(wanted("a", LONG)))
+            .await
+            .expect("room for one");
+        let leaves = async {
+            while gate.waiting() == 0 {
+                smol::Timer::after(Duration::from_millis(1)).await;
+            }
+            Err(Refusal::Full(LONG))
+        };
+        let gone = gate.enter(wanted("b", LONG)).or(leaves).await;
+        assert!(gone.is_err());
+        drop(first);
+        let placed = within(gate.enter(wanted("c", LONG))).await;
+        assert!(placed.is_ok(), "the place went to a caller that is gone");
+    });
+}
+
+#[test]
+fn a_version_without_servers_is_refused_at_once() {
+    let runtime = Runtime::new("gate", 1);
+    let gate = gate(&runtime);
+    let mut other = wanted("a", LONG);
+    other.pool = "other@v1".into();
+    assert!(smol::block_on(within(gate.enter(other))).is_err());
+}
--- a/crates/cassiareel/src/engines/mod.rs
+++ b/crates/cassiareel/src/engines/mod.rs
@@ -14,6 +14,9 @@
 mod feed;
 #[cfg(test)]
 mod feed_tests;
+mod gate;
+#[cfg(test)]
+mod gate_tests;
 mod judge;
 mod member;
 mod poll;
@@ -25,6 +28,7 @@
 
 pub use decision::{Considered, Decision, Reason};
 pub use feed::{CacheFeed, Fetch};
+pub use gate::{Gate, Placed, Wanted};
 pub use judge::{Moved, RouteId};
 pub use member::Member;
 pub use poll::{answer_bytes, poll, Connect, ANSWER_BYTES, CACHE_RATE, REPORT_BYTES, REPORT_RATE};
--- a/crates/cassiareel/src/engines/poll.rs
+++ b/crates/cassiareel/src/engines/poll.rs
@@ -45,12 +45,17 @@
 /// Shortest time between two reports of one engine.
 const LEAST_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Keeps the table's beliefs fresh until the table is dropped by all others.
+/// Keeps the table's beliefs fresh, with times since `origin`, as long as its executor runs.
 ///
 /// Reports are asked for in turn, and the time between two of one engine grows with the count of
 /// engines, so that the bytes a second do not. Cache events have a rate of their own.
-pub async fn poll(engines: Arc<Engines>, connect: Connect, spawner: Spawner, log: Logger) {
-    let origin = Instant::now();
+pub async fn poll(
+    engines: Arc<Engines>,
+    connect: Connect,
+    origin: Instant,
+    spawner: Spawner,
+    log: Logger,
+) {
     let rates = Arc::new(Rates {
         origin,
         reports: Bucket::default(),
--- a/crates/cassiareel/src/engines/table.rs
+++ b/crates/cassiareel/src/engines/table.rs
@@ -97,7 +97,7 @@
 /// A node's table of backend servers.
 pub struct Engines {
     options: Options,
-    policy: Box<dyn Policy>,
+    policy: ArcSwap<Named>,
     table: ArcSwap<Table>,
     index: PrefixIndex,
     signals: Arc<Signals>,
@@ -107,6 +107,12 @@
     writer: Mutex<Writer>,
 }
 
+/// A policy with its name.
+struct Named {
+    name: &'static str,
+    policy: Box<dyn Policy>,
+}
+
 /// What the table points to.
 #[derive(Debug, Default)]
 struct Table {
@@ -125,7 +131,10 @@
 impl Engines {
     /// Makes an empty table; none where no policy has the name in the options.
     pub fn new(options: Options) -> Option<Engines> {
-        let policy = routing::policy(options.policy)?;
+        let policy = Named {
+            name: options.policy,
+            policy: routing::policy(options.policy)?,
+        };
         let (told_in, told) = async_channel::bounded(TOLD);
         let (room_in, room) = async_channel::bounded(1);
         let writer = Writer {
@@ -134,7 +143,7 @@
             slots: (0..options.slots).rev().collect(),
         };
         Some(Engines {
-            policy,
+            policy: ArcSwap::from_pointee(policy),
             table: ArcSwap::default(),
             index: PrefixIndex::new(options.blocks, options.slots),
             signals: Arc::new(Signals {
@@ -148,6 +157,18 @@
         })
     }
 
+    /// Replaces the policy; false where no policy has the name, and the old one stays.
+    pub fn set_policy(&self, name: &str) -> bool {
+        if self.policy.load().name == name {
+            return true;
+        }
+        let Some((name, policy)) = routing::named_policy(name) else {
+            return false;
+        };
+        self.policy.store(Arc::new(Named { name, policy }));
+        true
+    }
+
     /// Replaces the servers by those of new settings or of a new membership. What is known of a
     /// server that stays is kept.
     pub fn update(&self, placements: &[Placement], fleet: &Fleet) {
@@ -184,13 +205,14 @@
         request: &Request<'_>,
         random: u64,
     ) -> (Decision, Option<Ticket>) {
+        let named = self.policy.load();
         let table = self.table.load();
         let pool = table
             .pools
             .get(request.pool)
             .filter(|pool| !pool.members.is_empty());
         let Some(pool) = pool else {
-            return (Decision::unplaced(self.options.policy), None);
+            return (Decision::unplaced(named.name), None);
         };
         let route = pool.routes.get(request.route).map(|route| &**route);
         let mut candidates = self.candidates(now, request, pool, route);
@@ -199,23 +221,22 @@
                 return found;
             }
         }
-        let mut choice = self.policy.choose(request.ask, &candidates, random);
+        let mut choice = named.policy.choose(request.ask, &candidates, random);
         for _ in 0..RACES {
             let Some(i) = choice.index else {
                 break;
             };
             if pool.members[i].memory.hold(request.ask.tokens()) {
-                let decision =
-                    Decision::new(self.options.policy, Reason::Policy, &candidates, &choice);
+                let decision = Decision::new(named.name, Reason::Policy, &candidates, &choice);
                 let ticket = self.ticket(now, request, &pool.members[i], &candidates[i], false);
                 return (decision, Some(ticket));
             }
             // Another thread took the memory in between.
             candidates[i].barred = Some(Pass::Memory);
-            choice = self.policy.choose(request.ask, &candidates, random);
+            choice = named.policy.choose(request.ask, &candidates, random);
         }
         choice.index = None;
-        let decision = Decision::new(self.options.policy, Reason::NoneFit, &candidates, &choice);
+        let decision = Decision::new(named.name, Reason::NoneFit, &candidates, &choice);
         (decision, None)
     }
 
@@ -438,7 +459,7 @@
             index: Some(i),
             scores,
         };
-        let decision = Decision::new(self.options.policy, Reason::Trial, candidates, &choice);
+        let decision = Decision::new(self.policy.load().name, Reason::Trial, candidates, &choice);
         // A trial that loses the race for memory is told as one that told nothing.
         let held = pool.members[i].memory.hold(request.ask.tokens());
         let mut ticket = self.ticket(now, request, &pool.members[i], &candidates[i], true);
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -9,11 +9,12 @@
 
 use super::{
     answer::Shape,
+    choose::Arrival,
     generate::{Driver, Signal},
     service, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
-    kernel::RequestId,
+    kernel::{routing, RequestId},
     settings::{Identity, Route, Scope, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
 };
@@ -106,6 +107,15 @@
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()),
         );
+        let chooser = &self.parts.chooser;
+        let prefix = routing::blocks(&prompt.text);
+        let arrival = Arrival {
+            identity,
+            route: &route,
+            path: endpoint.path(),
+            ask: chooser.ask(prefix.clone(), prompt.text.len(), 0, prompt.tokens),
+        };
+        let admitted = chooser.admit(arrival).await?;
         let (reader, out) = match prompt.stream {
             true => {
                 let (reader, writer) = piper::pipe(OUT_BYTES);
@@ -125,6 +135,8 @@
             log,
             out,
             signal,
+            admitted,
+            prefix,
         };
         self.parts.spawner.spawn(driver.run()).detach();
         match reader {
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -6,20 +6,21 @@
 };
 
 use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
-use slog::{info, Logger};
+use slog::{info, o, Logger};
 use smol::Timer;
 
 use super::{
     answer::{Shape, Usage},
-    choose::Place,
+    choose::{log_decision, Admitted, Place},
     Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
+    engines::Decision,
     hooks::{self, Step},
     kernel::{
         generation::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend},
-        Attempt, RequestId, Time, TokenId,
+        health, Attempt, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
     settings::{Resolved, Route},
@@ -53,6 +54,10 @@
     /// Where a streamed answer goes; an answer that is not streamed is gathered.
     pub(super) out: Option<piper::Writer>,
     pub(super) signal: async_channel::Sender<Signal>,
+    /// The request's place within the limits and its first backend server.
+    pub(super) admitted: Admitted,
+    /// Chained hashes of the prompt's blocks.
+    pub(super) prefix: Vec<u64>,
 }
 
 /// The state of a driver at work.
@@ -68,6 +73,7 @@
     text_bytes: usize,
     prompt_tokens: u32,
     refused: Option<Refusal>,
+    abandoned: bool,
     buf: Vec<u8>,
 }
 
@@ -100,6 +106,7 @@
             text_bytes: 0,
             prompt_tokens: 0,
             refused: None,
+            abandoned: false,
             buf: Vec::new(),
         };
         work.perform(actions).await;
@@ -198,6 +205,16 @@
             .metrics
             .count(Counter::LostAttempts, 1, &[service]);
         info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
+        if let Some(place) = &mut self.place {
+            match err {
+                // An engine that refuses is there; that it is full is known by its load.
+                StreamError::Refused { .. } => {}
+                StreamError::Malformed { .. } => place.note(health::Outcome::Fault),
+                StreamError::NotSent { .. } | StreamError::Lost { .. } => {
+                    place.note(health::Outcome::Lost);
+                }
+            }
+        }
         let how = match err {
             StreamError::Refused { status, message } => {
                 if !crate::backend::is_transient(*status) {
@@ -255,15 +272,16 @@
 
     fn choose(&mut self, attempt: Attempt, exclude: &[crate::kernel::BackendId]) -> Event {
         self.pieces = None;
-        self.place = self
-            .driver
-            .parts
-            .chooser
-            .choose(&self.driver.route, exclude);
+        let (decision, place) = match self.driver.admitted.first.take() {
+            Some((decision, place)) => (decision, Some(place)),
+            None => self.choose_again(exclude),
+        };
+        self.place = place;
+        let log = self.driver.log.new(
+            o!("attempt" => attempt, "excluded" => exclude.join(" "), "tokens" => self.tokens.len()),
+        );
+        log_decision(&log, &self.driver.route, &decision);
         let chosen = self.place.as_ref().map(|place| place.addr.to_string());
-        info!(self.driver.log, "routed"; "attempt" => attempt, "version" => &*self.driver.route.version,
-            "choice" => chosen.as_deref(), "excluded" => exclude.join(" "),
-            "candidates" => self.driver.route.servers.len());
         match chosen {
             Some(backend) => Event::Chosen {
                 attempt,
@@ -280,6 +298,23 @@
         }
     }
 
+    /// Chooses for an attempt that goes on after the tokens so far.
+    fn choose_again(&self, exclude: &[crate::kernel::BackendId]) -> (Decision, Option<Place>) {
+        let Driver {
+            parts,
+            prompt,
+            prefix,
+            route,
+            ..
+        } = &self.driver;
+        let got = self.tokens.len() as u32;
+        let ask = parts
+            .chooser
+            .ask(prefix.clone(), prompt.text.len(), got, prompt.tokens);
+        let path = prompt.endpoint.path();
+        parts.chooser.resume(route, path, &ask, exclude)
+    }
+
     async fn open(&mut self, attempt: Attempt) -> Option<Event> {
         self.pass(Step::AttemptChosen).await;
         let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
@@ -311,9 +346,13 @@
     /// Cancels an attempt in the background: the next one doesn't wait for it.
     fn cancel(&mut self, attempt: Attempt) {
         self.pieces = None;
-        let Some(place) = self.place.take() else {
+        let Some(mut place) = self.place.take() else {
             return;
         };
+        // An attempt that is cancelled for another reason than its caller was lost.
+        if !self.abandoned {
+            place.note(health::Outcome::Lost);
+        }
         let id = self.driver.id.clone();
         let cancel = async move {
             let engine = HttpEngine::new(place.addr, ENGINE_HEAD);
@@ -325,6 +364,9 @@
     async fn emit(&mut self, ids: Vec<TokenId>, text: &str) -> Option<Event> {
         self.pass(Step::TokensTaken).await;
         let first = self.tokens.is_empty();
+        if let Some(place) = &mut self.place {
+            place.first_token();
+        }
         let service = &*self.driver.route.service;
         if first {
             let tags = [("service", service)];
@@ -348,6 +390,7 @@
         self.buf.clear();
         self.driver.shape.text(&mut self.buf, text, first);
         if out.write_all(&self.buf).await.is_err() {
+            self.abandoned = true;
             return Some(Event::Abandoned);
         }
         self.pass(Step::TokensPassed).await;
@@ -358,7 +401,13 @@
         let tokens = self.tokens.len() as u32;
         info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
             "attempts" => self.machine.attempt());
+        if let (Ending::Complete(_), Some(place)) = (ending, &mut self.place) {
+            place.note(health::Outcome::Success);
+        }
         self.place = None;
+        let used = u64::from(self.prompt_tokens + tokens);
+        let now = self.driver.parts.chooser.now();
+        self.driver.admitted.permit.settle(now, used);
         self.pieces = None;
         let usage = Usage::new(self.prompt_tokens, tokens);
         self.count(ending, tokens);
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -8,7 +8,7 @@
 use super::Chooser;
 use crate::{
     hooks::{Hooks, NoHooks},
-    kernel::DataCentreId,
+    kernel::{DataCentreId, NodeId},
     observe::Metrics,
     runtime::Spawner,
     settings::{Scope, Snapshot},
@@ -29,7 +29,7 @@
     /// What listens to the steps of a request.
     pub hooks: Arc<dyn Hooks>,
     /// What chooses backend servers.
-    pub(super) chooser: Chooser,
+    pub(super) chooser: Arc<Chooser>,
 }
 
 impl Parts {
@@ -40,6 +40,7 @@
         spawner: Spawner,
         log: Logger,
     ) -> Parts {
+        let chooser = Chooser::new(settings.clone(), data_centre.clone(), &spawner, log.clone());
         Parts {
             settings,
             data_centre,
@@ -47,7 +48,7 @@
             log,
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
-            chooser: Chooser::new(),
+            chooser,
         }
     }
 
@@ -59,6 +60,16 @@
         }
     }
 
+    /// Tells which nodes share the backend servers: those of the platform's list of VMs.
+    pub fn set_nodes(&self, nodes: Vec<NodeId>, own: NodeId) {
+        self.chooser.set_nodes(nodes, own);
+    }
+
+    /// Requests that wait for a backend server.
+    pub fn waiting(&self) -> usize {
+        self.chooser.waiting()
+    }
+
     /// Sends figures to `metrics`.
     pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Parts {
         self.metrics = metrics;
--- a/crates/cassiareel/src/front/refusal.rs
+++ b/crates/cassiareel/src/front/refusal.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// A refusal over a limit, that asks to try again after a time.
+    pub fn limited(message: impl Into<String>, retry: Duration) -> Refusal {
+        Refusal {
+            retry: Some(retry),
+            ..Refusal::new(StatusCode::TooManyRequests, message)
+        }
+    }
+
     /// Sets the code that programs look at.
     pub fn with_code(mut self, code: &'static str) -> Refusal {
         self.code = Some(code);
--- a/crates/cassiareel/src/front/service.rs
+++ b/crates/cassiareel/src/front/service.rs
@@ -8,6 +8,7 @@
 use super::{Chooser, Outcome, Refusal};
 use crate::{
     backend::{Answer, Call, CallError, HttpService, Service},
+    kernel::health,
     settings::Route,
 };
 
@@ -24,15 +25,20 @@
     call: &Call,
     log: &Logger,
 ) -> Result<Answer, Refusal> {
-    let Some(place) = chooser.choose(route, &[]) else {
+    let Some(mut place) = chooser.choose(route, &[]) else {
         return Err(Refusal::busy(
             "no backend server can take the call now",
             RETRY_AFTER,
         ));
     };
-    info!(log, "routed"; "version" => &*route.version, "choice" => %place.addr);
     let service = HttpService::new(place.addr, SERVICE_HEAD);
-    service.call(call).await.map_err(|err| {
+    let answer = service.call(call).await;
+    place.note(match &answer {
+        Ok(answer) if answer.status >= 500 => health::Outcome::Fault,
+        Ok(_) => health::Outcome::Success,
+        Err(_) => health::Outcome::Lost,
+    });
+    answer.map_err(|err| {
         info!(log, "call lost"; "cause" => %err);
         match err {
             CallError::NotRun { .. } => Refusal::busy(err.to_string(), RETRY_AFTER),
--- a/crates/cassiareel/src/kernel/admission/mod.rs
+++ b/crates/cassiareel/src/kernel/admission/mod.rs
@@ -2,7 +2,8 @@
 Who may run now, who waits, and who is refused.
 
 - [`Ledger`] keeps the tokens that a node's requests hold of an engine's memory and may still hold.
-- [`Bucket`] and [`Gauge`] are the limits of a client account or a caller, in requests and tokens.
+- [`Limiter`] keeps the limits of client accounts and callers, in requests and tokens; a [`Bucket`]
+  is one limit in a time, and a [`Gauge`] one at a time.
 - [`share`] is a node's part of a limit that holds for the fleet.
 - [`FairQueue`] holds what waits, fair between client accounts and between the callers of each.
 
@@ -20,6 +21,9 @@
 mod ledger;
 #[cfg(test)]
 mod ledger_tests;
+mod limiter;
+#[cfg(test)]
+mod limiter_tests;
 mod queue;
 #[cfg(test)]
 mod queue_tests;
@@ -32,5 +36,6 @@
 pub use gauge::Gauge;
 pub use job::{Job, Refusal, Refused, Who};
 pub use ledger::{memory_share, Ledger};
+pub use limiter::{Exceeded, LevelId, Limiter, Limits, Permit, Reached};
 pub use queue::{Bounds, FairQueue};
 pub use share::share;
--- a/crates/cassiareel/src/kernel/routing/mod.rs
+++ b/crates/cassiareel/src/kernel/routing/mod.rs
@@ -33,6 +33,6 @@
 pub(crate) use expect::{expected_ms, unread_tokens};
 pub(crate) use home::{home_seed, home_weight, prefix_key};
 pub use load::{Load, Reported};
-pub use policy::{policy, policy_names, Ask, Candidate, Choice, Pass, Policy};
+pub use policy::{named_policy, policy, policy_names, Ask, Candidate, Choice, Pass, Policy};
 pub use prefix::{PrefixIndex, Slot};
 pub use subset::Subsets;
--- a/crates/cassiareel/src/kernel/routing/policy.rs
+++ b/crates/cassiareel/src/kernel/routing/policy.rs
@@ -116,9 +116,14 @@
 /// assert!(policy("no-such-policy").is_none());
 /// ```
 pub fn policy(name: &str) -> Option<Box<dyn Policy>> {
+    named_policy(name).map(|(_, policy)| policy)
+}
+
+/// Builds the policy of a name, with the name as it was registered.
+pub fn named_policy(name: &str) -> Option<(&'static str, Box<dyn Policy>)> {
     inventory::iter::<Plugin<Box<dyn Policy>>>()
         .find(|plugin| plugin.name == name)
-        .map(|plugin| (plugin.build)())
+        .map(|plugin| (plugin.name, (plugin.build)()))
 }
 
 /// Names of the policies that registered themselves, in order.
--- a/crates/cassiareel/src/settings/policy.rs
+++ b/crates/cassiareel/src/settings/policy.rs
@@ -100,7 +100,7 @@
     /// Choice of a backend server.
     RoutingPolicy => Routing {
         /// The name of the policy that scores backend servers.
-        policy: String as "Option<_>" = "least-outstanding".to_owned(),
+        policy: String as "Option<_>" = "first-token".to_owned(),
         /// Weight of load in a score.
         load: f64 as "Option<_>" = 1.0,
         /// Weight of prompt blocks that a cache holds.
