--- a/crates/cassiareel/src/front/choose.rs
+++ b/crates/cassiareel/src/front/choose.rs
@@ -217,14 +217,19 @@
     }
 
     /// Chooses a backend server for a call of a plain service, other than those excluded.
-    pub(super) fn choose(&self, route: &Route, exclude: &[BackendId]) -> Option<Place> {
+    pub(super) fn choose(
+        &self,
+        route: &Route,
+        exclude: &[BackendId],
+        log: &Logger,
+    ) -> Option<Place> {
         let ask = Ask {
             data_centre: Some(self.data_centre.clone()),
             idempotent: route.idempotent,
             ..Ask::default()
         };
         let (decision, place) = self.resume(route, "", &ask, exclude);
-        log_decision(&self.log, route, &decision);
+        log_decision(log, route, &decision);
         place
     }
 
--- a/crates/cassiareel/src/front/service.rs
+++ b/crates/cassiareel/src/front/service.rs
@@ -25,7 +25,7 @@
     call: &Call,
     log: &Logger,
 ) -> Result<Answer, Refusal> {
-    let Some(mut place) = chooser.choose(route, &[]) else {
+    let Some(mut place) = chooser.choose(route, &[], log) else {
         return Err(Refusal::busy(
             "no backend server can take the call now",
             RETRY_AFTER,
--- a/crates/cassiareel/src/kernel/generation/action.rs
+++ b/crates/cassiareel/src/kernel/generation/action.rs
@@ -9,7 +9,7 @@
     Complete(FinishReason),
     /// Nothing ran: no backend server could take it in time.
     NotRun,
-    /// The answer is whole up to a position, and can't go on.
+    /// An engine began, and the answer, whole up to the position reached, can't go on.
     Partial,
     /// The caller went away.
     Abandoned,
@@ -32,6 +32,13 @@
         /// The backend server.
         backend: BackendId,
     },
+    /// Take up the attempt's live stream again, after the tokens passed on so far.
+    Attach {
+        /// The attempt.
+        attempt: Attempt,
+        /// The backend server.
+        backend: BackendId,
+    },
     /// Cancel the attempt at a backend server, so that it works for nobody.
     Cancel {
         /// The attempt.
--- a/crates/cassiareel/src/kernel/generation/machine.rs
+++ b/crates/cassiareel/src/kernel/generation/machine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Action, Ending, Event, Loss, NoBackend};
+use super::{Action, Ending, Event, Loss, NoBackend, Pace};
 use crate::kernel::{Attempt, BackendId, Position, Time};
 
 /// Bounds on a generation.
@@ -12,14 +12,24 @@
     pub queue: Duration,
     /// Time from opening an attempt to its first token.
     pub first: Duration,
-    /// Time between tokens.
+    /// Shortest time without a token after which an engine may count as silent.
+    pub floor: Duration,
+    /// Longest time without a token, whatever the engine's pace.
     pub between: Duration,
+    /// Time for a live stream to be taken up again.
+    pub attach: Duration,
     /// Time between looks for a backend server while none is fit.
     pub retry: Duration,
-    /// Attempts in all.
+    /// Attempts that may be lost in all.
     pub attempts: u32,
 }
 
+/// How late a timer may be before the node itself counts as having been paused.
+const PAUSED: Duration = Duration::from_millis(250);
+
+/// Times that the live stream of one attempt is taken up again.
+const ATTACHES: u32 = 3;
+
 /// Where the current attempt stands.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Stage {
@@ -29,10 +39,32 @@
     Waiting { until: Time, again: Time },
     /// The attempt runs; the next token is due at a time.
     Running { backend: BackendId, due: Time },
+    /// The live stream of the attempt is asked for again, until a deadline.
+    Attaching { backend: BackendId, until: Time },
+    /// The caller doesn't read, and nothing runs.
+    Parked,
     /// The answer has ended.
     Ended,
 }
 
+/// A defect that the model check must find.
+#[cfg(test)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Mutation {
+    /// Takes tokens of every attempt.
+    AnyAttempt,
+    /// Takes tokens at any position.
+    AnyPosition,
+    /// Does not cancel a lost attempt.
+    NoCancel,
+    /// Says "not run" although an engine began.
+    NotRunAfterLoss,
+    /// Takes the end of an answer at any position.
+    AnyEnd,
+    /// Waits for ever for a live stream.
+    NoAttachBound,
+}
+
 /// A generation.
 ///
 /// # Examples
@@ -44,7 +76,9 @@
 /// let limits = Limits {
 ///     queue: Duration::from_secs(1),
 ///     first: Duration::from_secs(5),
-///     between: Duration::from_secs(1),
+///     floor: Duration::from_millis(1200),
+///     between: Duration::from_secs(10),
+///     attach: Duration::from_millis(150),
 ///     retry: Duration::from_millis(50),
 ///     attempts: 4,
 /// };
@@ -61,7 +95,14 @@
     // INVARIANT: the caller was given exactly the tokens 0..position, in order, once.
     position: Position,
     lost: Vec<BackendId>,
+    losses: u32,
+    attaches: u32,
+    pace: Pace,
+    // INVARIANT: set once an engine may have begun.
+    ran: bool,
     stage: Stage,
+    #[cfg(test)]
+    pub(crate) mutation: Option<Mutation>,
 }
 
 impl Generation {
@@ -72,9 +113,15 @@
             attempt: 1,
             position: 0,
             lost: Vec::new(),
+            losses: 0,
+            attaches: 0,
+            pace: Pace::default(),
+            ran: false,
             stage: Stage::Choosing {
                 until: now + limits.queue,
             },
+            #[cfg(test)]
+            mutation: None,
         };
         let action = generation.choose();
         (generation, vec![action])
@@ -110,7 +157,9 @@
                 position,
                 ids,
                 text,
-            } if attempt == self.attempt => self.accept(now, position, ids, text),
+            } if attempt == self.attempt || self.is_mutated("AnyAttempt") => {
+                self.accept(now, position, ids, text)
+            }
             Event::Finished {
                 attempt,
                 position,
@@ -119,12 +168,15 @@
                 if !matches!(self.stage, Stage::Running { .. }) {
                     return Vec::new();
                 }
-                if position != self.position {
+                if position != self.position && !self.is_mutated("AnyEnd") {
                     return self.lose(now, Loss::Mismatch);
                 }
                 self.end(Ending::Complete(reason))
             }
+            Event::Attached { attempt } if attempt == self.attempt => self.attached(now),
             Event::Lost { attempt, how } if attempt == self.attempt => self.lose(now, how),
+            Event::Stalled => self.park(),
+            Event::Drained => self.unpark(now),
             Event::Abandoned => self.abandon(),
             Event::Tick => self.tick(now),
             _ => Vec::new(),
@@ -177,15 +229,20 @@
         ids: Vec<u32>,
         text: String,
     ) -> Vec<Action> {
-        let Stage::Running { due, .. } = &mut self.stage else {
+        if !matches!(self.stage, Stage::Running { .. }) {
             return Vec::new();
-        };
-        if position != self.position {
+        }
+        let next = position + ids.len() as Position;
+        if next <= self.position && !ids.is_empty() && !self.is_mutated("AnyPosition") {
+            // Tokens that came twice.
+            return Vec::new();
+        }
+        if position != self.position && !self.is_mutated("AnyPosition") {
             return self.lose(now, Loss::Mismatch);
         }
-        *due = now + self.limits.between;
-        let at = *due;
-        self.position += ids.len() as Position;
+        self.pace.arrived(now);
+        self.position = next;
+        let at = self.await_token(now);
         vec![
             Action::Emit {
                 position,
@@ -196,52 +253,146 @@
         ]
     }
 
-    fn lose(&mut self, now: Time, how: Loss) -> Vec<Action> {
-        let Stage::Running { backend, .. } = &self.stage else {
+    /// Gives the engine its time for the next token, and returns the deadline.
+    fn await_token(&mut self, now: Time) -> Time {
+        let at = now + self.pace.patience(self.limits.floor, self.limits.between);
+        if let Stage::Running { due, .. } = &mut self.stage {
+            *due = at;
+        }
+        at
+    }
+
+    fn attached(&mut self, now: Time) -> Vec<Action> {
+        let Stage::Attaching { backend, .. } = &self.stage else {
             return Vec::new();
         };
-        let backend = backend.clone();
+        self.pace.interrupt();
+        self.stage = Stage::Running {
+            backend: backend.clone(),
+            due: now,
+        };
+        let at = self.await_token(now);
+        vec![Action::Wake { at }]
+    }
+
+    fn lose(&mut self, now: Time, how: Loss) -> Vec<Action> {
+        match &self.stage {
+            // The engine may be alive, and only its connection lost.
+            Stage::Running { backend, .. } if how == Loss::Reset && self.attaches < ATTACHES => {
+                self.ran = true;
+                self.attaches += 1;
+                let until = now + self.limits.attach;
+                let backend = backend.clone();
+                self.stage = Stage::Attaching {
+                    backend: backend.clone(),
+                    until,
+                };
+                let attempt = self.attempt;
+                vec![
+                    Action::Attach { attempt, backend },
+                    Action::Wake { at: until },
+                ]
+            }
+            Stage::Running { backend, .. } => {
+                self.ran |= how != Loss::Refused;
+                let backend = backend.clone();
+                self.replace(now, backend, how != Loss::Refused)
+            }
+            Stage::Attaching { backend, .. } => {
+                let backend = backend.clone();
+                self.replace(now, backend, true)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Gives an attempt up and goes on with the next.
+    fn replace(&mut self, now: Time, backend: BackendId, cancel: bool) -> Vec<Action> {
         let mut actions = Vec::new();
-        if how != Loss::Refused {
+        if cancel && !self.is_mutated("NoCancel") {
             actions.push(Action::Cancel {
                 attempt: self.attempt,
                 backend: backend.clone(),
             });
         }
         self.lost.push(backend);
-        if self.attempt >= self.limits.attempts {
+        self.losses += 1;
+        if self.losses >= self.limits.attempts {
             actions.extend(self.give_up());
             return actions;
         }
+        actions.push(self.next(now));
+        actions
+    }
+
+    /// Begins the next attempt.
+    fn next(&mut self, now: Time) -> Action {
         self.attempt += 1;
+        self.attaches = 0;
+        self.pace = Pace::default();
         self.stage = Stage::Choosing {
             until: now + self.limits.queue,
         };
-        actions.push(self.choose());
-        actions
+        self.choose()
+    }
+
+    /// Frees the engine of a caller that doesn't read.
+    fn park(&mut self) -> Vec<Action> {
+        let cancel = self.cancel();
+        if !matches!(self.stage, Stage::Ended) {
+            self.ran |= !cancel.is_empty();
+            self.stage = Stage::Parked;
+        }
+        cancel
+    }
+
+    fn unpark(&mut self, now: Time) -> Vec<Action> {
+        if self.stage != Stage::Parked {
+            return Vec::new();
+        }
+        vec![self.next(now)]
+    }
+
+    /// Cancels what runs.
+    fn cancel(&self) -> Vec<Action> {
+        match &self.stage {
+            Stage::Running { backend, .. } | Stage::Attaching { backend, .. } => {
+                vec![Action::Cancel {
+                    attempt: self.attempt,
+                    backend: backend.clone(),
+                }]
+            }
+            _ => Vec::new(),
+        }
     }
 
     fn tick(&mut self, now: Time) -> Vec<Action> {
-        match self.stage {
-            Stage::Running { due, .. } if now >= due => self.lose(now, Loss::Silent),
-            Stage::Running { due, .. } => vec![Action::Wake { at: due }],
-            Stage::Waiting { until, again } if now >= again => {
-                self.stage = Stage::Choosing { until };
+        match &self.stage {
+            Stage::Running { due, .. } if now > *due + PAUSED => {
+                // The node was paused itself: what the engine sent meanwhile is looked at first.
+                self.pace.interrupt();
+                let at = self.await_token(now);
+                vec![Action::Wake { at }]
+            }
+            Stage::Running { due, .. } if now >= *due => self.lose(now, Loss::Silent),
+            Stage::Running { due, .. } => vec![Action::Wake { at: *due }],
+            Stage::Attaching { until, .. }
+                if now >= *until && !self.is_mutated("NoAttachBound") =>
+            {
+                self.lose(now, Loss::Silent)
+            }
+            Stage::Attaching { until, .. } => vec![Action::Wake { at: *until }],
+            Stage::Waiting { until, again } if now >= *again => {
+                self.stage = Stage::Choosing { until: *until };
                 vec![self.choose()]
             }
-            Stage::Waiting { again, .. } => vec![Action::Wake { at: again }],
-            Stage::Choosing { .. } | Stage::Ended => Vec::new(),
+            Stage::Waiting { again, .. } => vec![Action::Wake { at: *again }],
+            Stage::Choosing { .. } | Stage::Ended | Stage::Parked => Vec::new(),
         }
     }
 
     fn abandon(&mut self) -> Vec<Action> {
-        let mut actions = Vec::new();
-        if let Stage::Running { backend, .. } = &self.stage {
-            actions.push(Action::Cancel {
-                attempt: self.attempt,
-                backend: backend.clone(),
-            });
-        }
+        let mut actions = self.cancel();
         if self.stage != Stage::Ended {
             actions.extend(self.end(Ending::Abandoned));
         }
@@ -249,12 +400,26 @@
     }
 
     fn give_up(&mut self) -> Vec<Action> {
-        let ran = self.position > 0;
-        self.end(if ran { Ending::Partial } else { Ending::NotRun })
+        let ran = self.ran && !self.is_mutated("NotRunAfterLoss");
+        self.end(if ran || self.position > 0 {
+            Ending::Partial
+        } else {
+            Ending::NotRun
+        })
     }
 
     fn end(&mut self, ending: Ending) -> Vec<Action> {
         self.stage = Stage::Ended;
         vec![Action::End(ending)]
     }
+
+    #[cfg(test)]
+    fn is_mutated(&self, name: &str) -> bool {
+        self.mutation.is_some_and(|m| format!("{m:?}") == name)
+    }
+
+    #[cfg(not(test))]
+    fn is_mutated(&self, _name: &str) -> bool {
+        false
+    }
 }
