--- a/crates/cassiareel-cli/src/args.rs
+++ b/crates/cassiareel-cli/src/args.rs
@@ -62,6 +62,9 @@
     /// Versions.
     #[options(help = "list versions, and who is sent to each")]
     Versions(ServiceArgs),
+    /// Orders with unknown outcome.
+    #[options(help = "list, ask about and settle orders whose outcome is not known")]
+    Orders(OrdersArgs),
     /// One request.
     #[options(help = "say why a request went where it went")]
     Explain(ExplainArgs),
@@ -290,6 +293,56 @@
     pub service: Option<String>,
 }
 
+/// Commands on orders whose outcome is not known.
+#[derive(Clone, Debug, Default, Options)]
+pub struct OrdersArgs {
+    /// Print this help.
+    pub help: bool,
+    /// The command.
+    #[options(command)]
+    pub command: Option<OrdersCommand>,
+}
+
+/// A command on orders.
+#[derive(Clone, Debug, Options)]
+pub enum OrdersCommand {
+    /// Lists them.
+    #[options(help = "list orders that are unknown or under way, the oldest first")]
+    List(HelpArgs),
+    /// Asks the service.
+    #[options(help = "ask the service what became of an order; changes nothing")]
+    Ask(OrderArgs),
+    /// Settles one.
+    #[options(help = "say for good whether an order ran, after looking in the service's books")]
+    Settle(SettleArgs),
+}
+
+/// An order.
+#[derive(Clone, Debug, Default, Options)]
+pub struct OrderArgs {
+    /// Print this help.
+    pub help: bool,
+    /// The order's name, or as much of its beginning as no other has.
+    #[options(free, required)]
+    pub order: String,
+}
+
+/// An order and what became of it.
+#[derive(Clone, Debug, Default, Options)]
+pub struct SettleArgs {
+    /// Print this help.
+    pub help: bool,
+    /// The order's name, or as much of its beginning as no other has.
+    #[options(free, required)]
+    pub order: String,
+    /// The service ran it.
+    #[options(no_short)]
+    pub ran: bool,
+    /// The service did not run it.
+    #[options(no_short)]
+    pub not_run: bool,
+}
+
 /// A request.
 #[derive(Clone, Debug, Default, Options)]
 pub struct ExplainArgs {
@@ -362,6 +415,7 @@
         Command::Settings(args) => args.command.is_none(),
         Command::Accounts(args) => args.command.is_none(),
         Command::Keys(args) => args.command.is_none(),
+        Command::Orders(args) => args.command.is_none(),
         _ => false,
     }
 }
--- a/crates/cassiareel-cli/src/context.rs
+++ b/crates/cassiareel-cli/src/context.rs
@@ -60,13 +60,16 @@
     ///
     /// Fails where none was named.
     pub fn objects(&self) -> Result<&dyn Objects, Error> {
-        self.objects.as_deref().ok_or_else(|| {
-            Error::new(
-                Code::Usage,
-                "the object API is not named",
-                "give --object-api ADDR or set CASSIAREEL_OBJECT_API",
-            )
-        })
+        self.objects.as_deref().ok_or_else(no_objects)
+    }
+
+    /// The object API, shared.
+    ///
+    /// # Errors
+    ///
+    /// Fails where none was named.
+    pub fn shared_objects(&self) -> Result<Arc<dyn Objects>, Error> {
+        self.objects.clone().ok_or_else(no_objects)
     }
 
     /// Clients of all nodes.
@@ -94,6 +97,14 @@
     }
 }
 
+fn no_objects() -> Error {
+    Error::new(
+        Code::Usage,
+        "the object API is not named",
+        "give --object-api ADDR or set CASSIAREEL_OBJECT_API",
+    )
+}
+
 /// Milliseconds since 1970.
 pub(crate) fn now() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/cassiareel-cli/src/lib.rs
+++ b/crates/cassiareel-cli/src/lib.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod keys;
 mod nodes;
+mod orders;
 mod report;
 mod run;
 mod settings;
@@ -28,6 +29,7 @@
 pub use fleet::{servers, versions};
 pub use keys::{add_key, list_keys, remove_key, KeyOwner};
 pub use nodes::NodeClient;
+pub use orders::{ask_order, list_orders, settle_order};
 pub use report::Report;
 pub use run::run;
 pub use settings::{
--- a/crates/cassiareel-cli/src/run.rs
+++ b/crates/cassiareel-cli/src/run.rs
@@ -2,18 +2,19 @@
 
 use std::{fs, time::Duration};
 
-use cassiareel::settings::units::Span;
+use cassiareel::{kernel::order::Verdict, settings::units::Span};
 
 use crate::{
     accounts, add_account, add_key, apply_file,
     args::{
         AccountArgs, AccountsCommand, ApplyArgs, Command, GetArgs, KeyArgs, KeysCommand,
-        SettingsCommand, ShowArgs,
+        OrdersCommand, SettingsCommand, ShowArgs,
     },
-    diff_files, explain, get, history, list_keys, remove_account, remove_key, servers,
+    ask_order, diff_files, explain, get, history, list_keys, list_orders, remove_account,
+    remove_key, servers,
     settings::{accepted, read_draft},
-    show, status, validate, versions, wait, ApplyOptions, Args, Code, Context, Error, KeyOwner,
-    Report, ShowOptions,
+    settle_order, show, status, validate, versions, wait, ApplyOptions, Args, Code, Context, Error,
+    KeyOwner, Report, ShowOptions,
 };
 
 /// How long `apply --wait` waits where it is not told.
@@ -50,6 +51,7 @@
             let tree = accepted(context.objects()?).await?.tree;
             versions(&tree, args.service.as_deref())
         }
+        Some(Command::Orders(args)) => run_orders(&context, args.command).await,
         Some(Command::Explain(args)) => explain(&context.nodes()?, &args.request).await,
         None => Err(no_command()),
     }
@@ -179,6 +181,33 @@
     }
 }
 
+async fn run_orders(context: &Context, command: Option<OrdersCommand>) -> Result<Report, Error> {
+    let objects = context.shared_objects()?;
+    match command {
+        Some(OrdersCommand::List(_)) => list_orders(objects).await,
+        Some(OrdersCommand::Ask(args)) => {
+            let tree = accepted(&*objects).await?.tree;
+            ask_order(objects, &tree, &args.order).await
+        }
+        Some(OrdersCommand::Settle(args)) => {
+            let verdict = match (args.ran, args.not_run) {
+                (true, false) => Verdict::Ran,
+                (false, true) => Verdict::NotRun,
+                _ => {
+                    return Err(Error::new(
+                        Code::Usage,
+                        "what became of the order is not clear",
+                        "give --ran or --not-run, after looking in the service's books",
+                    ))
+                }
+            };
+            let tree = accepted(&*objects).await?.tree;
+            settle_order(objects, &tree, &args.order, verdict).await
+        }
+        None => Err(no_command()),
+    }
+}
+
 /// Whose key the command line names.
 fn owner(args: &KeyArgs) -> Result<KeyOwner<'_>, Error> {
     let KeyArgs {
