--- a/crates/cassiareel-standins/tests/faults.rs
+++ b/crates/cassiareel-standins/tests/faults.rs
@@ -3,7 +3,7 @@
 use cassiareel_standins::matrix::{run_all, Generations, Protocol};
 
 /// Cells at one time.
-const THREADS: usize = 8;
+const THREADS: usize = 20;
 
 /// Runs a protocol's table and reports every broken cell at once.
 fn check<P>(protocol: &P)
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -9,11 +9,13 @@
 
 use super::{
     answer::Shape,
+    choose::Arrival,
     generate::{Driver, Signal},
     order, service, Endpoint, Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
     kernel::{
+        routing,
         ticket::{Binding, TextDigest, Ticket},
         RequestId,
     },
@@ -119,6 +121,18 @@
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()),
         );
+        let chooser = &self.parts.chooser;
+        let prefix = routing::blocks(&prompt.text);
+        let arrival = Arrival {
+            identity,
+            route: &route,
+            path: endpoint.path(),
+            ask: chooser.ask(prefix.clone(), prompt.text.len(), 0, prompt.tokens),
+        };
+        let admitted = match &ticket {
+            Some(_) => chooser.readmit(&arrival)?,
+            None => chooser.admit(arrival).await?,
+        };
         let (reader, out) = match prompt.stream {
             true => {
                 let (reader, writer) = piper::pipe(OUT_BYTES);
@@ -140,6 +154,8 @@
             log,
             out,
             signal,
+            admitted,
+            prefix,
         };
         self.parts.spawner.spawn(driver.run()).detach();
         match reader {
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -6,21 +6,23 @@
 };
 
 use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
-use slog::{info, Logger};
+use slog::{info, o, Logger};
 use smol::Timer;
 
 use super::{
     answer::{Shape, Usage},
-    choose::Place,
+    choose::{log_decision, Admitted, Place},
     Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
+    engines::Decision,
     hooks::{self, Step},
     kernel::{
         generation::{
             Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend, Resume,
         },
+        health,
         ticket::{Binding, TextDigest, Ticket},
         Attempt, BackendId, Position, RequestId, Time, TokenId,
     },
@@ -60,6 +62,10 @@
     /// Where a streamed answer goes; an answer that is not streamed is gathered.
     pub(super) out: Option<piper::Writer>,
     pub(super) signal: async_channel::Sender<Signal>,
+    /// The request's place within the limits and its first backend server.
+    pub(super) admitted: Admitted,
+    /// Chained hashes of the prompt's blocks.
+    pub(super) prefix: Vec<u64>,
 }
 
 /// The state of a driver at work.
@@ -248,6 +254,16 @@
             .metrics
             .count(Counter::LostAttempts, 1, &[service]);
         info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
+        if let Some(place) = &mut self.place {
+            match err {
+                // An engine that refuses is there; that it is full is known by its load.
+                StreamError::Refused { .. } | StreamError::Replaced => {}
+                StreamError::Malformed { .. } => place.note(health::Outcome::Fault),
+                StreamError::NotSent { .. } | StreamError::Lost { .. } => {
+                    place.note(health::Outcome::Lost);
+                }
+            }
+        }
         let how = match err {
             StreamError::Refused { status, message } => {
                 if !crate::backend::is_transient(*status) {
@@ -312,15 +328,16 @@
 
     fn choose(&mut self, attempt: Attempt, exclude: &[BackendId]) -> Event {
         self.pieces = None;
-        self.place = self
-            .driver
-            .parts
-            .chooser
-            .choose(&self.driver.route, exclude);
+        let (decision, place) = match self.driver.admitted.first.take() {
+            Some((decision, place)) => (decision, Some(place)),
+            None => self.choose_again(exclude),
+        };
+        self.place = place;
+        let log = self.driver.log.new(
+            o!("attempt" => attempt, "excluded" => exclude.join(" "), "tokens" => self.tokens.len()),
+        );
+        log_decision(&log, &self.driver.route, &decision);
         let chosen = self.place.as_ref().map(|place| place.addr.to_string());
-        info!(self.driver.log, "routed"; "attempt" => attempt, "version" => &*self.driver.route.version,
-            "choice" => chosen.as_deref(), "excluded" => exclude.join(" "),
-            "candidates" => self.driver.route.servers.len());
         match chosen {
             Some(backend) => {
                 self.backend = backend.into();
@@ -338,6 +355,23 @@
         }
     }
 
+    /// Chooses for an attempt that goes on after the tokens so far.
+    fn choose_again(&self, exclude: &[crate::kernel::BackendId]) -> (Decision, Option<Place>) {
+        let Driver {
+            parts,
+            prompt,
+            prefix,
+            route,
+            ..
+        } = &self.driver;
+        let got = self.tokens.len() as u32;
+        let ask = parts
+            .chooser
+            .ask(prefix.clone(), prompt.text.len(), got, prompt.tokens);
+        let path = prompt.endpoint.path();
+        parts.chooser.resume(route, path, &ask, exclude)
+    }
+
     async fn open(&mut self, attempt: Attempt) -> Option<Event> {
         self.pass(Step::AttemptChosen).await;
         let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
@@ -413,7 +447,10 @@
     /// Cancels an attempt in the background: the next one doesn't wait for it.
     fn cancel(&mut self, attempt: Attempt, backend: &BackendId) {
         self.pieces = None;
-        let place = self.place.take();
+        let mut place = self.place.take();
+        if let Some(place) = &mut place {
+            place.note(health::Outcome::Lost);
+        }
         let Ok(addr) = backend.parse() else {
             return;
         };
@@ -431,6 +468,9 @@
         self.pass(Step::TokensTaken).await;
         let first = self.tokens.is_empty() && self.base == 0;
         let began = self.tokens.is_empty();
+        if let Some(place) = &mut self.place {
+            place.first_token();
+        }
         let service = &*self.driver.route.service;
         if first {
             let tags = [("service", service)];
@@ -467,7 +507,13 @@
         let tokens = self.machine.position();
         info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
             "attempts" => self.machine.attempt());
+        if let (Ending::Complete(_), Some(place)) = (ending, &mut self.place) {
+            place.note(health::Outcome::Success);
+        }
         self.place = None;
+        let used = u64::from(self.prompt_tokens + tokens);
+        let now = self.driver.parts.chooser.now();
+        self.driver.admitted.permit.settle(now, used);
         self.pieces = None;
         let usage = Usage::new(self.prompt_tokens, tokens);
         self.count(ending, tokens);
