Give listeners a backlog for many callers that come at one moment

Cause: 500 callers that connected at one moment lost 300 of their streams: the standard library's backlog is 128, and a connection past it waits a second for its first packet to be sent again, which is our bound on connecting.

--- a/crates/cassiareel-standins/src/objects/mod.rs
+++ b/crates/cassiareel-standins/src/objects/mod.rs
@@ -17,10 +17,8 @@
 
 use cassiareel::{
     runtime::Runtime,
-    wire::{serve, Bounds, Served},
+    wire::{listen, serve, Bounds, Served},
 };
-use smol::net::TcpListener;
-
 pub use faults::{Faults, Outage, Rates};
 pub use gate::Counts;
 use server::Server;
@@ -49,7 +47,7 @@
     ///
     /// Fails when the address can't be bound.
     pub fn bind(addr: SocketAddr, rates: Rates, seed: u64) -> io::Result<ObjectApi> {
-        let listener = smol::block_on(TcpListener::bind(addr))?;
+        let listener = listen(addr)?;
         let runtime = Runtime::new("objects", 1);
         let server = Server::new(rates, seed);
         let served = serve(
--- a/crates/cassiareel-standins/src/service/mod.rs
+++ b/crates/cassiareel-standins/src/service/mod.rs
@@ -15,10 +15,8 @@
 
 use cassiareel::{
     runtime::Runtime,
-    wire::{serve, Bounds, Served},
+    wire::{listen, serve, Bounds, Served},
 };
-use smol::net::TcpListener;
-
 pub use faults::{Faults, Loss};
 pub use ledger::{Entry, Ledger};
 use server::Server;
@@ -63,7 +61,7 @@
         ledger: &Ledger,
         seed: u64,
     ) -> io::Result<PlainService> {
-        let listener = smol::block_on(TcpListener::bind(addr))?;
+        let listener = listen(addr)?;
         let runtime = Runtime::new("service", 1);
         let spawner = runtime.spawner();
         let server = Server::new(version, ledger.clone(), seed, spawner.clone());
--- a/crates/cassiareel-standins/src/vms.rs
+++ b/crates/cassiareel-standins/src/vms.rs
@@ -12,16 +12,14 @@
     time::{Duration, Instant},
 };
 
+use crate::respond::{hang, json, segments};
 use cassiareel::{
     platform::{Vm, VmState},
     runtime::Runtime,
-    wire::{serve, Bounds, BoxFuture, Handler, Served},
+    wire::{listen, serve, Bounds, BoxFuture, Handler, Served},
 };
 use http_types::{Method, Request, Response, StatusCode};
 use serde_json::{json, Value};
-use smol::net::TcpListener;
-
-use crate::respond::{hang, json, segments};
 
 /// Lists that are kept to answer late from.
 const KEPT: usize = 256;
@@ -59,7 +57,7 @@
     ///
     /// Fails when no port can be bound.
     pub fn start(lag: Duration) -> io::Result<VmApi> {
-        let listener = smol::block_on(TcpListener::bind(("127.0.0.1", 0)))?;
+        let listener = listen(([127, 0, 0, 1], 0).into())?;
         let runtime = Runtime::new("vms", 1);
         let state = Arc::new(Mutex::new(State::new(lag)));
         let handler = Arc::new(Server(state.clone()));
--- a/crates/cassiareel-standins/src/weights.rs
+++ b/crates/cassiareel-standins/src/weights.rs
@@ -16,7 +16,7 @@
 
 use cassiareel::{
     runtime::Runtime,
-    wire::{send, serve, Bounds, BoxFuture, Handler, Limits, Served},
+    wire::{listen, send, serve, Bounds, BoxFuture, Handler, Limits, Served},
 };
 use futures_lite::{
     io::{self, BufReader},
@@ -24,7 +24,7 @@
 };
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use serde_json::json;
-use smol::{net::TcpListener, Timer};
+use smol::Timer;
 
 use crate::{
     rate::Bucket,
@@ -59,7 +59,7 @@
     /// assert!(smol::block_on(fetch(store.addr(), "draft@v2")).is_err());
     /// ```
     pub fn start(sizes: BTreeMap<String, usize>, rate: f64) -> io::Result<WeightStore> {
-        let listener = smol::block_on(TcpListener::bind(("127.0.0.1", 0)))?;
+        let listener = listen(([127, 0, 0, 1], 0).into())?;
         let runtime = Runtime::new("weights", 1);
         let server = Arc::new(Server {
             origin: Instant::now(),
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -19,7 +19,7 @@
 
 use arc_swap::ArcSwap;
 use slog::{info, o, Logger};
-use smol::{net::TcpListener, Timer};
+use smol::Timer;
 
 pub use mount::Mounts;
 pub use options::Options;
@@ -172,7 +172,7 @@
     bounds: BoundsSource,
     mounts: Mounts,
 ) -> io::Result<Served> {
-    let listener = smol::block_on(TcpListener::bind(addr))?;
+    let listener = wire::listen(addr)?;
     wire::serve_within(&runtime.spawner(), listener, bounds, Arc::new(mounts))
 }
 
--- a/crates/cassiareel/src/wire/mod.rs
+++ b/crates/cassiareel/src/wire/mod.rs
@@ -9,10 +9,12 @@
 
 mod body;
 mod client;
+mod listen;
 mod server;
 
 pub use body::{read_body, read_body_within, BodyError};
 pub use client::{send, Limits, SendError};
+pub use listen::listen;
 pub use server::{serve, serve_within, Bounds, BoundsSource, Handler, Served, MOST_HEAD_BYTES};
 
 /// A boxed future, as trait objects return it.
