Add the load program: a node beside direct calls and a bare relay in one run

The engine stand-in sends tokens that are ready together as events of their own, as real engines do, and can give several tokens a step.

--- /dev/null
+++ b/crates/cassiareel-bench/src/load/arms.rs
@@ -0,0 +1,152 @@
+//! The three ways to an engine.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use cassiareel::{
+    node::{Node, Options},
+    observe::json_logger,
+    platform::HttpObjects,
+    settings::key_digest,
+};
+use cassiareel_standins::{
+    engine::{Engine, EngineOptions},
+    fleet::publish,
+    objects::ObjectApi,
+};
+
+use super::Relay;
+
+/// The key of the load program's caller.
+const KEY: &str = "load-key";
+/// The version that the engine serves.
+const VERSION: &str = "draft@v1";
+/// Threads of the relay and of the node.
+const THREADS: usize = 2;
+/// How often waiting for a state looks at it.
+const POLL: Duration = Duration::from_millis(1);
+/// Time for the settings to be in force, after which something is wrong with them.
+const HANG: Duration = Duration::from_secs(10);
+
+/// A way to the engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// Straight to the engine.
+    Direct,
+    /// Through the bare relay.
+    Relay,
+    /// Through a node.
+    Node,
+}
+
+impl Way {
+    /// All ways, in the order of their cost.
+    pub const ALL: [Way; 3] = [Way::Direct, Way::Relay, Way::Node];
+}
+
+/// Where a way begins.
+#[derive(Clone, Copy, Debug)]
+pub struct Arm {
+    /// The address that callers connect to.
+    pub addr: SocketAddr,
+    /// The model as it is named there.
+    pub model: &'static str,
+    /// The caller's key.
+    pub key: &'static str,
+}
+
+/// An engine and the three ways to it.
+pub struct Arms {
+    /// The engine.
+    pub engine: Engine,
+    relay: Relay,
+    node: Node,
+    _objects: ObjectApi,
+}
+
+impl Arms {
+    /// Starts an engine whose steps take `step` and give `tokens` tokens, a relay and a node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the object API stand-in does not take the settings.
+    pub fn start(step: Duration, tokens: u32) -> io::Result<Arms> {
+        let mut options = EngineOptions::new(VERSION);
+        options.speed.step = step;
+        options.speed.request = Duration::ZERO;
+        options.speed.prefill = Duration::ZERO;
+        options.speed.tokens = tokens;
+        options.capacity.batch = 4_096;
+        options.capacity.queue = 4_096;
+        options.capacity.tokens = u64::MAX;
+        let engine = Engine::start(options)?;
+        let relay = Relay::start(engine.addr(), THREADS)?;
+        let objects = ObjectApi::start()?;
+        publish(objects.addr(), 1, &settings(engine.addr())).expect("the stand-in takes settings");
+        let api = Arc::new(HttpObjects::new(objects.addr()));
+        let options = Options {
+            threads: THREADS,
+            ..Options::new("load", "d0")
+        };
+        // Decisions are logged as they are in a fleet, into a sink.
+        let node = Node::start(options, api, &json_logger(io::sink()))?;
+        let until = Instant::now() + HANG;
+        while node.settings().revision == 0 {
+            if Instant::now() > until {
+                return Err(io::Error::other("the node did not take the settings"));
+            }
+            thread::sleep(POLL);
+        }
+        Ok(Arms {
+            engine,
+            relay,
+            node,
+            _objects: objects,
+        })
+    }
+
+    /// Where a way begins.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the node drains, which nothing here asks of it.
+    pub fn arm(&self, way: Way) -> Arm {
+        let (addr, model) = match way {
+            Way::Direct => (self.engine.addr(), VERSION),
+            Way::Relay => (self.relay.addr(), VERSION),
+            Way::Node => (self.node.addr().expect("the node serves"), "draft"),
+        };
+        Arm {
+            addr,
+            model,
+            key: KEY,
+        }
+    }
+}
+
+/// Settings with one engine and one caller.
+fn settings(engine: SocketAddr) -> String {
+    format!(
+        r#"
+[regions.r.data_centres.d0]
+[services.draft]
+version = "v1"
+[services.draft.versions.v1.placements.d0]
+servers = ["{engine}"]
+[accounts.load]
+services = ["draft"]
+[accounts.load.callers.load]
+keys.first = "{}"
+"#,
+        hex::encode(key_digest(KEY))
+    )
+}
--- /dev/null
+++ b/crates/cassiareel-bench/src/load/relay.rs
@@ -0,0 +1,60 @@
+//! A bare relay: the HTTP library's server and client ends, and nothing of ours.
+
+use std::{io, net::SocketAddr};
+
+use cassiareel::{runtime::Runtime, wire::listen};
+use http_types::{Body, Request, Response};
+use smol::net::TcpStream;
+
+/// A running relay; dropping it kills it.
+#[derive(Debug)]
+pub struct Relay {
+    addr: SocketAddr,
+    _runtime: Runtime,
+}
+
+impl Relay {
+    /// Starts a relay to a server, on `threads` threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub fn start(to: SocketAddr, threads: usize) -> io::Result<Relay> {
+        let listener = listen(([127, 0, 0, 1], 0).into())?;
+        let addr = listener.local_addr()?;
+        let runtime = Runtime::new("relay", threads);
+        let spawner = runtime.spawner();
+        let accept = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = stream.set_nodelay(true);
+                let serve = async_h1::accept(stream, move |req| pass(to, req));
+                spawner.spawn(serve).detach();
+            }
+        };
+        runtime.spawn(accept).detach();
+        Ok(Relay {
+            addr,
+            _runtime: runtime,
+        })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+/// Passes a request on and its answer back.
+async fn pass(to: SocketAddr, mut req: Request) -> http_types::Result<Response> {
+    let body = req.body_bytes().await?;
+    let mut on = Request::new(req.method(), req.url().clone());
+    on.set_body(body);
+    let stream = TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    let mut back = async_h1::connect(stream, on).await?;
+    let mut res = Response::new(back.status());
+    let body = back.take_body();
+    let len = body.len();
+    res.set_body(Body::from_reader(body, len));
+    Ok(res)
+}
--- a/crates/cassiareel-standins/src/engine/batch.rs
+++ b/crates/cassiareel-standins/src/engine/batch.rs
@@ -19,6 +19,8 @@
     pub request: Duration,
     /// Further time for each token of a prompt that is read.
     pub prefill: Duration,
+    /// Tokens that a step gives each request.
+    pub tokens: u32,
 }
 
 /// Bounds on a batch.
@@ -130,11 +132,11 @@
     }
 
     /// Carries the planned step out.
-    pub(super) fn commit(&mut self, capacity: &Capacity) -> Done {
+    pub(super) fn commit(&mut self, speed: &Speed, capacity: &Capacity) -> Done {
         let mut budget = capacity.prefill;
         let mut done = Done::default();
         self.running
-            .retain_mut(|job| !job.step(&mut budget, &mut done));
+            .retain_mut(|job| !(0..speed.tokens).any(|_| job.step(&mut budget, &mut done)));
         if self.used() > capacity.tokens {
             done.outcome = Outcome::Dead;
         }
--- a/crates/cassiareel-standins/src/engine/batch_tests.rs
+++ b/crates/cassiareel-standins/src/engine/batch_tests.rs
@@ -11,6 +11,7 @@
     step: Duration::from_millis(10),
     request: Duration::from_millis(1),
     prefill: Duration::from_micros(100),
+    tokens: 1,
 };
 
 const CAPACITY: Capacity = Capacity {
@@ -41,7 +42,7 @@
 fn run(batch: &mut Batch) -> Vec<(Duration, u64)> {
     let mut steps = Vec::new();
     while let Some(time) = batch.plan(&SPEED, &CAPACITY) {
-        let done = batch.commit(&CAPACITY);
+        let done = batch.commit(&SPEED, &CAPACITY);
         assert_eq!(done.outcome, Outcome::Ran);
         steps.push((time, done.tokens));
     }
@@ -79,7 +80,7 @@
     assert!(batch.submit(job("b", 0, 499, 1_000), &CAPACITY));
     let steps = std::iter::from_fn(|| {
         batch.plan(&SPEED, &CAPACITY)?;
-        let done = batch.commit(&CAPACITY);
+        let done = batch.commit(&SPEED, &CAPACITY);
         (done.outcome == Outcome::Ran).then_some(done.tokens)
     });
     // Both prompts fit with two tokens beside them.
--- a/crates/cassiareel-standins/src/engine/mod.rs
+++ b/crates/cassiareel-standins/src/engine/mod.rs
@@ -31,13 +31,11 @@
     sync::{Arc, Mutex},
 };
 
+pub use batch::{Capacity, Speed};
 use cassiareel::{
     runtime::Runtime,
-    wire::{serve, Bounds, Served},
+    wire::{listen, serve, Bounds, Served},
 };
-use smol::net::TcpListener;
-
-pub use batch::{Capacity, Speed};
 pub use faults::{Failure, Fault, Faults};
 pub use model::truth;
 pub use options::{CacheOptions, EngineOptions};
@@ -74,7 +72,7 @@
     ///
     /// Fails when the address can't be bound.
     pub fn start(options: EngineOptions) -> io::Result<Engine> {
-        let listener = smol::block_on(TcpListener::bind(options.addr))?;
+        let listener = listen(options.addr)?;
         let runtime = Runtime::new("engine", 1);
         let life = Life::default();
         let server = Server::new(options, life.clone());
--- a/crates/cassiareel-standins/src/engine/options.rs
+++ b/crates/cassiareel-standins/src/engine/options.rs
@@ -51,6 +51,7 @@
                 step: Duration::from_millis(10),
                 request: Duration::from_micros(50),
                 prefill: Duration::from_micros(10),
+                tokens: 1,
             },
             capacity: Capacity {
                 batch: 256,
--- a/crates/cassiareel-standins/src/engine/state.rs
+++ b/crates/cassiareel-standins/src/engine/state.rs
@@ -111,7 +111,9 @@
 
     /// Carries the planned step out.
     pub(super) fn commit(&mut self, now: Duration) -> Outcome {
-        let done = self.batch.commit(&self.options.capacity);
+        let done = self
+            .batch
+            .commit(&self.options.speed, &self.options.capacity);
         self.stats.tokens += done.tokens;
         for blocks in &done.read {
             self.cache.store(blocks, now);
--- a/crates/cassiareel-standins/src/engine/stream.rs
+++ b/crates/cassiareel-standins/src/engine/stream.rs
@@ -13,6 +13,9 @@
 
 use super::text::Text;
 
+/// Tokens in waiting beyond which a reader gets them as one event.
+const BEHIND: usize = 64;
+
 /// A stream: the whole answer so far, and who reads it.
 #[derive(Debug)]
 pub(super) struct Stream {
@@ -24,6 +27,8 @@
 #[derive(Debug)]
 struct State {
     ids: Vec<TokenId>,
+    // INVARIANT: for each token, the bytes of text that were ready after it.
+    ready: Vec<usize>,
     text: Text,
     end: Option<FinishReason>,
     cut: Option<Cut>,
@@ -47,6 +52,7 @@
             id,
             prompt_tokens,
             state: Mutex::new(State {
+                ready: Vec::with_capacity(ids.len()),
                 ids,
                 text,
                 end: None,
@@ -63,6 +69,8 @@
         let mut state = self.lock();
         state.ids.push(id);
         let stopped = state.text.push(bytes);
+        let ready = state.text.ready();
+        state.ready.push(ready);
         if stopped {
             state.end = Some(FinishReason::Stop);
         }
@@ -74,6 +82,8 @@
     pub(super) fn replay(&self, bytes: &[u8]) -> bool {
         let mut state = self.lock();
         let stopped = state.text.push(bytes);
+        let ready = state.text.ready();
+        state.ready.push(ready);
         if stopped {
             state.end = Some(FinishReason::Stop);
         }
@@ -84,6 +94,10 @@
     pub(super) fn finish(&self, reason: FinishReason) {
         let mut state = self.lock();
         state.text.finish();
+        let ready = state.text.ready();
+        if let Some(last) = state.ready.last_mut() {
+            *last = ready;
+        }
         state.end = Some(reason);
         state.wake();
     }
@@ -143,7 +157,8 @@
 
 /// The body of a streamed answer.
 ///
-/// Tokens that are ready together are sent as one event.
+/// Tokens that are ready together are sent as events of their own in one write, but as one event
+/// where they are so many that the reader must have been away.
 #[derive(Debug)]
 pub(super) struct Reader {
     stream: Arc<Stream>,
@@ -178,19 +193,15 @@
     fn fill(&mut self, state: &State) -> bool {
         self.buf.clear();
         self.at = 0;
-        let ids = &state.ids[self.position..];
-        let text = state.text.since(self.sent);
-        if !ids.is_empty() || !text.is_empty() {
-            self.write(&Event {
-                id: &self.stream.id.clone(),
-                position: self.position,
-                token_ids: ids,
-                text,
-                finish_reason: None,
-                usage: None,
-            });
-            self.position += ids.len();
-            self.sent += text.len();
+        let behind = state.ids.len() - self.position;
+        let step = if behind > BEHIND { behind } else { 1 };
+        while self.position < state.ids.len() {
+            let to = self.position + step;
+            self.write_tokens(state, to, state.ready[to - 1]);
+        }
+        // Text may be left that was held back when the caller had its last token.
+        if self.sent < state.text.ready() {
+            self.write_tokens(state, self.position, state.text.ready());
         }
         if let Some(reason) = state.end {
             self.write(&Event {
@@ -210,6 +221,21 @@
         !self.buf.is_empty()
     }
 
+    /// Writes an event with the tokens up to `to` and the text up to `ready`.
+    fn write_tokens(&mut self, state: &State, to: usize, ready: usize) {
+        let text = state.text.part(self.sent, ready);
+        self.write(&Event {
+            id: &self.stream.id.clone(),
+            position: self.position,
+            token_ids: &state.ids[self.position..to],
+            text,
+            finish_reason: None,
+            usage: None,
+        });
+        self.position = to;
+        self.sent += text.len();
+    }
+
     fn write(&mut self, event: &Event<'_>) {
         self.buf.extend_from_slice(b"data: ");
         serde_json::to_writer(&mut self.buf, event).expect("a vector takes all writes");
--- a/crates/cassiareel-standins/src/engine/text.rs
+++ b/crates/cassiareel-standins/src/engine/text.rs
@@ -52,10 +52,10 @@
         self.ready
     }
 
-    /// The text from a byte on.
-    pub(super) fn since(&self, from: usize) -> &str {
-        let ready = self.ready.min(self.bytes.len());
-        let part = self.bytes.get(from..ready).unwrap_or_default();
+    /// The text between two bytes, as far as it may be sent.
+    pub(super) fn part(&self, from: usize, to: usize) -> &str {
+        let to = to.min(self.ready).min(self.bytes.len());
+        let part = self.bytes.get(from..to).unwrap_or_default();
         std::str::from_utf8(part).unwrap_or_default()
     }
 
