Let a dying engine's listener close after its connections

Cause: the test took a refusal to connect for granted as soon as a stream was reset, and met the moment between the two. It now fails on any answer of the dead engine and still waits for the refusal.

--- a/crates/cassiareel-standins/tests/engine.rs
+++ b/crates/cassiareel-standins/tests/engine.rs
@@ -208,8 +208,14 @@
             .unwrap();
         let got = Got::read(&mut pieces, 0, usize::MAX).await;
         assert!(got.lost, "{got:?}");
-        let load = adapter(&engine).load().await;
-        assert!(matches!(load, Err(StreamError::NotSent { .. })), "{load:?}");
+        // Its connections may be reset a moment before its listener closes; it answers no more.
+        loop {
+            match adapter(&engine).load().await {
+                Err(StreamError::NotSent { .. }) => return,
+                Err(_) => {}
+                Ok(load) => panic!("a dead engine answered {load:?}"),
+            }
+        }
     });
 }
 
