Keep a revision readable whose whole tree was in the head

Found by hand on the demo: an edit made from such a revision was refused as damaged settings, and not with both sides. The next edit now writes its parts. The demo names an operator, and its guide shows a command that works.

--- a/crates/cassiareel-cli/src/explain.rs
+++ b/crates/cassiareel-cli/src/explain.rs
@@ -139,8 +139,8 @@
             line.text("attempt")
         ),
         "ended" => format!(
-            "ended as {} with {} tokens after {} attempts",
-            line.text("ending"),
+            "{} with {} tokens after {} attempts",
+            ending_words(&line.text("ending")),
             line.text("tokens"),
             line.text("attempts")
         ),
@@ -197,6 +197,17 @@
     told
 }
 
+fn ending_words(ending: &str) -> String {
+    let kind = ending.split('(').next().unwrap_or_default();
+    match kind {
+        "Complete" => "ended whole".to_owned(),
+        "Partial" => "ended early, its caller told how far it is,".to_owned(),
+        "NotRun" => "ended as not run".to_owned(),
+        "Abandoned" => "ended, as its caller went away".to_owned(),
+        _ => format!("ended as {ending}"),
+    }
+}
+
 fn reason_words(reason: &str) -> &str {
     match reason {
         "policy" => "the best score",
--- a/crates/cassiareel-cli/src/settings.rs
+++ b/crates/cassiareel-cli/src/settings.rs
@@ -320,9 +320,14 @@
     let time = now();
     rows.extend(loaded.head.revisions().map(|old| {
         let age = Duration::from_millis(time.saturating_sub(old.time));
+        // A tree that was written without this tool has no time.
+        let age = match old.time {
+            0 => "-".to_owned(),
+            _ => Span::format(Duration::from_secs(age.as_secs())),
+        };
         vec![
             old.revision.to_string(),
-            Span::format(Duration::from_secs(age.as_secs())),
+            age,
             old.author.clone(),
             old.note.clone(),
         ]
--- a/crates/cassiareel-cli/tests/nodes.rs
+++ b/crates/cassiareel-cli/tests/nodes.rs
@@ -93,7 +93,7 @@
             "{text}"
         );
         assert!(text.contains("attempt 1: sent to 127.0.0.1:"), "{text}");
-        assert!(text.contains("ended as Complete"), "{text}");
+        assert!(text.contains("ended whole with 5 tokens"), "{text}");
         assert!(text.contains(&nodes[1].addr.to_string()), "{text}");
         let err = explain(&nodes, "another").await.unwrap_err();
         assert_eq!(err.code, Code::Refused);
@@ -174,7 +174,7 @@
     250 ms  10.0.0.1:81  attempt 1 was lost: reset
     251 ms  10.0.0.1:81  attempt 2: no backend server of version v1 was fit; not tried again: 10.0.1.1:80; of 2 candidates
     260 ms  10.0.0.1:81  admitted: tokens 7
-    300 ms  10.0.0.1:81  ended as Partial with 3 tokens after 2 attempts
+    300 ms  10.0.0.1:81  ended early, its caller told how far it is, with 3 tokens after 2 attempts
 ";
     assert_eq!(tell("r", &lines), wanted);
 }
--- a/crates/cassiareel-standins/src/demo/mod.rs
+++ b/crates/cassiareel-standins/src/demo/mod.rs
@@ -22,5 +22,8 @@
 
 /// The key of the demo's own caller.
 pub const KEY: &str = "demo-key";
+
+/// The key of the demo's operator.
+pub const OPERATOR_KEY: &str = "demo-operator-key";
 /// The demo's own client account.
 pub const ACCOUNT: &str = "demo";
--- a/crates/cassiareel-standins/src/demo/serve.rs
+++ b/crates/cassiareel-standins/src/demo/serve.rs
@@ -8,7 +8,7 @@
     flag,
 };
 
-use super::{Deployment, ACCOUNT, KEY};
+use super::{Deployment, ACCOUNT, KEY, OPERATOR_KEY};
 
 /// How often waiting for a signal looks at its flag.
 const POLL: Duration = Duration::from_millis(50);
@@ -44,6 +44,11 @@
     let addr = first.addr().map(|addr| addr.to_string());
     let addr = addr.unwrap_or_default();
     let objects = deployment.objects.addr();
+    let nodes: Vec<String> = deployment
+        .nodes()
+        .map(|node| node.control().to_string())
+        .collect();
+    let nodes = nodes.join(",");
     lines.push(format!(
         r#"
 A stock client:
@@ -63,7 +68,9 @@
 
 The operators' command line:
 
-  cargo run --release --bin cassiareel -- settings show accounts.{ACCOUNT} --objects {objects}
+  export CASSIAREEL_OBJECT_API={objects} CASSIAREEL_NODES={nodes}
+  export CASSIAREEL_KEY={OPERATOR_KEY}
+  cargo run --release --bin cassiareel -- status
 
 Stop with Ctrl-C."#
     ));
--- a/crates/cassiareel-standins/src/demo/tree.rs
+++ b/crates/cassiareel-standins/src/demo/tree.rs
@@ -4,12 +4,12 @@
 
 use cassiareel::{
     kernel::{DataCentreId, ServiceId, VersionId},
-    settings::{key_digest, units::Digest, Account, Caller, ServiceKind, Tree},
+    settings::{key_digest, units::Digest, Account, Caller, Operator, ServiceKind, Tree},
 };
 
-use super::{ACCOUNT, KEY};
+use super::{ACCOUNT, KEY, OPERATOR_KEY};
 
-/// Adds the demo's client account, which may use every service.
+/// Adds the demo's operator, and its client account, which may use every service.
 pub(super) fn add_account(tree: &mut Tree) {
     let account = Account {
         services: tree.services.keys().cloned().collect(),
@@ -17,6 +17,10 @@
         ..Account::default()
     };
     tree.accounts.insert(ACCOUNT.into(), account);
+    let operator = Operator {
+        keys: [("first".to_owned(), Digest(key_digest(OPERATOR_KEY)))].into(),
+    };
+    tree.platform.operators.insert("demo".to_owned(), operator);
 }
 
 /// A caller with a key.
--- a/crates/cassiareel/src/settings/apply.rs
+++ b/crates/cassiareel/src/settings/apply.rs
@@ -129,7 +129,10 @@
 ) -> Result<Option<Applied>, ApplyError> {
     let start = Instant::now();
     let (version, head, before) = match current {
-        Some(current) => (current.version, Some(current.head), current.tree),
+        Some(current) => {
+            let head = with_parts(objects, current.head, &current.text, edit.time).await?;
+            (current.version, Some(head), current.tree)
+        }
         None => (0, None, Tree::default()),
     };
     let changes = diff(&before, tree);
@@ -165,6 +168,27 @@
     }))
 }
 
+/// Writes the parts of a revision whose whole tree is in the head, so that it can be read back from
+/// the history.
+async fn with_parts(
+    objects: &dyn Objects,
+    head: Head,
+    text: &str,
+    time: u64,
+) -> Result<Head, ApplyError> {
+    if !head.accepted.parts.is_empty() {
+        return Ok(head);
+    }
+    let parts = store::cut(text);
+    write_parts(objects, &parts, None, time).await?;
+    let parts = parts.iter().map(|part| part.reference.clone()).collect();
+    let accepted = Accepted {
+        parts,
+        ..head.accepted
+    };
+    Ok(Head { accepted, ..head })
+}
+
 fn accepted(edit: &Edit, revision: Revision, text: &str, parts: Vec<PartRef>) -> Accepted {
     Accepted {
         revision,
--- a/crates/cassiareel/src/settings/store_tests.rs
+++ b/crates/cassiareel/src/settings/store_tests.rs
@@ -410,6 +410,14 @@
         apply(&store, &edit(Some(4), named("new"))).await.unwrap();
         let loaded = load(&store).await.unwrap().unwrap();
         assert_eq!((loaded.revision(), loaded.tree), (5, named("new")));
+        // What was whole in the head can be read back, so that a late edit sees both sides.
+        let old = loaded.head.find(4).unwrap();
+        assert_eq!(read_revision(&store, old).await.unwrap(), tree());
+        let late = apply(&store, &edit(Some(4), named("late"))).await;
+        assert!(matches!(
+            late,
+            Err(ApplyError::Conflict { clash: true, .. })
+        ));
     });
 }
 
