--- /dev/null
+++ b/crates/cassiareel-bench/benches/settings.rs
@@ -0,0 +1,95 @@
+//! What the settings cost: a request's policy, and an edit of a tree at the fleet's size.
+
+use std::{fmt::Write, hint::black_box};
+
+use cassiareel::settings::{diff, key_digest, split, Draft, Scope, Snapshot};
+use criterion::{criterion_group, criterion_main, Criterion};
+
+/// Client accounts of the size that the design is for.
+const ACCOUNTS: usize = 1_700;
+
+/// Callers beneath each account but the largest.
+const CALLERS: usize = 5;
+
+/// Callers beneath a reseller's account.
+const RESELLER_CALLERS: usize = 1_000;
+
+/// A tree of 830 runners, six models, 1,700 accounts, and one reseller with a thousand callers.
+fn text() -> String {
+    let mut out = String::from(
+        "[policies.small.limits]\nrequests = \"5/s\"\n[regions.r.data_centres.d]\n\
+         policy.time.queue = \"3s\"\n",
+    );
+    for model in 0..6 {
+        let servers: Vec<String> = (0..138)
+            .map(|i| format!("\"10.{model}.0.{i}:80\""))
+            .collect();
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            out,
+            "[services.m{model}]\nversion = \"v1\"\npolicy.time.connect = \"2s\""
+        );
+        let _ = writeln!(out, "[services.m{model}.versions.v1.placements.d]");
+        let _ = writeln!(out, "servers = [{}]", servers.join(", "));
+    }
+    for account in 0..ACCOUNTS {
+        let callers = if account == 0 {
+            RESELLER_CALLERS
+        } else {
+            CALLERS
+        };
+        let _ = writeln!(out, "[accounts.a{account}]\nservices = [\"m0\", \"m1\"]");
+        let _ = writeln!(
+            out,
+            "policy.base = \"small\"\npolicy.limits.open_requests = 50"
+        );
+        for caller in 0..callers {
+            let digest = key_digest(&format!("{account}.{caller}"));
+            let digest: String = digest.iter().map(|b| format!("{b:02x}")).collect();
+            let _ = writeln!(out, "[accounts.a{account}.callers.c{caller}]");
+            let _ = writeln!(out, "keys.first = \"{digest}\"");
+        }
+    }
+    out
+}
+
+fn measure(c: &mut Criterion) {
+    let text = text();
+    let tree = Draft::parse(&text).expect("the tree is right").tree;
+    let canonical = tree.to_toml();
+    println!("text of the tree: {} bytes", canonical.len());
+    let mut edited = tree.clone();
+    edited.platform.name = "edited".to_owned();
+    let snapshot = Snapshot::new(1, tree.clone());
+    let scope = Scope {
+        data_centre: Some("d"),
+        service: Some("m0"),
+        version: Some("v1"),
+        placement: Some("d"),
+        account: Some("a0"),
+        caller: Some("c500"),
+        ..Scope::default()
+    };
+    c.bench_function("policy of a request", |b| {
+        b.iter(|| snapshot.policy(black_box(&scope)));
+    });
+    c.bench_function("key of a caller", |b| {
+        b.iter(|| snapshot.identify(black_box("a key")));
+    });
+    let mut slow = c.benchmark_group("tree");
+    slow.sample_size(10);
+    slow.bench_function("parse and check", |b| {
+        b.iter(|| Draft::parse(black_box(&canonical)));
+    });
+    slow.bench_function("put in force", |b| {
+        b.iter(|| Snapshot::new(1, black_box(&tree).clone()));
+    });
+    slow.bench_function("compare", |b| b.iter(|| diff(&tree, black_box(&edited))));
+    slow.bench_function("write and cut into parts", |b| {
+        b.iter(|| split(&black_box(&tree).to_toml()).len());
+    });
+    slow.finish();
+}
+
+criterion_group!(benches, measure);
+criterion_main!(benches);
