--- a/crates/cassiareel/src/front/order.rs
+++ b/crates/cassiareel/src/front/order.rs
@@ -14,6 +14,7 @@
 use crate::{
     backend::{Call, CallError, HttpService, Inquiry, Service},
     kernel::{
+        health,
         order::{self, Earlier, Limits, Record, Reply, Told},
         BackendId,
     },
@@ -197,11 +198,11 @@
             .lock()
             .unwrap_or_else(|e| e.into_inner())
             .clone();
-        let Some(place) = self.parts.chooser.choose(&self.route, &refused) else {
+        let place = self.parts.chooser.choose(&self.route, &refused, &self.log);
+        let Some(mut place) = place else {
             info!(self.log, "no backend server takes the order"; "excluded" => refused.join(" "));
             return Box::pin(async { Delivery::NotSent });
         };
-        info!(self.log, "routed"; "version" => &*self.route.version, "choice" => %place.addr);
         let call = Call {
             name: name.to_owned(),
             ..self.call.clone()
@@ -211,7 +212,13 @@
         let refused = self.refused.clone();
         Box::pin(async move {
             let service = HttpService::new(place.addr, answer);
-            match service.call(&call).await {
+            let answer = service.call(&call).await;
+            place.note(match &answer {
+                Ok(answer) if answer.status < SERVER_ERROR => health::Outcome::Success,
+                Ok(_) => health::Outcome::Fault,
+                Err(_) => health::Outcome::Lost,
+            });
+            match answer {
                 Ok(answer) if answer.status < SERVER_ERROR => Delivery::Answered(order::Outcome {
                     status: answer.status,
                     mime: answer.media.unwrap_or_else(|| UNNAMED_MEDIA.to_owned()),
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -8,7 +8,7 @@
 use super::Chooser;
 use crate::{
     hooks::{Hooks, NoHooks},
-    kernel::DataCentreId,
+    kernel::{DataCentreId, NodeId},
     observe::Metrics,
     orders::Orders,
     platform::Objects,
@@ -33,7 +33,7 @@
     /// Non-idempotent calls; none where no store keeps their records.
     pub(super) orders: Option<Orders>,
     /// What chooses backend servers.
-    pub(super) chooser: Chooser,
+    pub(super) chooser: Arc<Chooser>,
 }
 
 impl Parts {
@@ -44,6 +44,7 @@
         spawner: Spawner,
         log: Logger,
     ) -> Parts {
+        let chooser = Chooser::new(settings.clone(), data_centre.clone(), &spawner, log.clone());
         Parts {
             settings,
             data_centre,
@@ -52,7 +53,7 @@
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
             orders: None,
-            chooser: Chooser::new(),
+            chooser,
         }
     }
 
@@ -64,6 +65,16 @@
         }
     }
 
+    /// Tells which nodes share the backend servers: those of the platform's list of VMs.
+    pub fn set_nodes(&self, nodes: Vec<NodeId>, own: NodeId) {
+        self.chooser.set_nodes(nodes, own);
+    }
+
+    /// Requests that wait for a backend server.
+    pub fn waiting(&self) -> usize {
+        self.chooser.waiting()
+    }
+
     /// Keeps records of non-idempotent calls in `objects`, with the metrics and hooks set so far.
     pub fn with_orders(mut self, objects: Arc<dyn Objects>) -> Parts {
         self.orders = Some(Orders::new(
