--- a/crates/cassiareel-bench/src/bin/choose_tail.rs
+++ b/crates/cassiareel-bench/src/bin/choose_tail.rs
@@ -1,4 +1,5 @@
-//! The tail of the time to choose a backend server, with several threads at once.
+//! The tail of the time to choose a backend server with several threads at once, and the bytes that
+//! a node keeps for each account and caller with limits.
 
 use std::{
     error::Error,
@@ -8,8 +9,13 @@
 use cassiareel::{
     backend::LoadReport,
     engines::{Engines, Fleet, Options, Placement, PoolId, Request, RouteId},
-    kernel::{routing::Ask, BackendId},
+    kernel::{
+        admission::{LevelId, Limiter, Limits},
+        routing::Ask,
+        AccountId, BackendId,
+    },
 };
+use cassiareel_bench::process;
 use hdrhistogram::Histogram;
 
 /// Runners to choose among: today's, a subset, and whole fleets.
@@ -36,9 +42,67 @@
             );
         }
     }
+    limits();
     Ok(())
 }
 
+/// Client accounts of a large fleet.
+const ACCOUNTS: usize = 1_700;
+/// Callers that call at one node within a minute, of all accounts.
+const CALLERS: [usize; 3] = [170_000, 17_000, 1_700];
+
+/// Prints the memory and time of limits, with one request of each caller.
+fn limits() {
+    println!("| callers with limits | bytes a caller | us a request |");
+    println!("| --- | --- | --- |");
+    for callers in CALLERS {
+        let accounts: Vec<AccountId> = (0..ACCOUNTS)
+            .map(|i| format!("account-{i:04}").into())
+            .collect();
+        let names: Vec<(AccountId, AccountId)> = (0..callers)
+            .map(|i| {
+                (
+                    accounts[i % ACCOUNTS].clone(),
+                    format!("caller-{i:06}").into(),
+                )
+            })
+            .collect();
+        let limiter = Limiter::default();
+        let before = process::resident();
+        let start = Instant::now();
+        for (account, caller) in &names {
+            enter(&limiter, account, caller);
+        }
+        let took = start.elapsed();
+        let bytes = process::resident().saturating_sub(before);
+        println!(
+            "| {callers} | {} | {:.2} |",
+            bytes / callers as u64,
+            took.as_secs_f64() * 1e6 / callers as f64
+        );
+    }
+}
+
+fn enter(limiter: &Limiter, account: &AccountId, caller: &AccountId) {
+    let limits = Limits {
+        requests: Some(100.0),
+        tokens: Some(100_000.0),
+        open_requests: Some(10),
+        open_tokens: Some(100_000),
+    };
+    let level = |caller: Option<AccountId>| LevelId {
+        account: account.clone(),
+        caller,
+    };
+    let wide = Limits {
+        requests: Some(1e9),
+        tokens: Some(1e12),
+        ..limits
+    };
+    let levels = [(level(Some(caller.clone())), limits), (level(None), wide)];
+    let _ = limiter.enter(NOW, &levels, 1_000, 1.0);
+}
+
 /// Chooses on several threads and gathers the times, in nanoseconds.
 fn measure(engines: &Engines, threads: usize) -> Result<Histogram<u64>, Box<dyn Error>> {
     let mut all = Histogram::new(3)?;
--- a/crates/cassiareel/src/engines/judge.rs
+++ b/crates/cassiareel/src/engines/judge.rs
@@ -56,6 +56,13 @@
         }
     }
 
+    /// Sets the bounds of all groups.
+    pub(super) fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+        let groups = self.groups.values_mut().flat_map(HashMap::values_mut);
+        groups.for_each(|group| group.set_limits(limits));
+    }
+
     /// Sets the pools' servers.
     pub(super) fn set_pools<'a, I>(&mut self, pools: I)
     where
--- a/crates/cassiareel/src/engines/mod.rs
+++ b/crates/cassiareel/src/engines/mod.rs
@@ -10,6 +10,7 @@
 dropped, and a [`Decision`], which says for the log why the server was chosen.
 */
 
+mod choose;
 mod decision;
 mod feed;
 #[cfg(test)]
@@ -26,6 +27,7 @@
 mod table_tests;
 mod ticket;
 
+pub use choose::Request;
 pub use decision::{Considered, Decision, Reason};
 pub use feed::{CacheFeed, Fetch};
 pub use gate::{Gate, Placed, Wanted};
@@ -33,5 +35,5 @@
 pub use member::Member;
 pub use poll::{answer_bytes, poll, Connect, ANSWER_BYTES, CACHE_RATE, REPORT_BYTES, REPORT_RATE};
 pub use pool::PoolId;
-pub use table::{Engines, Fleet, Options, Placement, Request};
+pub use table::{Engines, Fleet, Options, Placement};
 pub use ticket::Ticket;
--- a/crates/cassiareel/src/front/choose.rs
+++ b/crates/cassiareel/src/front/choose.rs
@@ -22,7 +22,7 @@
     },
     kernel::{
         admission::{Bounds, Exceeded, LevelId, Limiter, Limits, Permit},
-        health::Outcome,
+        health::{self, Outcome},
         routing::Ask,
         BackendId, DataCentreId, NodeId, Revision, Time,
     },
@@ -287,6 +287,7 @@
                 .subset
                 .map_or(SUBSET, |count| count as usize),
         };
+        self.engines.set_health(health_limits(&routing));
         self.engines.update(&placements(snapshot), &fleet);
         if !self.engines.set_policy(&routing.routing.policy) {
             info!(self.log, "policy not known"; "policy" => &routing.routing.policy);
@@ -372,6 +373,16 @@
     placements
 }
 
+/// The bounds on ejection that the settings give.
+fn health_limits(policy: &Resolved) -> health::Limits {
+    health::Limits {
+        failures: policy.routing.failures,
+        floor: 1.0 - policy.routing.ejected.fraction(),
+        ejection: policy.routing.ejection,
+        ..health::Limits::default()
+    }
+}
+
 fn pool_id(route: &Route) -> PoolId {
     format!("{}@{}", route.service, route.version).into()
 }
--- a/crates/cassiareel/src/kernel/health/group.rs
+++ b/crates/cassiareel/src/kernel/health/group.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Sets the bounds; stages and records stay.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Sets the servers; records of those that stay are kept.
     pub fn set_servers(&mut self, servers: &[BackendId]) {
         self.servers.retain(|name, _| servers.contains(name));
