Join tokens that are there together, and time what a reader sees

Cause: a burst of tokens was parsed, formatted and written one by one; the load program took tokens that end amid a character for stalls of the node, which sends no event without text, and began 500 streams at one moment. Change: the engine adapter joins contiguous pieces that are ready, at most 64; responses are encoded 4 KiB at a time; the load program times events with text, begins streams 2 ms apart (--pause) and holds a stream's longest gap against the same stream's on the direct way. Test: tokens_that_come_together_are_joined_to_one_piece.

--- a/crates/cassiareel-bench/src/bin/load.rs
+++ b/crates/cassiareel-bench/src/bin/load.rs
@@ -1,6 +1,6 @@
 //! Measures what a node costs between callers and engines, beside a bare relay in the same run.
 
-use std::{io, process::ExitCode};
+use std::{io, process::ExitCode, time::Duration};
 
 use cassiareel_bench::load::{burst, first_token, load, memory, Figures, Plan, Verdict};
 use gumdrop::Options;
@@ -24,6 +24,9 @@
     /// Rounds, in each of which the ways take turns.
     #[options(default = "2")]
     rounds: u32,
+    /// Milliseconds between the beginnings of streams that run side by side; 0 begins all at once.
+    #[options(default = "2")]
+    pause: u64,
     /// Single requests for the time to the first token.
     #[options(default = "300")]
     singles: u32,
@@ -48,6 +51,7 @@
         tokens: args.tokens,
         rounds: args.rounds,
         singles: args.singles,
+        pause: Duration::from_millis(args.pause),
     };
     // Memory comes first: later measurements would leave memory behind that it could use again.
     eprintln!("memory of {} open streams each way", plan.streams);
--- a/crates/cassiareel-bench/src/load/figures.rs
+++ b/crates/cassiareel-bench/src/load/figures.rs
@@ -60,7 +60,7 @@
     pub lost: u64,
     /// Times between tokens.
     pub gaps: Spread,
-    /// Each stream's longest time between tokens beyond the engine's step.
+    /// Each stream's longest time between tokens beyond that of the same stream the direct way.
     pub stalls: Spread,
 }
 
--- a/crates/cassiareel-standins/tests/engine.rs
+++ b/crates/cassiareel-standins/tests/engine.rs
@@ -470,3 +470,35 @@
         assert_eq!(versions, [VersionId::from(VERSION)]);
     });
 }
+
+#[test]
+fn tokens_that_come_together_are_joined_to_one_piece() {
+    let mut options = options();
+    options.speed.tokens = 10;
+    let engine = Engine::start(options).unwrap();
+    smol::block_on(async {
+        let fields = json!({"max_tokens": 40, "ignore_eos": true});
+        let start = start(&fields, &[], 0);
+        let mut pieces = adapter(&engine).open(&start).await.unwrap();
+        let mut count = 0;
+        let mut ids = Vec::new();
+        let mut text = String::new();
+        while let Some(Ok(piece)) = pieces.next().await {
+            if let Piece::Tokens {
+                ids: more,
+                text: part,
+                ..
+            } = piece
+            {
+                ids.extend(more);
+                text.push_str(&part);
+                count += 1;
+            }
+        }
+        assert_eq!((ids, text), truth(VERSION, PROMPT, 40));
+        assert!(
+            count <= 4,
+            "40 tokens that came ten by ten are {count} pieces"
+        );
+    });
+}
--- a/crates/cassiareel/src/backend/http_engine.rs
+++ b/crates/cassiareel/src/backend/http_engine.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
-use futures_lite::{stream, StreamExt};
+use futures_lite::{future, stream, StreamExt};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use serde::Deserialize;
 use serde_json::{json, Value};
@@ -178,17 +178,81 @@
 
 /// Reads a stream's events; it ends after its last piece, or with an error.
 fn pieces(res: Response) -> impl stream::Stream<Item = Result<Piece, StreamError>> + Send {
-    let events = async_sse::decode(res);
-    stream::unfold(Some(events), |events| async {
-        let mut events = events?;
-        match next_piece(&mut events).await {
+    let reader = Pieced {
+        events: async_sse::decode(res),
+        ahead: None,
+    };
+    stream::unfold(Some(reader), |reader| async {
+        let mut reader = reader?;
+        match reader.next().await {
             Ok(piece @ Piece::Finished { .. }) => Some((Ok(piece), None)),
-            Ok(piece) => Some((Ok(piece), Some(events))),
+            Ok(piece) => Some((Ok(piece), Some(reader))),
             Err(err) => Some((Err(err), None)),
         }
     })
 }
 
+/// A reader of pieces that joins those that are there together.
+struct Pieced {
+    events: async_sse::Decoder<Response>,
+    /// What was read after the joined pieces and does not belong to them.
+    ahead: Option<Result<Piece, StreamError>>,
+}
+
+impl Pieced {
+    /// Waits for a piece, and joins to it the tokens that have come by then, so that what follows
+    /// is done once for all of them.
+    async fn next(&mut self) -> Result<Piece, StreamError> {
+        let mut piece = match self.ahead.take() {
+            Some(ahead) => ahead?,
+            None => next_piece(&mut self.events).await?,
+        };
+        for _ in 0..MOST_JOINED {
+            let Some(more) = future::poll_once(next_piece(&mut self.events)).await else {
+                break;
+            };
+            if let Some(other) = join(&mut piece, more) {
+                self.ahead = Some(other);
+                break;
+            }
+        }
+        Ok(piece)
+    }
+}
+
+/// Most pieces that are joined to one, so that the first of them is not held up for long.
+const MOST_JOINED: usize = 64;
+
+/// Joins a piece that follows without a hole; gives back one that does not.
+fn join(piece: &mut Piece, more: Result<Piece, StreamError>) -> Option<Result<Piece, StreamError>> {
+    match (piece, more) {
+        (
+            Piece::Tokens {
+                request,
+                attempt,
+                position,
+                ids,
+                text,
+            },
+            Ok(Piece::Tokens {
+                request: request_2,
+                attempt: attempt_2,
+                position: position_2,
+                ids: ids_2,
+                text: text_2,
+            }),
+        ) if *request == request_2
+            && *attempt == attempt_2
+            && position_2 as usize == *position as usize + ids.len() =>
+        {
+            ids.extend(ids_2);
+            text.push_str(&text_2);
+            None
+        }
+        (_, more) => Some(more),
+    }
+}
+
 /// Reads the next event that carries a piece.
 async fn next_piece(events: &mut async_sse::Decoder<Response>) -> Result<Piece, StreamError> {
     loop {
--- a/crates/cassiareel/src/wire/server.rs
+++ b/crates/cassiareel/src/wire/server.rs
@@ -265,7 +265,7 @@
 const LINGER: Duration = Duration::from_secs(1);
 
 /// Bytes of a response encoded before a write.
-const WRITE_BUFFER: usize = 8 * 1024;
+const WRITE_BUFFER: usize = 4 * 1024;
 
 /// A place among a server's connections, given back when dropped.
 struct Slot {
