--- /dev/null
+++ b/crates/cassiareel/src/kernel/lease/machine_tests.rs
@@ -0,0 +1,149 @@
+//! Cases of a single candidate.
+
+use std::time::Duration;
+
+use super::{Action, Event, Lease, Record, Terms};
+
+const fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn record(holder: &str, fence: u64, renewal: u64) -> Record {
+    Record {
+        holder: Some(holder.into()),
+        life: 1,
+        fence,
+        renewal,
+    }
+}
+
+/// A candidate that has read the record of another holder at second 0.
+fn candidate() -> Lease {
+    let mut lease = Lease::new("b".into(), 1, Terms::default());
+    lease.step(secs(0), Event::Tick);
+    lease.step(
+        secs(0),
+        Event::Read {
+            found: Some((7, record("a", 3, 0))),
+        },
+    );
+    lease
+}
+
+#[test]
+fn candidate_waits_the_whole_duration_and_the_margin() {
+    let mut lease = candidate();
+    assert_eq!(lease.step(secs(10), Event::Tick), Some(Action::Read));
+    let found = Some((7, record("a", 3, 0)));
+    lease.step(secs(11), Event::Read { found });
+    let write = lease.step(secs(11), Event::Tick);
+    let record = Record {
+        holder: Some("b".into()),
+        life: 1,
+        fence: 4,
+        renewal: 0,
+    };
+    assert_eq!(write, Some(Action::Write { version: 7, record }));
+    lease.step(secs(12), Event::Written { version: 8 });
+    let held = lease.held(secs(12)).expect("the write took effect");
+    assert_eq!(
+        (held.fence, held.until, held.orders_from),
+        (4, secs(20), secs(16))
+    );
+}
+
+#[test]
+fn renewal_of_the_holder_restarts_the_wait() {
+    let mut lease = candidate();
+    lease.step(secs(9), Event::Tick);
+    let found = Some((8, record("a", 3, 1)));
+    lease.step(
+        secs(9),
+        Event::Read {
+            found: found.clone(),
+        },
+    );
+    lease.step(secs(12), Event::Tick);
+    lease.step(secs(12), Event::Read { found });
+    assert_eq!(lease.step(secs(12), Event::Tick), Some(Action::Read));
+}
+
+#[test]
+fn lost_answer_gives_no_power_until_read_back() {
+    let mut lease = candidate();
+    lease.step(secs(11), Event::Tick);
+    let found = Some((7, record("a", 3, 0)));
+    lease.step(secs(11), Event::Read { found });
+    lease.step(secs(11), Event::Tick);
+    lease.step(secs(12), Event::Ambiguous);
+    assert_eq!(lease.held(secs(12)), None);
+    assert_eq!(lease.step(secs(12), Event::Tick), Some(Action::Read));
+    let found = Some((8, record("b", 4, 0)));
+    lease.step(secs(13), Event::Read { found });
+    let held = lease.held(secs(13)).expect("the write had taken effect");
+    assert_eq!(held.until, secs(20), "counted from the write");
+}
+
+#[test]
+fn paused_holder_finds_its_power_void() {
+    let mut lease = Lease::new("a".into(), 1, Terms::default());
+    lease.step(secs(0), Event::Tick);
+    lease.step(secs(0), Event::Read { found: None });
+    lease.step(secs(0), Event::Tick);
+    lease.step(secs(0), Event::Written { version: 1 });
+    assert!(lease.held(secs(8)).is_some());
+    assert_eq!(lease.held(secs(60)), None);
+    assert_eq!(lease.step(secs(60), Event::Tick), Some(Action::Read));
+}
+
+#[test]
+fn restarted_node_is_not_its_old_self() {
+    let mut lease = Lease::new("a".into(), 2, Terms::default());
+    lease.step(secs(0), Event::Tick);
+    let found = Some((4, record("a", 2, 5)));
+    lease.step(secs(0), Event::Read { found });
+    assert_eq!(lease.held(secs(0)), None);
+    assert_eq!(lease.step(secs(1), Event::Tick), Some(Action::Read));
+}
+
+#[test]
+fn old_replica_is_not_believed() {
+    let mut lease = candidate();
+    lease.step(secs(1), Event::Tick);
+    let found = Some((6, Record::default()));
+    lease.step(secs(1), Event::Read { found });
+    assert_eq!(lease.record(), Some(&record("a", 3, 0)));
+    assert_eq!(lease.step(secs(2), Event::Tick), Some(Action::Read));
+}
+
+#[test]
+fn released_lease_is_free_at_once() {
+    let mut lease = Lease::new("a".into(), 1, Terms::default());
+    lease.step(secs(0), Event::Tick);
+    lease.step(secs(0), Event::Read { found: None });
+    lease.step(secs(0), Event::Tick);
+    lease.step(secs(0), Event::Written { version: 1 });
+    let Some(Action::Write { version, record }) = lease.step(secs(1), Event::Release) else {
+        panic!("a holder that stops writes the release");
+    };
+    assert_eq!((version, record.holder.clone(), record.fence), (1, None, 1));
+    let mut other = Lease::new("b".into(), 1, Terms::default());
+    other.step(secs(2), Event::Tick);
+    other.step(
+        secs(2),
+        Event::Read {
+            found: Some((2, record)),
+        },
+    );
+    assert!(matches!(
+        other.step(secs(2), Event::Tick),
+        Some(Action::Write { .. })
+    ));
+    other.step(secs(2), Event::Written { version: 3 });
+    let held = other.held(secs(2)).expect("the lease was free");
+    assert_eq!(
+        (held.fence, held.orders_from),
+        (2, secs(2)),
+        "no action is to be waited out"
+    );
+}
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -11,6 +11,8 @@
 mod check_tests;
 pub mod generation;
 mod ids;
+pub mod lease;
+pub mod revision;
 pub mod routing;
 
 pub use ids::{
