--- a/crates/cassiareel/src/kernel/routing/mod.rs
+++ b/crates/cassiareel/src/kernel/routing/mod.rs
@@ -31,6 +31,6 @@
 pub use blocks::{blocks, BLOCK_TOKENS};
 pub(crate) use expect::{expected_ms, unread_tokens};
 pub use load::{Load, Reported};
-pub use policy::{policy, Ask, Candidate, Choice, Pass, Policy};
+pub use policy::{policy, policy_names, Ask, Candidate, Choice, Pass, Policy};
 pub use prefix::{PrefixIndex, Slot};
 pub use subset::Subsets;
