--- /dev/null
+++ b/crates/cassiareel-bench/src/moves.rs
@@ -0,0 +1,451 @@
+/*!
+Moves in virtual time: six nodes, seeded traffic, good and bad versions.
+
+The nodes run the kernel's own view, ramps, counts and judge. Time, traffic, the engines' outcomes
+and the delay between nodes are made up from a seed, so that a run is the same each time.
+*/
+
+use std::{
+    collections::{BTreeMap, BinaryHeap},
+    fmt,
+    time::Duration,
+};
+
+use cassiareel::kernel::{
+    moves::{
+        judge, Caller, Cell, Comparison, Counts, Key, Outcome, Plan, Question, Record, Scope, Span,
+        State, Status, Tally, Verdict, View,
+    },
+    ServiceId,
+};
+use fastrand::Rng;
+
+/// What is wrong with the new version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// Nothing; ordinary noise on both versions.
+    Good,
+    /// Every request fails from the start.
+    AtOnce,
+    /// One in eight fails from the start.
+    OneInEight,
+    /// Half fail from two thirds of the move on.
+    Late,
+    /// Half fail once the share is above 30%.
+    UnderLoad,
+    /// Every request of the rarest route fails.
+    OneRoute,
+    /// Most answers are slow.
+    Slow,
+    /// Every request of a middling account fails.
+    OneAccount,
+    /// Half of the successes end early.
+    EndsEarly,
+}
+
+impl Fault {
+    /// Every kind.
+    pub const ALL: [Fault; 9] = [
+        Fault::Good,
+        Fault::AtOnce,
+        Fault::OneInEight,
+        Fault::Late,
+        Fault::UnderLoad,
+        Fault::OneRoute,
+        Fault::Slow,
+        Fault::OneAccount,
+        Fault::EndsEarly,
+    ];
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, f)
+    }
+}
+
+/// The traffic and the move.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Requests a second of the whole fleet.
+    pub rate: f64,
+    /// The time asked for.
+    pub within: Duration,
+}
+
+impl Default for Setup {
+    /// Thirty requests a second, ten minutes.
+    fn default() -> Setup {
+        Setup {
+            rate: 30.0,
+            within: Duration::from_secs(600),
+        }
+    }
+}
+
+/// What came of a move.
+#[derive(Clone, Debug, Default)]
+pub struct Run {
+    /// When the last node knew of the verdict, since the start.
+    pub verdict: Option<Duration>,
+    /// When the fault showed first, since the start.
+    pub onset: Option<Duration>,
+    /// Requests that the new version was given between both, or in all.
+    pub exposed: u32,
+    /// The new version's highest share of a route's traffic from the start to the verdict.
+    pub share: f64,
+    /// Whether all traffic had the new version in time.
+    pub done: bool,
+    /// The evidence in words.
+    pub evidence: String,
+}
+
+const NODES: usize = 6;
+const STEP: Duration = Duration::from_millis(100);
+/// Time between looks of the judge.
+const LOOK: Duration = Duration::from_millis(500);
+/// Time that counts and verdicts take between nodes.
+const SPREAD: Duration = Duration::from_millis(500);
+const SERVERS: u16 = 12;
+const ROUTES: [(&str, f64); 3] = [
+    ("/v1/chat/completions", 0.70),
+    ("/v1/completions", 0.25),
+    ("/v1/notes", 0.05),
+];
+const ACCOUNTS: usize = 10;
+/// The account that meets a fault of its own.
+const PICKED: usize = 3;
+
+/// A request that will end.
+#[derive(Eq, Ord, PartialEq, PartialOrd)]
+struct Ending {
+    // The heap's greatest is the earliest.
+    at: std::cmp::Reverse<Duration>,
+    node: usize,
+    key: Key,
+    outcome: u8,
+}
+
+/// The whole fleet.
+struct Fleet {
+    rng: Rng,
+    fault: Fault,
+    setup: Setup,
+    cells: Vec<(Cell, f64, usize)>,
+    views: Vec<View>,
+    own: Vec<BTreeMap<Key, Tally>>,
+    merged: Counts,
+    endings: BinaryHeap<Ending>,
+    all: BTreeMap<String, (u32, u32)>,
+    run: Run,
+    burst_until: Duration,
+    dying: Option<(u16, Duration)>,
+}
+
+/// Runs one move.
+pub fn simulate(fault: Fault, setup: Setup, seed: u64) -> Run {
+    let mut fleet = Fleet::new(fault, setup, seed);
+    let span = Span {
+        length: setup.within,
+        tick: LOOK,
+        cells: fleet.cells.len(),
+    };
+    let mut judge = judge("sequential", span).expect("the judge is registered");
+    let mut found: Option<Duration> = None;
+    let mut now = Duration::ZERO;
+    while now < setup.within {
+        now += STEP;
+        fleet.step(now);
+        if let Some(at) = found {
+            if now >= at + SPREAD {
+                fleet.run.verdict = Some(now);
+                break;
+            }
+            continue;
+        }
+        if now.as_millis() % LOOK.as_millis() == 0 {
+            fleet.exchange();
+            let comparisons = fleet.comparisons();
+            if let Some(evidence) = judge.judge(now, &comparisons) {
+                fleet.run.evidence = format!("{evidence:?}");
+                found = Some(now);
+                // The first node acts at once, the others when the news has spread.
+                fleet.convict(evidence);
+            }
+            fleet.ramp(now, &comparisons, |cell| judge.suspicion(cell));
+        }
+    }
+    fleet.finish(now)
+}
+
+impl Fleet {
+    fn new(fault: Fault, setup: Setup, seed: u64) -> Fleet {
+        let mut rng = Rng::with_seed(seed);
+        let weights: Vec<f64> = (1..=ACCOUNTS).map(|i| 1.0 / i as f64).collect();
+        let total: f64 = weights.iter().sum();
+        let cells = (0..ACCOUNTS)
+            .flat_map(|i| {
+                let weight = weights[i] / total;
+                ROUTES.iter().map(move |(route, part)| {
+                    let cell = Cell {
+                        account: format!("account-{i}").into(),
+                        route: (*route).into(),
+                    };
+                    (cell, weight * part, 1 + i * 4)
+                })
+            })
+            .collect();
+        let mut views = vec![View::new(); NODES];
+        for view in &mut views {
+            view.learn(Duration::ZERO, &service(), record(setup), Duration::ZERO);
+        }
+        let dying = (rng.f64() < 0.5).then(|| {
+            let at = setup.within.mul_f64(rng.f64());
+            (rng.u16(0..SERVERS), at)
+        });
+        Fleet {
+            rng,
+            fault,
+            setup,
+            cells,
+            views,
+            own: vec![BTreeMap::new(); NODES],
+            merged: Counts::default(),
+            endings: BinaryHeap::new(),
+            all: BTreeMap::new(),
+            run: Run::default(),
+            burst_until: Duration::ZERO,
+            dying,
+        }
+    }
+
+    /// Lets a step of time pass: arrivals, endings and noise.
+    fn step(&mut self, now: Duration) {
+        for view in &mut self.views {
+            view.freshness.store(now);
+        }
+        // A burst of faults that hits both versions, once a minute or so.
+        if self.rng.f64() < STEP.as_secs_f64() / 60.0 {
+            self.burst_until = now + Duration::from_secs(3);
+        }
+        let mean = self.setup.rate * STEP.as_secs_f64();
+        for _ in 0..poisson(&mut self.rng, mean) {
+            self.arrive(now);
+        }
+        while self.endings.peek().is_some_and(|e| e.at.0 <= now) {
+            let Some(ending) = self.endings.pop() else {
+                break;
+            };
+            let tally = self.own[ending.node].entry(ending.key).or_default();
+            tally.end(outcome(ending.outcome));
+        }
+    }
+
+    fn arrive(&mut self, now: Duration) {
+        let mut point = self.rng.f64();
+        let index = self
+            .cells
+            .iter()
+            .position(|(_, weight, _)| {
+                point -= weight;
+                point < 0.0
+            })
+            .unwrap_or(0);
+        let (cell, _, callers) = self.cells[index].clone();
+        let caller = format!("{}/{}", cell.account, self.rng.usize(0..callers));
+        let request = self.rng.u64(..).to_string();
+        let node = self.rng.usize(0..NODES);
+        let question = Question {
+            service: "drafts",
+            version: "v1",
+            cell: &cell,
+            caller_name: &caller,
+            caller: Caller {
+                name: &caller,
+                request: &request,
+                callers,
+            },
+            data_centre: "zg1",
+        };
+        let version = self.views[node].version(now, question);
+        let new = &*version == "v2";
+        let seen = self.all.entry(cell.route.to_string()).or_default();
+        seen.0 += 1;
+        seen.1 += u32::from(new);
+        let (outcome, takes) = self.outcome(now, new, index, &cell);
+        self.run.exposed += u32::from(new && self.run.onset.is_some());
+        let server = self.rng.u16(0..SERVERS);
+        let (outcome, takes) = match self.dying {
+            // The server takes all that it runs with it.
+            Some((dead, at)) if new && dead == server && now < at && now + takes >= at => {
+                (1, at - now)
+            }
+            _ => (outcome, takes),
+        };
+        let key = Key {
+            version,
+            cell,
+            server,
+        };
+        self.own[node].entry(key.clone()).or_default().begin();
+        self.endings.push(Ending {
+            at: std::cmp::Reverse(now + takes),
+            node,
+            key,
+            outcome,
+        });
+    }
+
+    /// How a request ends and after what time.
+    fn outcome(&mut self, now: Duration, new: bool, cell: usize, at: &Cell) -> (u8, Duration) {
+        let hit = new && self.is_hit(now, cell, at);
+        if hit && self.run.onset.is_none() {
+            self.run.onset = Some(now);
+        }
+        let noise = if now < self.burst_until { 0.3 } else { 0.004 };
+        let random = self.rng.f64();
+        if hit && self.fault == Fault::Slow {
+            return (3, Duration::from_secs(3));
+        }
+        let long = self.rng.f64() < 0.09;
+        let whole = if long {
+            Duration::from_secs(self.rng.u64(60..180))
+        } else {
+            Duration::from_millis(self.rng.u64(500..8000))
+        };
+        if hit && self.fault == Fault::EndsEarly {
+            return (2, whole / 2);
+        }
+        if hit || random < noise {
+            return (1, Duration::from_millis(self.rng.u64(50..1000)));
+        }
+        match self.rng.f64() {
+            r if r < 0.001 => (2, whole / 2),
+            r if r < 0.08 => (3, Duration::from_secs(3)),
+            _ => (0, whole),
+        }
+    }
+
+    /// Reports whether the new version's fault meets a request.
+    fn is_hit(&mut self, now: Duration, cell: usize, at: &Cell) -> bool {
+        let random = self.rng.f64();
+        match self.fault {
+            Fault::Good => false,
+            Fault::AtOnce => true,
+            Fault::OneInEight => random < 0.125,
+            Fault::Late => now >= self.setup.within.mul_f64(2.0 / 3.0) && random < 0.5,
+            Fault::UnderLoad => {
+                let open = self.share(now, at);
+                open > 0.3 && random < 0.5
+            }
+            Fault::OneRoute => cell % ROUTES.len() == 2,
+            Fault::Slow => random < 0.8,
+            Fault::OneAccount => cell / ROUTES.len() == PICKED,
+            Fault::EndsEarly => random < 0.5,
+        }
+    }
+
+    fn share(&mut self, now: Duration, cell: &Cell) -> f64 {
+        let within = self.setup.within;
+        let ramps = self.views[0].ramps("drafts");
+        ramps.map_or(0.0, |ramps| ramps.share(cell, now, within))
+    }
+
+    /// Merges the nodes' counts.
+    fn exchange(&mut self) {
+        for (i, own) in self.own.iter().enumerate() {
+            let node = format!("n{i}").into();
+            for (key, tally) in own {
+                self.merged.merge(&node, 1, key.clone(), *tally);
+            }
+        }
+    }
+
+    fn comparisons(&self) -> Vec<Comparison> {
+        Comparison::of(&self.merged.sum(), "v1", "v2")
+    }
+
+    fn ramp<F>(&mut self, now: Duration, comparisons: &[Comparison], suspicion: F)
+    where
+        F: Fn(&Cell) -> f64,
+    {
+        for view in &mut self.views {
+            let ramps = view.ramps("drafts").expect("the move is known");
+            for comparison in comparisons {
+                let seen = comparison.new.iter().map(|(_, t)| t.requests).sum();
+                let cell = &comparison.cell;
+                ramps.tick(cell, now, self.setup.within, seen, suspicion(cell));
+            }
+        }
+    }
+
+    /// Tells the first node; the run stops giving the rest traffic once the news has spread.
+    fn convict(&mut self, evidence: cassiareel::kernel::moves::Evidence) {
+        self.views[0].verdicts.add(Verdict {
+            id: 1,
+            service: service(),
+            version: "v2".into(),
+            evidence,
+        });
+    }
+
+    fn finish(mut self, now: Duration) -> Run {
+        let shares = self
+            .all
+            .values()
+            .map(|(all, new)| f64::from(*new) / f64::from(*all));
+        self.run.share = shares.fold(0.0, f64::max);
+        let within = self.setup.within;
+        self.run.done = self.run.verdict.is_none()
+            && self.views.iter_mut().all(|view| {
+                let ramps = view.ramps("drafts");
+                ramps.is_some_and(|ramps| ramps.is_done(now, within))
+            });
+        self.run
+    }
+}
+
+fn service() -> ServiceId {
+    "drafts".into()
+}
+
+fn record(setup: Setup) -> Record {
+    let plan = Plan {
+        service: service(),
+        from: "v1".into(),
+        to: "v2".into(),
+        scope: Scope::default(),
+        within_secs: setup.within.as_secs(),
+    };
+    Record {
+        latest: Some(Status {
+            id: 1,
+            change: 1,
+            plan,
+            started: 0,
+            state: State::Running,
+        }),
+        ..Record::default()
+    }
+}
+
+fn outcome(code: u8) -> Outcome {
+    match code {
+        0 => Outcome::Good,
+        1 => Outcome::Error,
+        2 => Outcome::Early,
+        _ => Outcome::Slow,
+    }
+}
+
+/// A Poisson number by Knuth's method, for small means.
+fn poisson(rng: &mut Rng, mean: f64) -> u32 {
+    let limit = (-mean).exp();
+    let mut product = rng.f64();
+    let mut n = 0;
+    while product > limit {
+        product *= rng.f64();
+        n += 1;
+    }
+    n
+}
--- /dev/null
+++ b/crates/cassiareel/src/control/judge_tests.rs
@@ -0,0 +1,82 @@
+//! From counts to a verdict in the record.
+
+use std::sync::Arc;
+
+use slog::{o, Discard, Logger};
+
+use super::{
+    judge::{record_once, Bench},
+    lease::Candidate,
+    moves,
+};
+use crate::{
+    kernel::{
+        lease::Terms,
+        moves::{Cell, Key, Means, Outcome, Plan, Scope, State},
+        Time,
+    },
+    peer::Shared,
+    platform::MemoryObjects,
+};
+
+fn key(version: &str, server: u16) -> Key {
+    Key {
+        version: version.into(),
+        cell: Cell {
+            account: "zrinski".into(),
+            route: "/v1/completions".into(),
+        },
+        server,
+    }
+}
+
+#[test]
+fn bad_version_is_reversed_by_the_holder_also_after_an_outage() {
+    let objects = Arc::new(MemoryObjects::new(1));
+    let shared = Shared::new();
+    let log = Logger::root(Discard, o!());
+    let holder = Candidate::new("n1".into(), 1, Terms::default(), objects.clone(), log);
+    smol::block_on(async {
+        holder.look().await;
+        holder.look().await;
+        let plan = Plan {
+            service: "drafts".into(),
+            from: "v1".into(),
+            to: "v2".into(),
+            scope: Scope::default(),
+            within_secs: 600,
+        };
+        let means = Means {
+            servers: 1,
+            loaded: 1,
+            ..Means::default()
+        };
+        moves::start(&*objects, plan, means, "ana").await.unwrap();
+        let record = moves::status(&*objects, "drafts").await.unwrap();
+        shared.change(|view| view.learn(Time::ZERO, &"drafts".into(), record.clone(), Time::ZERO));
+        objects.set_outage(true);
+        let mut bench = Bench::default();
+        let mut verdicts = Vec::new();
+        for second in 0..20 {
+            for _ in 0..40 {
+                shared.begin(key("v1", 0));
+            }
+            shared.begin(key("v2", 0));
+            shared.begin(key("v2", 0));
+            shared.end(key("v2", 1 + second % 8), Outcome::Early);
+            shared.publish(&"n1".into(), 1);
+            verdicts.extend(bench.look(&shared));
+        }
+        assert_eq!(verdicts.len(), 1, "one verdict, once");
+        assert!(shared.view.load().verdicts.is_bad("drafts", "v2", 1));
+        assert!(
+            record_once(&*objects, &shared, &holder).await.is_err(),
+            "the store is away"
+        );
+        objects.set_outage(false);
+        record_once(&*objects, &shared, &holder).await.unwrap();
+        let record = moves::status(&*objects, "drafts").await.unwrap();
+        assert_eq!(record.latest.unwrap().state, State::Reversed);
+        assert_eq!(record.verdicts, verdicts);
+    });
+}
--- /dev/null
+++ b/crates/cassiareel/src/control/lease_tests.rs
@@ -0,0 +1,89 @@
+//! Candidates at an object API that fails.
+
+use std::{sync::Arc, time::Duration};
+
+use slog::{o, Discard, Logger};
+
+use super::lease::{Candidate, KIND, NAME};
+use crate::{
+    kernel::lease::{Record, Terms},
+    platform::{Call, Fault, MemoryObjects, Objects},
+};
+
+fn candidate(name: &str, objects: &Arc<MemoryObjects>) -> Candidate {
+    let log = Logger::root(Discard, o!());
+    Candidate::new(name.into(), 1, Terms::default(), objects.clone(), log)
+}
+
+#[test]
+fn first_candidate_takes_the_lease_and_the_second_does_not() {
+    let objects = Arc::new(MemoryObjects::new(1));
+    let (a, b) = (candidate("a", &objects), candidate("b", &objects));
+    smol::block_on(async {
+        for _ in 0..3 {
+            a.look().await;
+            b.look().await;
+        }
+    });
+    assert_eq!(a.held().map(|held| held.fence), Some(1));
+    assert!(b.held().is_none());
+    assert_eq!(b.holder().and_then(|r| r.holder).as_deref(), Some("a"));
+}
+
+#[test]
+fn lost_answer_is_read_back() {
+    let objects = Arc::new(MemoryObjects::new(1));
+    let a = candidate("a", &objects);
+    objects.fail(Call::Create, 0, Fault::LoseAnswer);
+    smol::block_on(async {
+        for _ in 0..4 {
+            a.look().await;
+        }
+    });
+    assert_eq!(a.held().map(|held| held.fence), Some(1));
+    assert_eq!(objects.counts().writes, 1, "the write is not made twice");
+}
+
+#[test]
+fn released_lease_passes_on_at_once_with_a_higher_number() {
+    let objects = Arc::new(MemoryObjects::new(1));
+    let (a, b) = (candidate("a", &objects), candidate("b", &objects));
+    smol::block_on(async {
+        a.look().await;
+        a.look().await;
+        assert!(a.held().is_some());
+        a.release().await;
+        assert!(a.held().is_none());
+        b.look().await;
+        b.look().await;
+    });
+    let held = b.held().expect("the lease was free");
+    assert_eq!(held.fence, 2);
+    assert_eq!(
+        b.order_fence(false),
+        Some(2),
+        "no action of the old holder is to be waited out"
+    );
+}
+
+#[test]
+fn lease_without_a_store_is_nobodys() {
+    let objects = Arc::new(MemoryObjects::new(1));
+    objects.set_outage(true);
+    let a = candidate("a", &objects);
+    smol::block_on(async {
+        for _ in 0..3 {
+            a.look().await;
+        }
+    });
+    assert!(a.held().is_none());
+    objects.set_outage(false);
+    smol::block_on(async {
+        a.look().await;
+        a.look().await;
+        let object = objects.get(KIND, NAME).await.unwrap().unwrap();
+        let record: Record = serde_json::from_value(object.spec).unwrap();
+        assert_eq!((record.holder.as_deref(), record.fence), (Some("a"), 1));
+    });
+    assert!(a.held().unwrap().until > Duration::ZERO);
+}
--- /dev/null
+++ b/crates/cassiareel/src/control/moves_tests.rs
@@ -0,0 +1,136 @@
+//! Operators' moves against an object API that fails.
+
+use super::{moves, ChangeError};
+use crate::{
+    kernel::moves::{Evidence, Means, Plan, Scope, State, Verdict},
+    platform::{Call, Fault, MemoryObjects},
+};
+
+fn plan(to: &str) -> Plan {
+    Plan {
+        service: "drafts".into(),
+        from: "v1".into(),
+        to: to.into(),
+        scope: Scope::default(),
+        within_secs: 600,
+    }
+}
+
+const MEANS: Means = Means {
+    servers: 2,
+    loaded: 2,
+    parallel_loads: 1,
+    load: std::time::Duration::ZERO,
+};
+
+fn verdict(id: u64) -> Verdict {
+    Verdict {
+        id,
+        service: "drafts".into(),
+        version: "v2".into(),
+        evidence: Evidence {
+            scope: "all traffic".to_owned(),
+            fault: "errors".to_owned(),
+            requests: 9,
+            faults: 8,
+            expected: 0.01,
+        },
+    }
+}
+
+#[test]
+fn start_survives_each_fault_of_the_store() {
+    struct Case {
+        name: &'static str,
+        fault: Fault,
+        refused: bool,
+    }
+    let cases = [
+        Case {
+            name: "the answer is lost after the write",
+            fault: Fault::LoseAnswer,
+            refused: false,
+        },
+        Case {
+            name: "the write is lost and nobody can tell",
+            fault: Fault::LoseCall,
+            refused: false,
+        },
+        Case {
+            name: "the store refuses",
+            fault: Fault::Refuse,
+            refused: true,
+        },
+    ];
+    for case in cases {
+        let objects = MemoryObjects::new(1);
+        objects.fail(Call::Create, 0, case.fault);
+        let started = smol::block_on(moves::start(&objects, plan("v2"), MEANS, "ana"));
+        assert_eq!(started.is_err(), case.refused, "{}", case.name);
+        let record = smol::block_on(moves::status(&objects, "drafts")).unwrap();
+        assert_eq!(record.latest.is_none(), case.refused, "{}", case.name);
+        let history = smol::block_on(moves::history(&objects, "drafts")).unwrap();
+        assert_eq!(history.len(), usize::from(!case.refused), "{}", case.name);
+    }
+}
+
+#[test]
+fn second_operator_is_told_of_the_open_move() {
+    let objects = MemoryObjects::new(1);
+    smol::block_on(moves::start(&objects, plan("v2"), MEANS, "ana")).unwrap();
+    let err = smol::block_on(moves::start(&objects, plan("v3"), MEANS, "ivo")).unwrap_err();
+    assert!(matches!(err, ChangeError::Refused { .. }), "{err}");
+    assert!(
+        err.to_string().contains("move 1 from v1 to v2 is open"),
+        "{err}"
+    );
+}
+
+#[test]
+fn states_follow_what_operators_and_verdicts_say() {
+    smol::block_on(async {
+        let objects = MemoryObjects::new(1);
+        let refused = moves::pause(&objects, "drafts", "ana").await.unwrap_err();
+        assert!(refused.to_string().contains("no move was ever started"));
+        moves::start(&objects, plan("v2"), MEANS, "ana")
+            .await
+            .unwrap();
+        moves::pause(&objects, "drafts", "ana").await.unwrap();
+        moves::resume(&objects, "drafts", "ana").await.unwrap();
+        moves::convict(&objects, &verdict(1)).await.unwrap();
+        // Another holder, or the same after a lost answer, says it again.
+        moves::convict(&objects, &verdict(1)).await.unwrap();
+        let record = moves::status(&objects, "drafts").await.unwrap();
+        assert_eq!(record.latest.unwrap().state, State::Reversed);
+        assert_eq!(record.verdicts, [verdict(1)]);
+        let late = moves::cancel(&objects, "drafts", "ana").await.unwrap_err();
+        assert!(late.to_string().contains("has ended"), "{late}");
+        let again = moves::start(&objects, plan("v2"), MEANS, "ana")
+            .await
+            .unwrap();
+        assert_eq!(again.id, 2, "only another start goes past a verdict");
+        moves::convict(&objects, &verdict(1)).await.unwrap();
+        let record = moves::status(&objects, "drafts").await.unwrap();
+        assert_eq!(
+            record.latest.unwrap().state,
+            State::Running,
+            "an old verdict"
+        );
+        moves::finish(&objects, &"drafts".into()).await.unwrap();
+        let next = moves::start(&objects, plan("v3"), MEANS, "ana")
+            .await
+            .unwrap();
+        let record = moves::status(&objects, "drafts").await.unwrap();
+        assert_eq!((next.id, record.settled.len()), (3, 1));
+        assert_eq!(&*record.settled[0].version, "v2");
+    });
+}
+
+#[test]
+fn impossible_move_changes_nothing() {
+    let objects = MemoryObjects::new(1);
+    let none = Means::default();
+    let err = smol::block_on(moves::start(&objects, plan("v2"), none, "ana")).unwrap_err();
+    assert!(err.to_string().contains("no placement"), "{err}");
+    assert_eq!(objects.counts().writes, 0);
+}
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -14,6 +14,7 @@
 };
 use crate::{
     kernel::RequestId,
+    peer::Watch,
     settings::{Identity, Route, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
 };
@@ -98,6 +99,8 @@
             .map_err(|err| body_refusal(&err))?;
         let prompt = Prompt::parse(endpoint, &body)?;
         let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        let path = req.url().path();
+        let (route, watch) = self.watch(snapshot, identity, route, path, name);
         let id: RequestId = format!("g-{:016x}", fastrand::u64(..)).into();
         let log = self.parts.log.new(
             o!("request" => name.to_owned(), "generation" => id.to_string(),
@@ -118,6 +121,7 @@
             shape: shape.clone(),
             prompt,
             route,
+            watch,
             parts: self.parts.clone(),
             log,
             out,
@@ -130,6 +134,20 @@
         }
     }
 
+    /// Gives a request its version by the moves in force.
+    fn watch(
+        &self,
+        snapshot: &Snapshot,
+        identity: &Identity,
+        route: Route,
+        path: &str,
+        request: &str,
+    ) -> (Route, Watch) {
+        let centre = &self.parts.data_centre;
+        let moves = &self.parts.moves;
+        moves.watch(snapshot, identity, route, path, request, centre)
+    }
+
     async fn serve(
         &self,
         req: &mut Request,
@@ -140,11 +158,12 @@
     ) -> Result<Response, Refusal> {
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
         let route = route(snapshot, identity, service, ServiceKind::Plain)?;
+        let (route, watch) = self.watch(snapshot, identity, route, path, name);
         let log = self.parts.log.new(o!("request" => name.to_owned(),
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()));
         let call = service::read(req, &format!("/{path}"), name, BODY_LIMIT).await?;
-        service::call(&self.parts.chooser, &route, &call, &log)
+        service::call(&self.parts.chooser, &route, &call, &watch, &log)
             .await
             .map(service::response)
     }
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -19,9 +19,11 @@
     hooks::{self, Step},
     kernel::{
         generation::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend},
+        moves::Outcome,
         Attempt, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
+    peer::Watch,
     settings::Route,
 };
 
@@ -45,6 +47,7 @@
     pub(super) id: RequestId,
     pub(super) prompt: Prompt,
     pub(super) route: Route,
+    pub(super) watch: Watch,
     pub(super) shape: Shape,
     pub(super) parts: Arc<Parts>,
     pub(super) log: Logger,
@@ -196,6 +199,7 @@
             .metrics
             .count(Counter::LostAttempts, 1, &[service]);
         info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
+        self.blame(err);
         let how = match err {
             StreamError::Refused { status, message } => {
                 if !crate::backend::is_transient(*status) {
@@ -214,6 +218,21 @@
         Event::Lost { attempt, how }
     }
 
+    /// Counts a fault of the version where the caller did not cause it.
+    fn blame(&self, err: &StreamError) {
+        let callers = matches!(err, StreamError::Refused { status, .. }
+            if !crate::backend::is_transient(*status));
+        if !callers {
+            self.driver.watch.end(Outcome::Error, &self.server());
+        }
+    }
+
+    /// The backend server of the current attempt.
+    fn server(&self) -> String {
+        let place = self.place.as_ref();
+        place.map_or_else(String::new, |place| place.addr.to_string())
+    }
+
     /// Carries actions out, and those that follow from them.
     async fn perform(&mut self, actions: Vec<Action>) {
         let mut queue = std::collections::VecDeque::from(actions);
@@ -356,6 +375,9 @@
         let tokens = self.tokens.len() as u32;
         info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
             "attempts" => self.machine.attempt());
+        if matches!(ending, Ending::Complete(_)) {
+            self.driver.watch.whole(tokens, &self.server());
+        }
         self.place = None;
         self.pieces = None;
         let usage = Usage::new(self.prompt_tokens, tokens);
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -8,7 +8,9 @@
 use super::Chooser;
 use crate::{
     hooks::{Hooks, NoHooks},
+    kernel::DataCentreId,
     observe::Metrics,
+    peer::Shared,
     runtime::Spawner,
     settings::Snapshot,
 };
@@ -25,6 +27,10 @@
     pub metrics: Arc<Metrics>,
     /// What listens to the steps of a request.
     pub hooks: Arc<dyn Hooks>,
+    /// Moves between versions, and the counts that they are judged by.
+    pub moves: Arc<Shared>,
+    /// The node's data centre.
+    pub data_centre: DataCentreId,
     /// What chooses backend servers.
     pub(super) chooser: Chooser,
 }
@@ -38,6 +44,8 @@
             log,
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
+            moves: Arc::new(Shared::new()),
+            data_centre: "".into(),
             chooser: Chooser::new(),
         }
     }
@@ -48,6 +56,13 @@
         self
     }
 
+    /// Follows moves as a node of a data centre.
+    pub fn with_moves(mut self, moves: Arc<Shared>, data_centre: DataCentreId) -> Parts {
+        self.moves = moves;
+        self.data_centre = data_centre;
+        self
+    }
+
     /// Tells `hooks` of the steps of requests.
     pub fn with_hooks(mut self, hooks: Arc<dyn Hooks>) -> Parts {
         self.hooks = hooks;
--- a/crates/cassiareel/src/front/service.rs
+++ b/crates/cassiareel/src/front/service.rs
@@ -8,6 +8,8 @@
 use super::{Chooser, Outcome, Refusal};
 use crate::{
     backend::{Answer, Call, CallError, HttpService, Service},
+    kernel::moves,
+    peer::Watch,
     settings::Route,
     wire,
 };
@@ -15,6 +17,9 @@
 /// Time for a plain service's answer to begin.
 const SERVICE_HEAD: Duration = Duration::from_secs(10);
 
+/// The lowest status by which a service says that it failed.
+const SERVER_ERROR: u16 = 500;
+
 /// Time that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -23,6 +28,7 @@
     chooser: &Chooser,
     route: &Route,
     call: &Call,
+    watch: &Watch,
     log: &Logger,
 ) -> Result<Answer, Refusal> {
     let Some(place) = chooser.choose(route, &[]) else {
@@ -33,7 +39,13 @@
     };
     info!(log, "routed"; "version" => &*route.version, "choice" => %place.addr);
     let service = HttpService::new(place.addr, SERVICE_HEAD);
-    service.call(call).await.map_err(|err| {
+    let server = place.addr.to_string();
+    let answer = service.call(call).await;
+    match &answer {
+        Ok(answer) if answer.status < SERVER_ERROR => watch.whole(1, &server),
+        _ => watch.end(moves::Outcome::Error, &server),
+    }
+    answer.map_err(|err| {
         info!(log, "call lost"; "cause" => %err);
         match err {
             CallError::NotRun { .. } => Refusal::busy(err.to_string(), RETRY_AFTER),
--- /dev/null
+++ b/crates/cassiareel/src/kernel/membership/member.rs
@@ -0,0 +1,54 @@
+//! What a node says of itself.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::kernel::{DataCentreId, Incarnation, NodeId, Revision};
+
+/// A node's word on whether it stays.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum Word {
+    /// It takes work.
+    #[default]
+    Live,
+    /// It drains.
+    Leaving,
+}
+
+/// What a node says of itself.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Member {
+    /// Its name.
+    pub name: NodeId,
+    /// Its life.
+    pub life: Incarnation,
+    /// Its address for peers.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Rises with each change of what follows.
+    pub content: u64,
+    /// Whether it stays.
+    pub word: Word,
+    /// The revision of the settings in force on it.
+    pub revision: Revision,
+}
+
+impl Member {
+    /// What is newer rises: first the life, then the content.
+    pub(super) fn order(&self) -> (Incarnation, u64) {
+        (self.life, self.content)
+    }
+}
+
+/// A neighbour's word that a node is silent.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Suspicion {
+    /// The silent node.
+    pub name: NodeId,
+    /// Its life.
+    pub life: Incarnation,
+    /// Who says so.
+    pub by: NodeId,
+}
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -14,6 +14,8 @@
 pub mod health;
 mod ids;
 pub mod lease;
+pub mod membership;
+pub mod moves;
 pub mod revision;
 pub mod routing;
 
--- a/crates/cassiareel/src/kernel/revision/machine.rs
+++ b/crates/cassiareel/src/kernel/revision/machine.rs
@@ -80,7 +80,7 @@
 /// use std::time::Duration;
 /// use cassiareel::kernel::revision::{Action, Event, InForce, Source};
 ///
-/// let mut node = InForce::new(Duration::ZERO);
+/// let mut node = InForce::new();
 /// let source = Source::Peer("n2".into());
 /// let now = Duration::ZERO;
 /// let fetch = node.step(now, Event::Announced { source: source.clone(), revision: 7 });
@@ -107,8 +107,16 @@
 }
 
 impl InForce {
+    /// A fresh node without peers, which starts on the store's word.
+    pub fn alone() -> InForce {
+        InForce {
+            peer: true,
+            ..InForce::new()
+        }
+    }
+
     /// A fresh node.
-    pub fn new(_now: Time) -> InForce {
+    pub fn new() -> InForce {
         InForce {
             revision: 0,
             fetched: 0,
@@ -234,3 +242,9 @@
         false
     }
 }
+
+impl Default for InForce {
+    fn default() -> InForce {
+        InForce::new()
+    }
+}
--- a/crates/cassiareel/src/kernel/revision/machine_tests.rs
+++ b/crates/cassiareel/src/kernel/revision/machine_tests.rs
@@ -92,7 +92,7 @@
         },
     ];
     for case in cases {
-        let mut node = InForce::new(Duration::ZERO);
+        let mut node = InForce::new();
         let enforced: Vec<u64> = case
             .events
             .into_iter()
--- a/crates/cassiareel/src/kernel/revision/model_tests.rs
+++ b/crates/cassiareel/src/kernel/revision/model_tests.rs
@@ -38,7 +38,7 @@
 
 impl Fleet {
     fn fresh(&self) -> InForce {
-        let mut node = InForce::new(Duration::ZERO);
+        let mut node = InForce::new();
         node.mutation = self.mutation;
         node
     }
--- a/crates/cassiareel/src/node/follow.rs
+++ b/crates/cassiareel/src/node/follow.rs
@@ -1,57 +1,172 @@
-//! Settings in force, followed from the object API.
+//! Settings and moves, followed from the object API.
+//!
+//! A waiting watch counts as a call of the store, so that two nodes of a data centre watch and the
+//! others hear of changes from peers. Those look at the store now and then all the same.
 
 use std::{sync::Arc, time::Duration};
 
-use arc_swap::ArcSwap;
 use slog::{info, warn, Logger};
 use smol::Timer;
 
 use crate::{
-    platform::{Object, Objects},
-    settings::{Snapshot, Tree},
+    control::{moves, wall_seconds},
+    kernel::{revision::Source, ServiceId, Time},
+    peer::{Held, Peers, Shared},
+    platform::{Object, Objects, StoreError, StoreVersion},
+    settings::Tree,
 };
 
 /// How long a watch waits for news.
 const WATCH: Duration = Duration::from_secs(30);
 
-/// Time before the next try after a failure.
+/// The first wait after a failure; it doubles up to [`LONGEST_RETRY`].
 const RETRY: Duration = Duration::from_millis(500);
 
-/// Puts each newer revision of the settings in force.
-pub(super) async fn follow(
-    objects: Arc<dyn Objects>,
-    settings: Arc<ArcSwap<Snapshot>>,
-    log: Logger,
-) {
-    let mut since = 0;
-    loop {
-        match objects.watch("settings", since, WATCH).await {
-            Ok(news) => {
-                for object in news {
-                    since = since.max(object.version);
-                    adopt(&object, &settings, &log);
+/// The longest wait after failures.
+const LONGEST_RETRY: Duration = Duration::from_secs(20);
+
+/// How often a node that does not watch looks at the store, give or take a half.
+const LOOK: Duration = Duration::from_secs(60);
+
+/// Watching nodes of a data centre.
+const WATCHERS: usize = 2;
+
+/// How often a node asks itself whether it is a watcher.
+const DUTY: Duration = Duration::from_secs(1);
+
+/// What a follower gives news to.
+#[derive(Clone)]
+pub(super) struct Follower {
+    pub(super) objects: Arc<dyn Objects>,
+    pub(super) settings: Arc<Held>,
+    pub(super) shared: Arc<Shared>,
+    pub(super) peers: Option<Arc<Peers>>,
+    pub(super) log: Logger,
+}
+
+impl Follower {
+    /// Follows a kind until dropped.
+    pub(super) async fn follow(self, kind: &'static str) {
+        let mut since = None;
+        let mut failures = 0;
+        loop {
+            match self.news(kind, since).await {
+                Ok((news, version)) => {
+                    failures = 0;
+                    since = Some(version);
+                    self.shared
+                        .change(|view| view.freshness.store(self.shared.now()));
+                    let adopted = news
+                        .iter()
+                        .filter(|object| self.adopt(kind, object))
+                        .count();
+                    if let Some(peers) = self.peers.as_ref().filter(|_| adopted > 0) {
+                        peers.tell();
+                    }
+                }
+                Err(err) => {
+                    warn!(self.log, "not followed"; "kind" => kind, "cause" => %err);
+                    // Only a listing tells what changed before the watch was lost.
+                    since = since.filter(|_| !matches!(err, StoreError::Expired));
+                    Timer::after(backoff(failures)).await;
+                    failures += 1;
+                    continue;
                 }
             }
-            Err(err) => {
-                warn!(log, "settings not followed"; "cause" => %err);
-                Timer::after(RETRY).await;
+            self.wait_for_duty(kind, &mut since).await;
+        }
+    }
+
+    /// Waits while this node has no duty to watch; after that the next call is a listing.
+    async fn wait_for_duty(&self, kind: &str, since: &mut Option<StoreVersion>) {
+        let Some(peers) = &self.peers else {
+            return;
+        };
+        let mut left = LOOK.mul_f64(0.5 + fastrand::f64());
+        while !peers.has_duty(kind, WATCHERS) && left > Duration::ZERO {
+            *since = None;
+            Timer::after(DUTY).await;
+            left = left.saturating_sub(DUTY);
+        }
+    }
+
+    /// Lists at first, and watches from there.
+    async fn news(
+        &self,
+        kind: &str,
+        since: Option<StoreVersion>,
+    ) -> Result<(Vec<Object>, StoreVersion), StoreError> {
+        match since {
+            None => {
+                let listing = self.objects.list(kind).await?;
+                Ok((listing.objects, listing.version))
+            }
+            Some(since) => {
+                let news = self.objects.watch(kind, since, WATCH).await?;
+                let newest = news.iter().map(|object| object.version).max();
+                Ok((news, newest.unwrap_or(since).max(since)))
             }
         }
     }
-}
 
-/// Puts a revision in force if it is newer and whole.
-fn adopt(object: &Object, settings: &ArcSwap<Snapshot>, log: &Logger) {
-    let tree = object.spec["tree"].as_str().map(toml::from_str::<Tree>);
-    let revision = object.spec["revision"].as_u64().unwrap_or(0);
-    match tree {
-        // INVARIANT: the revision in force only rises.
-        Some(Ok(tree)) if revision > settings.load().revision => {
-            settings.store(Arc::new(Snapshot::new(revision, tree)));
-            info!(log, "settings in force"; "revision" => revision);
+    /// Takes an object; true if it was news.
+    fn adopt(&self, kind: &str, object: &Object) -> bool {
+        if object.spec.is_null() {
+            return false;
+        }
+        match kind {
+            moves::KIND => self.adopt_moves(object),
+            _ => self.adopt_settings(object),
+        }
+    }
+
+    fn adopt_moves(&self, object: &Object) -> bool {
+        let stored: moves::Stored = match serde_json::from_value(object.spec.clone()) {
+            Ok(stored) => stored,
+            Err(err) => {
+                warn!(self.log, "moves refused"; "service" => &object.name, "cause" => %err);
+                return false;
+            }
+        };
+        let service: ServiceId = object.name.as_str().into();
+        let wall = wall_seconds();
+        let started = stored.record.latest.as_ref().map_or(wall, |s| s.started);
+        let age = Time::from_secs(wall.saturating_sub(started));
+        let now = self.shared.now();
+        let news = self
+            .shared
+            .change(|view| view.learn(now, &service, stored.record.clone(), age));
+        if let Some(status) = stored.record.latest.as_ref().filter(|_| news) {
+            info!(self.log, "move in force"; "service" => &*service, "move" => status.id,
+                "state" => ?status.state, "to" => &*status.plan.to);
         }
-        Some(Ok(_)) => {}
-        Some(Err(err)) => warn!(log, "settings refused"; "revision" => revision, "cause" => %err),
-        None => warn!(log, "settings refused"; "revision" => revision, "cause" => "no tree"),
+        news
     }
+
+    fn adopt_settings(&self, object: &Object) -> bool {
+        let tree = object.spec["tree"].as_str().map(toml::from_str::<Tree>);
+        let revision = object.spec["revision"].as_u64().unwrap_or(0);
+        let cause = match tree {
+            Some(Ok(tree)) => {
+                let now = self.shared.now();
+                let enforced = self.settings.offer(now, Source::Store, revision, tree);
+                if let Some(revision) = enforced {
+                    info!(self.log, "settings in force"; "revision" => revision,
+                        "source" => "store");
+                }
+                return enforced.is_some();
+            }
+            Some(Err(err)) => err.to_string(),
+            None => "no tree".to_owned(),
+        };
+        warn!(self.log, "settings refused"; "revision" => revision, "cause" => cause);
+        false
+    }
+}
+
+/// The wait after a failure: doubled each time, with half of it at random, so that a fleet does not
+/// come back in step.
+fn backoff(failures: u32) -> Duration {
+    let most = RETRY * 2u32.saturating_pow(failures.min(16));
+    most.min(LONGEST_RETRY).mul_f64(0.5 + fastrand::f64() / 2.0)
 }
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -24,8 +24,16 @@
 pub use mount::Mounts;
 pub use options::Options;
 
+use follow::Follower;
+
 use crate::{
+    control::{self, lease::Candidate},
     front::{Front, Parts},
+    kernel::{
+        lease::Terms,
+        membership::{Member, Word},
+    },
+    peer::{Answers, Held, Peers, Shared},
     platform::Objects,
     runtime::Runtime,
     settings::Snapshot,
@@ -39,11 +47,20 @@
     open: Arc<mount::Open>,
     callers: Option<Served>,
     control: Served,
+    peers: Option<Arc<Peers>>,
+    candidate: Arc<Candidate>,
+    moves: Arc<Shared>,
     log: Logger,
     // INVARIANT: dropped last, with every task of the node.
     runtime: Runtime,
 }
 
+/// The duty of candidates for the controller's lease.
+const DUTY: &str = "control";
+
+/// Candidates in a data centre.
+const CANDIDATES: usize = 1;
+
 /// Time between looks at the open requests of a node that stops.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -59,16 +76,69 @@
         let spawner = runtime.spawner();
         let settings = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
         let open = Arc::new(mount::Open::default());
+        let shared = Arc::new(Shared::new());
+        let alone = options.keys.is_none() || options.peers.is_empty();
+        let held = Arc::new(Held::new(settings.clone(), alone));
         let parts = Parts::new(settings.clone(), spawner, log.clone())
             .with_metrics(options.metrics.clone())
-            .with_hooks(options.hooks.clone());
+            .with_hooks(options.hooks.clone())
+            .with_moves(shared.clone(), options.data_centre.clone());
         let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
-        let control = Mounts::new(open.clone(), settings.clone());
-        let follow = follow::follow(objects, settings.clone(), log.clone());
-        runtime.spawn(follow).detach();
+        let mut control = Mounts::new(open.clone(), settings.clone());
+        let listener = smol::block_on(TcpListener::bind(options.control))?;
+        let life = control::wall_seconds();
+        let me = Member {
+            name: options.name.clone(),
+            life,
+            addr: listener.local_addr()?,
+            data_centre: options.data_centre.clone(),
+            content: 0,
+            word: Word::Live,
+            revision: 0,
+        };
+        let peers = options.keys.clone().map(|keys| {
+            let seeds = options.peers.clone();
+            let spawner = runtime.spawner();
+            let log = log.clone();
+            Peers::new(me, seeds, shared.clone(), held.clone(), keys, spawner, log)
+        });
+        if let Some(peers) = &peers {
+            control = control.with("/peer/", Arc::new(Answers(peers.clone())));
+            runtime.spawn(peers.clone().run()).detach();
+        }
+        let follower = Follower {
+            objects: objects.clone(),
+            settings: held,
+            shared: shared.clone(),
+            peers: peers.clone(),
+            log: log.clone(),
+        };
+        for kind in ["settings", control::moves::KIND] {
+            runtime.spawn(follower.clone().follow(kind)).detach();
+        }
+        let candidate = Arc::new(Candidate::new(
+            options.name.clone(),
+            life,
+            Terms::default(),
+            objects.clone(),
+            log.clone(),
+        ));
+        let judge = control::judge::run(shared.clone(), peers.clone(), log.clone());
+        runtime.spawn(judge).detach();
+        let record =
+            control::judge::record(objects, shared.clone(), candidate.clone(), log.clone());
+        runtime.spawn(record).detach();
+        let (own, duty) = (candidate.clone(), peers.clone());
+        let wanted = move || duty.as_ref().is_none_or(|p| p.has_duty(DUTY, CANDIDATES));
+        runtime.spawn(async move { own.run(wanted).await }).detach();
         let callers = serve(&runtime, options.listen, callers)?;
-        let control = serve(&runtime, options.control, control)?;
+        let control = wire::serve(
+            &runtime.spawner(),
+            listener,
+            Bounds::default(),
+            Arc::new(control),
+        )?;
         info!(log, "started"; "listen" => %callers.addr, "control" => %control.addr,
             "data_centre" => &*options.data_centre);
         Ok(Node {
@@ -77,6 +147,9 @@
             open,
             callers: Some(callers),
             control,
+            peers,
+            candidate,
+            moves: shared,
             log,
             runtime,
         })
@@ -102,6 +175,21 @@
         self.settings.load_full()
     }
 
+    /// The node's peers; none for a node that works alone.
+    pub fn peers(&self) -> Option<&Arc<Peers>> {
+        self.peers.as_ref()
+    }
+
+    /// The node's view of moves.
+    pub fn moves(&self) -> &Arc<Shared> {
+        &self.moves
+    }
+
+    /// The node's candidacy for the controller's lease.
+    pub fn candidate(&self) -> &Arc<Candidate> {
+        &self.candidate
+    }
+
     /// The node's threads, for tests that freeze it.
     pub fn runtime(&self) -> &Runtime {
         &self.runtime
@@ -113,6 +201,9 @@
     /// between this and [`Node::stop`].
     pub fn leave(&self) {
         self.open.leave();
+        if let Some(peers) = &self.peers {
+            peers.leave();
+        }
         info!(self.log, "leaving"; "open" => self.open.count());
     }
 
--- a/crates/cassiareel/src/node/options.rs
+++ b/crates/cassiareel/src/node/options.rs
@@ -6,6 +6,7 @@
     hooks::{Hooks, NoHooks},
     kernel::{DataCentreId, NodeId},
     observe::Metrics,
+    peer::Keys,
 };
 
 /// A node's own facts, from its daemon's settings file.
@@ -21,6 +22,8 @@
     pub control: SocketAddr,
     /// Control addresses of some peers, to join by.
     pub peers: Vec<SocketAddr>,
+    /// Keys that peers share; a node without keys works alone.
+    pub keys: Option<Keys>,
     /// Threads that run its tasks.
     pub threads: usize,
     /// Where its figures go.
@@ -39,6 +42,7 @@
             listen: any,
             control: any,
             peers: Vec::new(),
+            keys: None,
             threads: 2,
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
--- /dev/null
+++ b/crates/cassiareel/src/peer/auth_tests.rs
@@ -0,0 +1,61 @@
+//! Keys: which are taken, and how they are rotated.
+
+use super::{BadKeys, Keys};
+
+#[test]
+fn bad_keys_are_named() {
+    struct Case {
+        name: &'static str,
+        keys: Vec<String>,
+        error: BadKeys,
+    }
+    let cases = [
+        Case {
+            name: "none",
+            keys: vec![],
+            error: BadKeys::Missing,
+        },
+        Case {
+            name: "second is short",
+            keys: vec!["ab".repeat(32), "ab".repeat(31)],
+            error: BadKeys::Malformed { number: 2 },
+        },
+        Case {
+            name: "not hexadecimal",
+            keys: vec!["xy".repeat(32)],
+            error: BadKeys::Malformed { number: 1 },
+        },
+    ];
+    for case in cases {
+        assert_eq!(
+            Keys::new(&case.keys).unwrap_err(),
+            case.error,
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn every_step_of_a_rotation_understands_its_neighbours() {
+    let (old, new) = ("01".repeat(32), "02".repeat(32));
+    let steps = [
+        vec![old.clone()],
+        vec![old.clone(), new.clone()],
+        vec![new.clone(), old],
+        vec![new],
+    ];
+    let steps: Vec<Keys> = steps.iter().map(|keys| Keys::new(keys).unwrap()).collect();
+    for pair in steps.windows(2) {
+        for (from, to) in [(0, 1), (1, 0)] {
+            let digest = pair[from].sign("/peer/exchange", b"x");
+            assert!(pair[to].accepts("/peer/exchange", b"x", &digest));
+        }
+    }
+    let digest = steps[0].sign("/peer/exchange", b"x");
+    assert!(!steps[3].accepts("/peer/exchange", b"x", &digest));
+    assert!(
+        !steps[0].accepts("/peer/settings", b"x", &digest),
+        "a digest is of one path"
+    );
+}
--- a/crates/cassiareel/src/settings/snapshot.rs
+++ b/crates/cassiareel/src/settings/snapshot.rs
@@ -107,6 +107,19 @@
         bool::from(kept.ct_eq(&digest)).then_some(identity)
     }
 
+    /// The same route by another version; unchanged where that version is not in the tree.
+    pub fn with_version(&self, route: Route, version: VersionId) -> Route {
+        let key = (route.service.clone(), version);
+        match self.servers.get(&key) {
+            Some(servers) if !servers.is_empty() => Route {
+                version: key.1,
+                servers: servers.clone(),
+                ..route
+            },
+            _ => route,
+        }
+    }
+
     /// Finds where a caller's requests for a service go; none where it may not use the service.
     pub fn route(&self, identity: &Identity, service: &str) -> Option<Route> {
         let account = self.tree.accounts.get(&identity.account)?;
