--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -24,7 +24,7 @@
     },
     observe::{self, Counter},
     peer::Watch,
-    settings::Route,
+    settings::{Resolved, Route},
 };
 
 /// What a driver tells the handler that waits for the answer.
@@ -50,6 +50,8 @@
     pub(super) watch: Watch,
     pub(super) shape: Shape,
     pub(super) parts: Arc<Parts>,
+    /// Every policy along the request's path.
+    pub(super) policy: Resolved,
     pub(super) log: Logger,
     /// Where a streamed answer goes; an answer that is not streamed is gathered.
     pub(super) out: Option<piper::Writer>,
@@ -82,11 +84,11 @@
     /// Runs the generation until its answer has ended.
     pub(super) async fn run(self) {
         let limits = Limits {
-            queue: Duration::from_secs(5),
-            first: Duration::from_secs(10),
-            between: Duration::from_millis(1500),
-            retry: Duration::from_millis(50),
-            attempts: 8,
+            queue: self.policy.time.queue,
+            first: self.policy.time.first_token,
+            between: self.policy.time.between_tokens,
+            retry: self.policy.retries.pause,
+            attempts: self.policy.retries.attempts,
         };
         let (machine, actions) = Generation::start(limits, Duration::ZERO);
         let mut work = Work {
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -12,13 +12,15 @@
     observe::Metrics,
     peer::Shared,
     runtime::Spawner,
-    settings::Snapshot,
+    settings::{Scope, Snapshot},
 };
 
 /// The parts of a node that requests work with.
 pub struct Parts {
     /// The settings in force.
     pub settings: Arc<ArcSwap<Snapshot>>,
+    /// The node's data centre.
+    pub data_centre: DataCentreId,
     /// Where tasks run.
     pub spawner: Spawner,
     /// Where decisions are logged.
@@ -29,37 +31,47 @@
     pub hooks: Arc<dyn Hooks>,
     /// Moves between versions, and the counts that they are judged by.
     pub moves: Arc<Shared>,
-    /// The node's data centre.
-    pub data_centre: DataCentreId,
     /// What chooses backend servers.
     pub(super) chooser: Chooser,
 }
 
 impl Parts {
     /// Parts without metrics or hooks.
-    pub fn new(settings: Arc<ArcSwap<Snapshot>>, spawner: Spawner, log: Logger) -> Parts {
+    pub fn new(
+        settings: Arc<ArcSwap<Snapshot>>,
+        data_centre: DataCentreId,
+        spawner: Spawner,
+        log: Logger,
+    ) -> Parts {
         Parts {
             settings,
+            data_centre,
             spawner,
             log,
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
             moves: Arc::new(Shared::new()),
-            data_centre: "".into(),
             chooser: Chooser::new(),
         }
     }
 
+    /// The nodes of the settings tree that every request to this node meets.
+    pub(super) fn scope(&self) -> Scope<'_> {
+        Scope {
+            data_centre: Some(&self.data_centre),
+            ..Scope::default()
+        }
+    }
+
     /// Sends figures to `metrics`.
     pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Parts {
         self.metrics = metrics;
         self
     }
 
-    /// Follows moves as a node of a data centre.
-    pub fn with_moves(mut self, moves: Arc<Shared>, data_centre: DataCentreId) -> Parts {
+    /// Follows the moves that `moves` shares.
+    pub fn with_moves(mut self, moves: Arc<Shared>) -> Parts {
         self.moves = moves;
-        self.data_centre = data_centre;
         self
     }
 
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -32,12 +32,13 @@
     kernel::{
         lease::Terms,
         membership::{Member, Word},
+        DataCentreId,
     },
     peer::{Answers, Held, Peers, Shared},
     platform::Objects,
     runtime::Runtime,
-    settings::Snapshot,
-    wire::{self, Bounds, Served},
+    settings::{Scope, Snapshot},
+    wire::{self, Bounds, BoundsSource, Served},
 };
 
 /// A running node.
@@ -79,10 +80,15 @@
         let shared = Arc::new(Shared::new());
         let alone = options.keys.is_none() || options.peers.is_empty();
         let held = Arc::new(Held::new(settings.clone(), alone));
-        let parts = Parts::new(settings.clone(), spawner, log.clone())
-            .with_metrics(options.metrics.clone())
-            .with_hooks(options.hooks.clone())
-            .with_moves(shared.clone(), options.data_centre.clone());
+        let parts = Parts::new(
+            settings.clone(),
+            options.data_centre.clone(),
+            spawner,
+            log.clone(),
+        )
+        .with_metrics(options.metrics.clone())
+        .with_hooks(options.hooks.clone())
+        .with_moves(shared.clone());
         let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
         let mut control = Mounts::new(open.clone(), settings.clone());
@@ -132,7 +138,8 @@
         let (own, duty) = (candidate.clone(), peers.clone());
         let wanted = move || duty.as_ref().is_none_or(|p| p.has_duty(DUTY, CANDIDATES));
         runtime.spawn(async move { own.run(wanted).await }).detach();
-        let callers = serve(&runtime, options.listen, callers)?;
+        let bounds = bounds(settings.clone(), options.data_centre.clone());
+        let callers = serve(&runtime, options.listen, bounds, callers)?;
         let control = wire::serve(
             &runtime.spawner(),
             listener,
@@ -225,12 +232,29 @@
 }
 
 /// Binds an address and serves it.
-fn serve(runtime: &Runtime, addr: SocketAddr, mounts: Mounts) -> io::Result<Served> {
+fn serve(
+    runtime: &Runtime,
+    addr: SocketAddr,
+    bounds: BoundsSource,
+    mounts: Mounts,
+) -> io::Result<Served> {
     let listener = smol::block_on(TcpListener::bind(addr))?;
-    wire::serve(
-        &runtime.spawner(),
-        listener,
-        Bounds::default(),
-        Arc::new(mounts),
-    )
+    wire::serve_within(&runtime.spawner(), listener, bounds, Arc::new(mounts))
+}
+
+/// The bounds on callers that the settings in force give a data centre.
+fn bounds(settings: Arc<ArcSwap<Snapshot>>, data_centre: DataCentreId) -> BoundsSource {
+    Arc::new(move || {
+        let scope = Scope {
+            data_centre: Some(&data_centre),
+            ..Scope::default()
+        };
+        let bounds = settings.load().tree.resolve(&scope).bounds;
+        Bounds {
+            connections: bounds.connections as usize,
+            head_bytes: usize::try_from(bounds.head).unwrap_or(usize::MAX),
+            head: bounds.head_time,
+            write: bounds.write_time,
+        }
+    })
 }
