--- a/crates/cassiareel-bench/src/lib.rs
+++ b/crates/cassiareel-bench/src/lib.rs
@@ -2,10 +2,13 @@
 Measurements of cassiareel.
 
 The binaries measure; the library holds what they share: a least-squares [`fit`], whose slopes the
-capacity page multiplies by the sizes, readings of this [`process`], and [`moves`]
-in virtual time.
+capacity page multiplies by the sizes, readings of this [`process`], a [`model`] of engines in
+virtual time, and [`moves`] in virtual time.
 */
 
+pub mod compare;
 pub mod fit;
+pub mod model;
 pub mod moves;
+pub mod plot;
 pub mod process;
--- a/crates/cassiareel/src/node/follow.rs
+++ b/crates/cassiareel/src/node/follow.rs
@@ -13,7 +13,7 @@
     kernel::{revision::Source, ServiceId, Time},
     peer::{Held, Peers, Shared},
     platform::{Object, Objects, StoreError, StoreVersion},
-    settings::Tree,
+    settings::{fetch, LoadError, HEAD_NAME},
 };
 
 /// How long a watch waits for news.
@@ -50,24 +50,24 @@
         let mut since = None;
         let mut failures = 0;
         loop {
-            match self.news(kind, since).await {
+            let seen = match self.news(kind, since).await {
                 Ok((news, version)) => {
+                    let now = self.shared.now();
+                    self.shared.change(|view| view.freshness.store(now));
+                    self.take(kind, &news).await.map(|()| version)
+                }
+                Err(err) => Err(err.into()),
+            };
+            match seen {
+                // What could not be read whole is asked for again.
+                Ok(version) => {
                     failures = 0;
                     since = Some(version);
-                    self.shared
-                        .change(|view| view.freshness.store(self.shared.now()));
-                    let adopted = news
-                        .iter()
-                        .filter(|object| self.adopt(kind, object))
-                        .count();
-                    if let Some(peers) = self.peers.as_ref().filter(|_| adopted > 0) {
-                        peers.tell();
-                    }
                 }
                 Err(err) => {
                     warn!(self.log, "not followed"; "kind" => kind, "cause" => %err);
-                    // Only a listing tells what changed before the watch was lost.
-                    since = since.filter(|_| !matches!(err, StoreError::Expired));
+                    // After a lost watch only a listing tells what changed.
+                    since = since.filter(|_| !is_expired(&err));
                     Timer::after(backoff(failures)).await;
                     failures += 1;
                     continue;
@@ -109,15 +109,20 @@
         }
     }
 
-    /// Takes an object; true if it was news.
-    fn adopt(&self, kind: &str, object: &Object) -> bool {
-        if object.spec.is_null() {
-            return false;
+    /// Takes news, and tells peers of what was new.
+    async fn take(&self, kind: &str, news: &[Object]) -> Result<(), LoadError> {
+        let mut changed = false;
+        for object in news.iter().filter(|object| !object.spec.is_null()) {
+            changed |= match kind {
+                moves::KIND => self.adopt_moves(object),
+                _ if object.name == HEAD_NAME => self.adopt_settings(object).await?,
+                _ => false,
+            };
         }
-        match kind {
-            moves::KIND => self.adopt_moves(object),
-            _ => self.adopt_settings(object),
+        if let Some(peers) = self.peers.as_ref().filter(|_| changed) {
+            peers.tell();
         }
+        Ok(())
     }
 
     fn adopt_moves(&self, object: &Object) -> bool {
@@ -143,27 +148,30 @@
         news
     }
 
-    fn adopt_settings(&self, object: &Object) -> bool {
-        let tree = object.spec["tree"].as_str().map(toml::from_str::<Tree>);
-        let revision = object.spec["revision"].as_u64().unwrap_or(0);
-        let cause = match tree {
-            Some(Ok(tree)) => {
-                let now = self.shared.now();
-                let enforced = self.settings.offer(now, Source::Store, revision, tree);
-                if let Some(revision) = enforced {
-                    info!(self.log, "settings in force"; "revision" => revision,
-                        "source" => "store");
-                }
-                return enforced.is_some();
-            }
-            Some(Err(err)) => err.to_string(),
-            None => "no tree".to_owned(),
-        };
-        warn!(self.log, "settings refused"; "revision" => revision, "cause" => cause);
-        false
+    async fn adopt_settings(&self, head: &Object) -> Result<bool, LoadError> {
+        let loaded = fetch(&*self.objects, head).await?;
+        let revision = loaded.revision();
+        let now = self.shared.now();
+        let enforced = self
+            .settings
+            .offer(now, Source::Store, revision, loaded.tree);
+        if let Some(revision) = enforced {
+            info!(self.log, "settings in force"; "revision" => revision, "source" => "store");
+        }
+        Ok(enforced.is_some())
     }
 }
 
+/// Reports whether the store forgot where a watch stood.
+fn is_expired(err: &LoadError) -> bool {
+    matches!(
+        err,
+        LoadError::Store {
+            source: StoreError::Expired
+        }
+    )
+}
+
 /// The wait after a failure: doubled each time, with half of it at random, so that a fleet does not
 /// come back in step.
 fn backoff(failures: u32) -> Duration {
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -37,7 +37,7 @@
     peer::{Answers, Held, Peers, Shared},
     platform::Objects,
     runtime::Runtime,
-    settings::{Scope, Snapshot},
+    settings::{Scope, Snapshot, HEAD_KIND},
     wire::{self, Bounds, BoundsSource, Served},
 };
 
@@ -120,7 +120,7 @@
             peers: peers.clone(),
             log: log.clone(),
         };
-        for kind in ["settings", control::moves::KIND] {
+        for kind in [HEAD_KIND, control::moves::KIND] {
             runtime.spawn(follower.clone().follow(kind)).detach();
         }
         let candidate = Arc::new(Candidate::new(
