--- /dev/null
+++ b/crates/cassiareel-bench/src/fleet.rs
@@ -0,0 +1,230 @@
+/*!
+A fleet of nodes in virtual time: who knows of whom, after how long and for how many bytes.
+
+The nodes run the kernel's own membership. Messages take a time drawn from a seed, and some are lost;
+their size is that of their encoding, with the head of an HTTP call or answer.
+*/
+
+use std::{
+    cmp::Reverse, collections::BinaryHeap, collections::HashMap, net::SocketAddr, time::Duration,
+};
+
+use cassiareel::kernel::membership::{Action, Event, Member, Membership, Message, Word, PERIOD};
+use fastrand::Rng;
+
+/// Bytes of the head of a call or an answer.
+const HEAD: usize = 190;
+
+/// A fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Nodes.
+    pub nodes: usize,
+    /// The chance of a message to be lost, from 0 to 1.
+    pub loss: f64,
+    /// The seed.
+    pub seed: u64,
+}
+
+/// Something that happens.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Kind {
+    Tick,
+    /// A message by its place in the table, and whether it is a call.
+    Message(usize, bool),
+}
+
+/// What happens at a time to a node.
+type Due = Reverse<(Duration, u64, usize, Kind)>;
+
+/// A fleet in virtual time.
+pub struct Fleet {
+    nodes: Vec<Option<Membership>>,
+    places: HashMap<SocketAddr, usize>,
+    due: BinaryHeap<Due>,
+    messages: Vec<Option<(usize, Box<Message>)>>,
+    free: Vec<usize>,
+    order: u64,
+    now: Duration,
+    rng: Rng,
+    loss: f64,
+    split: bool,
+    /// Bytes that each node sent.
+    pub sent: Vec<u64>,
+}
+
+fn addr(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8], 7000))
+}
+
+impl Fleet {
+    /// Starts a fleet that knows of one node each.
+    pub fn start(setup: Setup) -> Fleet {
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            places: (0..setup.nodes).map(|i| (addr(i), i)).collect(),
+            due: BinaryHeap::new(),
+            messages: Vec::new(),
+            free: Vec::new(),
+            order: 0,
+            now: Duration::ZERO,
+            rng: Rng::with_seed(setup.seed),
+            loss: setup.loss,
+            split: false,
+            sent: vec![0; setup.nodes],
+        };
+        for i in 0..setup.nodes {
+            let mut node = Membership::new(Member {
+                name: format!("node-{i}").into(),
+                life: 1,
+                addr: addr(i),
+                data_centre: format!("d{}", i % 4).into(),
+                content: 0,
+                word: Word::Live,
+                revision: 0,
+            });
+            let addrs = vec![addr(0), addr(i / 2), addr(i.saturating_sub(1))];
+            node.step(Duration::ZERO, Event::Listed { addrs });
+            fleet.nodes.push(Some(node));
+            let first = PERIOD.mul_f64(fleet.rng.f64());
+            fleet.push(first, i, Kind::Tick);
+        }
+        fleet
+    }
+
+    /// The time since the start.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// Kills a node: it neither sends nor answers.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node] = None;
+    }
+
+    /// Cuts the first half of the nodes from the second, or joins them.
+    pub fn split(&mut self, split: bool) {
+        self.split = split;
+    }
+
+    /// Gives a node another revision of the settings.
+    pub fn enforce(&mut self, node: usize, revision: u64) {
+        let word = Word::Live;
+        self.give(node, Event::Changed { word, revision });
+    }
+
+    /// The live nodes as a node sees them, itself apart.
+    pub fn others(&self, node: usize) -> Option<usize> {
+        self.nodes[node].as_ref().map(|n| n.others().count())
+    }
+
+    /// Live nodes that still hold `dead` for a member.
+    pub fn holding(&self, dead: usize) -> usize {
+        let name = format!("node-{dead}");
+        let holds = |n: &Membership| n.others().any(|m| *m.name == *name);
+        self.nodes.iter().flatten().filter(|n| holds(n)).count()
+    }
+
+    /// Live nodes that don't know `node` to have a revision.
+    pub fn without(&self, node: usize, revision: u64) -> usize {
+        let name = format!("node-{node}");
+        let knows = |n: &Membership| {
+            let mut all = n.others().chain([n.me()]);
+            all.any(|m| *m.name == *name && m.revision >= revision)
+        };
+        self.nodes.iter().flatten().filter(|n| !knows(n)).count()
+    }
+
+    /// Runs for a while, or until a condition holds; true if it does.
+    pub fn run<F>(&mut self, limit: Duration, until: F) -> bool
+    where
+        F: Fn(&Fleet) -> bool,
+    {
+        let end = self.now + limit;
+        let mut look = self.now;
+        while let Some(Reverse((at, ..))) = self.due.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, _, node, kind))) = self.due.pop() else {
+                break;
+            };
+            self.now = at;
+            self.happen(node, kind);
+            if self.now >= look {
+                look = self.now + Duration::from_millis(20);
+                if until(self) {
+                    return true;
+                }
+            }
+        }
+        self.now = end;
+        until(self)
+    }
+
+    fn push(&mut self, at: Duration, node: usize, kind: Kind) {
+        self.order += 1;
+        self.due.push(Reverse((at, self.order, node, kind)));
+    }
+
+    fn happen(&mut self, node: usize, kind: Kind) {
+        match kind {
+            Kind::Tick => {
+                if self.nodes[node].is_some() {
+                    let random = self.rng.u64(..);
+                    self.give(node, Event::Tick { random });
+                    self.push(self.now + PERIOD, node, Kind::Tick);
+                }
+            }
+            Kind::Message(place, answer) => {
+                self.free.push(place);
+                if let Some((_, message)) = self.messages[place].take() {
+                    self.give(node, Event::Heard { message, answer });
+                }
+            }
+        }
+    }
+
+    fn give(&mut self, node: usize, event: Event) {
+        let from = match &event {
+            Event::Heard { message, .. } => self.places.get(&message.from.addr).copied(),
+            _ => None,
+        };
+        let now = self.now;
+        let Some(machine) = &mut self.nodes[node] else {
+            return;
+        };
+        for action in machine.step(now, event) {
+            match action {
+                Action::Send { to, message } => {
+                    if let Some(&to) = self.places.get(&to) {
+                        self.send(node, to, message, true);
+                    }
+                }
+                Action::Answer { message } => {
+                    if let Some(to) = from {
+                        self.send(node, to, message, false);
+                    }
+                }
+                Action::Members => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message, call: bool) {
+        let bytes = rmp_serde::to_vec(&message).map_or(0, |bytes| bytes.len());
+        self.sent[from] += (bytes + HEAD) as u64;
+        let half = self.nodes.len() / 2;
+        let cut = self.split && (from < half) != (to < half);
+        if cut || self.rng.f64() < self.loss {
+            return;
+        }
+        let place = self.free.pop().unwrap_or_else(|| {
+            self.messages.push(None);
+            self.messages.len() - 1
+        });
+        self.messages[place] = Some((from, Box::new(message)));
+        let takes = Duration::from_micros(self.rng.u64(300..3000));
+        self.push(self.now + takes, to, Kind::Message(place, call));
+    }
+}
--- a/crates/cassiareel-bench/src/lib.rs
+++ b/crates/cassiareel-bench/src/lib.rs
@@ -3,11 +3,13 @@
 
 The binaries measure; the library holds what they share: a least-squares [`fit`], whose slopes the
 capacity page multiplies by the sizes, readings of this [`process`], a [`model`] of engines in
-virtual time, and [`moves`] in virtual time.
+virtual time, and a
+[`fleet`] and its [`moves`] in virtual time.
 */
 
 pub mod compare;
 pub mod fit;
+pub mod fleet;
 pub mod model;
 pub mod moves;
 pub mod plot;
--- a/crates/cassiareel/src/control/clock.rs
+++ b/crates/cassiareel/src/control/clock.rs
@@ -4,7 +4,12 @@
 
 /// Seconds since 1970; 0 on a VM whose clock is before that.
 pub fn wall_seconds() -> u64 {
+    wall_millis() / 1000
+}
+
+/// Milliseconds since 1970; 0 on a VM whose clock is before that.
+pub fn wall_millis() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_secs())
+        .map_or(0, |since| since.as_millis() as u64)
 }
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -27,6 +27,9 @@
     settings::{Resolved, Route},
 };
 
+/// The lowest status by which an engine says that it failed.
+const SERVER_ERROR: u16 = 500;
+
 /// What a driver tells the handler that waits for the answer.
 #[derive(Debug)]
 pub(super) enum Signal {
@@ -223,7 +226,7 @@
     /// Counts a fault of the version where the caller did not cause it.
     fn blame(&self, err: &StreamError) {
         let callers = matches!(err, StreamError::Refused { status, .. }
-            if !crate::backend::is_transient(*status));
+            if *status < SERVER_ERROR && !crate::backend::is_transient(*status));
         if !callers {
             self.driver.watch.end(Outcome::Error, &self.server());
         }
--- a/crates/cassiareel/src/kernel/membership/machine.rs
+++ b/crates/cassiareel/src/kernel/membership/machine.rs
@@ -187,6 +187,11 @@
             .count()
     }
 
+    /// The latest life of a name that has ended, if one did of late.
+    pub fn ended(&self, name: &str) -> Option<Incarnation> {
+        self.dead.get(name).map(|(life, ..)| *life)
+    }
+
     /// Reports whether this node is among the first `count` of its data centre, by a hash that
     /// spreads the duty; nodes that leave are passed over.
     pub fn is_among_first(&self, duty: &str, count: usize) -> bool {
@@ -215,7 +220,7 @@
     }
 
     fn tick(&mut self, now: Time, random: u64) -> Vec<Action> {
-        self.ticks += 1;
+        self.ticks = (self.ticks + 1) % RETRY_EVERY;
         // After a pause of its own a node has heard nobody, which says nothing of them.
         if now > self.last + SILENCE {
             for known in self.known.values_mut() {
@@ -326,7 +331,7 @@
         if !others.is_empty() {
             to.push(others[random as usize % others.len()].addr);
         }
-        if self.ticks % RETRY_EVERY == 1 || others.is_empty() {
+        if self.ticks == 0 || others.is_empty() {
             let met = |addr: &SocketAddr| others.iter().any(|m| m.addr == *addr);
             let away: Vec<SocketAddr> = self
                 .listed
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -6,6 +6,7 @@
 [`Node::stop`].
 */
 
+mod fleet;
 mod follow;
 mod mount;
 mod options;
@@ -24,20 +25,17 @@
 pub use mount::Mounts;
 pub use options::Options;
 
-use follow::Follower;
+use fleet::Fleet;
 
 use crate::{
-    control::{self, lease::Candidate},
-    front::{Front, Parts},
-    kernel::{
-        lease::Terms,
-        membership::{Member, Word},
-        DataCentreId,
-    },
-    peer::{Answers, Held, Peers, Shared},
+    control::lease::Candidate,
+    front::{Front, NodeStatus, Operator, Parts, StatusSource, OPERATOR_PATH},
+    kernel::DataCentreId,
+    observe::Recent,
+    peer::{Answers, Peers, Shared},
     platform::Objects,
     runtime::Runtime,
-    settings::{Scope, Snapshot, HEAD_KIND},
+    settings::{Scope, Snapshot},
     wire::{self, Bounds, BoundsSource, Served},
 };
 
@@ -48,20 +46,12 @@
     open: Arc<mount::Open>,
     callers: Option<Served>,
     control: Served,
-    peers: Option<Arc<Peers>>,
-    candidate: Arc<Candidate>,
-    moves: Arc<Shared>,
+    fleet: Fleet,
     log: Logger,
     // INVARIANT: dropped last, with every task of the node.
     runtime: Runtime,
 }
 
-/// The duty of candidates for the controller's lease.
-const DUTY: &str = "control";
-
-/// Candidates in a data centre.
-const CANDIDATES: usize = 1;
-
 /// Time between looks at the open requests of a node that stops.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -72,14 +62,13 @@
     ///
     /// Fails when an address can't be bound.
     pub fn start(options: Options, objects: Arc<dyn Objects>, log: &Logger) -> io::Result<Node> {
-        let log = log.new(o!("node" => options.name.to_string()));
+        let recent = Recent::new();
+        let log = recent.tee(&log.new(o!("node" => options.name.to_string())));
         let runtime = Runtime::new(&options.name, options.threads);
         let spawner = runtime.spawner();
         let settings = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
         let open = Arc::new(mount::Open::default());
         let shared = Arc::new(Shared::new());
-        let alone = options.keys.is_none() || options.peers.is_empty();
-        let held = Arc::new(Held::new(settings.clone(), alone));
         let parts = Parts::new(
             settings.clone(),
             options.data_centre.clone(),
@@ -91,53 +80,24 @@
         .with_moves(shared.clone());
         let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
-        let mut control = Mounts::new(open.clone(), settings.clone());
+        let status = status(&options, settings.clone(), open.clone());
+        let operator = Operator::new(settings.clone(), recent, status);
+        let mut control =
+            Mounts::new(open.clone(), settings.clone()).with(OPERATOR_PATH, Arc::new(operator));
         let listener = smol::block_on(TcpListener::bind(options.control))?;
-        let life = control::wall_seconds();
-        let me = Member {
-            name: options.name.clone(),
-            life,
-            addr: listener.local_addr()?,
-            data_centre: options.data_centre.clone(),
-            content: 0,
-            word: Word::Live,
-            revision: 0,
-        };
-        let peers = options.keys.clone().map(|keys| {
-            let seeds = options.peers.clone();
-            let spawner = runtime.spawner();
-            let log = log.clone();
-            Peers::new(me, seeds, shared.clone(), held.clone(), keys, spawner, log)
-        });
-        if let Some(peers) = &peers {
+        let addr = listener.local_addr()?;
+        let fleet = Fleet::start(
+            &options,
+            addr,
+            &runtime,
+            settings.clone(),
+            shared,
+            objects,
+            &log,
+        );
+        if let Some(peers) = &fleet.peers {
             control = control.with("/peer/", Arc::new(Answers(peers.clone())));
-            runtime.spawn(peers.clone().run()).detach();
-        }
-        let follower = Follower {
-            objects: objects.clone(),
-            settings: held,
-            shared: shared.clone(),
-            peers: peers.clone(),
-            log: log.clone(),
-        };
-        for kind in [HEAD_KIND, control::moves::KIND] {
-            runtime.spawn(follower.clone().follow(kind)).detach();
         }
-        let candidate = Arc::new(Candidate::new(
-            options.name.clone(),
-            life,
-            Terms::default(),
-            objects.clone(),
-            log.clone(),
-        ));
-        let judge = control::judge::run(shared.clone(), peers.clone(), log.clone());
-        runtime.spawn(judge).detach();
-        let record =
-            control::judge::record(objects, shared.clone(), candidate.clone(), log.clone());
-        runtime.spawn(record).detach();
-        let (own, duty) = (candidate.clone(), peers.clone());
-        let wanted = move || duty.as_ref().is_none_or(|p| p.has_duty(DUTY, CANDIDATES));
-        runtime.spawn(async move { own.run(wanted).await }).detach();
         let bounds = bounds(settings.clone(), options.data_centre.clone());
         let callers = serve(&runtime, options.listen, bounds, callers)?;
         let control = wire::serve(
@@ -154,9 +114,7 @@
             open,
             callers: Some(callers),
             control,
-            peers,
-            candidate,
-            moves: shared,
+            fleet,
             log,
             runtime,
         })
@@ -184,17 +142,17 @@
 
     /// The node's peers; none for a node that works alone.
     pub fn peers(&self) -> Option<&Arc<Peers>> {
-        self.peers.as_ref()
+        self.fleet.peers.as_ref()
     }
 
     /// The node's view of moves.
     pub fn moves(&self) -> &Arc<Shared> {
-        &self.moves
+        &self.fleet.moves
     }
 
     /// The node's candidacy for the controller's lease.
     pub fn candidate(&self) -> &Arc<Candidate> {
-        &self.candidate
+        &self.fleet.candidate
     }
 
     /// The node's threads, for tests that freeze it.
@@ -208,7 +166,7 @@
     /// between this and [`Node::stop`].
     pub fn leave(&self) {
         self.open.leave();
-        if let Some(peers) = &self.peers {
+        if let Some(peers) = &self.fleet.peers {
             peers.leave();
         }
         info!(self.log, "leaving"; "open" => self.open.count());
@@ -231,6 +189,24 @@
     }
 }
 
+/// What tells operators the status of a node.
+fn status(
+    options: &Options,
+    settings: Arc<ArcSwap<Snapshot>>,
+    open: Arc<mount::Open>,
+) -> StatusSource {
+    let (name, data_centre) = (options.name.clone(), options.data_centre.clone());
+    let start = Instant::now();
+    Arc::new(move || NodeStatus {
+        name: name.clone(),
+        data_centre: data_centre.clone(),
+        revision: settings.load().revision,
+        leaving: open.is_leaving(),
+        open: open.count(),
+        uptime: start.elapsed().as_secs(),
+    })
+}
+
 /// Binds an address and serves it.
 fn serve(
     runtime: &Runtime,
