--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -9,11 +9,12 @@
 
 use super::{
     answer::Shape,
+    choose::Arrival,
     generate::{Driver, Signal},
-    service, Endpoint, Parts, Prompt, Refusal,
+    order, service, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
-    kernel::RequestId,
+    kernel::{moves, routing, RequestId},
     peer::Watch,
     settings::{Identity, Route, Scope, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
@@ -109,6 +110,15 @@
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()),
         );
+        let chooser = &self.parts.chooser;
+        let prefix = routing::blocks(&prompt.text);
+        let arrival = Arrival {
+            identity,
+            route: &route,
+            path: endpoint.path(),
+            ask: chooser.ask(prefix.clone(), prompt.text.len(), 0, prompt.tokens),
+        };
+        let admitted = chooser.admit(arrival).await?;
         let (reader, out) = match prompt.stream {
             true => {
                 let (reader, writer) = piper::pipe(OUT_BYTES);
@@ -129,6 +139,8 @@
             log,
             out,
             signal,
+            admitted,
+            prefix,
         };
         self.parts.spawner.spawn(driver.run()).detach();
         match reader {
@@ -176,6 +188,25 @@
             "service" => route.service.to_string()));
         let body = self.body(req, snapshot).await?;
         let call = service::read(req, &format!("/{path}"), name, body);
+        if !route.idempotent && !is_safe(call.method) {
+            let key = order::key(req)?;
+            let policy = snapshot.tree.resolve(&Scope {
+                service: Some(&route.service),
+                version: Some(&route.version),
+                account: Some(&identity.account),
+                caller: Some(&identity.caller),
+                ..self.parts.scope()
+            });
+            let parts = &self.parts;
+            let answer = order::call(parts, identity, route, &policy, call, &key, log).await;
+            // The backend server is not known here: an order is one incident in any case.
+            match &answer {
+                Ok(res) if !res.status().is_server_error() => watch.whole(1, ""),
+                Err(refusal) if !refusal.is_unknown() => {}
+                _ => watch.end(moves::Outcome::Error, &key),
+            }
+            return answer;
+        }
         service::call(&self.parts.chooser, &route, &call, &watch, &log)
             .await
             .map(service::response)
@@ -188,6 +219,11 @@
     }
 }
 
+/// Reports whether a method only looks (RFC 9110, section 9.2.1).
+fn is_safe(method: Method) -> bool {
+    matches!(method, Method::Get | Method::Head | Method::Options)
+}
+
 /// Turns a body that could not be read into a refusal.
 fn body_refusal(err: &BodyError) -> Refusal {
     let status = match err {
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -6,21 +6,21 @@
 };
 
 use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
-use slog::{info, Logger};
+use slog::{info, o, Logger};
 use smol::Timer;
 
 use super::{
     answer::{Shape, Usage},
-    choose::Place,
-    Parts, Prompt, Refusal,
+    choose::{log_decision, Admitted, Place},
+    Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
+    engines::Decision,
     hooks::{self, Step},
     kernel::{
         generation::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend},
-        moves::Outcome,
-        Attempt, RequestId, Time, TokenId,
+        health, moves, Attempt, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
     peer::Watch,
@@ -59,6 +59,10 @@
     /// Where a streamed answer goes; an answer that is not streamed is gathered.
     pub(super) out: Option<piper::Writer>,
     pub(super) signal: async_channel::Sender<Signal>,
+    /// The request's place within the limits and its first backend server.
+    pub(super) admitted: Admitted,
+    /// Chained hashes of the prompt's blocks.
+    pub(super) prefix: Vec<u64>,
 }
 
 /// The state of a driver at work.
@@ -74,12 +78,19 @@
     text_bytes: usize,
     prompt_tokens: u32,
     refused: Option<Refusal>,
+    abandoned: bool,
     buf: Vec<u8>,
 }
 
 /// Time for an engine to begin its answer's head.
 const ENGINE_HEAD: Duration = Duration::from_secs(10);
 
+/// Shortest time without a token after which an engine may count as silent.
+const SILENCE_FLOOR: Duration = Duration::from_millis(1200);
+
+/// Time for an engine to take up a live stream again.
+const ATTACH: Duration = Duration::from_millis(150);
+
 /// Time that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -89,7 +100,9 @@
         let limits = Limits {
             queue: self.policy.time.queue,
             first: self.policy.time.first_token,
+            floor: SILENCE_FLOOR.min(self.policy.time.between_tokens),
             between: self.policy.time.between_tokens,
+            attach: ATTACH,
             retry: self.policy.retries.pause,
             attempts: self.policy.retries.attempts,
         };
@@ -106,6 +119,7 @@
             text_bytes: 0,
             prompt_tokens: 0,
             refused: None,
+            abandoned: false,
             buf: Vec::new(),
         };
         work.perform(actions).await;
@@ -205,6 +219,16 @@
             .count(Counter::LostAttempts, 1, &[service]);
         info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
         self.blame(err);
+        if let Some(place) = &mut self.place {
+            match err {
+                // An engine that refuses is there; that it is full is known by its load.
+                StreamError::Refused { .. } => {}
+                StreamError::Malformed { .. } => place.note(health::Outcome::Fault),
+                StreamError::NotSent { .. } | StreamError::Lost { .. } => {
+                    place.note(health::Outcome::Lost);
+                }
+            }
+        }
         let how = match err {
             StreamError::Refused { status, message } => {
                 if !crate::backend::is_transient(*status) {
@@ -228,7 +252,7 @@
         let callers = matches!(err, StreamError::Refused { status, .. }
             if *status < SERVER_ERROR && !crate::backend::is_transient(*status));
         if !callers {
-            self.driver.watch.end(Outcome::Error, &self.server());
+            self.driver.watch.end(moves::Outcome::Error, &self.server());
         }
     }
 
@@ -259,6 +283,7 @@
         match action {
             Action::Choose { attempt, exclude } => Some(self.choose(attempt, &exclude)),
             Action::Open { attempt, .. } => self.open(attempt).await,
+            Action::Attach { attempt, .. } => self.attach(attempt).await,
             Action::Cancel { attempt, .. } => {
                 self.cancel(attempt);
                 None
@@ -277,15 +302,16 @@
 
     fn choose(&mut self, attempt: Attempt, exclude: &[crate::kernel::BackendId]) -> Event {
         self.pieces = None;
-        self.place = self
-            .driver
-            .parts
-            .chooser
-            .choose(&self.driver.route, exclude);
+        let (decision, place) = match self.driver.admitted.first.take() {
+            Some((decision, place)) => (decision, Some(place)),
+            None => self.choose_again(exclude),
+        };
+        self.place = place;
+        let log = self.driver.log.new(
+            o!("attempt" => attempt, "excluded" => exclude.join(" "), "tokens" => self.tokens.len()),
+        );
+        log_decision(&log, &self.driver.route, &decision);
         let chosen = self.place.as_ref().map(|place| place.addr.to_string());
-        info!(self.driver.log, "routed"; "attempt" => attempt, "version" => &*self.driver.route.version,
-            "choice" => chosen.as_deref(), "excluded" => exclude.join(" "),
-            "candidates" => self.driver.route.servers.len());
         match chosen {
             Some(backend) => Event::Chosen {
                 attempt,
@@ -302,6 +328,23 @@
         }
     }
 
+    /// Chooses for an attempt that goes on after the tokens so far.
+    fn choose_again(&self, exclude: &[crate::kernel::BackendId]) -> (Decision, Option<Place>) {
+        let Driver {
+            parts,
+            prompt,
+            prefix,
+            route,
+            ..
+        } = &self.driver;
+        let got = self.tokens.len() as u32;
+        let ask = parts
+            .chooser
+            .ask(prefix.clone(), prompt.text.len(), got, prompt.tokens);
+        let path = prompt.endpoint.path();
+        parts.chooser.resume(route, path, &ask, exclude)
+    }
+
     async fn open(&mut self, attempt: Attempt) -> Option<Event> {
         self.pass(Step::AttemptChosen).await;
         let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
@@ -330,12 +373,45 @@
         }
     }
 
+    /// Takes up the live stream of an attempt whose connection was lost.
+    async fn attach(&mut self, attempt: Attempt) -> Option<Event> {
+        self.pieces = None;
+        let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
+        let from = self.machine.position();
+        let attached = async {
+            engine
+                .attach(&self.driver.id, attempt, from, self.text_bytes)
+                .await
+                .map_err(|err| err.to_string())
+        };
+        let bound = async {
+            Timer::after(ATTACH).await;
+            Err(format!("no answer within {ATTACH:?}"))
+        };
+        match attached.or(bound).await {
+            Ok(pieces) => {
+                info!(self.driver.log, "live stream taken up again"; "attempt" => attempt, "from" => from);
+                self.pieces = Some(pieces);
+                Some(Event::Attached { attempt })
+            }
+            Err(cause) => {
+                info!(self.driver.log, "live stream is gone"; "attempt" => attempt, "cause" => cause);
+                let how = Loss::Reset;
+                Some(Event::Lost { attempt, how })
+            }
+        }
+    }
+
     /// Cancels an attempt in the background: the next one doesn't wait for it.
     fn cancel(&mut self, attempt: Attempt) {
         self.pieces = None;
-        let Some(place) = self.place.take() else {
+        let Some(mut place) = self.place.take() else {
             return;
         };
+        // An attempt that is cancelled for another reason than its caller was lost.
+        if !self.abandoned {
+            place.note(health::Outcome::Lost);
+        }
         let id = self.driver.id.clone();
         let cancel = async move {
             let engine = HttpEngine::new(place.addr, ENGINE_HEAD);
@@ -347,6 +423,9 @@
     async fn emit(&mut self, ids: Vec<TokenId>, text: &str) -> Option<Event> {
         self.pass(Step::TokensTaken).await;
         let first = self.tokens.is_empty();
+        if let Some(place) = &mut self.place {
+            place.first_token();
+        }
         let service = &*self.driver.route.service;
         if first {
             let tags = [("service", service)];
@@ -370,6 +449,7 @@
         self.buf.clear();
         self.driver.shape.text(&mut self.buf, text, first);
         if out.write_all(&self.buf).await.is_err() {
+            self.abandoned = true;
             return Some(Event::Abandoned);
         }
         self.pass(Step::TokensPassed).await;
@@ -383,7 +463,13 @@
         if matches!(ending, Ending::Complete(_)) {
             self.driver.watch.whole(tokens, &self.server());
         }
+        if let (Ending::Complete(_), Some(place)) = (ending, &mut self.place) {
+            place.note(health::Outcome::Success);
+        }
         self.place = None;
+        let used = u64::from(self.prompt_tokens + tokens);
+        let now = self.driver.parts.chooser.now();
+        self.driver.admitted.permit.settle(now, used);
         self.pieces = None;
         let usage = Usage::new(self.prompt_tokens, tokens);
         self.count(ending, tokens);
@@ -406,7 +492,9 @@
                 let words = format!(
                     "the answer is whole up to token {tokens} and can't go on; ask again for the rest"
                 );
-                let refusal = Refusal::busy(words, RETRY_AFTER).with_code("partial");
+                let refusal = Refusal::busy(words, RETRY_AFTER)
+                    .with_code("partial")
+                    .with_outcome(Outcome::Ran);
                 self.write_error(&refusal).await;
                 Signal::Refused(refusal)
             }
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -8,9 +8,11 @@
 use super::Chooser;
 use crate::{
     hooks::{Hooks, NoHooks},
-    kernel::DataCentreId,
+    kernel::{DataCentreId, NodeId},
     observe::Metrics,
+    orders::Orders,
     peer::Shared,
+    platform::Objects,
     runtime::Spawner,
     settings::{Scope, Snapshot},
 };
@@ -31,8 +33,10 @@
     pub hooks: Arc<dyn Hooks>,
     /// Moves between versions, and the counts that they are judged by.
     pub moves: Arc<Shared>,
+    /// Non-idempotent calls; none where no store keeps their records.
+    pub(super) orders: Option<Orders>,
     /// What chooses backend servers.
-    pub(super) chooser: Chooser,
+    pub(super) chooser: Arc<Chooser>,
 }
 
 impl Parts {
@@ -43,6 +47,7 @@
         spawner: Spawner,
         log: Logger,
     ) -> Parts {
+        let chooser = Chooser::new(settings.clone(), data_centre.clone(), &spawner, log.clone());
         Parts {
             settings,
             data_centre,
@@ -51,7 +56,8 @@
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
             moves: Arc::new(Shared::new()),
-            chooser: Chooser::new(),
+            orders: None,
+            chooser,
         }
     }
 
@@ -63,6 +69,28 @@
         }
     }
 
+    /// Tells which nodes share the backend servers: those of the platform's list of VMs.
+    pub fn set_nodes(&self, nodes: Vec<NodeId>, own: NodeId) {
+        self.chooser.set_nodes(nodes, own);
+    }
+
+    /// Requests that wait for a backend server.
+    pub fn waiting(&self) -> usize {
+        self.chooser.waiting()
+    }
+
+    /// Keeps records of non-idempotent calls in `objects`, with the metrics and hooks set so far.
+    pub fn with_orders(mut self, objects: Arc<dyn Objects>) -> Parts {
+        self.orders = Some(Orders::new(
+            objects,
+            self.spawner.clone(),
+            self.hooks.clone(),
+            self.metrics.clone(),
+            self.log.clone(),
+        ));
+        self
+    }
+
     /// Sends figures to `metrics`.
     pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Parts {
         self.metrics = metrics;
--- a/crates/cassiareel/src/front/refusal.rs
+++ b/crates/cassiareel/src/front/refusal.rs
@@ -50,6 +50,11 @@
 }
 
 impl Refusal {
+    /// Reports whether the work may have run.
+    pub(super) fn is_unknown(&self) -> bool {
+        self.outcome == Outcome::Unknown
+    }
+
     /// A refusal with a status and words, of work that did not run.
     pub fn new(status: StatusCode, message: impl Into<String>) -> Refusal {
         let kind = match status {
@@ -86,6 +91,14 @@
         }
     }
 
+    /// A refusal over a limit, that asks to try again after a time.
+    pub fn limited(message: impl Into<String>, retry: Duration) -> Refusal {
+        Refusal {
+            retry: Some(retry),
+            ..Refusal::new(StatusCode::TooManyRequests, message)
+        }
+    }
+
     /// Sets the code that programs look at.
     pub fn with_code(mut self, code: &'static str) -> Refusal {
         self.code = Some(code);
--- a/crates/cassiareel/src/front/service.rs
+++ b/crates/cassiareel/src/front/service.rs
@@ -8,7 +8,7 @@
 use super::{Chooser, Outcome, Refusal};
 use crate::{
     backend::{Answer, Call, CallError, HttpService, Service},
-    kernel::moves,
+    kernel::{health, moves},
     peer::Watch,
     settings::Route,
 };
@@ -30,18 +30,23 @@
     watch: &Watch,
     log: &Logger,
 ) -> Result<Answer, Refusal> {
-    let Some(place) = chooser.choose(route, &[]) else {
+    let Some(mut place) = chooser.choose(route, &[], log) else {
         return Err(Refusal::busy(
             "no backend server can take the call now",
             RETRY_AFTER,
         ));
     };
-    info!(log, "routed"; "version" => &*route.version, "choice" => %place.addr);
     let service = HttpService::new(place.addr, SERVICE_HEAD);
-    let server = place.addr.to_string();
     let answer = service.call(call).await;
-    match &answer {
-        Ok(answer) if answer.status < SERVER_ERROR => watch.whole(1, &server),
+    let server = place.addr.to_string();
+    let noted = match &answer {
+        Ok(answer) if answer.status >= SERVER_ERROR => health::Outcome::Fault,
+        Ok(_) => health::Outcome::Success,
+        Err(_) => health::Outcome::Lost,
+    };
+    place.note(noted);
+    match noted {
+        health::Outcome::Success => watch.whole(1, &server),
         _ => watch.end(moves::Outcome::Error, &server),
     }
     answer.map_err(|err| {
--- /dev/null
+++ b/crates/cassiareel/src/kernel/generation/pace_tests.rs
@@ -0,0 +1,44 @@
+//! An engine is judged by its own pace.
+
+use std::time::Duration;
+
+use test_case::test_case;
+
+use super::Pace;
+
+const FLOOR: Duration = Duration::from_millis(1200);
+const CEILING: Duration = Duration::from_secs(10);
+
+struct Case {
+    before_ms: u64,
+    after_ms: u64,
+}
+
+#[test_case(&Case { before_ms: 42, after_ms: 420 }; "an engine becomes ten times slower")]
+#[test_case(&Case { before_ms: 42, after_ms: 1100 }; "an engine becomes twenty five times slower")]
+#[test_case(&Case { before_ms: 420, after_ms: 420 }; "an engine is slow from the start")]
+#[test_case(&Case { before_ms: 900, after_ms: 2000 }; "a very slow engine becomes slower")]
+fn slow_is_not_silent(case: &Case) {
+    let mut pace = Pace::default();
+    let mut now = Duration::ZERO;
+    for i in 0..200 {
+        let gap = if i < 100 {
+            case.before_ms
+        } else {
+            case.after_ms
+        };
+        let gap = Duration::from_millis(gap);
+        assert!(gap < pace.patience(FLOOR, CEILING) || i < 2, "token {i}");
+        now += gap;
+        pace.arrived(now);
+    }
+}
+
+#[test]
+fn silence_is_seen_within_two_seconds() {
+    let mut pace = Pace::default();
+    for i in 0..100 {
+        pace.arrived(Duration::from_millis(42 * i));
+    }
+    assert!(pace.patience(FLOOR, CEILING) < Duration::from_secs(2));
+}
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -16,6 +16,7 @@
 pub mod lease;
 pub mod membership;
 pub mod moves;
+pub mod order;
 pub mod revision;
 pub mod routing;
 
