--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -85,7 +85,7 @@
         let operator = Operator::new(settings.clone(), recent, status);
         let mut control =
             Mounts::new(open.clone(), settings.clone()).with(OPERATOR_PATH, Arc::new(operator));
-        let listener = smol::block_on(TcpListener::bind(options.control))?;
+        let listener = wire::listen(options.control)?;
         let addr = listener.local_addr()?;
         let fleet = Fleet::start(
             &options,
