--- a/crates/cassiareel-standins/src/demo/deployment.rs
+++ b/crates/cassiareel-standins/src/demo/deployment.rs
@@ -20,7 +20,7 @@
 use super::{tree, ACCOUNT};
 use crate::{
     engine::{Engine, EngineOptions},
-    fleet::publish,
+    fleet::{peer_keys, publish},
     objects::{ObjectApi, Rates},
     service::{Ledger, PlainService},
 };
@@ -189,18 +189,20 @@
     }
     let api = Arc::new(HttpObjects::new(objects.addr()));
     let keyring = Arc::new(Keyring::new(&[(1, super::KEY.as_bytes())]));
-    (0..NODES)
-        .map(|i| {
-            let data_centre = &data_centres[i % data_centres.len()];
-            let options = Options {
-                listen: loopback(ports.callers, i),
-                control: loopback(ports.control, i),
-                keyring: keyring.clone(),
-                ..Options::new(&format!("node-{}", i + 1), data_centre)
-            };
-            Node::start(options, api.clone(), log).map(Some)
-        })
-        .collect()
+    let mut nodes: Vec<Option<Node>> = Vec::new();
+    for i in 0..NODES {
+        let data_centre = &data_centres[i % data_centres.len()];
+        let options = Options {
+            listen: loopback(ports.callers, i),
+            control: loopback(ports.control, i),
+            peers: nodes.iter().flatten().map(Node::control).collect(),
+            keys: Some(peer_keys()),
+            keyring: keyring.clone(),
+            ..Options::new(&format!("node-{}", i + 1), data_centre)
+        };
+        nodes.push(Some(Node::start(options, api.clone(), log)?));
+    }
+    Ok(nodes)
 }
 
 /// The loopback address of the `i`th port from `first` on, or of a free one.
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -15,10 +15,11 @@
 };
 use crate::{
     kernel::{
-        routing,
+        moves, routing,
         ticket::{Binding, TextDigest, Ticket},
         RequestId,
     },
+    peer::Watch,
     settings::{Identity, Route, Scope, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
 };
@@ -100,14 +101,18 @@
     ) -> Result<Response, Refusal> {
         let body = self.body(req, snapshot).await?;
         let prompt = Prompt::parse(endpoint, &body)?;
-        let mut route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
         let ticket = self.ticket(req, identity, &prompt)?;
-        if let Some(ticket) = &ticket {
-            // A generation stays on its version for life, whatever the settings say by now.
-            route = snapshot
-                .pin(route, &ticket.version)
-                .ok_or_else(|| gone(ticket))?;
-        }
+        let (route, watch) = match &ticket {
+            // A generation stays on its version for life, whatever settings and moves say by now,
+            // and was counted where it began.
+            Some(ticket) => {
+                let watch = self.parts.moves.unwatched(&route.service);
+                let pinned = snapshot.pin(route, &ticket.version);
+                (pinned.ok_or_else(|| gone(ticket))?, watch)
+            }
+            None => self.watch(snapshot, identity, route, req.url().path(), name),
+        };
         let policy = snapshot.tree.resolve(&Scope {
             service: Some(&route.service),
             version: Some(&route.version),
@@ -147,6 +152,7 @@
             shape: shape.clone(),
             prompt,
             route,
+            watch,
             parts: self.parts.clone(),
             policy,
             identity: identity.clone(),
@@ -194,6 +200,20 @@
         Ok(Some(ticket))
     }
 
+    /// Gives a request its version by the moves in force.
+    fn watch(
+        &self,
+        snapshot: &Snapshot,
+        identity: &Identity,
+        route: Route,
+        path: &str,
+        request: &str,
+    ) -> (Route, Watch) {
+        let centre = &self.parts.data_centre;
+        let moves = &self.parts.moves;
+        moves.watch(snapshot, identity, route, path, request, centre)
+    }
+
     /// Reads a request's whole body, within the bounds of the node's data centre.
     async fn body(&self, req: &mut Request, snapshot: &Snapshot) -> Result<Vec<u8>, Refusal> {
         let bounds = snapshot.tree.resolve(&self.parts.scope()).bounds;
@@ -213,6 +233,7 @@
     ) -> Result<Response, Refusal> {
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
         let route = route(snapshot, identity, service, ServiceKind::Plain)?;
+        let (route, watch) = self.watch(snapshot, identity, route, path, name);
         let log = self.parts.log.new(o!("request" => name.to_owned(),
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()));
@@ -227,9 +248,17 @@
                 caller: Some(&identity.caller),
                 ..self.parts.scope()
             });
-            return order::call(&self.parts, identity, route, &policy, call, &key, log).await;
+            let parts = &self.parts;
+            let answer = order::call(parts, identity, route, &policy, call, &key, log).await;
+            // The backend server is not known here: an order is one incident in any case.
+            match &answer {
+                Ok(res) if !res.status().is_server_error() => watch.whole(1, ""),
+                Err(refusal) if !refusal.is_unknown() => {}
+                _ => watch.end(moves::Outcome::Error, &key),
+            }
+            return answer;
         }
-        service::call(&self.parts.chooser, &route, &call, &log)
+        service::call(&self.parts.chooser, &route, &call, &watch, &log)
             .await
             .map(service::response)
     }
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -1,6 +1,7 @@
 //! The driver of one generation: carries out the machine's actions.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -12,6 +13,7 @@
 use super::{
     answer::{Shape, Usage},
     choose::{log_decision, Admitted, Place},
+    probe::until_silent,
     Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
@@ -22,14 +24,18 @@
         generation::{
             Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend, Resume,
         },
-        health,
+        health, moves,
         ticket::{Binding, TextDigest, Ticket},
         Attempt, BackendId, Position, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
+    peer::Watch,
     settings::{Identity, Resolved, Route},
 };
 
+/// The lowest status by which an engine says that it failed.
+const SERVER_ERROR: u16 = 500;
+
 /// What a driver tells the handler that waits for the answer.
 #[derive(Debug)]
 pub(super) enum Signal {
@@ -50,6 +56,7 @@
     pub(super) id: RequestId,
     pub(super) prompt: Prompt,
     pub(super) route: Route,
+    pub(super) watch: Watch,
     pub(super) shape: Shape,
     /// The caller, for tickets.
     pub(super) identity: Identity,
@@ -90,6 +97,8 @@
     digest: TextDigest,
     prompt_tokens: u32,
     refused: Option<Refusal>,
+    /// The engine, while its attempt's first token is awaited.
+    probed: Option<SocketAddr>,
     buf: Vec<u8>,
 }
 
@@ -144,6 +153,7 @@
             text: known,
             prompt_tokens: 0,
             refused: None,
+            probed: None,
             buf: Vec::new(),
         };
         work.perform(actions).await;
@@ -180,13 +190,28 @@
             Timer::at(due).await;
             None
         };
+        let probed = self.probed;
+        let silent = async {
+            match probed {
+                Some(addr) => Some(Some(Err(until_silent(addr).await))),
+                None => smol::future::pending().await,
+            }
+        };
         let piece = match &mut self.pieces {
-            Some(pieces) => async { Some(pieces.next().await) }.or(timer).await,
+            Some(pieces) => {
+                async { Some(pieces.next().await) }
+                    .or(timer)
+                    .or(silent)
+                    .await
+            }
             None => timer.await,
         };
         match piece {
             None => Event::Tick,
-            Some(Some(Ok(piece))) => self.event(piece),
+            Some(Some(Ok(piece))) => {
+                self.probed = None;
+                self.event(piece)
+            }
             Some(Some(Err(err))) => self.lost(attempt, &err),
             Some(None) => Event::Lost {
                 attempt,
@@ -254,6 +279,7 @@
             .metrics
             .count(Counter::LostAttempts, 1, &[service]);
         info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
+        self.blame(err);
         if let Some(place) = &mut self.place {
             match err {
                 // An engine that refuses is there; that it is full is known by its load.
@@ -283,6 +309,21 @@
         Event::Lost { attempt, how }
     }
 
+    /// Counts a fault of the version where the caller did not cause it.
+    fn blame(&self, err: &StreamError) {
+        let callers = matches!(err, StreamError::Refused { status, .. }
+            if *status < SERVER_ERROR && !crate::backend::is_transient(*status));
+        if !callers {
+            self.driver.watch.end(moves::Outcome::Error, &self.server());
+        }
+    }
+
+    /// The backend server of the current attempt.
+    fn server(&self) -> String {
+        let place = self.place.as_ref();
+        place.map_or_else(String::new, |place| place.addr.to_string())
+    }
+
     /// Carries actions out, and those that follow from them.
     async fn perform(&mut self, actions: Vec<Action>) {
         let mut queue = std::collections::VecDeque::from(actions);
@@ -374,7 +415,8 @@
 
     async fn open(&mut self, attempt: Attempt) -> Option<Event> {
         self.pass(Step::AttemptChosen).await;
-        let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
+        let addr = self.place.as_ref()?.addr;
+        let engine = HttpEngine::new(addr, self.driver.policy.time.first_token);
         // Another node may use the numbers of a stream that this one took over.
         self.stream = self.driver.id.clone();
         let mut body = (*self.driver.prompt.body).clone();
@@ -391,11 +433,16 @@
             prior: Arc::new(self.prior()),
             prior_text: self.text_bytes,
             known: (self.base > 0).then(|| (self.text.clone(), self.machine.position())),
-            priority: 0,
+            priority: self.driver.policy.limits.priority,
         };
-        match engine.open(&start).await {
+        let opened = engine
+            .open(&start)
+            .or(async { Err(until_silent(addr).await) })
+            .await;
+        match opened {
             Ok(pieces) => {
                 self.pieces = Some(pieces);
+                self.probed = Some(addr);
                 self.pass(Step::AttemptOpened).await;
                 None
             }
@@ -507,6 +554,9 @@
         let tokens = self.machine.position();
         info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
             "attempts" => self.machine.attempt());
+        if matches!(ending, Ending::Complete(_)) {
+            self.driver.watch.whole(tokens, &self.server());
+        }
         if let (Ending::Complete(_), Some(place)) = (ending, &mut self.place) {
             place.note(health::Outcome::Success);
         }
--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -16,6 +16,7 @@
 mod operator_tests;
 mod order;
 mod parts;
+mod probe;
 mod refusal;
 mod request;
 #[cfg(test)]
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -11,6 +11,7 @@
     kernel::{DataCentreId, Keyring, NodeId},
     observe::Metrics,
     orders::Orders,
+    peer::Shared,
     platform::Objects,
     runtime::Spawner,
     settings::{Scope, Snapshot},
@@ -32,6 +33,8 @@
     pub keyring: Arc<Keyring>,
     /// What listens to the steps of a request.
     pub hooks: Arc<dyn Hooks>,
+    /// Moves between versions, and the counts that they are judged by.
+    pub moves: Arc<Shared>,
     /// Non-idempotent calls; none where no store keeps their records.
     pub(super) orders: Option<Orders>,
     /// What chooses backend servers.
@@ -55,6 +58,7 @@
             metrics: Arc::new(Metrics::none()),
             keyring: Arc::new(Keyring::random()),
             hooks: Arc::new(NoHooks),
+            moves: Arc::new(Shared::new()),
             orders: None,
             chooser,
         }
@@ -102,6 +106,12 @@
         self
     }
 
+    /// Follows the moves that `moves` shares.
+    pub fn with_moves(mut self, moves: Arc<Shared>) -> Parts {
+        self.moves = moves;
+        self
+    }
+
     /// Tells `hooks` of the steps of requests.
     pub fn with_hooks(mut self, hooks: Arc<dyn Hooks>) -> Parts {
         self.hooks = hooks;
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -14,7 +14,11 @@
 pub mod health;
 mod ids;
 mod keyring;
+pub mod lease;
+pub mod membership;
+pub mod moves;
 pub mod order;
+pub mod revision;
 pub mod routing;
 pub mod ticket;
 #[cfg(test)]
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -6,6 +6,7 @@
 [`Node::stop`].
 */
 
+mod fleet;
 mod follow;
 mod mount;
 mod options;
@@ -24,10 +25,14 @@
 pub use mount::Mounts;
 pub use options::Options;
 
+use fleet::Fleet;
+
 use crate::{
+    control::lease::Candidate,
     front::{Front, NodeStatus, Operator, Parts, StatusSource, OPERATOR_PATH},
     kernel::DataCentreId,
     observe::Recent,
+    peer::{Answers, Peers, Shared},
     platform::Objects,
     runtime::Runtime,
     settings::{Scope, Snapshot},
@@ -41,6 +46,7 @@
     open: Arc<mount::Open>,
     callers: Option<Served>,
     control: Served,
+    fleet: Fleet,
     log: Logger,
     // INVARIANT: dropped last, with every task of the node.
     runtime: Runtime,
@@ -62,6 +68,7 @@
         let spawner = runtime.spawner();
         let settings = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
         let open = Arc::new(mount::Open::default());
+        let shared = Arc::new(Shared::new());
         let parts = Parts::new(
             settings.clone(),
             options.data_centre.clone(),
@@ -71,19 +78,36 @@
         .with_metrics(options.metrics.clone())
         .with_keyring(options.keyring.clone())
         .with_hooks(options.hooks.clone())
+        .with_moves(shared.clone())
         .with_orders(objects.clone());
         let front = Front::new(Arc::new(parts));
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
         let status = status(&options, settings.clone(), open.clone());
         let operator = Operator::new(settings.clone(), recent, status);
-        let control =
+        let mut control =
             Mounts::new(open.clone(), settings.clone()).with(OPERATOR_PATH, Arc::new(operator));
-        let follow = follow::follow(objects, settings.clone(), log.clone());
-        runtime.spawn(follow).detach();
+        let listener = wire::listen(options.control)?;
+        let addr = listener.local_addr()?;
+        let fleet = Fleet::start(
+            &options,
+            addr,
+            &runtime,
+            settings.clone(),
+            shared,
+            objects,
+            &log,
+        );
+        if let Some(peers) = &fleet.peers {
+            control = control.with("/peer/", Arc::new(Answers(peers.clone())));
+        }
         let bounds = bounds(settings.clone(), options.data_centre.clone());
         let callers = serve(&runtime, options.listen, bounds, callers)?;
-        let fixed: BoundsSource = Arc::new(Bounds::default);
-        let control = serve(&runtime, options.control, fixed, control)?;
+        let control = wire::serve(
+            &runtime.spawner(),
+            listener,
+            Bounds::default(),
+            Arc::new(control),
+        )?;
         info!(log, "started"; "listen" => %callers.addr, "control" => %control.addr,
             "data_centre" => &*options.data_centre);
         Ok(Node {
@@ -92,6 +116,7 @@
             open,
             callers: Some(callers),
             control,
+            fleet,
             log,
             runtime,
         })
@@ -117,6 +142,21 @@
         self.settings.load_full()
     }
 
+    /// The node's peers; none for a node that works alone.
+    pub fn peers(&self) -> Option<&Arc<Peers>> {
+        self.fleet.peers.as_ref()
+    }
+
+    /// The node's view of moves.
+    pub fn moves(&self) -> &Arc<Shared> {
+        &self.fleet.moves
+    }
+
+    /// The node's candidacy for the controller's lease.
+    pub fn candidate(&self) -> &Arc<Candidate> {
+        &self.fleet.candidate
+    }
+
     /// The node's threads, for tests that freeze it.
     pub fn runtime(&self) -> &Runtime {
         &self.runtime
@@ -128,6 +168,9 @@
     /// between this and [`Node::stop`].
     pub fn leave(&self) {
         self.open.leave();
+        if let Some(peers) = &self.fleet.peers {
+            peers.leave();
+        }
         info!(self.log, "leaving"; "open" => self.open.count());
     }
 
--- a/crates/cassiareeld/src/config.rs
+++ b/crates/cassiareeld/src/config.rs
@@ -6,6 +6,7 @@
     kernel::{KeyId, Keyring},
     node::Options,
     observe::Metrics,
+    peer::Keys,
     settings::{read_all, units::Span, Faults, Path},
 };
 use serde::Deserialize;
@@ -155,8 +156,13 @@
             [] => Keyring::random(),
             _ => Keyring::new(&secrets),
         };
+        let peers = match self.keys[..] {
+            [] => None,
+            _ => Some(Keys::new(&self.secrets()).map_err(io::Error::other)?),
+        };
         Ok(Options {
             keyring: Arc::new(keyring),
+            keys: peers,
             listen: self.listen,
             control: self.control,
             peers: self.peers,
@@ -166,6 +172,14 @@
         })
     }
 
+    /// The shared secrets in hexadecimal.
+    fn secrets(&self) -> Vec<String> {
+        self.keys
+            .iter()
+            .map(|key| hex::encode(&key.secret))
+            .collect()
+    }
+
     fn check(&self, faults: &mut Faults) {
         if self.listen == self.control && self.listen != missing() {
             let problem = "the same address as listen: peers and operators need one of their own";
@@ -191,7 +205,7 @@
 }
 
 /// Bytes that a shared secret needs at least.
-const SECRET_BYTES: usize = 16;
+const SECRET_BYTES: usize = 32;
 
 /// Reads the shared keys.
 fn keys(written: &[FileKey], faults: &mut Faults) -> Vec<Key> {
--- a/crates/cassiareeld/src/config_tests.rs
+++ b/crates/cassiareeld/src/config_tests.rs
@@ -108,7 +108,8 @@
 
 #[test]
 fn wrong_keys_are_named_and_secrets_are_not_shown() {
-    let good = "{ id = 1, secret = \"00112233445566778899aabbccddeeff\" }";
+    let good =
+        "{ id = 1, secret = \"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\" }";
     let short = "{ id = 1, secret = \"c0ffee\" }";
     let none = Args::default();
     let one = with_keys(&format!("keys = [{good}]"));
