Go on with an answer at any node: signed resume tickets in event ids

Cause: a node's loss, or a caller's lost connection, lost the answer. Change: each event's id is a signed ticket; Last-Event-ID at any node takes the engine's live stream up again from the first token, checks that it is the caller's by a digest, and passes on only what the caller lacks. With return_token_ids and prior_token_ids the answer goes on after node and engine died together. Own attempts of a resuming node have numbers that no other node uses. A caller that does not read for 10 s frees its engine and goes on when it reads again. Conclusion: each loss of the issue ends in the whole answer or in an end that says how far.

--- /dev/null
+++ b/crates/cassiareel-bench/src/bin/resume.rs
@@ -0,0 +1,230 @@
+/*!
+Measures how long answers stand still after a loss, and what going on costs.
+
+Each trial streams one answer over loopback and brings one fault about after some of its tokens;
+the latency is from the last event before the fault to the next one, at the caller, with the
+engine's own step and prefill in it.
+*/
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use cassiareel_standins::{
+    caller::{Caller, Seen},
+    engine::{truth, Failure, Fault, Faults},
+    fleet::{Fleet, FleetOptions, KEY},
+};
+use gumdrop::Options;
+use serde_json::{json, Value};
+
+/// Measures resume latency.
+#[derive(Debug, Options)]
+struct Args {
+    /// Print this help.
+    help: bool,
+    /// Trials of each fault.
+    #[options(default = "40")]
+    trials: usize,
+    /// Streams of the run with slow engines.
+    #[options(default = "100")]
+    slow: usize,
+}
+
+const PROMPT: &str = "To the keeper of the long records";
+const TOKENS: u32 = 80;
+/// Events before the fault.
+const BEFORE: usize = 30;
+const ENGINES: usize = 3;
+const NODES: usize = 3;
+
+/// What is lost.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    Nothing,
+    EngineKilled,
+    EngineSilent,
+    NodeKilled,
+    EngineThenNode,
+}
+
+const LOSSES: [Loss; 5] = [
+    Loss::Nothing,
+    Loss::EngineKilled,
+    Loss::EngineSilent,
+    Loss::NodeKilled,
+    Loss::EngineThenNode,
+];
+
+/// What a trial gave.
+struct Trial {
+    latency: Duration,
+    whole: bool,
+    starts: u64,
+    attached: u64,
+    extra_tokens: i64,
+}
+
+fn main() {
+    let args = Args::parse_args_default_or_exit();
+    println!("| loss | trials | whole | p50 ms | p99 ms | max ms | new attempts | live streams taken up | tokens decoded above the answer's own, a trial |");
+    println!("|---|---|---|---|---|---|---|---|---|");
+    for loss in LOSSES {
+        let trials: Vec<Trial> = (0..args.trials).map(|_| trial(loss)).collect();
+        println!("{}", row(loss, &trials));
+    }
+    println!("{}", slow(args.slow));
+}
+
+fn body() -> Value {
+    json!({"model": "draft", "prompt": PROMPT, "max_tokens": TOKENS, "ignore_eos": true,
+        "stream": true})
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::start(&FleetOptions::new(ENGINES, NODES)).expect("loopback has ports");
+    let tree = format!("[platform]\nticket_keys = [\"k1\"]\n{}", fleet.tree());
+    fleet.apply(&tree);
+    fleet
+}
+
+fn trial(loss: Loss) -> Trial {
+    let mut fleet = fleet();
+    let mut seen = Seen::default();
+    let mut events = 0;
+    let mut last = Instant::now();
+    let mut longest = Duration::ZERO;
+    let first = fleet.addr(0).expect("the node serves");
+    let other = fleet.addr(1).expect("the node serves");
+    let (kill, killed) = async_channel::bounded::<()>(1);
+    let mut note = |events: usize, last: &mut Instant| {
+        if events > BEFORE {
+            longest = longest.max(last.elapsed());
+        }
+        *last = Instant::now();
+    };
+    let engines = &fleet.engines;
+    let hit = |events: usize| {
+        if events != BEFORE {
+            return;
+        }
+        let engine = engines.iter().find(|engine| engine.running() > 0);
+        match loss {
+            Loss::EngineKilled => engine.expect("it runs").kill(),
+            Loss::EngineSilent => engine.expect("it runs").pause(),
+            Loss::NodeKilled | Loss::EngineThenNode => {
+                let _ = kill.try_send(());
+            }
+            Loss::Nothing => {}
+        }
+    };
+    smol::block_on(smol::future::or(
+        read(first, &mut seen, |_| {
+            events += 1;
+            note(events, &mut last);
+            hit(events);
+        }),
+        async {
+            let _ = killed.recv().await;
+        },
+    ));
+    if matches!(loss, Loss::NodeKilled | Loss::EngineThenNode) {
+        fleet.kill_node(0);
+        let engines = &fleet.engines;
+        smol::block_on(read(other, &mut seen, |_| {
+            events += 1;
+            note(events, &mut last);
+            if matches!(loss, Loss::EngineThenNode) && events == BEFORE + 10 {
+                let engine = engines.iter().find(|engine| engine.running() > 0);
+                engine.expect("it runs").kill();
+            }
+        }));
+    }
+    let (_, text) = truth("draft@v1", PROMPT, TOKENS);
+    let stats: Vec<_> = fleet.engines.iter().map(|engine| engine.stats()).collect();
+    Trial {
+        latency: longest,
+        whole: seen.text == text && seen.done,
+        starts: stats.iter().map(|s| s.starts).sum(),
+        attached: stats.iter().map(|s| s.attached).sum(),
+        extra_tokens: stats.iter().map(|s| s.tokens as i64).sum::<i64>() - i64::from(TOKENS),
+    }
+}
+
+async fn read<F>(addr: SocketAddr, seen: &mut Seen, at: F)
+where
+    F: FnMut(&Seen),
+{
+    Caller::new(KEY).stream(addr, &body(), seen, at).await;
+}
+
+fn row(loss: Loss, trials: &[Trial]) -> String {
+    let mut latencies: Vec<f64> = trials
+        .iter()
+        .map(|trial| trial.latency.as_secs_f64() * 1e3)
+        .collect();
+    latencies.sort_by(f64::total_cmp);
+    let at = |share: f64| latencies[((latencies.len() - 1) as f64 * share).ceil() as usize];
+    let mean =
+        |value: fn(&Trial) -> f64| trials.iter().map(value).sum::<f64>() / trials.len() as f64;
+    format!(
+        "| {loss:?} | {} | {} | {:.1} | {:.1} | {:.1} | {:.2} | {:.2} | {:.2} |",
+        trials.len(),
+        trials.iter().filter(|trial| trial.whole).count(),
+        at(0.5),
+        at(0.99),
+        at(1.0),
+        mean(|trial| (trial.starts - 1) as f64),
+        mean(|trial| trial.attached as f64),
+        mean(|trial| trial.extra_tokens as f64),
+    )
+}
+
+/// Streams answers at once from engines that are ten times slower than they were.
+fn slow(streams: usize) -> String {
+    let fleet = fleet();
+    for engine in &fleet.engines {
+        let fault = Fault {
+            failure: Failure::Slow(10),
+            after_requests: 0,
+            ..Fault::default()
+        };
+        engine.set_faults(Faults {
+            versions: [("draft@v1".to_owned(), fault)].into(),
+            ..Faults::default()
+        });
+    }
+    let addr = fleet.addr(0).expect("the node serves");
+    let tasks: Vec<_> = (0..streams)
+        .map(|_| {
+            smol::spawn(async move {
+                let mut seen = Seen::default();
+                read(addr, &mut seen, |_| ()).await;
+                seen
+            })
+        })
+        .collect();
+    let (_, text) = truth("draft@v1", PROMPT, TOKENS);
+    let whole = smol::block_on(async {
+        let mut whole = 0;
+        for task in tasks {
+            whole += usize::from(task.await.text == text);
+        }
+        whole
+    });
+    let starts: u64 = fleet
+        .engines
+        .iter()
+        .map(|engine| engine.stats().starts)
+        .sum();
+    let attached: u64 = fleet
+        .engines
+        .iter()
+        .map(|engine| engine.stats().attached)
+        .sum();
+    format!(
+        "\nTen times slower engines: {streams} streams, {whole} whole, {} new attempts, {attached} streams taken up again.",
+        starts as usize - streams
+    )
+}
--- a/crates/cassiareel/src/front/answer.rs
+++ b/crates/cassiareel/src/front/answer.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use super::Endpoint;
-use crate::kernel::generation::FinishReason;
+use crate::kernel::{generation::FinishReason, TokenId};
 
 /// What all parts of one answer carry.
 #[derive(Clone, Debug)]
@@ -53,14 +53,17 @@
         }
     }
 
-    /// Appends an event with text to a buffer.
-    pub(super) fn text(&self, out: &mut Vec<u8>, text: &str, first: bool) {
+    /// Appends an event with text, and with its tokens' numbers if there are any, to a buffer.
+    pub(super) fn text(&self, out: &mut Vec<u8>, text: &str, ids: &[TokenId], first: bool) {
+        let token_ids = (!ids.is_empty()).then_some(ids);
         let choice = match self.endpoint {
             Endpoint::Completions => Choice {
                 text: Some(text),
+                token_ids,
                 ..Choice::default()
             },
             Endpoint::Chat => Choice {
+                token_ids,
                 delta: Some(Delta {
                     role: first.then_some("assistant"),
                     content: Some(text),
@@ -158,6 +161,8 @@
     delta: Option<Delta<'a>>,
     #[serde(skip_serializing_if = "Option::is_none")]
     message: Option<Delta<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    token_ids: Option<&'a [TokenId]>,
     logprobs: Option<()>,
     finish_reason: Option<FinishReason>,
 }
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -10,7 +10,9 @@
 use super::{
     answer::Shape,
     generate::{Driver, Signal},
-    order, service, Endpoint, Parts, Prompt, Refusal,
+    order,
+    resume::{self, Tickets},
+    service, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
     kernel::RequestId,
@@ -92,7 +94,14 @@
     ) -> Result<Response, Refusal> {
         let body = self.body(req, snapshot).await?;
         let prompt = Prompt::parse(endpoint, &body)?;
-        let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        let tickets = Tickets::new(snapshot, identity, &prompt);
+        let resumed = tickets.resumed(req, &prompt)?;
+        let mut route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        if let Some(from) = &resumed {
+            route = snapshot
+                .pinned(identity, &prompt.model, &from.ticket.version)
+                .ok_or_else(|| resume::gone(&from.ticket))?;
+        }
         let policy = snapshot.tree.resolve(&Scope {
             service: Some(&route.service),
             version: Some(&route.version),
@@ -100,7 +109,10 @@
             caller: Some(&identity.caller),
             ..self.parts.scope()
         });
-        let id: RequestId = format!("g-{:016x}", fastrand::u64(..)).into();
+        let id: RequestId = match &resumed {
+            Some(from) => from.ticket.generation.clone(),
+            None => format!("g-{:016x}", fastrand::u64(..)).into(),
+        };
         let log = self.parts.log.new(
             o!("request" => name.to_owned(), "generation" => id.to_string(),
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
@@ -125,6 +137,8 @@
             log,
             out,
             signal,
+            tickets,
+            resumed,
         };
         self.parts.spawner.spawn(driver.run()).detach();
         match reader {
@@ -157,7 +171,7 @@
             "service" => route.service.to_string()));
         let body = self.body(req, snapshot).await?;
         let call = service::read(req, &format!("/{path}"), name, body);
-        if !route.idempotent && !is_safe(call.method) {
+        if !snapshot.is_idempotent(&route.service, &call.path) && !is_safe(call.method) {
             let key = order::key(req)?;
             let policy = snapshot.tree.resolve(&Scope {
                 service: Some(&route.service),
--- a/crates/cassiareel/src/front/choose.rs
+++ b/crates/cassiareel/src/front/choose.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Takes a place at a backend server where the request runs already.
+    pub(super) fn at(&self, addr: SocketAddr) -> Place {
+        let mut outstanding = self.outstanding.lock().unwrap_or_else(|e| e.into_inner());
+        let count = outstanding.entry(addr).or_default().clone();
+        count.fetch_add(1, Ordering::Relaxed);
+        Place { addr, count }
+    }
+
     /// Chooses a backend server other than those excluded.
     pub(super) fn choose(&self, route: &Route, exclude: &[BackendId]) -> Option<Place> {
         let servers: Vec<&Server> = route
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -12,13 +12,17 @@
 use super::{
     answer::{Shape, Usage},
     choose::Place,
+    resume::{Resumed, Standing, Tickets},
     Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
     hooks::{self, Step},
     kernel::{
-        generation::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend},
+        generation::{
+            Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend, Resume,
+        },
+        ticket::TokenDigest,
         Attempt, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
@@ -53,6 +57,10 @@
     /// Where a streamed answer goes; an answer that is not streamed is gathered.
     pub(super) out: Option<piper::Writer>,
     pub(super) signal: async_channel::Sender<Signal>,
+    /// What the ids of events are made of.
+    pub(super) tickets: Tickets,
+    /// The answer that this one goes on with.
+    pub(super) resumed: Option<Resumed>,
 }
 
 /// The state of a driver at work.
@@ -66,9 +74,15 @@
     tokens: Vec<TokenId>,
     text: String,
     text_bytes: usize,
+    digest: TokenDigest,
+    began: bool,
     prompt_tokens: u32,
     refused: Option<Refusal>,
     buf: Vec<u8>,
+    /// Bytes of `buf` that the caller's connection took.
+    written: usize,
+    last: Option<Instant>,
+    lost_at: Option<Instant>,
 }
 
 /// Time for an engine to begin its answer's head.
@@ -77,9 +91,16 @@
 /// Shortest time without a token after which an engine may count as silent.
 const SILENCE_FLOOR: Duration = Duration::from_millis(1200);
 
+/// Time that a caller may not read before its engine is freed.
+const STALL: Duration = Duration::from_secs(10);
+
 /// Time for an engine to take up a live stream again.
 const ATTACH: Duration = Duration::from_millis(150);
 
+/// Numbers for the attempts of a node that takes an answer up: two nodes that do so, or one that
+/// comes back from a pause, do not meet in one stream.
+const OWN_ATTEMPTS: std::ops::Range<Attempt> = 1 << 16..1 << 31;
+
 /// Time that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -95,20 +116,40 @@
             retry: self.policy.retries.pause,
             attempts: self.policy.retries.attempts,
         };
-        let (machine, actions) = Generation::start(limits, Duration::ZERO);
+        let (machine, actions) = match &self.resumed {
+            None => Generation::start(limits, Duration::ZERO),
+            Some(from) => Generation::resume(limits, Duration::ZERO, from.standing()),
+        };
+        let place = self
+            .resumed
+            .as_ref()
+            .map(|from| self.parts.chooser.at(from.ticket.backend));
+        let prior = self.resumed.as_ref().and_then(|from| from.prior.clone());
+        let text_bytes = match (&self.resumed, &prior) {
+            (Some(from), Some(_)) => from.ticket.text as usize,
+            _ => 0,
+        };
+        let tokens = prior.unwrap_or_default();
+        let mut digest = TokenDigest::default();
+        digest.add(&tokens);
         let mut work = Work {
             driver: self,
             origin: Instant::now(),
             machine,
-            place: None,
+            place,
             pieces: None,
             wake: Duration::ZERO,
-            tokens: Vec::new(),
+            tokens,
             text: String::new(),
-            text_bytes: 0,
+            text_bytes,
+            digest,
+            began: false,
             prompt_tokens: 0,
             refused: None,
             buf: Vec::new(),
+            written: 0,
+            last: None,
+            lost_at: None,
         };
         work.perform(actions).await;
         while !work.machine.is_ended() {
@@ -126,6 +167,9 @@
 
     /// Waits for the next event: a piece that is there goes before a timer that is due.
     async fn next(&mut self) -> Event {
+        if self.written < self.buf.len() {
+            return self.drain().await;
+        }
         let attempt = self.machine.attempt();
         let due = self.origin + self.wake;
         let timer = async {
@@ -319,6 +363,7 @@
 
     /// Takes up the live stream of an attempt whose connection was lost.
     async fn attach(&mut self, attempt: Attempt) -> Option<Event> {
+        self.lost_at = self.lost_at.or(self.last);
         self.pieces = None;
         let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
         let from = self.machine.position();
@@ -348,6 +393,7 @@
 
     /// Cancels an attempt in the background: the next one doesn't wait for it.
     fn cancel(&mut self, attempt: Attempt) {
+        self.lost_at = self.lost_at.or(self.last);
         self.pieces = None;
         let Some(place) = self.place.take() else {
             return;
@@ -362,34 +408,142 @@
 
     async fn emit(&mut self, ids: Vec<TokenId>, text: &str) -> Option<Event> {
         self.pass(Step::TokensTaken).await;
-        let first = self.tokens.is_empty();
-        let service = &*self.driver.route.service;
-        if first {
-            let tags = [("service", service)];
-            self.driver
-                .parts
-                .metrics
-                .time(observe::Timer::FirstToken, self.now(), &tags);
-        }
-        self.tokens.extend(ids);
+        self.count_tokens();
+        let before = (self.tokens.len(), self.text_bytes);
         self.text_bytes += text.len();
+        if !self.keep(&ids) {
+            let attempt = self.machine.attempt();
+            info!(self.driver.log, "live stream is not the caller's"; "attempt" => attempt);
+            let how = Loss::Mismatch;
+            return Some(Event::Lost { attempt, how });
+        }
+        // What the caller has from another node is not passed on again.
+        let (given, given_text) = self.given();
+        let ids = &ids[given.saturating_sub(before.0).min(ids.len())..];
+        let hidden = given_text.saturating_sub(before.1).min(text.len());
+        let Some(text) = text.get(hidden..) else {
+            let attempt = self.machine.attempt();
+            let how = Loss::Mismatch;
+            return Some(Event::Lost { attempt, how });
+        };
+        if ids.is_empty() {
+            return None;
+        }
+        let first = !std::mem::replace(&mut self.began, true);
         if first {
             let _ = self.driver.signal.try_send(Signal::Began);
         }
-        let Some(out) = &mut self.driver.out else {
+        if self.driver.out.is_none() {
             self.text.push_str(text);
             return None;
-        };
-        if text.is_empty() && !first {
+        }
+        if text.is_empty() && !first && !self.driver.prompt.token_ids {
             return None;
         }
+        self.write_event(ids, text, first);
+        let gone = self.write().await;
+        if gone.is_none() {
+            self.pass(Step::TokensPassed).await;
+        }
+        gone
+    }
+
+    /// Keeps tokens; false where they are not those that the caller has from another node.
+    fn keep(&mut self, ids: &[TokenId]) -> bool {
+        let given = self.given().0;
+        let mut fits = true;
+        for id in ids {
+            self.tokens.push(*id);
+            self.digest.add(&[*id]);
+            if let (true, Some(from)) = (self.tokens.len() == given, &self.driver.resumed) {
+                fits = self.digest.value() == from.ticket.tokens;
+            }
+        }
+        fits
+    }
+
+    /// Tokens and bytes of text that the caller has from another node.
+    fn given(&self) -> (usize, usize) {
+        match &self.driver.resumed {
+            Some(from) => (from.ticket.position as usize, from.ticket.text as usize),
+            None => (0, 0),
+        }
+    }
+
+    /// Takes the time of the first tokens, and of those after a loss.
+    fn count_tokens(&mut self) {
+        let tags = [("service", &*self.driver.route.service)];
+        let metrics = &self.driver.parts.metrics;
+        if self.tokens.is_empty() && self.driver.resumed.is_none() {
+            metrics.time(observe::Timer::FirstToken, self.now(), &tags);
+        }
+        if let Some(lost) = self.lost_at.take() {
+            metrics.time(observe::Timer::Resume, lost.elapsed(), &tags);
+        }
+        self.last = Some(Instant::now());
+    }
+
+    /// Puts an event with its id into the buffer.
+    fn write_event(&mut self, ids: &[TokenId], text: &str, first: bool) {
         self.buf.clear();
-        self.driver.shape.text(&mut self.buf, text, first);
-        if out.write_all(&self.buf).await.is_err() {
-            return Some(Event::Abandoned);
+        self.written = 0;
+        let standing = self.place.as_ref().map(|place| Standing {
+            generation: &self.driver.id,
+            version: &self.driver.route.version,
+            backend: place.addr,
+            attempt: self.machine.attempt(),
+            tokens: self.tokens.len(),
+            text: self.text_bytes,
+            digest: &self.digest,
+        });
+        if let Some(id) = standing.and_then(|at| self.driver.tickets.id(&at)) {
+            self.buf.extend_from_slice(format!("id: {id}\n").as_bytes());
+        }
+        let shown = if self.driver.prompt.token_ids {
+            ids
+        } else {
+            &[]
+        };
+        let first = first && self.driver.resumed.is_none();
+        self.driver.shape.text(&mut self.buf, text, shown, first);
+    }
+
+    /// Writes the buffer to the caller, who may be slow or gone.
+    async fn write(&mut self) -> Option<Event> {
+        let stalled = async {
+            Timer::after(STALL).await;
+            None
+        };
+        let event = async { Some(self.drain().await) }.or(stalled).await;
+        match event {
+            Some(Event::Drained) => None,
+            Some(gone) => Some(gone),
+            None => {
+                info!(self.driver.log, "caller does not read"; "tokens" => self.tokens.len());
+                Some(Event::Stalled)
+            }
         }
-        self.pass(Step::TokensPassed).await;
-        None
+    }
+
+    /// Writes what is left of the buffer, however long it takes.
+    async fn drain(&mut self) -> Event {
+        let Some(out) = &mut self.driver.out else {
+            self.written = self.buf.len();
+            return Event::Drained;
+        };
+        while self.written < self.buf.len() {
+            match out.write(&self.buf[self.written..]).await {
+                Ok(n) if n > 0 => self.written += n,
+                _ => {
+                    self.written = self.buf.len();
+                    return match self.driver.tickets.are_given() {
+                        true => Event::Departed,
+                        false => Event::Abandoned,
+                    };
+                }
+            }
+        }
+        Event::Drained
     }
 
     async fn finish(&mut self, ending: Ending) {
@@ -463,6 +617,19 @@
     }
 }
 
+impl Resumed {
+    /// Where the answer stands, for the machine.
+    fn standing(&self) -> Resume {
+        Resume {
+            attempt: self.ticket.attempt,
+            next: fastrand::u32(OWN_ATTEMPTS),
+            backend: self.ticket.backend.to_string().into(),
+            given: self.ticket.position,
+            known: self.prior.is_some(),
+        }
+    }
+}
+
 /// Passes an engine's refusal on.
 fn engine_refusal(status: u16, message: &str) -> Refusal {
     let status =
--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -20,6 +20,7 @@
 mod request;
 #[cfg(test)]
 mod request_tests;
+mod resume;
 mod service;
 
 pub use api::Front;
--- a/crates/cassiareel/src/front/request.rs
+++ b/crates/cassiareel/src/front/request.rs
@@ -5,6 +5,7 @@
 use serde_json::{json, Map, Value};
 
 use super::Refusal;
+use crate::kernel::TokenId;
 
 /// Tokens of an answer where the caller names no bound.
 const DEFAULT_TOKENS: u64 = 1024;
@@ -57,6 +58,10 @@
     pub stream: bool,
     /// Whether a stream ends with the token counts.
     pub usage: bool,
+    /// Whether events carry the tokens' numbers, so that the caller can give them back.
+    pub token_ids: bool,
+    /// Tokens of an answer that the caller has already and wants to go on.
+    pub prior: Option<Vec<TokenId>>,
     /// The body for engines, without what the node sets itself.
     pub body: Arc<Map<String, Value>>,
 }
@@ -90,6 +95,9 @@
                 format!("\"n\" is {n}, only 1 is served"),
             ));
         }
+        let token_ids = flag(&body, "return_token_ids")?;
+        body.remove("return_token_ids");
+        let prior = prior(&mut body)?;
         let model = string(&body, "model")?;
         let text = match endpoint {
             Endpoint::Completions => prompt_text(&mut body)?,
@@ -110,6 +118,8 @@
             tokens,
             stream,
             usage,
+            token_ids,
+            prior,
             body: Arc::new(body),
         })
     }
@@ -134,6 +144,17 @@
     ) || value.is_some_and(|v| v.as_u64().is_some_and(|n| n > 1))
 }
 
+/// Takes the tokens that the caller has already.
+fn prior(body: &mut Map<String, Value>) -> Result<Option<Vec<TokenId>>, Refusal> {
+    let field = "prior_token_ids";
+    match body.remove(field) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => serde_json::from_value(value).map(Some).map_err(|err| {
+            Refusal::invalid(field, format!("{field:?} is not a list of tokens: {err}"))
+        }),
+    }
+}
+
 /// Reads a string that must not be empty.
 fn string(body: &Map<String, Value>, field: &str) -> Result<String, Refusal> {
     match body.get(field) {
--- a/crates/cassiareel/src/kernel/generation/event.rs
+++ b/crates/cassiareel/src/kernel/generation/event.rs
@@ -89,6 +89,8 @@
     Stalled,
     /// The caller reads again.
     Drained,
+    /// The caller's connection is lost, and it may come back at any node.
+    Departed,
     /// The caller is gone for good.
     Abandoned,
     /// Time passed.
--- a/crates/cassiareel/src/kernel/generation/machine.rs
+++ b/crates/cassiareel/src/kernel/generation/machine.rs
@@ -30,6 +30,21 @@
 /// Times that the live stream of one attempt is taken up again.
 const ATTACHES: u32 = 3;
 
+/// Where an answer stands that another node began.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Resume {
+    /// The attempt that runs.
+    pub attempt: Attempt,
+    /// The number of this node's first own attempt, which no other node uses.
+    pub next: Attempt,
+    /// The backend server that it runs at.
+    pub backend: BackendId,
+    /// Tokens that the caller has.
+    pub given: Position,
+    /// Whether these tokens are known here.
+    pub known: bool,
+}
+
 /// Where the current attempt stands.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Stage {
@@ -63,6 +78,8 @@
     AnyEnd,
     /// Waits for ever for a live stream.
     NoAttachBound,
+    /// Begins anew below the tokens that the caller has from another node.
+    BeginAnew,
 }
 
 /// A generation.
@@ -94,6 +111,10 @@
     attempt: Attempt,
     // INVARIANT: the caller was given exactly the tokens 0..position, in order, once.
     position: Position,
+    // INVARIANT: below this position the caller has the tokens of another node, and only their own
+    // stream may repeat them.
+    given: Position,
+    numbers: Attempt,
     lost: Vec<BackendId>,
     losses: u32,
     attaches: u32,
@@ -112,6 +133,8 @@
             limits,
             attempt: 1,
             position: 0,
+            given: 0,
+            numbers: 2,
             lost: Vec::new(),
             losses: 0,
             attaches: 0,
@@ -127,6 +150,32 @@
         (generation, vec![action])
     }
 
+    /// Goes on with an answer that another node began: its live stream first, and a new attempt
+    /// where that is gone and the caller's tokens are known.
+    ///
+    /// Tokens that are not known are read from the live stream again, from position 0; the driver
+    /// does not pass them on.
+    pub fn resume(limits: Limits, now: Time, from: Resume) -> (Generation, Vec<Action>) {
+        let (mut generation, _) = Generation::start(limits, now);
+        let until = now + limits.attach;
+        generation.attempt = from.attempt;
+        generation.numbers = from.next;
+        generation.given = from.given;
+        generation.position = if from.known { from.given } else { 0 };
+        generation.ran = true;
+        let attempt = from.attempt;
+        let backend = from.backend;
+        let actions = vec![
+            Action::Attach {
+                attempt,
+                backend: backend.clone(),
+            },
+            Action::Wake { at: until },
+        ];
+        generation.stage = Stage::Attaching { backend, until };
+        (generation, actions)
+    }
+
     /// The current attempt.
     pub fn attempt(&self) -> Attempt {
         self.attempt
@@ -178,6 +227,7 @@
             Event::Stalled => self.park(),
             Event::Drained => self.unpark(now),
             Event::Abandoned => self.abandon(),
+            Event::Departed => self.depart(),
             Event::Tick => self.tick(now),
             _ => Vec::new(),
         }
@@ -317,7 +367,8 @@
         }
         self.lost.push(backend);
         self.losses += 1;
-        if self.losses >= self.limits.attempts {
+        let begins_anew = self.position < self.given && !self.is_mutated("BeginAnew");
+        if begins_anew || self.losses >= self.limits.attempts {
             actions.extend(self.give_up());
             return actions;
         }
@@ -327,7 +378,8 @@
 
     /// Begins the next attempt.
     fn next(&mut self, now: Time) -> Action {
-        self.attempt += 1;
+        self.attempt = self.numbers;
+        self.numbers += 1;
         self.attaches = 0;
         self.pace = Pace::default();
         self.stage = Stage::Choosing {
@@ -350,6 +402,9 @@
         if self.stage != Stage::Parked {
             return Vec::new();
         }
+        if self.position < self.given {
+            return self.give_up();
+        }
         vec![self.next(now)]
     }
 
@@ -391,6 +446,15 @@
         }
     }
 
+    /// Ends without a cancel: another node may take up the live stream, which its engine ends by
+    /// itself when none does.
+    fn depart(&mut self) -> Vec<Action> {
+        if self.stage == Stage::Ended {
+            return Vec::new();
+        }
+        self.end(Ending::Abandoned)
+    }
+
     fn abandon(&mut self) -> Vec<Action> {
         let mut actions = self.cancel();
         if self.stage != Stage::Ended {
--- a/crates/cassiareel/src/kernel/generation/machine_tests.rs
+++ b/crates/cassiareel/src/kernel/generation/machine_tests.rs
@@ -4,7 +4,9 @@
 
 use test_case::test_case;
 
-use super::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, Mutation, NoBackend};
+use super::{
+    Action, Ending, Event, FinishReason, Generation, Limits, Loss, Mutation, NoBackend, Resume,
+};
 use crate::kernel::{
     check::{search, Model, Report},
     Attempt, BackendId, Position, Time, TokenId,
@@ -12,6 +14,8 @@
 
 /// Tokens of the whole answer.
 const LENGTH: Position = 3;
+/// Tokens that the caller of an answer begun elsewhere has.
+const GIVEN: Position = 2;
 /// Backend servers.
 const ENGINES: [&str; 2] = ["e0", "e1"];
 /// States that a search may reach.
@@ -29,6 +33,8 @@
 
 struct Answers {
     faults: u8,
+    /// Whether the answer was begun by another node, and whether its tokens are known here.
+    resumed: Option<bool>,
     mutation: Option<Mutation>,
     /// The only invariant to check, to show that it finds a defect by itself.
     only: Option<&'static str>,
@@ -54,6 +60,8 @@
     pending: Vec<Action>,
     streams: Vec<Stream>,
     emitted: Vec<TokenId>,
+    /// Tokens that the caller has from another node.
+    given: Vec<TokenId>,
     ending: Option<Ending>,
     stalled: bool,
     /// When the machine asked to be woken.
@@ -100,6 +108,10 @@
             self.broken.get_or_insert("no token is missing or repeated");
         }
         self.emitted.extend(ids);
+        let common = self.given.len().min(self.emitted.len());
+        if self.emitted[..common] != self.given[..common] {
+            self.broken.get_or_insert("no two generations are mixed");
+        }
         let whole = self.streams.iter().any(|stream| {
             stream.tokens.len() >= self.emitted.len()
                 && stream.tokens[..self.emitted.len()] == self.emitted[..]
@@ -110,6 +122,8 @@
     }
 
     fn end(&mut self, ending: Ending) {
+        // The driver carries nothing out after the end.
+        self.pending.clear();
         if self.ending.replace(ending).is_some() {
             self.broken.get_or_insert("one end");
         }
@@ -293,6 +307,15 @@
             next.push(("caller goes".to_owned(), state));
             let mut state = world.clone();
             state.faults -= 1;
+            state.tell(Time::ZERO, Event::Departed);
+            // The engine ends a stream that nobody reads.
+            state
+                .streams
+                .iter_mut()
+                .for_each(|stream| stream.alive = false);
+            next.push(("caller's connection is lost".to_owned(), state));
+            let mut state = world.clone();
+            state.faults -= 1;
             state.tell(state.wake, Event::Tick);
             next.push(("a bound passes in silence".to_owned(), state));
         }
@@ -318,19 +341,40 @@
     type State = World;
 
     fn initial(&self) -> World {
-        let (mut machine, actions) = Generation::start(LIMITS, Time::ZERO);
+        let (mut machine, actions) = match self.resumed {
+            None => Generation::start(LIMITS, Time::ZERO),
+            Some(known) => {
+                let from = Resume {
+                    attempt: 1,
+                    next: 10,
+                    backend: ENGINES[0].into(),
+                    given: GIVEN,
+                    known,
+                };
+                Generation::resume(LIMITS, Time::ZERO, from)
+            }
+        };
         machine.mutation = self.mutation;
         let mut world = World {
             machine,
             pending: Vec::new(),
             streams: Vec::new(),
             emitted: Vec::new(),
+            given: Vec::new(),
             ending: None,
             stalled: false,
             wake: Time::ZERO,
             faults: self.faults,
             broken: None,
         };
+        if let Some(known) = self.resumed {
+            world.open(1);
+            world.streams[0].heard = false;
+            world.given = world.streams[0].tokens[..GIVEN as usize].to_vec();
+            if known {
+                world.emitted = world.given.clone();
+            }
+        }
         world.take(actions);
         world
     }
@@ -387,16 +431,19 @@
 fn run(model: &Answers) -> Report {
     let report = search(model, BOUND);
     println!(
-        "generation, {} faults, {:?}: {report}, bound {BOUND}",
-        model.faults, model.mutation
+        "generation, {} faults, resumed {:?}, {:?}: {report}, bound {BOUND}",
+        model.faults, model.resumed, model.mutation
     );
     report
 }
 
-#[test]
-fn answers_are_whole_or_say_how_far() {
+#[test_case(None; "begun here")]
+#[test_case(Some(false); "begun elsewhere")]
+#[test_case(Some(true); "begun elsewhere, with the caller's tokens")]
+fn answers_are_whole_or_say_how_far(resumed: Option<bool>) {
     let report = run(&Answers {
         faults: 3,
+        resumed,
         mutation: None,
         only: None,
     });
@@ -408,10 +455,12 @@
 #[test_case(Mutation::NoCancel, "no engine works for nobody")]
 #[test_case(Mutation::NotRunAfterLoss, "not run means not run")]
 #[test_case(Mutation::AnyEnd, "a complete answer is whole")]
+#[test_case(Mutation::BeginAnew, "no two generations are mixed")]
 #[test_case(Mutation::NoAttachBound, "a quiet environment leads to an end")]
 fn defects_are_caught(mutation: Mutation, breaks: &'static str) {
     let report = run(&Answers {
         faults: 3,
+        resumed: (mutation == Mutation::BeginAnew).then_some(false),
         mutation: Some(mutation),
         only: Some(breaks),
     });
--- a/crates/cassiareel/src/kernel/generation/mod.rs
+++ b/crates/cassiareel/src/kernel/generation/mod.rs
@@ -25,5 +25,5 @@
 pub use event::{Event, FinishReason, Loss, NoBackend};
 #[cfg(test)]
 pub(crate) use machine::Mutation;
-pub use machine::{Generation, Limits};
+pub use machine::{Generation, Limits, Resume};
 pub use pace::Pace;
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -15,6 +15,9 @@
 mod ids;
 pub mod order;
 pub mod routing;
+pub mod ticket;
+#[cfg(test)]
+mod ticket_tests;
 
 pub use ids::{
     AccountId, Attempt, BackendId, CallerId, DataCentreId, Fence, Incarnation, NodeId, Position,
--- a/crates/cassiareel/src/settings/snapshot.rs
+++ b/crates/cassiareel/src/settings/snapshot.rs
@@ -159,6 +159,21 @@
         })
     }
 
+    /// Finds where an answer that a version began goes on; none where the caller may not use the
+    /// service or the version is not placed any more.
+    pub fn pinned(&self, identity: &Identity, service: &str, version: &VersionId) -> Option<Route> {
+        let route = self.route(identity, service)?;
+        let servers = self
+            .servers
+            .get(&(route.service.clone(), version.clone()))?
+            .clone();
+        Some(Route {
+            version: version.clone(),
+            servers,
+            ..route
+        })
+    }
+
     /// Reports whether a call of a service's path may run twice without harm.
     pub fn is_idempotent(&self, service: &str, path: &str) -> bool {
         let route = self.tree.find_route(service, path);
--- a/crates/cassiareel/src/settings/tree.rs
+++ b/crates/cassiareel/src/settings/tree.rs
@@ -51,6 +51,10 @@
     /// Operators by name.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub operators: BTreeMap<String, Operator>,
+    /// Secrets that sign and check the resume tickets in event ids, the newest first; without
+    /// one, callers can't take up an answer at another node.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ticket_keys: Vec<String>,
     /// What all nodes of the tree inherit.
     #[serde(default, skip_serializing_if = "Policy::is_empty")]
     pub policy: Policy,
