--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -9,13 +9,14 @@
 
 use super::{
     answer::Shape,
+    choose::Arrival,
     generate::{Driver, Signal},
     order,
     resume::{self, Tickets},
     service, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
-    kernel::RequestId,
+    kernel::{routing, RequestId},
     settings::{Identity, Route, Scope, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
 };
@@ -118,6 +119,16 @@
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()),
         );
+        let chooser = &self.parts.chooser;
+        let prefix = routing::blocks(&prompt.text);
+        let arrival = Arrival {
+            identity,
+            route: &route,
+            path: endpoint.path(),
+            ask: chooser.ask(prefix.clone(), prompt.text.len(), 0, prompt.tokens),
+            runs: resumed.is_some(),
+        };
+        let admitted = chooser.admit(arrival).await?;
         let (reader, out) = match prompt.stream {
             true => {
                 let (reader, writer) = piper::pipe(OUT_BYTES);
@@ -139,6 +150,8 @@
             signal,
             tickets,
             resumed,
+            admitted,
+            prefix,
         };
         self.parts.spawner.spawn(driver.run()).detach();
         match reader {
