--- a/crates/cassiareel-bench/src/bin/resume.rs
+++ b/crates/cassiareel-bench/src/bin/resume.rs
@@ -46,7 +46,7 @@
     EngineKilled,
     EngineSilent,
     NodeKilled,
-    EngineThenNode,
+    NodeThenEngine,
 }
 
 const LOSSES: [Loss; 5] = [
@@ -54,7 +54,7 @@
     Loss::EngineKilled,
     Loss::EngineSilent,
     Loss::NodeKilled,
-    Loss::EngineThenNode,
+    Loss::NodeThenEngine,
 ];
 
 /// What a trial gave.
@@ -113,7 +113,7 @@
         match loss {
             Loss::EngineKilled => engine.expect("it runs").kill(),
             Loss::EngineSilent => engine.expect("it runs").pause(),
-            Loss::NodeKilled | Loss::EngineThenNode => {
+            Loss::NodeKilled | Loss::NodeThenEngine => {
                 let _ = kill.try_send(());
             }
             Loss::Nothing => {}
@@ -129,13 +129,13 @@
             let _ = killed.recv().await;
         },
     ));
-    if matches!(loss, Loss::NodeKilled | Loss::EngineThenNode) {
+    if matches!(loss, Loss::NodeKilled | Loss::NodeThenEngine) {
         fleet.kill_node(0);
         let engines = &fleet.engines;
         smol::block_on(read(other, &mut seen, |_| {
             events += 1;
             note(events, &mut last);
-            if matches!(loss, Loss::EngineThenNode) && events == BEFORE + 10 {
+            if matches!(loss, Loss::NodeThenEngine) && events == BEFORE + 10 {
                 let engine = engines.iter().find(|engine| engine.running() > 0);
                 engine.expect("it runs").kill();
             }
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -13,7 +13,7 @@
     generate::{Driver, Signal},
     order,
     resume::{self, Tickets},
-    service, Endpoint, Parts, Prompt, Refusal,
+    service, suspect, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
     kernel::{routing, RequestId},
@@ -119,6 +119,9 @@
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()),
         );
+        if let Some(refusal) = suspect::refusal(&self.parts, &policy, &tickets.content()) {
+            return Err(refusal);
+        }
         let chooser = &self.parts.chooser;
         let prefix = routing::blocks(&prompt.text);
         let arrival = Arrival {
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -13,7 +13,7 @@
     answer::{Shape, Usage},
     choose::{log_decision, Admitted, Place},
     resume::{Resumed, Standing, Tickets},
-    Outcome, Parts, Prompt, Refusal,
+    suspect, Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
@@ -326,6 +326,18 @@
 
     fn choose(&mut self, attempt: Attempt, exclude: &[crate::kernel::BackendId]) -> Event {
         self.pieces = None;
+        let Driver {
+            parts,
+            policy,
+            tickets,
+            ..
+        } = &self.driver;
+        if let Some(refusal) = suspect::refusal(parts, policy, &tickets.content()) {
+            info!(self.driver.log, "engines died under the request"; "attempt" => attempt);
+            self.refused = Some(refusal);
+            let why = NoBackend::Unplaced;
+            return Event::NotChosen { attempt, why };
+        }
         let (decision, place) = match self.driver.admitted.first.take() {
             Some((decision, place)) => (decision, Some(place)),
             None => self.choose_again(exclude),
@@ -407,11 +419,11 @@
             engine
                 .attach(&self.driver.id, attempt, from, self.text_bytes)
                 .await
-                .map_err(|err| err.to_string())
         };
         let bound = async {
             Timer::after(ATTACH).await;
-            Err(format!("no answer within {ATTACH:?}"))
+            let cause = format!("no answer within {ATTACH:?}");
+            Err(StreamError::Lost { cause })
         };
         match attached.or(bound).await {
             Ok(pieces) => {
@@ -420,13 +432,24 @@
                 Some(Event::Attached { attempt })
             }
             Err(cause) => {
-                info!(self.driver.log, "live stream is gone"; "attempt" => attempt, "cause" => cause);
+                info!(self.driver.log, "live stream is gone"; "attempt" => attempt, "cause" => %cause);
+                self.blame(attempt, &cause);
                 let how = Loss::Reset;
                 Some(Event::Lost { attempt, how })
             }
         }
     }
 
+    /// Holds the death of an engine against its request.
+    fn blame(&self, attempt: Attempt, cause: &StreamError) {
+        if matches!(cause, StreamError::NotSent { .. }) {
+            let Driver {
+                parts, tickets, id, ..
+            } = &self.driver;
+            suspect::lost(parts, tickets.content(), id, attempt);
+        }
+    }
+
     /// Cancels an attempt in the background: the next one doesn't wait for it.
     fn cancel(&mut self, attempt: Attempt) {
         self.lost_at = self.lost_at.or(self.last);
@@ -607,6 +630,7 @@
         self.pass(Step::AnswerEnded).await;
         let signal = match ending {
             Ending::Complete(reason) => {
+                suspect::cleared(&self.driver.parts, &self.driver.tickets.content());
                 self.write_finish(reason, usage).await;
                 Signal::Complete {
                     text: std::mem::take(&mut self.text),
@@ -623,8 +647,11 @@
                 let words = format!(
                     "the answer is whole up to token {tokens} and can't go on; ask again for the rest"
                 );
-                let refusal = Refusal::busy(words, RETRY_AFTER)
-                    .with_code("partial")
+                let partial = || Refusal::busy(words, RETRY_AFTER).with_code("partial");
+                let refusal = self
+                    .refused
+                    .take()
+                    .unwrap_or_else(partial)
                     .with_outcome(Outcome::Ran);
                 self.write_error(&refusal).await;
                 Signal::Refused(refusal)
--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -22,6 +22,7 @@
 mod request_tests;
 mod resume;
 mod service;
+mod suspect;
 
 pub use api::Front;
 pub use operator::{Decisions, NodeStatus, Operator, StatusSource, OPERATOR_PATH};
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -1,6 +1,6 @@
 //! What all requests of a node work with.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
 use slog::Logger;
@@ -8,7 +8,7 @@
 use super::Chooser;
 use crate::{
     hooks::{Hooks, NoHooks},
-    kernel::{DataCentreId, NodeId},
+    kernel::{suspect::Suspects, DataCentreId, NodeId},
     observe::Metrics,
     orders::Orders,
     platform::Objects,
@@ -30,6 +30,8 @@
     pub metrics: Arc<Metrics>,
     /// What listens to the steps of a request.
     pub hooks: Arc<dyn Hooks>,
+    /// Requests that take their engines down.
+    pub suspects: Arc<Mutex<Suspects>>,
     /// Non-idempotent calls; none where no store keeps their records.
     pub(super) orders: Option<Orders>,
     /// What chooses backend servers.
@@ -52,6 +54,7 @@
             log,
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
+            suspects: Arc::default(),
             orders: None,
             chooser,
         }
--- a/crates/cassiareel/src/front/resume.rs
+++ b/crates/cassiareel/src/front/resume.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// The digest of the request's content beneath its caller, whatever its name.
+    pub(super) fn content(&self) -> Short {
+        short_digest(&[&self.owner, &self.body])
+    }
+
     /// Reports whether callers can come back.
     pub(super) fn are_given(&self) -> bool {
         !self.keys.is_empty()
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -15,6 +15,9 @@
 mod ids;
 pub mod order;
 pub mod routing;
+pub mod suspect;
+#[cfg(test)]
+mod suspect_tests;
 pub mod ticket;
 #[cfg(test)]
 mod ticket_tests;
--- a/crates/cassiareel/src/kernel/order/machine.rs
+++ b/crates/cassiareel/src/kernel/order/machine.rs
@@ -119,6 +119,8 @@
     sends: u32,
     // INVARIANT: set once a write that may take effect later was left open.
     open: bool,
+    // INVARIANT: set once the store refused a claim: the next read that tells nothing ends the call.
+    down: bool,
     // INVARIANT: set once the record was read and showed that no earlier call ran.
     fresh: bool,
     replied: bool,
@@ -137,6 +139,7 @@
             until,
             sends: 0,
             open: false,
+            down: false,
             fresh: false,
             replied: false,
             stage: Stage::Claiming,
@@ -181,7 +184,12 @@
             }
             Event::Written(Err(StoreFault::Conflict)) => self.read(),
             Event::Written(Err(StoreFault::NotDone)) if self.open => self.read(),
-            Event::Written(Err(StoreFault::NotDone)) => self.refuse(),
+            Event::Written(Err(StoreFault::NotDone)) if self.down => self.refuse(),
+            Event::Written(Err(StoreFault::NotDone)) => {
+                // A store that takes no writes may still tell what became of an earlier call.
+                self.down = true;
+                self.read()
+            }
             Event::Written(Err(StoreFault::Ambiguous)) => {
                 self.open = true;
                 if self.is_mutated("TrustAmbiguous") {
@@ -201,6 +209,7 @@
     fn reading(&mut self, now: Time, event: Event) -> Vec<Action> {
         match event {
             Event::Read(Some(Some(read))) => self.judge(now, read),
+            Event::Read(Some(None) | None) if self.down => self.refuse(),
             Event::Read(Some(None)) if now < self.until => {
                 self.stage = Stage::Claiming;
                 vec![Action::Create(self.claim.clone())]
