Don't refuse an answer that advances between its losses

Cause: tests/path.rs a_stream_goes_on_after_two_engines_were_killed: an answer whose two engines were killed by other causes was refused as the killer of both. Change: an answer whose last attempt gave 8 tokens or more may lose twice as many engines.

--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -90,6 +90,8 @@
     written: usize,
     last: Option<Instant>,
     lost_at: Option<Instant>,
+    /// Tokens of the answer when the last attempt was opened.
+    opened_at: usize,
 }
 
 /// Time for an engine to begin its answer's head.
@@ -98,6 +100,9 @@
 /// Shortest time without a token after which an engine may count as silent.
 const SILENCE_FLOOR: Duration = Duration::from_millis(1200);
 
+/// Tokens of its own by which an attempt counts as having advanced.
+const PROGRESS: usize = 8;
+
 /// Time that a caller may not read before its engine is freed.
 const STALL: Duration = Duration::from_secs(10);
 
@@ -158,6 +163,7 @@
             written: 0,
             last: None,
             lost_at: None,
+            opened_at: 0,
         };
         work.perform(actions).await;
         while !work.machine.is_ended() {
@@ -326,13 +332,14 @@
 
     fn choose(&mut self, attempt: Attempt, exclude: &[crate::kernel::BackendId]) -> Event {
         self.pieces = None;
+        let advances = self.tokens.len() >= self.opened_at + PROGRESS;
         let Driver {
             parts,
             policy,
             tickets,
             ..
         } = &self.driver;
-        if let Some(refusal) = suspect::refusal(parts, policy, &tickets.content()) {
+        if let Some(refusal) = suspect::refusal(parts, policy, &tickets.content(), advances) {
             info!(self.driver.log, "engines died under the request"; "attempt" => attempt);
             self.refused = Some(refusal);
             let why = NoBackend::Unplaced;
@@ -383,6 +390,7 @@
 
     async fn open(&mut self, attempt: Attempt) -> Option<Event> {
         self.pass(Step::AttemptChosen).await;
+        self.opened_at = self.tokens.len();
         let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
         let mut body = (*self.driver.prompt.body).clone();
         let model = format!(
--- a/crates/cassiareel/src/front/suspect.rs
+++ b/crates/cassiareel/src/front/suspect.rs
@@ -14,9 +14,19 @@
 };
 
 /// The refusal of a request under which too many engines died; none where it may run.
-pub(super) fn refusal(parts: &Parts, policy: &Resolved, content: &Short) -> Option<Refusal> {
+///
+/// An answer that advances between its losses is more likely beside the cause than the cause, and
+/// may lose twice as many engines.
+pub(super) fn refusal(
+    parts: &Parts,
+    policy: &Resolved,
+    content: &Short,
+    advances: bool,
+) -> Option<Refusal> {
     let losses = with(parts, |suspects| suspects.losses(content, now_ms()));
-    if losses < policy.retries.engine_losses {
+    let bound = policy.retries.engine_losses;
+    let bound = if advances { 2 * bound } else { bound };
+    if losses < bound {
         return None;
     }
     let message = format!("{losses} engines died under this request, which is refused for a time");
