--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -16,7 +16,8 @@
     service, suspect, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
-    kernel::{routing, RequestId},
+    kernel::{moves, routing, RequestId},
+    peer::Watch,
     settings::{Identity, Route, Scope, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
 };
@@ -97,8 +98,11 @@
         let prompt = Prompt::parse(endpoint, &body)?;
         let tickets = Tickets::new(snapshot, identity, &prompt);
         let resumed = tickets.resumed(req, &prompt)?;
-        let mut route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        let path = req.url().path();
+        let (mut route, watch) = self.watch(snapshot, identity, route, path, name);
         if let Some(from) = &resumed {
+            // The version is pinned for the answer's life, whatever a move has chosen since.
             route = snapshot
                 .pinned(identity, &prompt.model, &from.ticket.version)
                 .ok_or_else(|| resume::gone(&from.ticket))?;
@@ -146,6 +150,7 @@
             shape: shape.clone(),
             prompt,
             route,
+            watch,
             parts: self.parts.clone(),
             policy,
             log,
@@ -163,6 +168,20 @@
         }
     }
 
+    /// Gives a request its version by the moves in force.
+    fn watch(
+        &self,
+        snapshot: &Snapshot,
+        identity: &Identity,
+        route: Route,
+        path: &str,
+        request: &str,
+    ) -> (Route, Watch) {
+        let centre = &self.parts.data_centre;
+        let moves = &self.parts.moves;
+        moves.watch(snapshot, identity, route, path, request, centre)
+    }
+
     /// Reads a request's whole body, within the bounds of the node's data centre.
     async fn body(&self, req: &mut Request, snapshot: &Snapshot) -> Result<Vec<u8>, Refusal> {
         let bounds = snapshot.tree.resolve(&self.parts.scope()).bounds;
@@ -182,6 +201,7 @@
     ) -> Result<Response, Refusal> {
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
         let route = route(snapshot, identity, service, ServiceKind::Plain)?;
+        let (route, watch) = self.watch(snapshot, identity, route, path, name);
         let log = self.parts.log.new(o!("request" => name.to_owned(),
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()));
@@ -196,9 +216,17 @@
                 caller: Some(&identity.caller),
                 ..self.parts.scope()
             });
-            return order::call(&self.parts, identity, route, &policy, call, &key, log).await;
+            let parts = &self.parts;
+            let answer = order::call(parts, identity, route, &policy, call, &key, log).await;
+            // The backend server is not known here: an order is one incident in any case.
+            match &answer {
+                Ok(res) if !res.status().is_server_error() => watch.whole(1, ""),
+                Err(refusal) if !refusal.is_unknown() => {}
+                _ => watch.end(moves::Outcome::Error, &key),
+            }
+            return answer;
         }
-        service::call(&self.parts.chooser, &route, &call, &log)
+        service::call(&self.parts.chooser, &route, &call, &watch, &log)
             .await
             .map(service::response)
     }
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -23,14 +23,18 @@
         generation::{
             Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend, Resume,
         },
-        health,
+        health, moves,
         ticket::TokenDigest,
         Attempt, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
+    peer::Watch,
     settings::{Resolved, Route},
 };
 
+/// The lowest status by which an engine says that it failed.
+const SERVER_ERROR: u16 = 500;
+
 /// What a driver tells the handler that waits for the answer.
 #[derive(Debug)]
 pub(super) enum Signal {
@@ -51,6 +55,7 @@
     pub(super) id: RequestId,
     pub(super) prompt: Prompt,
     pub(super) route: Route,
+    pub(super) watch: Watch,
     pub(super) shape: Shape,
     pub(super) parts: Arc<Parts>,
     /// Every policy along the request's path.
@@ -264,6 +269,7 @@
             .metrics
             .count(Counter::LostAttempts, 1, &[service]);
         info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
+        self.blame(err);
         if let Some(place) = &mut self.place {
             match err {
                 // An engine that refuses is there; that it is full is known by its load.
@@ -292,6 +298,21 @@
         Event::Lost { attempt, how }
     }
 
+    /// Counts a fault of the version where the caller did not cause it.
+    fn blame(&self, err: &StreamError) {
+        let callers = matches!(err, StreamError::Refused { status, .. }
+            if *status < SERVER_ERROR && !crate::backend::is_transient(*status));
+        if !callers {
+            self.driver.watch.end(moves::Outcome::Error, &self.server());
+        }
+    }
+
+    /// The backend server of the current attempt.
+    fn server(&self) -> String {
+        let place = self.place.as_ref();
+        place.map_or_else(String::new, |place| place.addr.to_string())
+    }
+
     /// Carries actions out, and those that follow from them.
     async fn perform(&mut self, actions: Vec<Action>) {
         let mut queue = std::collections::VecDeque::from(actions);
@@ -441,7 +462,7 @@
             }
             Err(cause) => {
                 info!(self.driver.log, "live stream is gone"; "attempt" => attempt, "cause" => %cause);
-                self.blame(attempt, &cause);
+                self.suspect(attempt, &cause);
                 let how = Loss::Reset;
                 Some(Event::Lost { attempt, how })
             }
@@ -449,7 +470,7 @@
     }
 
     /// Holds the death of an engine against its request.
-    fn blame(&self, attempt: Attempt, cause: &StreamError) {
+    fn suspect(&self, attempt: Attempt, cause: &StreamError) {
         if matches!(cause, StreamError::NotSent { .. }) {
             let Driver {
                 parts, tickets, id, ..
@@ -488,8 +509,8 @@
         if !self.keep(&ids) {
             let attempt = self.machine.attempt();
             info!(self.driver.log, "live stream is not the caller's"; "attempt" => attempt);
-            let how = Loss::Mismatch;
-            return Some(Event::Lost { attempt, how });
+            self.tokens.truncate(self.given().0);
+            return Some(Event::Foreign);
         }
         // What the caller has from another node is not passed on again.
         let (given, given_text) = self.given();
@@ -625,6 +646,9 @@
         let tokens = self.tokens.len() as u32;
         info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
             "attempts" => self.machine.attempt());
+        if matches!(ending, Ending::Complete(_)) {
+            self.driver.watch.whole(tokens, &self.server());
+        }
         if let (Ending::Complete(_), Some(place)) = (ending, &mut self.place) {
             place.note(health::Outcome::Success);
         }
@@ -652,8 +676,9 @@
                 Signal::Refused(self.refused.take().unwrap_or_else(busy))
             }
             Ending::Partial => {
+                let whole = (tokens as usize).max(self.given().0);
                 let words = format!(
-                    "the answer is whole up to token {tokens} and can't go on; ask again for the rest"
+                    "the answer is whole up to token {whole} and can't go on; ask again for the rest"
                 );
                 let partial = || Refusal::busy(words, RETRY_AFTER).with_code("partial");
                 let refusal = self
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -11,6 +11,7 @@
     kernel::{suspect::Suspects, DataCentreId, NodeId},
     observe::Metrics,
     orders::Orders,
+    peer::Shared,
     platform::Objects,
     runtime::Spawner,
     settings::{Scope, Snapshot},
@@ -32,6 +33,8 @@
     pub hooks: Arc<dyn Hooks>,
     /// Requests that take their engines down.
     pub suspects: Arc<Mutex<Suspects>>,
+    /// Moves between versions, and the counts that they are judged by.
+    pub moves: Arc<Shared>,
     /// Non-idempotent calls; none where no store keeps their records.
     pub(super) orders: Option<Orders>,
     /// What chooses backend servers.
@@ -55,6 +58,7 @@
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
             suspects: Arc::default(),
+            moves: Arc::new(Shared::new()),
             orders: None,
             chooser,
         }
@@ -96,6 +100,12 @@
         self
     }
 
+    /// Follows the moves that `moves` shares.
+    pub fn with_moves(mut self, moves: Arc<Shared>) -> Parts {
+        self.moves = moves;
+        self
+    }
+
     /// Tells `hooks` of the steps of requests.
     pub fn with_hooks(mut self, hooks: Arc<dyn Hooks>) -> Parts {
         self.hooks = hooks;
--- a/crates/cassiareel/src/kernel/generation/event.rs
+++ b/crates/cassiareel/src/kernel/generation/event.rs
@@ -89,6 +89,8 @@
     Stalled,
     /// The caller reads again.
     Drained,
+    /// The live stream is not the one whose tokens the caller has.
+    Foreign,
     /// The caller's connection is lost, and it may come back at any node.
     Departed,
     /// The caller is gone for good.
--- a/crates/cassiareel/src/kernel/generation/machine.rs
+++ b/crates/cassiareel/src/kernel/generation/machine.rs
@@ -228,6 +228,7 @@
             Event::Drained => self.unpark(now),
             Event::Abandoned => self.abandon(),
             Event::Departed => self.depart(),
+            Event::Foreign => self.disown(),
             Event::Tick => self.tick(now),
             _ => Vec::new(),
         }
@@ -455,6 +456,15 @@
         self.end(Ending::Abandoned)
     }
 
+    /// Ends an answer whose live stream is another's: nothing may go on from its tokens, and it is
+    /// not ours to cancel.
+    fn disown(&mut self) -> Vec<Action> {
+        if self.stage == Stage::Ended {
+            return Vec::new();
+        }
+        self.end(Ending::Partial)
+    }
+
     fn abandon(&mut self) -> Vec<Action> {
         let mut actions = self.cancel();
         if self.stage != Stage::Ended {
--- a/crates/cassiareel/src/kernel/generation/machine_tests.rs
+++ b/crates/cassiareel/src/kernel/generation/machine_tests.rs
@@ -450,6 +450,29 @@
     assert!(report.violation.is_none(), "{report}");
 }
 
+#[test]
+fn nothing_goes_on_from_a_live_stream_that_is_not_the_callers() {
+    let from = Resume {
+        attempt: 1,
+        next: 10,
+        backend: ENGINES[0].into(),
+        given: GIVEN,
+        known: false,
+    };
+    let (mut machine, _) = Generation::resume(LIMITS, Time::ZERO, from);
+    machine.step(Time::ZERO, Event::Attached { attempt: 1 });
+    let tokens = Event::Tokens {
+        attempt: 1,
+        position: 0,
+        ids: vec![7; GIVEN as usize],
+        text: String::new(),
+    };
+    machine.step(Time::ZERO, tokens);
+    let actions = machine.step(Time::ZERO, Event::Foreign);
+    assert_eq!(actions, [Action::End(Ending::Partial)]);
+    assert!(machine.is_ended());
+}
+
 #[test_case(Mutation::AnyAttempt, "no two generations are mixed")]
 #[test_case(Mutation::AnyPosition, "no token is missing or repeated")]
 #[test_case(Mutation::NoCancel, "no engine works for nobody")]
