--- a/crates/cassiareel-standins/src/caller.rs
+++ b/crates/cassiareel-standins/src/caller.rs
@@ -26,6 +26,8 @@
     pub error: Option<Value>,
     /// The stream came to its `[DONE]`.
     pub done: bool,
+    /// The tokens' numbers, where the caller asked for them.
+    pub ids: Vec<u32>,
     /// The id of the last event.
     pub last: Option<String>,
 }
@@ -34,7 +36,7 @@
 #[derive(Clone, Debug)]
 pub struct Caller {
     key: String,
-    sends_text: bool,
+    sends_tokens: bool,
 }
 
 impl Caller {
@@ -42,13 +44,14 @@
     pub fn new(key: &str) -> Caller {
         Caller {
             key: key.to_owned(),
-            sends_text: false,
+            sends_tokens: false,
         }
     }
 
-    /// Sends the text that it has when it comes back, which a stock client doesn't.
-    pub fn with_text(mut self) -> Caller {
-        self.sends_text = true;
+    /// Asks for the tokens' numbers and sends those that it has when it comes back, which a stock
+    /// client doesn't.
+    pub fn with_tokens(mut self) -> Caller {
+        self.sends_tokens = true;
         self
     }
 
@@ -87,8 +90,11 @@
     {
         let last = seen.last.clone();
         let mut body = body.clone();
-        if self.sends_text && last.is_some() {
-            body["resume_text"] = seen.text.clone().into();
+        if self.sends_tokens {
+            body["return_token_ids"] = true.into();
+        }
+        if self.sends_tokens && last.is_some() {
+            body["prior_token_ids"] = seen.ids.clone().into();
         }
         let headers: Vec<(&str, &str)> = last
             .iter()
@@ -143,6 +149,13 @@
     }
     let choice = &part["choices"][0];
     seen.text.push_str(choice["text"].as_str().unwrap_or(""));
+    let ids = choice["token_ids"].as_array();
+    seen.ids.extend(
+        ids.into_iter()
+            .flatten()
+            .filter_map(|id| id.as_u64())
+            .map(|id| id as u32),
+    );
     if let Some(reason) = choice["finish_reason"].as_str() {
         seen.finish = Some(reason.to_owned());
     }
--- a/crates/cassiareel/src/backend/engine.rs
+++ b/crates/cassiareel/src/backend/engine.rs
@@ -26,8 +26,6 @@
     pub prior: Arc<Vec<TokenId>>,
     /// Bytes of text that the caller has from earlier attempts.
     pub prior_text: usize,
-    /// The text and the count of the tokens that the caller has, where its tokens are not known.
-    pub known: Option<(String, Position)>,
     /// Lower runs earlier.
     pub priority: i32,
 }
--- a/crates/cassiareel/src/backend/http_engine.rs
+++ b/crates/cassiareel/src/backend/http_engine.rs
@@ -99,10 +99,6 @@
             body.insert("prior_token_ids".into(), json!(*start.prior));
             body.insert("prior_text_bytes".into(), json!(start.prior_text));
         }
-        if let Some((text, tokens)) = &start.known {
-            body.insert("prior_text".into(), json!(text));
-            body.insert("prior_tokens".into(), json!(tokens));
-        }
         let mut req = self.request(Method::Post, start.path);
         req.set_content_type(http_types::mime::JSON);
         req.set_body(Value::Object(body).to_string());
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -11,14 +11,12 @@
     answer::Shape,
     choose::Arrival,
     generate::{Driver, Signal},
-    order, service, Endpoint, Outcome, Parts, Prompt, Refusal,
+    order,
+    resume::{self, Tickets},
+    service, suspect, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
-    kernel::{
-        moves, routing,
-        ticket::{Binding, TextDigest, Ticket},
-        RequestId,
-    },
+    kernel::{moves, routing, RequestId},
     peer::Watch,
     settings::{Identity, Route, Scope, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
@@ -33,9 +31,6 @@
 /// The header by which a caller names its request, and that its answer carries.
 const REQUEST_ID: &str = "x-request-id";
 
-/// The header by which a caller that lost its connection comes back.
-const LAST_EVENT_ID: &str = "last-event-id";
-
 /// Longest name of a request, in bytes.
 const REQUEST_ID_BYTES: usize = 128;
 
@@ -101,18 +96,17 @@
     ) -> Result<Response, Refusal> {
         let body = self.body(req, snapshot).await?;
         let prompt = Prompt::parse(endpoint, &body)?;
+        let tickets = Tickets::new(snapshot, identity, &prompt);
+        let resumed = tickets.resumed(req, &prompt)?;
         let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
-        let ticket = self.ticket(req, identity, &prompt)?;
-        let (route, watch) = match &ticket {
-            // A generation stays on its version for life, whatever settings and moves say by now,
-            // and was counted where it began.
-            Some(ticket) => {
-                let watch = self.parts.moves.unwatched(&route.service);
-                let pinned = snapshot.pin(route, &ticket.version);
-                (pinned.ok_or_else(|| gone(ticket))?, watch)
-            }
-            None => self.watch(snapshot, identity, route, req.url().path(), name),
-        };
+        let path = req.url().path();
+        let (mut route, watch) = self.watch(snapshot, identity, route, path, name);
+        if let Some(from) = &resumed {
+            // The version is pinned for the answer's life, whatever a move has chosen since.
+            route = snapshot
+                .pinned(identity, &prompt.model, &from.ticket.version)
+                .ok_or_else(|| resume::gone(&from.ticket))?;
+        }
         let policy = snapshot.tree.resolve(&Scope {
             service: Some(&route.service),
             version: Some(&route.version),
@@ -120,12 +114,18 @@
             caller: Some(&identity.caller),
             ..self.parts.scope()
         });
-        let id: RequestId = format!("g-{:016x}", fastrand::u64(..)).into();
+        let id: RequestId = match &resumed {
+            Some(from) => from.ticket.generation.clone(),
+            None => format!("g-{:016x}", fastrand::u64(..)).into(),
+        };
         let log = self.parts.log.new(
             o!("request" => name.to_owned(), "generation" => id.to_string(),
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()),
         );
+        if let Some(refusal) = suspect::refusal(&self.parts, &policy, &tickets.content(), false) {
+            return Err(refusal);
+        }
         let chooser = &self.parts.chooser;
         let prefix = routing::blocks(&prompt.text);
         let arrival = Arrival {
@@ -133,11 +133,9 @@
             route: &route,
             path: endpoint.path(),
             ask: chooser.ask(prefix.clone(), prompt.text.len(), 0, prompt.tokens),
+            runs: resumed.is_some(),
         };
-        let admitted = match &ticket {
-            Some(_) => chooser.readmit(&arrival)?,
-            None => chooser.admit(arrival).await?,
-        };
+        let admitted = chooser.admit(arrival).await?;
         let (reader, out) = match prompt.stream {
             true => {
                 let (reader, writer) = piper::pipe(OUT_BYTES);
@@ -155,11 +153,11 @@
             watch,
             parts: self.parts.clone(),
             policy,
-            identity: identity.clone(),
-            ticket,
             log,
             out,
             signal,
+            tickets,
+            resumed,
             admitted,
             prefix,
         };
@@ -170,36 +168,6 @@
         }
     }
 
-    /// Reads the ticket of a caller that came back.
-    fn ticket(
-        &self,
-        req: &Request,
-        identity: &Identity,
-        prompt: &Prompt,
-    ) -> Result<Option<Ticket>, Refusal> {
-        let Some(header) = req.header(LAST_EVENT_ID).filter(|_| prompt.stream) else {
-            return Ok(None);
-        };
-        let binding = Binding {
-            account: &identity.account,
-            caller: &identity.caller,
-            request: &prompt.digest,
-        };
-        let refusal =
-            |message: String| Refusal::invalid(LAST_EVENT_ID, message).with_code("bad_ticket");
-        let ticket = Ticket::open(header.as_str(), &self.parts.keyring, &binding)
-            .map_err(|err| refusal(err.to_string()))?;
-        if let Some(text) = &prompt.resume {
-            let mut digest = TextDigest::default();
-            digest.push(text);
-            if digest.value() != ticket.digest {
-                let words = "\"resume_text\" is not the text up to the event of this id";
-                return Err(refusal(words.to_owned()));
-            }
-        }
-        Ok(Some(ticket))
-    }
-
     /// Gives a request its version by the moves in force.
     fn watch(
         &self,
@@ -239,7 +207,7 @@
             "service" => route.service.to_string()));
         let body = self.body(req, snapshot).await?;
         let call = service::read(req, &format!("/{path}"), name, body);
-        if !route.idempotent && !is_safe(call.method) {
+        if !snapshot.is_idempotent(&route.service, &call.path) && !is_safe(call.method) {
             let key = order::key(req)?;
             let policy = snapshot.tree.resolve(&Scope {
                 service: Some(&route.service),
@@ -338,17 +306,6 @@
         })
 }
 
-/// The refusal of a generation whose version is no longer in the settings.
-fn gone(ticket: &Ticket) -> Refusal {
-    let message = format!(
-        "the answer is whole up to token {}; version {:?} that gave it is gone, ask anew",
-        ticket.position, &*ticket.version
-    );
-    Refusal::new(StatusCode::Gone, message)
-        .with_code("partial")
-        .with_outcome(Outcome::Ran)
-}
-
 /// Lists the models that a caller may use.
 fn models(snapshot: &Snapshot, identity: &Identity) -> Response {
     let services = &snapshot.tree.services;
--- a/crates/cassiareel/src/front/choose.rs
+++ b/crates/cassiareel/src/front/choose.rs
@@ -86,13 +86,8 @@
     pub(super) path: &'a str,
     /// What is known of it.
     pub(super) ask: Ask,
-}
-
-/// A request within its limits, with the policies that say them.
-struct Entry {
-    permit: Permit,
-    account: Resolved,
-    caller: Resolved,
+    /// Whether it runs at a backend server already, so that it only counts in the limits.
+    pub(super) runs: bool,
 }
 
 impl Chooser {
@@ -146,14 +141,45 @@
         }
     }
 
+    /// Takes a place at a backend server where the request runs already.
+    pub(super) fn at(&self, addr: SocketAddr) -> Place {
+        Place {
+            addr,
+            ticket: None,
+            origin: self.origin,
+            outcome: None,
+        }
+    }
+
     /// Lets a request in, when its turn comes, with a backend server chosen.
     pub(super) async fn admit(&self, arrival: Arrival<'_>) -> Result<Admitted, Refusal> {
-        let Entry {
-            permit,
-            account,
-            caller,
-        } = self.enter(&arrival)?;
+        let snapshot = self.follow_settings();
         let identity = arrival.identity;
+        let scope = Scope {
+            data_centre: Some(&self.data_centre),
+            service: Some(&arrival.route.service),
+            account: Some(&identity.account),
+            ..Scope::default()
+        };
+        let account = snapshot.tree.resolve(&scope);
+        let caller = snapshot.tree.resolve(&Scope {
+            caller: Some(&identity.caller),
+            ..scope
+        });
+        let levels = [
+            (level(identity, true), limits(&caller)),
+            (level(identity, false), limits(&account)),
+        ];
+        let part = 1.0 / self.fleet.load().all.len().max(1) as f64;
+        let tokens = arrival.ask.tokens();
+        let permit = self
+            .limiter
+            .enter(self.now(), &levels, tokens, part)
+            .map_err(|exceeded| limited(&exceeded))?;
+        if arrival.runs {
+            let first = None;
+            return Ok(Admitted { first, permit });
+        }
         let wanted = Wanted {
             pool: pool_id(arrival.route),
             route: arrival.path.into(),
@@ -186,47 +212,6 @@
         }
     }
 
-    /// Lets a generation in that goes on from another node: it has its turn already.
-    pub(super) fn readmit(&self, arrival: &Arrival<'_>) -> Result<Admitted, Refusal> {
-        let entry = self.enter(arrival)?;
-        Ok(Admitted {
-            first: None,
-            permit: entry.permit,
-        })
-    }
-
-    /// Counts a request against its limits.
-    fn enter(&self, arrival: &Arrival<'_>) -> Result<Entry, Refusal> {
-        let snapshot = self.follow_settings();
-        let identity = arrival.identity;
-        let scope = Scope {
-            data_centre: Some(&self.data_centre),
-            service: Some(&arrival.route.service),
-            account: Some(&identity.account),
-            ..Scope::default()
-        };
-        let account = snapshot.tree.resolve(&scope);
-        let caller = snapshot.tree.resolve(&Scope {
-            caller: Some(&identity.caller),
-            ..scope
-        });
-        let levels = [
-            (level(identity, true), limits(&caller)),
-            (level(identity, false), limits(&account)),
-        ];
-        let part = 1.0 / self.fleet.load().all.len().max(1) as f64;
-        let tokens = arrival.ask.tokens();
-        let permit = self
-            .limiter
-            .enter(self.now(), &levels, tokens, part)
-            .map_err(|exceeded| limited(&exceeded))?;
-        Ok(Entry {
-            permit,
-            account,
-            caller,
-        })
-    }
-
     /// Chooses a backend server for a generation that goes on, other than those excluded.
     pub(super) fn resume(
         &self,
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -14,7 +14,8 @@
     answer::{Shape, Usage},
     choose::{log_decision, Admitted, Place},
     probe::until_silent,
-    Outcome, Parts, Prompt, Refusal,
+    resume::{Resumed, Standing, Tickets},
+    suspect, Outcome, Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
@@ -25,12 +26,12 @@
             Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend, Resume,
         },
         health, moves,
-        ticket::{Binding, TextDigest, Ticket},
-        Attempt, BackendId, Position, RequestId, Time, TokenId,
+        ticket::TokenDigest,
+        Attempt, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
     peer::Watch,
-    settings::{Identity, Resolved, Route},
+    settings::{Resolved, Route},
 };
 
 /// The lowest status by which an engine says that it failed.
@@ -58,10 +59,6 @@
     pub(super) route: Route,
     pub(super) watch: Watch,
     pub(super) shape: Shape,
-    /// The caller, for tickets.
-    pub(super) identity: Identity,
-    /// Where the generation goes on, if a caller came back with a ticket.
-    pub(super) ticket: Option<Ticket>,
     pub(super) parts: Arc<Parts>,
     /// Every policy along the request's path.
     pub(super) policy: Resolved,
@@ -69,6 +66,10 @@
     /// Where a streamed answer goes; an answer that is not streamed is gathered.
     pub(super) out: Option<piper::Writer>,
     pub(super) signal: async_channel::Sender<Signal>,
+    /// What the ids of events are made of.
+    pub(super) tickets: Tickets,
+    /// The answer that this one goes on with.
+    pub(super) resumed: Option<Resumed>,
     /// The request's place within the limits and its first backend server.
     pub(super) admitted: Admitted,
     /// Chained hashes of the prompt's blocks.
@@ -83,23 +84,23 @@
     place: Option<Place>,
     pieces: Option<Pieces>,
     wake: Time,
-    /// The name of the current attempt's stream at its engine.
-    stream: RequestId,
-    /// The current attempt's engine.
-    backend: BackendId,
-    /// Tokens that the caller had before this node took over.
-    base: Position,
-    /// Tokens since.
     tokens: Vec<TokenId>,
-    /// The text, where the answer is not streamed or may have to go on after text alone.
     text: String,
     text_bytes: usize,
-    digest: TextDigest,
+    digest: TokenDigest,
+    began: bool,
     prompt_tokens: u32,
     refused: Option<Refusal>,
     /// The engine, while its attempt's first token is awaited.
     probed: Option<SocketAddr>,
+    abandoned: bool,
     buf: Vec<u8>,
+    /// Bytes of `buf` that the caller's connection took.
+    written: usize,
+    last: Option<Instant>,
+    lost_at: Option<Instant>,
+    /// Tokens of the answer when the last attempt was opened.
+    opened_at: usize,
 }
 
 /// Time for an engine to begin its answer's head.
@@ -108,9 +109,19 @@
 /// Shortest time without a token after which an engine may count as silent.
 const SILENCE_FLOOR: Duration = Duration::from_millis(1200);
 
+/// Tokens of its own by which an attempt counts as having advanced.
+const PROGRESS: usize = 8;
+
+/// Time that a caller may not read before its engine is freed.
+const STALL: Duration = Duration::from_secs(10);
+
 /// Time for an engine to take up a live stream again.
 const ATTACH: Duration = Duration::from_millis(150);
 
+/// Numbers for the attempts of a node that takes an answer up: two nodes that do so, or one that
+/// comes back from a pause, do not meet in one stream.
+const OWN_ATTEMPTS: std::ops::Range<Attempt> = 1 << 16..1 << 31;
+
 /// Time that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -126,35 +137,43 @@
             retry: self.policy.retries.pause,
             attempts: self.policy.retries.attempts,
         };
-        let (machine, actions) = match &self.ticket {
+        let (machine, actions) = match &self.resumed {
             None => Generation::start(limits, Duration::ZERO),
-            Some(ticket) => Generation::resume(limits, Duration::ZERO, self.resume(ticket)),
+            Some(from) => Generation::resume(limits, Duration::ZERO, from.standing()),
         };
-        let (stream, backend) = match &self.ticket {
-            None => (self.id.clone(), "".into()),
-            Some(ticket) => (ticket.generation.clone(), ticket.backend.clone()),
+        let place = self
+            .resumed
+            .as_ref()
+            .map(|from| self.parts.chooser.at(from.ticket.backend));
+        let prior = self.resumed.as_ref().and_then(|from| from.prior.clone());
+        let text_bytes = match (&self.resumed, &prior) {
+            (Some(from), Some(_)) => from.ticket.text as usize,
+            _ => 0,
         };
-        let known = self.prompt.resume.clone().unwrap_or_default();
-        let mut digest = TextDigest::default();
-        digest.push(&known);
+        let tokens = prior.unwrap_or_default();
+        let mut digest = TokenDigest::default();
+        digest.add(&tokens);
         let mut work = Work {
-            stream,
-            backend,
-            base: machine.position(),
-            text_bytes: self.ticket.as_ref().map_or(0, |t| t.text as usize),
-            digest,
             driver: self,
             origin: Instant::now(),
             machine,
-            place: None,
+            place,
             pieces: None,
             wake: Duration::ZERO,
-            tokens: Vec::new(),
-            text: known,
+            tokens,
+            text: String::new(),
+            text_bytes,
+            digest,
+            began: false,
             prompt_tokens: 0,
             refused: None,
             probed: None,
+            abandoned: false,
             buf: Vec::new(),
+            written: 0,
+            last: None,
+            lost_at: None,
+            opened_at: 0,
         };
         work.perform(actions).await;
         while !work.machine.is_ended() {
@@ -165,18 +184,6 @@
     }
 }
 
-impl Driver {
-    /// Where the generation of a ticket goes on.
-    fn resume(&self, ticket: &Ticket) -> Resume {
-        Resume {
-            attempt: ticket.attempt,
-            backend: ticket.backend.clone(),
-            position: ticket.position,
-            continues: ticket.position == 0 || self.prompt.resume.is_some(),
-        }
-    }
-}
-
 impl Work {
     fn now(&self) -> Time {
         self.origin.elapsed()
@@ -184,6 +191,9 @@
 
     /// Waits for the next event: a piece that is there goes before a timer that is due.
     async fn next(&mut self) -> Event {
+        if self.written < self.buf.len() {
+            return self.drain().await;
+        }
         let attempt = self.machine.attempt();
         let due = self.origin + self.wake;
         let timer = async {
@@ -255,7 +265,7 @@
                 (request, attempt, event)
             }
         };
-        if request == self.stream && attempt == current {
+        if request == self.driver.id && attempt == current {
             return event;
         }
         let service = ("service", &*self.driver.route.service);
@@ -345,14 +355,9 @@
         match action {
             Action::Choose { attempt, exclude } => Some(self.choose(attempt, &exclude)),
             Action::Open { attempt, .. } => self.open(attempt).await,
-            Action::Attach { attempt, backend } => self.attach(attempt, &backend).await,
-            Action::Detach { .. } => {
-                self.pieces = None;
-                self.place = None;
-                None
-            }
-            Action::Cancel { attempt, backend } => {
-                self.cancel(attempt, &backend);
+            Action::Attach { attempt, .. } => self.attach(attempt).await,
+            Action::Cancel { attempt, .. } => {
+                self.cancel(attempt);
                 None
             }
             Action::Emit { ids, text, .. } => self.emit(ids, &text).await,
@@ -367,8 +372,21 @@
         }
     }
 
-    fn choose(&mut self, attempt: Attempt, exclude: &[BackendId]) -> Event {
+    fn choose(&mut self, attempt: Attempt, exclude: &[crate::kernel::BackendId]) -> Event {
         self.pieces = None;
+        let advances = self.tokens.len() >= self.opened_at + PROGRESS;
+        let Driver {
+            parts,
+            policy,
+            tickets,
+            ..
+        } = &self.driver;
+        if let Some(refusal) = suspect::refusal(parts, policy, &tickets.content(), advances) {
+            info!(self.driver.log, "engines died under the request"; "attempt" => attempt);
+            self.refused = Some(refusal);
+            let why = NoBackend::Unplaced;
+            return Event::NotChosen { attempt, why };
+        }
         let (decision, place) = match self.driver.admitted.first.take() {
             Some((decision, place)) => (decision, Some(place)),
             None => self.choose_again(exclude),
@@ -380,11 +398,10 @@
         log_decision(&log, &self.driver.route, &decision);
         let chosen = self.place.as_ref().map(|place| place.addr.to_string());
         match chosen {
-            Some(backend) => {
-                self.backend = backend.into();
-                let backend = self.backend.clone();
-                Event::Chosen { attempt, backend }
-            }
+            Some(backend) => Event::Chosen {
+                attempt,
+                backend: backend.into(),
+            },
             None if self.driver.route.servers.is_empty() => Event::NotChosen {
                 attempt,
                 why: NoBackend::Unplaced,
@@ -415,10 +432,9 @@
 
     async fn open(&mut self, attempt: Attempt) -> Option<Event> {
         self.pass(Step::AttemptChosen).await;
+        self.opened_at = self.tokens.len();
         let addr = self.place.as_ref()?.addr;
         let engine = HttpEngine::new(addr, self.driver.policy.time.first_token);
-        // Another node may use the numbers of a stream that this one took over.
-        self.stream = self.driver.id.clone();
         let mut body = (*self.driver.prompt.body).clone();
         let model = format!(
             "{}@{}",
@@ -426,13 +442,12 @@
         );
         body.insert("model".into(), model.into());
         let start = Start {
-            request: self.stream.clone(),
+            request: self.driver.id.clone(),
             attempt,
             path: self.driver.prompt.endpoint.path(),
             body: Arc::new(body),
-            prior: Arc::new(self.prior()),
+            prior: Arc::new(self.tokens.clone()),
             prior_text: self.text_bytes,
-            known: (self.base > 0).then(|| (self.text.clone(), self.machine.position())),
             priority: self.driver.policy.limits.priority,
         };
         let opened = engine
@@ -450,32 +465,21 @@
         }
     }
 
-    /// The caller's tokens, where they are known from the first.
-    fn prior(&self) -> Vec<TokenId> {
-        match self.base {
-            0 => self.tokens.clone(),
-            _ => Vec::new(),
-        }
-    }
-
     /// Takes up the live stream of an attempt whose connection was lost.
-    async fn attach(&mut self, attempt: Attempt, backend: &BackendId) -> Option<Event> {
+    async fn attach(&mut self, attempt: Attempt) -> Option<Event> {
+        self.lost_at = self.lost_at.or(self.last);
         self.pieces = None;
-        let Ok(addr) = backend.parse() else {
-            let how = Loss::Refused;
-            return Some(Event::Lost { attempt, how });
-        };
-        let engine = HttpEngine::new(addr, ENGINE_HEAD);
+        let engine = HttpEngine::new(self.place.as_ref()?.addr, ENGINE_HEAD);
         let from = self.machine.position();
         let attached = async {
             engine
-                .attach(&self.stream, attempt, from, self.text_bytes)
+                .attach(&self.driver.id, attempt, from, self.text_bytes)
                 .await
-                .map_err(|err| err.to_string())
         };
         let bound = async {
             Timer::after(ATTACH).await;
-            Err(format!("no answer within {ATTACH:?}"))
+            let cause = format!("no answer within {ATTACH:?}");
+            Err(StreamError::Lost { cause })
         };
         match attached.or(bound).await {
             Ok(pieces) => {
@@ -484,74 +488,189 @@
                 Some(Event::Attached { attempt })
             }
             Err(cause) => {
-                info!(self.driver.log, "live stream is gone"; "attempt" => attempt, "cause" => cause);
+                info!(self.driver.log, "live stream is gone"; "attempt" => attempt, "cause" => %cause);
+                self.suspect(attempt, &cause);
                 let how = Loss::Reset;
                 Some(Event::Lost { attempt, how })
             }
         }
     }
 
+    /// Holds the death of an engine against its request.
+    fn suspect(&self, attempt: Attempt, cause: &StreamError) {
+        if matches!(cause, StreamError::NotSent { .. }) {
+            let Driver {
+                parts, tickets, id, ..
+            } = &self.driver;
+            suspect::lost(parts, tickets.content(), id, attempt);
+        }
+    }
+
     /// Cancels an attempt in the background: the next one doesn't wait for it.
-    fn cancel(&mut self, attempt: Attempt, backend: &BackendId) {
+    fn cancel(&mut self, attempt: Attempt) {
+        self.lost_at = self.lost_at.or(self.last);
         self.pieces = None;
-        let mut place = self.place.take();
-        if let Some(place) = &mut place {
-            place.note(health::Outcome::Lost);
-        }
-        let Ok(addr) = backend.parse() else {
+        let Some(mut place) = self.place.take() else {
             return;
         };
-        let id = self.stream.clone();
+        // An attempt that is cancelled for another reason than its caller was lost.
+        if !self.abandoned {
+            place.note(health::Outcome::Lost);
+        }
+        let id = self.driver.id.clone();
         let cancel = async move {
-            let engine = HttpEngine::new(addr, ENGINE_HEAD);
+            let engine = HttpEngine::new(place.addr, ENGINE_HEAD);
             let _ = engine.cancel(&id, attempt).await;
-            // The place counts as taken until the engine has let go.
-            drop(place);
         };
         self.driver.parts.spawner.spawn(cancel).detach();
     }
 
     async fn emit(&mut self, ids: Vec<TokenId>, text: &str) -> Option<Event> {
         self.pass(Step::TokensTaken).await;
-        let first = self.tokens.is_empty() && self.base == 0;
-        let began = self.tokens.is_empty();
         if let Some(place) = &mut self.place {
             place.first_token();
         }
-        let service = &*self.driver.route.service;
-        if first {
-            let tags = [("service", service)];
-            self.driver
-                .parts
-                .metrics
-                .time(observe::Timer::FirstToken, self.now(), &tags);
-        }
-        self.tokens.extend(ids);
+        self.count_tokens();
+        let before = (self.tokens.len(), self.text_bytes);
         self.text_bytes += text.len();
-        self.digest.push(text);
-        if began {
+        if !self.keep(&ids) {
+            let attempt = self.machine.attempt();
+            info!(self.driver.log, "live stream is not the caller's"; "attempt" => attempt);
+            self.tokens.truncate(self.given().0);
+            return Some(Event::Foreign);
+        }
+        // What the caller has from another node is not passed on again.
+        let (given, given_text) = self.given();
+        let ids = &ids[given.saturating_sub(before.0).min(ids.len())..];
+        let hidden = given_text.saturating_sub(before.1).min(text.len());
+        let Some(text) = text.get(hidden..) else {
+            let attempt = self.machine.attempt();
+            let how = Loss::Mismatch;
+            return Some(Event::Lost { attempt, how });
+        };
+        if ids.is_empty() {
+            return None;
+        }
+        let first = !std::mem::replace(&mut self.began, true);
+        if first {
             let _ = self.driver.signal.try_send(Signal::Began);
         }
-        if self.driver.out.is_none() || self.base > 0 {
+        if self.driver.out.is_none() {
             self.text.push_str(text);
+            return None;
         }
-        self.driver.out.as_ref()?;
-        if text.is_empty() && !first {
+        if text.is_empty() && !first && !self.driver.prompt.token_ids {
             return None;
         }
+        self.write_event(ids, text, first);
+        let gone = self.write().await;
+        if gone.is_none() {
+            self.pass(Step::TokensPassed).await;
+        }
+        gone
+    }
+
+    /// Keeps tokens; false where they are not those that the caller has from another node.
+    fn keep(&mut self, ids: &[TokenId]) -> bool {
+        let given = self.given().0;
+        let mut fits = true;
+        for id in ids {
+            self.tokens.push(*id);
+            self.digest.add(&[*id]);
+            if let (true, Some(from)) = (self.tokens.len() == given, &self.driver.resumed) {
+                fits = self.digest.value() == from.ticket.tokens;
+            }
+        }
+        fits
+    }
+
+    /// Tokens and bytes of text that the caller has from another node.
+    fn given(&self) -> (usize, usize) {
+        match &self.driver.resumed {
+            Some(from) => (from.ticket.position as usize, from.ticket.text as usize),
+            None => (0, 0),
+        }
+    }
+
+    /// Takes the time of the first tokens, and of those after a loss.
+    fn count_tokens(&mut self) {
+        let tags = [("service", &*self.driver.route.service)];
+        let metrics = &self.driver.parts.metrics;
+        if self.tokens.is_empty() && self.driver.resumed.is_none() {
+            metrics.time(observe::Timer::FirstToken, self.now(), &tags);
+        }
+        if let Some(lost) = self.lost_at.take() {
+            metrics.time(observe::Timer::Resume, lost.elapsed(), &tags);
+        }
+        self.last = Some(Instant::now());
+    }
+
+    /// Puts an event with its id into the buffer.
+    fn write_event(&mut self, ids: &[TokenId], text: &str, first: bool) {
         self.buf.clear();
-        let ticket = self.ticket();
-        self.driver.shape.text(&mut self.buf, &ticket, text, first);
-        let out = self.driver.out.as_mut()?;
-        if out.write_all(&self.buf).await.is_err() {
-            return Some(Event::Abandoned);
-        }
-        self.pass(Step::TokensPassed).await;
-        None
+        self.written = 0;
+        let standing = self.place.as_ref().map(|place| Standing {
+            generation: &self.driver.id,
+            version: &self.driver.route.version,
+            backend: place.addr,
+            attempt: self.machine.attempt(),
+            tokens: self.tokens.len(),
+            text: self.text_bytes,
+            digest: &self.digest,
+        });
+        if let Some(id) = standing.and_then(|at| self.driver.tickets.id(&at)) {
+            self.buf.extend_from_slice(format!("id: {id}\n").as_bytes());
+        }
+        let shown = if self.driver.prompt.token_ids {
+            ids
+        } else {
+            &[]
+        };
+        let first = first && self.driver.resumed.is_none();
+        self.driver.shape.text(&mut self.buf, text, shown, first);
+    }
+
+    /// Writes the buffer to the caller, who may be slow or gone.
+    async fn write(&mut self) -> Option<Event> {
+        let stalled = async {
+            Timer::after(STALL).await;
+            None
+        };
+        let event = async { Some(self.drain().await) }.or(stalled).await;
+        match event {
+            Some(Event::Drained) => None,
+            Some(gone) => Some(gone),
+            None => {
+                info!(self.driver.log, "caller does not read"; "tokens" => self.tokens.len());
+                Some(Event::Stalled)
+            }
+        }
+    }
+
+    /// Writes what is left of the buffer, however long it takes.
+    async fn drain(&mut self) -> Event {
+        let Some(out) = &mut self.driver.out else {
+            self.written = self.buf.len();
+            return Event::Drained;
+        };
+        while self.written < self.buf.len() {
+            match out.write(&self.buf[self.written..]).await {
+                Ok(n) if n > 0 => self.written += n,
+                _ => {
+                    self.written = self.buf.len();
+                    self.abandoned = true;
+                    return match self.driver.tickets.are_given() {
+                        true => Event::Departed,
+                        false => Event::Abandoned,
+                    };
+                }
+            }
+        }
+        Event::Drained
     }
 
     async fn finish(&mut self, ending: Ending) {
-        let tokens = self.machine.position();
+        let tokens = self.tokens.len() as u32;
         info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
             "attempts" => self.machine.attempt());
         if matches!(ending, Ending::Complete(_)) {
@@ -570,6 +689,7 @@
         self.pass(Step::AnswerEnded).await;
         let signal = match ending {
             Ending::Complete(reason) => {
+                suspect::cleared(&self.driver.parts, &self.driver.tickets.content());
                 self.write_finish(reason, usage).await;
                 Signal::Complete {
                     text: std::mem::take(&mut self.text),
@@ -583,11 +703,15 @@
                 Signal::Refused(self.refused.take().unwrap_or_else(busy))
             }
             Ending::Partial => {
+                let whole = (tokens as usize).max(self.given().0);
                 let words = format!(
-                    "the answer is whole up to token {tokens} and can't go on; ask again for the rest"
+                    "the answer is whole up to token {whole} and can't go on; ask again for the rest"
                 );
-                let refusal = Refusal::busy(words, RETRY_AFTER)
-                    .with_code("partial")
+                let partial = || Refusal::busy(words, RETRY_AFTER).with_code("partial");
+                let refusal = self
+                    .refused
+                    .take()
+                    .unwrap_or_else(partial)
                     .with_outcome(Outcome::Ran);
                 self.write_error(&refusal).await;
                 Signal::Refused(refusal)
@@ -596,25 +720,6 @@
         let _ = self.driver.signal.try_send(signal);
     }
 
-    /// The ticket for the event that the buffer is about to hold.
-    fn ticket(&self) -> String {
-        let ticket = Ticket {
-            generation: self.stream.clone(),
-            attempt: self.machine.attempt(),
-            backend: self.backend.clone(),
-            version: self.driver.route.version.clone(),
-            position: self.machine.position(),
-            text: self.text_bytes as u32,
-            digest: self.digest.value(),
-        };
-        let binding = Binding {
-            account: &self.driver.identity.account,
-            caller: &self.driver.identity.caller,
-            request: &self.driver.prompt.digest,
-        };
-        ticket.seal(&self.driver.parts.keyring, &binding)
-    }
-
     /// Counts an ended generation.
     fn count(&self, ending: Ending, tokens: u32) {
         let service = ("service", &*self.driver.route.service);
@@ -649,6 +754,19 @@
     }
 }
 
+impl Resumed {
+    /// Where the answer stands, for the machine.
+    fn standing(&self) -> Resume {
+        Resume {
+            attempt: self.ticket.attempt,
+            next: fastrand::u32(OWN_ATTEMPTS),
+            backend: self.ticket.backend.to_string().into(),
+            given: self.ticket.position,
+            known: self.prior.is_some(),
+        }
+    }
+}
+
 /// Passes an engine's refusal on.
 fn engine_refusal(status: u16, message: &str) -> Refusal {
     let status =
--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -21,7 +21,9 @@
 mod request;
 #[cfg(test)]
 mod request_tests;
+mod resume;
 mod service;
+mod suspect;
 
 pub use api::Front;
 pub use operator::{Decisions, NodeStatus, Operator, StatusSource, OPERATOR_PATH};
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -1,6 +1,6 @@
 //! What all requests of a node work with.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
 use slog::Logger;
@@ -8,7 +8,7 @@
 use super::Chooser;
 use crate::{
     hooks::{Hooks, NoHooks},
-    kernel::{DataCentreId, Keyring, NodeId},
+    kernel::{suspect::Suspects, DataCentreId, NodeId},
     observe::Metrics,
     orders::Orders,
     peer::Shared,
@@ -29,10 +29,10 @@
     pub log: Logger,
     /// Where figures go.
     pub metrics: Arc<Metrics>,
-    /// The keys that sign tickets.
-    pub keyring: Arc<Keyring>,
     /// What listens to the steps of a request.
     pub hooks: Arc<dyn Hooks>,
+    /// Requests that take their engines down.
+    pub suspects: Arc<Mutex<Suspects>>,
     /// Moves between versions, and the counts that they are judged by.
     pub moves: Arc<Shared>,
     /// Non-idempotent calls; none where no store keeps their records.
@@ -56,8 +56,8 @@
             spawner,
             log,
             metrics: Arc::new(Metrics::none()),
-            keyring: Arc::new(Keyring::random()),
             hooks: Arc::new(NoHooks),
+            suspects: Arc::default(),
             moves: Arc::new(Shared::new()),
             orders: None,
             chooser,
@@ -100,12 +100,6 @@
         self
     }
 
-    /// Signs tickets with `keyring`.
-    pub fn with_keyring(mut self, keyring: Arc<Keyring>) -> Parts {
-        self.keyring = keyring;
-        self
-    }
-
     /// Follows the moves that `moves` shares.
     pub fn with_moves(mut self, moves: Arc<Shared>) -> Parts {
         self.moves = moves;
--- a/crates/cassiareel/src/kernel/generation/action.rs
+++ b/crates/cassiareel/src/kernel/generation/action.rs
@@ -11,7 +11,7 @@
     NotRun,
     /// An engine began, and the answer, whole up to the position reached, can't go on.
     Partial,
-    /// The caller went away, or is served by another node.
+    /// The caller went away.
     Abandoned,
 }
 
@@ -39,14 +39,6 @@
         /// The backend server.
         backend: BackendId,
     },
-    /// Let go of the attempt's stream without a cancel: an engine ends a stream that nobody reads by
-    /// itself, and the caller may have come back to another node, which reads it already.
-    Detach {
-        /// The attempt.
-        attempt: Attempt,
-        /// The backend server.
-        backend: BackendId,
-    },
     /// Cancel the attempt at a backend server, so that it works for nobody.
     Cancel {
         /// The attempt.
--- a/crates/cassiareel/src/kernel/generation/event.rs
+++ b/crates/cassiareel/src/kernel/generation/event.rs
@@ -89,13 +89,17 @@
     Stalled,
     /// The caller reads again.
     Drained,
-    /// The caller's connection is gone; it may come back to any node.
-    Abandoned,
+    /// The live stream is not the one whose tokens the caller has.
+    Foreign,
     /// Another node has taken up the attempt's stream for the caller.
     Replaced {
         /// The attempt.
         attempt: Attempt,
     },
+    /// The caller's connection is lost, and it may come back at any node.
+    Departed,
+    /// The caller is gone for good.
+    Abandoned,
     /// Time passed.
     Tick,
 }
--- a/crates/cassiareel/src/kernel/generation/machine.rs
+++ b/crates/cassiareel/src/kernel/generation/machine.rs
@@ -30,6 +30,21 @@
 /// Times that the live stream of one attempt is taken up again.
 const ATTACHES: u32 = 3;
 
+/// Where an answer stands that another node began.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Resume {
+    /// The attempt that runs.
+    pub attempt: Attempt,
+    /// The number of this node's first own attempt, which no other node uses.
+    pub next: Attempt,
+    /// The backend server that it runs at.
+    pub backend: BackendId,
+    /// Tokens that the caller has.
+    pub given: Position,
+    /// Whether these tokens are known here.
+    pub known: bool,
+}
+
 /// Where the current attempt stands.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Stage {
@@ -63,6 +78,8 @@
     AnyEnd,
     /// Waits for ever for a live stream.
     NoAttachBound,
+    /// Begins anew below the tokens that the caller has from another node.
+    BeginAnew,
 }
 
 /// A generation.
@@ -94,32 +111,21 @@
     attempt: Attempt,
     // INVARIANT: the caller was given exactly the tokens 0..position, in order, once.
     position: Position,
+    // INVARIANT: below this position the caller has the tokens of another node, and only their own
+    // stream may repeat them.
+    given: Position,
+    numbers: Attempt,
     lost: Vec<BackendId>,
     losses: u32,
     attaches: u32,
     pace: Pace,
     // INVARIANT: set once an engine may have begun.
     ran: bool,
-    /// A new attempt can go on after the caller's tokens.
-    continues: bool,
     stage: Stage,
     #[cfg(test)]
     pub(crate) mutation: Option<Mutation>,
 }
 
-/// Where a generation stands that goes on at another node.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct Resume {
-    /// The attempt that ran.
-    pub attempt: Attempt,
-    /// Its backend server.
-    pub backend: BackendId,
-    /// Tokens that the caller has.
-    pub position: Position,
-    /// What the caller has is known here, so that a new attempt can go on after it.
-    pub continues: bool,
-}
-
 impl Generation {
     /// Starts a generation; the actions choose the first backend server.
     pub fn start(limits: Limits, now: Time) -> (Generation, Vec<Action>) {
@@ -127,12 +133,13 @@
             limits,
             attempt: 1,
             position: 0,
+            given: 0,
+            numbers: 2,
             lost: Vec::new(),
             losses: 0,
             attaches: 0,
             pace: Pace::default(),
             ran: false,
-            continues: true,
             stage: Stage::Choosing {
                 until: now + limits.queue,
             },
@@ -143,24 +150,30 @@
         (generation, vec![action])
     }
 
-    /// Goes on with a generation that another node had; the action takes up the live stream.
+    /// Goes on with an answer that another node began: its live stream first, and a new attempt
+    /// where that is gone and the caller's tokens are known.
+    ///
+    /// Tokens that are not known are read from the live stream again, from position 0; the driver
+    /// does not pass them on.
     pub fn resume(limits: Limits, now: Time, from: Resume) -> (Generation, Vec<Action>) {
-        let until = now + limits.attach;
         let (mut generation, _) = Generation::start(limits, now);
+        let until = now + limits.attach;
         generation.attempt = from.attempt;
-        generation.position = from.position;
-        generation.attaches = 1;
+        generation.numbers = from.next;
+        generation.given = from.given;
+        generation.position = if from.known { from.given } else { 0 };
         generation.ran = true;
-        generation.continues = from.continues;
-        generation.stage = Stage::Attaching {
-            backend: from.backend.clone(),
-            until,
-        };
-        let attach = Action::Attach {
-            attempt: from.attempt,
-            backend: from.backend,
-        };
-        (generation, vec![attach, Action::Wake { at: until }])
+        let attempt = from.attempt;
+        let backend = from.backend;
+        let actions = vec![
+            Action::Attach {
+                attempt,
+                backend: backend.clone(),
+            },
+            Action::Wake { at: until },
+        ];
+        generation.stage = Stage::Attaching { backend, until };
+        (generation, actions)
     }
 
     /// The current attempt.
@@ -211,10 +224,12 @@
             }
             Event::Attached { attempt } if attempt == self.attempt => self.attached(now),
             Event::Lost { attempt, how } if attempt == self.attempt => self.lose(now, how),
-            Event::Replaced { attempt } if attempt == self.attempt => self.leave(),
             Event::Stalled => self.park(),
             Event::Drained => self.unpark(now),
             Event::Abandoned => self.abandon(),
+            Event::Departed => self.depart(),
+            Event::Replaced { attempt } if attempt == self.attempt => self.depart(),
+            Event::Foreign => self.disown(),
             Event::Tick => self.tick(now),
             _ => Vec::new(),
         }
@@ -354,7 +369,8 @@
         }
         self.lost.push(backend);
         self.losses += 1;
-        if !self.continues || self.losses >= self.limits.attempts {
+        let begins_anew = self.position < self.given && !self.is_mutated("BeginAnew");
+        if begins_anew || self.losses >= self.limits.attempts {
             actions.extend(self.give_up());
             return actions;
         }
@@ -364,7 +380,8 @@
 
     /// Begins the next attempt.
     fn next(&mut self, now: Time) -> Action {
-        self.attempt += 1;
+        self.attempt = self.numbers;
+        self.numbers += 1;
         self.attaches = 0;
         self.pace = Pace::default();
         self.stage = Stage::Choosing {
@@ -387,6 +404,9 @@
         if self.stage != Stage::Parked {
             return Vec::new();
         }
+        if self.position < self.given {
+            return self.give_up();
+        }
         vec![self.next(now)]
     }
 
@@ -428,26 +448,30 @@
         }
     }
 
-    /// Lets go of the engine: the caller may be reading the same stream through another node.
-    fn abandon(&mut self) -> Vec<Action> {
-        let detach = match &self.stage {
-            Stage::Running { backend, .. } | Stage::Attaching { backend, .. } => {
-                Some(Action::Detach {
-                    attempt: self.attempt,
-                    backend: backend.clone(),
-                })
-            }
-            _ => None,
-        };
-        detach.into_iter().chain(self.leave()).collect()
+    /// Ends without a cancel: another node may take up the live stream, which its engine ends by
+    /// itself when none does.
+    fn depart(&mut self) -> Vec<Action> {
+        if self.stage == Stage::Ended {
+            return Vec::new();
+        }
+        self.end(Ending::Abandoned)
     }
 
-    /// Ends for a caller that is not here any more.
-    fn leave(&mut self) -> Vec<Action> {
-        match self.stage {
-            Stage::Ended => Vec::new(),
-            _ => self.end(Ending::Abandoned),
+    /// Ends an answer whose live stream is another's: nothing may go on from its tokens, and it is
+    /// not ours to cancel.
+    fn disown(&mut self) -> Vec<Action> {
+        if self.stage == Stage::Ended {
+            return Vec::new();
         }
+        self.end(Ending::Partial)
+    }
+
+    fn abandon(&mut self) -> Vec<Action> {
+        let mut actions = self.cancel();
+        if self.stage != Stage::Ended {
+            actions.extend(self.end(Ending::Abandoned));
+        }
+        actions
     }
 
     fn give_up(&mut self) -> Vec<Action> {
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -13,19 +13,19 @@
 pub mod generation;
 pub mod health;
 mod ids;
-mod keyring;
 pub mod lease;
 pub mod membership;
 pub mod moves;
 pub mod order;
 pub mod revision;
 pub mod routing;
+pub mod suspect;
+#[cfg(test)]
+mod suspect_tests;
 pub mod ticket;
 #[cfg(test)]
 mod ticket_tests;
 
-pub use keyring::{KeyId, Keyring, Mac, MAC_BYTES};
-
 pub use ids::{
     AccountId, Attempt, BackendId, CallerId, DataCentreId, Fence, Incarnation, NodeId, Position,
     RequestId, Revision, ServiceId, Time, TokenId, VersionId,
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -76,7 +76,6 @@
             log.clone(),
         )
         .with_metrics(options.metrics.clone())
-        .with_keyring(options.keyring.clone())
         .with_hooks(options.hooks.clone())
         .with_moves(shared.clone())
         .with_orders(objects.clone());
--- a/crates/cassiareel/src/settings/snapshot.rs
+++ b/crates/cassiareel/src/settings/snapshot.rs
@@ -172,10 +172,14 @@
         })
     }
 
-    /// Turns a route to another version of its service; none where the tree has no such version.
-    pub fn pin(&self, route: Route, version: &VersionId) -> Option<Route> {
-        let key = (route.service.clone(), version.clone());
-        let servers = self.servers.get(&key)?.clone();
+    /// Finds where an answer that a version began goes on; none where the caller may not use the
+    /// service or the version is not placed any more.
+    pub fn pinned(&self, identity: &Identity, service: &str, version: &VersionId) -> Option<Route> {
+        let route = self.route(identity, service)?;
+        let servers = self
+            .servers
+            .get(&(route.service.clone(), version.clone()))?
+            .clone();
         Some(Route {
             version: version.clone(),
             servers,
--- a/crates/cassiareeld/src/config.rs
+++ b/crates/cassiareeld/src/config.rs
@@ -1,9 +1,8 @@
 //! The daemon's own settings: a file, flags over it, and checks that name every fault.
 
-use std::{fmt, fs, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{fs, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use cassiareel::{
-    kernel::{KeyId, Keyring},
     node::Options,
     observe::Metrics,
     peer::Keys,
@@ -35,36 +34,11 @@
     metrics: Option<SocketAddr>,
     threads: Option<usize>,
     grace: Option<String>,
-    keys: Vec<FileKey>,
-}
-
-/// A key that the nodes share, as written.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct FileKey {
-    id: KeyId,
-    secret: String,
-}
-
-/// A key that the nodes share.
-#[derive(Clone, Eq, PartialEq)]
-pub(crate) struct Key {
-    /// Its number.
-    pub id: KeyId,
-    /// Its secret.
-    pub secret: Vec<u8>,
-}
-
-impl fmt::Debug for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Key")
-            .field("id", &self.id)
-            .finish_non_exhaustive()
-    }
+    keys: Vec<String>,
 }
 
 /// The daemon's settings.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug)]
 pub(crate) struct Config {
     /// The node's name.
     pub name: String,
@@ -85,7 +59,7 @@
     /// Time between turning readiness off and the last new connection.
     pub grace: Duration,
     /// The keys that the nodes share, the signing one first; none for a node alone.
-    pub keys: Vec<Key>,
+    pub keys: Option<Keys>,
 }
 
 impl Config {
@@ -147,22 +121,8 @@
             Some(server) => Metrics::udp(server)?,
             None => Metrics::none(),
         };
-        let secrets: Vec<(KeyId, &[u8])> = self
-            .keys
-            .iter()
-            .map(|key| (key.id, &key.secret[..]))
-            .collect();
-        let keyring = match secrets[..] {
-            [] => Keyring::random(),
-            _ => Keyring::new(&secrets),
-        };
-        let peers = match self.keys[..] {
-            [] => None,
-            _ => Some(Keys::new(&self.secrets()).map_err(io::Error::other)?),
-        };
         Ok(Options {
-            keyring: Arc::new(keyring),
-            keys: peers,
+            keys: self.keys,
             listen: self.listen,
             control: self.control,
             peers: self.peers,
@@ -172,14 +132,6 @@
         })
     }
 
-    /// The shared secrets in hexadecimal.
-    fn secrets(&self) -> Vec<String> {
-        self.keys
-            .iter()
-            .map(|key| hex::encode(&key.secret))
-            .collect()
-    }
-
     fn check(&self, faults: &mut Faults) {
         if self.listen == self.control && self.listen != missing() {
             let problem = "the same address as listen: peers and operators need one of their own";
@@ -204,27 +156,18 @@
     }
 }
 
-/// Bytes that a shared secret needs at least.
-const SECRET_BYTES: usize = 32;
-
-/// Reads the shared keys.
-fn keys(written: &[FileKey], faults: &mut Faults) -> Vec<Key> {
-    let mut read: Vec<Key> = Vec::new();
-    for (i, key) in written.iter().enumerate() {
-        let place = path("keys").child(&i.to_string());
-        if read.iter().any(|other| other.id == key.id) {
-            let problem = "another key has this number: give each its own";
-            faults.push(place.child("id"), key.id.to_string(), problem);
-        }
-        let secret = hex::decode(&key.secret).unwrap_or_default();
-        if secret.len() < SECRET_BYTES {
-            // The secret itself is not repeated in a message that may be logged.
-            let problem = format!("write at least {SECRET_BYTES} random bytes in hexadecimal");
-            faults.push(place.child("secret"), "", problem);
+/// Reads the shared keys; a wrong one is not repeated in a message that may be logged.
+fn keys(written: &[String], faults: &mut Faults) -> Option<Keys> {
+    if written.is_empty() {
+        return None;
+    }
+    match Keys::new(written) {
+        Ok(keys) => Some(keys),
+        Err(err) => {
+            faults.push(path("keys"), "", err.to_string());
+            None
         }
-        read.push(Key { id: key.id, secret });
     }
-    read
 }
 
 /// Puts flags over the file's values.
