--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -11,6 +11,7 @@
     kernel::{DataCentreId, NodeId},
     observe::Metrics,
     orders::Orders,
+    peer::Shared,
     platform::Objects,
     runtime::Spawner,
     settings::{Scope, Snapshot},
@@ -30,6 +31,8 @@
     pub metrics: Arc<Metrics>,
     /// What listens to the steps of a request.
     pub hooks: Arc<dyn Hooks>,
+    /// Moves between versions, and the counts that they are judged by.
+    pub moves: Arc<Shared>,
     /// Non-idempotent calls; none where no store keeps their records.
     pub(super) orders: Option<Orders>,
     /// What chooses backend servers.
@@ -52,6 +55,7 @@
             log,
             metrics: Arc::new(Metrics::none()),
             hooks: Arc::new(NoHooks),
+            moves: Arc::new(Shared::new()),
             orders: None,
             chooser,
         }
@@ -93,6 +97,12 @@
         self
     }
 
+    /// Follows the moves that `moves` shares.
+    pub fn with_moves(mut self, moves: Arc<Shared>) -> Parts {
+        self.moves = moves;
+        self
+    }
+
     /// Tells `hooks` of the steps of requests.
     pub fn with_hooks(mut self, hooks: Arc<dyn Hooks>) -> Parts {
         self.hooks = hooks;
