Give operators commands for moves between versions

start asks each engine what it has loaded, so that a move that can't be done in time is refused at once; wait's exit code tells done, taken back and late apart.

--- a/crates/cassiareel-cli/src/args.rs
+++ b/crates/cassiareel-cli/src/args.rs
@@ -62,6 +62,9 @@
     /// Versions.
     #[options(help = "list versions, and who is sent to each")]
     Versions(ServiceArgs),
+    /// Moves between versions.
+    #[options(help = "move traffic between versions: start, status, wait, pause, resume, cancel")]
+    Move(MoveArgs),
     /// Orders with unknown outcome.
     #[options(help = "list, ask about and settle orders whose outcome is not known")]
     Orders(OrdersArgs),
@@ -293,6 +296,99 @@
     pub service: Option<String>,
 }
 
+/// Commands on moves.
+#[derive(Clone, Debug, Default, Options)]
+pub struct MoveArgs {
+    /// Print this help.
+    pub help: bool,
+    /// The command.
+    #[options(command)]
+    pub command: Option<MoveCommand>,
+}
+
+/// A command on moves.
+#[derive(Clone, Debug, Options)]
+pub enum MoveCommand {
+    /// Starts one.
+    #[options(help = "start a move, or say at once why it can't be done in time")]
+    Start(MoveStartArgs),
+    /// Tells where it stands.
+    #[options(help = "tell where the latest move of a service stands, and why")]
+    Status(MoveServiceArgs),
+    /// Waits for its end.
+    #[options(help = "return when it is done (0), taken back (1) or not ended in time (6)")]
+    Wait(MoveWaitArgs),
+    /// Holds the shares.
+    #[options(help = "hold the shares where they are; the judge goes on")]
+    Pause(MoveServiceArgs),
+    /// Lets the shares rise.
+    #[options(help = "let the shares of a paused move rise again")]
+    Resume(MoveServiceArgs),
+    /// Takes it back.
+    #[options(help = "give all traffic back to the proven version")]
+    Cancel(MoveServiceArgs),
+    /// Lists changes.
+    #[options(help = "list what happened to the moves of a service")]
+    History(MoveServiceArgs),
+}
+
+/// The service whose move it is.
+#[derive(Clone, Debug, Default, Options)]
+pub struct MoveServiceArgs {
+    /// Print this help.
+    pub help: bool,
+    /// The service.
+    #[options(free, required)]
+    pub service: String,
+}
+
+/// How long to wait for a move.
+#[derive(Clone, Debug, Default, Options)]
+pub struct MoveWaitArgs {
+    /// Print this help.
+    pub help: bool,
+    /// The service.
+    #[options(free, required)]
+    pub service: String,
+    /// How long to wait, such as 30min; without it, an hour.
+    #[options(meta = "TIME", no_short)]
+    pub timeout: Option<String>,
+}
+
+/// What to move.
+#[derive(Clone, Debug, Default, Options)]
+pub struct MoveStartArgs {
+    /// Print this help.
+    pub help: bool,
+    /// The service.
+    #[options(free, required)]
+    pub service: String,
+    /// The new version.
+    #[options(meta = "VERSION", no_short, required)]
+    pub to: String,
+    /// The time in which it is to be done, such as 30min.
+    #[options(meta = "TIME", no_short, required)]
+    pub by: String,
+    /// The proven version; without it, the one that the traffic has.
+    #[options(meta = "VERSION", no_short)]
+    pub from: Option<String>,
+    /// Move this client account's traffic only.
+    #[options(meta = "NAME", no_short)]
+    pub account: Option<String>,
+    /// Move this caller's traffic only; needs --account.
+    #[options(meta = "NAME", no_short)]
+    pub caller: Option<String>,
+    /// Move this route's traffic only.
+    #[options(meta = "PATH", no_short)]
+    pub route: Option<String>,
+    /// Move the traffic that comes to nodes in this data centre only.
+    #[options(meta = "NAME", no_short)]
+    pub data_centre: Option<String>,
+    /// The time that loading the version takes at one backend server; without it, 1min.
+    #[options(meta = "TIME", no_short)]
+    pub load_time: Option<String>,
+}
+
 /// Commands on orders whose outcome is not known.
 #[derive(Clone, Debug, Default, Options)]
 pub struct OrdersArgs {
@@ -416,6 +512,7 @@
         Command::Accounts(args) => args.command.is_none(),
         Command::Keys(args) => args.command.is_none(),
         Command::Orders(args) => args.command.is_none(),
+        Command::Move(args) => args.command.is_none(),
         _ => false,
     }
 }
--- a/crates/cassiareel-cli/src/explain.rs
+++ b/crates/cassiareel-cli/src/explain.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use serde_json::{json, Map, Value};
 
-use crate::{status::ask_all, Code, Error, NodeClient, Report};
+use crate::{status::ask_each, Code, Error, NodeClient, Report};
 
 /// A decision line, with the node that wrote it.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -51,7 +51,7 @@
         let name = name.clone();
         async move { node.decisions(&name).await }
     };
-    let answers = ask_all(nodes, ask).await;
+    let answers = ask_each(nodes, ask).await;
     let mut lines = Vec::new();
     let mut silent = Vec::new();
     let mut dropped = 0;
--- a/crates/cassiareel-cli/src/lib.rs
+++ b/crates/cassiareel-cli/src/lib.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod fleet;
 mod keys;
+mod moves;
 mod nodes;
 mod orders;
 mod report;
@@ -28,6 +29,9 @@
 pub use explain::{explain, tell, Line};
 pub use fleet::{servers, versions};
 pub use keys::{add_key, list_keys, remove_key, KeyOwner};
+pub use moves::{
+    change_move, move_history, move_status, start_move, wait_move, MoveChange, MoveOptions,
+};
 pub use nodes::NodeClient;
 pub use orders::{ask_order, list_orders, settle_order};
 pub use report::Report;
--- /dev/null
+++ b/crates/cassiareel-cli/src/moves.rs
@@ -0,0 +1,355 @@
+//! Commands on moves between versions.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use cassiareel::{
+    backend::{Engine, HttpEngine},
+    control::{moves, wall_seconds, ChangeError},
+    kernel::{
+        moves::{Means, Plan, Record, Scope, State, Status, Verdict},
+        ServiceId, VersionId,
+    },
+    platform::Objects,
+    settings::{units::Span, ServiceKind, Tree},
+};
+use serde_json::json;
+use smol::Timer;
+
+use crate::{
+    report::{heading, table},
+    status::ask_each,
+    Code, Error, Report,
+};
+
+/// Time between two looks at a move that is waited for.
+const POLL: Duration = Duration::from_millis(500);
+
+/// Time to an engine's word on what it has loaded.
+const ASK: Duration = Duration::from_secs(2);
+
+/// What a move is to do.
+#[derive(Clone, Debug)]
+pub struct MoveOptions {
+    /// The service.
+    pub service: ServiceId,
+    /// The new version.
+    pub to: VersionId,
+    /// The proven version; without it, the one that the traffic has.
+    pub from: Option<VersionId>,
+    /// The time by which it is to be done, from now.
+    pub by: Duration,
+    /// The time that loading the version takes at one backend server.
+    pub load: Duration,
+    /// The traffic.
+    pub scope: Scope,
+}
+
+/// Starts a move, or says why it can't be done in time.
+///
+/// # Errors
+///
+/// Fails where the service, the version or its servers are not there, where the time is too short,
+/// and where another move of the service is open.
+pub async fn start_move(
+    objects: &dyn Objects,
+    tree: &Tree,
+    author: &str,
+    options: &MoveOptions,
+) -> Result<Report, Error> {
+    let record = moves::status(objects, &options.service).await?;
+    let from = match &options.from {
+        Some(from) => from.clone(),
+        None => proven(tree, &record, options)?,
+    };
+    for version in [&from, &options.to] {
+        check_version(tree, &options.service, version)?;
+    }
+    let plan = Plan {
+        service: options.service.clone(),
+        from,
+        to: options.to.clone(),
+        scope: options.scope.clone(),
+        within_secs: options.by.as_secs(),
+    };
+    let means = means(tree, options).await;
+    let status = moves::start(objects, plan, means, author).await?;
+    let text = format!(
+        "move {} of {} from {} to {} is started, to be done in {}\nnext: `cassiareel move wait {}`",
+        status.id,
+        status.plan.service,
+        status.plan.from,
+        status.plan.to,
+        Span::format(status.plan.within()),
+        status.plan.service
+    );
+    Ok(Report::new(text, json!({"move": status})))
+}
+
+/// Tells where the moves of a service stand.
+///
+/// # Errors
+///
+/// Fails where the object API can't be read.
+pub async fn move_status(objects: &dyn Objects, service: &str) -> Result<Report, Error> {
+    let record = moves::status(objects, service).await?;
+    let Some(status) = &record.latest else {
+        let text = format!("no move of {service} was ever started");
+        return Ok(Report::new(text, json!({"move": null})));
+    };
+    let verdict = verdict(&record, status);
+    let mut text = format!(
+        "move {} of {service} from {} to {}: {}",
+        status.id,
+        status.plan.from,
+        status.plan.to,
+        state_words(status)
+    );
+    if let Some(verdict) = verdict {
+        text = format!("{text}\n{}", verdict_words(verdict));
+    }
+    let json = json!({"move": status, "verdict": verdict, "settled": record.settled});
+    Ok(Report::new(text, json))
+}
+
+/// Waits until the latest move of a service has ended; exit code 6 where it has not by then, and 1
+/// where it was taken back.
+///
+/// # Errors
+///
+/// Fails where the object API can't be read.
+pub async fn wait_move(
+    objects: &dyn Objects,
+    service: &str,
+    limit: Duration,
+) -> Result<Report, Error> {
+    let until = Instant::now() + limit;
+    loop {
+        let record = moves::status(objects, service).await?;
+        let state = record.latest.as_ref().map(|status| status.state);
+        let code = match state {
+            Some(state) if state.is_open() && Instant::now() < until => {
+                Timer::after(POLL).await;
+                continue;
+            }
+            Some(State::Running | State::Paused) => Code::Late,
+            Some(State::Reversed | State::Cancelled) => Code::Refused,
+            Some(State::Done) | None => Code::Done,
+        };
+        return Ok(move_status(objects, service).await?.with_code(code));
+    }
+}
+
+/// What an operator does to an open move.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MoveChange {
+    /// Holds the shares where they are.
+    Pause,
+    /// Lets them rise again.
+    Resume,
+    /// Gives all traffic back to the proven version.
+    Cancel,
+}
+
+/// Pauses, resumes or cancels the open move of a service.
+///
+/// # Errors
+///
+/// Fails where no move is open.
+pub async fn change_move(
+    objects: &dyn Objects,
+    service: &str,
+    author: &str,
+    change: MoveChange,
+) -> Result<Report, Error> {
+    match change {
+        MoveChange::Pause => moves::pause(objects, service, author).await?,
+        MoveChange::Resume => moves::resume(objects, service, author).await?,
+        MoveChange::Cancel => moves::cancel(objects, service, author).await?,
+    }
+    move_status(objects, service).await
+}
+
+/// Lists every change of the moves of a service, the latest first.
+///
+/// # Errors
+///
+/// Fails where the object API can't be read.
+pub async fn move_history(objects: &dyn Objects, service: &str) -> Result<Report, Error> {
+    let entries = moves::history(objects, service).await?;
+    let now = wall_seconds();
+    let mut rows = vec![heading(&["move", "age", "state", "why"])];
+    rows.extend(entries.iter().rev().map(|entry| {
+        let age = Duration::from_secs(now.saturating_sub(entry.at));
+        let state = format!("{:?}", entry.state).to_lowercase();
+        vec![
+            entry.id.to_string(),
+            Span::format(age),
+            state,
+            entry.why.clone(),
+        ]
+    }));
+    Ok(Report::new(table(&rows), json!({"history": entries})))
+}
+
+/// The version that the traffic of a move has now.
+fn proven(tree: &Tree, record: &Record, options: &MoveOptions) -> Result<VersionId, Error> {
+    let Some(service) = tree.services.get(&options.service) else {
+        return Err(no_service(tree, &options.service));
+    };
+    let settled = record.settled.iter().rev();
+    let latest = record
+        .latest
+        .iter()
+        .filter(|status| status.state == State::Done);
+    let done = latest
+        .map(|status| (&status.plan.scope, &status.plan.to))
+        .chain(settled.map(|settled| (&settled.scope, &settled.version)));
+    let moved = done
+        .into_iter()
+        .find(|(scope, _)| **scope == options.scope || **scope == Scope::default())
+        .map(|(_, version)| version.clone());
+    Ok(moved.unwrap_or_else(|| said(tree, options).unwrap_or(&service.version).clone()))
+}
+
+/// The version that the tree gives the traffic of a move in particular.
+fn said<'a>(tree: &'a Tree, options: &MoveOptions) -> Option<&'a VersionId> {
+    let account = options.scope.account.as_ref();
+    let account = account.and_then(|name| tree.accounts.get(name));
+    let caller = options.scope.caller.as_ref();
+    let caller = caller.and_then(|name| account?.callers.get(name));
+    let place = options.scope.data_centre.as_ref().and_then(|name| {
+        let mut regions = tree.regions.values();
+        regions.find_map(|region| region.data_centres.get(name))
+    });
+    caller
+        .and_then(|caller| caller.versions.get(&options.service))
+        .or_else(|| account?.versions.get(&options.service))
+        .or_else(|| place?.versions.get(&options.service))
+}
+
+fn check_version(tree: &Tree, service: &str, version: &str) -> Result<(), Error> {
+    let Some(node) = tree.services.get(service) else {
+        return Err(no_service(tree, service));
+    };
+    if node.versions.contains_key(version) {
+        return Ok(());
+    }
+    let names: Vec<&str> = node.versions.keys().map(|name| &**name).collect();
+    Err(Error::new(
+        Code::Refused,
+        format!("service {service} has no version {version}"),
+        format!("the tree has: {}", names.join(", ")),
+    ))
+}
+
+fn no_service(tree: &Tree, service: &str) -> Error {
+    let names: Vec<&str> = tree.services.keys().map(|name| &**name).collect();
+    Error::new(
+        Code::Refused,
+        format!("there is no service {service}"),
+        format!("the tree has: {}", names.join(", ")),
+    )
+}
+
+/// What the move has to work with: the placements of the tree, and what their engines say that they
+/// have loaded. An engine that does not answer counts as one that has yet to load.
+async fn means(tree: &Tree, options: &MoveOptions) -> Means {
+    let node = tree.services.get(&options.service);
+    let version = node.and_then(|node| node.versions.get(&options.to));
+    let placements: Vec<_> = version
+        .into_iter()
+        .flat_map(|version| &version.placements)
+        .filter(|(place, _)| {
+            let wanted = options.scope.data_centre.as_ref();
+            wanted.is_none_or(|wanted| wanted == *place)
+        })
+        .collect();
+    let servers: Vec<SocketAddr> = placements
+        .iter()
+        .flat_map(|(_, placement)| placement.servers.iter().copied())
+        .collect();
+    let surge: u32 = placements.iter().map(|(_, p)| p.surge.unwrap_or(1)).sum();
+    let is_model = node.is_some_and(|node| node.kind == ServiceKind::Model);
+    let loaded = match is_model {
+        true => count_loaded(&servers, &options.service, &options.to).await,
+        false => servers.len(),
+    };
+    Means {
+        servers: servers.len(),
+        loaded,
+        parallel_loads: surge as usize,
+        load: options.load,
+    }
+}
+
+async fn count_loaded(servers: &[SocketAddr], service: &str, version: &str) -> usize {
+    let name = format!("{service}@{version}");
+    let has = |addr: SocketAddr| {
+        let name = name.clone();
+        async move {
+            let report = HttpEngine::new(addr, ASK).load().await;
+            report.is_ok_and(|report| report.versions.iter().any(|v| **v == *name))
+        }
+    };
+    let answers = ask_each(servers, has).await;
+    answers.into_iter().filter(|has| *has).count()
+}
+
+/// The verdict on the version of a move.
+fn verdict<'a>(record: &'a Record, status: &Status) -> Option<&'a Verdict> {
+    record
+        .verdicts
+        .iter()
+        .find(|verdict| verdict.id == status.id && verdict.version == status.plan.to)
+}
+
+fn state_words(status: &Status) -> String {
+    let end = status.started + status.plan.within_secs;
+    let left = end.saturating_sub(wall_seconds());
+    let left = Span::format(Duration::from_secs(left));
+    match status.state {
+        State::Running => format!("running, {left} left"),
+        State::Paused => format!("paused, {left} left; the judge goes on"),
+        State::Done => "done".to_owned(),
+        State::Reversed => "taken back".to_owned(),
+        State::Cancelled => "cancelled by an operator".to_owned(),
+    }
+}
+
+fn verdict_words(verdict: &Verdict) -> String {
+    let evidence = &verdict.evidence;
+    format!(
+        "version {} is bad: in {}, {} of {} requests had {}, where {:.1}% were expected",
+        verdict.version,
+        evidence.scope,
+        evidence.faults,
+        evidence.requests,
+        evidence.fault,
+        evidence.expected * 100.0
+    )
+}
+
+impl From<ChangeError> for Error {
+    fn from(err: ChangeError) -> Error {
+        let message = err.to_string();
+        match err {
+            ChangeError::Store { source } => source.into(),
+            ChangeError::Refused { .. } => Error::new(
+                Code::Refused,
+                message,
+                "`cassiareel move status SERVICE` tells where its moves stand",
+            ),
+            ChangeError::Contended { .. } => {
+                Error::new(Code::Conflict, message, "run the command again")
+            }
+            ChangeError::Malformed { name, .. } => Error::new(
+                Code::Refused,
+                message,
+                format!("look at the object `{name}` in the object API; another program wrote it"),
+            ),
+        }
+    }
+}
--- a/crates/cassiareel-cli/src/run.rs
+++ b/crates/cassiareel-cli/src/run.rs
@@ -2,24 +2,33 @@
 
 use std::{fs, time::Duration};
 
-use cassiareel::{kernel::order::Verdict, settings::units::Span};
+use cassiareel::{
+    kernel::{moves::Scope, order::Verdict},
+    settings::units::Span,
+};
 
 use crate::{
     accounts, add_account, add_key, apply_file,
     args::{
         AccountArgs, AccountsCommand, ApplyArgs, Command, GetArgs, KeyArgs, KeysCommand,
-        OrdersCommand, SettingsCommand, ShowArgs,
+        MoveCommand, MoveStartArgs, OrdersCommand, SettingsCommand, ShowArgs,
     },
-    ask_order, diff_files, explain, get, history, list_keys, list_orders, remove_account,
-    remove_key, servers,
+    ask_order, change_move, diff_files, explain, get, history, list_keys, list_orders,
+    move_history, move_status, remove_account, remove_key, servers,
     settings::{accepted, read_draft},
-    settle_order, show, status, validate, versions, wait, ApplyOptions, Args, Code, Context, Error,
-    KeyOwner, Report, ShowOptions,
+    settle_order, show, start_move, status, validate, versions, wait, wait_move, ApplyOptions,
+    Args, Code, Context, Error, KeyOwner, MoveChange, MoveOptions, Report, ShowOptions,
 };
 
 /// How long `apply --wait` waits where it is not told.
 const WAIT: Duration = Duration::from_secs(10);
 
+/// How long `move wait` waits where it is not told.
+const MOVE_WAIT: Duration = Duration::from_secs(3600);
+
+/// The time to load a version at one backend server where it is not told.
+const LOAD: Duration = Duration::from_secs(60);
+
 /// The name of a key that is given none.
 const KEY_NAME: &str = "first";
 
@@ -51,6 +60,7 @@
             let tree = accepted(context.objects()?).await?.tree;
             versions(&tree, args.service.as_deref())
         }
+        Some(Command::Move(args)) => run_move(&context, args.command).await,
         Some(Command::Orders(args)) => run_orders(&context, args.command).await,
         Some(Command::Explain(args)) => explain(&context.nodes()?, &args.request).await,
         None => Err(no_command()),
@@ -100,14 +110,7 @@
         true => context.nodes()?,
         false => Vec::new(),
     };
-    let limit = match args.timeout.as_deref().map(Span::parse) {
-        None => WAIT,
-        Some(Ok(limit)) => limit,
-        Some(Err(err)) => {
-            let message = format!("--timeout: {err}");
-            return Err(Error::new(Code::Usage, message, "run the command again"));
-        }
-    };
+    let limit = span("--timeout", args.timeout.as_deref(), WAIT)?;
     let options = ApplyOptions {
         base: args.base,
         rebase: args.rebase,
@@ -181,6 +184,61 @@
     }
 }
 
+async fn run_move(context: &Context, command: Option<MoveCommand>) -> Result<Report, Error> {
+    let objects = context.objects()?;
+    let change = |service: String, change| async move {
+        change_move(objects, &service, &context.author, change).await
+    };
+    match command {
+        Some(MoveCommand::Start(args)) => {
+            let tree = accepted(objects).await?.tree;
+            start_move(objects, &tree, &context.author, &move_options(args)?).await
+        }
+        Some(MoveCommand::Status(args)) => move_status(objects, &args.service).await,
+        Some(MoveCommand::Wait(args)) => {
+            let limit = span("--timeout", args.timeout.as_deref(), MOVE_WAIT)?;
+            wait_move(objects, &args.service, limit).await
+        }
+        Some(MoveCommand::Pause(args)) => change(args.service, MoveChange::Pause).await,
+        Some(MoveCommand::Resume(args)) => change(args.service, MoveChange::Resume).await,
+        Some(MoveCommand::Cancel(args)) => change(args.service, MoveChange::Cancel).await,
+        Some(MoveCommand::History(args)) => move_history(objects, &args.service).await,
+        None => Err(no_command()),
+    }
+}
+
+/// Reads what to move.
+fn move_options(args: MoveStartArgs) -> Result<MoveOptions, Error> {
+    if args.caller.is_some() && args.account.is_none() {
+        let message = "a caller is named without its client account";
+        return Err(Error::new(Code::Usage, message, "give --account as well"));
+    }
+    Ok(MoveOptions {
+        by: span("--by", Some(&args.by), Duration::ZERO)?,
+        load: span("--load-time", args.load_time.as_deref(), LOAD)?,
+        service: args.service.into(),
+        to: args.to.into(),
+        from: args.from.map(Into::into),
+        scope: Scope {
+            account: args.account.map(Into::into),
+            caller: args.caller.map(Into::into),
+            route: args.route,
+            data_centre: args.data_centre.map(Into::into),
+        },
+    })
+}
+
+/// Reads a time of the command line.
+fn span(option: &str, text: Option<&str>, default: Duration) -> Result<Duration, Error> {
+    text.map_or(Ok(default), Span::parse).map_err(|err| {
+        Error::new(
+            Code::Usage,
+            format!("{option}: {err}"),
+            "run the command again",
+        )
+    })
+}
+
 async fn run_orders(context: &Context, command: Option<OrdersCommand>) -> Result<Report, Error> {
     let objects = context.shared_objects()?;
     match command {
--- a/crates/cassiareel-cli/src/status.rs
+++ b/crates/cassiareel-cli/src/status.rs
@@ -9,23 +9,24 @@
     Code, NodeClient, Report,
 };
 
-/// Asks all nodes at the same time, and gives their answers in the order of the nodes.
-pub(crate) async fn ask_all<F, O, T>(nodes: &[NodeClient], ask: F) -> Vec<T>
+/// Asks all at the same time, and gives their answers in the same order.
+pub(crate) async fn ask_each<A, F, O, T>(asked: &[A], ask: F) -> Vec<T>
 where
-    F: Fn(NodeClient) -> O,
+    A: Clone,
+    F: Fn(A) -> O,
     O: std::future::Future<Output = T> + Send + 'static,
     T: Send + 'static,
 {
-    let tasks: Vec<_> = nodes
+    let tasks: Vec<_> = asked
         .iter()
-        .map(|node| smol::spawn(ask(node.clone())))
+        .map(|one| smol::spawn(ask(one.clone())))
         .collect();
     stream::iter(tasks).then(|task| task).collect().await
 }
 
 /// Asks each node for its status; `accepted` is the revision that it should have in force.
 pub async fn status(nodes: &[NodeClient], accepted: Option<Revision>) -> Report {
-    let answers = ask_all(nodes, |node| async move { node.status().await }).await;
+    let answers = ask_each(nodes, |node| async move { node.status().await }).await;
     let names = [
         "node",
         "data centre",
--- a/crates/cassiareel-cli/src/wait.rs
+++ b/crates/cassiareel-cli/src/wait.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use smol::Timer;
 
-use crate::{status::ask_all, Code, NodeClient, Report};
+use crate::{status::ask_each, Code, NodeClient, Report};
 
 /// Time between two questions to a node.
 const POLL: Duration = Duration::from_millis(50);
@@ -14,7 +14,7 @@
 /// Waits until each node has a revision or a later one in force, and names those that have not.
 pub async fn wait(nodes: &[NodeClient], revision: Revision, limit: Duration) -> Report {
     let start = Instant::now();
-    let answers = ask_all(nodes, move |node| wait_one(node, revision, start + limit)).await;
+    let answers = ask_each(nodes, move |node| wait_one(node, revision, start + limit)).await;
     let late: Vec<String> = nodes
         .iter()
         .zip(answers)
