List each part once in the head

The head named the parts of 50 revisions one by one, about 90 bytes a part, and is read at every change. Neighbouring revisions share nearly all parts, so they are listed once and named by index.

--- a/crates/cassiareel/src/settings/head.rs
+++ b/crates/cassiareel/src/settings/head.rs
@@ -1,6 +1,6 @@
 //! The head object: which revision is accepted, and what came before it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -33,10 +33,9 @@
 }
 
 /// The head object's contents.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Head {
     /// The accepted revision.
-    #[serde(flatten)]
     pub accepted: Accepted,
     /// Earlier revisions, the newest first.
     pub history: Vec<Accepted>,
@@ -83,13 +82,93 @@
     ///
     /// Fails where the contents are no head.
     pub fn decode(object: &Object) -> Result<Head, LoadError> {
-        Head::deserialize(&object.spec).map_err(|err| LoadError::Malformed {
-            cause: format!("head: {err}"),
-        })
+        let malformed = |cause: String| LoadError::Malformed {
+            cause: format!("head: {cause}"),
+        };
+        let stored = Stored::deserialize(&object.spec).map_err(|err| malformed(err.to_string()))?;
+        stored
+            .into_head()
+            .ok_or_else(|| malformed("it names a part that it does not list".to_owned()))
     }
 
     /// Writes the contents of the head object.
     pub(super) fn encode(&self) -> serde_json::Value {
-        serde_json::to_value(self).expect("each head has a form in JSON")
+        serde_json::to_value(Stored::new(self)).expect("each head has a form in JSON")
+    }
+}
+
+/// The head as it is stored: each part once, since neighbouring revisions share nearly all.
+///
+/// Every node reads the head at every change, so that its size counts.
+#[derive(Debug, Deserialize, Serialize)]
+struct Stored {
+    /// The accepted revision, for readers that want only this.
+    revision: Revision,
+    parts: Vec<PartRef>,
+    /// The accepted revision and those before it, the newest first.
+    revisions: Vec<StoredRevision>,
+}
+
+/// A revision as it is stored.
+#[derive(Debug, Deserialize, Serialize)]
+struct StoredRevision {
+    revision: Revision,
+    digest: Digest,
+    /// Indices of its parts, in order.
+    parts: Vec<usize>,
+    author: String,
+    time: u64,
+    note: String,
+    nonce: u64,
+}
+
+impl Stored {
+    fn new(head: &Head) -> Stored {
+        let mut parts: Vec<PartRef> = Vec::new();
+        let mut known = BTreeMap::new();
+        let mut revisions = Vec::new();
+        for old in head.revisions() {
+            let indices = old.parts.iter().map(|part| {
+                *known.entry(part.digest).or_insert_with(|| {
+                    parts.push(part.clone());
+                    parts.len() - 1
+                })
+            });
+            revisions.push(StoredRevision {
+                revision: old.revision,
+                digest: old.digest,
+                parts: indices.collect(),
+                author: old.author.clone(),
+                time: old.time,
+                note: old.note.clone(),
+                nonce: old.nonce,
+            });
+        }
+        Stored {
+            revision: head.accepted.revision,
+            parts,
+            revisions,
+        }
+    }
+
+    /// The head; none where an index has no part, or there is no revision.
+    fn into_head(self) -> Option<Head> {
+        let parts = self.parts;
+        let mut revisions = self.revisions.into_iter().map(|old| {
+            let named = old.parts.into_iter().map(|index| parts.get(index).cloned());
+            Some(Accepted {
+                revision: old.revision,
+                digest: old.digest,
+                parts: named.collect::<Option<_>>()?,
+                author: old.author,
+                time: old.time,
+                note: old.note,
+                nonce: old.nonce,
+            })
+        });
+        Some(Head {
+            accepted: revisions.next()??,
+            history: revisions.collect::<Option<_>>()?,
+        })
     }
 }
--- a/crates/cassiareel/src/settings/store_tests.rs
+++ b/crates/cassiareel/src/settings/store_tests.rs
@@ -546,8 +546,44 @@
 }
 
 #[test]
-fn a_head_that_is_none_is_refused() {
-    let object = Object::new(HEAD_KIND, HEAD_NAME, json!({"revision": "x"}));
+fn a_head_lists_each_part_once_and_stays_small() {
+    smol::block_on(async {
+        let store = store().await;
+        let mut tree = large();
+        apply(&store, &edit(Some(1), tree.clone())).await.unwrap();
+        for i in 2..6 {
+            let node = tree
+                .accounts
+                .get_mut(format!("account-{i}").as_str())
+                .unwrap();
+            node.policy.limits.weight = Some(2.0);
+            apply(&store, &edit(Some(i), tree.clone())).await.unwrap();
+        }
+        let object = store.get(HEAD_KIND, HEAD_NAME).await.unwrap().unwrap();
+        let head = Head::decode(&object).unwrap();
+        assert_eq!(head.encode(), object.spec);
+        assert_eq!(
+            read_revision(&store, head.find(2).unwrap()).await.unwrap(),
+            large()
+        );
+        let listed = object.spec["parts"].as_array().unwrap().len();
+        assert_eq!(listed, store.names(PART_KIND).len());
+        assert!(listed < 2 * head.accepted.parts.len(), "{listed} parts");
+    });
+}
+
+#[test_case(json!({"revision": "x"}); "a wrong revision")]
+#[test_case(json!({"revision": 1, "parts": [], "revisions": []}); "no revision")]
+#[test_case(json!({
+    "revision": 1,
+    "parts": [],
+    "revisions": [{
+        "revision": 1, "digest": "00".repeat(32), "parts": [0], "author": "a", "time": 1,
+        "note": "", "nonce": 1,
+    }],
+}); "a part that is not listed")]
+fn a_head_that_is_none_is_refused(spec: serde_json::Value) {
+    let object = Object::new(HEAD_KIND, HEAD_NAME, spec);
     assert!(matches!(
         Head::decode(&object),
         Err(LoadError::Malformed { .. })
