Send an engine's tokens from before a cut, then cut

Cause: a reader that was late when its stream was reset lost the tokens before it, so that a fault told to come after four tokens showed after three on a busy machine; a_bad_version_shows_itself_as_told failed at landing.

--- a/crates/cassiareel-standins/src/engine/stream.rs
+++ b/crates/cassiareel-standins/src/engine/stream.rs
@@ -249,12 +249,21 @@
         if this.at == this.buf.len() && !this.finished {
             let stream = this.stream.clone();
             let mut state = stream.lock();
-            if state.reader != this.ticket || state.cut == Some(Cut::Reset) {
+            if state.reader != this.ticket {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
             }
-            if !this.fill(&state) && state.cut.is_none() {
-                state.waker = Some(cx.waker().clone());
-                return Poll::Pending;
+            // Tokens from before a cut are sent first, so that a fault shows at its token.
+            if !this.fill(&state) {
+                match state.cut {
+                    Some(Cut::Reset) => {
+                        return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                    }
+                    Some(Cut::Early) => {}
+                    None => {
+                        state.waker = Some(cx.waker().clone());
+                        return Poll::Pending;
+                    }
+                }
             }
         }
         Poll::Ready(Ok(&this.buf[this.at..]))
