--- a/crates/cassiareel-standins/src/demo/deployment.rs
+++ b/crates/cassiareel-standins/src/demo/deployment.rs
@@ -20,7 +20,7 @@
 use super::{tree, ACCOUNT};
 use crate::{
     engine::{Engine, EngineOptions},
-    fleet::publish,
+    fleet::{peer_keys, publish},
     objects::{ObjectApi, Rates},
     service::{Ledger, PlainService},
 };
@@ -188,17 +188,19 @@
         return Err(io::Error::other("the settings name no data centre"));
     }
     let api = Arc::new(HttpObjects::new(objects.addr()));
-    (0..NODES)
-        .map(|i| {
-            let data_centre = &data_centres[i % data_centres.len()];
-            let options = Options {
-                listen: loopback(ports.callers, i),
-                control: loopback(ports.control, i),
-                ..Options::new(&format!("node-{}", i + 1), data_centre)
-            };
-            Node::start(options, api.clone(), log).map(Some)
-        })
-        .collect()
+    let mut nodes: Vec<Option<Node>> = Vec::new();
+    for i in 0..NODES {
+        let data_centre = &data_centres[i % data_centres.len()];
+        let options = Options {
+            listen: loopback(ports.callers, i),
+            control: loopback(ports.control, i),
+            peers: nodes.iter().flatten().map(Node::control).collect(),
+            keys: Some(peer_keys()),
+            ..Options::new(&format!("node-{}", i + 1), data_centre)
+        };
+        nodes.push(Some(Node::start(options, api.clone(), log)?));
+    }
+    Ok(nodes)
 }
 
 /// The loopback address of the `i`th port from `first` on, or of a free one.
--- a/crates/cassiareel-standins/src/fleet.rs
+++ b/crates/cassiareel-standins/src/fleet.rs
@@ -16,6 +16,7 @@
     hooks::{Hooks, NoHooks},
     kernel::Revision,
     node::{Node, Options},
+    peer::Keys,
     platform::{HttpObjects, Object, Objects, StoreError},
     settings::key_digest,
 };
@@ -90,9 +91,11 @@
             .map(|_| Engine::start(EngineOptions::new("draft@v1")))
             .collect::<io::Result<Vec<Engine>>>()?;
         let objects = ObjectApi::start()?;
-        let nodes = (0..options.nodes)
-            .map(|i| node(i, &objects, options).map(Some))
-            .collect::<io::Result<Vec<Option<Node>>>>()?;
+        let mut nodes = Vec::new();
+        for i in 0..options.nodes {
+            let started = node(i, &objects, options, &nodes)?;
+            nodes.push(Some(started));
+        }
         let mut fleet = Fleet {
             engines,
             objects,
@@ -185,7 +188,7 @@
     ///
     /// Panics when the node refuses the settings.
     pub fn replace_node(&mut self, place: usize) -> io::Result<()> {
-        let started = node(place, &self.objects, &self.options)?;
+        let started = node(place, &self.objects, &self.options, &self.nodes)?;
         wait(&started, self.revision);
         self.nodes[place] = Some(started);
         Ok(())
@@ -214,10 +217,26 @@
     }
 }
 
-/// Starts a node.
-fn node(i: usize, objects: &ObjectApi, options: &FleetOptions) -> io::Result<Node> {
+/// A key that the nodes of a fleet in one process share.
+///
+/// # Panics
+///
+/// Never: the key is well formed.
+pub fn peer_keys() -> Keys {
+    Keys::new(&["5e".repeat(32)]).expect("the key is well formed")
+}
+
+/// Starts a node that joins by the others.
+fn node(
+    i: usize,
+    objects: &ObjectApi,
+    options: &FleetOptions,
+    others: &[Option<Node>],
+) -> io::Result<Node> {
     let data_centre = format!("d{}", i / NODES_PER_DATA_CENTRE);
     let own = Options {
+        peers: others.iter().flatten().map(Node::control).collect(),
+        keys: Some(peer_keys()),
         hooks: options.hooks.clone(),
         ..Options::new(&format!("n{i}"), &data_centre)
     };
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -14,7 +14,8 @@
     order, service, Endpoint, Parts, Prompt, Refusal,
 };
 use crate::{
-    kernel::{routing, RequestId},
+    kernel::{moves, routing, RequestId},
+    peer::Watch,
     settings::{Identity, Route, Scope, ServiceKind, Snapshot},
     wire::{self, BodyError, BoxFuture, Handler},
 };
@@ -94,6 +95,8 @@
         let body = self.body(req, snapshot).await?;
         let prompt = Prompt::parse(endpoint, &body)?;
         let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
+        let path = req.url().path();
+        let (route, watch) = self.watch(snapshot, identity, route, path, name);
         let policy = snapshot.tree.resolve(&Scope {
             service: Some(&route.service),
             version: Some(&route.version),
@@ -130,6 +133,7 @@
             shape: shape.clone(),
             prompt,
             route,
+            watch,
             parts: self.parts.clone(),
             policy,
             log,
@@ -145,6 +149,20 @@
         }
     }
 
+    /// Gives a request its version by the moves in force.
+    fn watch(
+        &self,
+        snapshot: &Snapshot,
+        identity: &Identity,
+        route: Route,
+        path: &str,
+        request: &str,
+    ) -> (Route, Watch) {
+        let centre = &self.parts.data_centre;
+        let moves = &self.parts.moves;
+        moves.watch(snapshot, identity, route, path, request, centre)
+    }
+
     /// Reads a request's whole body, within the bounds of the node's data centre.
     async fn body(&self, req: &mut Request, snapshot: &Snapshot) -> Result<Vec<u8>, Refusal> {
         let bounds = snapshot.tree.resolve(&self.parts.scope()).bounds;
@@ -164,6 +182,7 @@
     ) -> Result<Response, Refusal> {
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
         let route = route(snapshot, identity, service, ServiceKind::Plain)?;
+        let (route, watch) = self.watch(snapshot, identity, route, path, name);
         let log = self.parts.log.new(o!("request" => name.to_owned(),
             "account" => identity.account.to_string(), "caller" => identity.caller.to_string(),
             "service" => route.service.to_string()));
@@ -178,9 +197,17 @@
                 caller: Some(&identity.caller),
                 ..self.parts.scope()
             });
-            return order::call(&self.parts, identity, route, &policy, call, &key, log).await;
+            let parts = &self.parts;
+            let answer = order::call(parts, identity, route, &policy, call, &key, log).await;
+            // The backend server is not known here: an order is one incident in any case.
+            match &answer {
+                Ok(res) if !res.status().is_server_error() => watch.whole(1, ""),
+                Err(refusal) if !refusal.is_unknown() => {}
+                _ => watch.end(moves::Outcome::Error, &key),
+            }
+            return answer;
         }
-        service::call(&self.parts.chooser, &route, &call, &log)
+        service::call(&self.parts.chooser, &route, &call, &watch, &log)
             .await
             .map(service::response)
     }
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -20,12 +20,16 @@
     hooks::{self, Step},
     kernel::{
         generation::{Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend},
-        health, Attempt, RequestId, Time, TokenId,
+        health, moves, Attempt, RequestId, Time, TokenId,
     },
     observe::{self, Counter},
+    peer::Watch,
     settings::{Resolved, Route},
 };
 
+/// The lowest status by which an engine says that it failed.
+const SERVER_ERROR: u16 = 500;
+
 /// What a driver tells the handler that waits for the answer.
 #[derive(Debug)]
 pub(super) enum Signal {
@@ -46,6 +50,7 @@
     pub(super) id: RequestId,
     pub(super) prompt: Prompt,
     pub(super) route: Route,
+    pub(super) watch: Watch,
     pub(super) shape: Shape,
     pub(super) parts: Arc<Parts>,
     /// Every policy along the request's path.
@@ -213,6 +218,7 @@
             .metrics
             .count(Counter::LostAttempts, 1, &[service]);
         info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
+        self.blame(err);
         if let Some(place) = &mut self.place {
             match err {
                 // An engine that refuses is there; that it is full is known by its load.
@@ -241,6 +247,21 @@
         Event::Lost { attempt, how }
     }
 
+    /// Counts a fault of the version where the caller did not cause it.
+    fn blame(&self, err: &StreamError) {
+        let callers = matches!(err, StreamError::Refused { status, .. }
+            if *status < SERVER_ERROR && !crate::backend::is_transient(*status));
+        if !callers {
+            self.driver.watch.end(moves::Outcome::Error, &self.server());
+        }
+    }
+
+    /// The backend server of the current attempt.
+    fn server(&self) -> String {
+        let place = self.place.as_ref();
+        place.map_or_else(String::new, |place| place.addr.to_string())
+    }
+
     /// Carries actions out, and those that follow from them.
     async fn perform(&mut self, actions: Vec<Action>) {
         let mut queue = std::collections::VecDeque::from(actions);
@@ -439,6 +460,9 @@
         let tokens = self.tokens.len() as u32;
         info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
             "attempts" => self.machine.attempt());
+        if matches!(ending, Ending::Complete(_)) {
+            self.driver.watch.whole(tokens, &self.server());
+        }
         if let (Ending::Complete(_), Some(place)) = (ending, &mut self.place) {
             place.note(health::Outcome::Success);
         }
--- a/crates/cassiareel/src/front/refusal.rs
+++ b/crates/cassiareel/src/front/refusal.rs
@@ -50,6 +50,11 @@
 }
 
 impl Refusal {
+    /// Reports whether the work may have run.
+    pub(super) fn is_unknown(&self) -> bool {
+        self.outcome == Outcome::Unknown
+    }
+
     /// A refusal with a status and words, of work that did not run.
     pub fn new(status: StatusCode, message: impl Into<String>) -> Refusal {
         let kind = match status {
--- a/crates/cassiareel/src/front/service.rs
+++ b/crates/cassiareel/src/front/service.rs
@@ -8,13 +8,17 @@
 use super::{Chooser, Outcome, Refusal};
 use crate::{
     backend::{Answer, Call, CallError, HttpService, Service},
-    kernel::health,
+    kernel::{health, moves},
+    peer::Watch,
     settings::Route,
 };
 
 /// Time for a plain service's answer to begin.
 const SERVICE_HEAD: Duration = Duration::from_secs(10);
 
+/// The lowest status by which a service says that it failed.
+const SERVER_ERROR: u16 = 500;
+
 /// Time that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -23,6 +27,7 @@
     chooser: &Chooser,
     route: &Route,
     call: &Call,
+    watch: &Watch,
     log: &Logger,
 ) -> Result<Answer, Refusal> {
     let Some(mut place) = chooser.choose(route, &[], log) else {
@@ -33,11 +38,17 @@
     };
     let service = HttpService::new(place.addr, SERVICE_HEAD);
     let answer = service.call(call).await;
-    place.note(match &answer {
-        Ok(answer) if answer.status >= 500 => health::Outcome::Fault,
+    let server = place.addr.to_string();
+    let noted = match &answer {
+        Ok(answer) if answer.status >= SERVER_ERROR => health::Outcome::Fault,
         Ok(_) => health::Outcome::Success,
         Err(_) => health::Outcome::Lost,
-    });
+    };
+    place.note(noted);
+    match noted {
+        health::Outcome::Success => watch.whole(1, &server),
+        _ => watch.end(moves::Outcome::Error, &server),
+    }
     answer.map_err(|err| {
         info!(log, "call lost"; "cause" => %err);
         match err {
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -13,7 +13,11 @@
 pub mod generation;
 pub mod health;
 mod ids;
+pub mod lease;
+pub mod membership;
+pub mod moves;
 pub mod order;
+pub mod revision;
 pub mod routing;
 
 pub use ids::{
--- a/crates/cassiareel/src/settings/snapshot.rs
+++ b/crates/cassiareel/src/settings/snapshot.rs
@@ -107,6 +107,19 @@
         bool::from(kept.ct_eq(&digest)).then_some(identity)
     }
 
+    /// The same route by another version; unchanged where that version is not in the tree.
+    pub fn with_version(&self, route: Route, version: VersionId) -> Route {
+        let key = (route.service.clone(), version);
+        match self.servers.get(&key) {
+            Some(servers) if !servers.is_empty() => Route {
+                version: key.1,
+                servers: servers.clone(),
+                ..route
+            },
+            _ => route,
+        }
+    }
+
     /// Finds the operator of a key.
     pub fn operator(&self, key: &str) -> Option<&str> {
         let digest = key_digest(key);
