--- a/crates/cassiareel-standins/src/engine/stream.rs
+++ b/crates/cassiareel-standins/src/engine/stream.rs
@@ -284,11 +284,20 @@
             let mut state = stream.lock();
             if state.reader != this.ticket {
                 this.replaced();
-            } else if state.cut == Some(Cut::Reset) {
-                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
-            } else if !this.fill(&state) && state.cut.is_none() {
-                state.waker = Some(cx.waker().clone());
-                return Poll::Pending;
+                return Poll::Ready(Ok(&this.buf[this.at..]));
+            }
+            // Tokens from before a cut are sent first, so that a fault shows at its token.
+            if !this.fill(&state) {
+                match state.cut {
+                    Some(Cut::Reset) => {
+                        return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                    }
+                    Some(Cut::Early) => {}
+                    None => {
+                        state.waker = Some(cx.waker().clone());
+                        return Poll::Pending;
+                    }
+                }
             }
         }
         Poll::Ready(Ok(&this.buf[this.at..]))
