Tell each node how many nodes share an engine

Cause: nothing told the table of backend servers of the other nodes, so that each took 85% of an engine's memory and the whole of each limit. Ruled out: the count of nodes that are heard now, since the halves of a partition would each admit the whole.

--- a/crates/cassiareel-standins/src/demo/tree.rs
+++ b/crates/cassiareel-standins/src/demo/tree.rs
@@ -21,6 +21,8 @@
         keys: [("first".to_owned(), Digest(key_digest(OPERATOR_KEY)))].into(),
     };
     tree.platform.operators.insert("demo".to_owned(), operator);
+    // Without keys for tickets a caller that lost its node could not go on at another.
+    tree.platform.ticket_keys = vec![KEY.to_owned()];
 }
 
 /// A caller with a key.
--- a/crates/cassiareel-standins/tests/admission.rs
+++ b/crates/cassiareel-standins/tests/admission.rs
@@ -106,6 +106,46 @@
     assert!(whole >= REQUESTS / 4, "{whole}");
 }
 
+#[test]
+fn two_nodes_together_do_not_overflow_an_engine() {
+    let mut fleet = Fleet::start(&FleetOptions::new(1, 2)).expect("loopback has ports");
+    fleet.engines[0] = small_engine();
+    let tree = fleet.tree();
+    fleet.apply(&tree);
+    wait_for_peers(&fleet, 2);
+    // The nodes' first reports of the engine say how much memory it has.
+    std::thread::sleep(std::time::Duration::from_millis(1_500));
+    let addrs: Vec<SocketAddr> = (0..2).filter_map(|i| fleet.addr(i)).collect();
+    let answers: Vec<Option<Answer>> = std::thread::scope(|scope| {
+        let ask = |addr: SocketAddr| scope.spawn(move || ask_all(addr, "draft"));
+        let asking: Vec<_> = addrs.into_iter().map(ask).collect();
+        let joined = asking.into_iter().map(|asked| asked.join());
+        joined
+            .flat_map(|all| all.expect("no caller panics"))
+            .collect()
+    });
+    assert!(
+        !fleet.engines[0].is_dead(),
+        "the nodes' sums of admissions overflowed the engine"
+    );
+    let whole = answers.iter().flatten().filter(|a| a.status == 200).count();
+    println!("{whole} of {} whole", answers.len());
+    assert!(whole > 0);
+}
+
+/// Waits until each of `count` nodes has heard all others.
+fn wait_for_peers(fleet: &Fleet, count: usize) {
+    let heard = |i: usize| {
+        let peers = fleet.node(i).and_then(|node| node.peers().cloned());
+        peers.map_or(0, |peers| peers.others().len())
+    };
+    let until = std::time::Instant::now() + std::time::Duration::from_secs(30);
+    while (0..count).any(|i| heard(i) + 1 < count) {
+        assert!(std::time::Instant::now() < until, "the nodes do not meet");
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+}
+
 #[test]
 fn a_request_over_the_accounts_limit_is_refused_with_a_time_to_come_back() {
     let mut fleet = Fleet::start(&FleetOptions::new(1, 1)).expect("loopback has ports");
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -99,14 +99,16 @@
         let tickets = Tickets::new(snapshot, identity, &prompt);
         let resumed = tickets.resumed(req, &prompt)?;
         let route = route(snapshot, identity, &prompt.model, ServiceKind::Model)?;
-        let path = req.url().path();
-        let (mut route, watch) = self.watch(snapshot, identity, route, path, name);
-        if let Some(from) = &resumed {
-            // The version is pinned for the answer's life, whatever a move has chosen since.
-            route = snapshot
-                .pinned(identity, &prompt.model, &from.ticket.version)
-                .ok_or_else(|| resume::gone(&from.ticket))?;
-        }
+        let (route, watch) = match &resumed {
+            // The version is pinned for the answer's life, whatever a move has chosen since, and
+            // the answer is counted where it began.
+            Some(from) => {
+                let watch = self.parts.moves.unwatched(&route.service);
+                let pinned = snapshot.pinned(identity, &prompt.model, &from.ticket.version);
+                (pinned.ok_or_else(|| resume::gone(&from.ticket))?, watch)
+            }
+            None => self.watch(snapshot, identity, route, req.url().path(), name),
+        };
         let policy = snapshot.tree.resolve(&Scope {
             service: Some(&route.service),
             version: Some(&route.version),
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -10,6 +10,9 @@
 mod follow;
 mod mount;
 mod options;
+mod shares;
+#[cfg(test)]
+mod shares_tests;
 
 use std::{
     io,
@@ -79,7 +82,8 @@
         .with_hooks(options.hooks.clone())
         .with_moves(shared.clone())
         .with_orders(objects.clone());
-        let front = Front::new(Arc::new(parts));
+        let parts = Arc::new(parts);
+        let front = Front::new(parts.clone());
         let callers = Mounts::new(open.clone(), settings.clone()).with_callers(Arc::new(front));
         let status = status(&options, settings.clone(), open.clone());
         let operator = Operator::new(settings.clone(), recent, status);
@@ -97,6 +101,9 @@
             &log,
         );
         if let Some(peers) = &fleet.peers {
+            let seeds = options.peers.clone();
+            let follow = shares::follow(parts, peers.clone(), seeds);
+            runtime.spawn(follow).detach();
             control = control.with("/peer/", Arc::new(Answers(peers.clone())));
         }
         let bounds = bounds(settings.clone(), options.data_centre.clone());
--- a/crates/cassiareel/src/peer/watch.rs
+++ b/crates/cassiareel/src/peer/watch.rs
@@ -101,6 +101,17 @@
 }
 
 impl Shared {
+    /// A watch that counts nothing, for a request that is counted elsewhere.
+    pub fn unwatched(self: &Arc<Shared>, service: &ServiceId) -> Watch {
+        Watch {
+            shared: self.clone(),
+            key: None,
+            service: service.clone(),
+            began: self.now(),
+            proven: false,
+        }
+    }
+
     /// Gives a request its version by the moves in force, and counts it where a judge looks on.
     pub fn watch(
         self: &Arc<Shared>,
