--- a/crates/cassiareel-standins/src/bin/faults.rs
+++ b/crates/cassiareel-standins/src/bin/faults.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, process::ExitCode};
 
-use cassiareel_standins::matrix::{page, run_all, Generations, Protocol};
+use cassiareel_standins::matrix::{page, run_all, Generations, Orders, Protocol};
 use gumdrop::Options;
 
 /// Runs every fault at every step of each protocol, and writes docs/FAULTS.md from the run.
@@ -45,6 +45,7 @@
     for with_tokens in [false, true] {
         broken += table(&Generations { with_tokens }, args, &mut text);
     }
+    broken += table(&Orders, args, &mut text);
     (text, broken)
 }
 
--- a/crates/cassiareel-standins/src/matrix/fault.rs
+++ b/crates/cassiareel-standins/src/matrix/fault.rs
@@ -17,8 +17,14 @@
     NodePaused,
     /// The caller loses its connection to the node.
     CallerLost,
-    /// The object API is gone for the rest of the cell.
+    /// The object API refuses every call for a while.
     StoreDown,
+    /// The object API loses the answers of writes that took effect, for a while.
+    StoreLosesAnswers,
+    /// The plain service runs orders and its answers are lost, for a while.
+    ServiceLosesAnswers,
+    /// The plain service runs orders and never answers, for a while.
+    ServiceHangs,
     /// A newer revision of the settings takes the engine out of its placement.
     SettingsChanged,
 }
@@ -35,6 +41,9 @@
             Fault::NodePaused => "node paused",
             Fault::CallerLost => "caller cut off",
             Fault::StoreDown => "store down",
+            Fault::StoreLosesAnswers => "store loses answers",
+            Fault::ServiceLosesAnswers => "service loses answers",
+            Fault::ServiceHangs => "service hangs",
             Fault::SettingsChanged => "settings changed",
         }
     }
--- a/crates/cassiareel-standins/src/matrix/generation.rs
+++ b/crates/cassiareel-standins/src/matrix/generation.rs
@@ -156,7 +156,7 @@
 }
 
 /// Waits until the driver stands at the gate.
-fn reach(key: &Key) -> std::result::Result<(), String> {
+pub(super) fn reach(key: &Key) -> std::result::Result<(), String> {
     let reached = async {
         key.reached().await;
         true
@@ -197,7 +197,10 @@
                 paused.node = true;
             }
             Fault::CallerLost => drop(cut.take()),
-            Fault::StoreDown => {}
+            Fault::StoreDown
+            | Fault::StoreLosesAnswers
+            | Fault::ServiceLosesAnswers
+            | Fault::ServiceHangs => {}
             Fault::SettingsChanged => {
                 let addr = format!("{:?}", fleet.engines[engine].addr().to_string());
                 let tree = fleet.tree().replace(&format!("{addr}, "), "");
--- a/crates/cassiareel-standins/src/matrix/mod.rs
+++ b/crates/cassiareel-standins/src/matrix/mod.rs
@@ -11,12 +11,14 @@
 mod fault;
 pub mod gate;
 mod generation;
+mod order;
 mod page;
 
 pub use cell::{run_all, Cell, Result, Verdict};
 pub use fault::Fault;
 pub use gate::Gate;
 pub use generation::Generations;
+pub use order::Orders;
 pub use page::page;
 
 use cassiareel::hooks::Step;
--- a/crates/cassiareel-standins/tests/faults.rs
+++ b/crates/cassiareel-standins/tests/faults.rs
@@ -1,6 +1,6 @@
 //! The fault matrix: each fault alone at each step. The command runs the pairs too.
 
-use cassiareel_standins::matrix::{run_all, Generations, Protocol};
+use cassiareel_standins::matrix::{run_all, Generations, Orders, Protocol};
 
 /// Cells at one time.
 const THREADS: usize = 20;
@@ -26,3 +26,8 @@
 fn generations_with_tokens_survive_each_fault_at_each_step() {
     check(&Generations { with_tokens: true });
 }
+
+#[test]
+fn orders_survive_each_fault_at_each_step() {
+    check(&Orders);
+}
--- a/crates/cassiareel/src/hooks.rs
+++ b/crates/cassiareel/src/hooks.rs
@@ -27,20 +27,10 @@
     OrderRecording,
     /// An order's record stands, and nothing was sent to the service.
     OrderRecorded,
-    /// An order was sent, and its answer was not read.
-    OrderSent,
     /// The service answered, and the outcome is not stored.
     OrderAnswered,
     /// The outcome is stored, and the caller does not have it.
     OrderStored,
-    /// A newer revision of the settings was read and is not in force.
-    SettingsRead,
-    /// A newer revision of the settings is in force.
-    SettingsInForce,
-    /// A lease was acquired, and nothing was done under it.
-    LeaseAcquired,
-    /// A lease's holder is about to act under it.
-    LeaseActing,
 }
 
 /// Listens to steps.
