--- /dev/null
+++ b/crates/cassiareel/src/front/deliver.rs
@@ -0,0 +1,258 @@
+//! What a generation's caller gets: tokens in events, and the end of the answer.
+
+use std::time::{Duration, Instant};
+
+use futures_lite::{AsyncWriteExt, FutureExt};
+use slog::info;
+use smol::Timer;
+
+use super::{
+    answer::Usage,
+    generate::{Signal, Work},
+    resume::Standing,
+    suspect, Outcome, Refusal,
+};
+use crate::{
+    hooks::Step,
+    kernel::{
+        generation::{Ending, Event, FinishReason, Loss},
+        health, TokenId,
+    },
+    observe::{self, Counter},
+};
+
+/// Time that a caller may not read before its engine is freed.
+const STALL: Duration = Duration::from_secs(10);
+
+/// Time that a refused caller is asked to wait.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+impl Work {
+    pub(super) async fn emit(&mut self, ids: Vec<TokenId>, text: &str) -> Option<Event> {
+        self.pass(Step::TokensTaken).await;
+        if let Some(place) = &mut self.place {
+            place.first_token();
+        }
+        self.count_tokens();
+        let before = (self.tokens.len(), self.text_bytes);
+        self.text_bytes += text.len();
+        if !self.keep(&ids) {
+            let attempt = self.machine.attempt();
+            info!(self.driver.log, "live stream is not the caller's"; "attempt" => attempt);
+            self.tokens.truncate(self.given().0);
+            return Some(Event::Foreign);
+        }
+        // What the caller has from another node is not passed on again.
+        let (given, given_text) = self.given();
+        let ids = &ids[given.saturating_sub(before.0).min(ids.len())..];
+        let hidden = given_text.saturating_sub(before.1).min(text.len());
+        let Some(text) = text.get(hidden..) else {
+            let attempt = self.machine.attempt();
+            let how = Loss::Mismatch;
+            return Some(Event::Lost { attempt, how });
+        };
+        if ids.is_empty() {
+            return None;
+        }
+        let first = !std::mem::replace(&mut self.began, true);
+        if first {
+            let _ = self.driver.signal.try_send(Signal::Began);
+        }
+        if self.driver.out.is_none() {
+            self.text.push_str(text);
+            return None;
+        }
+        if text.is_empty() && !first && !self.driver.prompt.token_ids {
+            return None;
+        }
+        self.write_event(ids, text, first);
+        let gone = self.write().await;
+        if gone.is_none() {
+            self.pass(Step::TokensPassed).await;
+        }
+        gone
+    }
+
+    /// Keeps tokens; false where they are not those that the caller has from another node.
+    fn keep(&mut self, ids: &[TokenId]) -> bool {
+        let given = self.given().0;
+        let mut fits = true;
+        for id in ids {
+            self.tokens.push(*id);
+            self.digest.add(&[*id]);
+            if let (true, Some(from)) = (self.tokens.len() == given, &self.driver.resumed) {
+                fits = self.digest.value() == from.ticket.tokens;
+            }
+        }
+        fits
+    }
+
+    /// Tokens and bytes of text that the caller has from another node.
+    fn given(&self) -> (usize, usize) {
+        match &self.driver.resumed {
+            Some(from) => (from.ticket.position as usize, from.ticket.text as usize),
+            None => (0, 0),
+        }
+    }
+
+    /// Takes the time of the first tokens, and of those after a loss.
+    fn count_tokens(&mut self) {
+        let tags = [("service", &*self.driver.route.service)];
+        let metrics = &self.driver.parts.metrics;
+        if self.tokens.is_empty() && self.driver.resumed.is_none() {
+            metrics.time(observe::Timer::FirstToken, self.now(), &tags);
+        }
+        if let Some(lost) = self.lost_at.take() {
+            metrics.time(observe::Timer::Resume, lost.elapsed(), &tags);
+        }
+        self.last = Some(Instant::now());
+    }
+
+    /// Puts an event with its id into the buffer.
+    fn write_event(&mut self, ids: &[TokenId], text: &str, first: bool) {
+        self.buf.clear();
+        self.written = 0;
+        let standing = self.place.as_ref().map(|place| Standing {
+            generation: &self.driver.id,
+            version: &self.driver.route.version,
+            backend: place.addr,
+            attempt: self.machine.attempt(),
+            tokens: self.tokens.len(),
+            text: self.text_bytes,
+            digest: &self.digest,
+        });
+        if let Some(id) = standing.and_then(|at| self.driver.tickets.id(&at)) {
+            self.buf.extend_from_slice(format!("id: {id}\n").as_bytes());
+        }
+        let shown = if self.driver.prompt.token_ids {
+            ids
+        } else {
+            &[]
+        };
+        let first = first && self.driver.resumed.is_none();
+        self.driver.shape.text(&mut self.buf, text, shown, first);
+    }
+
+    /// Writes the buffer to the caller, who may be slow or gone.
+    async fn write(&mut self) -> Option<Event> {
+        let stalled = async {
+            Timer::after(STALL).await;
+            None
+        };
+        let event = async { Some(self.drain().await) }.or(stalled).await;
+        match event {
+            Some(Event::Drained) => None,
+            Some(gone) => Some(gone),
+            None => {
+                info!(self.driver.log, "caller does not read"; "tokens" => self.tokens.len());
+                Some(Event::Stalled)
+            }
+        }
+    }
+
+    /// Writes what is left of the buffer, however long it takes.
+    pub(super) async fn drain(&mut self) -> Event {
+        let Some(out) = &mut self.driver.out else {
+            self.written = self.buf.len();
+            return Event::Drained;
+        };
+        while self.written < self.buf.len() {
+            match out.write(&self.buf[self.written..]).await {
+                Ok(n) if n > 0 => self.written += n,
+                _ => {
+                    self.written = self.buf.len();
+                    self.abandoned = true;
+                    return match self.driver.tickets.are_given() {
+                        true => Event::Departed,
+                        false => Event::Abandoned,
+                    };
+                }
+            }
+        }
+        Event::Drained
+    }
+
+    pub(super) async fn finish(&mut self, ending: Ending) {
+        let tokens = self.tokens.len() as u32;
+        info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
+            "attempts" => self.machine.attempt());
+        if matches!(ending, Ending::Complete(_)) {
+            self.driver.watch.whole(tokens, &self.server());
+        }
+        if let (Ending::Complete(_), Some(place)) = (ending, &mut self.place) {
+            place.note(health::Outcome::Success);
+        }
+        self.place = None;
+        let used = u64::from(self.prompt_tokens + tokens);
+        let now = self.driver.parts.chooser.now();
+        self.driver.admitted.permit.settle(now, used);
+        self.pieces = None;
+        let usage = Usage::new(self.prompt_tokens, tokens);
+        self.count(ending, tokens);
+        self.pass(Step::AnswerEnded).await;
+        let signal = match ending {
+            Ending::Complete(reason) => {
+                suspect::cleared(&self.driver.parts, &self.driver.tickets.content());
+                self.write_finish(reason, usage).await;
+                Signal::Complete {
+                    text: std::mem::take(&mut self.text),
+                    reason,
+                    usage,
+                }
+            }
+            Ending::NotRun | Ending::Abandoned => {
+                let busy =
+                    || Refusal::busy("no backend server can take the request now", RETRY_AFTER);
+                Signal::Refused(self.refused.take().unwrap_or_else(busy))
+            }
+            Ending::Partial => {
+                let whole = (tokens as usize).max(self.given().0);
+                let words = format!(
+                    "the answer is whole up to token {whole} and can't go on; ask again for the rest"
+                );
+                let partial = || Refusal::busy(words, RETRY_AFTER).with_code("partial");
+                let refusal = self
+                    .refused
+                    .take()
+                    .unwrap_or_else(partial)
+                    .with_outcome(Outcome::Ran);
+                self.write_error(&refusal).await;
+                Signal::Refused(refusal)
+            }
+        };
+        let _ = self.driver.signal.try_send(signal);
+    }
+
+    /// Counts an ended generation.
+    fn count(&self, ending: Ending, tokens: u32) {
+        let service = ("service", &*self.driver.route.service);
+        let outcome = match ending {
+            Ending::Complete(_) => "complete",
+            Ending::NotRun => "not_run",
+            Ending::Partial => "partial",
+            Ending::Abandoned => "abandoned",
+        };
+        let metrics = &self.driver.parts.metrics;
+        metrics.count(Counter::Requests, 1, &[service, ("outcome", outcome)]);
+        metrics.count(Counter::Tokens, tokens.into(), &[service]);
+    }
+
+    async fn write_finish(&mut self, reason: FinishReason, usage: Usage) {
+        let Some(out) = &mut self.driver.out else {
+            return;
+        };
+        // An answer without tokens begins with its end.
+        let _ = self.driver.signal.try_send(Signal::Began);
+        self.buf.clear();
+        let usage = self.driver.prompt.usage.then_some(usage);
+        self.driver.shape.finish(&mut self.buf, reason, usage);
+        let _ = out.write_all(&self.buf).await;
+    }
+
+    async fn write_error(&mut self, refusal: &Refusal) {
+        if let Some(out) = &mut self.driver.out {
+            let event = format!("data: {}\n\n", refusal.body());
+            let _ = out.write_all(event.as_bytes()).await;
+        }
+    }
+}
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
+use futures_lite::{FutureExt, StreamExt};
 use slog::{info, o, Logger};
 use smol::Timer;
 
@@ -14,22 +14,20 @@
     answer::{Shape, Usage},
     choose::{log_decision, Admitted, Place},
     probe::until_silent,
-    resume::{Resumed, Standing, Tickets},
-    suspect, Outcome, Parts, Prompt, Refusal,
+    resume::{Resumed, Tickets},
+    suspect, Parts, Prompt, Refusal,
 };
 use crate::{
     backend::{Engine, HttpEngine, Piece, Pieces, Start, StreamError},
     engines::Decision,
     hooks::{self, Step},
     kernel::{
-        generation::{
-            Action, Ending, Event, FinishReason, Generation, Limits, Loss, NoBackend, Resume,
-        },
+        generation::{Action, Event, FinishReason, Generation, Limits, Loss, NoBackend, Resume},
         health, moves,
         ticket::TokenDigest,
         Attempt, RequestId, Time, TokenId,
     },
-    observe::{self, Counter},
+    observe::Counter,
     peer::Watch,
     settings::{Resolved, Route},
 };
@@ -77,30 +75,30 @@
 }
 
 /// The state of a driver at work.
-struct Work {
-    driver: Driver,
-    origin: Instant,
-    machine: Generation,
-    place: Option<Place>,
-    pieces: Option<Pieces>,
-    wake: Time,
-    tokens: Vec<TokenId>,
-    text: String,
-    text_bytes: usize,
-    digest: TokenDigest,
-    began: bool,
-    prompt_tokens: u32,
-    refused: Option<Refusal>,
+pub(super) struct Work {
+    pub(super) driver: Driver,
+    pub(super) origin: Instant,
+    pub(super) machine: Generation,
+    pub(super) place: Option<Place>,
+    pub(super) pieces: Option<Pieces>,
+    pub(super) wake: Time,
+    pub(super) tokens: Vec<TokenId>,
+    pub(super) text: String,
+    pub(super) text_bytes: usize,
+    pub(super) digest: TokenDigest,
+    pub(super) began: bool,
+    pub(super) prompt_tokens: u32,
+    pub(super) refused: Option<Refusal>,
     /// The engine, while its attempt's first token is awaited.
-    probed: Option<SocketAddr>,
-    abandoned: bool,
-    buf: Vec<u8>,
+    pub(super) probed: Option<SocketAddr>,
+    pub(super) abandoned: bool,
+    pub(super) buf: Vec<u8>,
     /// Bytes of `buf` that the caller's connection took.
-    written: usize,
-    last: Option<Instant>,
-    lost_at: Option<Instant>,
+    pub(super) written: usize,
+    pub(super) last: Option<Instant>,
+    pub(super) lost_at: Option<Instant>,
     /// Tokens of the answer when the last attempt was opened.
-    opened_at: usize,
+    pub(super) opened_at: usize,
 }
 
 /// Time for an engine to begin its answer's head.
@@ -112,9 +110,6 @@
 /// Tokens of its own by which an attempt counts as having advanced.
 const PROGRESS: usize = 8;
 
-/// Time that a caller may not read before its engine is freed.
-const STALL: Duration = Duration::from_secs(10);
-
 /// Time for an engine to take up a live stream again.
 const ATTACH: Duration = Duration::from_millis(150);
 
@@ -122,9 +117,6 @@
 /// comes back from a pause, do not meet in one stream.
 const OWN_ATTEMPTS: std::ops::Range<Attempt> = 1 << 16..1 << 31;
 
-/// Time that a refused caller is asked to wait.
-const RETRY_AFTER: Duration = Duration::from_secs(2);
-
 impl Driver {
     /// Runs the generation until its answer has ended.
     pub(super) async fn run(self) {
@@ -185,7 +177,7 @@
 }
 
 impl Work {
-    fn now(&self) -> Time {
+    pub(super) fn now(&self) -> Time {
         self.origin.elapsed()
     }
 
@@ -329,7 +321,7 @@
     }
 
     /// The backend server of the current attempt.
-    fn server(&self) -> String {
+    pub(super) fn server(&self) -> String {
         let place = self.place.as_ref();
         place.map_or_else(String::new, |place| place.addr.to_string())
     }
@@ -345,7 +337,7 @@
     }
 
     /// Passes a step at which tests bring faults about.
-    async fn pass(&mut self, step: Step) {
+    pub(super) async fn pass(&mut self, step: Step) {
         let parts = self.driver.parts.clone();
         hooks::pass(&*parts.hooks, step).await;
     }
@@ -524,234 +516,6 @@
         };
         self.driver.parts.spawner.spawn(cancel).detach();
     }
-
-    async fn emit(&mut self, ids: Vec<TokenId>, text: &str) -> Option<Event> {
-        self.pass(Step::TokensTaken).await;
-        if let Some(place) = &mut self.place {
-            place.first_token();
-        }
-        self.count_tokens();
-        let before = (self.tokens.len(), self.text_bytes);
-        self.text_bytes += text.len();
-        if !self.keep(&ids) {
-            let attempt = self.machine.attempt();
-            info!(self.driver.log, "live stream is not the caller's"; "attempt" => attempt);
-            self.tokens.truncate(self.given().0);
-            return Some(Event::Foreign);
-        }
-        // What the caller has from another node is not passed on again.
-        let (given, given_text) = self.given();
-        let ids = &ids[given.saturating_sub(before.0).min(ids.len())..];
-        let hidden = given_text.saturating_sub(before.1).min(text.len());
-        let Some(text) = text.get(hidden..) else {
-            let attempt = self.machine.attempt();
-            let how = Loss::Mismatch;
-            return Some(Event::Lost { attempt, how });
-        };
-        if ids.is_empty() {
-            return None;
-        }
-        let first = !std::mem::replace(&mut self.began, true);
-        if first {
-            let _ = self.driver.signal.try_send(Signal::Began);
-        }
-        if self.driver.out.is_none() {
-            self.text.push_str(text);
-            return None;
-        }
-        if text.is_empty() && !first && !self.driver.prompt.token_ids {
-            return None;
-        }
-        self.write_event(ids, text, first);
-        let gone = self.write().await;
-        if gone.is_none() {
-            self.pass(Step::TokensPassed).await;
-        }
-        gone
-    }
-
-    /// Keeps tokens; false where they are not those that the caller has from another node.
-    fn keep(&mut self, ids: &[TokenId]) -> bool {
-        let given = self.given().0;
-        let mut fits = true;
-        for id in ids {
-            self.tokens.push(*id);
-            self.digest.add(&[*id]);
-            if let (true, Some(from)) = (self.tokens.len() == given, &self.driver.resumed) {
-                fits = self.digest.value() == from.ticket.tokens;
-            }
-        }
-        fits
-    }
-
-    /// Tokens and bytes of text that the caller has from another node.
-    fn given(&self) -> (usize, usize) {
-        match &self.driver.resumed {
-            Some(from) => (from.ticket.position as usize, from.ticket.text as usize),
-            None => (0, 0),
-        }
-    }
-
-    /// Takes the time of the first tokens, and of those after a loss.
-    fn count_tokens(&mut self) {
-        let tags = [("service", &*self.driver.route.service)];
-        let metrics = &self.driver.parts.metrics;
-        if self.tokens.is_empty() && self.driver.resumed.is_none() {
-            metrics.time(observe::Timer::FirstToken, self.now(), &tags);
-        }
-        if let Some(lost) = self.lost_at.take() {
-            metrics.time(observe::Timer::Resume, lost.elapsed(), &tags);
-        }
-        self.last = Some(Instant::now());
-    }
-
-    /// Puts an event with its id into the buffer.
-    fn write_event(&mut self, ids: &[TokenId], text: &str, first: bool) {
-        self.buf.clear();
-        self.written = 0;
-        let standing = self.place.as_ref().map(|place| Standing {
-            generation: &self.driver.id,
-            version: &self.driver.route.version,
-            backend: place.addr,
-            attempt: self.machine.attempt(),
-            tokens: self.tokens.len(),
-            text: self.text_bytes,
-            digest: &self.digest,
-        });
-        if let Some(id) = standing.and_then(|at| self.driver.tickets.id(&at)) {
-            self.buf.extend_from_slice(format!("id: {id}\n").as_bytes());
-        }
-        let shown = if self.driver.prompt.token_ids {
-            ids
-        } else {
-            &[]
-        };
-        let first = first && self.driver.resumed.is_none();
-        self.driver.shape.text(&mut self.buf, text, shown, first);
-    }
-
-    /// Writes the buffer to the caller, who may be slow or gone.
-    async fn write(&mut self) -> Option<Event> {
-        let stalled = async {
-            Timer::after(STALL).await;
-            None
-        };
-        let event = async { Some(self.drain().await) }.or(stalled).await;
-        match event {
-            Some(Event::Drained) => None,
-            Some(gone) => Some(gone),
-            None => {
-                info!(self.driver.log, "caller does not read"; "tokens" => self.tokens.len());
-                Some(Event::Stalled)
-            }
-        }
-    }
-
-    /// Writes what is left of the buffer, however long it takes.
-    async fn drain(&mut self) -> Event {
-        let Some(out) = &mut self.driver.out else {
-            self.written = self.buf.len();
-            return Event::Drained;
-        };
-        while self.written < self.buf.len() {
-            match out.write(&self.buf[self.written..]).await {
-                Ok(n) if n > 0 => self.written += n,
-                _ => {
-                    self.written = self.buf.len();
-                    self.abandoned = true;
-                    return match self.driver.tickets.are_given() {
-                        true => Event::Departed,
-                        false => Event::Abandoned,
-                    };
-                }
-            }
-        }
-        Event::Drained
-    }
-
-    async fn finish(&mut self, ending: Ending) {
-        let tokens = self.tokens.len() as u32;
-        info!(self.driver.log, "ended"; "ending" => ?ending, "tokens" => tokens,
-            "attempts" => self.machine.attempt());
-        if matches!(ending, Ending::Complete(_)) {
-            self.driver.watch.whole(tokens, &self.server());
-        }
-        if let (Ending::Complete(_), Some(place)) = (ending, &mut self.place) {
-            place.note(health::Outcome::Success);
-        }
-        self.place = None;
-        let used = u64::from(self.prompt_tokens + tokens);
-        let now = self.driver.parts.chooser.now();
-        self.driver.admitted.permit.settle(now, used);
-        self.pieces = None;
-        let usage = Usage::new(self.prompt_tokens, tokens);
-        self.count(ending, tokens);
-        self.pass(Step::AnswerEnded).await;
-        let signal = match ending {
-            Ending::Complete(reason) => {
-                suspect::cleared(&self.driver.parts, &self.driver.tickets.content());
-                self.write_finish(reason, usage).await;
-                Signal::Complete {
-                    text: std::mem::take(&mut self.text),
-                    reason,
-                    usage,
-                }
-            }
-            Ending::NotRun | Ending::Abandoned => {
-                let busy =
-                    || Refusal::busy("no backend server can take the request now", RETRY_AFTER);
-                Signal::Refused(self.refused.take().unwrap_or_else(busy))
-            }
-            Ending::Partial => {
-                let whole = (tokens as usize).max(self.given().0);
-                let words = format!(
-                    "the answer is whole up to token {whole} and can't go on; ask again for the rest"
-                );
-                let partial = || Refusal::busy(words, RETRY_AFTER).with_code("partial");
-                let refusal = self
-                    .refused
-                    .take()
-                    .unwrap_or_else(partial)
-                    .with_outcome(Outcome::Ran);
-                self.write_error(&refusal).await;
-                Signal::Refused(refusal)
-            }
-        };
-        let _ = self.driver.signal.try_send(signal);
-    }
-
-    /// Counts an ended generation.
-    fn count(&self, ending: Ending, tokens: u32) {
-        let service = ("service", &*self.driver.route.service);
-        let outcome = match ending {
-            Ending::Complete(_) => "complete",
-            Ending::NotRun => "not_run",
-            Ending::Partial => "partial",
-            Ending::Abandoned => "abandoned",
-        };
-        let metrics = &self.driver.parts.metrics;
-        metrics.count(Counter::Requests, 1, &[service, ("outcome", outcome)]);
-        metrics.count(Counter::Tokens, tokens.into(), &[service]);
-    }
-
-    async fn write_finish(&mut self, reason: FinishReason, usage: Usage) {
-        let Some(out) = &mut self.driver.out else {
-            return;
-        };
-        // An answer without tokens begins with its end.
-        let _ = self.driver.signal.try_send(Signal::Began);
-        self.buf.clear();
-        let usage = self.driver.prompt.usage.then_some(usage);
-        self.driver.shape.finish(&mut self.buf, reason, usage);
-        let _ = out.write_all(&self.buf).await;
-    }
-
-    async fn write_error(&mut self, refusal: &Refusal) {
-        if let Some(out) = &mut self.driver.out {
-            let event = format!("data: {}\n\n", refusal.body());
-            let _ = out.write_all(event.as_bytes()).await;
-        }
-    }
 }
 
 impl Resumed {
--- a/crates/cassiareel/src/front/mod.rs
+++ b/crates/cassiareel/src/front/mod.rs
@@ -10,6 +10,7 @@
 mod answer;
 mod api;
 mod choose;
+mod deliver;
 mod generate;
 mod operator;
 #[cfg(test)]
