--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -34,7 +34,7 @@
     control::lease::Candidate,
     front::{Front, NodeStatus, Operator, Parts, StatusSource, OPERATOR_PATH},
     kernel::DataCentreId,
-    observe::Recent,
+    observe::{Gauge, Metrics, Recent},
     peer::{Answers, Peers, Shared},
     platform::Objects,
     runtime::Runtime,
@@ -55,6 +55,9 @@
     runtime: Runtime,
 }
 
+/// Time between two sendings of the gauges.
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Time between looks at the open requests of a node that stops.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -100,6 +103,8 @@
             objects,
             &log,
         );
+        let gauges = gauges(options.metrics.clone(), settings.clone(), open.clone());
+        runtime.spawn(gauges).detach();
         if let Some(peers) = &fleet.peers {
             let seeds = options.peers.clone();
             let follow = shares::follow(parts, peers.clone(), seeds);
@@ -242,3 +247,12 @@
         }
     })
 }
+
+/// Sends the node's gauges as long as its executor runs.
+async fn gauges(metrics: Arc<Metrics>, settings: Arc<ArcSwap<Snapshot>>, open: Arc<mount::Open>) {
+    loop {
+        metrics.gauge(Gauge::Revision, settings.load().revision);
+        metrics.gauge(Gauge::OpenRequests, open.count() as u64);
+        Timer::after(GAUGE_PERIOD).await;
+    }
+}
