--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -23,10 +23,10 @@
 };
 
 /// Bytes of an answer held for a caller that reads slowly.
-const OUT_BYTES: usize = 16 * 1024;
+const OUT_BYTES: usize = 4 * 1024;
 
 /// Bytes of an answer taken from the held ones at a time.
-const OUT_READ: usize = 4 * 1024;
+const OUT_READ: usize = 2 * 1024;
 
 /// The header by which a caller names its request, and that its answer carries.
 const REQUEST_ID: &str = "x-request-id";
