--- /dev/null
+++ b/crates/cassiareel-relay/src/clock.rs
@@ -0,0 +1,28 @@
+/*!
+A clock that also counts the time during which the VM stood still.
+
+What a node knows grows old while it is suspended, and the time of day jumps. Decisions therefore
+take their times from the clock that counts from the VM's start and goes on during a suspension.
+*/
+
+use std::time::Duration;
+
+use rustix::time::{clock_gettime, ClockId};
+
+/// A point in time, counted from the VM's start.
+pub type Moment = Duration;
+
+/// The time now.
+///
+/// # Examples
+///
+/// ```
+/// let then = cassiareel_relay::clock::now();
+/// assert!(cassiareel_relay::clock::now() >= then);
+/// ```
+pub fn now() -> Moment {
+    let time = clock_gettime(ClockId::Boottime);
+    let secs = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+    Duration::new(secs, nanos)
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/dialect.rs
@@ -0,0 +1,105 @@
+//! How requests and answers carry what the relay has to know: the headers of one platform.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{request, response, HeaderMap};
+use snafu::Snafu;
+
+use crate::model::{Ask, BackendId, RequestId, TenantId};
+
+/// Reads and writes the headers of a platform. An implementation decides nothing.
+pub trait Dialect: Send + Sync {
+    /// Reads the facts of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a header that decides how the request is handled is missing or can't be read.
+    fn read_ask(&self, head: &request::Parts) -> Result<Ask, BadAsk>;
+
+    /// Makes the headers that a backend server gets out of those that the caller sent: without the
+    /// caller's key and without headers that are the system's to set.
+    fn clean(&self, headers: &HeaderMap) -> HeaderMap;
+
+    /// Adds the headers that hold for one send of a request to one backend server.
+    fn write_send(&self, headers: &mut HeaderMap, send: &Dispatch);
+
+    /// Reads the facts of a backend server's answer.
+    fn read_answer(&self, head: &response::Parts) -> Answer;
+
+    /// The path of a backend server's report on itself, which needs no slot.
+    fn report_path(&self) -> &'static str;
+}
+
+/// What one send of a request adds for its backend server.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    /// The process that is to run it; any other refuses.
+    pub expect: BackendId,
+    /// The client account.
+    pub tenant: Option<TenantId>,
+    /// What is left of the time.
+    pub left: Duration,
+    /// The rank among the engine's requests, 0 first.
+    pub priority: Option<u8>,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// Where the engine is to keep a copy of the run's memory while it grows.
+    pub backup: Option<SocketAddr>,
+    /// The copy from which the run goes on.
+    pub copy: Option<MemoryCopy>,
+}
+
+/// A copy of a run's memory at an engine.
+#[derive(Clone, Debug)]
+pub struct MemoryCopy {
+    /// The engine that holds it.
+    pub holder: SocketAddr,
+    /// The request that it belongs to.
+    pub request: RequestId,
+}
+
+/// What a backend server's answer says beside its status.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// The request that the answer belongs to, as the backend server says.
+    pub request: Option<String>,
+    /// Whether the answer bears the signature of a run.
+    pub signed: bool,
+    /// Whether the backend server says that it did not run the request.
+    pub not_run: bool,
+    /// Whether the body is not the backend server's own bytes.
+    pub encoded: bool,
+    /// The load that the backend server tells.
+    pub load: Option<Load>,
+    /// How long the connection may stay idle, as the backend server says.
+    pub keep: Option<Duration>,
+}
+
+/// The load that a backend server tells on its answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// A request that can't be handled.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum BadAsk {
+    /// A header that is needed is missing.
+    #[snafu(display("the request has no {name} header"))]
+    Missing {
+        /// The header.
+        name: &'static str,
+    },
+    /// A header can't be read.
+    #[snafu(display("the request's {name} header can't be read"))]
+    Unreadable {
+        /// The header.
+        name: &'static str,
+    },
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/follow/mod.rs
@@ -0,0 +1,10 @@
+//! Tasks that keep what a node believes up to date.
+
+mod call;
+mod policy;
+mod registry;
+mod rollouts;
+
+pub(crate) use policy::follow_policy;
+pub(crate) use registry::{follow_changes, follow_lists};
+pub(crate) use rollouts::follow_rollouts;
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -0,0 +1,483 @@
+/*!
+One event stream of a caller, over as many backend servers as it takes.
+
+Whole events are passed on as they come. When the backend server is lost, falls silent or sends what
+is no stream of this request, its connection is closed first, and the stream goes on after its last
+event at another one: at the engine that holds a copy of the run's memory, or at any other, which
+reads the prompt anew.
+*/
+
+use std::{collections::VecDeque, sync::atomic::Ordering, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::response;
+use http_body_util::BodyExt;
+use slog::{info, warn};
+use smol::Timer;
+
+use super::{
+    choose::{pick, pick_backup, FRESH},
+    refusal::Refusal,
+    request::Request,
+    send::{send, Extra, Head, Sent},
+};
+use crate::{
+    clock::{self, Moment},
+    dialect::MemoryCopy,
+    fleet::{Member, Place},
+    kernel::{Event, Splitter},
+    metrics::Metrics,
+    state::State,
+};
+
+/// How long a stream that has begun may be silent before its engine is asked for a sign of life.
+const SILENCE: Duration = Duration::from_millis(300);
+
+/// How long a stream that has not begun may be silent before that.
+const FIRST_SILENCE: Duration = Duration::from_millis(600);
+
+/// How long an engine that answers may let a stream that has begun wait.
+const STALLED: Duration = Duration::from_millis(2500);
+
+/// How long the answer to a question for a sign of life may take.
+const PROBE: Duration = Duration::from_millis(150);
+
+/// The time between looks at whether the engine was lost by others' evidence.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Sends beyond the route's attempts that did not run anywhere.
+const SPARE_SENDS: u32 = 4;
+
+/// When a caller may come back after no engine took its stream.
+const COME_BACK: Duration = Duration::from_millis(600);
+
+/// Why a stream ends without being complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum End {
+    /// No engine took it; nothing has run.
+    NoPlace,
+    /// It can't go on elsewhere.
+    Broken,
+    /// The caller's or the route's time is over.
+    Timeout,
+    /// The node ends, and another node can go on with it.
+    Handed,
+}
+
+impl End {
+    /// The answer where no event was passed on yet.
+    pub(super) fn refusal(self) -> Refusal {
+        match self {
+            End::NoPlace => Refusal::NoPlace { after: COME_BACK },
+            End::Broken | End::Handed => Refusal::Unknown,
+            End::Timeout => Refusal::Timeout,
+        }
+    }
+
+    /// The name in logs and metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            End::NoPlace => "no_place",
+            End::Broken => "broken",
+            End::Timeout => "timeout",
+            End::Handed => "handed_over",
+        }
+    }
+}
+
+/// One stream and where it runs now.
+pub(super) struct Generation {
+    state: Arc<State>,
+    request: Arc<Request>,
+    run: Option<Run>,
+    head: Option<response::Parts>,
+    failure: Option<Box<Head>>,
+    last: Option<u64>,
+    sends: u32,
+    runs: u32,
+    tried: Vec<u64>,
+    lost_at: Option<Moment>,
+    ready: VecDeque<Event>,
+}
+
+/// The stream at one engine.
+struct Run {
+    head: Box<Head>,
+    splitter: Splitter,
+    place: Place,
+    backup: Option<Place>,
+    began: Moment,
+    heard: Moment,
+    probed: Moment,
+    events: u64,
+}
+
+/// What one wait on a run brought.
+enum Got {
+    Bytes(Bytes),
+    Finished,
+    Lost(&'static str),
+    Quiet,
+}
+
+impl Generation {
+    /// A stream that has not been sent anywhere.
+    pub(super) fn new(state: Arc<State>, request: Arc<Request>) -> Generation {
+        Generation {
+            last: request.ask.last_event,
+            state,
+            request,
+            run: None,
+            head: None,
+            failure: None,
+            sends: 0,
+            runs: 0,
+            tried: Vec::new(),
+            lost_at: None,
+            ready: VecDeque::new(),
+        }
+    }
+
+    /// The head of the first engine's answer.
+    pub(super) fn take_head(&mut self) -> Option<response::Parts> {
+        self.head.take()
+    }
+
+    /// An engine's own failure, which is passed on where no event was.
+    pub(super) fn take_failure(&mut self) -> Option<Box<Head>> {
+        self.failure.take()
+    }
+
+    /// The next whole event; `None` after the last one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream can't be completed here.
+    pub(super) async fn next(&mut self) -> Result<Option<Event>, End> {
+        loop {
+            if let Some(event) = self.ready.pop_front() {
+                return Ok(Some(event));
+            }
+            if self.run.is_none() {
+                self.start(None, "first").await?;
+            }
+            match self.wait().await? {
+                Got::Bytes(bytes) => {
+                    if let Err(cause) = self.take_in(&bytes) {
+                        self.resume(cause).await?;
+                    }
+                }
+                Got::Finished if self.is_whole() => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Got::Finished => self.resume("ended inside an event").await?,
+                Got::Lost(cause) => self.resume(cause).await?,
+                Got::Quiet => self.look().await?,
+            }
+        }
+    }
+
+    /// Waits for bytes, a silence or the end of the time.
+    async fn wait(&mut self) -> Result<Got, End> {
+        let left = self.request.left();
+        if left.is_zero() {
+            return Err(End::Timeout);
+        }
+        if self.state.handing.load(Ordering::Relaxed) && self.request.route.kind.may_repeat() {
+            return Err(End::Handed);
+        }
+        let Some(run) = self.run.as_mut() else {
+            return Ok(Got::Lost("no run"));
+        };
+        let frame = async {
+            match run.head.body.frame().await {
+                Some(Ok(frame)) => frame.into_data().map_or(Got::Quiet, Got::Bytes),
+                Some(Err(_)) => Got::Lost("connection lost"),
+                None => Got::Finished,
+            }
+        };
+        let quiet = async {
+            Timer::after(LOOK.min(left)).await;
+            Got::Quiet
+        };
+        Ok(frame.or(quiet).await)
+    }
+
+    /// Cuts bytes into events.
+    fn take_in(&mut self, bytes: &[u8]) -> Result<(), &'static str> {
+        let now = clock::now();
+        let Some(run) = self.run.as_mut() else {
+            return Ok(());
+        };
+        run.heard = now;
+        run.place.member.hear(now);
+        run.splitter.push(bytes).map_err(|_| "event too large")?;
+        while let Some(event) = run.splitter.pop() {
+            if !follows(self.last, event.id) {
+                return Err("event out of order");
+            }
+            if run.events == 0 {
+                run.place.read();
+                run.place.member.health().heard();
+                log_first(&self.state, &self.request, run, self.lost_at.take(), now);
+            }
+            run.events += 1;
+            self.last = event.id.or(self.last);
+            self.ready.push_back(event);
+        }
+        Ok(())
+    }
+
+    /// Reports whether the run ended after a whole event.
+    fn is_whole(&self) -> bool {
+        let run = self.run.as_ref();
+        run.is_some_and(|run| run.splitter.left() == 0 && run.events > 0)
+    }
+
+    /// Keeps the connection of a run that ended well.
+    fn finish(&mut self) {
+        if let Some(run) = self.run.take() {
+            let keep = run.head.answer.keep;
+            run.head.lease.put_back(keep);
+        }
+    }
+
+    /// Looks whether a silent engine still lives.
+    async fn look(&mut self) -> Result<(), End> {
+        let now = clock::now();
+        let Some(run) = self.run.as_mut() else {
+            return Ok(());
+        };
+        let member = run.place.member.clone();
+        if member.was_lost(run.began.max(run.heard)) {
+            return self.resume("engine lost").await;
+        }
+        let silent = now.saturating_sub(run.heard);
+        if run.events > 0 && silent > STALLED {
+            return self.resume("stalled").await;
+        }
+        let patience = if run.events > 0 {
+            SILENCE
+        } else {
+            FIRST_SILENCE
+        };
+        let asked = now.saturating_sub(run.probed) < patience;
+        if silent < patience || asked || member.was_heard(now, FRESH) {
+            return Ok(());
+        }
+        run.probed = now;
+        if lives(&self.state, &member).await {
+            return Ok(());
+        }
+        self.resume("silent").await
+    }
+
+    /// Closes the run and goes on elsewhere.
+    async fn resume(&mut self, cause: &'static str) -> Result<(), End> {
+        let now = clock::now();
+        self.lost_at.get_or_insert(now);
+        let Some(run) = self.run.take() else {
+            return self.start(None, cause).await;
+        };
+        let Run {
+            head,
+            place,
+            backup,
+            events,
+            ..
+        } = run;
+        // Closing the connection stops the engine before another one goes on.
+        drop(head);
+        let member = place.member.clone();
+        drop(place);
+        note_loss(&self.state, &member, now);
+        warn!(self.state.log, "run lost"; "request" => &*self.request.ask.id,
+            "backend" => &*member.entry.id, "cause" => cause, "events" => events,
+            "after" => self.last);
+        if !self.request.route.kind.may_repeat() {
+            return Err(End::Broken);
+        }
+        let copy = backup.filter(|copy| {
+            let held = &copy.member;
+            !held.closed.load(Ordering::Relaxed) && !held.health().is_suspect(now)
+        });
+        let holder = copy.map(|copy| copy.member.clone());
+        self.start(holder, cause).await
+    }
+
+    /// Sends the request until an engine takes it, first to the `holder` of a copy.
+    async fn start(&mut self, holder: Option<Arc<Member>>, cause: &str) -> Result<(), End> {
+        let mut holder = holder;
+        loop {
+            let most = self.request.route.attempts + SPARE_SENDS;
+            if self.request.left().is_zero() {
+                return Err(End::Timeout);
+            }
+            if self.sends >= most || self.runs > self.request.route.attempts {
+                return Err(self.given_up());
+            }
+            if self.sends > 0 && !self.state.may_repeat(&self.request.service) {
+                info!(self.state.log, "no repeat left"; "request" => &*self.request.ask.id);
+                return Err(self.given_up());
+            }
+            let from = holder.take();
+            let Some(member) = from
+                .clone()
+                .or_else(|| pick(&self.state, &self.request, &self.tried))
+            else {
+                return Err(self.given_up());
+            };
+            if self.sends > 0 {
+                Metrics::count(&self.state.metrics.resumed, cause);
+            }
+            if self.send_to(member, from.is_some()).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Sends the request to one engine; `false` where another one has to be tried.
+    async fn send_to(&mut self, member: Arc<Member>, from_copy: bool) -> Result<bool, End> {
+        self.sends += 1;
+        self.tried.push(member.number);
+        let extra = self.extra(&member, from_copy);
+        let prompt = &self.request.ask.prompt;
+        let unread = if from_copy { 0 } else { prompt.input };
+        let place = Place::run(&member, unread, prompt.footprint());
+        let backup = extra
+            .backup
+            .as_ref()
+            .map(|backup| Place::copy(backup, prompt.footprint()));
+        let limit = self.request.left();
+        let began = clock::now();
+        let sent = send(&self.state, &self.request, &member, &extra, limit).await;
+        let now = clock::now();
+        match sent {
+            Sent::Head(head) if head.parts.status.is_success() => {
+                self.runs += 1;
+                self.head.get_or_insert_with(|| head.parts.clone());
+                self.run = Some(Run {
+                    head,
+                    splitter: Splitter::default(),
+                    place,
+                    backup,
+                    began,
+                    heard: now,
+                    probed: now,
+                    events: 0,
+                });
+                Ok(true)
+            }
+            Sent::Head(head) => {
+                self.runs += 1;
+                member.health().answered(true, now.saturating_sub(began));
+                self.failure = Some(head);
+                self.after_failure()
+            }
+            Sent::NotRun(_) => Ok(false),
+            Sent::Unreached(_) => {
+                note_loss(&self.state, &member, now);
+                Ok(false)
+            }
+            Sent::Lost(_) => {
+                self.runs += 1;
+                note_loss(&self.state, &member, now);
+                self.after_failure()
+            }
+            Sent::Late => Err(End::Timeout),
+        }
+    }
+
+    /// After a run that failed: another one where that is allowed.
+    fn after_failure(&self) -> Result<bool, End> {
+        if self.request.route.kind.may_repeat() {
+            Ok(false)
+        } else {
+            Err(End::Broken)
+        }
+    }
+
+    /// The end where no engine is left to try.
+    fn given_up(&self) -> End {
+        if self.runs == 0 {
+            End::NoPlace
+        } else {
+            End::Broken
+        }
+    }
+
+    /// What this send adds: where the memory is copied to, and the copy that it goes on from.
+    fn extra(&self, member: &Arc<Member>, from_copy: bool) -> Extra {
+        let backups = self
+            .state
+            .catalog()
+            .and_then(|catalog| Some(catalog.engine(&self.request.service)?.backups))
+            .unwrap_or(false);
+        let may_resume = self.request.route.kind.may_repeat();
+        Extra {
+            last_event: self.last,
+            backup: (backups && may_resume)
+                .then(|| pick_backup(&self.state, &self.request, member))
+                .flatten(),
+            copy: from_copy.then(|| MemoryCopy {
+                holder: member.entry.address,
+                request: self.request.ask.id.clone(),
+            }),
+        }
+    }
+}
+
+/// Reports whether an event may follow the last one that was passed on.
+fn follows(last: Option<u64>, id: Option<u64>) -> bool {
+    match (last, id) {
+        (Some(last), Some(id)) => id == last + 1,
+        _ => true,
+    }
+}
+
+/// Asks an engine for a sign of life on a new connection.
+async fn lives(state: &State, member: &Member) -> bool {
+    let ask = async {
+        let mut lease = member.pool.open(PROBE).await.ok()?;
+        let mut request = http::Request::new(http_body_util::Full::new(Bytes::new()));
+        *request.uri_mut() = http::Uri::from_static(state.dialect.report_path());
+        let host = member.entry.address.to_string();
+        let host = http::HeaderValue::from_str(&host).ok()?;
+        request.headers_mut().insert(http::header::HOST, host);
+        let answer = lease.conn.send(request).await.ok()?;
+        answer.status().is_success().then_some(())
+    };
+    let late = async {
+        Timer::after(PROBE).await;
+        None
+    };
+    let lives = ask.or(late).await.is_some();
+    info!(state.log, "engine asked"; "backend" => &*member.entry.id, "lives" => lives);
+    if lives {
+        member.hear(clock::now());
+    }
+    lives
+}
+
+/// Notes that an engine was lost, for later choices and for its other streams.
+fn note_loss(state: &State, member: &Member, now: Moment) {
+    member.lose(now);
+    let entry = &member.entry;
+    state
+        .zones()
+        .lost(&entry.service, &entry.data_centre, member.number, now);
+}
+
+/// Logs the first event of a run, with the pause that a loss made.
+fn log_first(state: &State, request: &Request, run: &Run, lost: Option<Moment>, now: Moment) {
+    let gap = lost.map(|lost| now.saturating_sub(lost));
+    if let Some(gap) = gap {
+        state.metrics.gap.observe(gap.as_secs_f64());
+    }
+    info!(state.log, "first event"; "request" => &*request.ask.id,
+        "backend" => &*run.place.member.entry.id,
+        "after_ms" => now.saturating_sub(run.began).as_millis() as u64,
+        "gap_ms" => gap.map(|gap| gap.as_millis() as u64));
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -0,0 +1,13 @@
+//! Requests of callers: connections, checks, plain requests and event streams.
+
+mod body;
+mod choose;
+mod generation;
+mod handler;
+mod plain;
+mod refusal;
+mod request;
+mod send;
+mod server;
+
+pub(crate) use server::{listen, serve_callers, serve_metrics, serve_ready, Open};
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -0,0 +1,214 @@
+//! Requests whose answer is passed on when it is whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::{header::CONTENT_LENGTH, response, HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use smol::Timer;
+
+use super::{
+    body::{whole, Reply},
+    choose::pick,
+    refusal::Refusal,
+    request::Request,
+    send::{send, Extra, Head, Sent},
+};
+use crate::{
+    clock,
+    fleet::{Member, Place},
+    model::Kind,
+    state::State,
+};
+
+/// The largest answer that is held, in bytes.
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// Refusals of backend servers after which a request is given up.
+const MOST_REFUSALS: u32 = 4;
+
+/// When a caller may come back after all backend servers refused.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// The part of its objective after which a request that may be repeated is sent elsewhere.
+const IMPATIENCE: f64 = 1.2;
+
+/// An answer that was read whole.
+struct Whole {
+    parts: response::Parts,
+    body: Bytes,
+}
+
+/// What came of one try.
+enum Tried {
+    Answered(Whole),
+    NotRun,
+    Unreached,
+    Lost,
+    Late,
+}
+
+/// Serves a request whose answer is passed on whole.
+pub(super) async fn serve(state: &State, request: &Request) -> Result<Reply, Refusal> {
+    let mut tried = Vec::new();
+    let mut ran = 0;
+    let mut refused = 0;
+    let mut failed: Option<Whole> = None;
+    loop {
+        let Some(member) = pick(state, request, &tried) else {
+            break;
+        };
+        let first = tried.is_empty();
+        if !first && !state.may_repeat(&request.service) {
+            break;
+        }
+        tried.push(member.number);
+        match try_once(state, request, &member, ran).await {
+            Tried::Answered(answer) => {
+                ran += 1;
+                let again = may_retry(request, &answer) && ran < request.route.attempts;
+                if !again {
+                    return Ok(pass_on(answer));
+                }
+                failed = Some(answer);
+            }
+            Tried::NotRun | Tried::Unreached => refused += 1,
+            Tried::Lost if request.route.kind != Kind::Idempotent => {
+                return Err(Refusal::Unknown);
+            }
+            Tried::Late if request.route.kind != Kind::Idempotent => {
+                return Err(Refusal::Timeout);
+            }
+            Tried::Lost | Tried::Late => ran += 1,
+        }
+        let over = request.left().is_zero();
+        if over || ran >= request.route.attempts || refused >= MOST_REFUSALS {
+            break;
+        }
+    }
+    match failed {
+        Some(answer) => Ok(pass_on(answer)),
+        None if ran > 0 && request.left().is_zero() => Err(Refusal::Timeout),
+        None if ran > 0 => Err(Refusal::Unknown),
+        None => Err(Refusal::NoPlace { after: COME_BACK }),
+    }
+}
+
+/// Sends once and reads the whole answer.
+async fn try_once(
+    state: &State,
+    request: &Request,
+    member: &std::sync::Arc<Member>,
+    ran: u32,
+) -> Tried {
+    let place = Place::run(member, 0, 0);
+    let began = clock::now();
+    let limit = try_limit(request, ran);
+    let reading = async {
+        match send(state, request, member, &Extra::default(), limit).await {
+            Sent::Head(head) => read(*head).await,
+            Sent::NotRun(_) => Tried::NotRun,
+            Sent::Unreached(_) => Tried::Unreached,
+            Sent::Lost(_) => Tried::Lost,
+            Sent::Late => Tried::Late,
+        }
+    };
+    let late = async {
+        Timer::after(limit).await;
+        Tried::Late
+    };
+    let outcome = reading.or(late).await;
+    drop(place);
+    let now = clock::now();
+    match &outcome {
+        Tried::Answered(answer) => {
+            let failed = answer.parts.status.is_server_error();
+            member.health().answered(failed, now.saturating_sub(began));
+        }
+        Tried::NotRun => {}
+        Tried::Unreached | Tried::Lost | Tried::Late => {
+            member.lose(now);
+            let entry = &member.entry;
+            state
+                .zones()
+                .lost(&entry.service, &entry.data_centre, member.number, now);
+        }
+    }
+    outcome
+}
+
+/// How long one try may take. One that may be repeated elsewhere leaves time for that.
+fn try_limit(request: &Request, ran: u32) -> Duration {
+    let left = request.left();
+    let last = ran + 1 >= request.route.attempts;
+    if request.route.kind != Kind::Idempotent || last {
+        return left;
+    }
+    left.min(request.route.objective.mul_f64(IMPATIENCE))
+}
+
+/// Reads an answer to its end, and keeps its connection.
+async fn read(head: Head) -> Tried {
+    let Head {
+        parts,
+        answer,
+        body,
+        lease,
+    } = head;
+    match http_body_util::Limited::new(body, ANSWER_BYTES).collect().await {
+        Ok(collected) => {
+            lease.put_back(answer.keep);
+            Tried::Answered(Whole {
+                parts,
+                body: collected.to_bytes(),
+            })
+        }
+        Err(_) => Tried::Lost,
+    }
+}
+
+/// Reports whether a backend server's failure may be another's success.
+fn may_retry(request: &Request, answer: &Whole) -> bool {
+    request.route.kind == Kind::Idempotent && answer.parts.status.is_server_error()
+}
+
+/// The answer as the caller gets it. A status that promises that nothing ran is not passed on where
+/// the backend server did not say so.
+fn pass_on(answer: Whole) -> Reply {
+    let Whole { parts, body } = answer;
+    let promises = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    if promises.contains(&parts.status) {
+        return Refusal::Unknown.reply();
+    }
+    let mut reply = Response::new(whole(body));
+    *reply.status_mut() = parts.status;
+    *reply.headers_mut() = end_to_end(parts.headers);
+    reply.headers_mut().remove(CONTENT_LENGTH);
+    reply
+}
+
+/// Drops the headers that concern only the connection to the backend server.
+pub(super) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -0,0 +1,53 @@
+//! A caller's request that was read, checked and routed.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+
+use crate::{
+    clock::{self, Moment},
+    model::{Ask, Route, ServiceId, TenantId},
+};
+
+/// Time kept back from a deadline for the answer's way to the caller.
+const WAY_BACK: Duration = Duration::from_millis(8);
+
+/// A caller's request with all that is known of it.
+#[derive(Debug)]
+pub(super) struct Request {
+    /// The facts that the caller sent.
+    pub ask: Ask,
+    /// The method.
+    pub method: Method,
+    /// Path and query, as sent.
+    pub target: Uri,
+    /// The headers that go to backend servers.
+    pub headers: HeaderMap,
+    /// The body, whole.
+    pub body: Bytes,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service that the route chose.
+    pub service: ServiceId,
+    /// The client account.
+    pub tenant: Option<TenantId>,
+    /// When the request arrived.
+    pub arrived: Moment,
+    /// When the caller or the route gives up.
+    pub end: Moment,
+}
+
+impl Request {
+    /// What is left of the time, less the answer's way back.
+    pub(super) fn left(&self) -> Duration {
+        self.end
+            .saturating_sub(clock::now())
+            .saturating_sub(WAY_BACK)
+    }
+
+    /// The time since the request arrived.
+    pub(super) fn age(&self) -> Duration {
+        clock::now().saturating_sub(self.arrived)
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -0,0 +1,210 @@
+//! Sends a request once, to one backend server, and reads the head of its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_lite::FutureExt;
+use http::{header::HOST, response, HeaderValue};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use slog::info;
+use smol::Timer;
+
+use crate::{
+    clock,
+    dialect::{Answer, Dispatch, MemoryCopy},
+    fleet::Member,
+    metrics::Metrics,
+    net::{Lease, SendFault},
+    state::State,
+};
+
+use super::request::Request;
+
+/// The longest time that a connection to a backend server may take.
+const CONNECT: Duration = Duration::from_millis(350);
+
+/// How long a kept connection may have been idle for a request that must not be lost on it.
+const RECENT: Duration = Duration::from_millis(900);
+
+/// What came of one send.
+#[derive(Debug)]
+pub(super) enum Sent {
+    /// The head of a valid answer.
+    Head(Box<Head>),
+    /// The backend server can't be reached; nothing was sent.
+    Unreached(String),
+    /// The backend server says that it did not run the request.
+    NotRun(u16),
+    /// The request may have run; no valid answer came.
+    Lost(String),
+    /// No answer came within the limit; the request may have run.
+    Late,
+}
+
+impl Sent {
+    /// The name in logs and metrics.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Sent::Head(_) => "answered",
+            Sent::Unreached(_) => "unreached",
+            Sent::NotRun(_) => "not_run",
+            Sent::Lost(_) => "lost",
+            Sent::Late => "late",
+        }
+    }
+
+    fn detail(&self) -> String {
+        match self {
+            Sent::Head(head) => head.parts.status.as_u16().to_string(),
+            Sent::Unreached(cause) | Sent::Lost(cause) => cause.clone(),
+            Sent::NotRun(status) => status.to_string(),
+            Sent::Late => String::new(),
+        }
+    }
+}
+
+/// The head of an answer and the connection that its body is still on.
+#[derive(Debug)]
+pub(super) struct Head {
+    /// Status and headers.
+    pub parts: response::Parts,
+    /// What they say.
+    pub answer: Answer,
+    /// The body.
+    pub body: Incoming,
+    /// The connection; dropping it cancels the request.
+    pub lease: Lease,
+}
+
+/// What one send adds to its request.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Extra {
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// The engine that is to keep a copy of the run's memory.
+    pub backup: Option<Arc<Member>>,
+    /// The copy from which the run goes on.
+    pub copy: Option<MemoryCopy>,
+}
+
+/// Sends a request to a backend server and waits up to `limit` for the head of its answer.
+pub(super) async fn send(
+    state: &State,
+    request: &Request,
+    member: &Member,
+    extra: &Extra,
+    limit: Duration,
+) -> Sent {
+    let began = clock::now();
+    let exchange = exchange(state, request, member, extra);
+    let late = async {
+        Timer::after(limit).await;
+        Sent::Late
+    };
+    let sent = exchange.or(late).await;
+    let took = clock::now().saturating_sub(began);
+    Metrics::count(&state.metrics.sends, sent.name());
+    info!(state.log, "sent"; "request" => &*request.ask.id, "backend" => &*member.entry.id,
+        "service" => &*request.service, "data_centre" => &*member.entry.data_centre,
+        "outcome" => sent.name(), "detail" => sent.detail(),
+        "backup" => extra.backup.as_ref().map(|b| b.entry.id.to_string()),
+        "from_copy" => extra.copy.is_some(), "after" => extra.last_event,
+        "took_ms" => took.as_millis() as u64);
+    sent
+}
+
+/// Sends and reads the head, without a limit.
+async fn exchange(state: &State, request: &Request, member: &Member, extra: &Extra) -> Sent {
+    let idle = if request.route.kind.may_repeat() {
+        Duration::MAX
+    } else {
+        RECENT
+    };
+    for reused in [true, false] {
+        let taken = if reused {
+            member.pool.take(idle, CONNECT).await
+        } else {
+            member.pool.open(CONNECT).await
+        };
+        let mut lease = match taken {
+            Ok(lease) => lease,
+            Err(err) => return Sent::Unreached(err.to_string()),
+        };
+        match lease.conn.send(build(state, request, member, extra)).await {
+            Ok(head) => return judge(state, request, member, head, lease),
+            // The kept connection was closed meanwhile: a new one shows whether the server lives.
+            Err(SendFault::NotSent { .. }) if reused => {}
+            Err(SendFault::NotSent { cause }) => return Sent::Unreached(cause),
+            Err(SendFault::Lost { cause }) => return Sent::Lost(cause),
+        }
+    }
+    Sent::Unreached("closed before the request was sent".to_owned())
+}
+
+/// The request as the backend server gets it.
+fn build(
+    state: &State,
+    request: &Request,
+    member: &Member,
+    extra: &Extra,
+) -> http::Request<Full<bytes::Bytes>> {
+    let mut built = http::Request::new(Full::new(request.body.clone()));
+    *built.method_mut() = request.method.clone();
+    *built.uri_mut() = request.target.clone();
+    let mut headers = request.headers.clone();
+    if !headers.contains_key(HOST) {
+        if let Ok(host) = HeaderValue::from_str(&request.ask.host) {
+            headers.insert(HOST, host);
+        }
+    }
+    let send = Dispatch {
+        expect: member.entry.id.clone(),
+        tenant: request.tenant.clone(),
+        left: request.left(),
+        priority: None,
+        last_event: extra.last_event,
+        backup: extra.backup.as_ref().map(|b| b.entry.address),
+        copy: extra.copy.clone(),
+    };
+    state.dialect.write_send(&mut headers, &send);
+    *built.headers_mut() = headers;
+    built
+}
+
+/// Judges the head of an answer: an answer of another request, or a success without a run's
+/// signature, is no answer.
+fn judge(
+    state: &State,
+    request: &Request,
+    member: &Member,
+    head: http::Response<Incoming>,
+    lease: Lease,
+) -> Sent {
+    let (parts, body) = head.into_parts();
+    let answer = state.dialect.read_answer(&parts);
+    let now = clock::now();
+    if let Some(load) = answer.load {
+        member.told(load, now);
+    }
+    let other = answer
+        .request
+        .as_ref()
+        .is_some_and(|id| **id != *request.ask.id);
+    if other {
+        return Sent::Lost("an answer of another request".to_owned());
+    }
+    member.hear(now);
+    if answer.not_run {
+        return Sent::NotRun(parts.status.as_u16());
+    }
+    let whole = answer.signed && !answer.encoded && answer.request.is_some();
+    if parts.status.is_success() && !whole {
+        return Sent::Lost("a success without a run's signature".to_owned());
+    }
+    Sent::Head(Box::new(Head {
+        parts,
+        answer,
+        body,
+        lease,
+    }))
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/kernel/budget_tests.rs
@@ -0,0 +1,1 @@
+//! Filled below.
--- /dev/null
+++ b/crates/cassiareel-relay/src/kernel/catalog.rs
@@ -0,0 +1,142 @@
+//! The configuration in force, indexed for requests: routes by host and longest prefix, keys.
+
+use std::{collections::HashMap, sync::Arc};
+
+use crate::model::{EngineShape, Limits, Policy, Route, ServiceId, Tenant, TenantId};
+
+/// One version of the configuration, ready for requests. It never changes.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    version: u64,
+    hosts: HashMap<String, Prefixes>,
+    keys: HashMap<String, Owner>,
+    keyed: bool,
+    engines: HashMap<ServiceId, EngineShape>,
+    services: Vec<ServiceId>,
+    limits: Limits,
+}
+
+/// The routes of one host by their whole prefixes.
+type Prefixes = HashMap<String, Arc<Route>>;
+
+#[derive(Clone, Debug)]
+struct Owner {
+    name: TenantId,
+    priority: Option<u8>,
+}
+
+/// What the configuration says of a request.
+#[derive(Clone, Debug)]
+pub enum Lookup {
+    /// It is served by this route, for this client account.
+    Found {
+        /// The route.
+        route: Arc<Route>,
+        /// The client account; `None` where no key is needed.
+        tenant: Option<TenantId>,
+        /// The rank of the request, 0 first.
+        priority: u8,
+    },
+    /// No route serves the path.
+    NoRoute,
+    /// The route needs a key, and the request's is not known.
+    UnknownKey,
+}
+
+impl Catalog {
+    /// Indexes a version of the configuration.
+    pub fn new(policy: Policy) -> Catalog {
+        let mut hosts: HashMap<String, Prefixes> = HashMap::new();
+        for route in policy.routes {
+            hosts
+                .entry(route.host.to_ascii_lowercase())
+                .or_default()
+                .insert(route.prefix.clone(), Arc::new(route));
+        }
+        Catalog {
+            version: policy.version,
+            hosts,
+            keyed: policy.tenants.is_some(),
+            keys: index_keys(policy.tenants.unwrap_or_default()),
+            services: policy.services.iter().map(|s| s.name.clone()).collect(),
+            engines: policy
+                .services
+                .into_iter()
+                .filter_map(|s| s.engine.map(|engine| (s.name, engine)))
+                .collect(),
+            limits: policy.limits,
+        }
+    }
+
+    /// The version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Bounds on what a caller sends.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// The names of the services.
+    pub fn services(&self) -> &[ServiceId] {
+        &self.services
+    }
+
+    /// The shape of a service's engines, where it runs a model.
+    pub fn engine(&self, service: &str) -> Option<&EngineShape> {
+        self.engines.get(service)
+    }
+
+    /// Reports whether a request needs a key, as far as its route is known.
+    pub fn needs_key(&self, host: &str, path: &str) -> bool {
+        self.keyed && self.route(host, path).is_none_or(|route| !route.public)
+    }
+
+    /// Finds the route and the client account of a request.
+    pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Lookup {
+        let Some(route) = self.route(host, path) else {
+            return Lookup::NoRoute;
+        };
+        if !self.keyed || route.public {
+            return Lookup::Found {
+                priority: route.priority,
+                route,
+                tenant: None,
+            };
+        }
+        match key.and_then(|key| self.keys.get(key)) {
+            Some(owner) => Lookup::Found {
+                priority: owner.priority.unwrap_or(route.priority),
+                route,
+                tenant: Some(owner.name.clone()),
+            },
+            None => Lookup::UnknownKey,
+        }
+    }
+
+    /// The route with the longest prefix: cuts the path at its slashes, the last one first.
+    fn route(&self, host: &str, path: &str) -> Option<Arc<Route>> {
+        let prefixes = self.hosts.get(host)?;
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(route) = prefixes.get(&path[..=slash]) {
+                return Some(route.clone());
+            }
+            end = slash;
+        }
+        None
+    }
+}
+
+fn index_keys(tenants: Vec<Tenant>) -> HashMap<String, Owner> {
+    let mut keys = HashMap::new();
+    for tenant in tenants {
+        let owner = Owner {
+            name: tenant.name,
+            priority: tenant.priority,
+        };
+        keys.extend(tenant.keys.into_iter().map(|key| (key, owner.clone())));
+    }
+    keys
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/kernel/health.rs
@@ -0,0 +1,120 @@
+/*!
+Which backend servers are believed to fail, from what their answers show.
+
+A backend server that drops connections is left alone for a moment that grows while it goes on
+failing. Where several of one data centre fail together, the others there are avoided as well, since
+whatever took the first ones mostly takes them all. One that fails a larger part of its requests than
+its service does is used less.
+*/
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{
+    clock::Moment,
+    model::{DataCentre, ServiceId},
+};
+
+/// How long a backend server is avoided after its first failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(800);
+
+/// The longest time for which a backend server is avoided.
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+
+/// The weight of the newest answer in a backend server's rates.
+const NEWEST: f64 = 0.1;
+
+/// Failures of different backend servers within this time count as one event.
+const TOGETHER: Duration = Duration::from_millis(700);
+
+/// Failed backend servers of one data centre that make all of it suspect.
+const MANY: usize = 3;
+
+/// How long a data centre's backend servers are avoided.
+const ZONE_PAUSE: Duration = Duration::from_millis(900);
+
+/// What one backend server's answers showed.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    avoid: Option<Moment>,
+    streak: u32,
+    errors: f64,
+    latency: Option<f64>,
+}
+
+impl Health {
+    /// Takes in a lost connection, a silent run or an answer that is none.
+    pub fn lost(&mut self, now: Moment) {
+        let pause = FIRST_PAUSE * 2u32.pow(self.streak.min(4));
+        self.streak += 1;
+        self.avoid = Some(now + pause.min(LONGEST_PAUSE));
+        self.mark(true);
+    }
+
+    /// Takes in a whole answer.
+    pub fn answered(&mut self, failed: bool, took: Duration) {
+        self.streak = 0;
+        self.avoid = None;
+        self.mark(failed);
+        let took = took.as_secs_f64() * 1000.0;
+        self.latency = Some(self.latency.map_or(took, |old| old + (took - old) * NEWEST));
+    }
+
+    /// Takes in a sign of life.
+    pub fn heard(&mut self) {
+        self.streak = 0;
+        self.avoid = None;
+    }
+
+    /// Reports whether new work should go elsewhere.
+    pub fn is_suspect(&self, now: Moment) -> bool {
+        self.avoid.is_some_and(|until| now < until)
+    }
+
+    /// The share of failed answers, the newest weighing most.
+    pub fn errors(&self) -> f64 {
+        self.errors
+    }
+
+    /// The mean time to an answer in milliseconds, the newest weighing most.
+    pub fn latency(&self) -> Option<f64> {
+        self.latency
+    }
+
+    fn mark(&mut self, failed: bool) {
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.errors += (sample - self.errors) * NEWEST;
+    }
+}
+
+/// Failures by service and data centre.
+#[derive(Debug, Default)]
+pub struct Zones {
+    recent: HashMap<(ServiceId, DataCentre), Vec<(Moment, u64)>>,
+}
+
+impl Zones {
+    /// Takes in that the backend server numbered `member` was lost.
+    pub fn lost(&mut self, service: &ServiceId, zone: &DataCentre, member: u64, now: Moment) {
+        let losses = self
+            .recent
+            .entry((service.clone(), zone.clone()))
+            .or_default();
+        losses.retain(|(at, id)| now.saturating_sub(*at) < TOGETHER + ZONE_PAUSE && *id != member);
+        losses.push((now, member));
+    }
+
+    /// Reports whether so many failed together that the whole data centre is suspect.
+    pub fn is_suspect(&self, service: &ServiceId, zone: &DataCentre, now: Moment) -> bool {
+        let Some(losses) = self.recent.get(&(service.clone(), zone.clone())) else {
+            return false;
+        };
+        let Some((last, _)) = losses.last() else {
+            return false;
+        };
+        let together = losses
+            .iter()
+            .filter(|(at, _)| last.saturating_sub(*at) < TOGETHER)
+            .count();
+        together >= MANY && now.saturating_sub(*last) < ZONE_PAUSE
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -0,0 +1,35 @@
+//! The decisions: plain values that get a time and facts, and tell a choice. No input or output.
+
+mod authority;
+#[cfg(test)]
+mod authority_tests;
+mod budget;
+#[cfg(test)]
+mod budget_tests;
+mod catalog;
+#[cfg(test)]
+mod catalog_tests;
+mod events;
+#[cfg(test)]
+mod events_tests;
+mod health;
+#[cfg(test)]
+mod health_tests;
+mod placement;
+#[cfg(test)]
+mod placement_tests;
+mod registry;
+#[cfg(test)]
+mod registry_tests;
+mod rollout;
+#[cfg(test)]
+mod rollout_tests;
+
+pub use authority::Authority;
+pub use budget::Budget;
+pub use catalog::{Catalog, Lookup};
+pub use events::{Event, Splitter};
+pub use health::{Health, Zones};
+pub use placement::{choose, Candidate, Need};
+pub use registry::{Registry, Update};
+pub use rollout::{Judge, Split, Tally};
--- /dev/null
+++ b/crates/cassiareel-relay/src/kernel/registry.rs
@@ -0,0 +1,156 @@
+/*!
+The backend servers that a node believes in, from the store's registry.
+
+Entries lapse while the store is away, since their owners can't renew them. What is missing right
+after its return is therefore kept for a moment, until the owners that live had time to come back.
+An entry that is removed at any other time is gone at once.
+*/
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{
+    clock::Moment,
+    model::{BackendId, Entry, Phase, Revision},
+    source::{Change, Changes, Listing},
+};
+
+/// A silence of the store longer than this may have let entries lapse.
+const OUTAGE: Duration = Duration::from_millis(2500);
+
+/// How long entries that are missing after an outage are kept.
+const RETURN: Duration = Duration::from_secs(2);
+
+/// The entries in force.
+#[derive(Debug, Default)]
+pub struct Registry {
+    entries: HashMap<BackendId, Held>,
+    revision: Option<Revision>,
+    heard: Option<Moment>,
+    back: Option<Moment>,
+}
+
+#[derive(Debug)]
+struct Held {
+    entry: Entry,
+    missing: bool,
+}
+
+/// What an update of the registry changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Update {
+    /// Ids that are new or changed.
+    pub put: Vec<BackendId>,
+    /// Ids that are gone.
+    pub gone: Vec<BackendId>,
+    /// Ids that are missing and kept for a moment.
+    pub kept: Vec<BackendId>,
+}
+
+impl Update {
+    /// Reports whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.put.is_empty() && self.gone.is_empty()
+    }
+}
+
+impl Registry {
+    /// Takes in a whole list, read at `now`. One that is older than what is known changes nothing.
+    pub fn list(&mut self, listing: Listing, now: Moment) -> Update {
+        self.hear(now);
+        let mut update = Update::default();
+        if !self.advance(listing.revision) {
+            return update;
+        }
+        for held in self.entries.values_mut() {
+            held.missing = true;
+        }
+        for entry in listing.entries {
+            self.put(entry, &mut update);
+        }
+        self.sweep(now, &mut update);
+        update
+    }
+
+    /// Takes in changes, read at `now`. Those that are older than what is known change nothing.
+    pub fn apply(&mut self, changes: Changes, now: Moment) -> Update {
+        self.hear(now);
+        let mut update = Update::default();
+        if !self.advance(changes.revision) {
+            return update;
+        }
+        for change in changes.changes {
+            match change {
+                Change::Put(entry) => self.put(entry, &mut update),
+                Change::Gone(id) => {
+                    if let Some(held) = self.entries.get_mut(&id) {
+                        held.missing = true;
+                    }
+                }
+            }
+        }
+        self.sweep(now, &mut update);
+        update
+    }
+
+    /// The entries that hold.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().map(|held| &held.entry)
+    }
+
+    /// The revision of what is known; `None` before the first list.
+    pub fn revision(&self) -> Option<Revision> {
+        self.revision
+    }
+
+    /// Moves to a revision; `false` where a later one is known.
+    fn advance(&mut self, revision: Revision) -> bool {
+        if self.revision.is_some_and(|known| revision < known) {
+            return false;
+        }
+        self.revision = Some(revision);
+        true
+    }
+
+    /// Notes an answer of the store; after a long silence, its return.
+    fn hear(&mut self, now: Moment) {
+        let silent = self
+            .heard
+            .is_some_and(|heard| now.saturating_sub(heard) > OUTAGE);
+        if silent {
+            self.back = Some(now);
+        }
+        self.heard = Some(now);
+    }
+
+    fn put(&mut self, entry: Entry, update: &mut Update) {
+        let id = entry.id.clone();
+        let known = self.entries.get(&id).is_some_and(|held| held.entry == entry);
+        if !known {
+            update.put.push(id.clone());
+        }
+        let held = Held {
+            entry,
+            missing: false,
+        };
+        self.entries.insert(id, held);
+    }
+
+    /// Drops what is missing, unless the store has just come back. A draining entry that is missing
+    /// left as it said.
+    fn sweep(&mut self, now: Moment, update: &mut Update) {
+        let returning = self
+            .back
+            .is_some_and(|back| now.saturating_sub(back) < RETURN);
+        self.entries.retain(|id, held| {
+            if !held.missing {
+                return true;
+            }
+            if returning && held.entry.phase == Phase::Ready {
+                update.kept.push(id.clone());
+                return true;
+            }
+            update.gone.push(id.clone());
+            false
+        });
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -0,0 +1,32 @@
+/*!
+Passes callers' requests on to backend servers, byte for byte, and keeps event streams going when a
+backend server is lost.
+
+The OpenAI front of the [`cassiareel`] crate understands what it serves. This crate serves callers
+whose requests it must not change: it routes by host and path, checks keys, bounds retries, and goes
+on with a broken event stream at another backend server.
+
+Dependencies point one way:
+
+- [`kernel`] holds the decisions as plain values: a time and facts in, a choice out.
+- [`model`] holds the types that say what the operator and the registry told.
+- [`source`] and [`dialect`] are the traits that a platform's adapter implements.
+- `net`, `front` and `follow` are the connections, the requests and the tasks that keep what a node
+  believes up to date.
+- [`node`] puts them together and runs until it is told to stop.
+*/
+
+pub mod clock;
+pub mod dialect;
+mod fleet;
+mod follow;
+mod front;
+pub mod kernel;
+pub mod metrics;
+pub mod model;
+pub mod net;
+pub mod node;
+pub mod settings;
+mod signals;
+pub mod source;
+mod state;
--- /dev/null
+++ b/crates/cassiareel-relay/src/model/entry.rs
@@ -0,0 +1,47 @@
+//! An entry of the registry of backend servers.
+
+use std::net::SocketAddr;
+
+use super::{BackendId, DataCentre, ServiceId, Version};
+
+/// What a backend server says of itself in the registry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// The id of this run of the process.
+    pub id: BackendId,
+    /// When the process started, in milliseconds since 1970, where it says so. An id that comes
+    /// back with another start is another process.
+    pub born: Option<u64>,
+    /// The service that it belongs to.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The data centre that it is in.
+    pub data_centre: DataCentre,
+    /// The version of its software.
+    pub version: Version,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub phase: Phase,
+}
+
+impl Entry {
+    /// Reports whether `other` is the same process at the same place.
+    pub fn is_same_process(&self, other: &Entry) -> bool {
+        self.id == other.id
+            && self.born == other.born
+            && self.address == other.address
+            && self.service == other.service
+            && self.version == other.version
+    }
+}
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// It takes new work.
+    Ready,
+    /// It finishes what it has and then ends.
+    Draining,
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/model/policy.rs
@@ -0,0 +1,55 @@
+//! One version of the operator's configuration.
+
+use std::time::Duration;
+
+use super::{Route, Service, TenantId};
+
+/// One version of the operator's configuration, whole.
+#[derive(Clone, Debug, Default)]
+pub struct Policy {
+    /// The version, which only rises.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub services: Vec<Service>,
+    /// The client accounts; `None` where requests carry no keys.
+    pub tenants: Option<Vec<Tenant>>,
+    /// What a caller may send.
+    pub limits: Limits,
+}
+
+/// A client account and its keys.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// The name, which backend servers see.
+    pub name: TenantId,
+    /// The keys in force.
+    pub keys: Vec<String>,
+    /// The rank of its requests, 0 first, before that of the route.
+    pub priority: Option<u8>,
+}
+
+/// Bounds on what a caller sends and how long it may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// The largest head, in bytes.
+    pub header_bytes: usize,
+    /// The largest body, in bytes.
+    pub body_bytes: usize,
+    /// The longest time for a head to arrive.
+    pub header_time: Duration,
+    /// How long a connection may stay idle.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/model/service.rs
@@ -0,0 +1,27 @@
+//! A service and the shape of its backend servers.
+
+use std::time::Duration;
+
+use super::ServiceId;
+
+/// A service that routes name.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// The name.
+    pub name: ServiceId,
+    /// The shape of its engines, where it runs a model.
+    pub engine: Option<EngineShape>,
+}
+
+/// What the engines of a service can do.
+#[derive(Clone, Debug)]
+pub struct EngineShape {
+    /// Requests in one batch.
+    pub slots: u32,
+    /// Memory that running requests and cached prompt parts share, in tokens.
+    pub capacity: u64,
+    /// Whether an engine keeps a copy of a run's memory at another one while it grows.
+    pub backups: bool,
+    /// How long a copy lasts after its last part.
+    pub copy_life: Duration,
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/net/caller.rs
@@ -0,0 +1,112 @@
+//! Short calls with a whole body each way, as the store takes them.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use cassiareel::runtime::Spawner;
+use futures_lite::FutureExt;
+use http::{
+    header::{CONTENT_TYPE, HOST},
+    HeaderValue, Method, Request, StatusCode, Uri,
+};
+use http_body_util::{BodyExt, Full, Limited};
+use smol::Timer;
+
+use super::{Pool, SendFault};
+use crate::source::SourceError;
+
+/// The longest time that a connection may take.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// The largest answer, in bytes.
+const MOST_BYTES: usize = 8 << 20;
+
+/// Makes short calls to one address.
+#[derive(Debug)]
+pub struct Caller {
+    pool: Pool,
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The body, whole.
+    pub body: Bytes,
+}
+
+impl Caller {
+    /// Calls go to `address`.
+    pub fn new(address: SocketAddr, spawner: Spawner) -> Caller {
+        Caller {
+            pool: Pool::new(address, spawner),
+        }
+    }
+
+    /// Makes one call. A connection on which a call failed is not used again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no whole answer comes within `limit`; a write may then still take effect.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Reply, SourceError> {
+        let late = async {
+            Timer::after(limit).await;
+            Err(SourceError::Timeout { limit })
+        };
+        self.exchange(method, path, body).or(late).await
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Reply, SourceError> {
+        let uri: Uri = path.parse().map_err(connection)?;
+        let host = HeaderValue::from_str(&self.pool.address().to_string()).map_err(connection)?;
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = uri;
+        let headers = request.headers_mut();
+        headers.insert(HOST, host);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let mut lease = self
+            .pool
+            .take(Duration::MAX, CONNECT)
+            .await
+            .map_err(connection)?;
+        let answer = match lease.conn.send(request.clone()).await {
+            Err(SendFault::NotSent { .. }) => {
+                lease = self.pool.open(CONNECT).await.map_err(connection)?;
+                lease.conn.send(request).await.map_err(connection)?
+            }
+            answer => answer.map_err(connection)?,
+        };
+        let (parts, body) = answer.into_parts();
+        let body = Limited::new(body, MOST_BYTES)
+            .collect()
+            .await
+            .map_err(connection)?;
+        lease.put_back(None);
+        Ok(Reply {
+            status: parts.status,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+fn connection<E>(err: E) -> SourceError
+where
+    E: std::fmt::Display,
+{
+    SourceError::Connection {
+        cause: err.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/net/conn.rs
@@ -0,0 +1,131 @@
+//! One HTTP connection, owned by whoever uses it.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use cassiareel::runtime::Spawner;
+use futures_lite::FutureExt;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use smol::{net::TcpStream, Task, Timer};
+use smol_hyper::rt::FuturesIo;
+use snafu::Snafu;
+
+use crate::clock::{self, Moment};
+
+/// The largest head of an answer, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+
+/// An open HTTP connection. Dropping it closes it at once, also in the middle of an answer.
+pub struct Conn {
+    sender: http1::SendRequest<Full<Bytes>>,
+    // Dropping the task closes the socket.
+    _driver: Task<()>,
+    /// When the last answer was read whole.
+    pub(super) idle_since: Moment,
+    /// How long the connection may stay idle.
+    pub(super) keep: Duration,
+}
+
+/// Why a request brought no answer.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum SendFault {
+    /// No byte of the request has left.
+    #[snafu(display("not sent: {cause}"))]
+    NotSent {
+        /// What failed.
+        cause: String,
+    },
+    /// The request may have arrived.
+    #[snafu(display("lost: {cause}"))]
+    Lost {
+        /// What failed.
+        cause: String,
+    },
+}
+
+impl Conn {
+    /// Connects within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`SendFault::NotSent`].
+    pub async fn open(
+        address: SocketAddr,
+        limit: Duration,
+        spawner: &Spawner,
+    ) -> Result<Conn, SendFault> {
+        let connected = async { TcpStream::connect(address).await.map_err(|err| err.to_string()) };
+        let late = async {
+            Timer::after(limit).await;
+            Err(format!("no connection within {limit:?}"))
+        };
+        let stream = connected
+            .or(late)
+            .await
+            .map_err(|cause| SendFault::NotSent { cause })?;
+        // Without the option, the last part of a request may wait for an acknowledgement.
+        if let Err(err) = stream.set_nodelay(true) {
+            return NotSentSnafu {
+                cause: err.to_string(),
+            }
+            .fail();
+        }
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(HEAD_BYTES)
+            .handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|err| SendFault::NotSent {
+                cause: err.to_string(),
+            })?;
+        let driver = spawner.spawn(async move {
+            // The error reaches whoever waits for the answer on this connection.
+            let _ = driver.await;
+        });
+        Ok(Conn {
+            sender,
+            _driver: driver,
+            idle_since: clock::now(),
+            keep: Duration::MAX,
+        })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`SendFault::NotSent`] only where it is certain that nothing has left.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFault> {
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut err| {
+                let cause = err.error().to_string();
+                match err.take_message() {
+                    Some(_) => SendFault::NotSent { cause },
+                    None => SendFault::Lost { cause },
+                }
+            })
+    }
+
+    /// Reports whether the connection can take a request.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Reports whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl fmt::Debug for Conn {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Conn").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/net/pool.rs
@@ -0,0 +1,135 @@
+//! Kept connections to one address.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use cassiareel::runtime::Spawner;
+
+use super::{Conn, SendFault};
+use crate::clock;
+
+/// How long a connection is kept where the other side does not say.
+const KEEP: Duration = Duration::from_millis(1500);
+
+/// Spare time before the other side's limit, so that no request crosses its close.
+const KEEP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Connections that are kept to one address.
+const MOST_IDLE: usize = 8;
+
+/// Kept connections to one address.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    address: SocketAddr,
+    spawner: Spawner,
+    idle: Mutex<VecDeque<Conn>>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(address: SocketAddr, spawner: Spawner) -> Pool {
+        Pool {
+            inner: Arc::new(Inner {
+                address,
+                spawner,
+                idle: Mutex::default(),
+            }),
+        }
+    }
+
+    /// The address.
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// Takes a connection that was idle for at most `idle`, or opens one within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`SendFault::NotSent`].
+    pub async fn take(&self, idle: Duration, limit: Duration) -> Result<Lease, SendFault> {
+        if let Some(conn) = self.reuse(idle) {
+            return Ok(self.lease(conn));
+        }
+        self.open(limit).await
+    }
+
+    /// Opens a new connection within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`SendFault::NotSent`].
+    pub async fn open(&self, limit: Duration) -> Result<Lease, SendFault> {
+        let conn = Conn::open(self.inner.address, limit, &self.inner.spawner).await?;
+        Ok(self.lease(conn))
+    }
+
+    /// Closes all kept connections.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
+    fn lease(&self, conn: Conn) -> Lease {
+        Lease {
+            conn,
+            pool: self.clone(),
+        }
+    }
+
+    /// The connection that was used last, after those that are too old are closed.
+    fn reuse(&self, idle: Duration) -> Option<Conn> {
+        let now = clock::now();
+        let mut conns = self.lock();
+        conns.retain(|conn| {
+            let age = now.saturating_sub(conn.idle_since);
+            age < conn.keep && !conn.is_closed()
+        });
+        let at = conns
+            .iter()
+            .rposition(|conn| conn.is_ready() && now.saturating_sub(conn.idle_since) <= idle)?;
+        conns.remove(at)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Conn>> {
+        self.inner
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A connection in use. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Lease {
+    /// The connection.
+    pub conn: Conn,
+    pool: Pool,
+}
+
+impl Lease {
+    /// Keeps the connection for another request, after the answer was read whole. `keep` is how
+    /// long the other side says that it may stay idle.
+    pub fn put_back(self, keep: Option<Duration>) {
+        let keep = keep.map_or(KEEP, |keep| keep.saturating_sub(KEEP_MARGIN));
+        if keep.is_zero() || self.conn.is_closed() {
+            return;
+        }
+        let mut conn = self.conn;
+        conn.keep = keep;
+        conn.idle_since = clock::now();
+        let mut conns = self.pool.lock();
+        if conns.len() >= MOST_IDLE {
+            conns.pop_front();
+        }
+        conns.push_back(conn);
+    }
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/node.rs
@@ -0,0 +1,154 @@
+//! One node: starts the tasks, obeys signals, and ends gracefully.
+
+use std::{
+    io,
+    path::PathBuf,
+    sync::{atomic::Ordering, Arc, Mutex},
+    time::Duration,
+};
+
+use cassiareel::runtime::Runtime;
+use futures_lite::FutureExt;
+use slog::{info, warn, Logger};
+use smol::Timer;
+
+use crate::{
+    clock,
+    dialect::Dialect,
+    follow::{follow_changes, follow_lists, follow_policy, follow_rollouts},
+    front::{listen, serve_callers, serve_metrics, serve_ready, Open},
+    kernel::Registry,
+    settings::Settings,
+    signals::{self, Signal},
+    source::Source,
+    state::State,
+};
+
+/// How long a node that was told to stop still takes connections, so that the balancer sees it.
+const LEAVE: Duration = Duration::from_millis(3200);
+
+/// Time kept back from the grace for the process's own end.
+const LAST: Duration = Duration::from_millis(250);
+
+/// The part of the grace after which streams are handed over to other nodes.
+const HAND_OVER: f64 = 0.86;
+
+/// The time between looks at what is still open.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The time between looks at the settings file, which may change without a signal.
+const RELOAD: Duration = Duration::from_secs(2);
+
+/// What a node is made of.
+pub struct Parts {
+    /// The settings.
+    pub settings: Settings,
+    /// The file that they came from, read again when it changes.
+    pub file: PathBuf,
+    /// Tasks run here.
+    pub runtime: Runtime,
+    /// The store.
+    pub source: Arc<dyn Source>,
+    /// Headers of the platform.
+    pub dialect: Arc<dyn Dialect>,
+    /// Where lines go.
+    pub log: Logger,
+}
+
+/// Runs a node until a signal stops it; returns how many requests were cut.
+///
+/// # Errors
+///
+/// Fails when a socket or the signals can't be had.
+pub fn run(parts: Parts) -> io::Result<usize> {
+    let signals = signals::listen()?;
+    let spawner = parts.runtime.spawner();
+    let listens = parts.settings.listen.clone();
+    let state = Arc::new(State::new(
+        parts.settings,
+        parts.source,
+        parts.dialect,
+        parts.log,
+        spawner.clone(),
+    ));
+    let open = Open::default();
+    let (front, ready, metrics) = smol::block_on(async {
+        Ok::<_, io::Error>((
+            listen(listens.front).await?,
+            listen(listens.ready).await?,
+            listen(listens.metrics).await?,
+        ))
+    })?;
+    let registry = Arc::new(Mutex::new(Registry::default()));
+    let tasks = [
+        spawner.spawn(follow_policy(state.clone())),
+        spawner.spawn(follow_lists(state.clone(), registry.clone())),
+        spawner.spawn(follow_changes(state.clone(), registry)),
+        spawner.spawn(follow_rollouts(state.clone())),
+        spawner.spawn(serve_callers(state.clone(), front, open.clone())),
+        spawner.spawn(serve_ready(state.clone(), ready)),
+        spawner.spawn(serve_metrics(state.clone(), metrics)),
+    ];
+    info!(state.log, "started"; "front" => %listens.front, "ready" => %listens.ready);
+    let obey = smol::block_on(obey(state.clone(), &parts.file, signals, open));
+    drop(tasks);
+    Ok(obey)
+}
+
+/// Obeys signals until the node has stopped.
+async fn obey(
+    state: Arc<State>,
+    file: &PathBuf,
+    signals: async_channel::Receiver<Signal>,
+    open: Open,
+) -> usize {
+    loop {
+        let signal = async { signals.recv().await.ok() };
+        let look = async {
+            Timer::after(RELOAD).await;
+            None
+        };
+        match signal.or(look).await {
+            Some(Signal::Stop) => return stop(&state, &open).await,
+            Some(Signal::Reload) => reload(&state, file, "signal"),
+            None => reload(&state, file, "file"),
+        }
+    }
+}
+
+/// Reads the settings again; faulty ones leave those in force as they are.
+fn reload(state: &State, file: &PathBuf, by: &str) {
+    match Settings::load(file) {
+        Ok(settings) => {
+            if **state.settings.load() != settings {
+                state.settings.store(Arc::new(settings));
+                info!(state.log, "reloaded"; "by" => by, "changed" => true);
+            } else if by == "signal" {
+                info!(state.log, "reloaded"; "by" => by, "changed" => false);
+            }
+        }
+        Err(err) => warn!(state.log, "settings not reloaded"; "by" => by, "cause" => %err),
+    }
+}
+
+/// Finishes what is open within the grace.
+async fn stop(state: &State, open: &Open) -> usize {
+    let began = clock::now();
+    let grace = state.settings.load().bounds.grace;
+    state.leaving.store(true, Ordering::Relaxed);
+    info!(state.log, "stopping"; "open" => open.count(), "grace_ms" => grace.as_millis() as u64);
+    loop {
+        let spent = clock::now().saturating_sub(began);
+        let done = spent >= LEAVE.min(grace / 2) && open.count() == 0;
+        if done || spent + LAST >= grace {
+            break;
+        }
+        if spent >= grace.mul_f64(HAND_OVER) {
+            state.handing.store(true, Ordering::Relaxed);
+        }
+        Timer::after(LOOK).await;
+    }
+    let left = open.count();
+    info!(state.log, "stopped"; "cut" => left);
+    left
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/settings.rs
@@ -0,0 +1,166 @@
+/*!
+The settings of one node, in TOML.
+
+The file holds what a VM has to know before it can read the operator's configuration: where it
+listens, where the store is, how large the VM is, and the bounds that the deployment promises.
+Fields that are not known are ignored, so that an older node can read a newer file.
+*/
+
+use std::{fs, io, net::SocketAddr, path::Path, time::Duration};
+
+use serde::Deserialize;
+use serde_with::{serde_as, DurationMilliSeconds, DurationSeconds};
+use snafu::{ResultExt, Snafu};
+
+use crate::model::DataCentre;
+
+/// The settings of one node.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Settings {
+    /// Who and where the node is.
+    pub node: Node,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The size of its VM.
+    pub limits: Limits,
+    /// The platform's store.
+    pub store: Store,
+    /// What the deployment promises.
+    pub bounds: Bounds,
+}
+
+/// Who and where a node is.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Node {
+    /// The name, unique in the fleet.
+    pub name: String,
+    /// The data centre.
+    pub data_centre: DataCentre,
+}
+
+/// The addresses of a node.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Listen {
+    /// For callers.
+    pub front: SocketAddr,
+    /// For the balancer's question whether the node is ready.
+    pub ready: SocketAddr,
+    /// For the metrics, as text.
+    pub metrics: SocketAddr,
+}
+
+/// The size of a VM.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Limits {
+    /// Memory, in MiB.
+    pub memory_mb: u64,
+    /// File descriptors of a process.
+    pub max_fds: u64,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Store {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Bounds that the deployment promises.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Bounds {
+    /// From SIGTERM to SIGKILL.
+    #[serde(rename = "grace_s")]
+    #[serde_as(as = "DurationSeconds<f64>")]
+    pub grace: Duration,
+    /// How long a key may work after it was taken away.
+    #[serde(rename = "revoke_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub revoke: Duration,
+    /// Repeats for each request of a caller, over all nodes.
+    pub retry_ratio: f64,
+    /// The window in which repeats are counted.
+    #[serde(rename = "retry_window_s")]
+    #[serde_as(as = "DurationSeconds<f64>")]
+    pub retry_window: Duration,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read, is not TOML, or a field is missing or out of range.
+    pub fn load<P>(path: P) -> Result<Settings, SettingsError>
+    where
+        P: AsRef<Path>,
+    {
+        let path = path.as_ref();
+        let text = fs::read_to_string(path).context(ReadSnafu {
+            path: path.display().to_string(),
+        })?;
+        Settings::parse(&text)
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Settings::load`].
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings = toml::from_str(text).context(ParseSnafu)?;
+        let faults = settings.faults();
+        if faults.is_empty() {
+            return Ok(settings);
+        }
+        ValuesSnafu {
+            faults: faults.join("; "),
+        }
+        .fail()
+    }
+
+    /// Everything that is out of range.
+    fn faults(&self) -> Vec<String> {
+        let bounds = &self.bounds;
+        let checks = [
+            (self.node.name.is_empty(), "node.name is empty"),
+            (self.node.data_centre.is_empty(), "node.data_centre is empty"),
+            (self.limits.memory_mb == 0, "limits.memory_mb is 0"),
+            (self.limits.max_fds < 256, "limits.max_fds is under 256"),
+            (bounds.grace.is_zero(), "bounds.grace_s is 0"),
+            (bounds.revoke.is_zero(), "bounds.revoke_ms is 0"),
+            (!(0.0..=100.0).contains(&bounds.retry_ratio), "bounds.retry_ratio is not from 0 to 100"),
+            (bounds.retry_window.is_zero(), "bounds.retry_window_s is 0"),
+        ];
+        checks
+            .into_iter()
+            .filter(|(wrong, _)| *wrong)
+            .map(|(_, fault)| fault.to_owned())
+            .collect()
+    }
+}
+
+/// Settings that can't be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[snafu(display("the settings file {path} can't be read: {source}"))]
+    Read {
+        /// The file.
+        path: String,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The file is not what it should be.
+    #[snafu(display("the settings can't be parsed: {source}"))]
+    Parse {
+        /// Where and why.
+        source: toml::de::Error,
+    },
+    /// Values are out of range.
+    #[snafu(display("the settings are wrong: {faults}"))]
+    Values {
+        /// Each fault.
+        faults: String,
+    },
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/source.rs
@@ -0,0 +1,115 @@
+//! Where a node learns the operator's configuration and the backend servers: the platform's store.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use snafu::Snafu;
+
+use crate::model::{BackendId, Entry, Policy, Revision, Rollout, RolloutState};
+
+/// The platform's store, as far as a relay reads and writes it.
+///
+/// Reads are linearizable: an answer holds all changes that were acknowledged before the call began.
+#[async_trait]
+pub trait Source: Send + Sync {
+    /// Reads the newest configuration; `None` where none was written yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer in time, refuses the call or sends what can't be read.
+    async fn policy(&self) -> Result<Option<Policy>, SourceError>;
+
+    /// Reads the registry of backend servers.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Source::policy`].
+    async fn entries(&self) -> Result<Listing, SourceError>;
+
+    /// Waits up to `wait` for changes of the registry after `since`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Source::policy`]; [`SourceError::Compacted`] when the registry has to be read anew.
+    async fn changes(&self, since: Revision, wait: Duration) -> Result<Changes, SourceError>;
+
+    /// Reads the operator's orders to move services to other versions.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Source::policy`].
+    async fn rollouts(&self) -> Result<Vec<Rollout>, SourceError>;
+
+    /// Tells the operator the state of a rollout, unless the order has changed since it was read.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Source::policy`]; [`SourceError::Conflict`] when the order has changed. After any
+    /// other error the write may still take effect.
+    async fn report(&self, rollout: &Rollout, state: RolloutState) -> Result<(), SourceError>;
+}
+
+/// The registry at one revision.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// The entries that could be read.
+    pub entries: Vec<Entry>,
+    /// The names of entries that could not be read; they name no backend server.
+    pub unreadable: Vec<String>,
+    /// The revision.
+    pub revision: Revision,
+}
+
+/// Changes of the registry, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    /// What changed.
+    pub changes: Vec<Change>,
+    /// The revision after the last change.
+    pub revision: Revision,
+}
+
+/// One change of the registry.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// An entry is new or differs.
+    Put(Entry),
+    /// An entry was removed, or can't be read any more.
+    Gone(BackendId),
+}
+
+/// A call of the store that brought nothing.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum SourceError {
+    /// No answer came in time.
+    #[snafu(display("the store did not answer within {limit:?}"))]
+    Timeout {
+        /// The limit of the call.
+        limit: Duration,
+    },
+    /// The connection failed; a write may have taken effect.
+    #[snafu(display("the connection to the store failed: {cause}"))]
+    Connection {
+        /// What failed.
+        cause: String,
+    },
+    /// The store did not do what was asked.
+    #[snafu(display("the store refused the call with status {status}"))]
+    Refused {
+        /// The status of the answer.
+        status: u16,
+    },
+    /// The history that was asked for is gone.
+    #[snafu(display("the store no longer has the history that was asked for"))]
+    Compacted,
+    /// The object has changed.
+    #[snafu(display("the object has changed since it was read"))]
+    Conflict,
+    /// The answer can't be read.
+    #[snafu(display("the store's answer can't be read: {cause}"))]
+    Unreadable {
+        /// What is wrong with it.
+        cause: String,
+    },
+}
--- /dev/null
+++ b/crates/cassiareel-relay/src/state.rs
@@ -0,0 +1,176 @@
+//! What all requests of a node share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use async_channel::{Receiver, Sender};
+use cassiareel::runtime::Spawner;
+use slog::Logger;
+use smol::Timer;
+
+use crate::{
+    clock::{self, Moment},
+    dialect::Dialect,
+    fleet::Fleet,
+    kernel::{Authority, Budget, Catalog, Split, Zones},
+    metrics::Metrics,
+    model::{ServiceId, Version},
+    settings::Settings,
+    source::Source,
+};
+
+/// How often a request that waits for a fresh read looks for it.
+const FRESH_POLL: Duration = Duration::from_millis(5);
+
+/// What all requests of a node share.
+pub(crate) struct State {
+    /// The node's own settings.
+    pub settings: ArcSwap<Settings>,
+    /// The configuration in force; `None` until one is known.
+    pub catalog: ArcSwap<Option<Arc<Catalog>>>,
+    /// The backend servers.
+    pub fleet: Fleet,
+    /// The moves between versions that are under way.
+    pub moves: ArcSwap<HashMap<ServiceId, Move>>,
+    /// Headers of the platform.
+    pub dialect: Arc<dyn Dialect>,
+    /// The store.
+    pub source: Arc<dyn Source>,
+    /// Where lines go.
+    pub log: Logger,
+    /// What is counted.
+    pub metrics: Metrics,
+    /// Runs tasks.
+    pub spawner: Spawner,
+    /// Whether the node is about to end.
+    pub leaving: AtomicBool,
+    /// Whether open streams are to be handed over to other nodes.
+    pub handing: AtomicBool,
+    /// Whether the registry was read.
+    pub listed: AtomicBool,
+    authority: Mutex<Authority>,
+    budgets: Mutex<HashMap<ServiceId, Budget>>,
+    zones: Mutex<Zones>,
+    nudge: Sender<()>,
+    nudged: Receiver<()>,
+}
+
+/// A move of a service between versions, as far as requests go by it.
+#[derive(Clone, Debug)]
+pub(crate) struct Move {
+    /// The new version.
+    pub target: Version,
+    /// What it gets.
+    pub split: Split,
+}
+
+impl State {
+    /// Knows nothing yet.
+    pub(crate) fn new(
+        settings: Settings,
+        source: Arc<dyn Source>,
+        dialect: Arc<dyn Dialect>,
+        log: Logger,
+        spawner: Spawner,
+    ) -> State {
+        let (nudge, nudged) = async_channel::bounded(1);
+        State {
+            authority: Mutex::new(Authority::new(settings.bounds.revoke)),
+            settings: ArcSwap::from_pointee(settings),
+            catalog: ArcSwap::default(),
+            fleet: Fleet::new(spawner.clone()),
+            moves: ArcSwap::default(),
+            dialect,
+            source,
+            log,
+            metrics: Metrics::new(),
+            spawner,
+            leaving: AtomicBool::new(false),
+            handing: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
+            budgets: Mutex::default(),
+            zones: Mutex::default(),
+            nudge,
+            nudged,
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
+        Option::clone(&self.catalog.load())
+    }
+
+    /// How fresh the configuration is.
+    pub(crate) fn authority(&self) -> MutexGuard<'_, Authority> {
+        lock(&self.authority)
+    }
+
+    /// Failures by data centre.
+    pub(crate) fn zones(&self) -> MutexGuard<'_, Zones> {
+        lock(&self.zones)
+    }
+
+    /// Counts a caller's request to a service.
+    pub(crate) fn count_request(&self, service: &ServiceId) {
+        self.with_budget(service, |budget| budget.request(clock::now()));
+    }
+
+    /// Takes one repeat out of a service's budget.
+    pub(crate) fn may_repeat(&self, service: &ServiceId) -> bool {
+        self.with_budget(service, |budget| budget.repeat(clock::now()))
+    }
+
+    /// Reports whether the node should get new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.leaving.load(Ordering::Relaxed)
+            && self.listed.load(Ordering::Relaxed)
+            && self.catalog().is_some()
+            && self.authority().holds(clock::now())
+    }
+
+    /// Waits for a read of the configuration that began after `since`; `false` where none came
+    /// within `limit`.
+    pub(crate) async fn wait_fresh(&self, since: Moment, limit: Duration) -> bool {
+        let end = clock::now() + limit;
+        loop {
+            if self.authority().confirmed().is_some_and(|at| at >= since) {
+                return true;
+            }
+            if clock::now() >= end {
+                return false;
+            }
+            // A full channel means that a read was asked for already.
+            let _ = self.nudge.try_send(());
+            Timer::after(FRESH_POLL).await;
+        }
+    }
+
+    /// Waits until a request asks for a fresh read.
+    pub(crate) async fn nudged(&self) {
+        // The sender lives as long as the state.
+        let _ = self.nudged.recv().await;
+    }
+
+    fn with_budget<F, T>(&self, service: &ServiceId, change: F) -> T
+    where
+        F: FnOnce(&mut Budget) -> T,
+    {
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let settings = self.settings.load();
+            Budget::new(settings.bounds.retry_ratio, settings.bounds.retry_window)
+        });
+        change(budget)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
