Go on from copies that are asked for when a backup's holder is lost

Ruled out: false silence alarms (all silent losses fall on the dark crashes). Change: ask the run's engine for a new copy elsewhere, watch silence while waiting for the head, 421 ends a process's use, a replaced address ends the old entry, repeats that reach nobody are given back, lists in place of watches.

--- a/crates/cassiareel-relay/src/dialect.rs
+++ b/crates/cassiareel-relay/src/dialect.rs
@@ -1,11 +1,11 @@
 //! How requests and answers carry what the relay has to know: the headers of one platform.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{request, response, HeaderMap};
 use snafu::Snafu;
 
-use crate::model::{Ask, BackendId, RequestId, TenantId};
+use crate::model::{Ask, BackendId, TenantId};
 
 /// Reads and writes the headers of a platform. An implementation decides nothing.
 pub trait Dialect: Send + Sync {
@@ -28,6 +28,12 @@
 
     /// The path of a backend server's report on itself, which needs no slot.
     fn report_path(&self) -> &'static str;
+
+    /// The call that tells an engine to copy a run's memory to another engine while the run goes on.
+    fn copy_call(&self, request: &str, target: SocketAddr) -> CopyCall;
+
+    /// The name of the copy in a successful answer to [`Dialect::copy_call`].
+    fn read_copy(&self, body: &[u8]) -> Option<String>;
 }
 
 /// What one send of a request adds for its backend server.
@@ -52,10 +58,20 @@
 /// A copy of a run's memory at an engine.
 #[derive(Clone, Debug)]
 pub struct MemoryCopy {
-    /// The engine that holds it.
-    pub holder: SocketAddr,
-    /// The request that it belongs to.
-    pub request: RequestId,
+    /// The engine by whose address the copy is named: its holder for a copy that grows with the
+    /// run, the run's own engine for one that was asked for.
+    pub origin: SocketAddr,
+    /// Its name there: the request's id, or the one that the engine gave.
+    pub name: Arc<str>,
+}
+
+/// A call that asks an engine for a copy of a run's memory.
+#[derive(Clone, Debug)]
+pub struct CopyCall {
+    /// The path, for a POST.
+    pub path: &'static str,
+    /// The body, in JSON.
+    pub body: String,
 }
 
 /// What a backend server's answer says beside its status.
--- a/crates/cassiareel-relay/src/fleet.rs
+++ b/crates/cassiareel-relay/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         Arc, Mutex, MutexGuard, PoisonError,
@@ -29,8 +30,9 @@
     pub entry: Entry,
     /// Kept connections.
     pub pool: Pool,
-    /// Whether it takes no new work.
-    pub closed: AtomicBool,
+    /// Whether it said that it takes no new work.
+    closed: AtomicBool,
+    ended: AtomicBool,
     open: AtomicU32,
     unread: AtomicU64,
     tokens: AtomicU64,
@@ -54,6 +56,7 @@
             pool: Pool::new(entry.address, spawner.clone()),
             closed: AtomicBool::new(entry.phase == Phase::Draining),
             entry,
+            ended: AtomicBool::new(false),
             open: AtomicU32::new(0),
             unread: AtomicU64::new(0),
             tokens: AtomicU64::new(0),
@@ -80,7 +83,7 @@
             errors: health.errors(),
             suspect: health.is_suspect(now),
             tried: false,
-            closed: self.closed.load(Ordering::Relaxed),
+            closed: !self.is_open(),
         }
     }
 
@@ -117,6 +120,22 @@
         self.pool.clear();
     }
 
+    /// Notes that another process has its address.
+    pub(crate) fn replaced(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        self.pool.clear();
+    }
+
+    /// Reports whether it takes new work, as far as the registry says.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.closed.load(Ordering::Relaxed) && !self.ended.load(Ordering::Relaxed)
+    }
+
+    /// Reports whether its process is known to have ended or is believed to be lost since `since`.
+    pub(crate) fn is_gone(&self, since: Moment) -> bool {
+        self.ended.load(Ordering::Relaxed) || self.was_lost(since)
+    }
+
     /// Reports whether it was believed to be gone at or after `since`, and was not heard after it.
     pub(crate) fn was_lost(&self, since: Moment) -> bool {
         let lost = self.lost.load(Ordering::Relaxed);
@@ -204,6 +223,14 @@
             .unwrap_or_default()
     }
 
+    /// Reports whether any member was lost in the last `span`.
+    pub(crate) fn lost_within(&self, span: Duration, now: Moment) -> bool {
+        let since = now.saturating_sub(span);
+        let services = self.services.load();
+        let mut members = services.values().flat_map(|members| members.iter());
+        members.any(|member| member.lost.load(Ordering::Relaxed) >= millis(since).max(1))
+    }
+
     /// Replaces what is known. Processes that stay keep their state.
     pub(crate) fn replace<'a, I>(&self, entries: I)
     where
@@ -212,7 +239,7 @@
         let old = self.services.load_full();
         let mut services: HashMap<ServiceId, Vec<Arc<Member>>> = HashMap::new();
         let mut kept = Vec::new();
-        for entry in entries {
+        for entry in newest_by_address(entries) {
             let member = self.keep_or_add(&old, entry);
             kept.push(member.number);
             services
@@ -222,8 +249,7 @@
         }
         for member in old.values().flat_map(|members| members.iter()) {
             if !kept.contains(&member.number) {
-                member.closed.store(true, Ordering::Relaxed);
-                member.pool.clear();
+                member.replaced();
             }
         }
         let services = services
@@ -252,6 +278,27 @@
     }
 }
 
+/// Leaves out entries whose address a process that started later has: theirs has ended, though the
+/// registry drops them only after a while.
+fn newest_by_address<'a, I>(entries: I) -> Vec<&'a Entry>
+where
+    I: Iterator<Item = &'a Entry>,
+{
+    let mut newest: HashMap<SocketAddr, &Entry> = HashMap::new();
+    let mut undated = Vec::new();
+    for entry in entries {
+        if entry.born.is_none() {
+            undated.push(entry);
+            continue;
+        }
+        let held = newest.entry(entry.address).or_insert(entry);
+        if held.born < entry.born {
+            *held = entry;
+        }
+    }
+    newest.into_values().chain(undated).collect()
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -20,7 +20,7 @@
 };
 
 /// The time between whole reads.
-const INTERVAL: Duration = Duration::from_millis(850);
+const INTERVAL: Duration = Duration::from_millis(1100);
 
 /// Reads the configuration again and again.
 pub(crate) async fn follow_policy(state: Arc<State>) {
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -1,12 +1,13 @@
 /*!
-Keeps the backend servers up to date: a watch for speed, whole lists for certainty.
+Keeps the backend servers up to date by whole lists.
 
-A watch that is cut off without notice brings nothing for ever, so that lists are read at short
-intervals beside it. Both go through one [`Registry`], which ignores what is older than it knows.
+A watch is not used: one that is cut off without notice brings nothing for ever, so that lists would
+be needed beside it, and each change would cost a call of its own. Lists are read more often while
+backend servers are being lost, since their successors then register.
 */
 
 use std::{
-    sync::{atomic::Ordering, Arc, Mutex, MutexGuard, PoisonError},
+    sync::{atomic::Ordering, Arc},
     time::Duration,
 };
 
@@ -17,21 +18,21 @@
 use crate::{
     clock,
     kernel::{Registry, Update},
-    source::SourceError,
     state::State,
 };
 
-/// The time between whole lists.
-const LIST_INTERVAL: Duration = Duration::from_millis(1100);
+/// The time between lists while no backend server is lost.
+const CALM: Duration = Duration::from_millis(1100);
 
-/// How long one watch waits.
-const WATCH: Duration = Duration::from_secs(8);
+/// The time between lists after one was lost.
+const BUSY: Duration = Duration::from_millis(400);
 
-/// The shortest time between two watches, so that changes that come together are read together.
-const WATCH_GAP: Duration = Duration::from_millis(60);
+/// How long lists are read more often after a loss.
+const AFTERMATH: Duration = Duration::from_millis(2500);
 
 /// Reads the registry again and again.
-pub(crate) async fn follow_lists(state: Arc<State>, registry: Arc<Mutex<Registry>>) {
+pub(crate) async fn follow_registry(state: Arc<State>) {
+    let mut registry = Registry::default();
     let mut caller = Caller::new("registry list");
     loop {
         let began = clock::now();
@@ -42,51 +43,18 @@
         if !listing.unreadable.is_empty() {
             log_unreadable(&state, &listing.unreadable);
         }
-        take_in(&state, &registry, "list", |held| held.list(listing, clock::now()));
+        let update = registry.list(listing, clock::now());
+        put_in_use(&state, &registry, &update);
         state.listed.store(true, Ordering::Relaxed);
         let took = clock::now().saturating_sub(began);
-        Timer::after(LIST_INTERVAL.saturating_sub(took)).await;
+        let lost = state.fleet.lost_within(AFTERMATH, clock::now());
+        let interval = if lost { BUSY } else { CALM };
+        Timer::after(interval.saturating_sub(took)).await;
     }
 }
 
-/// Watches the registry.
-pub(crate) async fn follow_changes(state: Arc<State>, registry: Arc<Mutex<Registry>>) {
-    let mut caller = Caller::new("registry watch");
-    loop {
-        Timer::after(WATCH_GAP).await;
-        let Some(since) = lock(&registry).revision() else {
-            continue;
-        };
-        match state.source.changes(since, WATCH).await {
-            Ok(changes) => {
-                caller.answered(&state);
-                take_in(&state, &registry, "watch", |held| held.apply(changes, clock::now()));
-            }
-            Err(SourceError::Compacted) => {
-                info!(state.log, "registry history gone"; "since" => since);
-                // The next whole list brings a revision to go on from.
-                Timer::after(LIST_INTERVAL).await;
-            }
-            Err(err) => {
-                caller.failed(&state, &err);
-                Timer::after(caller.pause()).await;
-            }
-        }
-    }
-}
-
-/// Changes the registry, and hands what changed to requests.
-fn take_in<F>(state: &State, registry: &Mutex<Registry>, by: &str, change: F)
-where
-    F: FnOnce(&mut Registry) -> Update,
-{
-    let mut held = lock(registry);
-    let update = change(&mut held);
-    put_in_use(state, &held, &update, by);
-}
-
 /// Hands what changed to requests, with a line for each change.
-fn put_in_use(state: &State, registry: &Registry, update: &Update, by: &str) {
+fn put_in_use(state: &State, registry: &Registry, update: &Update) {
     if update.is_empty() {
         return;
     }
@@ -96,10 +64,10 @@
     for entry in registry.entries().filter(|e| update.put.contains(&e.id)) {
         info!(state.log, "backend known"; "backend" => &*entry.id, "service" => &*entry.service,
             "address" => %entry.address, "data_centre" => &*entry.data_centre,
-            "version" => &*entry.version, "phase" => ?entry.phase, "by" => by);
+            "version" => &*entry.version, "phase" => ?entry.phase);
     }
     for id in &update.gone {
-        info!(state.log, "backend gone"; "backend" => &**id, "by" => by,
+        info!(state.log, "backend gone"; "backend" => &**id,
             "revision" => registry.revision());
     }
 }
@@ -108,7 +76,3 @@
     warn!(state.log, "registry entries unreadable"; "count" => names.len(),
         "first" => &names[0]);
 }
-
-fn lock(registry: &Mutex<Registry>) -> MutexGuard<'_, Registry> {
-    registry.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/cassiareel-relay/src/follow/rollouts.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts.rs
@@ -8,7 +8,7 @@
 use crate::state::State;
 
 /// The time between reads of the operator's orders.
-const INTERVAL: Duration = Duration::from_millis(2000);
+const INTERVAL: Duration = Duration::from_millis(3000);
 
 /// Reads the operator's orders again and again.
 pub(crate) async fn follow_rollouts(state: Arc<State>) {
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -0,0 +1,202 @@
+/*!
+Copies of a run's memory at another engine, so that a lost run goes on without reading its prompt
+again.
+
+A copy grows with its run from the start. Where its holder is lost while the run lives, the run's
+engine is asked for a new one elsewhere, and asked again at short intervals: such a copy does not
+grow by itself.
+*/
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_lite::{future::poll_once, FutureExt};
+use http::{header, HeaderValue, Method, Request as HttpRequest, Uri};
+use http_body_util::{BodyExt, Full};
+use slog::info;
+use smol::{Task, Timer};
+
+use super::{choose::pick_backup, request::Request};
+use crate::{
+    clock::{self, Moment},
+    dialect::MemoryCopy,
+    fleet::{Member, Place},
+    net::Lease,
+    state::State,
+};
+
+/// The time after which a copy that does not grow is brought up to date.
+const REFRESH: Duration = Duration::from_millis(1500);
+
+/// The time between attempts to get a copy.
+const AGAIN: Duration = Duration::from_millis(400);
+
+/// How long an engine may take to make a copy.
+const COPYING: Duration = Duration::from_millis(1500);
+
+/// How long a connection to the engine may take.
+const CONNECT: Duration = Duration::from_millis(200);
+
+/// The copies of one run.
+#[derive(Debug, Default)]
+pub(super) struct Backups {
+    held: Option<Held>,
+    asked: Option<Asked>,
+    tried: Option<Moment>,
+}
+
+/// A copy that can be used.
+#[derive(Debug)]
+struct Held {
+    place: Place,
+    copy: MemoryCopy,
+    since: Moment,
+    grows: bool,
+}
+
+/// A copy that an engine was asked for.
+#[derive(Debug)]
+struct Asked {
+    task: Task<Option<String>>,
+    target: Arc<Member>,
+}
+
+impl Backups {
+    /// A copy at `holder` that grows with the run from its start.
+    pub(super) fn growing(request: &Request, holder: &Arc<Member>, now: Moment) -> Backups {
+        let copy = MemoryCopy {
+            origin: holder.entry.address,
+            name: request.ask.id.clone(),
+        };
+        Backups {
+            held: Some(Held {
+                place: Place::copy(holder, request.ask.prompt.footprint()),
+                copy,
+                since: now,
+                grows: true,
+            }),
+            ..Backups::default()
+        }
+    }
+
+    /// The copy to go on from, where its holder is believed to live.
+    pub(super) fn take(self, now: Moment) -> Option<(Arc<Member>, MemoryCopy)> {
+        let held = self.held?;
+        let member = held.place.member.clone();
+        let lives = member.is_open() && !member.is_gone(held.since);
+        (lives && !member.health().is_suspect(now)).then_some((member, held.copy))
+    }
+
+    /// Keeps a copy of a run that lives: takes in what an engine made, and asks for another one
+    /// where none is left or the one that there is has grown old.
+    pub(super) async fn keep(&mut self, state: &Arc<State>, request: &Request, runner: &Arc<Member>) {
+        let now = clock::now();
+        if self.take_in(request, runner, now).await {
+            return;
+        }
+        let waits = self
+            .tried
+            .is_some_and(|tried| now.saturating_sub(tried) < AGAIN);
+        if waits || !can_copy(state, request) {
+            return;
+        }
+        if let Some(target) = self.next_target(state, request, runner, now) {
+            self.tried = Some(now);
+            self.ask(state, request, runner, target);
+        }
+    }
+
+    /// Takes in an answer; reports whether one is still to come.
+    async fn take_in(&mut self, request: &Request, runner: &Member, now: Moment) -> bool {
+        let Some(mut asked) = self.asked.take() else {
+            return false;
+        };
+        match poll_once(&mut asked.task).await {
+            None => {
+                self.asked = Some(asked);
+                true
+            }
+            Some(None) => false,
+            Some(Some(name)) => {
+                self.held = Some(Held {
+                    place: Place::copy(&asked.target, request.ask.prompt.footprint()),
+                    copy: MemoryCopy {
+                        origin: runner.entry.address,
+                        name: name.into(),
+                    },
+                    since: now,
+                    grows: false,
+                });
+                false
+            }
+        }
+    }
+
+    /// Where a copy is due, if one is.
+    fn next_target(
+        &self,
+        state: &State,
+        request: &Request,
+        runner: &Member,
+        now: Moment,
+    ) -> Option<Arc<Member>> {
+        if let Some(held) = &self.held {
+            let member = &held.place.member;
+            if member.is_open() && !member.is_gone(held.since) {
+                let old = !held.grows && now.saturating_sub(held.since) > REFRESH;
+                return old.then(|| member.clone());
+            }
+        }
+        pick_backup(state, request, runner)
+    }
+
+    /// Asks the run's engine for a copy at `target`.
+    fn ask(&mut self, state: &Arc<State>, request: &Request, runner: &Arc<Member>, target: Arc<Member>) {
+        let call = state
+            .dialect
+            .copy_call(&request.ask.id, target.entry.address);
+        let (state, runner, to) = (state.clone(), runner.clone(), target.clone());
+        let id = request.ask.id.clone();
+        let spawner = state.spawner.clone();
+        let task = spawner.spawn(async move {
+            let asking = post(&runner, call.path, call.body);
+            let late = async {
+                Timer::after(COPYING).await;
+                None
+            };
+            let name = asking
+                .or(late)
+                .await
+                .and_then(|body| state.dialect.read_copy(&body));
+            info!(state.log, "copy asked for"; "request" => &*id, "backend" => &*runner.entry.id,
+                "target" => &*to.entry.id, "made" => name.is_some());
+            name
+        });
+        self.asked = Some(Asked { task, target });
+    }
+}
+
+/// Reports whether the engines of a request's service copy memory when asked to.
+fn can_copy(state: &State, request: &Request) -> bool {
+    state
+        .catalog()
+        .and_then(|catalog| Some(catalog.engine(&request.service)?.moves))
+        .unwrap_or(false)
+}
+
+/// Posts to an engine, and reads a successful answer whole.
+async fn post(engine: &Member, path: &'static str, body: String) -> Option<Bytes> {
+    let mut lease: Lease = engine.pool.take(Duration::MAX, CONNECT).await.ok()?;
+    let mut request = HttpRequest::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(path);
+    let host = HeaderValue::from_str(&engine.entry.address.to_string()).ok()?;
+    request.headers_mut().insert(header::HOST, host);
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(header::CONTENT_TYPE, json);
+    let answer = lease.conn.send(request).await.ok()?;
+    let made = answer.status().is_success();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    lease.put_back(None);
+    made.then_some(body)
+}
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -17,6 +17,7 @@
 use smol::Timer;
 
 use super::{
+    backup::Backups,
     choose::{pick, pick_backup, FRESH},
     refusal::Refusal,
     request::Request,
@@ -98,6 +99,7 @@
     runs: u32,
     tried: Vec<u64>,
     lost_at: Option<Moment>,
+    copy: Option<(Arc<Member>, MemoryCopy)>,
     ready: VecDeque<Event>,
 }
 
@@ -106,7 +108,7 @@
     head: Box<Head>,
     splitter: Splitter,
     place: Place,
-    backup: Option<Place>,
+    backups: Backups,
     began: Moment,
     heard: Moment,
     probed: Moment,
@@ -135,6 +137,7 @@
             runs: 0,
             tried: Vec::new(),
             lost_at: None,
+            copy: None,
             ready: VecDeque::new(),
         }
     }
@@ -160,7 +163,7 @@
                 return Ok(Some(event));
             }
             if self.run.is_none() {
-                self.start(None, "first").await?;
+                self.start("first").await?;
             }
             match self.wait().await? {
                 Got::Bytes(bytes) => {
@@ -244,7 +247,7 @@
         }
     }
 
-    /// Looks whether a silent engine still lives.
+    /// Looks whether a silent engine still lives, and keeps a copy of the run's memory.
     async fn look(&mut self) -> Result<(), End> {
         let now = clock::now();
         let Some(run) = self.run.as_mut() else {
@@ -255,16 +258,14 @@
             return self.resume("engine lost").await;
         }
         let silent = now.saturating_sub(run.heard);
-        if run.events > 0 && silent > STALLED {
+        if silent > STALLED {
             return self.resume("stalled").await;
         }
-        let patience = if run.events > 0 {
-            SILENCE
-        } else {
-            FIRST_SILENCE
-        };
-        let asked = now.saturating_sub(run.probed) < patience;
-        if silent < patience || asked || member.was_heard(now, FRESH) {
+        if self.request.route.kind.may_repeat() {
+            run.backups.keep(&self.state, &self.request, &member).await;
+        }
+        let asked = now.saturating_sub(run.probed) < SILENCE;
+        if silent < SILENCE || asked || member.was_heard(now, SILENCE) {
             return Ok(());
         }
         run.probed = now;
@@ -276,40 +277,45 @@
 
     /// Closes the run and goes on elsewhere.
     async fn resume(&mut self, cause: &'static str) -> Result<(), End> {
+        if let Some(run) = self.run.take() {
+            let Run {
+                head,
+                place,
+                backups,
+                events,
+                ..
+            } = run;
+            // Closing the connection stops the engine before another one goes on.
+            drop(head);
+            self.lose(&place.member.clone(), backups, cause, events)?;
+        }
+        self.start(cause).await
+    }
+
+    /// Notes a lost run, and what is left of its memory.
+    fn lose(
+        &mut self,
+        member: &Member,
+        backups: Backups,
+        cause: &'static str,
+        events: u64,
+    ) -> Result<(), End> {
         let now = clock::now();
         self.lost_at.get_or_insert(now);
-        let Some(run) = self.run.take() else {
-            return self.start(None, cause).await;
-        };
-        let Run {
-            head,
-            place,
-            backup,
-            events,
-            ..
-        } = run;
-        // Closing the connection stops the engine before another one goes on.
-        drop(head);
-        let member = place.member.clone();
-        drop(place);
-        note_loss(&self.state, &member, now);
+        note_loss(&self.state, member, now);
         warn!(self.state.log, "run lost"; "request" => &*self.request.ask.id,
             "backend" => &*member.entry.id, "cause" => cause, "events" => events,
             "after" => self.last);
         if !self.request.route.kind.may_repeat() {
             return Err(End::Broken);
         }
-        let copy = backup.filter(|copy| {
-            let held = &copy.member;
-            !held.closed.load(Ordering::Relaxed) && !held.health().is_suspect(now)
-        });
-        let holder = copy.map(|copy| copy.member.clone());
-        self.start(holder, cause).await
+        // An engine copies no memory before the first event.
+        self.copy = (events > 0).then(|| backups.take(now)).flatten();
+        Ok(())
     }
 
-    /// Sends the request until an engine takes it, first to the `holder` of a copy.
-    async fn start(&mut self, holder: Option<Arc<Member>>, cause: &str) -> Result<(), End> {
-        let mut holder = holder;
+    /// Sends the request until an engine takes it, first to the holder of a copy.
+    async fn start(&mut self, cause: &str) -> Result<(), End> {
         loop {
             let most = self.request.route.attempts + SPARE_SENDS;
             if self.request.left().is_zero() {
@@ -318,41 +324,49 @@
             if self.sends >= most || self.runs > self.request.route.attempts {
                 return Err(self.given_up());
             }
-            if self.sends > 0 && !self.state.may_repeat(&self.request.service) {
-                info!(self.state.log, "no repeat left"; "request" => &*self.request.ask.id);
-                return Err(self.given_up());
-            }
-            let from = holder.take();
-            let Some(member) = from
-                .clone()
-                .or_else(|| pick(&self.state, &self.request, &self.tried))
+            let copy = self.copy.take();
+            let holder = copy.as_ref().map(|(holder, _)| holder.clone());
+            let Some(member) = holder.or_else(|| pick(&self.state, &self.request, &self.tried))
             else {
                 return Err(self.given_up());
             };
             if self.sends > 0 {
+                if !self.state.may_repeat(&self.request.service) {
+                    info!(self.state.log, "no repeat left"; "request" => &*self.request.ask.id);
+                    return Err(self.given_up());
+                }
                 Metrics::count(&self.state.metrics.resumed, cause);
             }
-            if self.send_to(member, from.is_some()).await? {
+            if self.send_to(member, copy.map(|(_, copy)| copy)).await? {
                 return Ok(());
             }
         }
     }
 
     /// Sends the request to one engine; `false` where another one has to be tried.
-    async fn send_to(&mut self, member: Arc<Member>, from_copy: bool) -> Result<bool, End> {
+    async fn send_to(&mut self, member: Arc<Member>, copy: Option<MemoryCopy>) -> Result<bool, End> {
+        let again = self.sends > 0;
         self.sends += 1;
         self.tried.push(member.number);
-        let extra = self.extra(&member, from_copy);
         let prompt = &self.request.ask.prompt;
-        let unread = if from_copy { 0 } else { prompt.input };
+        let unread = if copy.is_some() { 0 } else { prompt.input };
         let place = Place::run(&member, unread, prompt.footprint());
-        let backup = extra
-            .backup
-            .as_ref()
-            .map(|backup| Place::copy(backup, prompt.footprint()));
-        let limit = self.request.left();
+        let extra = self.extra(&member, copy);
         let began = clock::now();
-        let sent = send(&self.state, &self.request, &member, &extra, limit).await;
+        let backups = match &extra.backup {
+            Some(holder) => Backups::growing(&self.request, holder, began),
+            None => Backups::default(),
+        };
+        let limit = self.request.left();
+        let sending = async { Ok(send(&self.state, &self.request, &member, &extra, limit).await) };
+        let gone = async { Err(until_gone(&self.state, &member, began).await) };
+        let sent = match sending.or(gone).await {
+            Ok(sent) => sent,
+            Err(cause) => {
+                self.runs += 1;
+                return self.lose(&member, backups, cause, 0).map(|()| false);
+            }
+        };
         let now = clock::now();
         match sent {
             Sent::Head(head) if head.parts.status.is_success() => {
@@ -362,7 +376,7 @@
                     head,
                     splitter: Splitter::default(),
                     place,
-                    backup,
+                    backups,
                     began,
                     heard: now,
                     probed: now,
@@ -379,12 +393,15 @@
             Sent::NotRun(_) => Ok(false),
             Sent::Unreached(_) => {
                 note_loss(&self.state, &member, now);
+                if again {
+                    self.state.refund_repeat(&self.request.service);
+                }
                 Ok(false)
             }
             Sent::Lost(_) => {
                 self.runs += 1;
-                note_loss(&self.state, &member, now);
-                self.after_failure()
+                self.lose(&member, backups, "connection lost", 0)
+                    .map(|()| false)
             }
             Sent::Late => Err(End::Timeout),
         }
@@ -409,7 +426,7 @@
     }
 
     /// What this send adds: where the memory is copied to, and the copy that it goes on from.
-    fn extra(&self, member: &Arc<Member>, from_copy: bool) -> Extra {
+    fn extra(&self, member: &Arc<Member>, copy: Option<MemoryCopy>) -> Extra {
         let backups = self
             .state
             .catalog()
@@ -421,10 +438,27 @@
             backup: (backups && may_resume)
                 .then(|| pick_backup(&self.state, &self.request, member))
                 .flatten(),
-            copy: from_copy.then(|| MemoryCopy {
-                holder: member.entry.address,
-                request: self.request.ask.id.clone(),
-            }),
+            copy,
+        }
+    }
+}
+
+/// Waits until an engine that has not begun to answer is believed to be lost; tells why.
+async fn until_gone(state: &State, member: &Member, since: Moment) -> &'static str {
+    let mut probed = since;
+    loop {
+        Timer::after(LOOK).await;
+        let now = clock::now();
+        if member.is_gone(since) {
+            return "engine lost";
+        }
+        let quiet = now.saturating_sub(probed) >= FIRST_SILENCE;
+        if !quiet || member.was_heard(now, FRESH) {
+            continue;
+        }
+        probed = now;
+        if !lives(state, member).await {
+            return "silent";
         }
     }
 }
--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -41,6 +41,18 @@
 /// taken new connections elsewhere.
 const UNTRUSTED: Duration = Duration::from_millis(1000);
 
+/// When a caller may come back to another node.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
+/// The usual time of a stream from its arrival to its end.
+const STREAM_TIME: Duration = Duration::from_millis(6000);
+
+/// The time that a plain request may take where the route allows more.
+const PLAIN_TIME: Duration = Duration::from_millis(4300);
+
+/// Time kept back from the grace for the process's own end.
+const LAST_MOMENT: Duration = Duration::from_millis(300);
+
 /// The time for a request that names no deadline.
 const NO_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -58,7 +70,7 @@
             refusal.reply()
         }
     };
-    if state.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+    if state.is_leaving() {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
     }
@@ -88,6 +100,10 @@
         Ok(found) => found,
         Err(refusal) => return Err((Some(ask), refusal)),
     };
+    if !has_time(state, &route) {
+        let after = ELSEWHERE;
+        return Err((Some(ask), Refusal::NoPlace { after }));
+    }
     let limit = ask.deadline.unwrap_or(NO_DEADLINE).min(route.timeout);
     Ok(Request {
         service: choose_service(&route),
@@ -103,6 +119,19 @@
     })
 }
 
+/// Reports whether a node that is about to end has time for a request of a route.
+fn has_time(state: &State, route: &Route) -> bool {
+    let Some(left) = state.grace_left(clock::now()) else {
+        return true;
+    };
+    let usual = if route.kind.is_stream() {
+        STREAM_TIME
+    } else {
+        PLAIN_TIME
+    };
+    left >= usual.min(route.timeout) + LAST_MOMENT
+}
+
 /// Reads the whole body.
 async fn read_body(state: &State, ask: &Ask, body: Incoming) -> Result<Bytes, Refusal> {
     let most = state
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Requests of callers: connections, checks, plain requests and event streams.
 
+mod backup;
 mod body;
 mod choose;
 mod generation;
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -73,7 +73,13 @@
                 }
                 failed = Some(answer);
             }
-            Tried::NotRun | Tried::Unreached => refused += 1,
+            Tried::NotRun => refused += 1,
+            Tried::Unreached => {
+                refused += 1;
+                if !first {
+                    state.refund_repeat(&request.service);
+                }
+            }
             Tried::Lost if request.route.kind != Kind::Idempotent => {
                 return Err(Refusal::Unknown);
             }
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
-use http::{header::HOST, response, HeaderValue};
+use http::{header::HOST, response, HeaderValue, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use slog::info;
@@ -194,6 +194,9 @@
         return Sent::Lost("an answer of another request".to_owned());
     }
     member.hear(now);
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        member.replaced();
+    }
     if answer.not_run {
         return Sent::NotRun(parts.status.as_u16());
     }
--- a/crates/cassiareel-relay/src/kernel/budget.rs
+++ b/crates/cassiareel-relay/src/kernel/budget.rs
@@ -16,10 +16,10 @@
 
 /// The share of the allowed ratio that is spent, since windows of the callers' requests and of the
 /// repeats may lie a little apart.
-const SPENT: f64 = 0.8;
+const SPENT: f64 = 0.9;
 
 /// Repeats that a node may send in a window whatever it was sent.
-const FREE: f64 = 6.0;
+const FREE: f64 = 12.0;
 
 /// Repeats to one service, within a sliding window.
 #[derive(Debug)]
@@ -65,6 +65,12 @@
         true
     }
 
+    /// Gives back a repeat that reached no backend server.
+    pub fn refund(&mut self, now: Moment) {
+        let counts = self.slice_at(now);
+        counts.repeats = counts.repeats.saturating_sub(1);
+    }
+
     /// The counts of the current slice, after those that left the window are dropped.
     fn slice_at(&mut self, now: Moment) -> &mut Counts {
         let number = now.as_millis() / self.slice.as_millis().max(1);
--- a/crates/cassiareel-relay/src/kernel/registry.rs
+++ b/crates/cassiareel-relay/src/kernel/registry.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::Moment,
     model::{BackendId, Entry, Phase, Revision},
-    source::{Change, Changes, Listing},
+    source::Listing,
 };
 
 /// A silence of the store longer than this may have let entries lapse.
@@ -71,27 +71,6 @@
         update
     }
 
-    /// Takes in changes, read at `now`. Those that are older than what is known change nothing.
-    pub fn apply(&mut self, changes: Changes, now: Moment) -> Update {
-        self.hear(now);
-        let mut update = Update::default();
-        if !self.advance(changes.revision) {
-            return update;
-        }
-        for change in changes.changes {
-            match change {
-                Change::Put(entry) => self.put(entry, &mut update),
-                Change::Gone(id) => {
-                    if let Some(held) = self.entries.get_mut(&id) {
-                        held.missing = true;
-                    }
-                }
-            }
-        }
-        self.sweep(now, &mut update);
-        update
-    }
-
     /// The entries that hold.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values().map(|held| &held.entry)
--- a/crates/cassiareel-relay/src/model/service.rs
+++ b/crates/cassiareel-relay/src/model/service.rs
@@ -22,6 +22,8 @@
     pub capacity: u64,
     /// Whether an engine keeps a copy of a run's memory at another one while it grows.
     pub backups: bool,
+    /// Whether an engine copies a run's memory to another one when it is asked to.
+    pub moves: bool,
     /// How long a copy lasts after its last part.
     pub copy_life: Duration,
 }
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     path::PathBuf,
-    sync::{atomic::Ordering, Arc, Mutex},
+    sync::{atomic::Ordering, Arc},
     time::Duration,
 };
 
@@ -15,9 +15,8 @@
 use crate::{
     clock,
     dialect::Dialect,
-    follow::{follow_changes, follow_lists, follow_policy, follow_rollouts},
+    follow::{follow_policy, follow_registry, follow_rollouts},
     front::{listen, serve_callers, serve_metrics, serve_ready, Open},
-    kernel::Registry,
     settings::Settings,
     signals::{self, Signal},
     source::Source,
@@ -79,11 +78,9 @@
             listen(listens.metrics).await?,
         ))
     })?;
-    let registry = Arc::new(Mutex::new(Registry::default()));
     let tasks = [
         spawner.spawn(follow_policy(state.clone())),
-        spawner.spawn(follow_lists(state.clone(), registry.clone())),
-        spawner.spawn(follow_changes(state.clone(), registry)),
+        spawner.spawn(follow_registry(state.clone())),
         spawner.spawn(follow_rollouts(state.clone())),
         spawner.spawn(serve_callers(state.clone(), front, open.clone())),
         spawner.spawn(serve_ready(state.clone(), ready)),
@@ -135,7 +132,7 @@
 async fn stop(state: &State, open: &Open) -> usize {
     let began = clock::now();
     let grace = state.settings.load().bounds.grace;
-    state.leaving.store(true, Ordering::Relaxed);
+    state.leave(began);
     info!(state.log, "stopping"; "open" => open.count(), "grace_ms" => grace.as_millis() as u64);
     loop {
         let spent = clock::now().saturating_sub(began);
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use snafu::Snafu;
 
-use crate::model::{BackendId, Entry, Policy, Revision, Rollout, RolloutState};
+use crate::model::{Entry, Policy, Revision, Rollout, RolloutState};
 
 /// The platform's store, as far as a relay reads and writes it.
 ///
@@ -26,13 +26,6 @@
     /// As for [`Source::policy`].
     async fn entries(&self) -> Result<Listing, SourceError>;
 
-    /// Waits up to `wait` for changes of the registry after `since`.
-    ///
-    /// # Errors
-    ///
-    /// As for [`Source::policy`]; [`SourceError::Compacted`] when the registry has to be read anew.
-    async fn changes(&self, since: Revision, wait: Duration) -> Result<Changes, SourceError>;
-
     /// Reads the operator's orders to move services to other versions.
     ///
     /// # Errors
@@ -60,24 +53,6 @@
     pub revision: Revision,
 }
 
-/// Changes of the registry, in order.
-#[derive(Clone, Debug, Default)]
-pub struct Changes {
-    /// What changed.
-    pub changes: Vec<Change>,
-    /// The revision after the last change.
-    pub revision: Revision,
-}
-
-/// One change of the registry.
-#[derive(Clone, Debug)]
-pub enum Change {
-    /// An entry is new or differs.
-    Put(Entry),
-    /// An entry was removed, or can't be read any more.
-    Gone(BackendId),
-}
-
 /// A call of the store that brought nothing.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -100,9 +75,6 @@
         /// The status of the answer.
         status: u16,
     },
-    /// The history that was asked for is gone.
-    #[snafu(display("the store no longer has the history that was asked for"))]
-    Compacted,
     /// The object has changed.
     #[snafu(display("the object has changed since it was read"))]
     Conflict,
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         atomic::{AtomicBool, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
     },
     time::Duration,
 };
@@ -49,13 +49,12 @@
     pub metrics: Metrics,
     /// Runs tasks.
     pub spawner: Spawner,
-    /// Whether the node is about to end.
-    pub leaving: AtomicBool,
     /// Whether open streams are to be handed over to other nodes.
     pub handing: AtomicBool,
     /// Whether the registry was read.
     pub listed: AtomicBool,
     authority: Mutex<Authority>,
+    leaving: OnceLock<Moment>,
     budgets: Mutex<HashMap<ServiceId, Budget>>,
     zones: Mutex<Zones>,
     nudge: Sender<()>,
@@ -92,7 +91,7 @@
             log,
             metrics: Metrics::new(),
             spawner,
-            leaving: AtomicBool::new(false),
+            leaving: OnceLock::new(),
             handing: AtomicBool::new(false),
             listed: AtomicBool::new(false),
             budgets: Mutex::default(),
@@ -127,14 +126,35 @@
         self.with_budget(service, |budget| budget.repeat(clock::now()))
     }
 
+    /// Gives back a repeat that reached no backend server.
+    pub(crate) fn refund_repeat(&self, service: &ServiceId) {
+        self.with_budget(service, |budget| budget.refund(clock::now()));
+    }
+
     /// Reports whether the node should get new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.leaving.load(Ordering::Relaxed)
+        !self.is_leaving()
             && self.listed.load(Ordering::Relaxed)
             && self.catalog().is_some()
             && self.authority().holds(clock::now())
     }
 
+    /// Notes that the node is about to end.
+    pub(crate) fn leave(&self, now: Moment) {
+        self.leaving.get_or_init(|| now);
+    }
+
+    /// Reports whether the node is about to end.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get().is_some()
+    }
+
+    /// What is left of the grace, where the node is about to end.
+    pub(crate) fn grace_left(&self, now: Moment) -> Option<Duration> {
+        let spent = now.saturating_sub(*self.leaving.get()?);
+        Some(self.settings.load().bounds.grace.saturating_sub(spent))
+    }
+
     /// Waits for a read of the configuration that began after `since`; `false` where none came
     /// within `limit`.
     pub(crate) async fn wait_fresh(&self, since: Moment, limit: Duration) -> bool {
