--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -25,7 +25,7 @@
 const CALM: Duration = Duration::from_millis(1100);
 
 /// The time between lists after one was lost.
-const BUSY: Duration = Duration::from_millis(400);
+const BUSY: Duration = Duration::from_millis(650);
 
 /// How long lists are read more often after a loss.
 const AFTERMATH: Duration = Duration::from_millis(2500);
