--- a/crates/cassiareel-relay/src/dialect.rs
+++ b/crates/cassiareel-relay/src/dialect.rs
@@ -29,6 +29,9 @@
     /// The path of a backend server's report on itself, which needs no slot.
     fn report_path(&self) -> &'static str;
 
+    /// Reads what a report says of one request.
+    fn read_report(&self, body: &[u8], request: &str) -> Option<Report>;
+
     /// The call that tells an engine to copy a run's memory to another engine while the run goes on.
     fn copy_call(&self, request: &str, target: SocketAddr) -> CopyCall;
 
@@ -102,6 +105,17 @@
     pub slots: u32,
 }
 
+/// What an engine's report, which is some hundred milliseconds old, says of one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Whether the engine generates for the request. One whose prompt is being read is not told.
+    pub runs: bool,
+    /// Requests that wait at the engine or are worked on; the request may be one of them.
+    pub held: u64,
+    /// Events of the request that were made.
+    pub events: u64,
+}
+
 /// A request that can't be handled.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -19,6 +19,7 @@
 use super::{
     backup::Backups,
     choose::{pick, pick_backup, FRESH},
+    probe::Probes,
     refusal::Refusal,
     request::Request,
     send::{send, Extra, Head, Sent},
@@ -38,11 +39,11 @@
 /// How long a stream that has not begun may be silent before that.
 const FIRST_SILENCE: Duration = Duration::from_millis(600);
 
-/// How long an engine that answers may let a stream that has begun wait.
-const STALLED: Duration = Duration::from_millis(2500);
+/// How long a stream that has begun may be silent while its engine serves others.
+const LONGER_SILENCE: Duration = Duration::from_millis(500);
 
-/// How long the answer to a question for a sign of life may take.
-const PROBE: Duration = Duration::from_millis(150);
+/// How long a stream that has not begun may be silent while its engine serves others.
+const LONG_SILENCE: Duration = Duration::from_millis(1500);
 
 /// The time between looks at whether the engine was lost by others' evidence.
 const LOOK: Duration = Duration::from_millis(100);
@@ -111,7 +112,7 @@
     backups: Backups,
     began: Moment,
     heard: Moment,
-    probed: Moment,
+    probes: Probes,
     events: u64,
 }
 
@@ -258,21 +259,26 @@
             return self.resume("engine lost").await;
         }
         let silent = now.saturating_sub(run.heard);
-        if silent > STALLED {
-            return self.resume("stalled").await;
-        }
         if self.request.route.kind.may_repeat() {
             run.backups.keep(&self.state, &self.request, &member).await;
         }
-        let asked = now.saturating_sub(run.probed) < SILENCE;
-        if silent < SILENCE || asked || member.was_heard(now, SILENCE) {
+        let quiet = if member.was_heard(now, SILENCE) {
+            LONGER_SILENCE
+        } else {
+            SILENCE
+        };
+        if silent < quiet || run.probes.age(now) < SILENCE {
             return Ok(());
         }
-        run.probed = now;
-        if lives(&self.state, &member).await {
-            return Ok(());
+        let (state, request) = (&self.state, &self.request);
+        let lost = run
+            .probes
+            .ask(state, request, &member, run.events, silent)
+            .await;
+        match lost {
+            Some(cause) => self.resume(cause).await,
+            None => Ok(()),
         }
-        self.resume("silent").await
     }
 
     /// Closes the run and goes on elsewhere.
@@ -359,7 +365,7 @@
         };
         let limit = self.request.left();
         let sending = async { Ok(send(&self.state, &self.request, &member, &extra, limit).await) };
-        let gone = async { Err(until_gone(&self.state, &member, began).await) };
+        let gone = async { Err(until_gone(&self.state, &self.request, &member, began).await) };
         let sent = match sending.or(gone).await {
             Ok(sent) => sent,
             Err(cause) => {
@@ -379,7 +385,7 @@
                     backups,
                     began,
                     heard: now,
-                    probed: now,
+                    probes: Probes::new(now),
                     events: 0,
                 });
                 Ok(true)
@@ -443,22 +449,27 @@
     }
 }
 
-/// Waits until an engine that has not begun to answer is believed to be lost; tells why.
-async fn until_gone(state: &State, member: &Member, since: Moment) -> &'static str {
-    let mut probed = since;
+/// Waits until an engine that has not begun to answer is believed to have lost the run; tells why.
+async fn until_gone(
+    state: &State,
+    request: &Request,
+    member: &Member,
+    since: Moment,
+) -> &'static str {
+    let mut probes = Probes::new(since);
     loop {
         Timer::after(LOOK).await;
         let now = clock::now();
         if member.is_gone(since) {
             return "engine lost";
         }
-        let quiet = now.saturating_sub(probed) >= FIRST_SILENCE;
-        if !quiet || member.was_heard(now, FRESH) {
+        let silent = now.saturating_sub(since);
+        if probes.age(now) < FIRST_SILENCE || (silent < LONG_SILENCE && member.was_heard(now, FRESH))
+        {
             continue;
         }
-        probed = now;
-        if !lives(state, member).await {
-            return "silent";
+        if let Some(cause) = probes.ask(state, request, member, 0, silent).await {
+            return cause;
         }
     }
 }
@@ -471,30 +482,6 @@
     }
 }
 
-/// Asks an engine for a sign of life on a new connection.
-async fn lives(state: &State, member: &Member) -> bool {
-    let ask = async {
-        let mut lease = member.pool.open(PROBE).await.ok()?;
-        let mut request = http::Request::new(http_body_util::Full::new(Bytes::new()));
-        *request.uri_mut() = http::Uri::from_static(state.dialect.report_path());
-        let host = member.entry.address.to_string();
-        let host = http::HeaderValue::from_str(&host).ok()?;
-        request.headers_mut().insert(http::header::HOST, host);
-        let answer = lease.conn.send(request).await.ok()?;
-        answer.status().is_success().then_some(())
-    };
-    let late = async {
-        Timer::after(PROBE).await;
-        None
-    };
-    let lives = ask.or(late).await.is_some();
-    info!(state.log, "engine asked"; "backend" => &*member.entry.id, "lives" => lives);
-    if lives {
-        member.hear(clock::now());
-    }
-    lives
-}
-
 /// Notes that an engine was lost, for later choices and for its other streams.
 fn note_loss(state: &State, member: &Member, now: Moment) {
     member.lose(now);
--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -48,9 +48,15 @@
 /// When a caller may come back to another node.
 const ELSEWHERE: Duration = Duration::from_millis(20);
 
-/// The usual time of a stream from its arrival to its end.
+/// The usual time of a stream that does not tell its size.
 const STREAM_TIME: Duration = Duration::from_millis(6000);
 
+/// The time in which an engine reads one token of a prompt.
+const READ_TOKEN: Duration = Duration::from_micros(240);
+
+/// The time in which an engine generates one token.
+const WRITE_TOKEN: Duration = Duration::from_micros(5300);
+
 /// The time that a plain request may take where the route allows more.
 const PLAIN_TIME: Duration = Duration::from_millis(4300);
 
@@ -104,7 +110,7 @@
         Ok(found) => found,
         Err(refusal) => return Err((Some(ask), refusal)),
     };
-    if !has_time(state, &route) {
+    if !has_time(state, &route, &ask) {
         let after = ELSEWHERE;
         return Err((Some(ask), Refusal::NoPlace { after }));
     }
@@ -124,18 +130,28 @@
 }
 
 /// Reports whether a node that is about to end has time for a request of a route.
-fn has_time(state: &State, route: &Route) -> bool {
+fn has_time(state: &State, route: &Route, ask: &Ask) -> bool {
     let Some(left) = state.grace_left(clock::now()) else {
         return true;
     };
     let usual = if route.kind.is_stream() {
-        STREAM_TIME
+        stream_time(ask)
     } else {
         PLAIN_TIME
     };
     left >= usual.min(route.timeout) + LAST_MOMENT
 }
 
+/// The usual time of a stream from its arrival to its end.
+fn stream_time(ask: &Ask) -> Duration {
+    let prompt = &ask.prompt;
+    if prompt.output == 0 {
+        return STREAM_TIME;
+    }
+    let output = prompt.footprint() - prompt.input;
+    READ_TOKEN.mul_f64(prompt.input as f64) + WRITE_TOKEN.mul_f64(output as f64)
+}
+
 /// Reads the whole body.
 async fn read_body(state: &State, ask: &Ask, body: Incoming) -> Result<Bytes, Refusal> {
     let most = state
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod generation;
 mod handler;
 mod plain;
+mod probe;
 mod refusal;
 mod request;
 mod send;
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -29,8 +29,8 @@
 /// Time kept back from the grace for the process's own end.
 const LAST: Duration = Duration::from_millis(250);
 
-/// The part of the grace after which streams are handed over to other nodes.
-const HAND_OVER: f64 = 0.86;
+/// Time before the end of the grace at which streams are handed over to other nodes.
+const HAND_OVER: Duration = Duration::from_millis(450);
 
 /// The time between looks at what is still open.
 const LOOK: Duration = Duration::from_millis(20);
@@ -140,7 +140,7 @@
         if done || spent + LAST >= grace {
             break;
         }
-        if spent >= grace.mul_f64(HAND_OVER) {
+        if spent + HAND_OVER >= grace {
             state.handing.store(true, Ordering::Relaxed);
         }
         Timer::after(LOOK).await;
