--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -76,6 +76,8 @@
     /// failed together spread.
     pub(super) fn pause(&self) -> Duration {
         let doubled = FIRST_PAUSE * 2u32.pow(self.failures.saturating_sub(1).min(4));
-        doubled.min(LONGEST_PAUSE).mul_f64(0.75 + fastrand::f64() / 2.0)
+        doubled
+            .min(LONGEST_PAUSE)
+            .mul_f64(0.75 + fastrand::f64() / 2.0)
     }
 }
--- a/crates/cassiareel-relay/src/follow/mod.rs
+++ b/crates/cassiareel-relay/src/follow/mod.rs
@@ -6,5 +6,5 @@
 mod rollouts;
 
 pub(crate) use policy::follow_policy;
-pub(crate) use registry::{follow_registry};
+pub(crate) use registry::follow_registry;
 pub(crate) use rollouts::follow_rollouts;
--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -63,7 +63,10 @@
             state
                 .catalog
                 .store(Arc::new(Some(Arc::new(Catalog::new(policy)))));
-            state.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+            state
+                .metrics
+                .version
+                .set(i64::try_from(version).unwrap_or(i64::MAX));
             info!(state.log, "configuration in force"; "version" => version, "before" => old,
                 "routes" => routes, "services" => services,
                 "read_ms" => clock::now().saturating_sub(began).as_millis() as u64);
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -60,7 +60,10 @@
     }
     state.fleet.replace(registry.entries());
     let count = registry.entries().count();
-    state.metrics.backends.set(i64::try_from(count).unwrap_or(i64::MAX));
+    state
+        .metrics
+        .backends
+        .set(i64::try_from(count).unwrap_or(i64::MAX));
     for entry in registry.entries().filter(|e| update.put.contains(&e.id)) {
         info!(state.log, "backend known"; "backend" => &*entry.id, "service" => &*entry.service,
             "address" => %entry.address, "data_centre" => &*entry.data_centre,
--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -89,7 +89,12 @@
 
     /// Keeps a copy of a run that lives: takes in what an engine made, and asks for another one
     /// where none is left or the one that there is has grown old.
-    pub(super) async fn keep(&mut self, state: &Arc<State>, request: &Request, runner: &Arc<Member>) {
+    pub(super) async fn keep(
+        &mut self,
+        state: &Arc<State>,
+        request: &Request,
+        runner: &Arc<Member>,
+    ) {
         let now = clock::now();
         if self.take_in(request, runner, now).await {
             return;
@@ -151,7 +156,13 @@
     }
 
     /// Asks the run's engine for a copy at `target`.
-    fn ask(&mut self, state: &Arc<State>, request: &Request, runner: &Arc<Member>, target: Arc<Member>) {
+    fn ask(
+        &mut self,
+        state: &Arc<State>,
+        request: &Request,
+        runner: &Arc<Member>,
+        target: Arc<Member>,
+    ) {
         let call = state
             .dialect
             .copy_call(&request.ask.id, target.entry.address);
--- a/crates/cassiareel-relay/src/front/body.rs
+++ b/crates/cassiareel-relay/src/front/body.rs
@@ -25,7 +25,9 @@
 
 /// A body that is known whole.
 pub(super) fn whole(bytes: Bytes) -> Body {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// No body.
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -65,8 +65,8 @@
     let near = member.entry.data_centre == *own;
     let mut candidate = member.candidate(now, near);
     let zone = &member.entry.data_centre;
-    candidate.suspect |= !member.was_heard(now, FRESH)
-        && state.zones().is_suspect(&member.entry.service, zone, now);
+    candidate.suspect |=
+        !member.was_heard(now, FRESH) && state.zones().is_suspect(&member.entry.service, zone, now);
     candidate
 }
 
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -350,7 +350,11 @@
     }
 
     /// Sends the request to one engine; `false` where another one has to be tried.
-    async fn send_to(&mut self, member: Arc<Member>, copy: Option<MemoryCopy>) -> Result<bool, End> {
+    async fn send_to(
+        &mut self,
+        member: Arc<Member>,
+        copy: Option<MemoryCopy>,
+    ) -> Result<bool, End> {
         let again = self.sends > 0;
         self.sends += 1;
         self.tried.push(member.number);
@@ -464,7 +468,8 @@
             return "engine lost";
         }
         let silent = now.saturating_sub(since);
-        if probes.age(now) < FIRST_SILENCE || (silent < LONG_SILENCE && member.was_heard(now, FRESH))
+        if probes.age(now) < FIRST_SILENCE
+            || (silent < LONG_SILENCE && member.was_heard(now, FRESH))
         {
             continue;
         }
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -162,7 +162,10 @@
         body,
         lease,
     } = head;
-    match http_body_util::Limited::new(body, ANSWER_BYTES).collect().await {
+    match http_body_util::Limited::new(body, ANSWER_BYTES)
+        .collect()
+        .await
+    {
         Ok(collected) => {
             lease.put_back(answer.keep);
             Tried::Answered(Whole {
--- a/crates/cassiareel-relay/src/front/server.rs
+++ b/crates/cassiareel-relay/src/front/server.rs
@@ -64,7 +64,13 @@
                 continue;
             }
         };
-        let most = state.settings.load().limits.max_fds.saturating_sub(SPARE_FDS) / 2;
+        let most = state
+            .settings
+            .load()
+            .limits
+            .max_fds
+            .saturating_sub(SPARE_FDS)
+            / 2;
         let held = Arc::strong_count(&connections) as u64;
         if held > most {
             warn!(state.log, "connection refused"; "held" => held, "most" => most);
@@ -140,7 +146,11 @@
         let now = activity.load(Ordering::Relaxed);
         // An odd count stands for an open request.
         let busy = now % 2 == 1 || now != seen;
-        idle = if busy { Duration::ZERO } else { idle + IDLE_LOOK };
+        idle = if busy {
+            Duration::ZERO
+        } else {
+            idle + IDLE_LOOK
+        };
         seen = now;
     }
 }
--- a/crates/cassiareel-relay/src/kernel/authority.rs
+++ b/crates/cassiareel-relay/src/kernel/authority.rs
@@ -60,7 +60,6 @@
 
     /// Reports whether requests with a key may be served.
     pub fn holds(&self, now: Moment) -> bool {
-        self.age(now)
-            .is_some_and(|age| age + MARGIN < self.bound)
+        self.age(now).is_some_and(|age| age + MARGIN < self.bound)
     }
 }
--- a/crates/cassiareel-relay/src/kernel/budget.rs
+++ b/crates/cassiareel-relay/src/kernel/budget.rs
@@ -53,10 +53,13 @@
     /// Takes one repeat out of the budget; `false` where it is spent.
     pub fn repeat(&mut self, now: Moment) -> bool {
         self.slice_at(now);
-        let total = self.counts.iter().fold(Counts::default(), |sum, (_, c)| Counts {
-            requests: sum.requests + c.requests,
-            repeats: sum.repeats + c.repeats,
-        });
+        let total = self
+            .counts
+            .iter()
+            .fold(Counts::default(), |sum, (_, c)| Counts {
+                requests: sum.requests + c.requests,
+                repeats: sum.repeats + c.repeats,
+            });
         let allowed = f64::from(total.requests) * self.ratio + FREE;
         if f64::from(total.repeats) + 1.0 > allowed {
             return false;
--- a/crates/cassiareel-relay/src/kernel/placement_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/placement_tests.rs
@@ -1,1 +1,89 @@
-//! Filled below.
+//! Each case is a load, and the backend server that has to get the request.
+
+use std::time::Duration;
+
+use test_case::test_case;
+
+use super::{choose, Candidate, Need};
+
+const ENGINE: Need = Need {
+    input: 5_000,
+    tokens: 6_000,
+    capacity: Some(55_000),
+};
+
+fn candidate() -> Candidate {
+    Candidate {
+        near: true,
+        slots: 12,
+        ..Candidate::default()
+    }
+}
+
+struct Case {
+    need: Need,
+    /// The first is the one that must not be chosen, the second the one that must.
+    pair: [Candidate; 2],
+}
+
+#[test_case(&Case { need: ENGINE, pair: [
+    Candidate { unread: 5_000, open: 1, ..candidate() },
+    Candidate { open: 2, ..candidate() },
+]}; "a prompt that is being read delays the first event more than running requests")]
+#[test_case(&Case { need: ENGINE, pair: [
+    Candidate { tokens: 50_000, ..candidate() },
+    Candidate { unread: 10_000, open: 3, ..candidate() },
+]}; "memory that is full at the end preempts someone")]
+#[test_case(&Case { need: ENGINE, pair: [
+    Candidate { suspect: true, ..candidate() },
+    Candidate { unread: 5_000, open: 4, near: false, ..candidate() },
+]}; "a suspect engine")]
+#[test_case(&Case { need: ENGINE, pair: [
+    Candidate { tried: true, ..candidate() },
+    Candidate { suspect: true, ..candidate() },
+]}; "an engine that just lost this request")]
+#[test_case(&Case { need: ENGINE, pair: [
+    Candidate { closed: true, ..candidate() },
+    Candidate { tried: true, suspect: true, ..candidate() },
+]}; "one that leaves, though nothing else is left")]
+#[test_case(&Case { need: Need::default(), pair: [
+    Candidate { slots: 6, open: 9, ..candidate() },
+    Candidate { slots: 6, open: 2, near: false, ..candidate() },
+]}; "a queue costs more than another data centre")]
+#[test_case(&Case { need: Need::default(), pair: [
+    Candidate { slots: 6, errors: 0.6, ..candidate() },
+    Candidate { slots: 6, errors: 0.14, open: 3, ..candidate() },
+]}; "one that fails far more often than the service")]
+fn the_load_decides(case: &Case) {
+    for random in [0.0, 0.5, 0.99] {
+        assert_eq!(choose(&case.pair, case.need, || random), Some(1));
+    }
+}
+
+#[test]
+fn nothing_is_chosen_where_all_leave() {
+    let closed = Candidate {
+        closed: true,
+        ..candidate()
+    };
+    assert_eq!(choose(&[closed], ENGINE, || 0.5), None);
+}
+
+/// Several nodes see the same late loads. They must not all choose the same engine.
+#[test]
+fn nodes_with_the_same_reports_spread() {
+    let candidates: Vec<Candidate> = (0..36)
+        .map(|i| Candidate {
+            others: u32::from(i % 3 != 0),
+            told: Duration::from_millis(300),
+            ..candidate()
+        })
+        .collect();
+    let mut random = fastrand::Rng::with_seed(7);
+    let mut chosen: Vec<usize> = (0..6)
+        .filter_map(|_| choose(&candidates, ENGINE, || random.f64()))
+        .collect();
+    chosen.sort_unstable();
+    chosen.dedup();
+    assert!(chosen.len() >= 4, "{chosen:?}");
+}
--- a/crates/cassiareel-relay/src/kernel/registry.rs
+++ b/crates/cassiareel-relay/src/kernel/registry.rs
@@ -103,7 +103,10 @@
 
     fn put(&mut self, entry: Entry, update: &mut Update) {
         let id = entry.id.clone();
-        let known = self.entries.get(&id).is_some_and(|held| held.entry == entry);
+        let known = self
+            .entries
+            .get(&id)
+            .is_some_and(|held| held.entry == entry);
         if !known {
             update.put.push(id.clone());
         }
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -88,13 +88,29 @@
         let registry = &mut self.registry;
         registry.register("answers", "Answers to callers", self.answers.clone());
         registry.register("sends", "Sends to backend servers", self.sends.clone());
-        registry.register("resumed", "Streams that went on elsewhere", self.resumed.clone());
+        registry.register(
+            "resumed",
+            "Streams that went on elsewhere",
+            self.resumed.clone(),
+        );
         registry.register("store_calls", "Calls of the store", self.store.clone());
         registry.register("open_requests", "Open requests", self.open.clone());
-        registry.register("config_version", "Configuration in force", self.version.clone());
+        registry.register(
+            "config_version",
+            "Configuration in force",
+            self.version.clone(),
+        );
         registry.register("backends", "Known backend servers", self.backends.clone());
-        registry.register("latency_seconds", "Time to the answer", self.latency.clone());
-        registry.register("resume_seconds", "Time to go on elsewhere", self.gap.clone());
+        registry.register(
+            "latency_seconds",
+            "Time to the answer",
+            self.latency.clone(),
+        );
+        registry.register(
+            "resume_seconds",
+            "Time to go on elsewhere",
+            self.gap.clone(),
+        );
     }
 }
 
--- a/crates/cassiareel-relay/src/model/mod.rs
+++ b/crates/cassiareel-relay/src/model/mod.rs
@@ -4,8 +4,8 @@
 mod entry;
 mod ids;
 mod policy;
-mod route;
 mod rollout;
+mod route;
 mod service;
 
 pub use ask::{Ask, Prompt};
--- a/crates/cassiareel-relay/src/net/conn.rs
+++ b/crates/cassiareel-relay/src/net/conn.rs
@@ -57,7 +57,11 @@
         limit: Duration,
         spawner: &Spawner,
     ) -> Result<Conn, SendFault> {
-        let connected = async { TcpStream::connect(address).await.map_err(|err| err.to_string()) };
+        let connected = async {
+            TcpStream::connect(address)
+                .await
+                .map_err(|err| err.to_string())
+        };
         let late = async {
             Timer::after(limit).await;
             Err(format!("no connection within {limit:?}"))
--- a/crates/cassiareel-relay/src/settings.rs
+++ b/crates/cassiareel-relay/src/settings.rs
@@ -124,12 +124,18 @@
         let bounds = &self.bounds;
         let checks = [
             (self.node.name.is_empty(), "node.name is empty"),
-            (self.node.data_centre.is_empty(), "node.data_centre is empty"),
+            (
+                self.node.data_centre.is_empty(),
+                "node.data_centre is empty",
+            ),
             (self.limits.memory_mb == 0, "limits.memory_mb is 0"),
             (self.limits.max_fds < 256, "limits.max_fds is under 256"),
             (bounds.grace.is_zero(), "bounds.grace_s is 0"),
             (bounds.revoke.is_zero(), "bounds.revoke_ms is 0"),
-            (!(0.0..=100.0).contains(&bounds.retry_ratio), "bounds.retry_ratio is not from 0 to 100"),
+            (
+                !(0.0..=100.0).contains(&bounds.retry_ratio),
+                "bounds.retry_ratio is not from 0 to 100",
+            ),
             (bounds.retry_window.is_zero(), "bounds.retry_window_s is 0"),
         ];
         checks
