Move services between versions: small share, pooled counts, verdict in the store

Change: one small share until shortly before the deadline, judged on all nodes' counts; the verdict is written under a condition; a version that has just appeared gets nothing until the operator's orders were read. Ruled out: growing the share on the way, which brings a version that turns bad late to more than the bound.

--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -58,6 +58,12 @@
     if update.is_empty() {
         return;
     }
+    let versions = registry
+        .entries()
+        .map(|entry| (entry.service.clone(), entry.version.clone()));
+    if state.moves.see(versions, clock::now()) {
+        state.note_version();
+    }
     state.fleet.replace(registry.entries());
     let count = registry.entries().count();
     state
--- a/crates/cassiareel-relay/src/follow/rollouts.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts.rs
@@ -1,21 +1,190 @@
-//! Follows the operator's moves between versions, and tells their ends.
+/*!
+Follows the operator's moves between versions, pools the nodes' counts, and tells the verdicts.
 
-use std::{sync::Arc, time::Duration};
+The counts and the verdict lie in the store, so that any node can reach the verdict and none has to
+survive for it. While a move is under way, each node writes its own counts and reads all; the
+verdict is written under the condition that the order has not changed, and holds for all.
+*/
 
+use std::{
+    collections::HashMap,
+    sync::{atomic::Ordering, Arc},
+    time::Duration,
+};
+
+use futures_lite::FutureExt;
+use slog::{info, warn};
 use smol::Timer;
 
 use super::call::Caller;
-use crate::state::State;
+use crate::{
+    clock::{self, Moment},
+    kernel::{Judge, Split, Tally},
+    model::{Revision, Rollout, RolloutState, ServiceId},
+    moves::Move,
+    source::{Counts, SourceError},
+    state::State,
+};
+
+/// The time between reads while no move is under way.
+const CALM: Duration = Duration::from_millis(3000);
+
+/// The time between reads while one is.
+const BUSY: Duration = Duration::from_millis(600);
 
-/// The time between reads of the operator's orders.
-const INTERVAL: Duration = Duration::from_millis(3000);
+/// When each order was first seen by this node, with what others told of theirs.
+type Known = HashMap<(ServiceId, Revision), Moment>;
 
 /// Reads the operator's orders again and again.
 pub(crate) async fn follow_rollouts(state: Arc<State>) {
     let mut caller = Caller::new("rollouts");
+    let mut known = Known::new();
     loop {
+        let began = clock::now();
         let read = caller.call(&state, state.source.rollouts()).await;
-        let pause = read.map_or_else(|| caller.pause(), |_| INTERVAL);
-        Timer::after(pause).await;
+        let pause = match read {
+            Some(rollouts) => {
+                let busy = take_in(&state, &mut caller, &mut known, rollouts, began).await;
+                if busy {
+                    BUSY
+                } else {
+                    CALM
+                }
+            }
+            None => caller.pause(),
+        };
+        let timer = async {
+            Timer::after(pause).await;
+        };
+        timer.or(state.version_appeared()).await;
+    }
+}
+
+/// Puts the moves in force; reports whether one is under way.
+async fn take_in(
+    state: &State,
+    caller: &mut Caller,
+    known: &mut Known,
+    rollouts: Vec<Rollout>,
+    began: Moment,
+) -> bool {
+    known.retain(|key, _| rollouts.iter().any(|r| *key == key_of(r)));
+    for rollout in &rollouts {
+        known.entry(key_of(rollout)).or_insert(began);
+    }
+    let open = |rollout: &&Rollout| is_open(rollout);
+    let busy = rollouts.iter().any(is_open);
+    let pooled = if busy {
+        let own = own_counts(state, known, rollouts.iter().filter(open));
+        pool(state, caller, &own).await
+    } else {
+        Vec::new()
+    };
+    let mut moves = HashMap::new();
+    for rollout in &rollouts {
+        let split = split(state, known, rollout, &pooled).await;
+        let one = Move {
+            order: rollout.created,
+            target: rollout.target.clone(),
+            split,
+        };
+        moves.insert(rollout.service.clone(), one);
+    }
+    state.moves.replace(moves, began);
+    state.asked.store(true, Ordering::Relaxed);
+    busy
+}
+
+/// What a move's traffic is split by; tells the operator a verdict that is new.
+async fn split(state: &State, known: &Known, rollout: &Rollout, pooled: &[Counts]) -> Split {
+    match rollout.state {
+        Some(RolloutState::Completed) => return Split::Complete,
+        Some(RolloutState::RolledBack) => return Split::RollBack,
+        Some(RolloutState::Running) | None => {}
+    }
+    let counts = pooled
+        .iter()
+        .filter(|c| c.service == rollout.service && c.order == rollout.created);
+    let (mut old, mut new) = (Tally::default(), Tally::default());
+    let mut elapsed = known
+        .get(&key_of(rollout))
+        .map_or(Duration::ZERO, |at| clock::now().saturating_sub(*at));
+    for count in counts {
+        old = old.plus(tally(count.old));
+        new = new.plus(tally(count.new));
+        elapsed = elapsed.max(Duration::from_millis(count.known_ms));
     }
+    let judge = Judge {
+        duration: rollout.duration,
+    };
+    let split = judge.decide(elapsed, old, new);
+    let verdict = match split {
+        Split::Share(_) if rollout.state.is_none() => RolloutState::Running,
+        Split::Share(_) => return split,
+        Split::Complete => RolloutState::Completed,
+        Split::RollBack => RolloutState::RolledBack,
+    };
+    info!(state.log, "rollout judged"; "service" => &*rollout.service,
+        "target" => &*rollout.target, "verdict" => ?verdict,
+        "elapsed_ms" => elapsed.as_millis() as u64, "old" => ?old, "new" => ?new);
+    match state.source.report(rollout, verdict).await {
+        Ok(()) => split,
+        // Another node was first; its verdict is read next time.
+        Err(SourceError::Conflict) => Split::Share(0.0),
+        Err(err) => {
+            warn!(state.log, "verdict not written"; "service" => &*rollout.service, "cause" => %err);
+            split
+        }
+    }
+}
+
+/// What this node counted of the moves that are under way.
+fn own_counts<'a, I>(state: &State, known: &Known, rollouts: I) -> Vec<Counts>
+where
+    I: Iterator<Item = &'a Rollout>,
+{
+    let now = clock::now();
+    rollouts
+        .map(|rollout| {
+            let counted = state.moves.counted(&rollout.service, rollout.created);
+            let since = known.get(&key_of(rollout)).copied().unwrap_or(now);
+            Counts {
+                service: rollout.service.clone(),
+                order: rollout.created,
+                known_ms: now.saturating_sub(since).as_millis() as u64,
+                old: (counted.old.answers, counted.old.bad),
+                new: (counted.new.answers, counted.new.bad),
+            }
+        })
+        .collect()
+}
+
+/// Writes this node's counts and reads those of all.
+async fn pool(state: &State, caller: &mut Caller, own: &[Counts]) -> Vec<Counts> {
+    let name = state.settings.load().node.name.clone();
+    // Counts that could not be written count for this node all the same.
+    caller
+        .call(state, state.source.write_counts(&name, own))
+        .await;
+    let read = caller.call(state, state.source.read_counts()).await;
+    let others = read
+        .unwrap_or_default()
+        .into_iter()
+        .filter(|(node, _)| *node != name);
+    own.iter()
+        .cloned()
+        .chain(others.flat_map(|(_, counts)| counts))
+        .collect()
+}
+
+fn is_open(rollout: &Rollout) -> bool {
+    matches!(rollout.state, None | Some(RolloutState::Running))
+}
+
+fn key_of(rollout: &Rollout) -> (ServiceId, Revision) {
+    (rollout.service.clone(), rollout.created)
+}
+
+fn tally((answers, bad): (u64, u64)) -> Tally {
+    Tally { answers, bad }
 }
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -5,8 +5,9 @@
 use crate::{
     clock::{self, Moment},
     fleet::Member,
-    kernel::{choose, Candidate, Need, Split},
+    kernel::{choose, Candidate, Need},
     model::Prompt,
+    moves::Rule,
     state::State,
 };
 
@@ -19,17 +20,16 @@
 pub(super) fn pick(state: &State, request: &Request, tried: &[u64]) -> Option<Arc<Member>> {
     let members = state.fleet.members(&request.service);
     let need = need(state, request);
-    let version = version(state, request);
     let now = clock::now();
-    let candidates: Vec<Candidate> = members
+    let mut candidates: Vec<Candidate> = members
         .iter()
         .map(|member| {
             let mut candidate = describe(state, member, now);
             candidate.tried = tried.contains(&member.number);
-            candidate.closed |= !version.allows(&member.entry.version);
             candidate
         })
         .collect();
+    apply_rule(state, request, &members, &mut candidates);
     let chosen = choose(&candidates, need, fastrand::f64)?;
     Some(members[chosen].clone())
 }
@@ -85,37 +85,27 @@
     }
 }
 
-/// Which version a request may go to, while versions are moved.
-enum VersionRule {
-    /// Any.
-    Any,
-    /// Only this one.
-    Only(Arc<str>),
-    /// Any but this one.
-    Not(Arc<str>),
-}
-
-impl VersionRule {
-    fn allows(&self, version: &Arc<str>) -> bool {
-        match self {
-            VersionRule::Any => true,
-            VersionRule::Only(only) => only == version,
-            VersionRule::Not(not) => not != version,
-        }
-    }
-}
-
-/// Draws the version for one send.
-fn version(state: &State, request: &Request) -> VersionRule {
-    let moves = state.moves.load();
-    let Some(one) = moves.get(&request.service) else {
-        return VersionRule::Any;
+/// Closes the backend servers whose version the rule leaves out.
+fn apply_rule(state: &State, request: &Request, members: &[Arc<Member>], open: &mut [Candidate]) {
+    let checked = |member: &Member| {
+        state
+            .moves
+            .is_checked(&request.service, &member.entry.version)
+    };
+    let (wanted, version, strict) = match state.moves.rule(&request.service) {
+        Rule::Any => (None, None, false),
+        Rule::Prefer(version) => (Some(true), Some(version), false),
+        Rule::Avoid(version) => (Some(false), Some(version), false),
+        Rule::Never(version) => (Some(false), Some(version), true),
     };
-    let target = one.target.clone();
-    match one.split {
-        Split::Complete => VersionRule::Only(target),
-        Split::RollBack => VersionRule::Not(target),
-        Split::Share(share) if fastrand::f64() < share => VersionRule::Only(target),
-        Split::Share(_) => VersionRule::Not(target),
+    let fits = |member: &Member| {
+        wanted.is_none_or(|wanted| (Some(&member.entry.version) == version.as_ref()) == wanted)
+    };
+    let any = members
+        .iter()
+        .zip(open.iter())
+        .any(|(member, candidate)| !candidate.closed && checked(member) && fits(member));
+    for (member, candidate) in members.iter().zip(open) {
+        candidate.closed |= !checked(member) || ((any || strict) && !fits(member));
     }
 }
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -243,6 +243,10 @@
     /// Keeps the connection of a run that ended well.
     fn finish(&mut self) {
         if let Some(run) = self.run.take() {
+            let entry = &run.place.member.entry;
+            let late =
+                run.began.saturating_sub(self.request.arrived) > self.request.route.objective;
+            self.state.moves.count(&entry.service, &entry.version, late);
             let keep = run.head.answer.keep;
             run.head.lease.put_back(keep);
         }
@@ -308,6 +312,8 @@
     ) -> Result<(), End> {
         let now = clock::now();
         self.lost_at.get_or_insert(now);
+        let entry = &member.entry;
+        self.state.moves.count(&entry.service, &entry.version, true);
         note_loss(&self.state, member, now);
         warn!(self.state.log, "run lost"; "request" => &*self.request.ask.id,
             "backend" => &*member.entry.id, "cause" => cause, "events" => events,
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -127,6 +127,7 @@
     let outcome = reading.or(late).await;
     drop(place);
     let now = clock::now();
+    count_version(state, request, member, &outcome, now.saturating_sub(began));
     match &outcome {
         Tried::Answered(answer) => {
             let failed = answer.parts.status.is_server_error();
@@ -144,6 +145,19 @@
     outcome
 }
 
+/// Counts a try for the version that it went to.
+fn count_version(state: &State, request: &Request, member: &Member, tried: &Tried, took: Duration) {
+    let bad = match tried {
+        Tried::NotRun | Tried::Unreached => return,
+        Tried::Lost | Tried::Late => true,
+        Tried::Answered(answer) => {
+            answer.parts.status.is_server_error() || took > request.route.objective
+        }
+    };
+    let entry = &member.entry;
+    state.moves.count(&entry.service, &entry.version, bad);
+}
+
 /// How long one try may take. One that may be repeated elsewhere leaves time for that.
 fn try_limit(request: &Request, ran: u32) -> Duration {
     let left = request.left();
--- a/crates/cassiareel-relay/src/kernel/rollout.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout.rs
@@ -1,45 +1,51 @@
 /*!
 How much of a service's traffic its new version gets, and whether it is good.
 
-A bad version must get only a small share, and almost nothing once it has shown itself. The new
-version gets a small share first, on which nodes count failures and slow answers of both versions.
-Where the new one is clearly worse, it is rolled back; where enough answers are as good as the old
-version's, its share grows until the move is complete, well before its deadline.
+A bad version must get only a small share of all requests until its deadline, and almost none once
+it has shown itself. The new version therefore gets a small share until shortly before the deadline,
+while all nodes' counts of failures and slow answers of both versions are compared. It is rolled
+back where it is worse than chance explains, and complete otherwise. A share that grew on the way
+would bring a version that turns bad late to more callers than the bound allows.
 */
 
 use std::time::Duration;
 
-/// The share of requests with which a move begins.
-const FIRST_SHARE: f64 = 0.05;
+/// The share of requests that the new version gets until the move is complete.
+const SHARE: f64 = 0.06;
 
-/// The part of the move's time that is spent at the first share.
-const LOOK: f64 = 0.45;
+/// The part of the move's time after which a good version is complete.
+const COMPLETE: f64 = 0.95;
 
-/// The part of the move's time at which all traffic has moved.
-const MOVED: f64 = 0.7;
+/// The least time before the deadline at which a good version is complete.
+const SPARE: Duration = Duration::from_millis(600);
 
-/// The part of the move's time at which a good version is declared complete.
-const COMPLETE: f64 = 0.85;
+/// Standard deviations by which the bad answers of a bad version exceed what is expected.
+const DEVIATIONS: f64 = 3.5;
 
-/// Bad answers of the new version that are needed for a verdict.
-const BAD_ANSWERS: u64 = 8;
+/// Bad answers beyond that, since few answers tell little.
+const EXTRA: f64 = 3.0;
 
-/// Excess of the new version's bad share over the old one's that tells a bad version.
-const EXCESS: f64 = 0.12;
-
-/// Answers needed before the share grows.
-const ENOUGH: u64 = 20;
+/// The least failure rate that is expected of a good version.
+const LEAST_RATE: f64 = 0.02;
 
 /// Answers of one version during a move.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Tally {
-    /// Answers that came.
+    /// Answers that came, and requests that were lost.
     pub answers: u64,
-    /// Answers that failed, or took several times as long as usual.
+    /// Of these, the failed, lost and slow ones.
     pub bad: u64,
 }
 
 impl Tally {
+    /// The sum of two nodes' counts.
+    pub fn plus(self, other: Tally) -> Tally {
+        Tally {
+            answers: self.answers + other.answers,
+            bad: self.bad + other.bad,
+        }
+    }
+
     /// The share of bad answers.
     fn rate(self) -> f64 {
         if self.answers == 0 {
@@ -69,21 +75,38 @@
 
 impl Judge {
     /// Decides at `elapsed` since the order.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use cassiareel_relay::kernel::{Judge, Split, Tally};
+    ///
+    /// let judge = Judge { duration: Duration::from_secs(12) };
+    /// let old = Tally { answers: 1000, bad: 40 };
+    /// let new = Tally { answers: 40, bad: 20 };
+    /// assert_eq!(judge.decide(Duration::from_secs(4), old, new), Split::RollBack);
+    /// ```
     pub fn decide(&self, elapsed: Duration, old: Tally, new: Tally) -> Split {
-        if new.bad >= BAD_ANSWERS && new.rate() > old.rate() + EXCESS {
+        if is_worse(old, new) {
             return Split::RollBack;
         }
-        let done = elapsed.as_secs_f64() / self.duration.as_secs_f64().max(1.0);
-        if done < LOOK || (new.answers < ENOUGH && done < MOVED) {
-            return Split::Share(FIRST_SHARE);
+        let end = self
+            .duration
+            .mul_f64(COMPLETE)
+            .min(self.duration.saturating_sub(SPARE));
+        if elapsed < end {
+            Split::Share(SHARE)
+        } else {
+            Split::Complete
         }
-        if done < MOVED {
-            let grown = (done - LOOK) / (MOVED - LOOK);
-            return Split::Share(FIRST_SHARE + (1.0 - FIRST_SHARE) * grown);
-        }
-        if done < COMPLETE {
-            return Split::Share(1.0);
-        }
-        Split::Complete
     }
 }
+
+/// Reports whether the new version has more bad answers than chance explains.
+fn is_worse(old: Tally, new: Tally) -> bool {
+    let rate = old.rate().max(LEAST_RATE);
+    let expected = new.answers as f64 * rate;
+    let deviation = (expected * (1.0 - rate)).sqrt();
+    new.bad as f64 > expected + DEVIATIONS * deviation + EXTRA
+}
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod kernel;
 pub mod metrics;
 pub mod model;
+mod moves;
 pub mod net;
 pub mod node;
 pub mod settings;
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::model::{Entry, Policy, Revision, Rollout, RolloutState};
+use crate::model::{Entry, Policy, Revision, Rollout, RolloutState, ServiceId};
 
 /// The platform's store, as far as a relay reads and writes it.
 ///
@@ -40,6 +41,20 @@
     /// As for [`Source::policy`]; [`SourceError::Conflict`] when the order has changed. After any
     /// other error the write may still take effect.
     async fn report(&self, rollout: &Rollout, state: RolloutState) -> Result<(), SourceError>;
+
+    /// Writes what a node counted during rollouts, in place of what it wrote before.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Source::policy`]; the write may then still take effect.
+    async fn write_counts(&self, node: &str, counts: &[Counts]) -> Result<(), SourceError>;
+
+    /// Reads what all nodes counted, by the names of the nodes.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Source::policy`].
+    async fn read_counts(&self) -> Result<Vec<(String, Vec<Counts>)>, SourceError>;
 }
 
 /// The registry at one revision.
@@ -53,6 +68,21 @@
     pub revision: Revision,
 }
 
+/// What one node counted during one rollout.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Counts {
+    /// The service.
+    pub service: ServiceId,
+    /// The revision at which the order was created.
+    pub order: Revision,
+    /// For how long the node has known the order, in milliseconds.
+    pub known_ms: u64,
+    /// Answers of the old version, and the bad ones.
+    pub old: (u64, u64),
+    /// Answers of the new version, and the bad ones.
+    pub new: (u64, u64),
+}
+
 /// A call of the store that brought nothing.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -19,9 +19,10 @@
     clock::{self, Moment},
     dialect::Dialect,
     fleet::Fleet,
-    kernel::{Authority, Budget, Catalog, Split, Zones},
+    kernel::{Authority, Budget, Catalog, Zones},
     metrics::Metrics,
-    model::{ServiceId, Version},
+    model::ServiceId,
+    moves::Moves,
     settings::Settings,
     source::Source,
 };
@@ -38,7 +39,7 @@
     /// The backend servers.
     pub fleet: Fleet,
     /// The moves between versions that are under way.
-    pub moves: ArcSwap<HashMap<ServiceId, Move>>,
+    pub moves: Moves,
     /// Headers of the platform.
     pub dialect: Arc<dyn Dialect>,
     /// The store.
@@ -53,21 +54,15 @@
     pub handing: AtomicBool,
     /// Whether the registry was read.
     pub listed: AtomicBool,
+    /// Whether the operator's moves between versions were read.
+    pub asked: AtomicBool,
     authority: Mutex<Authority>,
     leaving: OnceLock<Moment>,
     budgets: Mutex<HashMap<ServiceId, Budget>>,
     zones: Mutex<Zones>,
     nudge: Sender<()>,
     nudged: Receiver<()>,
-}
-
-/// A move of a service between versions, as far as requests go by it.
-#[derive(Clone, Debug)]
-pub(crate) struct Move {
-    /// The new version.
-    pub target: Version,
-    /// What it gets.
-    pub split: Split,
+    appeared: (Sender<()>, Receiver<()>),
 }
 
 impl State {
@@ -85,7 +80,7 @@
             settings: ArcSwap::from_pointee(settings),
             catalog: ArcSwap::default(),
             fleet: Fleet::new(spawner.clone()),
-            moves: ArcSwap::default(),
+            moves: Moves::default(),
             dialect,
             source,
             log,
@@ -94,6 +89,8 @@
             leaving: OnceLock::new(),
             handing: AtomicBool::new(false),
             listed: AtomicBool::new(false),
+            asked: AtomicBool::new(false),
+            appeared: async_channel::bounded(1),
             budgets: Mutex::default(),
             zones: Mutex::default(),
             nudge,
@@ -135,6 +132,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_leaving()
             && self.listed.load(Ordering::Relaxed)
+            && self.asked.load(Ordering::Relaxed)
             && self.catalog().is_some()
             && self.authority().holds(clock::now())
     }
@@ -178,6 +176,18 @@
         let _ = self.nudged.recv().await;
     }
 
+    /// Notes that a version has appeared that may belong to a move.
+    pub(crate) fn note_version(&self) {
+        // A full channel means that the note was not taken yet.
+        let _ = self.appeared.0.try_send(());
+    }
+
+    /// Waits until a version has appeared.
+    pub(crate) async fn version_appeared(&self) {
+        // The sender lives as long as the state.
+        let _ = self.appeared.1.recv().await;
+    }
+
     fn with_budget<F, T>(&self, service: &ServiceId, change: F) -> T
     where
         F: FnOnce(&mut Budget) -> T,
