--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -22,6 +22,9 @@
 /// The time between whole reads.
 const INTERVAL: Duration = Duration::from_millis(1100);
 
+/// The shortest time between reads that requests ask for.
+const NUDGE_GAP: Duration = Duration::from_millis(200);
+
 /// Reads the configuration again and again.
 pub(crate) async fn follow_policy(state: Arc<State>) {
     let mut caller = Caller::new("configuration");
@@ -29,18 +32,22 @@
     loop {
         let began = clock::now();
         let read = caller.call(&state, state.source.policy()).await;
-        let pause = match read {
-            Some(policy) => {
-                take_in(&state, policy, began);
-                INTERVAL.saturating_sub(clock::now().saturating_sub(began))
-            }
-            None => caller.pause(),
+        let Some(policy) = read else {
+            held = log_authority(&state, held);
+            Timer::after(caller.pause()).await;
+            continue;
         };
+        take_in(&state, policy, began);
         held = log_authority(&state, held);
+        let pause = INTERVAL.saturating_sub(clock::now().saturating_sub(began));
         let timer = async {
             Timer::after(pause).await;
         };
-        timer.or(state.nudged()).await;
+        let nudged = async {
+            Timer::after(NUDGE_GAP).await;
+            state.nudged().await;
+        };
+        timer.or(nudged).await;
     }
 }
 
--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -41,9 +41,9 @@
 /// When a caller may come back to a node that has just started.
 const STARTING: Duration = Duration::from_millis(500);
 
-/// When a caller may come back to a node that has lost its word on keys: by then a balancer has
-/// taken new connections elsewhere.
-const UNTRUSTED: Duration = Duration::from_millis(1000);
+/// When a caller may come back to a node that has lost its word on keys, in parts of the time for
+/// which keys hold. Callers spread over it, so that they don't return together.
+const UNTRUSTED: std::ops::Range<f64> = 0.2..0.4;
 
 /// When a caller may come back to another node.
 const ELSEWHERE: Duration = Duration::from_millis(20);
@@ -183,7 +183,10 @@
     arrived: Moment,
 ) -> Result<(Arc<Route>, Option<Arc<str>>), Refusal> {
     let starting = Refusal::NotInformed { after: STARTING };
-    let untrusted = Refusal::NotInformed { after: UNTRUSTED };
+    let part = UNTRUSTED.start + fastrand::f64() * (UNTRUSTED.end - UNTRUSTED.start);
+    let untrusted = Refusal::NotInformed {
+        after: state.settings.load().bounds.revoke.mul_f64(part),
+    };
     let mut catalog = state.catalog().ok_or(starting)?;
     let mut found = catalog.find(&ask.host, &ask.path, ask.key.as_deref());
     if !matches!(found, Lookup::Found { .. }) {
--- a/crates/cassiareel-relay/src/kernel/budget.rs
+++ b/crates/cassiareel-relay/src/kernel/budget.rs
@@ -12,25 +12,23 @@
 use crate::clock::Moment;
 
 /// Parts into which the window is cut.
-const SLICES: u32 = 10;
+const SLICES: usize = 10;
 
-/// The share of the allowed ratio that is spent, since windows of the callers' requests and of the
-/// repeats may lie a little apart.
-const SPENT: f64 = 0.9;
-
-/// Repeats that a node may send in a window whatever it was sent.
-const FREE: f64 = 12.0;
+/// The share of what is allowed that is spent, since the windows of nodes lie a little apart.
+const SPENT: f64 = 0.85;
 
 /// Repeats to one service, within a sliding window.
 #[derive(Debug)]
 pub struct Budget {
     ratio: f64,
     slice: Duration,
-    counts: VecDeque<(u128, Counts)>,
+    counts: VecDeque<Slice>,
 }
 
+/// What was sent within one part of the window.
 #[derive(Clone, Copy, Debug, Default)]
-struct Counts {
+struct Slice {
+    number: u128,
     requests: u32,
     repeats: u32,
 }
@@ -39,8 +37,8 @@
     /// Allows `ratio` repeats for each request in each `window`.
     pub fn new(ratio: f64, window: Duration) -> Budget {
         Budget {
-            ratio: ratio * SPENT,
-            slice: (window / SLICES).max(Duration::from_millis(1)),
+            ratio,
+            slice: (window / SLICES as u32).max(Duration::from_millis(1)),
             counts: VecDeque::new(),
         }
     }
@@ -50,18 +48,20 @@
         self.slice_at(now).requests += 1;
     }
 
-    /// Takes one repeat out of the budget; `false` where it is spent.
-    pub fn repeat(&mut self, now: Moment) -> bool {
-        self.slice_at(now);
-        let total = self
+    /// Takes one repeat out of the budget; `false` where it is spent. `free` repeats are allowed in
+    /// a window whatever callers sent.
+    pub fn repeat(&mut self, now: Moment, free: f64) -> bool {
+        let number = self.slice_at(now).number;
+        let (recent, before): (Vec<&Slice>, Vec<&Slice>) = self
             .counts
             .iter()
-            .fold(Counts::default(), |sum, (_, c)| Counts {
-                requests: sum.requests + c.requests,
-                repeats: sum.repeats + c.repeats,
-            });
-        let allowed = f64::from(total.requests) * self.ratio + FREE;
-        if f64::from(total.repeats) + 1.0 > allowed {
+            .partition(|slice| slice.number + SLICES as u128 > number);
+        let repeats: u32 = recent.iter().map(|slice| slice.repeats).sum();
+        let requests = |slices: &[&Slice]| slices.iter().map(|slice| slice.requests).sum::<u32>();
+        // Repeats follow the requests that they belong to: the window before counts as well.
+        let requests = requests(&recent).max(requests(&before));
+        let allowed = (f64::from(requests) * self.ratio + free) * SPENT;
+        if f64::from(repeats) + 1.0 > allowed {
             return false;
         }
         self.slice_at(now).repeats += 1;
@@ -70,23 +70,22 @@
 
     /// Gives back a repeat that reached no backend server.
     pub fn refund(&mut self, now: Moment) {
-        let counts = self.slice_at(now);
-        counts.repeats = counts.repeats.saturating_sub(1);
+        let slice = self.slice_at(now);
+        slice.repeats = slice.repeats.saturating_sub(1);
     }
 
-    /// The counts of the current slice, after those that left the window are dropped.
-    fn slice_at(&mut self, now: Moment) -> &mut Counts {
+    /// The current slice, after those that left the window before the last one are dropped.
+    fn slice_at(&mut self, now: Moment) -> &mut Slice {
         let number = now.as_millis() / self.slice.as_millis().max(1);
-        while let Some((oldest, _)) = self.counts.front() {
-            if oldest + u128::from(SLICES) > number {
-                break;
-            }
-            self.counts.pop_front();
-        }
-        if self.counts.back().is_none_or(|(last, _)| *last < number) {
-            self.counts.push_back((number, Counts::default()));
+        self.counts
+            .retain(|slice| slice.number + 2 * SLICES as u128 > number);
+        if self.counts.back().is_none_or(|last| last.number < number) {
+            self.counts.push_back(Slice {
+                number,
+                ..Slice::default()
+            });
         }
         let last = self.counts.len() - 1;
-        &mut self.counts[last].1
+        &mut self.counts[last]
     }
 }
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock,
     dialect::Dialect,
-    follow::{follow_policy, follow_registry, follow_rollouts},
+    follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{listen, serve_callers, serve_metrics, serve_ready, Open},
     settings::Settings,
     signals::{self, Signal},
@@ -82,6 +82,7 @@
         spawner.spawn(follow_policy(state.clone())),
         spawner.spawn(follow_registry(state.clone())),
         spawner.spawn(follow_rollouts(state.clone())),
+        spawner.spawn(follow_nodes(state.clone())),
         spawner.spawn(serve_callers(state.clone(), front, open.clone())),
         spawner.spawn(serve_ready(state.clone(), ready)),
         spawner.spawn(serve_metrics(state.clone(), metrics)),
--- a/crates/cassiareel-relay/src/settings.rs
+++ b/crates/cassiareel-relay/src/settings.rs
@@ -79,6 +79,8 @@
     pub revoke: Duration,
     /// Repeats for each request of a caller, over all nodes.
     pub retry_ratio: f64,
+    /// Repeats beyond that in each window, over all nodes.
+    pub retry_slack: f64,
     /// The window in which repeats are counted.
     #[serde(rename = "retry_window_s")]
     #[serde_as(as = "DurationSeconds<f64>")]
@@ -136,6 +138,10 @@
                 !(0.0..=100.0).contains(&bounds.retry_ratio),
                 "bounds.retry_ratio is not from 0 to 100",
             ),
+            (
+                !(0.0..=1e6).contains(&bounds.retry_slack),
+                "bounds.retry_slack is not from 0 to 1e6",
+            ),
             (bounds.retry_window.is_zero(), "bounds.retry_window_s is 0"),
         ];
         checks
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
     },
     time::Duration,
@@ -27,6 +27,9 @@
     source::Source,
 };
 
+/// Nodes that are assumed until they were counted.
+const UNKNOWN_NODES: u32 = 100;
+
 /// How often a request that waits for a fresh read looks for it.
 const FRESH_POLL: Duration = Duration::from_millis(5);
 
@@ -52,6 +55,8 @@
     pub spawner: Spawner,
     /// Whether open streams are to be handed over to other nodes.
     pub handing: AtomicBool,
+    /// Nodes of the fleet, which share what is bounded for all of them.
+    pub nodes: AtomicU32,
     /// Whether the registry was read.
     pub listed: AtomicBool,
     /// Whether the operator's moves between versions were read.
@@ -88,6 +93,7 @@
             spawner,
             leaving: OnceLock::new(),
             handing: AtomicBool::new(false),
+            nodes: AtomicU32::new(UNKNOWN_NODES),
             listed: AtomicBool::new(false),
             asked: AtomicBool::new(false),
             appeared: async_channel::bounded(1),
@@ -120,7 +126,9 @@
 
     /// Takes one repeat out of a service's budget.
     pub(crate) fn may_repeat(&self, service: &ServiceId) -> bool {
-        self.with_budget(service, |budget| budget.repeat(clock::now()))
+        let slack = self.settings.load().bounds.retry_slack;
+        let free = slack / f64::from(self.nodes.load(Ordering::Relaxed).max(1));
+        self.with_budget(service, |budget| budget.repeat(clock::now(), free))
     }
 
     /// Gives back a repeat that reached no backend server.
