--- a/crates/cassiareel-relay/src/dialect.rs
+++ b/crates/cassiareel-relay/src/dialect.rs
@@ -23,6 +23,9 @@
     /// Adds the headers that hold for one send of a request to one backend server.
     fn write_send(&self, headers: &mut HeaderMap, send: &Dispatch);
 
+    /// Adds the header by which only one process answers.
+    fn write_expect(&self, headers: &mut HeaderMap, expect: &str);
+
     /// Reads the facts of a backend server's answer.
     fn read_answer(&self, head: &response::Parts) -> Answer;
 
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -19,6 +19,7 @@
 use super::{
     backup::Backups,
     choose::{pick, pick_backup, FRESH},
+    loss,
     probe::Probes,
     refusal::Refusal,
     request::Request,
@@ -314,7 +315,7 @@
         self.lost_at.get_or_insert(now);
         let entry = &member.entry;
         self.state.moves.count(&entry.service, &entry.version, true);
-        note_loss(&self.state, member, now);
+        loss::note(&self.state, member, now);
         warn!(self.state.log, "run lost"; "request" => &*self.request.ask.id,
             "backend" => &*member.entry.id, "cause" => cause, "events" => events,
             "after" => self.last);
@@ -408,7 +409,7 @@
             }
             Sent::NotRun(_) => Ok(false),
             Sent::Unreached(_) => {
-                note_loss(&self.state, &member, now);
+                loss::note(&self.state, &member, now);
                 if again {
                     self.state.refund_repeat(&self.request.service);
                 }
@@ -493,15 +494,6 @@
     }
 }
 
-/// Notes that an engine was lost, for later choices and for its other streams.
-fn note_loss(state: &State, member: &Member, now: Moment) {
-    member.lose(now);
-    let entry = &member.entry;
-    state
-        .zones()
-        .lost(&entry.service, &entry.data_centre, member.number, now);
-}
-
 /// Logs the first event of a run, with the pause that a loss made.
 fn log_first(state: &State, request: &Request, run: &Run, lost: Option<Moment>, now: Moment) {
     let gap = lost.map(|lost| now.saturating_sub(lost));
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -1,6 +1,6 @@
 //! Requests whose answer is passed on when it is whole.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -11,6 +11,7 @@
 use super::{
     body::{whole, Reply},
     choose::pick,
+    loss,
     refusal::Refusal,
     request::Request,
     send::{send, Extra, Head, Sent},
@@ -50,7 +51,7 @@
 }
 
 /// Serves a request whose answer is passed on whole.
-pub(super) async fn serve(state: &State, request: &Request) -> Result<Reply, Refusal> {
+pub(super) async fn serve(state: &Arc<State>, request: &Request) -> Result<Reply, Refusal> {
     let mut tried = Vec::new();
     let mut ran = 0;
     let mut refused = 0;
@@ -102,12 +103,7 @@
 }
 
 /// Sends once and reads the whole answer.
-async fn try_once(
-    state: &State,
-    request: &Request,
-    member: &std::sync::Arc<Member>,
-    ran: u32,
-) -> Tried {
+async fn try_once(state: &Arc<State>, request: &Request, member: &Arc<Member>, ran: u32) -> Tried {
     let place = Place::run(member, 0, 0);
     let began = clock::now();
     let limit = try_limit(request, ran);
@@ -135,11 +131,7 @@
         }
         Tried::NotRun => {}
         Tried::Unreached | Tried::Lost | Tried::Late => {
-            member.lose(now);
-            let entry = &member.entry;
-            state
-                .zones()
-                .lost(&entry.service, &entry.data_centre, member.number, now);
+            loss::note(state, member, now);
         }
     }
     outcome
--- a/crates/cassiareel-relay/src/front/probe.rs
+++ b/crates/cassiareel-relay/src/front/probe.rs
@@ -2,14 +2,12 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_lite::FutureExt;
-use http::{header::HOST, HeaderValue, Uri};
-use http_body_util::{BodyExt, Full};
 use slog::info;
-use smol::Timer;
 
-use super::request::Request;
+use super::{
+    report::{self, Life},
+    request::Request,
+};
 use crate::{
     clock::{self, Moment},
     dialect::Report,
@@ -17,9 +15,6 @@
     state::State,
 };
 
-/// How long the answer to a question may take.
-const PROBE: Duration = Duration::from_millis(150);
-
 /// Reports without a run, one after the other, that show that it has ended.
 const MISSES: u32 = 2;
 
@@ -68,10 +63,16 @@
     ) -> Option<&'static str> {
         let apart = self.age(clock::now()) >= APART;
         self.asked = clock::now();
-        let Some(body) = report(state, member).await else {
-            info!(state.log, "engine asked"; "request" => &*request.ask.id,
-                "backend" => &*member.entry.id, "lives" => false);
-            return Some("silent");
+        let body = match report::read(state, member).await {
+            Life::Lives(body) => body,
+            life => {
+                info!(state.log, "engine asked"; "request" => &*request.ask.id,
+                    "backend" => &*member.entry.id, "lives" => false);
+                if matches!(life, Life::Ended) {
+                    member.replaced();
+                }
+                return Some("silent");
+            }
         };
         member.hear(clock::now());
         let report = state.dialect.read_report(&body, &request.ask.id);
@@ -104,24 +105,3 @@
         (self.misses >= MISSES).then_some("run ended")
     }
 }
-
-/// Reads an engine's report over a new connection, since a kept one may be dead without notice.
-async fn report(state: &State, member: &Member) -> Option<Bytes> {
-    let ask = async {
-        let mut lease = member.pool.open(PROBE).await.ok()?;
-        let mut request = http::Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = Uri::from_static(state.dialect.report_path());
-        let host = HeaderValue::from_str(&member.entry.address.to_string()).ok()?;
-        request.headers_mut().insert(HOST, host);
-        let answer = lease.conn.send(request).await.ok()?;
-        if !answer.status().is_success() {
-            return None;
-        }
-        Some(answer.into_body().collect().await.ok()?.to_bytes())
-    };
-    let late = async {
-        Timer::after(PROBE).await;
-        None
-    };
-    ask.or(late).await
-}
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -0,0 +1,64 @@
+//! Reads an engine's report, to learn whether its process lives.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::{header::HOST, HeaderValue, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use smol::Timer;
+
+use crate::{fleet::Member, net::SendFault, state::State};
+
+/// How long the answer to a question may take.
+const PROBE: Duration = Duration::from_millis(150);
+
+/// What an engine's report showed.
+#[derive(Debug)]
+pub(super) enum Life {
+    /// The process lives; its report.
+    Lives(Bytes),
+    /// Another process has the address, or none.
+    Ended,
+    /// Nothing came.
+    Silent,
+}
+
+/// Asks for a report over a new connection, since a kept one may be dead without notice.
+pub(super) async fn read(state: &State, member: &Member) -> Life {
+    let late = async {
+        Timer::after(PROBE).await;
+        Life::Silent
+    };
+    ask(state, member).or(late).await
+}
+
+async fn ask(state: &State, member: &Member) -> Life {
+    let mut lease = match member.pool.open(PROBE).await {
+        Ok(lease) => lease,
+        Err(SendFault::Refused) => return Life::Ended,
+        Err(_) => return Life::Silent,
+    };
+    let mut request = http::Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static(state.dialect.report_path());
+    let Ok(host) = HeaderValue::from_str(&member.entry.address.to_string()) else {
+        return Life::Silent;
+    };
+    request.headers_mut().insert(HOST, host);
+    state
+        .dialect
+        .write_expect(request.headers_mut(), &member.entry.id);
+    let Ok(answer) = lease.conn.send(request).await else {
+        return Life::Silent;
+    };
+    if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Life::Ended;
+    }
+    if !answer.status().is_success() {
+        return Life::Silent;
+    }
+    match answer.into_body().collect().await {
+        Ok(body) => Life::Lives(body.to_bytes()),
+        Err(_) => Life::Silent,
+    }
+}
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -128,13 +128,20 @@
         };
         let mut lease = match taken {
             Ok(lease) => lease,
-            Err(err) => return Sent::Unreached(err.to_string()),
+            Err(err) => {
+                if matches!(err, SendFault::Refused) {
+                    member.replaced();
+                }
+                return Sent::Unreached(err.to_string());
+            }
         };
         match lease.conn.send(build(state, request, member, extra)).await {
             Ok(head) => return judge(state, request, member, head, lease),
             // The kept connection was closed meanwhile: a new one shows whether the server lives.
             Err(SendFault::NotSent { .. }) if reused => {}
-            Err(SendFault::NotSent { cause }) => return Sent::Unreached(cause),
+            Err(err @ (SendFault::NotSent { .. } | SendFault::Refused)) => {
+                return Sent::Unreached(err.to_string());
+            }
             Err(SendFault::Lost { cause }) => return Sent::Lost(cause),
         }
     }
--- a/crates/cassiareel-relay/src/net/conn.rs
+++ b/crates/cassiareel-relay/src/net/conn.rs
@@ -1,6 +1,6 @@
 //! One HTTP connection, owned by whoever uses it.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use cassiareel::runtime::Spawner;
@@ -32,6 +32,9 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
 pub enum SendFault {
+    /// No process listens at the address.
+    #[snafu(display("no process listens there"))]
+    Refused,
     /// No byte of the request has left.
     #[snafu(display("not sent: {cause}"))]
     NotSent {
@@ -51,25 +54,28 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`SendFault::NotSent`].
+    /// Fails with [`SendFault::Refused`] or [`SendFault::NotSent`].
     pub async fn open(
         address: SocketAddr,
         limit: Duration,
         spawner: &Spawner,
     ) -> Result<Conn, SendFault> {
         let connected = async {
-            TcpStream::connect(address)
-                .await
-                .map_err(|err| err.to_string())
+            TcpStream::connect(address).await.map_err(|err| {
+                if err.kind() == io::ErrorKind::ConnectionRefused {
+                    return SendFault::Refused;
+                }
+                SendFault::NotSent {
+                    cause: err.to_string(),
+                }
+            })
         };
         let late = async {
             Timer::after(limit).await;
-            Err(format!("no connection within {limit:?}"))
+            let cause = format!("no connection within {limit:?}");
+            Err(SendFault::NotSent { cause })
         };
-        let stream = connected
-            .or(late)
-            .await
-            .map_err(|cause| SendFault::NotSent { cause })?;
+        let stream = connected.or(late).await?;
         // Without the option, the last part of a request may wait for an acknowledgement.
         if let Err(err) = stream.set_nodelay(true) {
             return NotSentSnafu {
--- a/crates/cassiareel-relay/src/net/pool.rs
+++ b/crates/cassiareel-relay/src/net/pool.rs
@@ -55,7 +55,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`SendFault::NotSent`].
+    /// Fails with [`SendFault::Refused`] or [`SendFault::NotSent`].
     pub async fn take(&self, idle: Duration, limit: Duration) -> Result<Lease, SendFault> {
         if let Some(conn) = self.reuse(idle) {
             return Ok(self.lease(conn));
@@ -67,7 +67,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`SendFault::NotSent`].
+    /// Fails with [`SendFault::Refused`] or [`SendFault::NotSent`].
     pub async fn open(&self, limit: Duration) -> Result<Lease, SendFault> {
         let conn = Conn::open(self.inner.address, limit, &self.inner.spawner).await?;
         Ok(self.lease(conn))
