Prefer engines in an order by prompt that all nodes share

Cause: callers that came back after a node was stopped or killed had their prompts read again by an engine chosen at random. Change: rendezvous order by the prompt's last part, weighed against load.

--- a/crates/cassiareel-relay/src/fleet.rs
+++ b/crates/cassiareel-relay/src/fleet.rs
@@ -82,6 +82,7 @@
             latency: health.latency(),
             errors: health.errors(),
             suspect: health.is_suspect(now),
+            rank: 0.0,
             tried: false,
             closed: !self.is_open(),
         }
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::{
     clock::{self, Moment},
     fleet::Member,
@@ -26,6 +28,7 @@
         .map(|member| {
             let mut candidate = describe(state, member, now);
             candidate.tried = tried.contains(&member.number);
+            candidate.rank = rank(request, member);
             candidate
         })
         .collect();
@@ -49,6 +52,7 @@
             let same = member.entry.data_centre == runner.entry.data_centre;
             // Engines of one data centre often fail together.
             candidate.tried = same;
+            candidate.rank = rank(request, member);
             candidate.closed |= member.number == runner.number
                 || candidate.suspect
                 || member.entry.version != runner.entry.version;
@@ -70,6 +74,15 @@
     candidate
 }
 
+/// How little a request's prompt prefers an engine, from 0 to 1: the same on every node.
+fn rank(request: &Request, member: &Member) -> f64 {
+    let Some((part, _)) = request.ask.prompt.parts.last() else {
+        return 0.0;
+    };
+    let hash = xxh3_64_with_seed(member.entry.id.as_bytes(), *part);
+    hash as f64 / u64::MAX as f64
+}
+
 /// What a request needs of a backend server.
 fn need(state: &State, request: &Request) -> Need {
     let capacity = state
--- a/crates/cassiareel-relay/src/kernel/placement.rs
+++ b/crates/cassiareel-relay/src/kernel/placement.rs
@@ -4,7 +4,9 @@
 A node knows its own open work exactly and the rest only from loads that are told late. Many nodes
 see the same late loads; if all of them took the least loaded backend server, they would meet there.
 The estimate therefore adds a random part as large as the uncertainty, and own open work counts in
-full. For engines, what delays the first event is the prompts that are read before it; memory that
+full. For engines, each prompt prefers engines in an order of its own, the same on all nodes: a
+caller that comes back after a node or a connection was lost finds its prompt still in memory,
+without any node having to remember where it ran. What delays the first event is the prompts that are read before it; memory that
 running requests will need at their ends bounds how many may meet on one engine.
 */
 
@@ -22,6 +24,9 @@
 /// Time that a running generation adds to the others of its batch, in milliseconds.
 const BATCHED: f64 = 40.0;
 
+/// What the least preferred engine costs a prompt, in milliseconds of waiting.
+const PREFERENCE: f64 = 1500.0;
+
 /// The part of an engine's memory that own work may fill.
 const FILL: f64 = 0.9;
 
@@ -52,6 +57,8 @@
     pub latency: Option<f64>,
     /// The share of its answers that fail.
     pub errors: f64,
+    /// How little the prompt prefers it, from 0 to 1.
+    pub rank: f64,
     /// Whether it is believed to fail.
     pub suspect: bool,
     /// Whether the request was sent there before.
@@ -110,7 +117,8 @@
     let failing = (candidate.errors - errors - SCATTER).max(0.0) * FAILING;
     if need.input > 0 {
         let reading = candidate.unread as f64 / PREFILL;
-        return reading + busy * BATCHED + far + failing + random * BATCHED;
+        let preference = candidate.rank * PREFERENCE;
+        return reading + busy * BATCHED + preference + far + failing + random * BATCHED;
     }
     let took = candidate.latency.unwrap_or(50.0);
     let queue = (busy + random - slots + 1.0).max(0.0);
