--- a/crates/cassiareel-relay/src/dialect.rs
+++ b/crates/cassiareel-relay/src/dialect.rs
@@ -38,6 +38,9 @@
     /// The call that tells an engine to copy a run's memory to another engine while the run goes on.
     fn copy_call(&self, request: &str, target: SocketAddr) -> CopyCall;
 
+    /// The path for a DELETE at the run's engine that frees a copy.
+    fn release_path(&self, name: &str) -> String;
+
     /// The name of the copy in a successful answer to [`Dialect::copy_call`].
     fn read_copy(&self, body: &[u8]) -> Option<String>;
 }
--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -11,15 +11,15 @@
 
 use bytes::Bytes;
 use futures_lite::{future::poll_once, FutureExt};
-use http::{header, HeaderValue, Method, Request as HttpRequest, Uri};
+use http::{header, HeaderValue, Method, Request as HttpRequest};
 use http_body_util::{BodyExt, Full};
-use slog::info;
+use slog::{debug, info};
 use smol::{Task, Timer};
 
 use super::{choose::pick_backup, request::Request};
 use crate::{
     clock::{self, Moment},
-    dialect::MemoryCopy,
+    dialect::{CopyCall, MemoryCopy},
     fleet::{Member, Place},
     net::Lease,
     state::State,
@@ -34,6 +34,9 @@
 /// How long an engine may take to make a copy.
 const COPYING: Duration = Duration::from_millis(1500);
 
+/// A holder that was lost within this time is not asked to go on.
+const JUST_LOST: Duration = Duration::from_millis(1000);
+
 /// How long a connection to the engine may take.
 const CONNECT: Duration = Duration::from_millis(200);
 
@@ -83,8 +86,28 @@
     pub(super) fn take(self, now: Moment) -> Option<(Arc<Member>, MemoryCopy)> {
         let held = self.held?;
         let member = held.place.member.clone();
-        let lives = member.is_open() && !member.is_gone(held.since);
-        (lives && !member.health().is_suspect(now)).then_some((member, held.copy))
+        let lost = member.was_lost(now.saturating_sub(JUST_LOST));
+        (member.is_open() && !lost).then_some((member, held.copy))
+    }
+
+    /// Gives up a copy that takes room at its holder by itself, once the run has ended.
+    pub(super) fn release(self, state: &Arc<State>, runner: &Arc<Member>) {
+        let Some(held) = self.held.filter(|held| !held.grows) else {
+            return;
+        };
+        let path = state.dialect.release_path(&held.copy.name);
+        let (served, runner) = (state.clone(), runner.clone());
+        let task = async move {
+            let releasing = call(&runner, Method::DELETE, path, String::new());
+            let late = async {
+                Timer::after(COPYING).await;
+                None
+            };
+            let released = releasing.or(late).await.is_some();
+            debug!(served.log, "copy released"; "backend" => &*runner.entry.id,
+                "released" => released);
+        };
+        state.spawner.spawn(task).detach();
     }
 
     /// Keeps a copy of a run that lives: takes in what an engine made, and asks for another one
@@ -170,7 +193,7 @@
         let id = request.ask.id.clone();
         let spawner = state.spawner.clone();
         let task = spawner.spawn(async move {
-            let asking = post(&runner, call.path, call.body);
+            let asking = call_engine(&runner, call);
             let late = async {
                 Timer::after(COPYING).await;
                 None
@@ -195,12 +218,17 @@
         .unwrap_or(false)
 }
 
-/// Posts to an engine, and reads a successful answer whole.
-async fn post(engine: &Member, path: &'static str, body: String) -> Option<Bytes> {
+/// Asks an engine for a copy.
+async fn call_engine(engine: &Member, asked: CopyCall) -> Option<Bytes> {
+    call(engine, Method::POST, asked.path.to_owned(), asked.body).await
+}
+
+/// Calls an engine, and reads a successful answer whole.
+async fn call(engine: &Member, method: Method, path: String, body: String) -> Option<Bytes> {
     let mut lease: Lease = engine.pool.take(Duration::MAX, CONNECT).await.ok()?;
     let mut request = HttpRequest::new(Full::new(Bytes::from(body)));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::from_static(path);
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().ok()?;
     let host = HeaderValue::from_str(&engine.entry.address.to_string()).ok()?;
     request.headers_mut().insert(header::HOST, host);
     let json = HeaderValue::from_static("application/json");
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -248,6 +248,7 @@
             let late =
                 run.began.saturating_sub(self.request.arrived) > self.request.route.objective;
             self.state.moves.count(&entry.service, &entry.version, late);
+            run.backups.release(&self.state, &run.place.member);
             let keep = run.head.answer.keep;
             run.head.lease.put_back(keep);
         }
