--- a/crates/cassiareel-relay/src/follow/nodes.rs
+++ b/crates/cassiareel-relay/src/follow/nodes.rs
@@ -19,15 +19,18 @@
 /// The time between counts.
 const INTERVAL: Duration = Duration::from_secs(12);
 
+/// The time between counts for each node of the fleet.
+const A_NODE: Duration = Duration::from_secs(1);
+
 /// The time after the start at which the others have started as well.
 const SETTLED: Duration = Duration::from_secs(3);
 
 /// Joins the fleet and counts its nodes again and again.
 pub(crate) async fn follow_nodes(state: Arc<State>) {
     let mut caller = Caller::new("nodes");
-    let name = state.settings.load().node.name.clone();
+    let record = state.own_record();
     while caller
-        .call(&state, state.source.write_counts(&name, &[]))
+        .call(&state, state.source.write_record(&record))
         .await
         .is_none()
     {
@@ -35,14 +38,18 @@
     }
     Timer::after(SETTLED).await;
     loop {
-        let Some(counts) = caller.call(&state, state.source.read_counts()).await else {
+        let Some(records) = caller.call(&state, state.source.read_records()).await else {
             Timer::after(caller.pause()).await;
             continue;
         };
-        let nodes = u32::try_from(counts.len()).unwrap_or(u32::MAX).max(1);
+        let nodes = u32::try_from(records.len()).unwrap_or(u32::MAX).max(1);
+        state.news.roster().replace(records);
         if state.nodes.swap(nodes, Ordering::Relaxed) != nodes {
-            info!(state.log, "nodes counted"; "nodes" => nodes);
+            info!(state.log, "nodes counted"; "nodes" => nodes,
+                "reads_store" => state.news.reads_store());
         }
-        Timer::after(INTERVAL).await;
+        // A larger fleet changes less with each node, and counts less often.
+        let spread = 0.75 + fastrand::f64() / 2.0;
+        Timer::after(INTERVAL.max(A_NODE * nodes).mul_f64(spread)).await;
     }
 }
--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -25,37 +25,52 @@
 /// The shortest time between reads that requests ask for.
 const NUDGE_GAP: Duration = Duration::from_millis(200);
 
-/// Reads the configuration again and again.
+/// Keeps the configuration, by whole reads or by the words of peers.
 pub(crate) async fn follow_policy(state: Arc<State>) {
     let mut caller = Caller::new("configuration");
     let mut held = false;
     loop {
+        let heard = state.news.heard.listen();
         let began = clock::now();
-        let read = caller.call(&state, state.source.policy()).await;
-        let Some(policy) = read else {
-            held = log_authority(&state, held);
-            Timer::after(caller.pause()).await;
-            continue;
-        };
-        take_in(&state, policy, began);
+        let answered = renew(&state, &mut caller).await;
+        if let Some((policy, read)) = state.news.policy.get() {
+            take_in(&state, &policy, read);
+        }
         held = log_authority(&state, held);
-        let pause = INTERVAL.saturating_sub(clock::now().saturating_sub(began));
+        let spent = clock::now().saturating_sub(began);
+        let pause = if answered {
+            INTERVAL.saturating_sub(spent)
+        } else {
+            caller.pause()
+        };
         let timer = async {
             Timer::after(pause).await;
         };
         let nudged = async {
-            Timer::after(NUDGE_GAP).await;
+            Timer::after(NUDGE_GAP.max(caller.pause())).await;
             state.nudged().await;
         };
-        timer.or(nudged).await;
+        timer.or(nudged).or(heard).await;
+    }
+}
+
+/// Reads the configuration where no peer's word is fresh; `false` where that failed.
+async fn renew(state: &State, caller: &mut Caller) -> bool {
+    let fresh = state.news.policy.fresh(state.fresh_enough());
+    if fresh.is_some() && !state.news.reads_store() {
+        return true;
     }
+    let began = clock::now();
+    match caller.call(state, state.source.policy()).await {
+        Some(Some(policy)) => state.news.put_policy(Arc::new(policy), began),
+        Some(None) => {}
+        None => return false,
+    }
+    true
 }
 
 /// Puts a version in force, unless it is older than the one that is.
-fn take_in(state: &State, policy: Option<Policy>, began: Moment) {
-    let Some(policy) = policy else {
-        return;
-    };
+fn take_in(state: &State, policy: &Policy, began: Moment) {
     let version = policy.version;
     let old = state.catalog().map(|catalog| catalog.version());
     match old {
@@ -69,7 +84,7 @@
             let (routes, services) = (policy.routes.len(), policy.services.len());
             state
                 .catalog
-                .store(Arc::new(Some(Arc::new(Catalog::new(policy)))));
+                .store(Arc::new(Some(Arc::new(Catalog::new(policy.clone())))));
             state
                 .metrics
                 .version
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use futures_lite::FutureExt;
 use slog::{info, warn};
 use smol::Timer;
 
@@ -18,6 +19,7 @@
 use crate::{
     clock,
     kernel::{Registry, Update},
+    source::Listing,
     state::State,
 };
 
@@ -30,26 +32,49 @@
 /// How long lists are read more often after a loss.
 const AFTERMATH: Duration = Duration::from_millis(2500);
 
-/// Reads the registry again and again.
+/// Keeps the registry, by whole lists or by the words of peers.
 pub(crate) async fn follow_registry(state: Arc<State>) {
     let mut registry = Registry::default();
     let mut caller = Caller::new("registry list");
     loop {
+        let heard = state.news.heard.listen();
         let began = clock::now();
-        let Some(listing) = caller.call(&state, state.source.entries()).await else {
-            Timer::after(caller.pause()).await;
-            continue;
-        };
-        if !listing.unreadable.is_empty() {
-            log_unreadable(&state, &listing.unreadable);
+        let answered = renew(&state, &mut caller).await;
+        if let Some((listing, read)) = state.news.listing.get().filter(|_| answered) {
+            let update = registry.list(Listing::clone(&listing), read);
+            put_in_use(&state, &registry, &update);
+            state.listed.store(true, Ordering::Relaxed);
         }
-        let update = registry.list(listing, clock::now());
-        put_in_use(&state, &registry, &update);
-        state.listed.store(true, Ordering::Relaxed);
-        let took = clock::now().saturating_sub(began);
         let lost = state.fleet.lost_within(AFTERMATH, clock::now());
         let interval = if lost { BUSY } else { CALM };
-        Timer::after(interval.saturating_sub(took)).await;
+        let pause = if answered {
+            interval.saturating_sub(clock::now().saturating_sub(began))
+        } else {
+            caller.pause()
+        };
+        let timer = async {
+            Timer::after(pause).await;
+        };
+        timer.or(heard).await;
+    }
+}
+
+/// Reads the registry where no peer's word is fresh; `false` where nothing fresh is known.
+async fn renew(state: &State, caller: &mut Caller) -> bool {
+    let fresh = |state: &State| state.news.listing.fresh(state.fresh_enough()).is_some();
+    if !state.news.reads_store() && fresh(state) {
+        return true;
+    }
+    let began = clock::now();
+    match caller.call(state, state.source.entries()).await {
+        Some(listing) => {
+            if !listing.unreadable.is_empty() {
+                log_unreadable(state, &listing.unreadable);
+            }
+            state.news.put_listing(Arc::new(listing), began);
+            true
+        }
+        None => fresh(state),
     }
 }
 
--- a/crates/cassiareel-relay/src/follow/rollouts.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts.rs
@@ -32,6 +32,9 @@
 /// The time between reads while one is.
 const BUSY: Duration = Duration::from_millis(600);
 
+/// The age at which a peer's word on the orders is not gone by.
+const STALE: Duration = Duration::from_millis(4500);
+
 /// When each order was first seen by this node, with what others told of theirs.
 type Known = HashMap<(ServiceId, Revision), Moment>;
 
@@ -40,11 +43,10 @@
     let mut caller = Caller::new("rollouts");
     let mut known = Known::new();
     loop {
-        let began = clock::now();
-        let read = caller.call(&state, state.source.rollouts()).await;
+        let read = renew(&state, &mut caller).await;
         let pause = match read {
-            Some(rollouts) => {
-                let busy = take_in(&state, &mut caller, &mut known, rollouts, began).await;
+            Some((rollouts, began)) => {
+                let busy = take_in(&state, &mut caller, &mut known, &rollouts, began).await;
                 if busy {
                     BUSY
                 } else {
@@ -60,16 +62,29 @@
     }
 }
 
+/// Reads the operator's orders where no peer's word is fresh and knows all versions that are here.
+async fn renew(state: &State, caller: &mut Caller) -> Option<(Arc<Vec<Rollout>>, Moment)> {
+    let held = state.news.rollouts.fresh(STALE);
+    let known = held.filter(|(_, began)| !state.moves.is_behind(*began));
+    if known.is_some() && !state.news.reads_store() {
+        return known;
+    }
+    let began = clock::now();
+    let rollouts = Arc::new(caller.call(state, state.source.rollouts()).await?);
+    state.news.put_rollouts(rollouts.clone(), began);
+    Some((rollouts, began))
+}
+
 /// Puts the moves in force; reports whether one is under way.
 async fn take_in(
     state: &State,
     caller: &mut Caller,
     known: &mut Known,
-    rollouts: Vec<Rollout>,
+    rollouts: &[Rollout],
     began: Moment,
 ) -> bool {
     known.retain(|key, _| rollouts.iter().any(|r| *key == key_of(r)));
-    for rollout in &rollouts {
+    for rollout in rollouts {
         known.entry(key_of(rollout)).or_insert(began);
     }
     let open = |rollout: &&Rollout| is_open(rollout);
@@ -81,7 +96,7 @@
         Vec::new()
     };
     let mut moves = HashMap::new();
-    for rollout in &rollouts {
+    for rollout in rollouts {
         let split = split(state, known, rollout, &pooled).await;
         let one = Move {
             order: rollout.created,
@@ -161,19 +176,18 @@
 
 /// Writes this node's counts and reads those of all.
 async fn pool(state: &State, caller: &mut Caller, own: &[Counts]) -> Vec<Counts> {
-    let name = state.settings.load().node.name.clone();
+    let mut record = state.own_record();
+    record.counts = own.to_vec();
     // Counts that could not be written count for this node all the same.
-    caller
-        .call(state, state.source.write_counts(&name, own))
-        .await;
-    let read = caller.call(state, state.source.read_counts()).await;
+    caller.call(state, state.source.write_record(&record)).await;
+    let read = caller.call(state, state.source.read_records()).await;
     let others = read
         .unwrap_or_default()
         .into_iter()
-        .filter(|(node, _)| *node != name);
+        .filter(|other| other.name != record.name);
     own.iter()
         .cloned()
-        .chain(others.flat_map(|(_, counts)| counts))
+        .chain(others.flat_map(|other| other.counts))
         .collect()
 }
 
--- a/crates/cassiareel-relay/src/front/body.rs
+++ b/crates/cassiareel-relay/src/front/body.rs
@@ -10,21 +10,21 @@
 use snafu::Snafu;
 
 /// The body of an answer to a caller.
-pub(super) type Body = UnsyncBoxBody<Bytes, Cut>;
+pub(crate) type Body = UnsyncBoxBody<Bytes, Cut>;
 
 /// An answer to a caller.
-pub(super) type Reply = Response<Body>;
+pub(crate) type Reply = Response<Body>;
 
 /// An answer that ends early: its connection is closed, so that it does not look complete.
 #[derive(Debug, Snafu)]
 #[snafu(display("the answer was cut: {cause}"))]
-pub(super) struct Cut {
+pub(crate) struct Cut {
     /// Why.
     pub(super) cause: &'static str,
 }
 
 /// A body that is known whole.
-pub(super) fn whole(bytes: Bytes) -> Body {
+pub(crate) fn whole(bytes: Bytes) -> Body {
     Full::new(bytes)
         .map_err(|never| match never {})
         .boxed_unsync()
--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -31,10 +31,6 @@
 /// The longest time that a body may take to arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
-/// The age of the word on the configuration by which a key or a path may be called unknown: a
-/// version that is older than that is in force everywhere.
-const FRESH_ENOUGH: Duration = Duration::from_millis(1600);
-
 /// How long a request may wait for fresh word before a key or a path is called unknown.
 const FRESH_WAIT: Duration = Duration::from_millis(400);
 
@@ -191,7 +187,7 @@
     let mut found = catalog.find(&ask.host, &ask.path, ask.key.as_deref());
     if !matches!(found, Lookup::Found { .. }) {
         // A newer version may know the path or the key: a refusal needs as fresh a word.
-        let since = arrived.saturating_sub(FRESH_ENOUGH);
+        let since = arrived.saturating_sub(state.fresh_enough());
         if !state.wait_fresh(since, FRESH_WAIT).await {
             return Err(untrusted);
         }
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -14,4 +14,5 @@
 mod send;
 mod server;
 
-pub(crate) use server::{listen, serve_callers, serve_metrics, serve_ready, Open};
+pub(crate) use body::{whole, Reply};
+pub(crate) use server::{listen, serve_callers, serve_metrics, serve_ready, serve_simple, Open};
--- a/crates/cassiareel-relay/src/front/server.rs
+++ b/crates/cassiareel-relay/src/front/server.rs
@@ -192,7 +192,7 @@
 
 /// Answers the balancer's question whether the node is ready.
 pub(crate) async fn serve_ready(state: Arc<State>, listener: TcpListener) {
-    serve_simple(state, listener, |state| async move {
+    serve_simple(state, listener, |state, _| async move {
         let mut reply = Response::new(empty());
         if !state.is_ready() {
             *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
@@ -204,16 +204,16 @@
 
 /// Answers with the metrics.
 pub(crate) async fn serve_metrics(state: Arc<State>, listener: TcpListener) {
-    serve_simple(state, listener, |state| async move {
+    serve_simple(state, listener, |state, _| async move {
         Response::new(whole(Bytes::from(state.metrics.text())))
     })
     .await;
 }
 
-/// Serves one kind of answer to whatever is asked.
-async fn serve_simple<F, T>(state: Arc<State>, listener: TcpListener, answer: F)
+/// Answers each request by one function.
+pub(crate) async fn serve_simple<F, T>(state: Arc<State>, listener: TcpListener, answer: F)
 where
-    F: Fn(Arc<State>) -> T + Clone + Send + Sync + 'static,
+    F: Fn(Arc<State>, http::Request<Incoming>) -> T + Clone + Send + Sync + 'static,
     T: Future<Output = Reply> + Send + 'static,
 {
     loop {
@@ -224,8 +224,8 @@
         let answer = answer.clone();
         let served = state.clone();
         let task = async move {
-            let service = service_fn(move |_: http::Request<Incoming>| {
-                let reply = answer(served.clone());
+            let service = service_fn(move |request| {
+                let reply = answer(served.clone(), request);
                 async move { Ok::<Reply, Infallible>(reply.await) }
             });
             let connection =
--- a/crates/cassiareel-relay/src/kernel/registry.rs
+++ b/crates/cassiareel-relay/src/kernel/registry.rs
@@ -54,7 +54,7 @@
 }
 
 impl Registry {
-    /// Takes in a whole list, read at `now`. One that is older than what is known changes nothing.
+    /// Takes in a whole list whose read began at `now`. One that is older than what is known changes nothing.
     pub fn list(&mut self, listing: Listing, now: Moment) -> Update {
         self.hear(now);
         let mut update = Update::default();
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod moves;
 pub mod net;
 pub mod node;
+mod peers;
 pub mod settings;
 mod signals;
 pub mod source;
--- a/crates/cassiareel-relay/src/model/entry.rs
+++ b/crates/cassiareel-relay/src/model/entry.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use super::{BackendId, DataCentre, ServiceId, Version};
 
 /// What a backend server says of itself in the registry.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
     /// The id of this run of the process.
     pub id: BackendId,
@@ -38,7 +40,7 @@
 }
 
 /// Whether a backend server takes new work.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Phase {
     /// It takes new work.
     Ready,
--- a/crates/cassiareel-relay/src/model/policy.rs
+++ b/crates/cassiareel-relay/src/model/policy.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::{Route, Service, TenantId};
 
 /// One version of the operator's configuration, whole.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Policy {
     /// The version, which only rises.
     pub version: u64,
@@ -20,7 +22,7 @@
 }
 
 /// A client account and its keys.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Tenant {
     /// The name, which backend servers see.
     pub name: TenantId,
@@ -31,7 +33,7 @@
 }
 
 /// Bounds on what a caller sends and how long it may take.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Limits {
     /// The largest head, in bytes.
     pub header_bytes: usize,
--- a/crates/cassiareel-relay/src/model/rollout.rs
+++ b/crates/cassiareel-relay/src/model/rollout.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::{Revision, ServiceId, Version};
 
 /// An order to move a service's traffic to the backend servers of one version.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Rollout {
     /// The service.
     pub service: ServiceId,
@@ -22,7 +24,7 @@
 }
 
 /// What the operator is told of a rollout.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RolloutState {
     /// Traffic is moving.
     Running,
--- a/crates/cassiareel-relay/src/model/route.rs
+++ b/crates/cassiareel-relay/src/model/route.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::ServiceId;
 
 /// A rule that sends the requests for a host and a path to services.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Route {
     /// The name, for logs.
     pub name: String,
@@ -32,7 +34,7 @@
 }
 
 /// A service and the share of a route's requests that it gets.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Target {
     /// The service.
     pub service: ServiceId,
@@ -41,7 +43,7 @@
 }
 
 /// What of a request may be repeated.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Kind {
     /// It may run more than once.
     Idempotent,
--- a/crates/cassiareel-relay/src/model/service.rs
+++ b/crates/cassiareel-relay/src/model/service.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::ServiceId;
 
 /// A service that routes name.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Service {
     /// The name.
     pub name: ServiceId,
@@ -14,7 +16,7 @@
 }
 
 /// What the engines of a service can do.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EngineShape {
     /// Requests in one batch.
     pub slots: u32,
--- a/crates/cassiareel-relay/src/moves.rs
+++ b/crates/cassiareel-relay/src/moves.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Reports whether a version appeared after a read that began at `began`.
+    pub(crate) fn is_behind(&self, began: Moment) -> bool {
+        self.lock().seen.values().any(|seen| *seen > began)
+    }
+
     /// Reports whether the operator's orders were read since this version appeared.
     pub(crate) fn is_checked(&self, service: &ServiceId, version: &Version) -> bool {
         let version = (service.clone(), version.clone());
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -17,6 +17,7 @@
     dialect::Dialect,
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{listen, serve_callers, serve_metrics, serve_ready, Open},
+    peers::{follow_peers, serve_peers},
     settings::Settings,
     signals::{self, Signal},
     source::Source,
@@ -71,11 +72,12 @@
         spawner.clone(),
     ));
     let open = Open::default();
-    let (front, ready, metrics) = smol::block_on(async {
+    let (front, ready, metrics, peers) = smol::block_on(async {
         Ok::<_, io::Error>((
             listen(listens.front).await?,
             listen(listens.ready).await?,
             listen(listens.metrics).await?,
+            listen(listens.peers).await?,
         ))
     })?;
     let tasks = [
@@ -83,6 +85,8 @@
         spawner.spawn(follow_registry(state.clone())),
         spawner.spawn(follow_rollouts(state.clone())),
         spawner.spawn(follow_nodes(state.clone())),
+        spawner.spawn(follow_peers(state.clone())),
+        spawner.spawn(serve_peers(state.clone(), peers)),
         spawner.spawn(serve_callers(state.clone(), front, open.clone())),
         spawner.spawn(serve_ready(state.clone(), ready)),
         spawner.spawn(serve_metrics(state.clone(), metrics)),
--- /dev/null
+++ b/crates/cassiareel-relay/src/peers/held.rs
@@ -0,0 +1,52 @@
+//! The newest of something that is read again and again.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use crate::clock::{self, Moment};
+
+/// The newest value, and when the read that brought it began.
+#[derive(Debug)]
+pub(crate) struct Held<T> {
+    inner: Mutex<Option<(Arc<T>, Moment)>>,
+}
+
+impl<T> Held<T> {
+    /// Takes in a value in place of the one that is held.
+    pub(super) fn replace(&self, value: Arc<T>, began: Moment) {
+        *self.lock() = Some((value, began));
+    }
+
+    /// The value.
+    pub(crate) fn get(&self) -> Option<(Arc<T>, Moment)> {
+        self.lock().clone()
+    }
+
+    /// The value, where its read began within `age`.
+    pub(crate) fn fresh(&self, age: Duration) -> Option<(Arc<T>, Moment)> {
+        let now = clock::now();
+        self.get()
+            .filter(|(_, began)| now.saturating_sub(*began) <= age)
+    }
+
+    /// Notes that the value still held at `began`.
+    pub(super) fn confirm(&self, began: Moment) {
+        if let Some((_, known)) = self.lock().as_mut() {
+            *known = began.max(*known);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<(Arc<T>, Moment)>> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<T> Default for Held<T> {
+    fn default() -> Held<T> {
+        Held {
+            inner: Mutex::default(),
+        }
+    }
+}
--- a/crates/cassiareel-relay/src/settings.rs
+++ b/crates/cassiareel-relay/src/settings.rs
@@ -45,6 +45,8 @@
     pub front: SocketAddr,
     /// For the balancer's question whether the node is ready.
     pub ready: SocketAddr,
+    /// For the other nodes.
+    pub peers: SocketAddr,
     /// For the metrics, as text.
     pub metrics: SocketAddr,
 }
@@ -73,6 +75,10 @@
     #[serde(rename = "grace_s")]
     #[serde_as(as = "DurationSeconds<f64>")]
     pub grace: Duration,
+    /// How long after its acceptance a configuration may not be in force yet.
+    #[serde(rename = "config_apply_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub config_apply: Duration,
     /// How long a key may work after it was taken away.
     #[serde(rename = "revoke_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -133,6 +139,7 @@
             (self.limits.memory_mb == 0, "limits.memory_mb is 0"),
             (self.limits.max_fds < 256, "limits.max_fds is under 256"),
             (bounds.grace.is_zero(), "bounds.grace_s is 0"),
+            (bounds.config_apply.is_zero(), "bounds.config_apply_ms is 0"),
             (bounds.revoke.is_zero(), "bounds.revoke_ms is 0"),
             (
                 !(0.0..=100.0).contains(&bounds.retry_ratio),
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -1,12 +1,12 @@
 //! Where a node learns the operator's configuration and the backend servers: the platform's store.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::model::{Entry, Policy, Revision, Rollout, RolloutState, ServiceId};
+use crate::model::{DataCentre, Entry, Policy, Revision, Rollout, RolloutState, ServiceId};
 
 /// The platform's store, as far as a relay reads and writes it.
 ///
@@ -42,23 +42,23 @@
     /// other error the write may still take effect.
     async fn report(&self, rollout: &Rollout, state: RolloutState) -> Result<(), SourceError>;
 
-    /// Writes what a node counted during rollouts, in place of what it wrote before.
+    /// Writes what a node says of itself, in place of what it wrote before.
     ///
     /// # Errors
     ///
     /// As for [`Source::policy`]; the write may then still take effect.
-    async fn write_counts(&self, node: &str, counts: &[Counts]) -> Result<(), SourceError>;
+    async fn write_record(&self, record: &NodeRecord) -> Result<(), SourceError>;
 
-    /// Reads what all nodes counted, by the names of the nodes.
+    /// Reads what all nodes say of themselves.
     ///
     /// # Errors
     ///
     /// As for [`Source::policy`].
-    async fn read_counts(&self) -> Result<Vec<(String, Vec<Counts>)>, SourceError>;
+    async fn read_records(&self) -> Result<Vec<NodeRecord>, SourceError>;
 }
 
 /// The registry at one revision.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Listing {
     /// The entries that could be read.
     pub entries: Vec<Entry>,
@@ -68,6 +68,19 @@
     pub revision: Revision,
 }
 
+/// What a node says of itself in the store.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct NodeRecord {
+    /// The name, unique in the fleet.
+    pub name: String,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// What it counted during rollouts that are under way.
+    pub counts: Vec<Counts>,
+}
+
 /// What one node counted during one rollout.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Counts {
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -23,10 +23,14 @@
     metrics::Metrics,
     model::ServiceId,
     moves::Moves,
+    peers::News,
     settings::Settings,
-    source::Source,
+    source::{NodeRecord, Source},
 };
 
+/// The part of the time in which a configuration has to be in force that a word on it may be old.
+const FRESH_PART: f64 = 0.8;
+
 /// Nodes that are assumed until they were counted.
 const UNKNOWN_NODES: u32 = 100;
 
@@ -47,6 +51,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The store.
     pub source: Arc<dyn Source>,
+    /// The newest contents of the store.
+    pub news: News,
     /// Where lines go.
     pub log: Logger,
     /// What is counted.
@@ -82,6 +88,7 @@
         let (nudge, nudged) = async_channel::bounded(1);
         State {
             authority: Mutex::new(Authority::new(settings.bounds.revoke)),
+            news: News::new(&settings.node.name),
             settings: ArcSwap::from_pointee(settings),
             catalog: ArcSwap::default(),
             fleet: Fleet::new(spawner.clone()),
@@ -119,6 +126,22 @@
         lock(&self.zones)
     }
 
+    /// The age of the word on the configuration by which a version that must be in force is known.
+    pub(crate) fn fresh_enough(&self) -> Duration {
+        self.settings.load().bounds.config_apply.mul_f64(FRESH_PART)
+    }
+
+    /// What this node says of itself in the store, without counts.
+    pub(crate) fn own_record(&self) -> NodeRecord {
+        let settings = self.settings.load();
+        NodeRecord {
+            name: settings.node.name.clone(),
+            address: settings.listen.peers,
+            data_centre: settings.node.data_centre.clone(),
+            counts: Vec::new(),
+        }
+    }
+
     /// Counts a caller's request to a service.
     pub(crate) fn count_request(&self, service: &ServiceId) {
         self.with_budget(service, |budget| budget.request(clock::now()));
