Ask three engines for their loads before a prompt is sent

Ruled out: loads told on answers (0.3 a second for a node of 84), and sharing reports over peers (older when they arrive, and priced for all engines).

--- a/crates/cassiareel-relay/src/dialect.rs
+++ b/crates/cassiareel-relay/src/dialect.rs
@@ -120,6 +120,8 @@
     pub held: u64,
     /// Events of the request that were made.
     pub events: u64,
+    /// Requests for which the engine generates.
+    pub generating: u64,
 }
 
 /// A request that can't be handled.
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -18,7 +18,7 @@
 
 use super::{
     backup::Backups,
-    choose::{pick, pick_backup, FRESH},
+    choose::{pick_backup, pick_engine, FRESH},
     loss,
     probe::Probes,
     refusal::Refusal,
@@ -340,8 +340,11 @@
             }
             let copy = self.copy.take();
             let holder = copy.as_ref().map(|(holder, _)| holder.clone());
-            let Some(member) = holder.or_else(|| pick(&self.state, &self.request, &self.tried))
-            else {
+            let chosen = match holder {
+                Some(holder) => Some(holder),
+                None => pick_engine(&self.state, &self.request, &self.tried).await,
+            };
+            let Some(member) = chosen else {
                 return Err(self.given_up());
             };
             if self.sends > 0 {
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -26,15 +26,26 @@
 
 /// Asks for a report over a new connection, since a kept one may be dead without notice.
 pub(super) async fn read(state: &State, member: &Member) -> Life {
+    read_within(state, member, PROBE, Duration::ZERO).await
+}
+
+/// Asks for a report, and waits at most `limit`, over a connection that was idle for at most `idle`
+/// or a new one.
+pub(super) async fn read_within(
+    state: &State,
+    member: &Member,
+    limit: Duration,
+    idle: Duration,
+) -> Life {
     let late = async {
-        Timer::after(PROBE).await;
+        Timer::after(limit).await;
         Life::Silent
     };
-    ask(state, member).or(late).await
+    ask(state, member, idle).or(late).await
 }
 
-async fn ask(state: &State, member: &Member) -> Life {
-    let mut lease = match member.pool.open(PROBE).await {
+async fn ask(state: &State, member: &Member, idle: Duration) -> Life {
+    let mut lease = match member.pool.take(idle, PROBE).await {
         Ok(lease) => lease,
         Err(SendFault::Refused) => return Life::Ended,
         Err(_) => return Life::Silent,
@@ -58,7 +69,12 @@
         return Life::Silent;
     }
     match answer.into_body().collect().await {
-        Ok(body) => Life::Lives(body.to_bytes()),
+        Ok(body) => {
+            if !idle.is_zero() {
+                lease.put_back(None);
+            }
+            Life::Lives(body.to_bytes())
+        }
         Err(_) => Life::Silent,
     }
 }
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -21,6 +21,9 @@
 mod registry;
 #[cfg(test)]
 mod registry_tests;
+mod reported;
+#[cfg(test)]
+mod reported_tests;
 mod rollout;
 #[cfg(test)]
 mod rollout_tests;
@@ -32,4 +35,5 @@
 pub use health::{Health, Zones};
 pub use placement::{choose, Candidate, Need};
 pub use registry::{Registry, Update};
+pub use reported::{choose_reported, Reported};
 pub use rollout::{Judge, Split, Tally};
