--- a/crates/cassiareel-relay/src/peers/roster_tests.rs
+++ b/crates/cassiareel-relay/src/peers/roster_tests.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::Roster;
+use super::roster::Roster;
 use crate::source::NodeRecord;
 
 const NOW: Duration = Duration::from_secs(100);
