--- a/crates/cassiareel-bench/src/load/arms.rs
+++ b/crates/cassiareel-bench/src/load/arms.rs
@@ -11,8 +11,8 @@
 use cassiareel::{
     node::{Node, Options},
     observe::json_logger,
-    platform::HttpObjects,
     settings::key_digest,
+    store::HttpObjects,
 };
 use cassiareel_standins::{
     engine::{Engine, EngineOptions},
--- a/crates/cassiareel-cli/src/accounts.rs
+++ b/crates/cassiareel-cli/src/accounts.rs
@@ -1,8 +1,8 @@
 //! Commands on client accounts.
 
 use cassiareel::{
-    platform::Objects,
     settings::{Account, Tree},
+    store::Objects,
 };
 use serde_json::json;
 
--- a/crates/cassiareel-cli/src/context.rs
+++ b/crates/cassiareel-cli/src/context.rs
@@ -6,7 +6,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use cassiareel::platform::{HttpObjects, Objects};
+use cassiareel::store::{HttpObjects, Objects};
 
 use crate::{Args, Code, Error, NodeClient};
 
--- a/crates/cassiareel-cli/src/error.rs
+++ b/crates/cassiareel-cli/src/error.rs
@@ -3,8 +3,8 @@
 use std::{fmt, process::ExitCode};
 
 use cassiareel::{
-    platform::StoreError,
     settings::{ApplyError, Change, Faults, LoadError},
+    store::StoreError,
 };
 use serde_json::{json, Value};
 
--- a/crates/cassiareel-cli/src/keys.rs
+++ b/crates/cassiareel-cli/src/keys.rs
@@ -3,8 +3,8 @@
 use std::collections::btree_map::Entry;
 
 use cassiareel::{
-    platform::Objects,
     settings::{key_digest, units::Digest, Keys, Tree},
+    store::Objects,
 };
 use serde_json::json;
 
--- a/crates/cassiareel-cli/src/moves.rs
+++ b/crates/cassiareel-cli/src/moves.rs
@@ -12,8 +12,8 @@
         moves::{Means, Plan, Record, Scope, State, Status, Verdict},
         ServiceId, VersionId,
     },
-    platform::Objects,
     settings::{units::Span, ServiceKind, Tree},
+    store::Objects,
 };
 use serde_json::json;
 use smol::Timer;
--- a/crates/cassiareel-cli/src/orders.rs
+++ b/crates/cassiareel-cli/src/orders.rs
@@ -8,9 +8,9 @@
     kernel::order::{State, Verdict},
     observe::Metrics,
     orders::{Open, Orders, SettleError},
-    platform::Objects,
     runtime::Runtime,
     settings::{units::Span, Scope, Tree},
+    store::Objects,
 };
 use serde_json::{json, Value};
 use slog::{o, Discard, Logger};
--- a/crates/cassiareel-cli/src/settings.rs
+++ b/crates/cassiareel-cli/src/settings.rs
@@ -4,10 +4,10 @@
 
 use cassiareel::{
     kernel::Revision,
-    platform::Objects,
     settings::{
         self, diff, read_revision, units::Span, Applied, Draft, Edit, Loaded, Path, Scope, Tree,
     },
+    store::Objects,
 };
 use serde_json::{json, Value};
 
--- a/crates/cassiareel-cli/tests/moves.rs
+++ b/crates/cassiareel-cli/tests/moves.rs
@@ -4,8 +4,8 @@
 
 use cassiareel::{
     kernel::moves::Scope,
-    platform::MemoryObjects,
     settings::{Draft, Tree},
+    store::MemoryObjects,
 };
 use cassiareel_cli::{
     change_move, move_history, move_status, start_move, wait_move, Code, MoveChange, MoveOptions,
--- a/crates/cassiareel-cli/tests/nodes.rs
+++ b/crates/cassiareel-cli/tests/nodes.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use cassiareel::{platform::HttpObjects, settings::key_digest};
+use cassiareel::{settings::key_digest, store::HttpObjects};
 use cassiareel_cli::{
     apply_file, explain, status, tell, wait, ApplyOptions, Code, Line, NodeClient,
 };
--- a/crates/cassiareel-cli/tests/orders.rs
+++ b/crates/cassiareel-cli/tests/orders.rs
@@ -5,8 +5,8 @@
 use cassiareel::{
     kernel::order::{Record, State, Verdict},
     orders::{record_name, KIND},
-    platform::{MemoryObjects, Object, Objects},
     settings::{Draft, Tree},
+    store::{MemoryObjects, Object, Objects},
 };
 use cassiareel_cli::{ask_order, list_orders, settle_order, Code};
 use cassiareel_standins::service::{Ledger, PlainService};
--- a/crates/cassiareel-cli/tests/settings.rs
+++ b/crates/cassiareel-cli/tests/settings.rs
@@ -3,8 +3,8 @@
 use std::{fs, path::PathBuf};
 
 use cassiareel::{
-    platform::MemoryObjects,
     settings::{self, Draft, Snapshot, Tree},
+    store::MemoryObjects,
 };
 use cassiareel_cli::{
     accounts, add_account, add_key, apply_file, diff_files, get, history, list_keys,
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -6,6 +6,7 @@
 use futures_lite::FutureExt;
 use http::{header::CONTENT_LENGTH, response, HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
+use slog::warn;
 use smol::Timer;
 
 use super::{
@@ -109,7 +110,7 @@
     let limit = try_limit(request, ran);
     let reading = async {
         match send(state, request, member, &Extra::default(), limit).await {
-            Sent::Head(head) => read(*head).await,
+            Sent::Head(head) => read(state, request, member, *head).await,
             Sent::NotRun(_) => Tried::NotRun,
             Sent::Unreached(_) => Tried::Unreached,
             Sent::Lost(_) => Tried::Lost,
@@ -161,17 +162,15 @@
 }
 
 /// Reads an answer to its end, and keeps its connection.
-async fn read(head: Head) -> Tried {
+async fn read(state: &State, request: &Request, member: &Member, head: Head) -> Tried {
     let Head {
         parts,
         answer,
         body,
         lease,
     } = head;
-    match http_body_util::Limited::new(body, ANSWER_BYTES)
-        .collect()
-        .await
-    {
+    let read = http_body_util::Limited::new(body, ANSWER_BYTES).collect();
+    match read.await {
         Ok(collected) => {
             lease.put_back(answer.keep);
             Tried::Answered(Whole {
@@ -179,7 +178,11 @@
                 body: collected.to_bytes(),
             })
         }
-        Err(_) => Tried::Lost,
+        Err(err) => {
+            warn!(state.log, "answer lost"; "request" => &*request.ask.id,
+                "backend" => &*member.entry.id, "cause" => %err);
+            Tried::Lost
+        }
     }
 }
 
--- a/crates/cassiareel-relay/src/kernel/reported_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/reported_tests.rs
@@ -11,7 +11,7 @@
 /// The share of prompts that wait for another, where each asks `asked` engines.
 fn waiting(asked: usize) -> f64 {
     let mut random = fastrand::Rng::with_seed(3);
-    let (mut waits, mut all) = (0, 0);
+    let (mut waits, mut all) = (0u32, 0u32);
     for _ in 0..200 {
         let mut reading = vec![0u64; ENGINES];
         for _ in 0..PROMPTS {
@@ -26,12 +26,12 @@
                 })
                 .collect();
             let chosen = order[choose_reported(&told).expect("some are asked")];
-            waits += u64::from(reading[chosen] > 0);
+            waits += u32::from(reading[chosen] > 0);
             reading[chosen] += 1;
             all += 1;
         }
     }
-    waits as f64 / all as f64
+    f64::from(waits) / f64::from(all)
 }
 
 #[test]
--- a/crates/cassiareel-standins/src/demo/deployment.rs
+++ b/crates/cassiareel-standins/src/demo/deployment.rs
@@ -12,8 +12,8 @@
 use cassiareel::{
     kernel::{ServiceId, VersionId},
     node::{Node, Options},
-    platform::HttpObjects,
     settings::{ServiceKind, Tree},
+    store::HttpObjects,
 };
 use slog::Logger;
 
--- a/crates/cassiareel-standins/src/fleet.rs
+++ b/crates/cassiareel-standins/src/fleet.rs
@@ -17,8 +17,8 @@
     kernel::Revision,
     node::{Node, Options},
     peer::Keys,
-    platform::{HttpObjects, Object, Objects, StoreError},
     settings::key_digest,
+    store::{HttpObjects, Object, Objects, StoreError},
 };
 use serde_json::json;
 use slog::Logger;
--- a/crates/cassiareel-standins/src/vms.rs
+++ b/crates/cassiareel-standins/src/vms.rs
@@ -14,8 +14,8 @@
 
 use crate::respond::{hang, json, segments};
 use cassiareel::{
-    platform::{Vm, VmState},
     runtime::Runtime,
+    store::{Vm, VmState},
     wire::{listen, serve, Bounds, BoxFuture, Handler, Served},
 };
 use http_types::{Method, Request, Response, StatusCode};
@@ -30,7 +30,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use cassiareel::platform::{HttpVms, Vm, VmList, VmState};
+/// use cassiareel::store::{HttpVms, Vm, VmList, VmState};
 /// use cassiareel_standins::vms::VmApi;
 ///
 /// let api = VmApi::start(Duration::ZERO).unwrap();
--- a/crates/cassiareel-standins/tests/moves.rs
+++ b/crates/cassiareel-standins/tests/moves.rs
@@ -8,7 +8,7 @@
 use cassiareel::{
     control::moves,
     kernel::moves::{Means, Plan, Scope, State},
-    platform::HttpObjects,
+    store::HttpObjects,
 };
 use cassiareel_standins::{
     caller::Caller,
--- a/crates/cassiareel-standins/tests/objects.rs
+++ b/crates/cassiareel-standins/tests/objects.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use cassiareel::{
-    platform::{HttpObjects, Object, Objects, StoreError},
     runtime::Runtime,
+    store::{HttpObjects, Object, Objects, StoreError},
 };
 use cassiareel_standins::objects::{Faults, ObjectApi, Outage, Rates};
 use serde_json::json;
--- a/crates/cassiareel-standins/tests/vms.rs
+++ b/crates/cassiareel-standins/tests/vms.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cassiareel::platform::{HttpVms, Vm, VmList, VmState};
+use cassiareel::store::{HttpVms, Vm, VmList, VmState};
 use cassiareel_standins::vms::VmApi;
 
 fn vm(name: &str, state: VmState) -> Vm {
--- a/crates/cassiareel/src/control/judge.rs
+++ b/crates/cassiareel/src/control/judge.rs
@@ -12,7 +12,7 @@
         ServiceId, Time,
     },
     peer::{Peers, Shared},
-    platform::Objects,
+    store::Objects,
 };
 
 /// Time between looks at the counts.
--- a/crates/cassiareel/src/control/judge_tests.rs
+++ b/crates/cassiareel/src/control/judge_tests.rs
@@ -16,7 +16,7 @@
         Time,
     },
     peer::Shared,
-    platform::MemoryObjects,
+    store::MemoryObjects,
 };
 
 fn key(version: &str, server: u16) -> Key {
--- a/crates/cassiareel/src/control/lease.rs
+++ b/crates/cassiareel/src/control/lease.rs
@@ -13,7 +13,7 @@
         lease::{Action, Event, Held, Lease, Record, Terms},
         Fence, Incarnation, NodeId, Time,
     },
-    platform::{Object, Objects, StoreError},
+    store::{Object, Objects, StoreError},
 };
 
 /// The kind of the object.
--- a/crates/cassiareel/src/control/lease_tests.rs
+++ b/crates/cassiareel/src/control/lease_tests.rs
@@ -7,7 +7,7 @@
 use super::lease::{Candidate, KIND, NAME};
 use crate::{
     kernel::lease::{Record, Terms},
-    platform::{Call, Fault, MemoryObjects, Objects},
+    store::{Call, Fault, MemoryObjects, Objects},
 };
 
 fn candidate(name: &str, objects: &Arc<MemoryObjects>) -> Candidate {
--- a/crates/cassiareel/src/control/moves.rs
+++ b/crates/cassiareel/src/control/moves.rs
@@ -8,7 +8,7 @@
         moves::{Means, Plan, Record, Settled, State, Status, Verdict},
         ServiceId,
     },
-    platform::Objects,
+    store::Objects,
 };
 
 /// The kind of the objects; each is named after its service.
@@ -84,7 +84,7 @@
 /// # Examples
 ///
 /// ```
-/// use cassiareel::{control::moves, kernel::moves::{Means, Plan, Scope}, platform::MemoryObjects};
+/// use cassiareel::{control::moves, kernel::moves::{Means, Plan, Scope}, store::MemoryObjects};
 ///
 /// let objects = MemoryObjects::new(1);
 /// let plan = Plan {
--- a/crates/cassiareel/src/control/moves_tests.rs
+++ b/crates/cassiareel/src/control/moves_tests.rs
@@ -3,7 +3,7 @@
 use super::{moves, ChangeError};
 use crate::{
     kernel::moves::{Evidence, Means, Plan, Scope, State, Verdict},
-    platform::{Call, Fault, MemoryObjects},
+    store::{Call, Fault, MemoryObjects},
 };
 
 fn plan(to: &str) -> Plan {
--- a/crates/cassiareel/src/control/stored.rs
+++ b/crates/cassiareel/src/control/stored.rs
@@ -3,7 +3,7 @@
 use serde::{de::DeserializeOwned, Serialize};
 use snafu::Snafu;
 
-use crate::platform::{Object, Objects, StoreError};
+use crate::store::{Object, Objects, StoreError};
 
 /// Tries before a change gives way to the other writers.
 const TRIES: usize = 8;
--- a/crates/cassiareel/src/front/parts.rs
+++ b/crates/cassiareel/src/front/parts.rs
@@ -12,9 +12,9 @@
     observe::Metrics,
     orders::Orders,
     peer::Shared,
-    platform::Objects,
     runtime::Spawner,
     settings::{Scope, Snapshot},
+    store::Objects,
 };
 
 /// The parts of a node that requests work with.
--- a/crates/cassiareel/src/kernel/order/action.rs
+++ b/crates/cassiareel/src/kernel/order/action.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{Outcome, Record};
-use crate::{kernel::Time, platform::StoreVersion};
+use crate::{kernel::Time, store::StoreVersion};
 
 /// What is known of earlier calls with the same key.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/crates/cassiareel/src/kernel/order/event.rs
+++ b/crates/cassiareel/src/kernel/order/event.rs
@@ -1,7 +1,7 @@
 //! What an order is told.
 
 use super::{Outcome, Record};
-use crate::platform::StoreVersion;
+use crate::store::StoreVersion;
 
 /// How a write to the store failed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/crates/cassiareel/src/kernel/order/machine.rs
+++ b/crates/cassiareel/src/kernel/order/machine.rs
@@ -5,7 +5,7 @@
 use super::{
     Action, Earlier, Event, Outcome, Read, Record, Reply, State, StoreFault, Told, Verdict,
 };
-use crate::{kernel::Time, platform::StoreVersion};
+use crate::{kernel::Time, store::StoreVersion};
 
 /// Bounds on an order.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/crates/cassiareel/src/lib.rs
+++ b/crates/cassiareel/src/lib.rs
@@ -10,7 +10,7 @@
 
 - [`kernel`] holds every decision as a pure state machine: events and a time in, actions out.
 - [`settings`] is the typed tree that operators edit.
-- [`platform`], [`backend`] and [`peer`] meet the outside through traits and thin HTTP adapters.
+- [`store`], [`backend`] and [`peer`] meet the outside through traits and thin HTTP adapters.
 - [`engines`] is a node's table of backend servers, which requests choose from without a lock.
 - [`front`] serves callers and operators, [`control`] drives moves and placements, and [`observe`]
   writes the decision log and the metrics.
@@ -27,8 +27,8 @@
 pub mod observe;
 pub mod orders;
 pub mod peer;
-pub mod platform;
 pub mod plugin;
 pub mod runtime;
 pub mod settings;
+pub mod store;
 pub mod wire;
--- a/crates/cassiareel/src/node/fleet.rs
+++ b/crates/cassiareel/src/node/fleet.rs
@@ -14,9 +14,9 @@
         Incarnation,
     },
     peer::{Held, Peers, Shared},
-    platform::Objects,
     runtime::Runtime,
     settings::{Snapshot, HEAD_KIND},
+    store::Objects,
 };
 
 /// The duty of candidates for the controller's lease.
--- a/crates/cassiareel/src/node/follow.rs
+++ b/crates/cassiareel/src/node/follow.rs
@@ -12,8 +12,8 @@
     control::{moves, wall_seconds},
     kernel::{revision::Source, ServiceId, Time},
     peer::{Held, Peers, Shared},
-    platform::{Object, Objects, StoreError, StoreVersion},
     settings::{fetch, LoadError, HEAD_NAME},
+    store::{Object, Objects, StoreError, StoreVersion},
 };
 
 /// How long a watch waits for news.
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -36,9 +36,9 @@
     kernel::DataCentreId,
     observe::{Gauge, Metrics, Recent},
     peer::{Answers, Peers, Shared},
-    platform::Objects,
     runtime::Runtime,
     settings::{Scope, Snapshot},
+    store::Objects,
     wire::{self, Bounds, BoundsSource, Served},
 };
 
--- a/crates/cassiareel/src/orders/desk.rs
+++ b/crates/cassiareel/src/orders/desk.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     kernel::order::{Expiry, Record, State, Verdict},
-    platform::{Object, StoreError},
+    store::{Object, StoreError},
 };
 
 /// An order that waits for an operator, or may still be under way.
--- a/crates/cassiareel/src/orders/driver.rs
+++ b/crates/cassiareel/src/orders/driver.rs
@@ -25,8 +25,8 @@
         AccountId, CallerId, ServiceId, Time,
     },
     observe::{Counter, Metrics},
-    platform::Objects,
     runtime::Spawner,
+    store::Objects,
     wire::BoxFuture,
 };
 
--- a/crates/cassiareel/src/orders/driver_tests.rs
+++ b/crates/cassiareel/src/orders/driver_tests.rs
@@ -13,8 +13,8 @@
     hooks::NoHooks,
     kernel::order::{Earlier, Limits, Outcome, Reply, Told, Verdict},
     observe::Metrics,
-    platform::{Call, Fault, MemoryObjects},
     runtime::Runtime,
+    store::{Call, Fault, MemoryObjects},
     wire::BoxFuture,
 };
 
--- a/crates/cassiareel/src/orders/store.rs
+++ b/crates/cassiareel/src/orders/store.rs
@@ -11,7 +11,7 @@
 use crate::{
     kernel::order::{Event, Read, Record, StoreFault},
     observe::{Counter, Metrics},
-    platform::{Object, Objects, StoreError, StoreVersion},
+    store::{Object, Objects, StoreError, StoreVersion},
 };
 
 /// The kind of the objects.
--- a/crates/cassiareel/src/settings/apply.rs
+++ b/crates/cassiareel/src/settings/apply.rs
@@ -15,7 +15,7 @@
     store::{accept, write_parts, Acceptance},
     text_digest, Accepted, ApplyError, Change, Head, Loaded, PartRef, Tree,
 };
-use crate::{kernel::Revision, platform::Objects};
+use crate::{kernel::Revision, store::Objects};
 
 /// Time in which an edit has to be accepted after its first part was written.
 ///
--- a/crates/cassiareel/src/settings/collect.rs
+++ b/crates/cassiareel/src/settings/collect.rs
@@ -14,7 +14,7 @@
     store::{read, HEAD_KIND, HEAD_NAME, PART_KIND},
     Head, LoadError,
 };
-use crate::platform::{Objects, StoreError};
+use crate::store::{Objects, StoreError};
 
 /// Age from which a part that nothing needs is deleted.
 ///
--- a/crates/cassiareel/src/settings/errors.rs
+++ b/crates/cassiareel/src/settings/errors.rs
@@ -3,7 +3,7 @@
 use snafu::Snafu;
 
 use super::{Accepted, Change, Faults};
-use crate::{kernel::Revision, platform::StoreError};
+use crate::{kernel::Revision, store::StoreError};
 
 /// Why the tree could not be read.
 #[derive(Clone, Debug, PartialEq, Snafu)]
--- a/crates/cassiareel/src/settings/head.rs
+++ b/crates/cassiareel/src/settings/head.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{units::Digest, LoadError, PartRef};
-use crate::{kernel::Revision, platform::Object};
+use crate::{kernel::Revision, store::Object};
 
 /// Revisions that the head remembers, the accepted one included.
 const HISTORY: usize = 50;
--- a/crates/cassiareel/src/settings/store.rs
+++ b/crates/cassiareel/src/settings/store.rs
@@ -23,7 +23,7 @@
 };
 use crate::{
     kernel::Revision,
-    platform::{Object, Objects, StoreError, StoreVersion},
+    store::{Object, Objects, StoreError, StoreVersion},
 };
 
 /// The kind of the head object.
--- a/crates/cassiareel/src/settings/store_tests.rs
+++ b/crates/cassiareel/src/settings/store_tests.rs
@@ -9,7 +9,7 @@
     apply, collect, load, read_revision, split, ApplyError, Caller, Draft, Edit, Head, LoadError,
     Tree, GRACE, HEAD_KIND, HEAD_NAME, PART_KIND,
 };
-use crate::platform::{Call, Chances, Fault, MemoryObjects, Object, Objects, StoreError};
+use crate::store::{Call, Chances, Fault, MemoryObjects, Object, Objects, StoreError};
 
 const TREE: &str = r#"
 [platform]
--- a/crates/cassiareel/src/platform/http_objects.rs
+++ b/crates/cassiareel/src/store/http_objects.rs
@@ -41,7 +41,7 @@
 /// # Examples
 ///
 /// ```no_run
-/// use cassiareel::platform::{HttpObjects, Objects};
+/// use cassiareel::store::{HttpObjects, Objects};
 ///
 /// let objects = HttpObjects::new("127.0.0.1:8001".parse().unwrap());
 /// let found = smol::block_on(objects.get("leases", "draft"));
--- a/crates/cassiareel/src/platform/memory.rs
+++ b/crates/cassiareel/src/store/memory.rs
@@ -88,7 +88,7 @@
 /// # Examples
 ///
 /// ```
-/// use cassiareel::platform::{Call, Fault, MemoryObjects, Object, Objects, StoreError};
+/// use cassiareel::store::{Call, Fault, MemoryObjects, Object, Objects, StoreError};
 ///
 /// smol::block_on(async {
 ///     let store = MemoryObjects::new(1);
--- a/crates/cassiareel/tests/common/mod.rs
+++ b/crates/cassiareel/tests/common/mod.rs
@@ -10,8 +10,8 @@
 
 use cassiareel::{
     node::{Node, Options},
-    platform::{MemoryObjects, Object, Objects},
     settings::key_digest,
+    store::{MemoryObjects, Object, Objects},
 };
 use serde_json::json;
 
--- a/crates/cassiareeld/src/main.rs
+++ b/crates/cassiareeld/src/main.rs
@@ -22,7 +22,7 @@
 
 use std::{io, process::ExitCode, sync::Arc};
 
-use cassiareel::{node::Node, observe::json_logger, platform::HttpObjects};
+use cassiareel::{node::Node, observe::json_logger, store::HttpObjects};
 use gumdrop::Options as _;
 use slog::{error, info, Logger};
 
