Refuse two lengths and signed lengths at the product's own front; close after a faulty body

Cause: the HTTP library believes the last of two Content-Length headers and waits for the rest, and takes +5; a 400 for a body that was cut left the connection open in the middle of a request. Tests fail without the change and pass with it.

--- a/crates/cassiareel/src/wire/server.rs
+++ b/crates/cassiareel/src/wire/server.rs
@@ -160,9 +160,16 @@
             );
             return refuse(stream, StatusCode::RequestHeaderFieldsTooLarge, &why).await;
         }
+        if let Some(why) = bad_length(req.header(headers::CONTENT_LENGTH)) {
+            return refuse(stream, StatusCode::BadRequest, why).await;
+        }
         let method = req.method();
         let close = wants_close(req.header(headers::CONNECTION));
-        let res = handler.handle(req, from).await;
+        let mut res = handler.handle(req, from).await;
+        if res.status() == StatusCode::BadRequest {
+            // A body that was cut, or is none, leaves it open where the next request begins.
+            res.insert_header(headers::CONNECTION, "close");
+        }
         let close = close || wants_close(res.header(headers::CONNECTION));
         if !write(&stream, res, method, bounds.write).await {
             return;
@@ -247,6 +254,19 @@
     rest.or(late).await;
 }
 
+/// What is wrong with a request's length. The HTTP library takes the last of several lengths, and
+/// signs before the digits; whoever sent the request through another reader may mean another body.
+fn bad_length(header: Option<&headers::HeaderValues>) -> Option<&'static str> {
+    let header = header?;
+    let mut lengths = header.iter().map(headers::HeaderValue::as_str);
+    let first = lengths.next()?;
+    if lengths.any(|length| length != first) {
+        return Some("the request has two Content-Length headers that differ");
+    }
+    let digits = !first.is_empty() && first.bytes().all(|byte| byte.is_ascii_digit());
+    (!digits).then_some("the Content-Length header is no number")
+}
+
 /// Reports whether a `Connection` header asks to close.
 fn wants_close(header: Option<&headers::HeaderValues>) -> bool {
     header.is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"))
--- a/crates/cassiareel/tests/bad_input.rs
+++ b/crates/cassiareel/tests/bad_input.rs
@@ -56,6 +56,30 @@
             "400",
             "Content-Length",
         ),
+        case(
+            "two lengths",
+            b"POST /v1/completions HTTP/1.1\r\nhost: n\r\ncontent-length: 5\r\n\
+              content-length: 6\r\n\r\nhello"
+                .to_vec(),
+            "400",
+            "two Content-Length",
+        ),
+        case(
+            "signed length",
+            b"POST /v1/completions HTTP/1.1\r\nhost: n\r\ncontent-length: +5\r\n\r\nhello".to_vec(),
+            "400",
+            "no number",
+        ),
+        case(
+            "cut body closes",
+            format!(
+                "POST /v1/completions HTTP/1.1\r\nhost: n\r\nauthorization: Bearer {KEY}\r\n\
+                 content-length: 5\r\n\r\nhe"
+            )
+            .into_bytes(),
+            "400",
+            "connection: close",
+        ),
         case(
             "long head",
             format!("GET / HTTP/1.1\r\nhost: n\r\nx: {}\r\n\r\n", "y".repeat(9000)).into_bytes(),
