Search the new protocols exhaustively: continuation, word on keys, verdicts of moves

The continuation's bookkeeping moves into the kernel. Each model comes with broken variants that the search catches: runs that are not closed, events that are not checked, ages that are left out, answers counted from their arrival, writes without a condition.

--- a/crates/cassiareel-relay/src/follow/rollouts.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts.rs
@@ -19,7 +19,7 @@
 use super::call::Caller;
 use crate::{
     clock::{self, Moment},
-    kernel::{Judge, Split, Tally},
+    kernel::{report_of, Judge, Split, Tally},
     model::{Revision, Rollout, RolloutState, ServiceId},
     moves::Move,
     source::{Counts, SourceError},
@@ -133,11 +133,8 @@
         duration: rollout.duration,
     };
     let split = judge.decide(elapsed, old, new);
-    let verdict = match split {
-        Split::Share(_) if rollout.state.is_none() => RolloutState::Running,
-        Split::Share(_) => return split,
-        Split::Complete => RolloutState::Completed,
-        Split::RollBack => RolloutState::RolledBack,
+    let Some(verdict) = report_of(rollout.state, split) else {
+        return split;
     };
     info!(state.log, "rollout judged"; "service" => &*rollout.service,
         "target" => &*rollout.target, "verdict" => ?verdict,
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -29,7 +29,7 @@
     clock::{self, Moment},
     dialect::MemoryCopy,
     fleet::{Member, Place},
-    kernel::{Event, Splitter},
+    kernel::{Continuation, Event, Splitter, Stop},
     metrics::Metrics,
     state::State,
 };
@@ -49,9 +49,6 @@
 /// The time between looks at whether the engine was lost by others' evidence.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// Sends beyond the route's attempts that did not run anywhere.
-const SPARE_SENDS: u32 = 4;
-
 /// When a caller may come back after no engine took its stream.
 const COME_BACK: Duration = Duration::from_millis(600);
 
@@ -89,6 +86,15 @@
     }
 }
 
+impl From<Stop> for End {
+    fn from(stop: Stop) -> End {
+        match stop {
+            Stop::NotRun => End::NoPlace,
+            Stop::MayHaveRun => End::Broken,
+        }
+    }
+}
+
 /// One stream and where it runs now.
 pub(super) struct Generation {
     state: Arc<State>,
@@ -96,9 +102,7 @@
     run: Option<Run>,
     head: Option<response::Parts>,
     failure: Option<Box<Head>>,
-    last: Option<u64>,
-    sends: u32,
-    runs: u32,
+    progress: Continuation,
     tried: Vec<u64>,
     lost_at: Option<Moment>,
     copy: Option<(Arc<Member>, MemoryCopy)>,
@@ -129,14 +133,16 @@
     /// A stream that has not been sent anywhere.
     pub(super) fn new(state: Arc<State>, request: Arc<Request>) -> Generation {
         Generation {
-            last: request.ask.last_event,
+            progress: Continuation::new(
+                request.ask.last_event,
+                request.route.attempts,
+                request.route.kind.may_repeat(),
+            ),
             state,
             request,
             run: None,
             head: None,
             failure: None,
-            sends: 0,
-            runs: 0,
             tried: Vec::new(),
             lost_at: None,
             copy: None,
@@ -220,7 +226,7 @@
         run.place.member.hear(now);
         run.splitter.push(bytes).map_err(|_| "event too large")?;
         while let Some(event) = run.splitter.pop() {
-            if !follows(self.last, event.id) {
+            if !self.progress.take(event.id) {
                 return Err("event out of order");
             }
             if run.events == 0 {
@@ -229,7 +235,6 @@
                 log_first(&self.state, &self.request, run, self.lost_at.take(), now);
             }
             run.events += 1;
-            self.last = event.id.or(self.last);
             self.ready.push_back(event);
         }
         Ok(())
@@ -319,10 +324,7 @@
         loss::note(&self.state, member, now);
         warn!(self.state.log, "run lost"; "request" => &*self.request.ask.id,
             "backend" => &*member.entry.id, "cause" => cause, "events" => events,
-            "after" => self.last);
-        if !self.request.route.kind.may_repeat() {
-            return Err(End::Broken);
-        }
+            "after" => self.progress.last());
         // An engine copies no memory before the first event.
         self.copy = (events > 0).then(|| backups.take(now)).flatten();
         Ok(())
@@ -331,13 +333,10 @@
     /// Sends the request until an engine takes it, first to the holder of a copy.
     async fn start(&mut self, cause: &str) -> Result<(), End> {
         loop {
-            let most = self.request.route.attempts + SPARE_SENDS;
             if self.request.left().is_zero() {
                 return Err(End::Timeout);
             }
-            if self.sends >= most || self.runs > self.request.route.attempts {
-                return Err(self.given_up());
-            }
+            self.progress.may_send().map_err(End::from)?;
             let copy = self.copy.take();
             let holder = copy.as_ref().map(|(holder, _)| holder.clone());
             let chosen = match holder {
@@ -345,12 +344,12 @@
                 None => pick_engine(&self.state, &self.request, &self.tried).await,
             };
             let Some(member) = chosen else {
-                return Err(self.given_up());
+                return Err(self.progress.stop().into());
             };
-            if self.sends > 0 {
+            if self.progress.was_sent() {
                 if !self.state.may_repeat(&self.request.service) {
                     info!(self.state.log, "no repeat left"; "request" => &*self.request.ask.id);
-                    return Err(self.given_up());
+                    return Err(self.progress.stop().into());
                 }
                 Metrics::count(&self.state.metrics.resumed, cause);
             }
@@ -366,8 +365,8 @@
         member: Arc<Member>,
         copy: Option<MemoryCopy>,
     ) -> Result<bool, End> {
-        let again = self.sends > 0;
-        self.sends += 1;
+        let again = self.progress.was_sent();
+        self.progress.sent();
         self.tried.push(member.number);
         let prompt = &self.request.ask.prompt;
         let unread = if copy.is_some() { 0 } else { prompt.input };
@@ -384,14 +383,14 @@
         let sent = match sending.or(gone).await {
             Ok(sent) => sent,
             Err(cause) => {
-                self.runs += 1;
+                self.progress.ran();
                 return self.lose(&member, backups, cause, 0).map(|()| false);
             }
         };
         let now = clock::now();
         match sent {
             Sent::Head(head) if head.parts.status.is_success() => {
-                self.runs += 1;
+                self.progress.ran();
                 self.head.get_or_insert_with(|| head.parts.clone());
                 self.run = Some(Run {
                     head,
@@ -406,10 +405,10 @@
                 Ok(true)
             }
             Sent::Head(head) => {
-                self.runs += 1;
+                self.progress.ran();
                 member.health().answered(true, now.saturating_sub(began));
                 self.failure = Some(head);
-                self.after_failure()
+                Ok(false)
             }
             Sent::NotRun(_) => Ok(false),
             Sent::Unreached(_) => {
@@ -420,7 +419,7 @@
                 Ok(false)
             }
             Sent::Lost(_) => {
-                self.runs += 1;
+                self.progress.ran();
                 self.lose(&member, backups, "connection lost", 0)
                     .map(|()| false)
             }
@@ -428,24 +427,6 @@
         }
     }
 
-    /// After a run that failed: another one where that is allowed.
-    fn after_failure(&self) -> Result<bool, End> {
-        if self.request.route.kind.may_repeat() {
-            Ok(false)
-        } else {
-            Err(End::Broken)
-        }
-    }
-
-    /// The end where no engine is left to try.
-    fn given_up(&self) -> End {
-        if self.runs == 0 {
-            End::NoPlace
-        } else {
-            End::Broken
-        }
-    }
-
     /// What this send adds: where the memory is copied to, and the copy that it goes on from.
     fn extra(&self, member: &Arc<Member>, copy: Option<MemoryCopy>) -> Extra {
         let backups = self
@@ -455,7 +436,7 @@
             .unwrap_or(false);
         let may_resume = self.request.route.kind.may_repeat();
         Extra {
-            last_event: self.last,
+            last_event: self.progress.last(),
             backup: (backups && may_resume)
                 .then(|| pick_backup(&self.state, &self.request, member))
                 .flatten(),
@@ -490,14 +471,6 @@
     }
 }
 
-/// Reports whether an event may follow the last one that was passed on.
-fn follows(last: Option<u64>, id: Option<u64>) -> bool {
-    match (last, id) {
-        (Some(last), Some(id)) => id == last + 1,
-        _ => true,
-    }
-}
-
 /// Logs the first event of a run, with the pause that a loss made.
 fn log_first(state: &State, request: &Request, run: &Run, lost: Option<Moment>, now: Moment) {
     let gap = lost.map(|lost| now.saturating_sub(lost));
--- a/crates/cassiareel-relay/src/kernel/authority.rs
+++ b/crates/cassiareel-relay/src/kernel/authority.rs
@@ -28,7 +28,7 @@
 /// assert!(authority.holds(Duration::from_secs(14)));
 /// assert!(!authority.holds(Duration::from_secs(15)));
 /// ```
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Authority {
     bound: Duration,
     confirmed: Option<Moment>,
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -2,6 +2,8 @@
 
 mod authority;
 #[cfg(test)]
+mod authority_model_tests;
+#[cfg(test)]
 mod authority_tests;
 mod budget;
 #[cfg(test)]
@@ -9,6 +11,9 @@
 mod catalog;
 #[cfg(test)]
 mod catalog_tests;
+mod continuation;
+#[cfg(test)]
+mod continuation_tests;
 mod events;
 #[cfg(test)]
 mod events_tests;
@@ -27,13 +32,16 @@
 mod rollout;
 #[cfg(test)]
 mod rollout_tests;
+#[cfg(test)]
+mod verdict_model_tests;
 
 pub use authority::Authority;
 pub use budget::Budget;
 pub use catalog::{Catalog, Lookup};
+pub use continuation::{Continuation, Stop};
 pub use events::{Event, Splitter};
 pub use health::{Health, Zones};
 pub use placement::{choose, Candidate, Need};
 pub use registry::{Registry, Update};
 pub use reported::{choose_reported, Reported};
-pub use rollout::{Judge, Split, Tally};
+pub use rollout::{report_of, Judge, Split, Tally};
--- a/crates/cassiareel-relay/src/kernel/rollout.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout.rs
@@ -10,6 +10,8 @@
 
 use std::time::Duration;
 
+use crate::model::RolloutState;
+
 /// The share of requests that the new version gets until the move is complete.
 const SHARE: f64 = 0.06;
 
@@ -66,6 +68,18 @@
     RollBack,
 }
 
+/// What the operator is to be told of a move whose last word to him is `told`; `None` where nothing
+/// is new, or the move has ended.
+pub fn report_of(told: Option<RolloutState>, split: Split) -> Option<RolloutState> {
+    match (told, split) {
+        (Some(RolloutState::Completed | RolloutState::RolledBack), _) => None,
+        (None, Split::Share(_)) => Some(RolloutState::Running),
+        (Some(RolloutState::Running), Split::Share(_)) => None,
+        (_, Split::Complete) => Some(RolloutState::Completed),
+        (_, Split::RollBack) => Some(RolloutState::RolledBack),
+    }
+}
+
 /// Judges one move by the counts of both versions.
 #[derive(Clone, Copy, Debug)]
 pub struct Judge {
--- a/crates/cassiareel/src/kernel/check.rs
+++ b/crates/cassiareel/src/kernel/check.rs
@@ -17,7 +17,7 @@
 use pathfinding::directed::bfs::bfs;
 
 /// A state machine in its environment.
-pub(crate) trait Model {
+pub trait Model {
     /// A state of machine and environment together.
     type State: Clone + Eq + Hash;
 
@@ -38,22 +38,22 @@
 
 /// The result of a search.
 #[derive(Debug)]
-pub(crate) struct Report {
+pub struct Report {
     /// States explored.
-    pub(crate) states: usize,
+    pub states: usize,
     /// Steps of the longest shortest path.
-    pub(crate) depth: usize,
+    pub depth: usize,
     /// The violated invariant with its shortest trace.
-    pub(crate) violation: Option<Violation>,
+    pub violation: Option<Violation>,
 }
 
 /// A violated invariant.
 #[derive(Debug)]
-pub(crate) struct Violation {
+pub struct Violation {
     /// The invariant's name.
-    pub(crate) invariant: &'static str,
+    pub invariant: &'static str,
     /// The labels of the steps that lead there.
-    pub(crate) trace: Vec<String>,
+    pub trace: Vec<String>,
 }
 
 impl fmt::Display for Report {
@@ -75,7 +75,7 @@
 ///
 /// Panics when more than `bound` states are reached: the model is too large to be exhaustive, and
 /// a search that was cut off proves nothing.
-pub(crate) fn search<M>(model: &M, bound: usize) -> Report
+pub fn search<M>(model: &M, bound: usize) -> Report
 where
     M: Model,
 {
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -6,8 +6,8 @@
 */
 
 pub mod admission;
-#[cfg(test)]
-pub(crate) mod check;
+#[cfg(any(test, feature = "check"))]
+pub mod check;
 #[cfg(test)]
 mod check_tests;
 pub mod generation;
