--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -1,8 +1,10 @@
 //! Calls of the store with a log line for each change between answered and not answered.
 
-use std::{future::Future, time::Duration};
+use std::{future::Future, sync::atomic::Ordering, time::Duration};
 
+use futures_lite::FutureExt;
 use slog::{info, warn};
+use smol::Timer;
 
 use crate::{
     clock::{self, Moment},
@@ -17,10 +19,20 @@
 /// The longest pause between calls that fail.
 const LONGEST_PAUSE: Duration = Duration::from_millis(480);
 
+/// How long calls that failed wait at most for word that the store is back.
+const WITHOUT_WORD: Duration = Duration::from_millis(2000);
+
+/// Nodes of a fleet that may ask a store that is away at the full rate.
+const CROWD: u32 = 6;
+
+/// The most by which a node's pauses grow with the size of its fleet.
+const MOST_SHARE: u32 = 12;
+
 /// A series of calls of one kind.
 #[derive(Debug)]
 pub(super) struct Caller {
     what: &'static str,
+    probes: bool,
     failing: Option<Moment>,
     failures: u32,
 }
@@ -30,11 +42,20 @@
     pub(super) fn new(what: &'static str) -> Caller {
         Caller {
             what,
+            probes: false,
             failing: None,
             failures: 0,
         }
     }
 
+    /// Calls by which the node finds out that the store is back.
+    pub(super) fn probing(what: &'static str) -> Caller {
+        Caller {
+            probes: true,
+            ..Caller::new(what)
+        }
+    }
+
     /// Makes one call. A failure is logged when it is the first of its series.
     pub(super) async fn call<F, T>(&mut self, state: &State, call: F) -> Option<T>
     where
@@ -58,6 +79,9 @@
         self.failures = 0;
         if let Some(since) = self.failing.take() {
             let lost = clock::now().saturating_sub(since);
+            if self.probes {
+                state.store_back.notify(usize::MAX);
+            }
             info!(state.log, "store regained"; "call" => self.what, "lost_ms" => lost.as_millis() as u64);
         }
     }
@@ -72,12 +96,29 @@
         }
     }
 
-    /// How long to wait before the next call, when the last one failed. The pauses of nodes that
-    /// failed together spread.
-    pub(super) fn pause(&self) -> Duration {
+    /// Waits before the next call, after the last one failed.
+    ///
+    /// One kind of call finds out when the store is back, and the others wait for it; nodes that
+    /// hear the store through others ask it themselves only now and then. The calls of a whole fleet
+    /// at a store that is away would otherwise keep it away.
+    pub(super) async fn rest(&self, state: &State) {
         let doubled = FIRST_PAUSE * 2u32.pow(self.failures.saturating_sub(1).min(4));
-        doubled
-            .min(LONGEST_PAUSE)
-            .mul_f64(0.75 + fastrand::f64() / 2.0)
+        let nodes = state.nodes.load(Ordering::Relaxed);
+        let share = if state.news.reads_store() {
+            1
+        } else {
+            (nodes / CROWD).clamp(1, MOST_SHARE)
+        };
+        let spread = 0.75 + fastrand::f64() / 2.0;
+        let pause = doubled.min(LONGEST_PAUSE).mul_f64(spread) * share;
+        if self.probes {
+            Timer::after(pause).await;
+            return;
+        }
+        let back = state.store_back.listen();
+        let late = async {
+            Timer::after(pause.max(WITHOUT_WORD)).await;
+        };
+        back.or(late).await;
     }
 }
--- a/crates/cassiareel-relay/src/follow/nodes.rs
+++ b/crates/cassiareel-relay/src/follow/nodes.rs
@@ -34,20 +34,27 @@
         .await
         .is_none()
     {
-        Timer::after(caller.pause()).await;
+        caller.rest(&state).await;
     }
-    Timer::after(SETTLED).await;
+    let mut settled = false;
     loop {
         let Some(records) = caller.call(&state, state.source.read_records()).await else {
-            Timer::after(caller.pause()).await;
+            caller.rest(&state).await;
             continue;
         };
         let nodes = u32::try_from(records.len()).unwrap_or(u32::MAX).max(1);
         state.news.roster().replace(records);
+        state.joined.store(true, Ordering::Relaxed);
         if state.nodes.swap(nodes, Ordering::Relaxed) != nodes {
             info!(state.log, "nodes counted"; "nodes" => nodes,
                 "reads_store" => state.news.reads_store());
         }
+        if !settled {
+            // Others that start at the same time join meanwhile.
+            settled = true;
+            Timer::after(SETTLED).await;
+            continue;
+        }
         // A larger fleet changes less with each node, and counts less often.
         let spread = 0.75 + fastrand::f64() / 2.0;
         Timer::after(INTERVAL.max(A_NODE * nodes).mul_f64(spread)).await;
--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -27,8 +27,9 @@
 
 /// Keeps the configuration, by whole reads or by the words of peers.
 pub(crate) async fn follow_policy(state: Arc<State>) {
-    let mut caller = Caller::new("configuration");
+    let mut caller = Caller::probing("configuration");
     let mut held = false;
+    state.wait_joined().await;
     loop {
         let heard = state.news.heard.listen();
         let began = clock::now();
@@ -38,26 +39,28 @@
         }
         held = log_authority(&state, held);
         let spent = clock::now().saturating_sub(began);
-        let pause = if answered {
-            INTERVAL.saturating_sub(spent)
-        } else {
-            caller.pause()
-        };
-        let timer = async {
-            Timer::after(pause).await;
+        let rest = async {
+            if answered {
+                Timer::after(INTERVAL.saturating_sub(spent)).await;
+            } else {
+                caller.rest(&state).await;
+            }
         };
         let nudged = async {
-            Timer::after(NUDGE_GAP.max(caller.pause())).await;
+            Timer::after(NUDGE_GAP).await;
             state.nudged().await;
+            if !answered {
+                caller.rest(&state).await;
+            }
         };
-        timer.or(nudged).or(heard).await;
+        rest.or(nudged).or(heard).await;
     }
 }
 
 /// Reads the configuration where no peer's word is fresh; `false` where that failed.
 async fn renew(state: &State, caller: &mut Caller) -> bool {
     let fresh = state.news.policy.fresh(state.fresh_enough());
-    if fresh.is_some() && !state.news.reads_store() {
+    if (fresh.is_some() && !state.news.reads_store()) || state.waits_for_peers() {
         return true;
     }
     let began = clock::now();
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -36,6 +36,7 @@
 pub(crate) async fn follow_registry(state: Arc<State>) {
     let mut registry = Registry::default();
     let mut caller = Caller::new("registry list");
+    state.wait_joined().await;
     loop {
         let heard = state.news.heard.listen();
         let began = clock::now();
@@ -47,22 +48,22 @@
         }
         let lost = state.fleet.lost_within(AFTERMATH, clock::now());
         let interval = if lost { BUSY } else { CALM };
-        let pause = if answered {
-            interval.saturating_sub(clock::now().saturating_sub(began))
-        } else {
-            caller.pause()
-        };
-        let timer = async {
-            Timer::after(pause).await;
+        let spent = clock::now().saturating_sub(began);
+        let rest = async {
+            if answered {
+                Timer::after(interval.saturating_sub(spent)).await;
+            } else {
+                caller.rest(&state).await;
+            }
         };
-        timer.or(heard).await;
+        rest.or(heard).await;
     }
 }
 
 /// Reads the registry where no peer's word is fresh; `false` where nothing fresh is known.
 async fn renew(state: &State, caller: &mut Caller) -> bool {
     let fresh = |state: &State| state.news.listing.fresh(state.fresh_enough()).is_some();
-    if !state.news.reads_store() && fresh(state) {
+    if (!state.news.reads_store() && fresh(state)) || state.waits_for_peers() {
         return true;
     }
     let began = clock::now();
--- a/crates/cassiareel-relay/src/follow/rollouts.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts.rs
@@ -32,6 +32,9 @@
 /// The time between reads while one is.
 const BUSY: Duration = Duration::from_millis(600);
 
+/// The time between looks for the first words of peers.
+const SOON: Duration = Duration::from_millis(100);
+
 /// The age at which a peer's word on the orders is not gone by.
 const STALE: Duration = Duration::from_millis(4500);
 
@@ -42,23 +45,29 @@
 pub(crate) async fn follow_rollouts(state: Arc<State>) {
     let mut caller = Caller::new("rollouts");
     let mut known = Known::new();
+    state.wait_joined().await;
     loop {
         let read = renew(&state, &mut caller).await;
         let pause = match read {
             Some((rollouts, began)) => {
                 let busy = take_in(&state, &mut caller, &mut known, &rollouts, began).await;
-                if busy {
-                    BUSY
-                } else {
-                    CALM
-                }
+                Some(if busy { BUSY } else { CALM })
             }
-            None => caller.pause(),
+            None if state.waits_for_peers() => Some(SOON),
+            None => None,
         };
-        let timer = async {
-            Timer::after(pause).await;
+        let rest = async {
+            match pause {
+                Some(pause) => {
+                    let timer = async {
+                        Timer::after(pause).await;
+                    };
+                    timer.or(state.version_appeared()).await;
+                }
+                None => caller.rest(&state).await,
+            }
         };
-        timer.or(state.version_appeared()).await;
+        rest.await;
     }
 }
 
@@ -69,6 +78,9 @@
     if known.is_some() && !state.news.reads_store() {
         return known;
     }
+    if state.waits_for_peers() {
+        return known;
+    }
     let began = clock::now();
     let rollouts = Arc::new(caller.call(state, state.source.rollouts()).await?);
     state.news.put_rollouts(rollouts.clone(), began);
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use cassiareel::runtime::Spawner;
+use event_listener::Event;
 use slog::Logger;
 use smol::Timer;
 
@@ -31,6 +32,12 @@
 /// The part of the time in which a configuration has to be in force that a word on it may be old.
 const FRESH_PART: f64 = 0.8;
 
+/// How long a node that starts waits for the list of the fleet's nodes.
+const JOIN: Duration = Duration::from_millis(300);
+
+/// How long a node that has just started waits for its peers' words.
+const FIRST_WORDS: Duration = Duration::from_millis(900);
+
 /// Nodes that are assumed until they were counted.
 const UNKNOWN_NODES: u32 = 100;
 
@@ -61,8 +68,14 @@
     pub spawner: Spawner,
     /// Whether open streams are to be handed over to other nodes.
     pub handing: AtomicBool,
+    /// Told when the store answers again after it was away.
+    pub store_back: Event,
+    /// When the node started.
+    started: Moment,
     /// Nodes of the fleet, which share what is bounded for all of them.
     pub nodes: AtomicU32,
+    /// Whether the fleet's nodes were read.
+    pub joined: AtomicBool,
     /// Whether the registry was read.
     pub listed: AtomicBool,
     /// Whether the operator's moves between versions were read.
@@ -100,7 +113,10 @@
             spawner,
             leaving: OnceLock::new(),
             handing: AtomicBool::new(false),
+            store_back: Event::new(),
+            started: clock::now(),
             nodes: AtomicU32::new(UNKNOWN_NODES),
+            joined: AtomicBool::new(false),
             listed: AtomicBool::new(false),
             asked: AtomicBool::new(false),
             appeared: async_channel::bounded(1),
@@ -131,6 +147,20 @@
         self.settings.load().bounds.config_apply.mul_f64(FRESH_PART)
     }
 
+    /// Waits a moment for the list of the fleet's nodes, by which a node knows whom to ask.
+    pub(crate) async fn wait_joined(&self) {
+        let late = clock::now() + JOIN;
+        while !self.joined.load(Ordering::Relaxed) && clock::now() < late {
+            Timer::after(FRESH_POLL).await;
+        }
+    }
+
+    /// Reports whether a node that has just started leaves the store to its peers' readers, whose
+    /// first words are on their way.
+    pub(crate) fn waits_for_peers(&self) -> bool {
+        !self.news.reads_store() && clock::now().saturating_sub(self.started) < FIRST_WORDS
+    }
+
     /// What this node says of itself in the store, without counts.
     pub(crate) fn own_record(&self) -> NodeRecord {
         let settings = self.settings.load();
