Bound the memory of bodies; keep what a stopping node takes in the kernel; split admission off

Cause: bodies of 4 MiB each were held without a bound over all requests on VMs of 88 MB. Change: a quarter of the VM's memory; lengths over the limit are refused before they are read. The estimate of a stream's time moves from the handler to the kernel with a table of cases.

--- /dev/null
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -0,0 +1,181 @@
+//! Admits a request: reads it, checks its key, and finds its route.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::request;
+use http_body::Body as _;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use slog::info;
+use smol::Timer;
+
+use super::{refusal::Refusal, request::Request, room::Room};
+use crate::{
+    clock::{self, Moment},
+    kernel::{has_time, Lookup},
+    model::{Ask, Route, ServiceId},
+    state::State,
+};
+
+/// The longest time that a body may take to arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Room for a body that does not tell its size until it was read, in bytes.
+const UNKNOWN_SIZE: u64 = 64 << 10;
+
+/// How long a request may wait for fresh word before a key or a path is called unknown.
+const FRESH_WAIT: Duration = Duration::from_millis(400);
+
+/// When a caller may come back to a node that has just started.
+const STARTING: Duration = Duration::from_millis(500);
+
+/// When a caller may come back to a node that has lost its word on keys, in parts of the time for
+/// which keys hold. Callers spread over it, so that they don't return together.
+const UNTRUSTED: std::ops::Range<f64> = 0.2..0.4;
+
+/// When a caller may come back to another node.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
+/// The time for a request that names no deadline.
+const NO_DEADLINE: Duration = Duration::from_secs(60);
+
+/// Reads, checks and routes a request.
+pub(super) async fn admit(
+    state: &State,
+    parts: request::Parts,
+    body: Incoming,
+    arrived: Moment,
+) -> Result<Request, (Option<Ask>, Refusal)> {
+    let ask = match state.dialect.read_ask(&parts) {
+        Ok(ask) => ask,
+        Err(err) => {
+            info!(state.log, "request not understood"; "cause" => %err);
+            return Err((None, Refusal::BadRequest));
+        }
+    };
+    // The body is read before any refusal, so that the connection can be kept.
+    let (body, room) = match read_body(state, &ask, body).await {
+        Ok(read) => read,
+        Err(refusal) => return Err((Some(ask), refusal)),
+    };
+    let (route, tenant) = match authorize(state, &ask, arrived).await {
+        Ok(found) => found,
+        Err(refusal) => return Err((Some(ask), refusal)),
+    };
+    if let Some(left) = state.grace_left(clock::now()) {
+        if !has_time(left, &route, &ask.prompt) {
+            let after = ELSEWHERE;
+            return Err((Some(ask), Refusal::NoPlace { after }));
+        }
+    }
+    let limit = ask.deadline.unwrap_or(NO_DEADLINE).min(route.timeout);
+    Ok(Request {
+        service: choose_service(&route),
+        headers: state.dialect.clean(&parts.headers),
+        method: parts.method,
+        target: origin_form(parts.uri),
+        body,
+        _room: room,
+        route,
+        tenant,
+        arrived,
+        end: arrived + limit,
+        ask,
+    })
+}
+
+/// Reads the whole body.
+async fn read_body(state: &State, ask: &Ask, body: Incoming) -> Result<(Bytes, Room), Refusal> {
+    let most = state
+        .catalog()
+        .map_or_else(Default::default, |catalog| catalog.limits())
+        .body_bytes;
+    let size = body.size_hint().upper().unwrap_or(UNKNOWN_SIZE);
+    if size > most as u64 {
+        return Err(Refusal::TooLarge);
+    }
+    let Some(mut room) = Room::take(&state.held, size, state.most_held()) else {
+        return Err(Refusal::NoPlace { after: STARTING });
+    };
+    let limit = ask.deadline.unwrap_or(BODY_TIME).min(BODY_TIME);
+    let read = async {
+        let read = Limited::new(body, most).collect().await;
+        read.map(|read| {
+            let bytes = read.to_bytes();
+            room.resize(bytes.len() as u64);
+            (bytes, room)
+        })
+        .map_err(|err| {
+            if err.is::<http_body_util::LengthLimitError>() {
+                Refusal::TooLarge
+            } else {
+                Refusal::BadRequest
+            }
+        })
+    };
+    let late = async {
+        Timer::after(limit).await;
+        Err(Refusal::SlowBody)
+    };
+    read.or(late).await
+}
+
+/// Finds the route and the client account, by word on the configuration that is fresh enough.
+async fn authorize(
+    state: &State,
+    ask: &Ask,
+    arrived: Moment,
+) -> Result<(Arc<Route>, Option<Arc<str>>), Refusal> {
+    let starting = Refusal::NotInformed { after: STARTING };
+    let part = UNTRUSTED.start + fastrand::f64() * (UNTRUSTED.end - UNTRUSTED.start);
+    let untrusted = Refusal::NotInformed {
+        after: state.settings.load().bounds.revoke.mul_f64(part),
+    };
+    let mut catalog = state.catalog().ok_or(starting)?;
+    let mut found = catalog.find(&ask.host, &ask.path, ask.key.as_deref());
+    if !matches!(found, Lookup::Found { .. }) {
+        // A newer version may know the path or the key: a refusal needs as fresh a word.
+        let since = arrived.saturating_sub(state.fresh_enough());
+        if !state.wait_fresh(since, FRESH_WAIT).await {
+            return Err(untrusted);
+        }
+        catalog = state.catalog().ok_or(starting)?;
+        found = catalog.find(&ask.host, &ask.path, ask.key.as_deref());
+    }
+    match found {
+        Lookup::Found { route, tenant, .. } => {
+            if tenant.is_some() && !state.authority().holds(clock::now()) {
+                return Err(untrusted);
+            }
+            Ok((route, tenant))
+        }
+        Lookup::NoRoute => Err(Refusal::NoRoute),
+        Lookup::UnknownKey => Err(Refusal::UnknownKey),
+    }
+}
+
+/// Draws one of the route's services by their weights.
+fn choose_service(route: &Route) -> ServiceId {
+    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
+    let mut drawn = fastrand::u32(0..total.max(1));
+    for target in &route.targets {
+        if drawn < target.weight {
+            return target.service.clone();
+        }
+        drawn -= target.weight;
+    }
+    route
+        .targets
+        .first()
+        .map_or_else(|| ServiceId::from(""), |target| target.service.clone())
+}
+
+/// Path and query alone, as sent.
+fn origin_form(uri: http::Uri) -> http::Uri {
+    match uri.into_parts().path_and_query {
+        Some(path) => http::Uri::from(path),
+        None => http::Uri::from_static("/"),
+    }
+}
--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -1,19 +1,18 @@
-//! Handles one request: reads it, checks it, routes it, and logs what came of it.
+//! Handles one request: serves it where it is admitted, and logs what came of it.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
-use futures_lite::{stream, FutureExt};
+use futures_lite::stream;
 use http::{
     header::{CONNECTION, CONTENT_LENGTH},
-    request, HeaderValue, Response,
+    HeaderValue, Response,
 };
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
-use smol::Timer;
 
 use super::{
+    admit::admit,
     body::{self, Cut, Reply},
     generation::{End, Generation},
     plain::{self, end_to_end},
@@ -22,46 +21,11 @@
 };
 use crate::{
     clock::{self, Moment},
-    kernel::Lookup,
     metrics::Metrics,
-    model::{Ask, Route, ServiceId},
+    model::Ask,
     state::State,
 };
 
-/// The longest time that a body may take to arrive.
-const BODY_TIME: Duration = Duration::from_secs(10);
-
-/// How long a request may wait for fresh word before a key or a path is called unknown.
-const FRESH_WAIT: Duration = Duration::from_millis(400);
-
-/// When a caller may come back to a node that has just started.
-const STARTING: Duration = Duration::from_millis(500);
-
-/// When a caller may come back to a node that has lost its word on keys, in parts of the time for
-/// which keys hold. Callers spread over it, so that they don't return together.
-const UNTRUSTED: std::ops::Range<f64> = 0.2..0.4;
-
-/// When a caller may come back to another node.
-const ELSEWHERE: Duration = Duration::from_millis(20);
-
-/// The usual time of a stream that does not tell its size.
-const STREAM_TIME: Duration = Duration::from_millis(6000);
-
-/// The time in which an engine reads one token of a prompt.
-const READ_TOKEN: Duration = Duration::from_micros(240);
-
-/// The time in which an engine generates one token.
-const WRITE_TOKEN: Duration = Duration::from_micros(5300);
-
-/// The time that a plain request may take where the route allows more.
-const PLAIN_TIME: Duration = Duration::from_millis(4300);
-
-/// Time kept back from the grace for the process's own end.
-const LAST_MOMENT: Duration = Duration::from_millis(300);
-
-/// The time for a request that names no deadline.
-const NO_DEADLINE: Duration = Duration::from_secs(60);
-
 /// Handles one request of a caller.
 pub(super) async fn handle(
     state: Arc<State>,
@@ -69,7 +33,7 @@
 ) -> Result<Reply, Infallible> {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
-    let mut reply = match accept(&state, parts, body, arrived).await {
+    let mut reply = match admit(&state, parts, body, arrived).await {
         Ok(request) => serve(&state, request).await,
         Err((ask, refusal)) => {
             log_answer(&state, ask.as_ref(), arrived, refusal.name());
@@ -83,153 +47,6 @@
     Ok(reply)
 }
 
-/// Reads, checks and routes a request.
-async fn accept(
-    state: &State,
-    parts: request::Parts,
-    body: Incoming,
-    arrived: Moment,
-) -> Result<Request, (Option<Ask>, Refusal)> {
-    let ask = match state.dialect.read_ask(&parts) {
-        Ok(ask) => ask,
-        Err(err) => {
-            info!(state.log, "request not understood"; "cause" => %err);
-            return Err((None, Refusal::BadRequest));
-        }
-    };
-    // The body is read before any refusal, so that the connection can be kept.
-    let body = match read_body(state, &ask, body).await {
-        Ok(body) => body,
-        Err(refusal) => return Err((Some(ask), refusal)),
-    };
-    let (route, tenant) = match authorize(state, &ask, arrived).await {
-        Ok(found) => found,
-        Err(refusal) => return Err((Some(ask), refusal)),
-    };
-    if !has_time(state, &route, &ask) {
-        let after = ELSEWHERE;
-        return Err((Some(ask), Refusal::NoPlace { after }));
-    }
-    let limit = ask.deadline.unwrap_or(NO_DEADLINE).min(route.timeout);
-    Ok(Request {
-        service: choose_service(&route),
-        headers: state.dialect.clean(&parts.headers),
-        method: parts.method,
-        target: origin_form(parts.uri),
-        body,
-        route,
-        tenant,
-        arrived,
-        end: arrived + limit,
-        ask,
-    })
-}
-
-/// Reports whether a node that is about to end has time for a request of a route.
-fn has_time(state: &State, route: &Route, ask: &Ask) -> bool {
-    let Some(left) = state.grace_left(clock::now()) else {
-        return true;
-    };
-    let usual = if route.kind.is_stream() {
-        stream_time(ask)
-    } else {
-        PLAIN_TIME
-    };
-    left >= usual.min(route.timeout) + LAST_MOMENT
-}
-
-/// The usual time of a stream from its arrival to its end.
-fn stream_time(ask: &Ask) -> Duration {
-    let prompt = &ask.prompt;
-    if prompt.output == 0 {
-        return STREAM_TIME;
-    }
-    let output = prompt.footprint() - prompt.input;
-    READ_TOKEN.mul_f64(prompt.input as f64) + WRITE_TOKEN.mul_f64(output as f64)
-}
-
-/// Reads the whole body.
-async fn read_body(state: &State, ask: &Ask, body: Incoming) -> Result<Bytes, Refusal> {
-    let most = state
-        .catalog()
-        .map_or_else(Default::default, |catalog| catalog.limits())
-        .body_bytes;
-    let limit = ask.deadline.unwrap_or(BODY_TIME).min(BODY_TIME);
-    let read = async {
-        let read = Limited::new(body, most).collect().await;
-        read.map(|read| read.to_bytes()).map_err(|err| {
-            if err.is::<http_body_util::LengthLimitError>() {
-                Refusal::TooLarge
-            } else {
-                Refusal::BadRequest
-            }
-        })
-    };
-    let late = async {
-        Timer::after(limit).await;
-        Err(Refusal::SlowBody)
-    };
-    read.or(late).await
-}
-
-/// Finds the route and the client account, by word on the configuration that is fresh enough.
-async fn authorize(
-    state: &State,
-    ask: &Ask,
-    arrived: Moment,
-) -> Result<(Arc<Route>, Option<Arc<str>>), Refusal> {
-    let starting = Refusal::NotInformed { after: STARTING };
-    let part = UNTRUSTED.start + fastrand::f64() * (UNTRUSTED.end - UNTRUSTED.start);
-    let untrusted = Refusal::NotInformed {
-        after: state.settings.load().bounds.revoke.mul_f64(part),
-    };
-    let mut catalog = state.catalog().ok_or(starting)?;
-    let mut found = catalog.find(&ask.host, &ask.path, ask.key.as_deref());
-    if !matches!(found, Lookup::Found { .. }) {
-        // A newer version may know the path or the key: a refusal needs as fresh a word.
-        let since = arrived.saturating_sub(state.fresh_enough());
-        if !state.wait_fresh(since, FRESH_WAIT).await {
-            return Err(untrusted);
-        }
-        catalog = state.catalog().ok_or(starting)?;
-        found = catalog.find(&ask.host, &ask.path, ask.key.as_deref());
-    }
-    match found {
-        Lookup::Found { route, tenant, .. } => {
-            if tenant.is_some() && !state.authority().holds(clock::now()) {
-                return Err(untrusted);
-            }
-            Ok((route, tenant))
-        }
-        Lookup::NoRoute => Err(Refusal::NoRoute),
-        Lookup::UnknownKey => Err(Refusal::UnknownKey),
-    }
-}
-
-/// Draws one of the route's services by their weights.
-fn choose_service(route: &Route) -> ServiceId {
-    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-    let mut drawn = fastrand::u32(0..total.max(1));
-    for target in &route.targets {
-        if drawn < target.weight {
-            return target.service.clone();
-        }
-        drawn -= target.weight;
-    }
-    route
-        .targets
-        .first()
-        .map_or_else(|| ServiceId::from(""), |target| target.service.clone())
-}
-
-/// Path and query alone, as sent.
-fn origin_form(uri: http::Uri) -> http::Uri {
-    match uri.into_parts().path_and_query {
-        Some(path) => http::Uri::from(path),
-        None => http::Uri::from_static("/"),
-    }
-}
-
 /// Serves a request that was accepted.
 async fn serve(state: &Arc<State>, request: Request) -> Reply {
     state.count_request(&request.service);
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Requests of callers: connections, checks, plain requests and event streams.
 
+mod admit;
 mod backup;
 mod body;
 mod choose;
@@ -11,6 +12,9 @@
 mod refusal;
 mod report;
 mod request;
+mod room;
+#[cfg(test)]
+mod room_tests;
 mod send;
 mod server;
 
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
+use super::room::Room;
 use crate::{
     clock::{self, Moment},
     model::{Ask, Route, ServiceId, TenantId},
@@ -26,6 +27,8 @@
     pub headers: HeaderMap,
     /// The body, whole.
     pub body: Bytes,
+    /// The memory that the body takes.
+    pub _room: Room,
     /// The route.
     pub route: Arc<Route>,
     /// The service that the route chose.
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -20,6 +20,9 @@
 mod health;
 #[cfg(test)]
 mod health_tests;
+mod leaving;
+#[cfg(test)]
+mod leaving_tests;
 mod placement;
 #[cfg(test)]
 mod placement_tests;
@@ -41,6 +44,7 @@
 pub use continuation::{Continuation, Stop};
 pub use events::{Event, Splitter};
 pub use health::{Health, Zones};
+pub use leaving::has_time;
 pub use placement::{choose, Candidate, Need};
 pub use registry::{Registry, Update};
 pub use reported::{choose_reported, Reported};
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
     },
     time::Duration,
@@ -32,6 +32,9 @@
 /// The part of the time in which a configuration has to be in force that a word on it may be old.
 const FRESH_PART: f64 = 0.8;
 
+/// One part in so many of a VM's memory may hold bodies.
+const BODIES_PART: u64 = 4;
+
 /// How long a node that starts waits for the list of the fleet's nodes.
 const JOIN: Duration = Duration::from_millis(300);
 
@@ -68,6 +71,8 @@
     pub spawner: Spawner,
     /// Whether open streams are to be handed over to other nodes.
     pub handing: AtomicBool,
+    /// Bytes of bodies that are held.
+    pub held: Arc<AtomicU64>,
     /// Told when the store answers again after it was away.
     pub store_back: Event,
     /// When the node started.
@@ -113,6 +118,7 @@
             spawner,
             leaving: OnceLock::new(),
             handing: AtomicBool::new(false),
+            held: Arc::default(),
             store_back: Event::new(),
             started: clock::now(),
             nodes: AtomicU32::new(UNKNOWN_NODES),
@@ -147,6 +153,11 @@
         self.settings.load().bounds.config_apply.mul_f64(FRESH_PART)
     }
 
+    /// The most bytes of bodies that may be held: a part of the VM's memory.
+    pub(crate) fn most_held(&self) -> u64 {
+        (self.settings.load().limits.memory_mb << 20) / BODIES_PART
+    }
+
     /// Waits a moment for the list of the fleet's nodes, by which a node knows whom to ask.
     pub(crate) async fn wait_joined(&self) {
         let late = clock::now() + JOIN;
