Be ready only when the known backend servers may be used; read each object of a kind by itself

Change: readiness waits for a read that covers them. Objects of other writers that can't be read hid all others of their kind, rollouts and nodes, and so kept a node from being ready; each is read by itself now.

--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock::{self, Moment},
     metrics::Metrics,
-    source::SourceError,
+    source::{Readable, SourceError},
     state::State,
 };
 
@@ -73,6 +73,20 @@
         }
     }
 
+    /// Takes out what could be read, with a line on the rest.
+    pub(super) fn readable<T>(&self, state: &State, read: Readable<T>) -> Vec<T> {
+        self.note_unreadable(state, &read.unreadable);
+        read.items
+    }
+
+    /// Logs objects that could not be read.
+    pub(super) fn note_unreadable(&self, state: &State, names: &[String]) {
+        if let Some(first) = names.first() {
+            warn!(state.log, "objects unreadable"; "call" => self.what, "count" => names.len(),
+                "first" => first);
+        }
+    }
+
     /// Notes an answer.
     pub(super) fn answered(&mut self, state: &State) {
         Metrics::count(&state.metrics.store, "answered");
--- a/crates/cassiareel-relay/src/follow/nodes.rs
+++ b/crates/cassiareel-relay/src/follow/nodes.rs
@@ -38,10 +38,11 @@
     }
     let mut settled = false;
     loop {
-        let Some(records) = caller.call(&state, state.source.read_records()).await else {
+        let Some(read) = caller.call(&state, state.source.read_records()).await else {
             caller.rest(&state).await;
             continue;
         };
+        let records = caller.readable(&state, read);
         let nodes = u32::try_from(records.len()).unwrap_or(u32::MAX).max(1);
         state.news.roster().replace(records);
         state.joined.store(true, Ordering::Relaxed);
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -12,7 +12,7 @@
 };
 
 use futures_lite::FutureExt;
-use slog::{info, warn};
+use slog::info;
 use smol::Timer;
 
 use super::call::Caller;
@@ -69,9 +69,7 @@
     let began = clock::now();
     match caller.call(state, state.source.entries()).await {
         Some(listing) => {
-            if !listing.unreadable.is_empty() {
-                log_unreadable(state, &listing.unreadable);
-            }
+            caller.note_unreadable(state, &listing.unreadable);
             state.news.put_listing(Arc::new(listing), began);
             true
         }
@@ -106,8 +104,3 @@
             "revision" => registry.revision());
     }
 }
-
-fn log_unreadable(state: &State, names: &[String]) {
-    warn!(state.log, "registry entries unreadable"; "count" => names.len(),
-        "first" => &names[0]);
-}
--- a/crates/cassiareel-relay/src/follow/rollouts.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts.rs
@@ -82,7 +82,8 @@
         return known;
     }
     let began = clock::now();
-    let rollouts = Arc::new(caller.call(state, state.source.rollouts()).await?);
+    let read = caller.call(state, state.source.rollouts()).await?;
+    let rollouts = Arc::new(caller.readable(state, read));
     state.news.put_rollouts(rollouts.clone(), began);
     Some((rollouts, began))
 }
@@ -118,7 +119,10 @@
         moves.insert(rollout.service.clone(), one);
     }
     state.moves.replace(moves, began);
-    state.asked.store(true, Ordering::Relaxed);
+    // Before that, no backend server that is known may be used yet.
+    if state.listed.load(Ordering::Relaxed) && !state.moves.is_behind(began) {
+        state.asked.store(true, Ordering::Relaxed);
+    }
     busy
 }
 
@@ -191,6 +195,7 @@
     caller.call(state, state.source.write_record(&record)).await;
     let read = caller.call(state, state.source.read_records()).await;
     let others = read
+        .map(|read| caller.readable(state, read))
         .unwrap_or_default()
         .into_iter()
         .filter(|other| other.name != record.name);
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -25,6 +25,8 @@
 pub mod metrics;
 pub mod model;
 mod moves;
+#[cfg(test)]
+mod moves_tests;
 pub mod net;
 pub mod node;
 mod peers;
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -32,7 +32,7 @@
     /// # Errors
     ///
     /// As for [`Source::policy`].
-    async fn rollouts(&self) -> Result<Vec<Rollout>, SourceError>;
+    async fn rollouts(&self) -> Result<Readable<Rollout>, SourceError>;
 
     /// Tells the operator the state of a rollout, unless the order has changed since it was read.
     ///
@@ -54,7 +54,18 @@
     /// # Errors
     ///
     /// As for [`Source::policy`].
-    async fn read_records(&self) -> Result<Vec<NodeRecord>, SourceError>;
+    async fn read_records(&self) -> Result<Readable<NodeRecord>, SourceError>;
+}
+
+/// The objects of a kind that could be read, and the names of the others.
+///
+/// An object may come from another writer; one that can't be read must not hide those that can.
+#[derive(Clone, Debug)]
+pub struct Readable<T> {
+    /// What could be read.
+    pub items: Vec<T>,
+    /// The names of objects that could not be read.
+    pub unreadable: Vec<String>,
 }
 
 /// The registry at one revision.
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -83,7 +83,7 @@
     pub joined: AtomicBool,
     /// Whether the registry was read.
     pub listed: AtomicBool,
-    /// Whether the operator's moves between versions were read.
+    /// Whether the operator's moves were read since the first backend servers were known.
     pub asked: AtomicBool,
     authority: Mutex<Authority>,
     leaving: OnceLock<Moment>,
