Pass an engine's own failure of a stream on as it is

Cause: streams whose engines all answered with a failure of their own got 502 without the engine's status, body and signature. Test fails before and passes after.

--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -77,18 +77,8 @@
     let mut generation = Generation::new(state.clone(), request.clone());
     let first = match generation.next().await {
         Ok(Some(event)) => event,
-        Ok(None) | Err(_) if generation.take_failure().is_some() => {
-            log_request(state, &request, "failed");
-            return Refusal::Unknown.reply();
-        }
-        Ok(None) => {
-            log_request(state, &request, End::Broken.name());
-            return End::Broken.refusal().reply();
-        }
-        Err(end) => {
-            log_request(state, &request, end.name());
-            return end.refusal().reply();
-        }
+        Ok(None) => return fail_stream(state, &request, generation, End::Broken).await,
+        Err(end) => return fail_stream(state, &request, generation, end).await,
     };
     let Some(head) = generation.take_head() else {
         return Refusal::Unknown.reply();
@@ -116,6 +106,24 @@
     reply
 }
 
+/// Answers a stream that ended before its first event: by the engine's own failure, where it gave
+/// one.
+async fn fail_stream(
+    state: &State,
+    request: &Request,
+    mut generation: Generation,
+    end: End,
+) -> Reply {
+    if let Some(failure) = generation.take_failure() {
+        if let Some(reply) = plain::pass_failure(state, request, *failure).await {
+            log_request(state, request, "failed");
+            return reply;
+        }
+    }
+    log_request(state, request, end.name());
+    end.refusal().reply()
+}
+
 /// The rest of a stream, after its first event.
 struct Rest {
     generation: Generation,
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -110,7 +110,7 @@
     let limit = try_limit(request, ran);
     let reading = async {
         match send(state, request, member, &Extra::default(), limit).await {
-            Sent::Head(head) => read(state, request, member, *head).await,
+            Sent::Head(head) => read(state, request, *head).await,
             Sent::NotRun(_) => Tried::NotRun,
             Sent::Unreached(_) => Tried::Unreached,
             Sent::Lost(_) => Tried::Lost,
@@ -162,7 +162,7 @@
 }
 
 /// Reads an answer to its end, and keeps its connection.
-async fn read(state: &State, request: &Request, member: &Member, head: Head) -> Tried {
+async fn read(state: &State, request: &Request, head: Head) -> Tried {
     let Head {
         parts,
         answer,
@@ -180,7 +180,7 @@
         }
         Err(err) => {
             warn!(state.log, "answer lost"; "request" => &*request.ask.id,
-                "backend" => &*member.entry.id, "cause" => %err);
+                "status" => parts.status.as_u16(), "cause" => %err);
             Tried::Lost
         }
     }
@@ -191,6 +191,19 @@
     request.route.kind == Kind::Idempotent && answer.parts.status.is_server_error()
 }
 
+/// A backend server's own failure of a stream, as the caller gets it; `None` where it did not come
+/// whole.
+pub(super) async fn pass_failure(state: &State, request: &Request, head: Head) -> Option<Reply> {
+    let late = async {
+        Timer::after(request.left()).await;
+        Tried::Late
+    };
+    match read(state, request, head).or(late).await {
+        Tried::Answered(answer) => Some(pass_on(answer)),
+        _ => None,
+    }
+}
+
 /// The answer as the caller gets it. A status that promises that nothing ran is not passed on where
 /// the backend server did not say so.
 fn pass_on(answer: Whole) -> Reply {
