Keep what nodes hear through others younger than the bounds

A word of up to 2.4 s was taken from a reader that heard the store through another one, and the node looked again only 1.1 s later. Ruled out: a registry that lags, since the store had acknowledged the leaving. Change: words are taken up to 0.55 of the smaller bound, readers of large fleets read each 0.65 s, questions wait 0.5 s. The test fails with the figures before.

--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -16,12 +16,10 @@
     clock::{self, Moment},
     kernel::Catalog,
     model::Policy,
+    pace,
     state::State,
 };
 
-/// The time between whole reads.
-const INTERVAL: Duration = Duration::from_millis(1100);
-
 /// The shortest time between reads that requests ask for.
 const NUDGE_GAP: Duration = Duration::from_millis(200);
 
@@ -41,7 +39,7 @@
         let spent = clock::now().saturating_sub(began);
         let rest = async {
             if answered {
-                Timer::after(INTERVAL.saturating_sub(spent)).await;
+                Timer::after(pace::interval(state.news.is_large()).saturating_sub(spent)).await;
             } else {
                 caller.rest(&state).await;
             }
@@ -59,7 +57,7 @@
 
 /// Reads the configuration where no peer's word is fresh; `false` where that failed.
 async fn renew(state: &State, caller: &mut Caller) -> bool {
-    let fresh = state.news.policy.fresh(state.fresh_enough());
+    let fresh = state.news.policy.fresh(state.peer_age());
     if (fresh.is_some() && !state.news.reads_store()) || state.waits_for_peers() {
         return true;
     }
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -19,16 +19,11 @@
 use crate::{
     clock,
     kernel::{Registry, Update},
+    pace,
     source::Listing,
     state::State,
 };
 
-/// The time between lists while no backend server is lost.
-const CALM: Duration = Duration::from_millis(1100);
-
-/// The time between lists after one was lost.
-const BUSY: Duration = Duration::from_millis(650);
-
 /// How long lists are read more often after a loss.
 const AFTERMATH: Duration = Duration::from_millis(2500);
 
@@ -47,7 +42,7 @@
             state.listed.store(true, Ordering::Relaxed);
         }
         let lost = state.fleet.lost_within(AFTERMATH, clock::now());
-        let interval = if lost { BUSY } else { CALM };
+        let interval = pace::interval(lost || state.news.is_large());
         let spent = clock::now().saturating_sub(began);
         let rest = async {
             if answered {
@@ -62,7 +57,7 @@
 
 /// Reads the registry where no peer's word is fresh; `false` where nothing fresh is known.
 async fn renew(state: &State, caller: &mut Caller) -> bool {
-    let fresh = |state: &State| state.news.listing.fresh(state.fresh_enough()).is_some();
+    let fresh = |state: &State| state.news.listing.fresh(state.peer_age()).is_some();
     if (!state.news.reads_store() && fresh(state)) || state.waits_for_peers() {
         return true;
     }
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -29,6 +29,9 @@
 mod moves_tests;
 pub mod net;
 pub mod node;
+mod pace;
+#[cfg(test)]
+mod pace_tests;
 mod peers;
 pub mod settings;
 mod signals;
--- /dev/null
+++ b/crates/cassiareel-relay/src/pace_tests.rs
@@ -0,0 +1,27 @@
+//! What nodes go by is younger than the bound, also over two hops.
+
+use std::time::Duration;
+
+use test_case::test_case;
+
+use super::pace::{interval, peer_age, LARGE, WAIT};
+
+/// The time that one answer of store or peer may take.
+const ANSWER: Duration = Duration::from_millis(60);
+
+/// A backend server leaves while a reader hears the store through another one: a node that asked it
+/// went by a list that was 3.2 s old where 3 s are allowed.
+#[test_case(2_000; "bound of small deployments")]
+#[test_case(3_000; "bound of large deployments")]
+fn what_is_gone_by_is_younger_than_the_bound(bound: u64) {
+    let bound = Duration::from_millis(bound);
+    let oldest = peer_age(bound) + LARGE + ANSWER;
+    assert!(oldest < bound, "{oldest:?}");
+}
+
+/// In the normal case words are younger than what sends nodes to the store.
+#[test]
+fn words_of_readers_are_fresh_enough() {
+    let usual = interval(true) + WAIT + ANSWER * 2;
+    assert!(usual < peer_age(Duration::from_millis(3_000)));
+}
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -16,6 +16,7 @@
     front::{serve_simple, whole, Reply},
     model::{Policy, Revision, Rollout},
     net::Caller,
+    pace::WAIT,
     source::Listing,
     state::State,
 };
@@ -23,9 +24,6 @@
 /// The path of the call.
 const PATH: &str = "/news";
 
-/// How long a call waits for something new.
-const WAIT: Duration = Duration::from_millis(700);
-
 /// How long a call may take beyond that.
 const SPARE: Duration = Duration::from_millis(400);
 
@@ -132,7 +130,7 @@
 /// Asks peers while this node does not read the store, or can't.
 pub(crate) async fn follow_peers(state: Arc<State>) {
     loop {
-        let enough = state.fresh_enough();
+        let enough = state.peer_age();
         if state.news.reads_store() && state.news.is_fresh(enough) {
             Timer::after(IDLE).await;
             continue;
@@ -178,7 +176,7 @@
     };
     take_in(state, told, began);
     state.news.heard.notify(usize::MAX);
-    state.news.is_fresh(state.fresh_enough())
+    state.news.is_fresh(state.peer_age())
 }
 
 /// Takes in an answer to a call that began at `began`. The ages were told after that, so that each
--- a/crates/cassiareel-relay/src/peers/news.rs
+++ b/crates/cassiareel-relay/src/peers/news.rs
@@ -83,6 +83,11 @@
         self.policy.fresh(age).is_some() && self.listing.fresh(age).is_some()
     }
 
+    /// Reports whether some nodes hear the store through others.
+    pub(crate) fn is_large(&self) -> bool {
+        self.roster().is_large()
+    }
+
     /// Reports whether this node reads the store.
     pub(crate) fn reads_store(&self) -> bool {
         self.roster().reads(clock::now())
--- a/crates/cassiareel-relay/src/peers/roster.rs
+++ b/crates/cassiareel-relay/src/peers/roster.rs
@@ -41,10 +41,15 @@
         self.silent.insert(name.to_owned(), now);
     }
 
+    /// Reports whether there are more nodes than read the store.
+    pub(crate) fn is_large(&self) -> bool {
+        self.nodes.len() > READERS
+    }
+
     /// Reports whether this node reads the store: the more so where nobody else is known.
     pub(crate) fn reads(&self, now: Moment) -> bool {
         let mut readers = self.readers(now).into_iter();
-        self.nodes.len() <= READERS || readers.any(|node| node.name == self.own)
+        !self.is_large() || readers.any(|node| node.name == self.own)
     }
 
     /// The reader to ask: each node prefers them in an order of its own.
--- a/crates/cassiareel-relay/src/settings.rs
+++ b/crates/cassiareel-relay/src/settings.rs
@@ -79,6 +79,10 @@
     #[serde(rename = "config_apply_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub config_apply: Duration,
+    /// How long after a backend server said that it leaves it may get new requests.
+    #[serde(rename = "drain_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub drain: Duration,
     /// How long a key may work after it was taken away.
     #[serde(rename = "revoke_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -140,6 +144,7 @@
             (self.limits.max_fds < 256, "limits.max_fds is under 256"),
             (bounds.grace.is_zero(), "bounds.grace_s is 0"),
             (bounds.config_apply.is_zero(), "bounds.config_apply_ms is 0"),
+            (bounds.drain.is_zero(), "bounds.drain_ms is 0"),
             (bounds.revoke.is_zero(), "bounds.revoke_ms is 0"),
             (
                 !(0.0..=100.0).contains(&bounds.retry_ratio),
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -24,6 +24,7 @@
     metrics::Metrics,
     model::ServiceId,
     moves::Moves,
+    pace,
     peers::News,
     settings::Settings,
     source::{NodeRecord, Source},
@@ -172,6 +173,12 @@
         !self.news.reads_store() && clock::now().saturating_sub(self.started) < FIRST_WORDS
     }
 
+    /// The age at which a peer's word is not gone by, and the store is read instead.
+    pub(crate) fn peer_age(&self) -> Duration {
+        let bounds = &self.settings.load().bounds;
+        pace::peer_age(bounds.config_apply.min(bounds.drain))
+    }
+
     /// What this node says of itself in the store, without counts.
     pub(crate) fn own_record(&self) -> NodeRecord {
         let settings = self.settings.load();
