--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -11,8 +11,8 @@
 
 use bytes::Bytes;
 use futures_lite::{future::poll_once, FutureExt};
-use http::{header, HeaderValue, Method, Request as HttpRequest};
-use http_body_util::{BodyExt, Full};
+use http::Method;
+use http_body_util::BodyExt;
 use slog::{debug, info};
 use smol::{Task, Timer};
 
@@ -21,7 +21,7 @@
     clock::{self, Moment},
     dialect::{CopyCall, MemoryCopy},
     fleet::{Member, Place},
-    net::Lease,
+    net::{own_request, Lease},
     state::State,
 };
 
@@ -226,13 +226,7 @@
 /// Calls an engine, and reads a successful answer whole.
 async fn call(engine: &Member, method: Method, path: String, body: String) -> Option<Bytes> {
     let mut lease: Lease = engine.pool.take(Duration::MAX, CONNECT).await.ok()?;
-    let mut request = HttpRequest::new(Full::new(Bytes::from(body)));
-    *request.method_mut() = method;
-    *request.uri_mut() = path.parse().ok()?;
-    let host = HeaderValue::from_str(&engine.entry.address.to_string()).ok()?;
-    request.headers_mut().insert(header::HOST, host);
-    let json = HeaderValue::from_static("application/json");
-    request.headers_mut().insert(header::CONTENT_TYPE, json);
+    let request = own_request(engine.entry.address, method, &path, Bytes::from(body)).ok()?;
     let answer = lease.conn.send(request).await.ok()?;
     let made = answer.status().is_success();
     let body = answer.into_body().collect().await.ok()?.to_bytes();
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -4,11 +4,15 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http::{header::HOST, HeaderValue, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
 use smol::Timer;
 
-use crate::{fleet::Member, net::SendFault, state::State};
+use crate::{
+    fleet::Member,
+    net::{own_request, SendFault},
+    state::State,
+};
 
 /// How long the answer to a question may take.
 const PROBE: Duration = Duration::from_millis(150);
@@ -50,12 +54,10 @@
         Err(SendFault::Refused) => return Life::Ended,
         Err(_) => return Life::Silent,
     };
-    let mut request = http::Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = Uri::from_static(state.dialect.report_path());
-    let Ok(host) = HeaderValue::from_str(&member.entry.address.to_string()) else {
+    let (address, path) = (member.entry.address, state.dialect.report_path());
+    let Ok(mut request) = own_request(address, Method::GET, path, Bytes::new()) else {
         return Life::Silent;
     };
-    request.headers_mut().insert(HOST, host);
     state
         .dialect
         .write_expect(request.headers_mut(), &member.entry.id);
--- a/crates/cassiareel-relay/src/kernel/catalog.rs
+++ b/crates/cassiareel-relay/src/kernel/catalog.rs
@@ -12,7 +12,6 @@
     keys: HashMap<String, Owner>,
     keyed: bool,
     engines: HashMap<ServiceId, EngineShape>,
-    services: Vec<ServiceId>,
     limits: Limits,
 }
 
@@ -58,7 +57,6 @@
             hosts,
             keyed: policy.tenants.is_some(),
             keys: index_keys(policy.tenants.unwrap_or_default()),
-            services: policy.services.iter().map(|s| s.name.clone()).collect(),
             engines: policy
                 .services
                 .into_iter()
@@ -78,21 +76,11 @@
         self.limits
     }
 
-    /// The names of the services.
-    pub fn services(&self) -> &[ServiceId] {
-        &self.services
-    }
-
     /// The shape of a service's engines, where it runs a model.
     pub fn engine(&self, service: &str) -> Option<&EngineShape> {
         self.engines.get(service)
     }
 
-    /// Reports whether a request needs a key, as far as its route is known.
-    pub fn needs_key(&self, host: &str, path: &str) -> bool {
-        self.keyed && self.route(host, path).is_none_or(|route| !route.public)
-    }
-
     /// Finds the route and the client account of a request.
     pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Lookup {
         let Some(route) = self.route(host, path) else {
--- a/crates/cassiareel-relay/src/net/caller.rs
+++ b/crates/cassiareel-relay/src/net/caller.rs
@@ -5,14 +5,11 @@
 use bytes::Bytes;
 use cassiareel::runtime::Spawner;
 use futures_lite::FutureExt;
-use http::{
-    header::{CONTENT_TYPE, HOST},
-    HeaderValue, Method, Request, StatusCode, Uri,
-};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Method, StatusCode};
+use http_body_util::{BodyExt, Limited};
 use smol::Timer;
 
-use super::{Pool, SendFault};
+use super::{own_request, Pool, SendFault};
 use crate::source::SourceError;
 
 /// The longest time that a connection may take.
@@ -69,14 +66,8 @@
         path: &str,
         body: Bytes,
     ) -> Result<Reply, SourceError> {
-        let uri: Uri = path.parse().map_err(connection)?;
-        let host = HeaderValue::from_str(&self.pool.address().to_string()).map_err(connection)?;
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = method;
-        *request.uri_mut() = uri;
-        let headers = request.headers_mut();
-        headers.insert(HOST, host);
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let address = self.pool.address();
+        let request = own_request(address, method, path, body).map_err(connection)?;
         let mut lease = self
             .pool
             .take(Duration::MAX, CONNECT)
--- a/crates/cassiareel-relay/src/net/mod.rs
+++ b/crates/cassiareel-relay/src/net/mod.rs
@@ -2,8 +2,10 @@
 
 mod caller;
 mod conn;
+mod own;
 mod pool;
 
 pub use caller::{Caller, Reply};
 pub use conn::{Conn, SendFault};
+pub use own::own_request;
 pub use pool::{Lease, Pool};
--- /dev/null
+++ b/crates/cassiareel-relay/src/net/own.rs
@@ -0,0 +1,31 @@
+//! Requests of the relay's own, to the store, to peers and to engines.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{
+    header::{CONTENT_TYPE, HOST},
+    HeaderValue, Method, Request,
+};
+use http_body_util::Full;
+
+/// Makes a request of the relay's own, with a body in its callee's usual type.
+///
+/// # Errors
+///
+/// Fails when the path is none.
+pub fn own_request(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, address.to_string())
+        .body(Full::new(body))?;
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(CONTENT_TYPE, json);
+    Ok(request)
+}
