--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -17,6 +17,8 @@
 mod room_tests;
 mod send;
 mod server;
+mod watch;
 
 pub(crate) use body::{whole, Reply};
-pub(crate) use server::{listen, serve_callers, serve_metrics, serve_ready, serve_simple, Open};
+pub(crate) use server::{listen, serve_callers, serve_metrics, serve_ready, serve_simple};
+pub(crate) use watch::Open;
--- a/crates/cassiareel-relay/src/front/server.rs
+++ b/crates/cassiareel-relay/src/front/server.rs
@@ -5,10 +5,7 @@
     future::Future,
     io,
     net::SocketAddr,
-    sync::{
-        atomic::{AtomicUsize, Ordering},
-        Arc,
-    },
+    sync::Arc,
     time::Duration,
 };
 
@@ -16,13 +13,14 @@
 use futures_lite::FutureExt;
 use http::{Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 use smol::{net::TcpListener, net::TcpStream, Timer};
 use smol_hyper::rt::FuturesIo;
 
 use super::{
     body::{empty, whole, Reply},
     handler::handle,
+    watch::{Activity, Busy, Open, Overdue, Watched},
 };
 use crate::state::State;
 
@@ -38,20 +36,6 @@
 /// Descriptors that are kept for other things than connections of callers.
 const SPARE_FDS: u64 = 300;
 
-/// The time between looks at idle connections.
-const IDLE_LOOK: Duration = Duration::from_secs(2);
-
-/// Requests that callers wait for, to know when a node may end.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Open(Arc<AtomicUsize>);
-
-impl Open {
-    /// How many requests were read and are not answered.
-    pub(crate) fn count(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
 /// Serves callers until the listener fails for good.
 pub(crate) async fn serve_callers(state: Arc<State>, listener: TcpListener, open: Open) {
     let connections = Arc::new(());
@@ -97,99 +81,46 @@
     let limits = state
         .catalog()
         .map_or_else(Default::default, |catalog| catalog.limits());
-    let activity = Arc::new(AtomicUsize::new(0));
+    let activity = Arc::new(Activity::default());
     let service = {
         let state = state.clone();
         let activity = activity.clone();
         service_fn(move |request| {
-            activity.fetch_add(1, Ordering::Relaxed);
             let busy = Busy::new(&open, &activity);
             let state = state.clone();
             async move {
                 let reply = handle(state, request).await;
-                Ok::<Reply, Infallible>(keep_busy(reply?, busy))
+                Ok::<Reply, Infallible>(busy.hold(reply?))
             }
         })
     };
     let mut connection = Box::pin(
         http1::Builder::new()
             .max_buf_size((limits.header_bytes + SPARE_BYTES).max(LEAST_BUFFER))
-            .serve_connection(FuturesIo::new(stream), service),
+            .serve_connection(
+                FuturesIo::new(Watched::new(stream, activity.clone())),
+                service,
+            ),
     );
-    let idle = idle_for(activity, limits.idle_time + IDLE_LOOK);
-    let ended = {
-        let whole = async { Some(connection.as_mut().await) };
-        let idle = async {
-            idle.await;
-            None
-        };
-        whole.or(idle).await
-    };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
+    let whole = async { Ok(connection.as_mut().await) };
+    let overdue = async { Err(activity.overdue(&limits).await) };
+    let ended = match whole.or(overdue).await {
+        Ok(ended) => ended,
+        Err(Overdue::Idle) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        Err(Overdue::Head) => {
+            info!(state.log, "connection closed"; "cause" => "its head did not come in time",
+                "limit_ms" => limits.header_time.as_millis() as u64);
+            return;
+        }
     };
     if let Err(err) = ended {
         debug!(state.log, "connection lost"; "cause" => %err);
     }
 }
 
-/// Returns when no request came for `limit`.
-async fn idle_for(activity: Arc<AtomicUsize>, limit: Duration) {
-    let mut seen = 0;
-    let mut idle = Duration::ZERO;
-    while idle < limit {
-        Timer::after(IDLE_LOOK).await;
-        let now = activity.load(Ordering::Relaxed);
-        // An odd count stands for an open request.
-        let busy = now % 2 == 1 || now != seen;
-        idle = if busy {
-            Duration::ZERO
-        } else {
-            idle + IDLE_LOOK
-        };
-        seen = now;
-    }
-}
-
-/// Counts a request as open until its answer was written or dropped.
-struct Busy {
-    open: Open,
-    activity: Arc<AtomicUsize>,
-}
-
-impl Busy {
-    fn new(open: &Open, activity: &Arc<AtomicUsize>) -> Busy {
-        open.0.fetch_add(1, Ordering::Relaxed);
-        Busy {
-            open: open.clone(),
-            activity: activity.clone(),
-        }
-    }
-}
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.open.0.fetch_sub(1, Ordering::Relaxed);
-        self.activity.fetch_add(1, Ordering::Relaxed);
-    }
-}
-
-/// Holds a request open until its body is gone.
-fn keep_busy(reply: Reply, busy: Busy) -> Reply {
-    use http_body_util::BodyExt;
-    reply.map(|body| {
-        body.map_frame(move |frame| {
-            let _held = &busy;
-            frame
-        })
-        .boxed_unsync()
-    })
-}
-
 /// Answers the balancer's question whether the node is ready.
 pub(crate) async fn serve_ready(state: Arc<State>, listener: TcpListener) {
     serve_simple(state, listener, |state, _| async move {
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/watch.rs
@@ -0,0 +1,205 @@
+/*!
+What a caller's connection is doing, to close it when its caller takes too long.
+
+A caller has a limited time for the head of a request, counted from the head's first byte, and may
+leave a connection idle for a longer one. The HTTP library's own limit on heads runs on idle
+connections too, so that the socket is wrapped here: bytes that come while no request is open begin
+a head.
+*/
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+        Arc,
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use futures_lite::{AsyncRead, AsyncWrite};
+use http_body_util::BodyExt;
+use smol::{net::TcpStream, Timer};
+
+use super::body::Reply;
+use crate::{clock, model::Limits};
+
+/// The longest time between looks at a connection.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Requests that callers wait for, to know when a node may end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    /// How many requests were read and are not answered.
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// What a connection has done.
+#[derive(Debug, Default)]
+pub(super) struct Activity {
+    /// Requests that were begun plus those that ended: an odd number stands for an open one.
+    changes: AtomicUsize,
+    /// When the head that is being read began, in microseconds; 0 where none is.
+    head: AtomicU64,
+}
+
+/// Why a connection is to be closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Overdue {
+    /// No request came for the idle time.
+    Idle,
+    /// The head of a request did not come whole within its time.
+    Head,
+}
+
+impl Activity {
+    fn is_busy(&self) -> bool {
+        self.changes.load(Ordering::Relaxed) % 2 == 1
+    }
+
+    /// Notes that bytes came.
+    fn heard(&self) {
+        if !self.is_busy() && self.head.load(Ordering::Relaxed) == 0 {
+            self.head.store(now_us(), Ordering::Relaxed);
+        }
+    }
+
+    fn begin(&self) {
+        self.changes.fetch_add(1, Ordering::Relaxed);
+        self.head.store(0, Ordering::Relaxed);
+    }
+
+    fn end(&self) {
+        self.changes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// What is left until the head that is being read is late; `None` where none is.
+    fn head_left(&self, limit: Duration) -> Option<Duration> {
+        let began = self.head.load(Ordering::Relaxed);
+        if began == 0 || self.is_busy() {
+            return None;
+        }
+        let spent = Duration::from_micros(now_us().saturating_sub(began));
+        Some(limit.saturating_sub(spent))
+    }
+
+    /// Returns when the caller took too long.
+    pub(super) async fn overdue(&self, limits: &Limits) -> Overdue {
+        let look = LOOK.min(limits.header_time);
+        let mut seen = 0;
+        let mut idle = Duration::ZERO;
+        while idle < limits.idle_time + LOOK {
+            let wait = match self.head_left(limits.header_time) {
+                Some(Duration::ZERO) => return Overdue::Head,
+                Some(left) => left.min(look),
+                None => look,
+            };
+            Timer::after(wait).await;
+            let now = self.changes.load(Ordering::Relaxed);
+            let busy = self.is_busy() || now != seen;
+            idle = if busy { Duration::ZERO } else { idle + wait };
+            seen = now;
+        }
+        Overdue::Idle
+    }
+}
+
+/// The steady clock in microseconds, never 0.
+fn now_us() -> u64 {
+    (clock::now().as_micros() as u64).max(1)
+}
+
+/// Counts a request as open until its answer was written or dropped.
+pub(super) struct Busy {
+    open: Open,
+    activity: Arc<Activity>,
+}
+
+impl Busy {
+    /// A request that was read.
+    pub(super) fn new(open: &Open, activity: &Arc<Activity>) -> Busy {
+        open.0.fetch_add(1, Ordering::Relaxed);
+        activity.begin();
+        Busy {
+            open: open.clone(),
+            activity: activity.clone(),
+        }
+    }
+
+    /// Holds the request open until its answer's body is gone.
+    pub(super) fn hold(self, reply: Reply) -> Reply {
+        reply.map(|body| {
+            body.map_frame(move |frame| {
+                let _held = &self;
+                frame
+            })
+            .boxed_unsync()
+        })
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.open.0.fetch_sub(1, Ordering::Relaxed);
+        self.activity.end();
+    }
+}
+
+/// A caller's socket that notes when bytes come.
+#[derive(Debug)]
+pub(super) struct Watched {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl Watched {
+    /// Wraps a socket.
+    pub(super) fn new(stream: TcpStream, activity: Arc<Activity>) -> Watched {
+        Watched { stream, activity }
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(1..))) {
+            self.activity.heard();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
