--- a/crates/cassiareel-relay/src/dialect.rs
+++ b/crates/cassiareel-relay/src/dialect.rs
@@ -35,6 +35,13 @@
     /// Reads what a report says of one request.
     fn read_report(&self, body: &[u8], request: &str) -> Option<Report>;
 
+    /// The path of an engine's list of what changed in its memory, which needs no slot.
+    fn memory_path(&self) -> &'static str;
+
+    /// Reads how many tokens of a prompt's part an engine keeps; `None` where its list does not
+    /// name the part.
+    fn read_memory(&self, body: &[u8], part: u64) -> Option<u64>;
+
     /// The call that tells an engine to copy a run's memory to another engine while the run goes on.
     fn copy_call(&self, request: &str, target: SocketAddr) -> CopyCall;
 
--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -28,6 +28,12 @@
 /// How long a request may wait for fresh word before a key or a path is called unknown.
 const FRESH_WAIT: Duration = Duration::from_millis(400);
 
+/// How long a request may wait for a node that has just started to know its routes.
+const START_WAIT: Duration = Duration::from_millis(600);
+
+/// The part of a request's time that it may wait for that.
+const START_PART: f64 = 0.125;
+
 /// When a caller may come back to a node that has just started.
 const STARTING: Duration = Duration::from_millis(500);
 
@@ -60,6 +66,8 @@
         Ok(read) => read,
         Err(refusal) => return Err((Some(ask), refusal)),
     };
+    let patience = ask.deadline.unwrap_or(NO_DEADLINE).mul_f64(START_PART);
+    state.wait_informed(patience.min(START_WAIT)).await;
     let (route, tenant) = match authorize(state, &ask, arrived).await {
         Ok(found) => found,
         Err(refusal) => return Err((Some(ask), refusal)),
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -1,36 +1,23 @@
 //! Chooses a backend server out of the fleet for one send.
 
-use std::{future::Future, sync::Arc, task::Poll, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use futures_lite::future::poll_fn;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     clock::{self, Moment},
     fleet::Member,
-    kernel::{choose, choose_reported, Candidate, Need, Reported},
+    kernel::{choose, Candidate, Need},
     model::Prompt,
     moves::Rule,
     state::State,
 };
 
-use super::{
-    report::{self, Life},
-    request::Request,
-};
+use super::request::Request;
 
 /// A backend server that said nothing for this long may be asked for a report.
 pub(super) const FRESH: Duration = Duration::from_millis(400);
 
-/// Engines that are asked for their loads before a prompt is sent.
-const ASKED: usize = 3;
-
-/// How long they may take to tell.
-const ASKING: Duration = Duration::from_millis(60);
-
-/// How long a connection may have been idle over which they are asked.
-const KEPT: Duration = Duration::from_secs(4);
-
 /// Chooses a backend server for a request that was sent to `tried` before.
 pub(super) fn pick(state: &State, request: &Request, tried: &[u64]) -> Option<Arc<Member>> {
     let members = state.fleet.members(&request.service);
@@ -50,83 +37,6 @@
     Some(members[chosen].clone())
 }
 
-/// Chooses an engine for a prompt, after a few were asked for their loads.
-///
-/// A caller that comes back gets the engine that its prompt prefers, which most likely holds it.
-pub(super) async fn pick_engine(
-    state: &State,
-    request: &Request,
-    tried: &[u64],
-) -> Option<Arc<Member>> {
-    let mut left_out = tried.to_vec();
-    let mut engines: Vec<Arc<Member>> = Vec::new();
-    while engines.len() < ASKED {
-        let next = pick(state, request, &left_out);
-        let Some(next) = next.filter(|next| !left_out.contains(&next.number)) else {
-            break;
-        };
-        left_out.push(next.number);
-        engines.push(next);
-    }
-    if engines.len() < 2 || request.ask.last_event.is_some() {
-        return engines
-            .into_iter()
-            .next()
-            .or_else(|| pick(state, request, tried));
-    }
-    let told = ask_all(state, request, &engines).await;
-    let chosen = choose_reported(&told)?;
-    Some(engines.swap_remove(chosen))
-}
-
-/// Asks engines for their loads, all at once.
-async fn ask_all(
-    state: &State,
-    request: &Request,
-    engines: &[Arc<Member>],
-) -> Vec<Option<Reported>> {
-    let mut asking: Vec<_> = engines
-        .iter()
-        .map(|engine| Box::pin(ask_load(state, request, engine)))
-        .collect();
-    let mut told: Vec<Option<Option<Reported>>> = vec![None; engines.len()];
-    poll_fn(|cx| {
-        for (asked, told) in asking.iter_mut().zip(&mut told) {
-            if told.is_none() {
-                if let Poll::Ready(load) = asked.as_mut().poll(cx) {
-                    *told = Some(load);
-                }
-            }
-        }
-        if told.iter().all(Option::is_some) {
-            Poll::Ready(())
-        } else {
-            Poll::Pending
-        }
-    })
-    .await;
-    told.into_iter().map(Option::flatten).collect()
-}
-
-/// Asks one engine for its load, and adds what this node has just sent there.
-async fn ask_load(state: &State, request: &Request, engine: &Member) -> Option<Reported> {
-    match report::read_within(state, engine, ASKING, KEPT).await {
-        Life::Lives(body) => {
-            let report = state.dialect.read_report(&body, &request.ask.id)?;
-            let own = engine.candidate(clock::now(), true).unread / request.ask.prompt.input.max(1);
-            Some(Reported {
-                reading: report.held.saturating_sub(report.generating).max(own),
-                generating: report.generating,
-            })
-        }
-        Life::Ended => {
-            engine.replaced();
-            None
-        }
-        Life::Silent => None,
-    }
-}
-
 /// Chooses an engine in another data centre for a copy of a run's memory.
 pub(super) fn pick_backup(
     state: &State,
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -0,0 +1,143 @@
+/*!
+Chooses an engine for a prompt, after a few engines were asked.
+
+A new prompt goes where least is read and generated. A caller that resumes a stream has lost its node
+or its connection, and its prompt is most likely still in the memory of the engine that ran it: that
+one is looked for first, since reading a prompt anew takes a second of an engine and delays all
+others there.
+*/
+
+use std::{future::Future, sync::Arc, task::Poll, time::Duration};
+
+use bytes::Bytes;
+use futures_lite::future::poll_fn;
+use slog::info;
+
+use super::{
+    choose::pick,
+    report::{self, Life},
+    request::Request,
+};
+use crate::{
+    clock,
+    fleet::Member,
+    kernel::{choose_holder, choose_reported, Reported},
+    state::State,
+};
+
+/// Engines that are asked for their loads before a prompt is sent.
+const ASKED: usize = 3;
+
+/// Engines that are asked whether they hold the prompt of a stream that is resumed.
+const SEARCHED: usize = 8;
+
+/// How long they may take to tell.
+const ASKING: Duration = Duration::from_millis(60);
+
+/// How long a connection may have been idle over which they are asked.
+const KEPT: Duration = Duration::from_secs(4);
+
+/// Chooses an engine for a request that was sent to `tried` before.
+pub(super) async fn pick_engine(
+    state: &State,
+    request: &Request,
+    tried: &[u64],
+) -> Option<Arc<Member>> {
+    if request.ask.last_event.is_some() && tried.is_empty() {
+        if let Some(holder) = find_holder(state, request).await {
+            return Some(holder);
+        }
+    }
+    let mut engines = preferred(state, request, tried, ASKED);
+    if engines.len() < 2 {
+        return engines.pop().or_else(|| pick(state, request, tried));
+    }
+    let asking = engines.iter().map(|e| ask_load(state, request, e));
+    let told = join_all(asking).await;
+    let chosen = choose_reported(&told)?;
+    Some(engines.swap_remove(chosen))
+}
+
+/// The first engines in a request's order of preference, at most `most`.
+fn preferred(state: &State, request: &Request, tried: &[u64], most: usize) -> Vec<Arc<Member>> {
+    let mut left_out = tried.to_vec();
+    let mut engines: Vec<Arc<Member>> = Vec::new();
+    while engines.len() < most {
+        let next = pick(state, request, &left_out);
+        let Some(next) = next.filter(|next| !left_out.contains(&next.number)) else {
+            break;
+        };
+        left_out.push(next.number);
+        engines.push(next);
+    }
+    engines
+}
+
+/// Looks for the engine that still holds the prompt of a stream that its caller resumes.
+async fn find_holder(state: &State, request: &Request) -> Option<Arc<Member>> {
+    let (part, _) = *request.ask.prompt.parts.last()?;
+    let mut engines = preferred(state, request, &[], SEARCHED);
+    let asking = engines.iter().map(|e| ask_memory(state, part, e));
+    let held = join_all(asking).await;
+    let chosen = choose_holder(&held);
+    info!(state.log, "prompt searched"; "request" => &*request.ask.id, "asked" => engines.len(),
+        "told" => held.iter().flatten().count(),
+        "backend" => chosen.map(|chosen| engines[chosen].entry.id.to_string()),
+        "tokens" => chosen.and_then(|chosen| held[chosen]));
+    Some(engines.swap_remove(chosen?))
+}
+
+/// Asks one engine for its load, and adds what this node has just sent there.
+async fn ask_load(state: &State, request: &Request, engine: &Member) -> Option<Reported> {
+    let body = ask(state, engine, state.dialect.report_path()).await?;
+    let report = state.dialect.read_report(&body, &request.ask.id)?;
+    let own = engine.candidate(clock::now(), true).unread / request.ask.prompt.input.max(1);
+    Some(Reported {
+        reading: report.held.saturating_sub(report.generating).max(own),
+        generating: report.generating,
+    })
+}
+
+/// Asks one engine how many tokens of a prompt's part it keeps.
+async fn ask_memory(state: &State, part: u64, engine: &Member) -> Option<u64> {
+    let body = ask(state, engine, state.dialect.memory_path()).await?;
+    Some(state.dialect.read_memory(&body, part).unwrap_or(0))
+}
+
+/// Asks one engine for what stands at a path.
+async fn ask(state: &State, engine: &Member, path: &str) -> Option<Bytes> {
+    match report::read_within(state, engine, path, ASKING, KEPT).await {
+        Life::Lives(body) => Some(body),
+        Life::Ended => {
+            engine.replaced();
+            None
+        }
+        Life::Silent => None,
+    }
+}
+
+/// Waits for all of some futures.
+async fn join_all<F, I, T>(futures: I) -> Vec<T>
+where
+    F: Future<Output = T>,
+    I: Iterator<Item = F>,
+{
+    let mut waiting: Vec<_> = futures.map(Box::pin).collect();
+    let mut done: Vec<Option<T>> = waiting.iter().map(|_| None).collect();
+    poll_fn(|cx| {
+        for (future, done) in waiting.iter_mut().zip(&mut done) {
+            if done.is_none() {
+                if let Poll::Ready(value) = future.as_mut().poll(cx) {
+                    *done = Some(value);
+                }
+            }
+        }
+        if done.iter().all(Option::is_some) {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    })
+    .await;
+    done.into_iter().flatten().collect()
+}
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -18,7 +18,8 @@
 
 use super::{
     backup::Backups,
-    choose::{pick_backup, pick_engine, FRESH},
+    choose::{pick_backup, FRESH},
+    engines::pick_engine,
     loss,
     probe::Probes,
     refusal::Refusal,
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod backup;
 mod body;
 mod choose;
+mod engines;
 mod generation;
 mod handler;
 mod loss;
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -1,4 +1,4 @@
-//! Reads an engine's report, to learn whether its process lives.
+//! Reads what an engine tells of itself: its report, or what its memory holds.
 
 use std::time::Duration;
 
@@ -30,14 +30,16 @@
 
 /// Asks for a report over a new connection, since a kept one may be dead without notice.
 pub(super) async fn read(state: &State, member: &Member) -> Life {
-    read_within(state, member, PROBE, Duration::ZERO).await
+    let path = state.dialect.report_path();
+    read_within(state, member, path, PROBE, Duration::ZERO).await
 }
 
-/// Asks for a report, and waits at most `limit`, over a connection that was idle for at most `idle`
-/// or a new one.
+/// Asks for what stands at a path, and waits at most `limit`, over a connection that was idle for at
+/// most `idle` or a new one.
 pub(super) async fn read_within(
     state: &State,
     member: &Member,
+    path: &str,
     limit: Duration,
     idle: Duration,
 ) -> Life {
@@ -45,17 +47,16 @@
         Timer::after(limit).await;
         Life::Silent
     };
-    ask(state, member, idle).or(late).await
+    ask(state, member, path, idle).or(late).await
 }
 
-async fn ask(state: &State, member: &Member, idle: Duration) -> Life {
+async fn ask(state: &State, member: &Member, path: &str, idle: Duration) -> Life {
     let mut lease = match member.pool.take(idle, PROBE).await {
         Ok(lease) => lease,
         Err(SendFault::Refused) => return Life::Ended,
         Err(_) => return Life::Silent,
     };
-    let (address, path) = (member.entry.address, state.dialect.report_path());
-    let Ok(mut request) = own_request(address, Method::GET, path, Bytes::new()) else {
+    let Ok(mut request) = own_request(member.entry.address, Method::GET, path, Bytes::new()) else {
         return Life::Silent;
     };
     state
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -47,5 +47,5 @@
 pub use leaving::has_time;
 pub use placement::{choose, Candidate, Need};
 pub use registry::{Registry, Update};
-pub use reported::{choose_reported, Reported};
+pub use reported::{choose_holder, choose_reported, Reported};
 pub use rollout::{report_of, Judge, Split, Tally};
--- a/crates/cassiareel-relay/src/kernel/reported.rs
+++ b/crates/cassiareel-relay/src/kernel/reported.rs
@@ -48,3 +48,21 @@
     };
     (0..engines.len()).min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
 }
+
+/// Chooses the engine that keeps most of a prompt, of those that told how many of its tokens they
+/// keep; `None` where none keeps any.
+///
+/// # Examples
+///
+/// ```
+/// use cassiareel_relay::kernel::choose_holder;
+///
+/// assert_eq!(choose_holder(&[Some(0), None, Some(5000)]), Some(2));
+/// assert_eq!(choose_holder(&[Some(0), None]), None);
+/// ```
+pub fn choose_holder(kept: &[Option<u64>]) -> Option<usize> {
+    let tokens = |engine: &usize| kept[*engine].unwrap_or(0);
+    let holders = (0..kept.len()).filter(|engine| tokens(engine) > 0);
+    // Of equals, the one that is preferred.
+    holders.rev().max_by_key(tokens)
+}
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -45,6 +45,9 @@
 /// Nodes that are assumed until they were counted.
 const UNKNOWN_NODES: u32 = 100;
 
+/// How long after its start a node's first reads are on their way.
+const STARTING: Duration = Duration::from_secs(2);
+
 /// How often a request that waits for a fresh read looks for it.
 const FRESH_POLL: Duration = Duration::from_millis(5);
 
@@ -209,11 +212,24 @@
 
     /// Reports whether the node should get new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving()
+        !self.is_leaving() && self.is_informed() && self.authority().holds(clock::now())
+    }
+
+    /// Reports whether the node has read all that it needs to serve requests.
+    fn is_informed(&self) -> bool {
+        self.catalog().is_some()
             && self.listed.load(Ordering::Relaxed)
             && self.asked.load(Ordering::Relaxed)
-            && self.catalog().is_some()
-            && self.authority().holds(clock::now())
+    }
+
+    /// Waits up to `limit` for a node that has just started to read what it needs. One that has not
+    /// managed to for [`STARTING`] waits no more.
+    pub(crate) async fn wait_informed(&self, limit: Duration) {
+        let now = clock::now();
+        let end = (now + limit).min(self.started + STARTING);
+        while !self.is_informed() && clock::now() < end {
+            Timer::after(FRESH_POLL).await;
+        }
     }
 
     /// Notes that the node is about to end.
