--- a/crates/cassiareel-relay/src/fleet.rs
+++ b/crates/cassiareel-relay/src/fleet.rs
@@ -114,6 +114,12 @@
         heard > 0 && millis(now).saturating_sub(heard) < millis(span)
     }
 
+    /// Reports whether any byte came from it after `since`.
+    pub(crate) fn was_heard_since(&self, since: Moment) -> bool {
+        let heard = self.heard.load(Ordering::Relaxed);
+        heard > 0 && heard >= millis(since)
+    }
+
     /// Notes that it is believed to be gone.
     pub(crate) fn lose(&self, now: Moment) {
         self.lost.store(millis(now), Ordering::Relaxed);
--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -14,7 +14,7 @@
 use super::{refusal::Refusal, request::Request, room::Room};
 use crate::{
     clock::{self, Moment},
-    kernel::{has_time, Lookup},
+    kernel::{takes, Lookup},
     model::{Ask, Route, ServiceId},
     state::State,
 };
@@ -72,15 +72,18 @@
         Ok(found) => found,
         Err(refusal) => return Err((Some(ask), refusal)),
     };
-    if let Some(left) = state.grace_left(clock::now()) {
-        if !has_time(left, &route, &ask.prompt) {
+    let service = choose_service(&route);
+    if let Some(leave) = state.leave_under_way(clock::now()) {
+        let done = ask.last_event.unwrap_or(0);
+        let done = state.paces().tokens(&service, done);
+        if !takes(leave, &route, &ask.prompt, done) {
             let after = ELSEWHERE;
             return Err((Some(ask), Refusal::NoPlace { after }));
         }
     }
     let limit = ask.deadline.unwrap_or(NO_DEADLINE).min(route.timeout);
     Ok(Request {
-        service: choose_service(&route),
+        service,
         headers: state.dialect.clean(&parts.headers),
         method: parts.method,
         target: origin_form(parts.uri),
--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -5,6 +5,10 @@
 A copy grows with its run from the start. Where its holder is lost while the run lives, the run's
 engine is asked for a new one elsewhere, and asked again at short intervals: such a copy does not
 grow by itself.
+
+Nobody tells that a holder is lost, and the registry goes on naming it for seconds. A holder that was
+not heard since it was chosen, or since others of its data centre were lost, is therefore asked for a
+sign of life.
 */
 
 use std::{sync::Arc, time::Duration};
@@ -16,7 +20,11 @@
 use slog::{debug, info};
 use smol::{Task, Timer};
 
-use super::{choose::pick_backup, request::Request};
+use super::{
+    choose::{is_doubted, pick_backup},
+    report::{self, Life},
+    request::Request,
+};
 use crate::{
     clock::{self, Moment},
     dialect::{CopyCall, MemoryCopy},
@@ -37,6 +45,12 @@
 /// A holder that was lost within this time is not asked to go on.
 const JUST_LOST: Duration = Duration::from_millis(1000);
 
+/// A holder that was heard within this time before it was chosen needs no sign of life.
+const HEARD: Duration = Duration::from_millis(1000);
+
+/// The time between looks at the copies of a run.
+const LOOK: Duration = Duration::from_millis(150);
+
 /// How long a connection to the engine may take.
 const CONNECT: Duration = Duration::from_millis(200);
 
@@ -46,6 +60,9 @@
     held: Option<Held>,
     asked: Option<Asked>,
     tried: Option<Moment>,
+    looked: Option<Moment>,
+    /// Engines that turned out to be no holders.
+    left_out: Vec<u64>,
 }
 
 /// A copy that can be used.
@@ -55,6 +72,51 @@
     copy: MemoryCopy,
     since: Moment,
     grows: bool,
+    /// The question whether the holder lives.
+    proof: Option<Task<bool>>,
+}
+
+impl Held {
+    /// Reports whether the holder has to show that it lives.
+    fn is_doubted(&self, state: &State, now: Moment) -> bool {
+        let holder = &self.place.member;
+        !holder.was_heard_since(self.since.saturating_sub(HEARD)) || is_doubted(state, holder, now)
+    }
+
+    /// Asks the holder whether it lives, where that is in doubt; `false` where it does not.
+    async fn prove(&mut self, state: &Arc<State>, now: Moment) -> bool {
+        if let Some(mut proof) = self.proof.take() {
+            let lives = poll_once(&mut proof).await;
+            if lives.is_none() {
+                self.proof = Some(proof);
+            }
+            return lives.unwrap_or(true);
+        }
+        if self.is_doubted(state, now) {
+            let (served, holder) = (state.clone(), self.place.member.clone());
+            self.proof = Some(state.spawner.spawn(async move {
+                let lives = is_alive(&served, &holder).await;
+                debug!(served.log, "holder asked"; "backend" => &*holder.entry.id, "lives" => lives);
+                lives
+            }));
+        }
+        true
+    }
+}
+
+/// Asks an engine for a sign of life.
+async fn is_alive(state: &State, engine: &Member) -> bool {
+    match report::read(state, engine).await {
+        Life::Lives(_) => {
+            engine.hear(clock::now());
+            true
+        }
+        Life::Ended => {
+            engine.replaced();
+            false
+        }
+        Life::Silent => false,
+    }
 }
 
 /// A copy that an engine was asked for.
@@ -77,6 +139,7 @@
                 copy,
                 since: now,
                 grows: true,
+                proof: None,
             }),
             ..Backups::default()
         }
@@ -119,9 +182,22 @@
         runner: &Arc<Member>,
     ) {
         let now = clock::now();
+        if self
+            .looked
+            .is_some_and(|looked| now.saturating_sub(looked) < LOOK)
+        {
+            return;
+        }
+        self.looked = Some(now);
         if self.take_in(request, runner, now).await {
             return;
         }
+        if let Some(held) = &mut self.held {
+            if !held.prove(state, now).await {
+                self.left_out.push(held.place.member.number);
+                self.held = None;
+            }
+        }
         let waits = self
             .tried
             .is_some_and(|tried| now.saturating_sub(tried) < AGAIN);
@@ -144,7 +220,10 @@
                 self.asked = Some(asked);
                 true
             }
-            Some(None) => false,
+            Some(None) => {
+                self.left_out.push(asked.target.number);
+                false
+            }
             Some(Some(name)) => {
                 self.held = Some(Held {
                     place: Place::copy(&asked.target, request.ask.prompt.footprint()),
@@ -154,6 +233,7 @@
                     },
                     since: now,
                     grows: false,
+                    proof: None,
                 });
                 false
             }
@@ -175,7 +255,7 @@
                 return old.then(|| member.clone());
             }
         }
-        pick_backup(state, request, runner)
+        pick_backup(state, request, runner, &self.left_out)
     }
 
     /// Asks the run's engine for a copy at `target`.
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -18,6 +18,9 @@
 /// A backend server that said nothing for this long may be asked for a report.
 pub(super) const FRESH: Duration = Duration::from_millis(400);
 
+/// How long the registry may go on naming a backend server that was lost.
+const UNCERTAIN: Duration = Duration::from_secs(8);
+
 /// Chooses a backend server for a request that was sent to `tried` before.
 pub(super) fn pick(state: &State, request: &Request, tried: &[u64]) -> Option<Arc<Member>> {
     let members = state.fleet.members(&request.service);
@@ -37,11 +40,13 @@
     Some(members[chosen].clone())
 }
 
-/// Chooses an engine in another data centre for a copy of a run's memory.
+/// Chooses an engine in another data centre for a copy of a run's memory, but for those that are
+/// left out.
 pub(super) fn pick_backup(
     state: &State,
     request: &Request,
     runner: &Member,
+    left_out: &[u64],
 ) -> Option<Arc<Member>> {
     let members = state.fleet.members(&request.service);
     let now = clock::now();
@@ -50,12 +55,14 @@
         .map(|member| {
             let mut candidate = describe(state, member, now);
             let same = member.entry.data_centre == runner.entry.data_centre;
-            // Engines of one data centre often fail together.
-            candidate.tried = same;
-            candidate.rank = rank(request, member);
             candidate.closed |= member.number == runner.number
                 || candidate.suspect
+                || left_out.contains(&member.number)
                 || member.entry.version != runner.entry.version;
+            // Engines of one data centre often fail together.
+            candidate.tried = same;
+            candidate.suspect = is_doubted(state, member, now);
+            candidate.rank = rank(request, member);
             candidate
         })
         .collect();
@@ -63,6 +70,15 @@
     Some(members[chosen].clone())
 }
 
+/// Reports whether a backend server may have been lost with others of its data centre: it was not
+/// heard since one was.
+pub(super) fn is_doubted(state: &State, member: &Member, now: Moment) -> bool {
+    let entry = &member.entry;
+    let lost = state.zones().last_loss(&entry.service, &entry.data_centre);
+    let recent = lost.filter(|lost| now.saturating_sub(*lost) < UNCERTAIN);
+    recent.is_some_and(|lost| !member.was_heard_since(lost))
+}
+
 /// What is known of a backend server.
 fn describe(state: &State, member: &Member, now: Moment) -> Candidate {
     let own = &state.settings.load().node.data_centre;
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -37,17 +37,38 @@
 /// How long a connection may have been idle over which they are asked.
 const KEPT: Duration = Duration::from_secs(4);
 
+/// An engine that was chosen.
+#[derive(Debug)]
+pub(super) struct Chosen {
+    /// The engine.
+    pub member: Arc<Member>,
+    /// Whether it holds the prompt.
+    pub holds: bool,
+}
+
 /// Chooses an engine for a request that was sent to `tried` before.
 pub(super) async fn pick_engine(
     state: &State,
     request: &Request,
     tried: &[u64],
-) -> Option<Arc<Member>> {
+) -> Option<Chosen> {
     if request.ask.last_event.is_some() && tried.is_empty() {
-        if let Some(holder) = find_holder(state, request).await {
-            return Some(holder);
+        if let Some(member) = find_holder(state, request).await {
+            return Some(Chosen {
+                member,
+                holds: true,
+            });
         }
     }
+    let member = least_loaded(state, request, tried).await?;
+    Some(Chosen {
+        member,
+        holds: false,
+    })
+}
+
+/// The engine with the least to do, of the first few in the request's order of preference.
+async fn least_loaded(state: &State, request: &Request, tried: &[u64]) -> Option<Arc<Member>> {
     let mut engines = preferred(state, request, tried, ASKED);
     if engines.len() < 2 {
         return engines.pop().or_else(|| pick(state, request, tried));
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -30,7 +30,7 @@
     clock::{self, Moment},
     dialect::MemoryCopy,
     fleet::{Member, Place},
-    kernel::{Continuation, Event, Splitter, Stop},
+    kernel::{Continuation, Ended, Event, Splitter, Stop},
     metrics::Metrics,
     state::State,
 };
@@ -110,6 +110,15 @@
     ready: VecDeque<Event>,
 }
 
+/// Where a stream is sent.
+struct Target {
+    member: Arc<Member>,
+    /// The copy from which it goes on there.
+    copy: Option<MemoryCopy>,
+    /// Prompt tokens that the engine has to read.
+    unread: u64,
+}
+
 /// The stream at one engine.
 struct Run {
     head: Box<Head>,
@@ -117,9 +126,28 @@
     place: Place,
     backups: Backups,
     began: Moment,
+    /// When the first event came.
+    first: Option<Moment>,
     heard: Moment,
     probes: Probes,
     events: u64,
+    /// Prompt tokens that its engine had to read, as far as is known.
+    unread: u64,
+}
+
+impl Run {
+    /// What the run showed of its engine's pace, after its last event.
+    fn ended(&self, request: &Request, events: u64) -> Ended {
+        let first = self.first.unwrap_or(self.heard);
+        Ended {
+            read: self.unread,
+            reading: first.saturating_sub(self.began),
+            output: request.ask.prompt.output,
+            events,
+            made: self.events,
+            writing: self.heard.saturating_sub(first),
+        }
+    }
 }
 
 /// What one wait on a run brought.
@@ -174,7 +202,9 @@
             if self.run.is_none() {
                 self.start("first").await?;
             }
-            match self.wait().await? {
+            let got = self.wait().await?;
+            self.keep_copy().await;
+            match got {
                 Got::Bytes(bytes) => {
                     if let Err(cause) = self.take_in(&bytes) {
                         self.resume(cause).await?;
@@ -231,6 +261,7 @@
                 return Err("event out of order");
             }
             if run.events == 0 {
+                run.first = Some(now);
                 run.place.read();
                 run.place.member.health().heard();
                 log_first(&self.state, &self.request, run, self.lost_at.take(), now);
@@ -254,13 +285,26 @@
             let late =
                 run.began.saturating_sub(self.request.arrived) > self.request.route.objective;
             self.state.moves.count(&entry.service, &entry.version, late);
+            let ended = run.ended(&self.request, self.progress.last().unwrap_or(0));
+            self.state.paces().ended(&entry.service, ended);
             run.backups.release(&self.state, &run.place.member);
             let keep = run.head.answer.keep;
             run.head.lease.put_back(keep);
         }
     }
 
-    /// Looks whether a silent engine still lives, and keeps a copy of the run's memory.
+    /// Keeps a copy of the run's memory.
+    async fn keep_copy(&mut self) {
+        let Some(run) = self.run.as_mut() else {
+            return;
+        };
+        if self.request.route.kind.may_repeat() {
+            let member = run.place.member.clone();
+            run.backups.keep(&self.state, &self.request, &member).await;
+        }
+    }
+
+    /// Looks whether a silent engine still lives.
     async fn look(&mut self) -> Result<(), End> {
         let now = clock::now();
         let Some(run) = self.run.as_mut() else {
@@ -271,9 +315,6 @@
             return self.resume("engine lost").await;
         }
         let silent = now.saturating_sub(run.heard);
-        if self.request.route.kind.may_repeat() {
-            run.backups.keep(&self.state, &self.request, &member).await;
-        }
         let quiet = if member.was_heard(now, SILENCE) {
             LONGER_SILENCE
         } else {
@@ -338,15 +379,12 @@
                 return Err(End::Timeout);
             }
             self.progress.may_send().map_err(End::from)?;
-            let copy = self.copy.take();
-            let holder = copy.as_ref().map(|(holder, _)| holder.clone());
-            let chosen = match holder {
-                Some(holder) => Some(holder),
-                None => pick_engine(&self.state, &self.request, &self.tried).await,
-            };
-            let Some(member) = chosen else {
+            let Some(target) = self.choose().await else {
                 return Err(self.progress.stop().into());
             };
+            if self.is_too_late(&target) {
+                return Err(self.progress.stop().into());
+            }
             if self.progress.was_sent() {
                 if !self.state.may_repeat(&self.request.service) {
                     info!(self.state.log, "no repeat left"; "request" => &*self.request.ask.id);
@@ -354,23 +392,67 @@
                 }
                 Metrics::count(&self.state.metrics.resumed, cause);
             }
-            if self.send_to(member, copy.map(|(_, copy)| copy)).await? {
+            if self.send_to(target).await? {
                 return Ok(());
             }
         }
     }
 
+    /// Chooses where the request is sent: to the holder of a copy, or an engine.
+    async fn choose(&mut self) -> Option<Target> {
+        if let Some((member, copy)) = self.copy.take() {
+            return Some(Target {
+                member,
+                copy: Some(copy),
+                unread: 0,
+            });
+        }
+        let engine = pick_engine(&self.state, &self.request, &self.tried).await?;
+        Some(Target {
+            member: engine.member,
+            copy: None,
+            unread: if engine.holds {
+                0
+            } else {
+                self.request.ask.prompt.input
+            },
+        })
+    }
+
+    /// Reports whether a prompt would be read for a stream that can't end in time, as fast as its
+    /// engine may be. Where the prompt is held, the caller gets the events that can still be made.
+    fn is_too_late(&self, target: &Target) -> bool {
+        if target.unread == 0 {
+            return false;
+        }
+        let request = &self.request;
+        let done = self.progress.last().unwrap_or(0);
+        let least = self.state.paces().least(
+            &request.service,
+            &request.ask.prompt,
+            target.unread,
+            done,
+        );
+        let left = request.left();
+        if least > left {
+            info!(self.state.log, "too late"; "request" => &*request.ask.id, "after" => done,
+                "unread" => target.unread, "least_ms" => least.as_millis() as u64,
+                "left_ms" => left.as_millis() as u64);
+        }
+        least > left
+    }
+
     /// Sends the request to one engine; `false` where another one has to be tried.
-    async fn send_to(
-        &mut self,
-        member: Arc<Member>,
-        copy: Option<MemoryCopy>,
-    ) -> Result<bool, End> {
+    async fn send_to(&mut self, target: Target) -> Result<bool, End> {
+        let Target {
+            member,
+            copy,
+            unread,
+        } = target;
         let again = self.progress.was_sent();
         self.progress.sent();
         self.tried.push(member.number);
         let prompt = &self.request.ask.prompt;
-        let unread = if copy.is_some() { 0 } else { prompt.input };
         let place = Place::run(&member, unread, prompt.footprint());
         let extra = self.extra(&member, copy);
         let began = clock::now();
@@ -399,9 +481,11 @@
                     place,
                     backups,
                     began,
+                    first: None,
                     heard: now,
                     probes: Probes::new(now),
                     events: 0,
+                    unread,
                 });
                 Ok(true)
             }
@@ -439,7 +523,7 @@
         Extra {
             last_event: self.progress.last(),
             backup: (backups && may_resume)
-                .then(|| pick_backup(&self.state, &self.request, member))
+                .then(|| pick_backup(&self.state, &self.request, member, &[]))
                 .flatten(),
             copy,
         }
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -10,6 +10,8 @@
 mod loss;
 mod plain;
 mod probe;
+#[cfg(test)]
+mod probe_tests;
 mod refusal;
 mod report;
 mod request;
--- a/crates/cassiareel-relay/src/front/probe.rs
+++ b/crates/cassiareel-relay/src/front/probe.rs
@@ -84,7 +84,7 @@
     }
 
     /// Judges a report.
-    fn judge(
+    pub(super) fn judge(
         &mut self,
         report: Report,
         events: u64,
@@ -96,8 +96,9 @@
             let lost = report.events > events && silent > EVENTS_LOST;
             return lost.then_some("events lost");
         }
-        // Before its first event, or after it was preempted, a run is among those that are held.
-        if report.held > 0 && (events == 0 || silent < RUN_LOST) {
+        // Before its first event, or after it was preempted, a run is among those that are held and
+        // for which nothing is generated.
+        if report.held > report.generating && (events == 0 || silent < RUN_LOST) {
             let stalled = silent > STALLED;
             return stalled.then_some("stalled");
         }
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/probe_tests.rs
@@ -0,0 +1,42 @@
+//! A run is given up where reports show that its engine does not work on it.
+
+use std::time::Duration;
+
+use test_case::test_case;
+
+use super::probe::Probes;
+use crate::dialect::Report;
+
+/// Reports of an engine, the same each time, and what follows from two of them.
+struct Case {
+    report: Report,
+    /// Events that came.
+    came: u64,
+    /// How long nothing came, in milliseconds.
+    silent: u64,
+    lost: Option<&'static str>,
+}
+
+const fn report(runs: bool, held: u64, generating: u64, events: u64) -> Report {
+    Report {
+        runs,
+        held,
+        events,
+        generating,
+    }
+}
+
+#[test_case(&Case { report: report(false, 3, 2, 0), came: 0, silent: 1500, lost: None }; "a prompt is read or waits")]
+#[test_case(&Case { report: report(false, 2, 2, 0), came: 0, silent: 1500, lost: Some("run ended") }; "others alone are worked on")]
+#[test_case(&Case { report: report(false, 0, 0, 0), came: 0, silent: 1500, lost: Some("run ended") }; "nothing is worked on")]
+#[test_case(&Case { report: report(true, 2, 2, 20), came: 20, silent: 1500, lost: None }; "a pause")]
+#[test_case(&Case { report: report(true, 2, 2, 20), came: 5, silent: 1500, lost: Some("events lost") }; "events were made that did not come")]
+#[test_case(&Case { report: report(false, 3, 2, 0), came: 5, silent: 1500, lost: Some("run ended") }; "a run that had begun is not told")]
+#[test_case(&Case { report: report(false, 3, 2, 0), came: 0, silent: 6500, lost: Some("stalled") }; "a wait without end")]
+fn reports_show_whether_a_run_lives(case: &Case) {
+    let mut probes = Probes::new(Duration::ZERO);
+    let silent = Duration::from_millis(case.silent);
+    let mut judge = || probes.judge(case.report, case.came, silent, true);
+    let lost = judge().or_else(judge);
+    assert_eq!(lost, case.lost);
+}
--- a/crates/cassiareel-relay/src/front/server.rs
+++ b/crates/cassiareel-relay/src/front/server.rs
@@ -104,7 +104,11 @@
     );
     let whole = async { Ok(connection.as_mut().await) };
     let overdue = async { Err(activity.overdue(&limits).await) };
-    let ended = match whole.or(overdue).await {
+    let closing = async {
+        state.closing.listen().await;
+        Err(Overdue::Idle)
+    };
+    let ended = match whole.or(overdue).or(closing).await {
         Ok(ended) => ended,
         Err(Overdue::Idle) => {
             connection.as_mut().graceful_shutdown();
--- a/crates/cassiareel-relay/src/kernel/health.rs
+++ b/crates/cassiareel-relay/src/kernel/health.rs
@@ -103,6 +103,14 @@
         losses.push((now, member));
     }
 
+    /// When a backend server of a data centre was lost last.
+    ///
+    /// One that was not heard since may be lost as well, without anybody having noticed.
+    pub fn last_loss(&self, service: &ServiceId, zone: &DataCentre) -> Option<Moment> {
+        let losses = self.recent.get(&(service.clone(), zone.clone()))?;
+        losses.last().map(|(at, _)| *at)
+    }
+
     /// Reports whether so many failed together that the whole data centre is suspect.
     pub fn is_suspect(&self, service: &ServiceId, zone: &DataCentre, now: Moment) -> bool {
         let Some(losses) = self.recent.get(&(service.clone(), zone.clone())) else {
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -23,6 +23,9 @@
 mod leaving;
 #[cfg(test)]
 mod leaving_tests;
+mod paces;
+#[cfg(test)]
+mod paces_tests;
 mod placement;
 #[cfg(test)]
 mod placement_tests;
@@ -44,7 +47,8 @@
 pub use continuation::{Continuation, Stop};
 pub use events::{Event, Splitter};
 pub use health::{Health, Zones};
-pub use leaving::has_time;
+pub use leaving::{takes, Leave, UNHEARD};
+pub use paces::{Ended, Paces};
 pub use placement::{choose, Candidate, Need};
 pub use registry::{Registry, Update};
 pub use reported::{choose_holder, choose_reported, Reported};
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -17,6 +17,7 @@
     dialect::Dialect,
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{listen, serve_callers, serve_metrics, serve_ready, Open},
+    kernel::UNHEARD,
     peers::{follow_peers, serve_peers},
     settings::Settings,
     signals::{self, Signal},
@@ -145,6 +146,9 @@
         if done || spent + LAST >= grace {
             break;
         }
+        if spent >= UNHEARD.min(grace / 2) {
+            state.closing.notify(usize::MAX);
+        }
         if spent + HAND_OVER >= grace {
             state.handing.store(true, Ordering::Relaxed);
         }
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -20,7 +20,7 @@
     clock::{self, Moment},
     dialect::Dialect,
     fleet::Fleet,
-    kernel::{Authority, Budget, Catalog, Zones},
+    kernel::{Authority, Budget, Catalog, Leave, Paces, Zones},
     metrics::Metrics,
     model::ServiceId,
     moves::Moves,
@@ -75,6 +75,8 @@
     pub spawner: Spawner,
     /// Whether open streams are to be handed over to other nodes.
     pub handing: AtomicBool,
+    /// Told when connections without a request are to be closed, since the node ends.
+    pub closing: Event,
     /// Bytes of bodies that are held.
     pub held: Arc<AtomicU64>,
     /// Told when the store answers again after it was away.
@@ -93,6 +95,7 @@
     leaving: OnceLock<Moment>,
     budgets: Mutex<HashMap<ServiceId, Budget>>,
     zones: Mutex<Zones>,
+    paces: Mutex<Paces>,
     nudge: Sender<()>,
     nudged: Receiver<()>,
     appeared: (Sender<()>, Receiver<()>),
@@ -122,6 +125,7 @@
             spawner,
             leaving: OnceLock::new(),
             handing: AtomicBool::new(false),
+            closing: Event::new(),
             held: Arc::default(),
             store_back: Event::new(),
             started: clock::now(),
@@ -132,6 +136,7 @@
             appeared: async_channel::bounded(1),
             budgets: Mutex::default(),
             zones: Mutex::default(),
+            paces: Mutex::default(),
             nudge,
             nudged,
         }
@@ -142,6 +147,11 @@
         Option::clone(&self.catalog.load())
     }
 
+    /// How fast engines are at best.
+    pub(crate) fn paces(&self) -> MutexGuard<'_, Paces> {
+        lock(&self.paces)
+    }
+
     /// How fresh the configuration is.
     pub(crate) fn authority(&self) -> MutexGuard<'_, Authority> {
         lock(&self.authority)
@@ -242,10 +252,11 @@
         self.leaving.get().is_some()
     }
 
-    /// What is left of the grace, where the node is about to end.
-    pub(crate) fn grace_left(&self, now: Moment) -> Option<Duration> {
+    /// How far the stop is, where the node is about to end.
+    pub(crate) fn leave_under_way(&self, now: Moment) -> Option<Leave> {
         let spent = now.saturating_sub(*self.leaving.get()?);
-        Some(self.settings.load().bounds.grace.saturating_sub(spent))
+        let left = self.settings.load().bounds.grace.saturating_sub(spent);
+        Some(Leave { spent, left })
     }
 
     /// Waits for a read of the configuration that began after `since`; `false` where none came
