--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use futures_lite::future::poll_fn;
 use slog::info;
+use smol::Timer;
 
 use super::{
     choose::pick,
@@ -31,6 +32,15 @@
 /// Engines that are asked whether they hold the prompt of a stream that is resumed.
 const SEARCHED: usize = 8;
 
+/// How long after a node's start the registry may lack engines that live.
+const SETTLING: Duration = Duration::from_millis(1500);
+
+/// The time between searches meanwhile.
+const AGAIN: Duration = Duration::from_millis(250);
+
+/// What must be left of a request's time for a search to go on.
+const SEARCHING: Duration = Duration::from_secs(4);
+
 /// How long they may take to tell.
 const ASKING: Duration = Duration::from_millis(60);
 
@@ -49,7 +59,7 @@
 /// Chooses an engine for a request that was sent to `tried` before.
 pub(super) async fn pick_engine(state: &State, request: &Request, tried: &[u64]) -> Option<Chosen> {
     if request.ask.last_event.is_some() && tried.is_empty() {
-        if let Some(member) = find_holder(state, request).await {
+        if let Some(member) = search_holder(state, request).await {
             return Some(Chosen {
                 member,
                 holds: true,
@@ -90,7 +100,19 @@
     engines
 }
 
-/// Looks for the engine that still holds the prompt of a stream that its caller resumes.
+/// Looks for the engine that still holds the prompt of a stream that its caller resumes, again while
+/// the node has just started: entries that lapsed while the store was away come back by and by.
+async fn search_holder(state: &State, request: &Request) -> Option<Arc<Member>> {
+    loop {
+        let found = find_holder(state, request).await;
+        if found.is_some() || !state.is_young(SETTLING) || request.left() < SEARCHING {
+            return found;
+        }
+        Timer::after(AGAIN).await;
+    }
+}
+
+/// Asks the engines that a resumed stream's prompt prefers what they hold.
 async fn find_holder(state: &State, request: &Request) -> Option<Arc<Member>> {
     let (part, _) = *request.ask.prompt.parts.last()?;
     let mut engines = preferred(state, request, &[], SEARCHED);
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -183,7 +183,7 @@
     /// Reports whether a node that has just started leaves the store to its peers' readers, whose
     /// first words are on their way.
     pub(crate) fn waits_for_peers(&self) -> bool {
-        !self.news.reads_store() && clock::now().saturating_sub(self.started) < FIRST_WORDS
+        !self.news.reads_store() && self.is_young(FIRST_WORDS)
     }
 
     /// The age at which a peer's word is not gone by, and the store is read instead.
@@ -232,6 +232,11 @@
             && self.asked.load(Ordering::Relaxed)
     }
 
+    /// Reports whether the node started less than `age` ago.
+    pub(crate) fn is_young(&self, age: Duration) -> bool {
+        clock::now().saturating_sub(self.started) < age
+    }
+
     /// Waits up to `limit` for a node that has just started to read what it needs. One that has not
     /// managed to for [`STARTING`] waits no more.
     pub(crate) async fn wait_informed(&self, limit: Duration) {
