--- a/crates/cassiareel-cli/src/args.rs
+++ b/crates/cassiareel-cli/src/args.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+use std::path::PathBuf;
+
 use gumdrop::Options;
 
 /// Edits the settings of a cassiareel deployment and asks its nodes.
@@ -444,7 +446,10 @@
 pub struct ExplainArgs {
     /// Print this help.
     pub help: bool,
-    /// The request's name, as its answer's `x-request-id` gives it.
+    /// A log file to read instead of asking nodes; may be given more than once.
+    #[options(no_short, meta = "FILE")]
+    pub logs: Vec<PathBuf>,
+    /// The request's name, as its answer's `x-request-id` gives it, or the caller's own id.
     #[options(free, required)]
     pub request: String,
 }
--- a/crates/cassiareel-cli/src/lib.rs
+++ b/crates/cassiareel-cli/src/lib.rs
@@ -11,6 +11,7 @@
 mod context;
 mod error;
 mod explain;
+mod explain_logs;
 mod fleet;
 mod keys;
 mod moves;
@@ -27,6 +28,7 @@
 pub use context::Context;
 pub use error::{Code, Error};
 pub use explain::{explain, tell, Line};
+pub use explain_logs::explain_logs;
 pub use fleet::{servers, versions};
 pub use keys::{add_key, list_keys, remove_key, KeyOwner};
 pub use moves::{
--- a/crates/cassiareel-cli/src/run.rs
+++ b/crates/cassiareel-cli/src/run.rs
@@ -13,7 +13,7 @@
         AccountArgs, AccountsCommand, ApplyArgs, Command, GetArgs, KeyArgs, KeysCommand,
         MoveCommand, MoveStartArgs, OrdersCommand, SettingsCommand, ShowArgs,
     },
-    ask_order, change_move, diff_files, explain, get, history, list_keys, list_orders,
+    ask_order, change_move, diff_files, explain, explain_logs, get, history, list_keys, list_orders,
     move_history, move_status, remove_account, remove_key, servers,
     settings::{accepted, read_draft},
     settle_order, show, start_move, status, validate, versions, wait, wait_move, ApplyOptions,
@@ -62,6 +62,9 @@
         }
         Some(Command::Move(args)) => run_move(&context, args.command).await,
         Some(Command::Orders(args)) => run_orders(&context, args.command).await,
+        Some(Command::Explain(args)) if !args.logs.is_empty() => {
+            explain_logs(&args.logs, &args.request)
+        }
         Some(Command::Explain(args)) => explain(&context.nodes()?, &args.request).await,
         None => Err(no_command()),
     }
--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -61,7 +61,10 @@
             return Err((None, Refusal::BadRequest));
         }
     };
-    // The body is read before any refusal, so that the connection can be kept.
+    if head_size(&parts) > state.limits().header_bytes {
+        return Err((Some(ask), Refusal::HeadTooLarge));
+    }
+    // The body is read before any other refusal, so that the connection can be kept.
     let (body, room) = match read_body(state, &ask, body).await {
         Ok(read) => read,
         Err(refusal) => return Err((Some(ask), refusal)),
@@ -97,12 +100,23 @@
     })
 }
 
+/// The bytes of a head, with one space after each colon.
+fn head_size(parts: &request::Parts) -> usize {
+    const LINE: usize = "  HTTP/1.1\r\n".len();
+    const FIELD: usize = ": \r\n".len();
+    const END: usize = "\r\n".len();
+    let target = parts.uri.to_string().len();
+    let fields: usize = parts
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + FIELD)
+        .sum();
+    parts.method.as_str().len() + target + LINE + fields + END
+}
+
 /// Reads the whole body.
 async fn read_body(state: &State, ask: &Ask, body: Incoming) -> Result<(Bytes, Room), Refusal> {
-    let most = state
-        .catalog()
-        .map_or_else(Default::default, |catalog| catalog.limits())
-        .body_bytes;
+    let most = state.limits().body_bytes;
     let size = body.size_hint().upper().unwrap_or(UNKNOWN_SIZE);
     if size > most as u64 {
         return Err(Refusal::TooLarge);
--- a/crates/cassiareel-relay/src/front/refusal.rs
+++ b/crates/cassiareel-relay/src/front/refusal.rs
@@ -15,6 +15,8 @@
 pub(super) enum Refusal {
     /// The request can't be understood.
     BadRequest,
+    /// The head is larger than allowed.
+    HeadTooLarge,
     /// The body is larger than allowed.
     TooLarge,
     /// The body did not arrive in time.
@@ -44,6 +46,7 @@
     pub(super) fn status(self) -> StatusCode {
         match self {
             Refusal::BadRequest => StatusCode::BAD_REQUEST,
+            Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -60,6 +63,7 @@
     pub(super) fn name(self) -> &'static str {
         match self {
             Refusal::BadRequest => "bad_request",
+            Refusal::HeadTooLarge => "head_too_large",
             Refusal::TooLarge => "too_large",
             Refusal::SlowBody => "slow_body",
             Refusal::NoRoute => "no_route",
--- a/crates/cassiareel-relay/src/front/server.rs
+++ b/crates/cassiareel-relay/src/front/server.rs
@@ -20,7 +20,8 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Bytes beyond the largest head that a connection may buffer.
+/// Bytes beyond the largest head that a connection may buffer, so that a head that is a little larger
+/// is read and answered with its reason in the log.
 const SPARE_BYTES: usize = 1 << 10;
 
 /// The smallest buffer that the HTTP library takes.
@@ -71,9 +72,7 @@
         debug!(state.log, "connection lost"; "cause" => %err);
         return;
     }
-    let limits = state
-        .catalog()
-        .map_or_else(Default::default, |catalog| catalog.limits());
+    let limits = state.limits();
     let activity = Arc::new(Activity::default());
     let service = {
         let state = state.clone();
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -22,7 +22,7 @@
     fleet::Fleet,
     kernel::{Authority, Budget, Catalog, Leave, Paces, Zones},
     metrics::Metrics,
-    model::ServiceId,
+    model::{Limits, ServiceId},
     moves::Moves,
     pace,
     peers::News,
@@ -157,6 +157,12 @@
         lock(&self.authority)
     }
 
+    /// Bounds on what callers send: those of the configuration, or usual ones before it is known.
+    pub(crate) fn limits(&self) -> Limits {
+        let catalog = self.catalog();
+        catalog.map_or_else(Limits::default, |catalog| catalog.limits())
+    }
+
     /// Failures by data centre.
     pub(crate) fn zones(&self) -> MutexGuard<'_, Zones> {
         lock(&self.zones)
