--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock::{self, Moment},
     kernel::{takes, Lookup},
-    model::{Ask, Route, ServiceId},
+    model::{Ask, Route, ServiceId, TenantId},
     state::State,
 };
 
@@ -71,7 +71,11 @@
     };
     let patience = ask.deadline.unwrap_or(NO_DEADLINE).mul_f64(START_PART);
     state.wait_informed(patience.min(START_WAIT)).await;
-    let (route, tenant) = match authorize(state, &ask, arrived).await {
+    let Access {
+        route,
+        tenant,
+        priority,
+    } = match authorize(state, &ask, arrived).await {
         Ok(found) => found,
         Err(refusal) => return Err((Some(ask), refusal)),
     };
@@ -94,6 +98,7 @@
         _room: room,
         route,
         tenant,
+        priority,
         arrived,
         end: arrived + limit,
         ask,
@@ -147,12 +152,15 @@
     read.or(late).await
 }
 
+/// What a request may do, by the configuration.
+struct Access {
+    route: Arc<Route>,
+    tenant: Option<TenantId>,
+    priority: u8,
+}
+
 /// Finds the route and the client account, by word on the configuration that is fresh enough.
-async fn authorize(
-    state: &State,
-    ask: &Ask,
-    arrived: Moment,
-) -> Result<(Arc<Route>, Option<Arc<str>>), Refusal> {
+async fn authorize(state: &State, ask: &Ask, arrived: Moment) -> Result<Access, Refusal> {
     let starting = Refusal::NotInformed { after: STARTING };
     let part = UNTRUSTED.start + fastrand::f64() * (UNTRUSTED.end - UNTRUSTED.start);
     let untrusted = Refusal::NotInformed {
@@ -170,11 +178,19 @@
         found = catalog.find(&ask.host, &ask.path, ask.key.as_deref());
     }
     match found {
-        Lookup::Found { route, tenant, .. } => {
+        Lookup::Found {
+            route,
+            tenant,
+            priority,
+        } => {
             if tenant.is_some() && !state.authority().holds(clock::now()) {
                 return Err(untrusted);
             }
-            Ok((route, tenant))
+            Ok(Access {
+                route,
+                tenant,
+                priority,
+            })
         }
         Lookup::NoRoute => Err(Refusal::NoRoute),
         Lookup::UnknownKey => Err(Refusal::UnknownKey),
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -35,6 +35,8 @@
     pub service: ServiceId,
     /// The client account.
     pub tenant: Option<TenantId>,
+    /// The rank among requests, 0 first: the client account's, else the route's.
+    pub priority: u8,
     /// When the request arrived.
     pub arrived: Moment,
     /// When the caller or the route gives up.
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -168,7 +168,7 @@
         expect: member.entry.id.clone(),
         tenant: request.tenant.clone(),
         left: request.left(),
-        priority: None,
+        priority: request.route.kind.is_stream().then_some(request.priority),
         last_event: extra.last_event,
         backup: extra.backup.as_ref().map(|b| b.entry.address),
         copy: extra.copy.clone(),
