--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -1,6 +1,6 @@
 //! Calls of the store with a log line for each change between answered and not answered.
 
-use std::{future::Future, sync::atomic::Ordering, time::Duration};
+use std::{future::Future, sync::atomic::{AtomicBool, Ordering}, time::Duration};
 
 use futures_lite::FutureExt;
 use slog::{info, warn};
@@ -35,6 +35,10 @@
     probes: bool,
     failing: Option<Moment>,
     failures: u32,
+    /// When the next call may be made, after one failed.
+    next: Moment,
+    /// Whether another kind of call has found that the store is back.
+    back: AtomicBool,
 }
 
 impl Caller {
@@ -45,6 +49,8 @@
             probes: false,
             failing: None,
             failures: 0,
+            next: Moment::ZERO,
+            back: AtomicBool::new(false),
         }
     }
 
@@ -104,18 +110,43 @@
     pub(super) fn failed(&mut self, state: &State, err: &SourceError) {
         Metrics::count(&state.metrics.store, "failed");
         self.failures += 1;
+        self.next = clock::now() + self.pause(state);
+        self.back.store(false, Ordering::Relaxed);
         if self.failing.is_none() {
             self.failing = Some(clock::now());
             warn!(state.log, "store lost"; "call" => self.what, "cause" => %err);
         }
     }
 
+    /// Reports whether a call may be made now: not during the rest after one that failed.
+    pub(super) fn may_call(&self) -> bool {
+        let back = self.back.load(Ordering::Relaxed);
+        self.failing.is_none() || back || clock::now() >= self.next
+    }
+
     /// Waits before the next call, after the last one failed.
+    pub(super) async fn rest(&self, state: &State) {
+        let left = self.next.saturating_sub(clock::now());
+        let over = async {
+            Timer::after(left).await;
+        };
+        if self.probes {
+            over.await;
+            return;
+        }
+        let back = async {
+            state.store_back.listen().await;
+            self.back.store(true, Ordering::Relaxed);
+        };
+        back.or(over).await;
+    }
+
+    /// The time between two calls that fail.
     ///
     /// One kind of call finds out when the store is back, and the others wait for it; nodes that
     /// hear the store through others ask it themselves only now and then. The calls of a whole fleet
     /// at a store that is away would otherwise keep it away.
-    pub(super) async fn rest(&self, state: &State) {
+    fn pause(&self, state: &State) -> Duration {
         let doubled = FIRST_PAUSE * 2u32.pow(self.failures.saturating_sub(1).min(4));
         let nodes = state.nodes.load(Ordering::Relaxed);
         let share = if state.news.reads_store() {
@@ -126,13 +157,9 @@
         let spread = 0.75 + fastrand::f64() / 2.0;
         let pause = doubled.min(LONGEST_PAUSE).mul_f64(spread) * share;
         if self.probes {
-            Timer::after(pause).await;
-            return;
+            pause
+        } else {
+            pause.max(WITHOUT_WORD)
         }
-        let back = state.store_back.listen();
-        let late = async {
-            Timer::after(pause.max(WITHOUT_WORD)).await;
-        };
-        back.or(late).await;
     }
 }
--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -61,6 +61,9 @@
     if (fresh.is_some() && !state.news.reads_store()) || state.waits_for_peers() {
         return true;
     }
+    if !caller.may_call() {
+        return false;
+    }
     let began = clock::now();
     match caller.call(state, state.source.policy()).await {
         Some(Some(policy)) => state.news.put_policy(Arc::new(policy), began),
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -61,6 +61,9 @@
     if (!state.news.reads_store() && fresh(state)) || state.waits_for_peers() {
         return true;
     }
+    if !caller.may_call() {
+        return fresh(state);
+    }
     let began = clock::now();
     match caller.call(state, state.source.entries()).await {
         Some(listing) => {
--- a/crates/cassiareel-relay/src/follow/rollouts.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts.rs
@@ -46,6 +46,8 @@
     let mut caller = Caller::new("rollouts");
     let mut known = Known::new();
     state.wait_joined().await;
+    // The registry names the versions that the orders are about.
+    state.wait_listed().await;
     loop {
         let read = renew(&state, &mut caller).await;
         let pause = match read {
@@ -81,6 +83,9 @@
     if state.waits_for_peers() {
         return known;
     }
+    if !caller.may_call() {
+        return None;
+    }
     let began = clock::now();
     let read = caller.call(state, state.source.rollouts()).await?;
     let rollouts = Arc::new(caller.readable(state, read));
--- a/crates/cassiareel-relay/src/peers/roster.rs
+++ b/crates/cassiareel-relay/src/peers/roster.rs
@@ -6,8 +6,11 @@
 
 use crate::{clock::Moment, source::NodeRecord};
 
-/// Nodes that read the store.
-const READERS: usize = 6;
+/// Nodes that read the store in a large fleet.
+const READERS: usize = 4;
+
+/// The largest fleet whose nodes all read the store.
+const ALL_READ: usize = 6;
 
 /// How long a node that did not answer is left out.
 const LEFT_OUT: Duration = Duration::from_secs(6);
@@ -43,7 +46,7 @@
 
     /// Reports whether there are more nodes than read the store.
     pub(crate) fn is_large(&self) -> bool {
-        self.nodes.len() > READERS
+        self.nodes.len() > ALL_READ
     }
 
     /// Reports whether this node reads the store: the more so where nobody else is known.
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -45,6 +45,9 @@
 /// Nodes that are assumed until they were counted.
 const UNKNOWN_NODES: u32 = 100;
 
+/// How long the first read of the registry is waited for.
+const LIST: Duration = Duration::from_millis(1500);
+
 /// How long after its start a node's first reads are on their way.
 const STARTING: Duration = Duration::from_secs(2);
 
@@ -186,6 +189,14 @@
         }
     }
 
+    /// Waits a moment for the first read of the registry.
+    pub(crate) async fn wait_listed(&self) {
+        let late = clock::now() + LIST;
+        while !self.listed.load(Ordering::Relaxed) && clock::now() < late {
+            Timer::after(FRESH_POLL).await;
+        }
+    }
+
     /// Reports whether a node that has just started leaves the store to its peers' readers, whose
     /// first words are on their way.
     pub(crate) fn waits_for_peers(&self) -> bool {
