--- a/crates/cassiareel-cli/src/explain_logs.rs
+++ b/crates/cassiareel-cli/src/explain_logs.rs
@@ -87,7 +87,11 @@
     }
 
     fn tell_send(&self) -> String {
-        let mut text = format!("sent to {} in {}", self.text("backend"), self.text("data_centre"));
+        let mut text = format!(
+            "sent to {} in {}",
+            self.text("backend"),
+            self.text("data_centre")
+        );
         if !self.text("after").is_empty() {
             text += &format!(", after event {}", self.text("after"));
         }
@@ -179,7 +183,10 @@
         let _ = writeln!(text, "{after:>7} ms  {node}  {}", entry.tell());
     }
     let lines: Vec<&Map<String, Value>> = entries.iter().map(|entry| &entry.fields).collect();
-    Ok(Report::new(text, json!({ "request": request, "lines": lines })))
+    Ok(Report::new(
+        text,
+        json!({ "request": request, "lines": lines }),
+    ))
 }
 
 fn unreadable(file: &std::path::Path, cause: &str) -> Error {
--- a/crates/cassiareel-relay/src/dialect.rs
+++ b/crates/cassiareel-relay/src/dialect.rs
@@ -2,11 +2,24 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{request, response, HeaderMap};
+use http::{header, request, response, HeaderMap, HeaderName};
 use snafu::Snafu;
 
 use crate::model::{Ask, BackendId, TenantId};
 
+/// Headers that concern one connection only, and are not passed on.
+pub const PER_CONNECTION: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
 /// Reads and writes the headers of a platform. An implementation decides nothing.
 pub trait Dialect: Send + Sync {
     /// Reads the facts of a caller's request.
--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -1,6 +1,10 @@
 //! Calls of the store with a log line for each change between answered and not answered.
 
-use std::{future::Future, sync::atomic::{AtomicBool, Ordering}, time::Duration};
+use std::{
+    future::Future,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
 
 use futures_lite::FutureExt;
 use slog::{info, warn};
--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -3,17 +3,15 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use http::request;
 use http_body::Body as _;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
-use smol::Timer;
 
 use super::{refusal::Refusal, request::Request, room::Room};
 use crate::{
-    clock::{self, Moment},
+    clock::{self, within, Moment},
     kernel::{takes, Lookup},
     model::{Ask, Route, ServiceId, TenantId},
     state::State,
@@ -145,11 +143,7 @@
             }
         })
     };
-    let late = async {
-        Timer::after(limit).await;
-        Err(Refusal::SlowBody)
-    };
-    read.or(late).await
+    within(limit, read).await.unwrap_or(Err(Refusal::SlowBody))
 }
 
 /// What a request may do, by the configuration.
--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -14,11 +14,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_lite::{future::poll_once, FutureExt};
+use futures_lite::future::poll_once;
 use http::Method;
 use http_body_util::BodyExt;
 use slog::{debug, info};
-use smol::{Task, Timer};
+use smol::Task;
 
 use super::{
     choose::{is_doubted, pick_backup},
@@ -26,7 +26,7 @@
     request::Request,
 };
 use crate::{
-    clock::{self, Moment},
+    clock::{self, within, Moment},
     dialect::{CopyCall, MemoryCopy},
     fleet::{Member, Place},
     net::{own_request, Lease},
@@ -162,11 +162,7 @@
         let (served, runner) = (state.clone(), runner.clone());
         let task = async move {
             let releasing = call(&runner, Method::DELETE, path, String::new());
-            let late = async {
-                Timer::after(COPYING).await;
-                None
-            };
-            let released = releasing.or(late).await.is_some();
+            let released = within(COPYING, releasing).await.flatten().is_some();
             debug!(served.log, "copy released"; "backend" => &*runner.entry.id,
                 "released" => released);
         };
@@ -274,13 +270,9 @@
         let spawner = state.spawner.clone();
         let task = spawner.spawn(async move {
             let asking = call_engine(&runner, call);
-            let late = async {
-                Timer::after(COPYING).await;
-                None
-            };
-            let name = asking
-                .or(late)
+            let name = within(COPYING, asking)
                 .await
+                .flatten()
                 .and_then(|body| state.dialect.read_copy(&body));
             info!(state.log, "copy asked for"; "request" => &*id, "backend" => &*runner.entry.id,
                 "target" => &*to.entry.id, "made" => name.is_some());
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/end.rs
@@ -0,0 +1,52 @@
+//! How a stream ends that is not complete.
+
+use std::time::Duration;
+
+use super::refusal::Refusal;
+use crate::kernel::Stop;
+
+/// When a caller may come back after no engine took its stream.
+const COME_BACK: Duration = Duration::from_millis(600);
+
+/// Why a stream ends without being complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum End {
+    /// No engine took it; nothing has run.
+    NoPlace,
+    /// It can't go on elsewhere.
+    Broken,
+    /// The caller's or the route's time is over.
+    Timeout,
+    /// The node ends, and another node can go on with it.
+    Handed,
+}
+
+impl End {
+    /// The answer where no event was passed on yet.
+    pub(super) fn refusal(self) -> Refusal {
+        match self {
+            End::NoPlace => Refusal::NoPlace { after: COME_BACK },
+            End::Broken | End::Handed => Refusal::Unknown,
+            End::Timeout => Refusal::Timeout,
+        }
+    }
+
+    /// The name in logs and metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            End::NoPlace => "no_place",
+            End::Broken => "broken",
+            End::Timeout => "timeout",
+            End::Handed => "handed_over",
+        }
+    }
+}
+
+impl From<Stop> for End {
+    fn from(stop: Stop) -> End {
+        match stop {
+            Stop::NotRun => End::NoPlace,
+            Stop::MayHaveRun => End::Broken,
+        }
+    }
+}
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -18,19 +18,20 @@
 
 use super::{
     backup::Backups,
-    choose::{pick_backup, FRESH},
+    choose::pick_backup,
+    end::End,
     engines::pick_engine,
     loss,
     probe::Probes,
-    refusal::Refusal,
     request::Request,
+    run::{log_first, until_gone, Run, LOOK},
     send::{send, Extra, Head, Sent},
 };
 use crate::{
     clock::{self, Moment},
     dialect::MemoryCopy,
     fleet::{Member, Place},
-    kernel::{Continuation, Ended, Event, Splitter, Stop},
+    kernel::{Continuation, Event, Splitter},
     metrics::Metrics,
     state::State,
 };
@@ -38,64 +39,9 @@
 /// How long a stream that has begun may be silent before its engine is asked for a sign of life.
 const SILENCE: Duration = Duration::from_millis(300);
 
-/// How long a stream that has not begun may be silent before that.
-const FIRST_SILENCE: Duration = Duration::from_millis(600);
-
 /// How long a stream that has begun may be silent while its engine serves others.
 const LONGER_SILENCE: Duration = Duration::from_millis(500);
 
-/// How long a stream that has not begun may be silent while its engine serves others.
-const LONG_SILENCE: Duration = Duration::from_millis(1500);
-
-/// The time between looks at whether the engine was lost by others' evidence.
-const LOOK: Duration = Duration::from_millis(100);
-
-/// When a caller may come back after no engine took its stream.
-const COME_BACK: Duration = Duration::from_millis(600);
-
-/// Why a stream ends without being complete.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum End {
-    /// No engine took it; nothing has run.
-    NoPlace,
-    /// It can't go on elsewhere.
-    Broken,
-    /// The caller's or the route's time is over.
-    Timeout,
-    /// The node ends, and another node can go on with it.
-    Handed,
-}
-
-impl End {
-    /// The answer where no event was passed on yet.
-    pub(super) fn refusal(self) -> Refusal {
-        match self {
-            End::NoPlace => Refusal::NoPlace { after: COME_BACK },
-            End::Broken | End::Handed => Refusal::Unknown,
-            End::Timeout => Refusal::Timeout,
-        }
-    }
-
-    /// The name in logs and metrics.
-    pub(super) fn name(self) -> &'static str {
-        match self {
-            End::NoPlace => "no_place",
-            End::Broken => "broken",
-            End::Timeout => "timeout",
-            End::Handed => "handed_over",
-        }
-    }
-}
-
-impl From<Stop> for End {
-    fn from(stop: Stop) -> End {
-        match stop {
-            Stop::NotRun => End::NoPlace,
-            Stop::MayHaveRun => End::Broken,
-        }
-    }
-}
-
 /// One stream and where it runs now.
 pub(super) struct Generation {
     state: Arc<State>,
@@ -119,37 +65,6 @@
     unread: u64,
 }
 
-/// The stream at one engine.
-struct Run {
-    head: Box<Head>,
-    splitter: Splitter,
-    place: Place,
-    backups: Backups,
-    began: Moment,
-    /// When the first event came.
-    first: Option<Moment>,
-    heard: Moment,
-    probes: Probes,
-    events: u64,
-    /// Prompt tokens that its engine had to read, as far as is known.
-    unread: u64,
-}
-
-impl Run {
-    /// What the run showed of its engine's pace, after its last event.
-    fn ended(&self, request: &Request, events: u64) -> Ended {
-        let first = self.first.unwrap_or(self.heard);
-        Ended {
-            read: self.unread,
-            reading: first.saturating_sub(self.began),
-            output: request.ask.prompt.output,
-            events,
-            made: self.events,
-            writing: self.heard.saturating_sub(first),
-        }
-    }
-}
-
 /// What one wait on a run brought.
 enum Got {
     Bytes(Bytes),
@@ -527,41 +442,3 @@
         }
     }
 }
-
-/// Waits until an engine that has not begun to answer is believed to have lost the run; tells why.
-async fn until_gone(
-    state: &State,
-    request: &Request,
-    member: &Member,
-    since: Moment,
-) -> &'static str {
-    let mut probes = Probes::new(since);
-    loop {
-        Timer::after(LOOK).await;
-        let now = clock::now();
-        if member.is_gone(since) {
-            return "engine lost";
-        }
-        let silent = now.saturating_sub(since);
-        if probes.age(now) < FIRST_SILENCE
-            || (silent < LONG_SILENCE && member.was_heard(now, FRESH))
-        {
-            continue;
-        }
-        if let Some(cause) = probes.ask(state, request, member, 0, silent).await {
-            return cause;
-        }
-    }
-}
-
-/// Logs the first event of a run, with the pause that a loss made.
-fn log_first(state: &State, request: &Request, run: &Run, lost: Option<Moment>, now: Moment) {
-    let gap = lost.map(|lost| now.saturating_sub(lost));
-    if let Some(gap) = gap {
-        state.metrics.gap.observe(gap.as_secs_f64());
-    }
-    info!(state.log, "first event"; "request" => &*request.ask.id,
-        "backend" => &*run.place.member.entry.id,
-        "after_ms" => now.saturating_sub(run.began).as_millis() as u64,
-        "gap_ms" => gap.map(|gap| gap.as_millis() as u64));
-}
--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -14,7 +14,8 @@
 use super::{
     admit::admit,
     body::{self, Cut, Reply},
-    generation::{End, Generation},
+    end::End,
+    generation::Generation,
     plain::{self, end_to_end},
     refusal::Refusal,
     request::Request,
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod backup;
 mod body;
 mod choose;
+mod end;
 mod engines;
 mod generation;
 mod handler;
@@ -18,6 +19,7 @@
 mod room;
 #[cfg(test)]
 mod room_tests;
+mod run;
 mod send;
 mod server;
 mod watch;
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -3,11 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use http::{header::CONTENT_LENGTH, response, HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use slog::warn;
-use smol::Timer;
 
 use super::{
     body::{whole, Reply},
@@ -18,7 +16,8 @@
     send::{send, Extra, Head, Sent},
 };
 use crate::{
-    clock,
+    clock::{self, within},
+    dialect::PER_CONNECTION,
     fleet::{Member, Place},
     model::Kind,
     state::State,
@@ -117,11 +116,7 @@
             Sent::Late => Tried::Late,
         }
     };
-    let late = async {
-        Timer::after(limit).await;
-        Tried::Late
-    };
-    let outcome = reading.or(late).await;
+    let outcome = within(limit, reading).await.unwrap_or(Tried::Late);
     drop(place);
     let now = clock::now();
     count_version(state, request, member, &outcome, now.saturating_sub(began));
@@ -194,11 +189,7 @@
 /// A backend server's own failure of a stream, as the caller gets it; `None` where it did not come
 /// whole.
 pub(super) async fn pass_failure(state: &State, request: &Request, head: Head) -> Option<Reply> {
-    let late = async {
-        Timer::after(request.left()).await;
-        Tried::Late
-    };
-    match read(state, request, head).or(late).await {
+    match within(request.left(), read(state, request, head)).await? {
         Tried::Answered(answer) => Some(pass_on(answer)),
         _ => None,
     }
@@ -226,20 +217,8 @@
 
 /// Drops the headers that concern only the connection to the backend server.
 pub(super) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    for name in HOP_BY_HOP {
+    for name in PER_CONNECTION {
         headers.remove(name);
     }
     headers
 }
-
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
-use smol::Timer;
 
 use crate::{
+    clock::within,
     fleet::Member,
     net::{own_request, SendFault},
     state::State,
@@ -43,11 +42,9 @@
     limit: Duration,
     idle: Duration,
 ) -> Life {
-    let late = async {
-        Timer::after(limit).await;
-        Life::Silent
-    };
-    ask(state, member, path, idle).or(late).await
+    within(limit, ask(state, member, path, idle))
+        .await
+        .unwrap_or(Life::Silent)
 }
 
 async fn ask(state: &State, member: &Member, path: &str, idle: Duration) -> Life {
--- /dev/null
+++ b/crates/cassiareel-relay/src/front/run.rs
@@ -0,0 +1,106 @@
+//! A stream at one engine.
+
+use std::time::Duration;
+
+use slog::info;
+use smol::Timer;
+
+use super::{backup::Backups, choose::FRESH, probe::Probes, request::Request, send::Head};
+use crate::{
+    clock::{self, Moment},
+    fleet::{Member, Place},
+    kernel::{Ended, Splitter},
+    state::State,
+};
+
+/// How long a stream that has not begun may be silent before its engine is asked for a sign of life.
+const FIRST_SILENCE: Duration = Duration::from_millis(600);
+
+/// How long a stream that has not begun may be silent while its engine serves others.
+const LONG_SILENCE: Duration = Duration::from_millis(1500);
+
+/// The time between looks at whether the engine was lost by others' evidence.
+pub(super) const LOOK: Duration = Duration::from_millis(100);
+
+/// The stream at one engine.
+pub(super) struct Run {
+    /// The head of its answer, with the connection.
+    pub head: Box<Head>,
+    /// Cuts the body into events.
+    pub splitter: Splitter,
+    /// The node's own work there.
+    pub place: Place,
+    /// Copies of its memory.
+    pub backups: Backups,
+    /// When it was sent.
+    pub began: Moment,
+    /// When the first event came.
+    pub first: Option<Moment>,
+    /// When bytes came last.
+    pub heard: Moment,
+    /// Questions to its engine.
+    pub probes: Probes,
+    /// Events that came.
+    pub events: u64,
+    /// Prompt tokens that its engine had to read, as far as is known.
+    pub unread: u64,
+}
+
+impl Run {
+    /// What the run showed of its engine's pace, after its last event.
+    pub fn ended(&self, request: &Request, events: u64) -> Ended {
+        let first = self.first.unwrap_or(self.heard);
+        Ended {
+            read: self.unread,
+            reading: first.saturating_sub(self.began),
+            output: request.ask.prompt.output,
+            events,
+            made: self.events,
+            writing: self.heard.saturating_sub(first),
+        }
+    }
+}
+
+/// Waits until an engine that has not begun to answer is believed to have lost the run; tells why.
+pub(super) async fn until_gone(
+    state: &State,
+    request: &Request,
+    member: &Member,
+    since: Moment,
+) -> &'static str {
+    let mut probes = Probes::new(since);
+    loop {
+        Timer::after(LOOK).await;
+        let now = clock::now();
+        if member.is_gone(since) {
+            return "engine lost";
+        }
+        let silent = now.saturating_sub(since);
+        if probes.age(now) < FIRST_SILENCE
+            || (silent < LONG_SILENCE && member.was_heard(now, FRESH))
+        {
+            continue;
+        }
+        if let Some(cause) = probes.ask(state, request, member, 0, silent).await {
+            return cause;
+        }
+    }
+}
+
+/// Logs the first event of a run, with the pause that a loss made.
+pub(super) fn log_first(
+    state: &State,
+    request: &Request,
+    run: &Run,
+    lost: Option<Moment>,
+    now: Moment,
+) {
+    let gap = lost.map(|lost| now.saturating_sub(lost));
+    if let Some(gap) = gap {
+        state.metrics.gap.observe(gap.as_secs_f64());
+    }
+    info!(state.log, "first event"; "request" => &*request.ask.id,
+        "backend" => &*run.place.member.entry.id,
+        "after_ms" => now.saturating_sub(run.began).as_millis() as u64,
+        "gap_ms" => gap.map(|gap| gap.as_millis() as u64));
+}
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -2,15 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use futures_lite::FutureExt;
 use http::{header::HOST, response, HeaderValue, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use slog::info;
-use smol::Timer;
 
 use crate::{
-    clock,
+    clock::{self, within},
     dialect::{Answer, Dispatch, MemoryCopy},
     fleet::Member,
     metrics::Metrics,
@@ -96,12 +94,9 @@
     limit: Duration,
 ) -> Sent {
     let began = clock::now();
-    let exchange = exchange(state, request, member, extra);
-    let late = async {
-        Timer::after(limit).await;
-        Sent::Late
-    };
-    let sent = exchange.or(late).await;
+    let sent = within(limit, exchange(state, request, member, extra))
+        .await
+        .unwrap_or(Sent::Late);
     let took = clock::now().saturating_sub(began);
     Metrics::count(&state.metrics.sends, sent.name());
     info!(state.log, "sent"; "request" => &*request.ask.id, "backend" => &*member.entry.id,
--- a/crates/cassiareel-relay/src/net/caller.rs
+++ b/crates/cassiareel-relay/src/net/caller.rs
@@ -4,13 +4,11 @@
 
 use bytes::Bytes;
 use cassiareel::runtime::Spawner;
-use futures_lite::FutureExt;
 use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use smol::Timer;
 
 use super::{own_request, Pool, SendFault};
-use crate::source::SourceError;
+use crate::{clock::within, source::SourceError};
 
 /// The longest time that a connection may take.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -53,11 +51,9 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Reply, SourceError> {
-        let late = async {
-            Timer::after(limit).await;
-            Err(SourceError::Timeout { limit })
-        };
-        self.exchange(method, path, body).or(late).await
+        within(limit, self.exchange(method, path, body))
+            .await
+            .unwrap_or(Err(SourceError::Timeout { limit }))
     }
 
     async fn exchange(
--- a/crates/cassiareel-relay/src/net/conn.rs
+++ b/crates/cassiareel-relay/src/net/conn.rs
@@ -4,15 +4,14 @@
 
 use bytes::Bytes;
 use cassiareel::runtime::Spawner;
-use futures_lite::FutureExt;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
-use smol::{net::TcpStream, Task, Timer};
+use smol::{net::TcpStream, Task};
 use smol_hyper::rt::FuturesIo;
 use snafu::Snafu;
 
-use crate::clock::{self, Moment};
+use crate::clock::{self, within, Moment};
 
 /// The largest head of an answer, in bytes.
 const HEAD_BYTES: usize = 64 << 10;
@@ -70,12 +69,11 @@
                 }
             })
         };
-        let late = async {
-            Timer::after(limit).await;
+        let late = || {
             let cause = format!("no connection within {limit:?}");
             Err(SendFault::NotSent { cause })
         };
-        let stream = connected.or(late).await?;
+        let stream = within(limit, connected).await.unwrap_or_else(late)?;
         // Without the option, the last part of a request may wait for an acknowledgement.
         if let Err(err) = stream.set_nodelay(true) {
             return NotSentSnafu {
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_lite::FutureExt;
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -12,7 +11,7 @@
 use smol::{net::TcpListener, Timer};
 
 use crate::{
-    clock::{self, Moment},
+    clock::{self, within, Moment},
     front::{serve_simple, whole, Reply},
     model::{Policy, Revision, Rollout},
     net::Caller,
@@ -80,10 +79,7 @@
 async fn answer(state: &State, have: Have) -> Reply {
     let listener = state.news.changed.listen();
     if holds(state) == (have.version, have.revision) {
-        let late = async {
-            Timer::after(WAIT).await;
-        };
-        listener.or(late).await;
+        within(WAIT, listener).await;
     }
     let now = clock::now();
     let told = Told {
