Readers of the store ask no peers while their reads succeed

Nodes now ask when a read fails, at once, or when their words are older than reads that succeed can be.

--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -100,6 +100,7 @@
     /// Notes an answer.
     pub(super) fn answered(&mut self, state: &State) {
         Metrics::count(&state.metrics.store, "answered");
+        self.tell(state, false);
         self.failures = 0;
         if let Some(since) = self.failing.take() {
             let lost = clock::now().saturating_sub(since);
@@ -113,6 +114,7 @@
     /// Notes a failure.
     pub(super) fn failed(&mut self, state: &State, err: &SourceError) {
         Metrics::count(&state.metrics.store, "failed");
+        self.tell(state, true);
         self.failures += 1;
         self.next = clock::now() + self.pause(state);
         self.back.store(false, Ordering::Relaxed);
@@ -122,6 +124,13 @@
         }
     }
 
+    /// Tells the other tasks whether the store is lost, where this kind of call finds it out.
+    fn tell(&self, state: &State, lost: bool) {
+        if self.probes {
+            state.store_lost.store(lost, Ordering::Relaxed);
+        }
+    }
+
     /// Reports whether a call may be made now: not during the rest after one that failed.
     pub(super) fn may_call(&self) -> bool {
         let back = self.back.load(Ordering::Relaxed);
--- a/crates/cassiareel-relay/src/pace.rs
+++ b/crates/cassiareel-relay/src/pace.rs
@@ -15,6 +15,9 @@
 /// The time between reads where each node reads the store for itself.
 pub(crate) const SMALL: Duration = Duration::from_millis(1400);
 
+/// What a read may take beyond its interval.
+const SPARE: Duration = Duration::from_millis(300);
+
 /// How long a question to a peer waits for something new.
 pub(crate) const WAIT: Duration = Duration::from_millis(500);
 
@@ -34,3 +37,9 @@
         SMALL
     }
 }
+
+/// The age of own reads at which a node that reads the store asks its peers as well. Reads that
+/// succeed are younger; those that fail make it ask at once.
+pub(crate) fn own_age(peer_age: Duration, large: bool) -> Duration {
+    peer_age.max(interval(large) + SPARE)
+}
--- a/crates/cassiareel-relay/src/pace_tests.rs
+++ b/crates/cassiareel-relay/src/pace_tests.rs
@@ -4,7 +4,7 @@
 
 use test_case::test_case;
 
-use super::pace::{interval, peer_age, LARGE, WAIT};
+use super::pace::{interval, own_age, peer_age, LARGE, WAIT};
 
 /// The time that one answer of store or peer may take.
 const ANSWER: Duration = Duration::from_millis(60);
@@ -33,3 +33,12 @@
     let bound = Duration::from_millis(2_000);
     assert!(interval(false) + ANSWER < bound.mul_f64(0.75));
 }
+
+/// Nodes that read the store in time don't ask their peers, whose words would make them read again:
+/// with own reads each 1.4 s and an age of 1.1 s, calls rose by a tenth.
+#[test_case(false; "a small fleet")]
+#[test_case(true; "a large fleet")]
+fn readers_ask_no_peers_between_their_reads(large: bool) {
+    let age = own_age(peer_age(Duration::from_millis(2_000)), large);
+    assert!(interval(large) + ANSWER < age);
+}
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -126,8 +126,7 @@
 /// Asks peers while this node does not read the store, or can't.
 pub(crate) async fn follow_peers(state: Arc<State>) {
     loop {
-        let enough = state.peer_age();
-        if state.news.reads_store() && state.news.is_fresh(enough) {
+        if state.knows_from_store() {
             Timer::after(IDLE).await;
             continue;
         }
@@ -139,13 +138,12 @@
         let caller = Caller::new(address, state.spawner.clone());
         // The connection is kept as long as the peer answers.
         while ask(&state, &caller).await {
-            let other = state.news.reads_store() && state.news.is_fresh(enough);
             let peer = state.news.roster().peer(clock::now());
-            if other || peer.is_none_or(|(next, _)| next != name) {
+            if state.knows_from_store() || peer.is_none_or(|(next, _)| next != name) {
                 break;
             }
         }
-        if !state.news.is_fresh(enough) {
+        if !state.news.is_fresh(state.peer_age()) {
             info!(state.log, "peer silent"; "peer" => &name);
             state.news.roster().note_silent(&name, clock::now());
         }
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -82,6 +82,8 @@
     pub closing: Event,
     /// Bytes of bodies that are held.
     pub held: Arc<AtomicU64>,
+    /// Whether the node's last reads of the configuration failed.
+    pub store_lost: AtomicBool,
     /// Told when the store answers again after it was away.
     pub store_back: Event,
     /// When the node started.
@@ -130,6 +132,7 @@
             handing: AtomicBool::new(false),
             closing: Event::new(),
             held: Arc::default(),
+            store_lost: AtomicBool::new(false),
             store_back: Event::new(),
             started: clock::now(),
             nodes: AtomicU32::new(UNKNOWN_NODES),
@@ -209,6 +212,13 @@
         pace::peer_age(bounds.config_apply.min(bounds.drain))
     }
 
+    /// Reports whether the node reads the store with success, and needs no peer's word.
+    pub(crate) fn knows_from_store(&self) -> bool {
+        let age = pace::own_age(self.peer_age(), self.news.is_large());
+        let lost = self.store_lost.load(Ordering::Relaxed);
+        self.news.reads_store() && !lost && self.news.is_fresh(age)
+    }
+
     /// What this node says of itself in the store, without counts.
     pub(crate) fn own_record(&self) -> NodeRecord {
         let settings = self.settings.load();
