--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -57,9 +57,13 @@
 /// The copies of one run.
 #[derive(Debug, Default)]
 pub(super) struct Backups {
+    /// The copy that can be used.
     held: Option<Held>,
+    /// The copy that is being made.
     asked: Option<Asked>,
+    /// When a copy was asked for last.
     tried: Option<Moment>,
+    /// When the copies were looked at last.
     looked: Option<Moment>,
     /// Engines that turned out to be no holders.
     left_out: Vec<u64>,
@@ -178,26 +182,15 @@
         runner: &Arc<Member>,
     ) {
         let now = clock::now();
-        if self
-            .looked
-            .is_some_and(|looked| now.saturating_sub(looked) < LOOK)
-        {
+        if is_recent(self.looked, LOOK, now) {
             return;
         }
         self.looked = Some(now);
         if self.take_in(request, runner, now).await {
             return;
         }
-        if let Some(held) = &mut self.held {
-            if !held.prove(state, now).await {
-                self.left_out.push(held.place.member.number);
-                self.held = None;
-            }
-        }
-        let waits = self
-            .tried
-            .is_some_and(|tried| now.saturating_sub(tried) < AGAIN);
-        if waits || !can_copy(state, request) {
+        self.prove(state, now).await;
+        if is_recent(self.tried, AGAIN, now) || !can_copy(state, request) {
             return;
         }
         if let Some(target) = self.next_target(state, request, runner, now) {
@@ -206,6 +199,17 @@
         }
     }
 
+    /// Gives up a copy whose holder shows no sign of life.
+    async fn prove(&mut self, state: &Arc<State>, now: Moment) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        if !held.prove(state, now).await {
+            self.left_out.push(held.place.member.number);
+            self.held = None;
+        }
+    }
+
     /// Takes in an answer; reports whether one is still to come.
     async fn take_in(&mut self, request: &Request, runner: &Member, now: Moment) -> bool {
         let Some(mut asked) = self.asked.take() else {
@@ -282,6 +286,11 @@
     }
 }
 
+/// Reports whether something was last done less than `span` ago.
+fn is_recent(last: Option<Moment>, span: Duration, now: Moment) -> bool {
+    last.is_some_and(|last| now.saturating_sub(last) < span)
+}
+
 /// Reports whether the engines of a request's service copy memory when asked to.
 fn can_copy(state: &State, request: &Request) -> bool {
     state
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -32,6 +32,9 @@
 /// Engines that are asked whether they hold the prompt of a stream that is resumed.
 const SEARCHED: usize = 8;
 
+/// How long asked engines may take to tell.
+const ASKING: Duration = Duration::from_millis(60);
+
 /// How long after a node's start the registry may lack engines that live.
 const SETTLING: Duration = Duration::from_millis(1500);
 
@@ -41,9 +44,6 @@
 /// What must be left of a request's time for a search to go on.
 const SEARCHING: Duration = Duration::from_secs(4);
 
-/// How long they may take to tell.
-const ASKING: Duration = Duration::from_millis(60);
-
 /// How long a connection may have been idle over which they are asked.
 const KEPT: Duration = Duration::from_secs(4);
 
@@ -103,8 +103,9 @@
 /// Looks for the engine that still holds the prompt of a stream that its caller resumes, again while
 /// the node has just started: entries that lapsed while the store was away come back by and by.
 async fn search_holder(state: &State, request: &Request) -> Option<Arc<Member>> {
+    let (part, _) = *request.ask.prompt.parts.last()?;
     loop {
-        let found = find_holder(state, request).await;
+        let found = find_holder(state, request, part).await;
         if found.is_some() || !state.is_young(SETTLING) || request.left() < SEARCHING {
             return found;
         }
@@ -112,9 +113,8 @@
     }
 }
 
-/// Asks the engines that a resumed stream's prompt prefers what they hold.
-async fn find_holder(state: &State, request: &Request) -> Option<Arc<Member>> {
-    let (part, _) = *request.ask.prompt.parts.last()?;
+/// Asks the engines that a resumed stream's prompt prefers whether they hold its last part.
+async fn find_holder(state: &State, request: &Request, part: u64) -> Option<Arc<Member>> {
     let mut engines = preferred(state, request, &[], SEARCHED);
     let asking = engines.iter().map(|e| ask_memory(state, part, e));
     let held = join_all(asking).await;
