One wait with a limit, one lock, one look at intervals

Found on reading the change: the relay's within stood beside three of the product (object API, calls, peers), its lock in six files beside two of the product's, and four loops of State looked for a flag. They are cassiareel::runtime::within and lock, and State's wait_until. No change of behaviour; the limit on a peer's body has a name.

--- a/crates/cassiareel-relay/src/fleet.rs
+++ b/crates/cassiareel-relay/src/fleet.rs
@@ -5,13 +5,13 @@
     net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
     },
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
-use cassiareel::runtime::Spawner;
+use cassiareel::runtime::{lock, Spawner};
 
 use crate::{
     clock::Moment,
@@ -309,7 +309,3 @@
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cassiareel::runtime::within;
 use http::request;
 use http_body::Body as _;
 use http_body_util::{BodyExt, Limited};
@@ -11,7 +12,7 @@
 
 use super::{refusal::Refusal, request::Request, room::Room};
 use crate::{
-    clock::{self, within, Moment},
+    clock::{self, Moment},
     kernel::{takes, Lookup},
     model::{Ask, Route, ServiceId, TenantId},
     state::State,
--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -14,6 +14,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cassiareel::runtime::within;
 use futures_lite::future::poll_once;
 use http::Method;
 use http_body_util::BodyExt;
@@ -26,7 +27,7 @@
     request::Request,
 };
 use crate::{
-    clock::{self, within, Moment},
+    clock::{self, Moment},
     dialect::{CopyCall, MemoryCopy},
     fleet::{Member, Place},
     net::{own_request, Lease},
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cassiareel::runtime::within;
 use http::{header::CONTENT_LENGTH, response, HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use slog::warn;
@@ -16,7 +17,7 @@
     send::{send, Extra, Head, Sent},
 };
 use crate::{
-    clock::{self, within},
+    clock,
     dialect::PER_CONNECTION,
     fleet::{Member, Place},
     model::Kind,
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cassiareel::runtime::within;
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 
 use crate::{
-    clock::within,
     fleet::Member,
     net::{own_request, SendFault},
     state::State,
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -2,13 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
+use cassiareel::runtime::within;
 use http::{header::HOST, response, HeaderValue, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use slog::info;
 
 use crate::{
-    clock::{self, within},
+    clock,
     dialect::{Answer, Dispatch, MemoryCopy},
     fleet::Member,
     metrics::Metrics,
--- a/crates/cassiareel-relay/src/moves.rs
+++ b/crates/cassiareel-relay/src/moves.rs
@@ -8,10 +8,11 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
 };
 
 use arc_swap::ArcSwap;
+use cassiareel::runtime;
 
 use crate::{
     clock::Moment,
@@ -148,6 +149,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        runtime::lock(&self.inner)
     }
 }
--- a/crates/cassiareel-relay/src/net/caller.rs
+++ b/crates/cassiareel-relay/src/net/caller.rs
@@ -3,12 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use cassiareel::runtime::Spawner;
+use cassiareel::runtime::{within, Spawner};
 use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
 
 use super::{own_request, Pool, SendFault};
-use crate::{clock::within, source::SourceError};
+use crate::source::SourceError;
 
 /// The longest time that a connection may take.
 const CONNECT: Duration = Duration::from_millis(500);
--- a/crates/cassiareel-relay/src/net/conn.rs
+++ b/crates/cassiareel-relay/src/net/conn.rs
@@ -3,7 +3,7 @@
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use cassiareel::runtime::Spawner;
+use cassiareel::runtime::{within, Spawner};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
@@ -11,7 +11,7 @@
 use smol_hyper::rt::FuturesIo;
 use snafu::Snafu;
 
-use crate::clock::{self, within, Moment};
+use crate::clock::{self, Moment};
 
 /// The largest head of an answer, in bytes.
 const HEAD_BYTES: usize = 64 << 10;
--- a/crates/cassiareel-relay/src/net/pool.rs
+++ b/crates/cassiareel-relay/src/net/pool.rs
@@ -3,11 +3,11 @@
 use std::{
     collections::VecDeque,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
-use cassiareel::runtime::Spawner;
+use cassiareel::runtime::{lock, Spawner};
 
 use super::{Conn, SendFault};
 use crate::clock;
@@ -75,7 +75,7 @@
 
     /// Closes all kept connections.
     pub fn clear(&self) {
-        self.lock().clear();
+        lock(&self.inner.idle).clear();
     }
 
     fn lease(&self, conn: Conn) -> Lease {
@@ -88,7 +88,7 @@
     /// The connection that was used last, after those that are too old are closed.
     fn reuse(&self, idle: Duration) -> Option<Conn> {
         let now = clock::now();
-        let mut conns = self.lock();
+        let mut conns = lock(&self.inner.idle);
         conns.retain(|conn| {
             let age = now.saturating_sub(conn.idle_since);
             age < conn.keep && !conn.is_closed()
@@ -98,13 +98,6 @@
             .rposition(|conn| conn.is_ready() && now.saturating_sub(conn.idle_since) <= idle)?;
         conns.remove(at)
     }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Conn>> {
-        self.inner
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// A connection in use. Dropping it closes the connection.
@@ -126,7 +119,7 @@
         let mut conn = self.conn;
         conn.keep = keep;
         conn.idle_since = clock::now();
-        let mut conns = self.pool.lock();
+        let mut conns = lock(&self.pool.inner.idle);
         if conns.len() >= MOST_IDLE {
             conns.pop_front();
         }
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cassiareel::runtime::within;
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -11,7 +12,7 @@
 use smol::{net::TcpListener, Timer};
 
 use crate::{
-    clock::{self, within, Moment},
+    clock::{self, Moment},
     front::{serve_simple, whole, Reply},
     model::{Policy, Revision, Rollout},
     net::Caller,
--- a/crates/cassiareel-relay/src/peers/held.rs
+++ b/crates/cassiareel-relay/src/peers/held.rs
@@ -1,10 +1,12 @@
 //! The newest of something that is read again and again.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
+use cassiareel::runtime::lock;
+
 use crate::clock::{self, Moment};
 
 /// The newest value, and when the read that brought it began.
@@ -16,12 +18,12 @@
 impl<T> Held<T> {
     /// Takes in a value in place of the one that is held.
     pub(super) fn replace(&self, value: Arc<T>, began: Moment) {
-        *self.lock() = Some((value, began));
+        *lock(&self.inner) = Some((value, began));
     }
 
     /// The value.
     pub(crate) fn get(&self) -> Option<(Arc<T>, Moment)> {
-        self.lock().clone()
+        lock(&self.inner).clone()
     }
 
     /// The value, where its read began within `age`.
@@ -33,14 +35,10 @@
 
     /// Notes that the value still held at `began`.
     pub(super) fn confirm(&self, began: Moment) {
-        if let Some((_, known)) = self.lock().as_mut() {
+        if let Some((_, known)) = lock(&self.inner).as_mut() {
             *known = began.max(*known);
         }
     }
-
-    fn lock(&self) -> MutexGuard<'_, Option<(Arc<T>, Moment)>> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 impl<T> Default for Held<T> {
--- a/crates/cassiareel-relay/src/peers/news.rs
+++ b/crates/cassiareel-relay/src/peers/news.rs
@@ -1,10 +1,11 @@
 //! What a node holds of the store's contents, its own reads and its peers' words.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
+use cassiareel::runtime;
 use event_listener::Event;
 
 use super::{held::Held, roster::Roster};
@@ -45,7 +46,7 @@
 
     /// The nodes of the fleet.
     pub(crate) fn roster(&self) -> MutexGuard<'_, Roster> {
-        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+        runtime::lock(&self.roster)
     }
 
     /// Takes in a configuration. An older one, as an answer that was held up may bring, is ignored.
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -4,14 +4,14 @@
     collections::HashMap,
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock,
     },
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
-use cassiareel::runtime::Spawner;
+use cassiareel::runtime::{lock, Spawner};
 use event_listener::Event;
 use slog::Logger;
 use smol::Timer;
@@ -51,8 +51,8 @@
 /// How long after its start a node's first reads are on their way.
 const STARTING: Duration = Duration::from_secs(2);
 
-/// How often a request that waits for a fresh read looks for it.
-const FRESH_POLL: Duration = Duration::from_millis(5);
+/// The time between looks at what is waited for.
+const POLL: Duration = Duration::from_millis(5);
 
 /// What all requests of a node share.
 pub(crate) struct State {
@@ -186,18 +186,14 @@
 
     /// Waits a moment for the list of the fleet's nodes, by which a node knows whom to ask.
     pub(crate) async fn wait_joined(&self) {
-        let late = clock::now() + JOIN;
-        while !self.joined.load(Ordering::Relaxed) && clock::now() < late {
-            Timer::after(FRESH_POLL).await;
-        }
+        let joined = || self.joined.load(Ordering::Relaxed);
+        wait_until(clock::now() + JOIN, joined).await;
     }
 
     /// Waits a moment for the first read of the registry.
     pub(crate) async fn wait_listed(&self) {
-        let late = clock::now() + LIST;
-        while !self.listed.load(Ordering::Relaxed) && clock::now() < late {
-            Timer::after(FRESH_POLL).await;
-        }
+        let listed = || self.listed.load(Ordering::Relaxed);
+        wait_until(clock::now() + LIST, listed).await;
     }
 
     /// Reports whether a node that has just started leaves the store to its peers' readers, whose
@@ -269,9 +265,7 @@
     pub(crate) async fn wait_informed(&self, limit: Duration) {
         let now = clock::now();
         let end = (now + limit).min(self.started + STARTING);
-        while !self.is_informed() && clock::now() < end {
-            Timer::after(FRESH_POLL).await;
-        }
+        wait_until(end, || self.is_informed()).await;
     }
 
     /// Notes that the node is about to end.
@@ -295,17 +289,16 @@
     /// within `limit`.
     pub(crate) async fn wait_fresh(&self, since: Moment, limit: Duration) -> bool {
         let end = clock::now() + limit;
-        loop {
-            if self.authority().confirmed().is_some_and(|at| at >= since) {
-                return true;
-            }
-            if clock::now() >= end {
-                return false;
+        let is_fresh = || {
+            let confirmed = self.authority().confirmed();
+            let fresh = confirmed.is_some_and(|at| at >= since);
+            if !fresh && clock::now() < end {
+                // A full channel means that a read was asked for already.
+                let _ = self.nudge.try_send(());
             }
-            // A full channel means that a read was asked for already.
-            let _ = self.nudge.try_send(());
-            Timer::after(FRESH_POLL).await;
-        }
+            fresh
+        };
+        wait_until(end, is_fresh).await
     }
 
     /// Waits until a request asks for a fresh read.
@@ -339,6 +332,18 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+/// Looks at short intervals whether something holds; `false` where it does not at `end`.
+async fn wait_until<F>(end: Moment, holds: F) -> bool
+where
+    F: Fn() -> bool,
+{
+    loop {
+        if holds() {
+            return true;
+        }
+        if clock::now() >= end {
+            return false;
+        }
+        Timer::after(POLL).await;
+    }
 }
--- a/crates/cassiareel/src/engines/table.rs
+++ b/crates/cassiareel/src/engines/table.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use arc_swap::ArcSwap;
@@ -21,6 +21,7 @@
         routing::{self, Policy, PrefixIndex, Slot, Subsets},
         BackendId, DataCentreId, NodeId, Time,
     },
+    runtime,
 };
 
 /// How a table is made.
@@ -329,7 +330,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Writer> {
-        self.writer.lock().unwrap_or_else(PoisonError::into_inner)
+        runtime::lock(&self.writer)
     }
 }
 
--- a/crates/cassiareel/src/observe/recent.rs
+++ b/crates/cassiareel/src/observe/recent.rs
@@ -8,13 +8,15 @@
 use std::{
     collections::VecDeque,
     fmt,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::{SystemTime, UNIX_EPOCH},
 };
 
 use serde_json::{Map, Value};
 use slog::{o, Drain, Key, Logger, OwnedKVList, Record, Serializer, KV};
 
+use crate::runtime::lock;
+
 /// Bytes of lines that a node keeps.
 const RECENT_BYTES: usize = 8 << 20;
 
@@ -69,7 +71,7 @@
 
     /// The lines of a request, oldest first.
     pub fn find(&self, request: &str) -> Vec<Map<String, Value>> {
-        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let lines = lock(&self.lines);
         lines
             .kept
             .iter()
@@ -80,14 +82,11 @@
 
     /// Lines that were dropped to keep within the bound.
     pub fn dropped(&self) -> u64 {
-        self.lines
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .dropped
+        lock(&self.lines).dropped
     }
 
     fn keep(&self, request: String, text: String) {
-        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut lines = lock(&self.lines);
         lines.bytes += request.len() + text.len();
         lines.kept.push_back(Line { request, text });
         while lines.bytes > lines.bound {
--- a/crates/cassiareel/src/peer/peers.rs
+++ b/crates/cassiareel/src/peer/peers.rs
@@ -22,7 +22,7 @@
         revision::Source,
         Revision, Time,
     },
-    runtime::Spawner,
+    runtime::{within, Spawner},
     settings::Tree,
     wire::{read_body, send, BoxFuture, Handler, Limits},
 };
@@ -48,6 +48,9 @@
     head: Duration::from_millis(700),
 };
 
+/// The time in which a body must arrive.
+const BODY_TIME: Duration = Duration::from_secs(5);
+
 /// One side's part of an exchange.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Frame {
@@ -328,7 +331,7 @@
             return Err(format!("{to} answered {}", res.status()));
         }
         let digest = header(res.header(DIGEST));
-        let body = within(read_body(res.take_body(), limit)).await?;
+        let body = bounded(read_body(res.take_body(), limit)).await?;
         if !self.keys.accepts(path, &body, &digest) {
             return Err(format!("{to} answered with a wrong digest"));
         }
@@ -339,7 +342,7 @@
     async fn answer(self: Arc<Peers>, mut req: Request) -> Response {
         let path = req.url().path().to_owned();
         let digest = header(req.header(DIGEST));
-        let body = match within(read_body(req.take_body(), EXCHANGE_BYTES)).await {
+        let body = match bounded(read_body(req.take_body(), EXCHANGE_BYTES)).await {
             Ok(body) => body,
             Err(cause) => return refuse(StatusCode::BadRequest, &cause),
         };
@@ -449,14 +452,13 @@
 }
 
 /// Waits for a body for a bounded time.
-async fn within<F, T, E>(body: F) -> Result<T, String>
+async fn bounded<F, T, E>(body: F) -> Result<T, String>
 where
     F: std::future::Future<Output = Result<T, E>>,
     E: ToString,
 {
-    smol::future::or(async { body.await.map_err(|err| err.to_string()) }, async {
-        Timer::after(Duration::from_secs(5)).await;
-        Err("the body did not arrive in time".to_owned())
-    })
-    .await
+    match within(BODY_TIME, body).await {
+        Some(body) => body.map_err(|err| err.to_string()),
+        None => Err("the body did not arrive in time".to_owned()),
+    }
 }
--- a/crates/cassiareel/src/runtime.rs
+++ b/crates/cassiareel/src/runtime.rs
@@ -10,17 +10,47 @@
     future::Future,
     sync::{
         atomic::{AtomicBool, Ordering},
-        Arc, Weak,
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
     },
     thread,
     time::Duration,
 };
 
-use smol::{Executor, Task};
+use smol::{future, Executor, Task, Timer};
 
 /// How long a paused thread sleeps between looks at the pause flag.
 const PAUSE_POLL: Duration = Duration::from_millis(1);
 
+/// Waits for a future for at most `limit`; `None` where it was not ready by then.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use cassiareel::runtime::within;
+///
+/// let ready = within(Duration::from_secs(60), async { 4 });
+/// assert_eq!(smol::block_on(ready), Some(4));
+/// let never = within(Duration::ZERO, std::future::pending::<()>());
+/// assert_eq!(smol::block_on(never), None);
+/// ```
+pub async fn within<F>(limit: Duration, future: F) -> Option<F::Output>
+where
+    F: Future,
+{
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    future::or(async { Some(future.await) }, late).await
+}
+
+/// Locks a mutex, also one whose holder panicked: for values that are whole between statements.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A handle that spawns tasks on a [`Runtime`].
 ///
 /// The handle does not keep the executor alive: tasks hold handles, and an executor that its own
--- a/crates/cassiareel/src/store/http_objects.rs
+++ b/crates/cassiareel/src/store/http_objects.rs
@@ -1,16 +1,18 @@
 //! The object API over HTTP.
 
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
 use futures_lite::{future, io::BufReader, AsyncBufReadExt};
 use http_types::{headers, mime, Body, Method, Request, Response, StatusCode, Url};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use smol::Timer;
 
 use super::{Listing, Object, Objects, StoreError, StoreVersion};
-use crate::wire::{read_body, send, Limits, SendError};
+use crate::{
+    runtime::within,
+    wire::{read_body, send, Limits, SendError},
+};
 
 /// The path under which the system's own kinds live.
 const ROOT: [&str; 5] = ["apis", "cassiareel.dev", "v1", "namespaces", "default"];
@@ -441,15 +443,3 @@
         cause: err.to_string(),
     }
 }
-
-/// Waits for a future for at most `limit`.
-async fn within<F, T>(limit: Duration, future: F) -> Option<T>
-where
-    F: Future<Output = T>,
-{
-    let expired = async {
-        Timer::after(limit).await;
-        None
-    };
-    future::or(async { Some(future.await) }, expired).await
-}
--- a/crates/cassiareel/src/wire/client.rs
+++ b/crates/cassiareel/src/wire/client.rs
@@ -3,9 +3,11 @@
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use http_types::{Request, Response};
-use smol::{net::TcpStream, Timer};
+use smol::net::TcpStream;
 use snafu::Snafu;
 
+use crate::runtime::within;
+
 /// Bounds on a call.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -55,26 +57,24 @@
 /// [`SendError::NotSent`] promises that the server saw no byte of the request;
 /// [`SendError::NoAnswer`] promises nothing.
 pub async fn send(addr: SocketAddr, req: Request, limits: Limits) -> Result<Response, SendError> {
-    let stream = within(limits.connect, TcpStream::connect(addr))
+    let stream = bounded(limits.connect, TcpStream::connect(addr))
         .await
-        .and_then(|res| res.map_err(|err| err.to_string()))
         .map_err(|cause| SendError::NotSent { addr, cause })?;
     // Tokens are small writes that must not wait for an acknowledgement.
     let _ = stream.set_nodelay(true);
-    within(limits.head, async_h1::connect(stream, req))
+    bounded(limits.head, async_h1::connect(stream, req))
         .await
-        .and_then(|res| res.map_err(|err| err.to_string()))
         .map_err(|cause| SendError::NoAnswer { addr, cause })
 }
 
-/// Waits for a future for at most `limit`.
-async fn within<F, T>(limit: Duration, future: F) -> Result<T, String>
+/// Waits for a result for at most `limit`.
+async fn bounded<F, T, E>(limit: Duration, future: F) -> Result<T, String>
 where
-    F: Future<Output = T>,
+    E: ToString,
+    F: Future<Output = Result<T, E>>,
 {
-    smol::future::or(async { Ok(future.await) }, async {
-        Timer::after(limit).await;
-        Err(format!("no result within {limit:?}"))
-    })
-    .await
+    match within(limit, future).await {
+        Some(result) => result.map_err(|err| err.to_string()),
+        None => Err(format!("no result within {limit:?}")),
+    }
 }
