Draw the version of a stream once; say things once in the relay

Found on reading the change. The backend servers are now described once for a choice, and the version is drawn once; before, every pick of up to eight described all of them again.

--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -109,7 +109,11 @@
     const LINE: usize = "  HTTP/1.1\r\n".len();
     const FIELD: usize = ": \r\n".len();
     const END: usize = "\r\n".len();
-    let target = parts.uri.to_string().len();
+    let uri = &parts.uri;
+    let scheme = uri.scheme_str().map_or(0, |scheme| scheme.len() + 3);
+    let authority = uri.authority().map_or(0, |host| host.as_str().len());
+    let query = uri.query().map_or(0, |query| query.len() + 1);
+    let target = scheme + authority + uri.path().len() + query;
     let fields: usize = parts
         .headers
         .iter()
--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -116,11 +116,7 @@
             engine.hear(clock::now());
             true
         }
-        Life::Ended => {
-            engine.replaced();
-            false
-        }
-        Life::Silent => false,
+        Life::Ended | Life::Silent => false,
     }
 }
 
@@ -191,7 +187,10 @@
             return;
         }
         self.prove(state, now).await;
-        if is_recent(self.tried, AGAIN, now) || !can_copy(state, request) {
+        let copies = state
+            .engine(&request.service)
+            .is_some_and(|engine| engine.moves);
+        if is_recent(self.tried, AGAIN, now) || !copies {
             return;
         }
         if let Some(target) = self.next_target(state, request, runner, now) {
@@ -292,14 +291,6 @@
     last.is_some_and(|last| now.saturating_sub(last) < span)
 }
 
-/// Reports whether the engines of a request's service copy memory when asked to.
-fn can_copy(state: &State, request: &Request) -> bool {
-    state
-        .catalog()
-        .and_then(|catalog| Some(catalog.engine(&request.service)?.moves))
-        .unwrap_or(false)
-}
-
 /// Asks an engine for a copy.
 async fn call_engine(engine: &Member, asked: CopyCall) -> Option<Bytes> {
     call(engine, Method::POST, asked.path.to_owned(), asked.body).await
--- a/crates/cassiareel-relay/src/front/body.rs
+++ b/crates/cassiareel-relay/src/front/body.rs
@@ -1,10 +1,8 @@
 //! The bodies of answers.
 
-use std::pin::Pin;
-
 use bytes::Bytes;
-use futures_lite::Stream;
-use http::Response;
+use futures_lite::{Stream, StreamExt};
+use http::{Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{combinators::UnsyncBoxBody, BodyExt, Empty, Full, StreamBody};
 use snafu::Snafu;
@@ -30,9 +28,12 @@
         .boxed_unsync()
 }
 
-/// No body.
-pub(super) fn empty() -> Body {
-    Empty::new().map_err(|never| match never {}).boxed_unsync()
+/// An answer that is a status alone.
+pub(crate) fn bare(status: StatusCode) -> Reply {
+    let empty = Empty::new().map_err(|never| match never {});
+    let mut reply = Response::new(empty.boxed_unsync());
+    *reply.status_mut() = status;
+    reply
 }
 
 /// A body that is made while it is sent. Dropping it, as when the caller leaves, drops the stream.
@@ -40,23 +41,6 @@
 where
     S: Stream<Item = Result<Bytes, Cut>> + Send + 'static,
 {
-    let frames = Frames(Box::pin(chunks));
+    let frames = chunks.map(|chunk| chunk.map(Frame::data));
     StreamBody::new(frames).boxed_unsync()
 }
-
-/// Chunks as the frames of a body.
-struct Frames(Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send>>);
-
-impl Stream for Frames {
-    type Item = Result<Frame<Bytes>, Cut>;
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        self.0
-            .as_mut()
-            .poll_next(cx)
-            .map(|item| item.map(|chunk| chunk.map(Frame::data)))
-    }
-}
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -6,9 +6,8 @@
 
 use crate::{
     clock::{self, Moment},
-    fleet::Member,
+    fleet::{Member, Members},
     kernel::{choose, Candidate, Need},
-    model::Prompt,
     moves::Rule,
     state::State,
 };
@@ -21,23 +20,59 @@
 /// How long the registry may go on naming a backend server that was lost.
 const UNCERTAIN: Duration = Duration::from_secs(8);
 
-/// Chooses a backend server for a request that was sent to `tried` before.
-pub(super) fn pick(state: &State, request: &Request, tried: &[u64]) -> Option<Arc<Member>> {
-    let members = state.fleet.members(&request.service);
-    let need = need(state, request);
-    let now = clock::now();
-    let mut candidates: Vec<Candidate> = members
-        .iter()
-        .map(|member| {
-            let mut candidate = describe(state, member, now);
-            candidate.tried = tried.contains(&member.number);
-            candidate.rank = rank(request, member);
-            candidate
-        })
-        .collect();
-    apply_rule(state, request, &members, &mut candidates);
-    let chosen = choose(&candidates, need, fastrand::f64)?;
-    Some(members[chosen].clone())
+/// The backend servers of a request's service, as they are known at one moment.
+///
+/// The version that the request goes to is drawn once, so that a choice by load among several of
+/// them can't bring a new version more than its share.
+pub(super) struct Choice {
+    members: Members,
+    candidates: Vec<Candidate>,
+    need: Need,
+}
+
+impl Choice {
+    /// The backend servers for a request that was sent to `tried` before.
+    pub(super) fn new(state: &State, request: &Request, tried: &[u64]) -> Choice {
+        let members = state.fleet.members(&request.service);
+        let now = clock::now();
+        let mut candidates: Vec<Candidate> = members
+            .iter()
+            .map(|member| {
+                let mut candidate = describe(state, member, now);
+                candidate.tried = tried.contains(&member.number);
+                candidate.rank = rank(request, member);
+                candidate
+            })
+            .collect();
+        apply_rule(state, request, &members, &mut candidates);
+        Choice {
+            need: need(state, request),
+            members,
+            candidates,
+        }
+    }
+
+    /// The best one; one that was tried only where no other is left.
+    pub(super) fn best(&self) -> Option<Arc<Member>> {
+        let chosen = choose(&self.candidates, self.need, fastrand::f64)?;
+        Some(self.members[chosen].clone())
+    }
+
+    /// The best ones that were not tried, at most `most`. They count as tried from now on.
+    pub(super) fn preferred(&mut self, most: usize) -> Vec<Arc<Member>> {
+        std::iter::from_fn(|| self.next()).take(most).collect()
+    }
+
+    /// The best one that was not tried, which counts as tried from now on.
+    fn next(&mut self) -> Option<Arc<Member>> {
+        let chosen = choose(&self.candidates, self.need, fastrand::f64)?;
+        let candidate = &mut self.candidates[chosen];
+        if candidate.tried {
+            return None;
+        }
+        candidate.tried = true;
+        Some(self.members[chosen].clone())
+    }
 }
 
 /// Chooses an engine in another data centre for a copy of a run's memory, but for those that are
@@ -101,14 +136,12 @@
 
 /// What a request needs of a backend server.
 fn need(state: &State, request: &Request) -> Need {
-    let capacity = state
-        .catalog()
-        .and_then(|catalog| Some(catalog.engine(&request.service)?.capacity));
-    match capacity {
-        Some(_) => Need {
-            input: request.ask.prompt.input.max(1),
-            tokens: Prompt::footprint(&request.ask.prompt),
-            capacity,
+    let prompt = &request.ask.prompt;
+    match state.engine(&request.service) {
+        Some(engine) => Need {
+            input: prompt.input.max(1),
+            tokens: prompt.footprint(),
+            capacity: Some(engine.capacity),
         },
         None => Need::default(),
     }
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -7,15 +7,15 @@
 others there.
 */
 
-use std::{future::Future, sync::Arc, task::Poll, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_lite::future::poll_fn;
+use futures_util::future::join_all;
 use slog::info;
 use smol::Timer;
 
 use super::{
-    choose::pick,
+    choose::Choice,
     report::{self, Life},
     request::Request,
 };
@@ -75,9 +75,10 @@
 
 /// The engine with the least to do, of the first few in the request's order of preference.
 async fn least_loaded(state: &State, request: &Request, tried: &[u64]) -> Option<Arc<Member>> {
-    let mut engines = preferred(state, request, tried, ASKED);
+    let mut choice = Choice::new(state, request, tried);
+    let mut engines = choice.preferred(ASKED);
     if engines.len() < 2 {
-        return engines.pop().or_else(|| pick(state, request, tried));
+        return engines.pop().or_else(|| choice.best());
     }
     let asking = engines.iter().map(|e| ask_load(state, request, e));
     let told = join_all(asking).await;
@@ -85,21 +86,6 @@
     Some(engines.swap_remove(chosen))
 }
 
-/// The first engines in a request's order of preference, at most `most`.
-fn preferred(state: &State, request: &Request, tried: &[u64], most: usize) -> Vec<Arc<Member>> {
-    let mut left_out = tried.to_vec();
-    let mut engines: Vec<Arc<Member>> = Vec::new();
-    while engines.len() < most {
-        let next = pick(state, request, &left_out);
-        let Some(next) = next.filter(|next| !left_out.contains(&next.number)) else {
-            break;
-        };
-        left_out.push(next.number);
-        engines.push(next);
-    }
-    engines
-}
-
 /// Looks for the engine that still holds the prompt of a stream that its caller resumes, again while
 /// the node has just started: entries that lapsed while the store was away come back by and by.
 async fn search_holder(state: &State, request: &Request) -> Option<Arc<Member>> {
@@ -115,7 +101,7 @@
 
 /// Asks the engines that a resumed stream's prompt prefers whether they hold its last part.
 async fn find_holder(state: &State, request: &Request, part: u64) -> Option<Arc<Member>> {
-    let mut engines = preferred(state, request, &[], SEARCHED);
+    let mut engines = Choice::new(state, request, &[]).preferred(SEARCHED);
     let asking = engines.iter().map(|e| ask_memory(state, part, e));
     let held = join_all(asking).await;
     let chosen = choose_holder(&held);
@@ -147,36 +133,6 @@
 async fn ask(state: &State, engine: &Member, path: &str) -> Option<Bytes> {
     match report::read_within(state, engine, path, ASKING, KEPT).await {
         Life::Lives(body) => Some(body),
-        Life::Ended => {
-            engine.replaced();
-            None
-        }
-        Life::Silent => None,
+        Life::Ended | Life::Silent => None,
     }
 }
-
-/// Waits for all of some futures.
-async fn join_all<F, I, T>(futures: I) -> Vec<T>
-where
-    F: Future<Output = T>,
-    I: Iterator<Item = F>,
-{
-    let mut waiting: Vec<_> = futures.map(Box::pin).collect();
-    let mut done: Vec<Option<T>> = waiting.iter().map(|_| None).collect();
-    poll_fn(|cx| {
-        for (future, done) in waiting.iter_mut().zip(&mut done) {
-            if done.is_none() {
-                if let Poll::Ready(value) = future.as_mut().poll(cx) {
-                    *done = Some(value);
-                }
-            }
-        }
-        if done.iter().all(Option::is_some) {
-            Poll::Ready(())
-        } else {
-            Poll::Pending
-        }
-    })
-    .await;
-    done.into_iter().flatten().collect()
-}
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -261,19 +261,13 @@
             } = run;
             // Closing the connection stops the engine before another one goes on.
             drop(head);
-            self.lose(&place.member.clone(), backups, cause, events)?;
+            self.lose(&place.member, backups, cause, events);
         }
         self.start(cause).await
     }
 
     /// Notes a lost run, and what is left of its memory.
-    fn lose(
-        &mut self,
-        member: &Member,
-        backups: Backups,
-        cause: &'static str,
-        events: u64,
-    ) -> Result<(), End> {
+    fn lose(&mut self, member: &Member, backups: Backups, cause: &'static str, events: u64) {
         let now = clock::now();
         self.lost_at.get_or_insert(now);
         let entry = &member.entry;
@@ -284,7 +278,6 @@
             "after" => self.progress.last());
         // An engine copies no memory before the first event.
         self.copy = (events > 0).then(|| backups.take(now)).flatten();
-        Ok(())
     }
 
     /// Sends the request until an engine takes it, first to the holder of a copy.
@@ -380,7 +373,8 @@
             Ok(sent) => sent,
             Err(cause) => {
                 self.progress.ran();
-                return self.lose(&member, backups, cause, 0).map(|()| false);
+                self.lose(&member, backups, cause, 0);
+                return Ok(false);
             }
         };
         let now = clock::now();
@@ -418,8 +412,8 @@
             }
             Sent::Lost(_) => {
                 self.progress.ran();
-                self.lose(&member, backups, "connection lost", 0)
-                    .map(|()| false)
+                self.lose(&member, backups, "connection lost", 0);
+                Ok(false)
             }
             Sent::Late => Err(End::Timeout),
         }
@@ -427,11 +421,8 @@
 
     /// What this send adds: where the memory is copied to, and the copy that it goes on from.
     fn extra(&self, member: &Arc<Member>, copy: Option<MemoryCopy>) -> Extra {
-        let backups = self
-            .state
-            .catalog()
-            .and_then(|catalog| Some(catalog.engine(&self.request.service)?.backups))
-            .unwrap_or(false);
+        let engine = self.state.engine(&self.request.service);
+        let backups = engine.is_some_and(|engine| engine.backups);
         let may_resume = self.request.route.kind.may_repeat();
         Extra {
             last_event: self.progress.last(),
--- a/crates/cassiareel-relay/src/front/loss.rs
+++ b/crates/cassiareel-relay/src/front/loss.rs
@@ -42,10 +42,7 @@
 /// Asks the other engines of a lost one's service and data centre.
 fn sweep(state: &Arc<State>, lost: &Member) {
     let entry = &lost.entry;
-    let is_engine = state
-        .catalog()
-        .is_some_and(|catalog| catalog.engine(&entry.service).is_some());
-    if !is_engine {
+    if state.engine(&entry.service).is_none() {
         return;
     }
     info!(state.log, "data centre suspect"; "service" => &*entry.service,
@@ -75,7 +72,6 @@
             }
             Life::Ended => {
                 info!(state.log, "backend ended"; "backend" => &*member.entry.id);
-                member.replaced();
                 return;
             }
             Life::Silent => member.lose(now),
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -24,6 +24,6 @@
 mod server;
 mod watch;
 
-pub(crate) use body::{whole, Reply};
+pub(crate) use body::{bare, whole, Reply};
 pub(crate) use server::{listen, serve_callers, serve_metrics, serve_ready, serve_simple};
 pub(crate) use watch::Open;
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -10,7 +10,7 @@
 
 use super::{
     body::{whole, Reply},
-    choose::pick,
+    choose::Choice,
     loss,
     refusal::Refusal,
     request::Request,
@@ -58,7 +58,7 @@
     let mut refused = 0;
     let mut failed: Option<Whole> = None;
     loop {
-        let Some(member) = pick(state, request, &tried) else {
+        let Some(member) = Choice::new(state, request, &tried).best() else {
             break;
         };
         let first = tried.is_empty();
--- a/crates/cassiareel-relay/src/front/probe.rs
+++ b/crates/cassiareel-relay/src/front/probe.rs
@@ -65,12 +65,9 @@
         self.asked = clock::now();
         let body = match report::read(state, member).await {
             Life::Lives(body) => body,
-            life => {
+            Life::Ended | Life::Silent => {
                 info!(state.log, "engine asked"; "request" => &*request.ask.id,
                     "backend" => &*member.entry.id, "lives" => false);
-                if matches!(life, Life::Ended) {
-                    member.replaced();
-                }
                 return Some("silent");
             }
         };
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -33,7 +33,7 @@
     read_within(state, member, path, PROBE, Duration::ZERO).await
 }
 
-/// Asks for what stands at a path, and waits at most `limit`, over a connection that was idle for at
+/// Asks for what stands at a path, notes an end of the process, and waits at most `limit`, over a connection that was idle for at
 /// most `idle` or a new one.
 pub(super) async fn read_within(
     state: &State,
@@ -42,9 +42,13 @@
     limit: Duration,
     idle: Duration,
 ) -> Life {
-    within(limit, ask(state, member, path, idle))
+    let life = within(limit, ask(state, member, path, idle))
         .await
-        .unwrap_or(Life::Silent)
+        .unwrap_or(Life::Silent);
+    if matches!(life, Life::Ended) {
+        member.replaced();
+    }
+    life
 }
 
 async fn ask(state: &State, member: &Member, path: &str, idle: Duration) -> Life {
--- a/crates/cassiareel-relay/src/front/server.rs
+++ b/crates/cassiareel-relay/src/front/server.rs
@@ -11,7 +11,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use super::{
-    body::{empty, whole, Reply},
+    body::{bare, whole, Reply},
     handler::handle,
     watch::{Activity, Busy, Open, Overdue, Watched},
 };
@@ -34,14 +34,7 @@
 pub(crate) async fn serve_callers(state: Arc<State>, listener: TcpListener, open: Open) {
     let connections = Arc::new(());
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                warn!(state.log, "connection not accepted"; "cause" => %err);
-                Timer::after(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&state, &listener).await;
         let most = state
             .settings
             .load()
@@ -66,6 +59,19 @@
     }
 }
 
+/// The next connection. A failure to accept one, as for want of descriptors, is logged and passes.
+async fn accept(state: &State, listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(err) => {
+                warn!(state.log, "connection not accepted"; "cause" => %err);
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Serves one connection of a caller.
 async fn serve_caller(state: Arc<State>, stream: TcpStream, open: Open) {
     if let Err(err) = stream.set_nodelay(true) {
@@ -120,11 +126,11 @@
 /// Answers the balancer's question whether the node is ready.
 pub(crate) async fn serve_ready(state: Arc<State>, listener: TcpListener) {
     serve_simple(state, listener, |state, _| async move {
-        let mut reply = Response::new(empty());
-        if !state.is_ready() {
-            *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        if state.is_ready() {
+            bare(StatusCode::OK)
+        } else {
+            bare(StatusCode::SERVICE_UNAVAILABLE)
         }
-        reply
     })
     .await;
 }
@@ -144,10 +150,7 @@
     T: Future<Output = Reply> + Send + 'static,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept(&state, &listener).await;
         let answer = answer.clone();
         let served = state.clone();
         let task = async move {
--- a/crates/cassiareel-relay/src/kernel/catalog_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/catalog_tests.rs
@@ -1,28 +1,19 @@
 //! Routes by host and longest prefix, and keys.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use test_case::test_case;
 
-use super::{Catalog, Lookup};
-use crate::model::{Kind, Policy, Route, Target, Tenant};
+use super::{samples, Catalog, Lookup};
+use crate::model::{Kind, Policy, Route, Tenant};
 
 fn route(name: &str, host: &str, prefix: &str, public: bool) -> Route {
     Route {
         name: name.to_owned(),
         host: host.to_owned(),
         prefix: prefix.to_owned(),
-        kind: Kind::Idempotent,
-        timeout: Duration::from_secs(1),
-        objective: Duration::from_secs(1),
-        pause: None,
-        priority: 1,
-        targets: vec![Target {
-            service: Arc::from("s"),
-            weight: 1,
-        }],
-        attempts: 2,
         public,
+        ..samples::route(Kind::Idempotent)
     }
 }
 
--- a/crates/cassiareel-relay/src/kernel/leaving_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/leaving_tests.rs
@@ -1,11 +1,11 @@
 //! A stopping node takes what it can end, and refuses the rest at once.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use test_case::test_case;
 
-use super::{takes, Leave};
-use crate::model::{Kind, Prompt, Route, Target};
+use super::{samples, takes, Leave};
+use crate::model::{Kind, Prompt, Route};
 
 struct Case {
     kind: Kind,
@@ -32,20 +32,8 @@
 #[test_case(&Case { kind: Kind::NonIdempotent, timeout: 4_000, tokens: (0, 0), done: 0, spent: 6_800, takes: false }; "an order that may take longer")]
 fn what_can_end_is_taken(case: &Case) {
     let route = Route {
-        name: String::new(),
-        host: String::new(),
-        prefix: "/".to_owned(),
-        kind: case.kind,
         timeout: Duration::from_millis(case.timeout),
-        objective: Duration::from_secs(1),
-        pause: None,
-        priority: 1,
-        targets: vec![Target {
-            service: Arc::from("s"),
-            weight: 1,
-        }],
-        attempts: 1,
-        public: false,
+        ..samples::route(case.kind)
     };
     let prompt = Prompt {
         input: case.tokens.0,
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -39,6 +39,8 @@
 #[cfg(test)]
 mod rollout_tests;
 #[cfg(test)]
+mod samples;
+#[cfg(test)]
 mod verdict_model_tests;
 
 pub use authority::Authority;
--- a/crates/cassiareel-relay/src/kernel/registry.rs
+++ b/crates/cassiareel-relay/src/kernel/registry.rs
@@ -42,8 +42,6 @@
     pub put: Vec<BackendId>,
     /// Ids that are gone.
     pub gone: Vec<BackendId>,
-    /// Ids that are missing and kept for a moment.
-    pub kept: Vec<BackendId>,
 }
 
 impl Update {
@@ -128,7 +126,6 @@
                 return true;
             }
             if returning && held.entry.phase == Phase::Ready {
-                update.kept.push(id.clone());
                 return true;
             }
             update.gone.push(id.clone());
--- /dev/null
+++ b/crates/cassiareel-relay/src/kernel/samples.rs
@@ -0,0 +1,24 @@
+//! Values that several tests begin with.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::model::{Kind, Route, Target};
+
+/// A route to one service, for keyed requests of a kind.
+pub(super) fn route(kind: Kind) -> Route {
+    Route {
+        name: String::new(),
+        host: String::new(),
+        prefix: "/".to_owned(),
+        kind,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        priority: 1,
+        targets: vec![Target {
+            service: Arc::from("s"),
+            weight: 1,
+        }],
+        attempts: 2,
+        public: false,
+    }
+}
--- a/crates/cassiareel-relay/src/model/route.rs
+++ b/crates/cassiareel-relay/src/model/route.rs
@@ -21,8 +21,6 @@
     pub timeout: Duration,
     /// The time within which an answer is of full use.
     pub objective: Duration,
-    /// The longest pause between events with which a stream is of full use.
-    pub pause: Option<Duration>,
     /// The rank, 0 first.
     pub priority: u8,
     /// The services and their weights.
--- a/crates/cassiareel-relay/src/model/service.rs
+++ b/crates/cassiareel-relay/src/model/service.rs
@@ -1,7 +1,5 @@
 //! A service and the shape of its backend servers.
 
-use std::time::Duration;
-
 use serde::{Deserialize, Serialize};
 
 use super::ServiceId;
@@ -16,16 +14,12 @@
 }
 
 /// What the engines of a service can do.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct EngineShape {
-    /// Requests in one batch.
-    pub slots: u32,
     /// Memory that running requests and cached prompt parts share, in tokens.
     pub capacity: u64,
     /// Whether an engine keeps a copy of a run's memory at another one while it grows.
     pub backups: bool,
     /// Whether an engine copies a run's memory to another one when it is asked to.
     pub moves: bool,
-    /// How long a copy lasts after its last part.
-    pub copy_life: Duration,
 }
--- a/crates/cassiareel-relay/src/net/conn.rs
+++ b/crates/cassiareel-relay/src/net/conn.rs
@@ -64,30 +64,18 @@
                 if err.kind() == io::ErrorKind::ConnectionRefused {
                     return SendFault::Refused;
                 }
-                SendFault::NotSent {
-                    cause: err.to_string(),
-                }
+                not_sent(err)
             })
         };
-        let late = || {
-            let cause = format!("no connection within {limit:?}");
-            Err(SendFault::NotSent { cause })
-        };
+        let late = || Err(not_sent(format!("no connection within {limit:?}")));
         let stream = within(limit, connected).await.unwrap_or_else(late)?;
         // Without the option, the last part of a request may wait for an acknowledgement.
-        if let Err(err) = stream.set_nodelay(true) {
-            return NotSentSnafu {
-                cause: err.to_string(),
-            }
-            .fail();
-        }
+        stream.set_nodelay(true).map_err(not_sent)?;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_BYTES)
             .handshake(FuturesIo::new(stream))
             .await
-            .map_err(|err| SendFault::NotSent {
-                cause: err.to_string(),
-            })?;
+            .map_err(not_sent)?;
         let driver = spawner.spawn(async move {
             // The error reaches whoever waits for the answer on this connection.
             let _ = driver.await;
@@ -132,6 +120,15 @@
     }
 }
 
+fn not_sent<E>(err: E) -> SendFault
+where
+    E: fmt::Display,
+{
+    SendFault::NotSent {
+        cause: err.to_string(),
+    }
+}
+
 impl fmt::Debug for Conn {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Conn").finish_non_exhaustive()
--- a/crates/cassiareel-relay/src/net/own.rs
+++ b/crates/cassiareel-relay/src/net/own.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{
     header::{CONTENT_TYPE, HOST},
-    HeaderValue, Method, Request,
+    Method, Request,
 };
 use http_body_util::Full;
 
@@ -20,12 +20,10 @@
     path: &str,
     body: Bytes,
 ) -> Result<Request<Full<Bytes>>, http::Error> {
-    let mut request = Request::builder()
+    Request::builder()
         .method(method)
         .uri(path)
         .header(HOST, address.to_string())
-        .body(Full::new(body))?;
-    let json = HeaderValue::from_static("application/json");
-    request.headers_mut().insert(CONTENT_TYPE, json);
-    Ok(request)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
 }
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock::{self, Moment},
-    front::{serve_simple, whole, Reply},
+    front::{bare, serve_simple, whole, Reply},
     model::{Policy, Revision, Rollout},
     net::Caller,
     pace::WAIT,
@@ -60,11 +60,7 @@
     serve_simple(state, listener, |state, request| async move {
         match read_have(request).await {
             Some(have) => answer(&state, have).await,
-            None => {
-                let mut reply = Response::new(whole(Bytes::new()));
-                *reply.status_mut() = StatusCode::BAD_REQUEST;
-                reply
-            }
+            None => bare(StatusCode::BAD_REQUEST),
         }
     })
     .await;
@@ -96,9 +92,7 @@
         Ok(body) => Response::new(whole(Bytes::from(body))),
         Err(err) => {
             warn!(state.log, "news not told"; "cause" => %err);
-            let mut reply = Response::new(whole(Bytes::new()));
-            *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-            reply
+            bare(StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
--- a/crates/cassiareel-relay/src/peers/held.rs
+++ b/crates/cassiareel-relay/src/peers/held.rs
@@ -1,6 +1,7 @@
 //! The newest of something that is read again and again.
 
 use std::{
+    cmp::Ordering,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -21,6 +22,27 @@
         *lock(&self.inner) = Some((value, began));
     }
 
+    /// Takes in a value that is newer by its key; reports whether it was. An older one, as an answer
+    /// that was held up may bring, is ignored.
+    pub(super) fn advance<F, K>(&self, value: Arc<T>, began: Moment, key: F) -> bool
+    where
+        F: Fn(&T) -> K,
+        K: Ord,
+    {
+        let known = self.get().map(|(known, _)| key(&known));
+        match known.map(|known| key(&value).cmp(&known)) {
+            None | Some(Ordering::Greater) => {
+                self.replace(value, began);
+                true
+            }
+            Some(Ordering::Equal) => {
+                self.confirm(began);
+                false
+            }
+            Some(Ordering::Less) => false,
+        }
+    }
+
     /// The value.
     pub(crate) fn get(&self) -> Option<(Arc<T>, Moment)> {
         lock(&self.inner).clone()
--- a/crates/cassiareel-relay/src/peers/news.rs
+++ b/crates/cassiareel-relay/src/peers/news.rs
@@ -49,25 +49,20 @@
         runtime::lock(&self.roster)
     }
 
-    /// Takes in a configuration. An older one, as an answer that was held up may bring, is ignored.
+    /// Takes in a configuration, unless it is older than the one that is held.
     pub(crate) fn put_policy(&self, policy: Arc<Policy>, began: Moment) {
-        let known = self.policy.get().map(|(known, _)| known.version);
-        if known.is_none_or(|known| policy.version > known) {
-            self.policy.replace(policy, began);
+        if self.policy.advance(policy, began, |policy| policy.version) {
             self.changed.notify(usize::MAX);
-        } else if known == Some(policy.version) {
-            self.policy.confirm(began);
         }
     }
 
-    /// Takes in a registry. An older one is ignored.
+    /// Takes in a registry, unless it is older than the one that is held.
     pub(crate) fn put_listing(&self, listing: Arc<Listing>, began: Moment) {
-        let known = self.listing.get().map(|(known, _)| known.revision);
-        if known.is_none_or(|known| listing.revision > known) {
-            self.listing.replace(listing, began);
+        if self
+            .listing
+            .advance(listing, began, |listing| listing.revision)
+        {
             self.changed.notify(usize::MAX);
-        } else if known == Some(listing.revision) {
-            self.listing.confirm(began);
         }
     }
 
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -22,7 +22,7 @@
     fleet::Fleet,
     kernel::{Authority, Budget, Catalog, Leave, Paces, Zones},
     metrics::Metrics,
-    model::{Limits, ServiceId},
+    model::{EngineShape, Limits, ServiceId},
     moves::Moves,
     pace,
     peers::News,
@@ -169,6 +169,11 @@
         catalog.map_or_else(Limits::default, |catalog| catalog.limits())
     }
 
+    /// The shape of a service's engines, where it runs a model.
+    pub(crate) fn engine(&self, service: &str) -> Option<EngineShape> {
+        self.catalog()?.engine(service).copied()
+    }
+
     /// Failures by data centre.
     pub(crate) fn zones(&self) -> MutexGuard<'_, Zones> {
         lock(&self.zones)
