One check for faults that exclude each other, one text of a log field, one end of an engine's streams

Found on reading the change: matrix/order.rs and generation.rs had the same closure, explain_logs.rs and explain.rs the same function, and the model of the relay drained an engine in two places.

--- a/crates/cassiareel-bench/src/relay/engine.rs
+++ b/crates/cassiareel-bench/src/relay/engine.rs
@@ -67,6 +67,11 @@
         self.starts += 1;
         self.up = up;
         self.held.clear();
+        self.cancel_all()
+    }
+
+    /// Forgets all streams; their prompts stay in memory as far as they were read.
+    pub fn cancel_all(&mut self) -> Vec<usize> {
         let reading = self.reading.drain(..).map(|(stream, _)| stream);
         reading.chain(self.writing.drain(..)).collect()
     }
--- a/crates/cassiareel-bench/src/relay/run.rs
+++ b/crates/cassiareel-bench/src/relay/run.rs
@@ -138,9 +138,7 @@
         };
         if self.is_due(blackout.at) {
             for engine in &mut self.engines {
-                let held: Vec<usize> = engine.reading.drain(..).map(|(s, _)| s).collect();
-                let writing = std::mem::take(&mut engine.writing);
-                for stream in held.into_iter().chain(writing) {
+                for stream in engine.cancel_all() {
                     self.streams[stream].place = Place::Over;
                     self.streams[stream].resumed = true;
                     self.streams[stream].copy = None;
--- a/crates/cassiareel-cli/src/explain.rs
+++ b/crates/cassiareel-cli/src/explain.rs
@@ -24,11 +24,7 @@
 impl Line {
     /// A field as text; empty where it is not there.
     fn text(&self, name: &str) -> String {
-        match self.fields.get(name) {
-            None | Some(Value::Null) => String::new(),
-            Some(Value::String(text)) => text.clone(),
-            Some(other) => other.to_string(),
-        }
+        text(&self.fields, name)
     }
 
     /// When it was written, in milliseconds since 1970.
@@ -40,6 +36,15 @@
     }
 }
 
+/// A field as text; empty where it is not there.
+pub(crate) fn text(fields: &Map<String, Value>, name: &str) -> String {
+    match fields.get(name) {
+        None | Some(Value::Null) => String::new(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
 /// Gathers the decision lines of a request from all nodes and tells them.
 ///
 /// # Errors
--- a/crates/cassiareel-cli/src/explain_logs.rs
+++ b/crates/cassiareel-cli/src/explain_logs.rs
@@ -11,7 +11,7 @@
 use jiff::Timestamp;
 use serde_json::{json, Map, Value};
 
-use crate::{Code, Error, Report};
+use crate::{explain::text, Code, Error, Report};
 
 /// A log line that names the request.
 struct Entry {
@@ -33,11 +33,7 @@
 
     /// A field as text; empty where it is not there.
     fn text(&self, name: &str) -> String {
-        match self.fields.get(name) {
-            None | Some(Value::Null) => String::new(),
-            Some(Value::String(text)) => text.clone(),
-            Some(other) => other.to_string(),
-        }
+        text(&self.fields, name)
     }
 
     fn is(&self, name: &str) -> bool {
@@ -175,16 +171,16 @@
         ));
     };
     let start = first.at;
-    let mut text = format!("request {request}\n");
+    let mut told = format!("request {request}\n");
     for entry in &entries {
         let after = entry.at.duration_since(start).as_millis();
         let node = entry.text("node");
         // Writing to a string does not fail.
-        let _ = writeln!(text, "{after:>7} ms  {node}  {}", entry.tell());
+        let _ = writeln!(told, "{after:>7} ms  {node}  {}", entry.tell());
     }
     let lines: Vec<&Map<String, Value>> = entries.iter().map(|entry| &entry.fields).collect();
     Ok(Report::new(
-        text,
+        told,
         json!({ "request": request, "lines": lines }),
     ))
 }
--- a/crates/cassiareel-standins/src/matrix/cell.rs
+++ b/crates/cassiareel-standins/src/matrix/cell.rs
@@ -15,6 +15,14 @@
     pub faults: Vec<Fault>,
 }
 
+impl Cell {
+    /// Reports whether more than one of its faults is of these kinds.
+    pub(super) fn has_several(&self, kinds: &[Fault]) -> bool {
+        let found = self.faults.iter().filter(|fault| kinds.contains(fault));
+        found.count() > 1
+    }
+}
+
 /// What a cell's run came to, where no invariant was broken.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Verdict {
--- a/crates/cassiareel-standins/src/matrix/generation.rs
+++ b/crates/cassiareel-standins/src/matrix/generation.rs
@@ -93,15 +93,14 @@
     }
 
     fn skip(&self, cell: &Cell) -> Option<&'static str> {
-        let of = |kinds: &[Fault]| cell.faults.iter().filter(|f| kinds.contains(f)).count() > 1;
-        if of(&[
+        if cell.has_several(&[
             Fault::EngineKilled,
             Fault::EngineFrozen,
             Fault::EnginePaused,
         ]) {
             return Some("one engine can't be killed, frozen and paused at one moment");
         }
-        if of(&[Fault::NodeKilled, Fault::NodePaused]) {
+        if cell.has_several(&[Fault::NodeKilled, Fault::NodePaused]) {
             return Some("one node can't be killed and paused at one moment");
         }
         None
--- a/crates/cassiareel-standins/src/matrix/order.rs
+++ b/crates/cassiareel-standins/src/matrix/order.rs
@@ -81,14 +81,13 @@
     }
 
     fn skip(&self, cell: &Cell) -> Option<&'static str> {
-        let of = |kinds: &[Fault]| cell.faults.iter().filter(|f| kinds.contains(f)).count() > 1;
-        if of(&[Fault::NodeKilled, Fault::NodePaused]) {
+        if cell.has_several(&[Fault::NodeKilled, Fault::NodePaused]) {
             return Some("one node can't be killed and paused at one moment");
         }
-        if of(&[Fault::StoreDown, Fault::StoreLosesAnswers]) {
+        if cell.has_several(&[Fault::StoreDown, Fault::StoreLosesAnswers]) {
             return Some("a store that refuses each call loses no answers");
         }
-        if of(&[Fault::ServiceLosesAnswers, Fault::ServiceHangs]) {
+        if cell.has_several(&[Fault::ServiceLosesAnswers, Fault::ServiceHangs]) {
             return Some("one answer can't be lost and never come");
         }
         None
