--- a/crates/cassiareel-bench/src/relay/run.rs
+++ b/crates/cassiareel-bench/src/relay/run.rs
@@ -141,6 +141,7 @@
                 for stream in engine.cancel_all() {
                     self.streams[stream].place = Place::Over;
                     self.streams[stream].resumed = true;
+                    self.streams[stream].unread = 0;
                     self.streams[stream].copy = None;
                 }
             }
@@ -167,6 +168,7 @@
             arrived: self.now,
             end: self.now + self.pattern.deadline,
             input: self.load.u64(3_400..7_000),
+            unread: 0,
             output: self.load.f64() * 700.0 + 690.0,
             made: 0.0,
             place: Place::Out,
@@ -269,6 +271,7 @@
         let own = &mut self.nodes[self.streams[stream].node];
         own.open[engine] += 1;
         own.unread[engine] += unread;
+        self.streams[stream].unread = unread;
         self.streams[stream].place = Place::At(engine);
         self.streams[stream].copy = self.new_copy(engine);
     }
@@ -303,10 +306,8 @@
     fn leave(&mut self, stream: usize, engine: usize) {
         let held = &mut self.streams[stream];
         let own = &mut self.nodes[held.node];
-        own.open[engine] = own.open[engine].saturating_sub(1);
-        if held.first.is_none() {
-            own.unread[engine] = own.unread[engine].saturating_sub(held.input);
-        }
+        own.open[engine] -= 1;
+        own.unread[engine] -= std::mem::take(&mut held.unread);
         // An engine copies no memory before the first event.
         held.copy = held.copy.filter(|_| held.made > 0.0);
         held.place = Place::Out;
@@ -318,9 +319,9 @@
             for signal in self.engines[engine].work(STEP) {
                 match signal {
                     Signal::Read(stream) => {
-                        let held = &self.streams[stream];
+                        let held = &mut self.streams[stream];
                         let own = &mut self.nodes[held.node];
-                        own.unread[engine] = own.unread[engine].saturating_sub(held.input);
+                        own.unread[engine] -= std::mem::take(&mut held.unread);
                     }
                     Signal::Made(stream, tokens) => self.make(stream, engine, tokens),
                 }
--- a/crates/cassiareel-bench/src/relay/stream.rs
+++ b/crates/cassiareel-bench/src/relay/stream.rs
@@ -31,6 +31,8 @@
     pub end: f64,
     /// Prompt tokens.
     pub input: u64,
+    /// Prompt tokens that its node counts as not read by its engine.
+    pub unread: u64,
     /// Tokens to generate.
     pub output: f64,
     /// Tokens that the caller has.
