--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -44,6 +44,8 @@
     received_at_ms: AtomicU64,
     lost_at_ms: AtomicU64,
     reported: Mutex<ReportedLoad>,
+    /// The limit that its last answer named, in requests a second.
+    named_limit: Mutex<Option<f64>>,
     health: Mutex<Health>,
 }
 
@@ -70,6 +72,7 @@
             received_at_ms: AtomicU64::new(0),
             lost_at_ms: AtomicU64::new(0),
             reported: Mutex::default(),
+            named_limit: Mutex::default(),
             health: Mutex::default(),
         }
     }
@@ -106,6 +109,11 @@
         };
     }
 
+    /// Records the limit that its last answer named; returns the one before.
+    pub(crate) fn note_limit(&self, rate: Option<f64>) -> Option<f64> {
+        std::mem::replace(&mut *lock(&self.named_limit), rate)
+    }
+
     /// Locks its health, to read or update it.
     pub(crate) fn health(&self) -> MutexGuard<'_, Health> {
         lock(&self.health)
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 
-use super::send::record_backoff_requests;
+use super::send::{record_backoff_requests, record_limit};
 use crate::{
     backends::Backend,
     clock,
@@ -73,6 +73,7 @@
     let (parts, body) = response.into_parts();
     let answer = state.protocol.read_answer(&parts);
     record_backoff_requests(state, member, &answer, clock::now());
+    record_limit(state, member, &answer);
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
         return Liveness::Gone;
     }
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -6,14 +6,14 @@
 use http::{header::HOST, response, HeaderValue, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use slog::info;
+use slog::{info, warn};
 
 use crate::{
     backends::Backend,
     clock::{self, Moment},
     metrics::Metrics,
     net::{Lease, SendError},
-    protocol::{Answer, Dispatch, MemoryCopy},
+    protocol::{Answer, Dispatch, LimitHeader, MemoryCopy},
     state::State,
 };
 
@@ -205,6 +205,7 @@
         member.note_load(load, now);
     }
     record_backoff_requests(state, member, &answer, now);
+    record_limit(state, member, &answer);
     let is_other_request = answer
         .request
         .as_ref()
@@ -249,3 +250,21 @@
             "service" => &*member.entry.service, "rest_ms" => rest.as_millis() as u64);
     }
 }
+
+/// Records the limit that a backend server names in a response.
+pub(super) fn record_limit(state: &State, member: &Backend, answer: &Answer) {
+    let rate = match &answer.limit {
+        LimitHeader::Absent => None,
+        LimitHeader::Rate(rate) => Some(*rate),
+        LimitHeader::Malformed { text, lowest } => {
+            warn!(state.log, "backend named an unclear limit"; "backend" => &*member.entry.id,
+                "service" => &*member.entry.service, "text" => text, "limit" => lowest);
+            *lowest
+        }
+    };
+    let before = member.note_limit(rate);
+    if before != rate {
+        info!(state.log, "backend limit changed"; "backend" => &*member.entry.id,
+            "service" => &*member.entry.service, "limit" => rate, "before" => before);
+    }
+}
--- a/crates/cassiareel-relay/src/protocol.rs
+++ b/crates/cassiareel-relay/src/protocol.rs
@@ -132,6 +132,26 @@
     pub leaving: bool,
     /// How long the backend server takes no requests from this node.
     pub retry_after: Option<Duration>,
+    /// The limit on the requests that the backend server takes from all nodes together.
+    pub limit: LimitHeader,
+}
+
+/// The limit that an answer names: the requests a second that its backend server takes from all
+/// nodes together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum LimitHeader {
+    /// The answer names no limit.
+    #[default]
+    Absent,
+    /// The limit, in requests a second.
+    Rate(f64),
+    /// The answer names several limits, or one that can't be read.
+    Malformed {
+        /// What the answer names.
+        text: String,
+        /// The lowest limit that can be read, in requests a second.
+        lowest: Option<f64>,
+    },
 }
 
 /// The load that a backend server reports with its answers.
