--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -55,7 +55,7 @@
                 candidate
             })
             .collect();
-        apply_version_rule(state, request, &members, &mut candidates);
+        apply_version_rule(state, request, &members, &mut candidates, purpose);
         let mut set = CandidateSet {
             need: need(state, request),
             members,
@@ -215,6 +215,7 @@
     request: &Request,
     members: &[Arc<Backend>],
     candidates: &mut [Candidate],
+    purpose: Purpose,
 ) {
     let checked = |member: &Backend| {
         state
@@ -230,10 +231,16 @@
     let matches_rule = |member: &Backend| {
         wanted.is_none_or(|wanted| (Some(&member.entry.version) == version.as_ref()) == wanted)
     };
+    // The new version's share may go elsewhere where its limits leave no permit. The rest may not go
+    // to the new version for that reason.
+    let is_usable = |member: &Backend| {
+        wanted != Some(true) || state.server_limits.may_send(member.process(), purpose)
+    };
     let any_match = members
         .iter()
         .zip(candidates.iter())
-        .any(|(member, candidate)| !candidate.excluded && checked(member) && matches_rule(member));
+        .filter(|(_, candidate)| !candidate.excluded)
+        .any(|(member, _)| checked(member) && matches_rule(member) && is_usable(member));
     for (member, candidate) in members.iter().zip(candidates) {
         candidate.excluded |= !checked(member) || ((any_match || strict) && !matches_rule(member));
     }
--- a/crates/cassiareel-relay/src/peers/limits.rs
+++ b/crates/cassiareel-relay/src/peers/limits.rs
@@ -63,8 +63,10 @@
 /// The number of nodes to which each node passes a change on.
 pub(super) const TREE_WIDTH: usize = 8;
 
-/// How many peers a node that has just started asks for the limits.
+/// How many peers a node that has just started asks for the limits, and the limit of each call. It
+/// serves no requests before.
 const MAX_FETCH_ATTEMPTS: usize = 2;
+const FETCH_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The sender of a message.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -395,7 +397,7 @@
         let client = Client::new(*address, state.spawner.clone());
         let asked_at = clock::now();
         let reply = client
-            .call(Method::GET, PATH, Bytes::new(), CALL_TIMEOUT)
+            .call(Method::GET, PATH, Bytes::new(), FETCH_TIMEOUT)
             .await;
         let reply = reply
             .ok()
