--- a/crates/cassiareel-cli/src/explain_logs.rs
+++ b/crates/cassiareel-cli/src/explain_logs.rs
@@ -77,6 +77,12 @@
                 self.text("least_ms"),
                 self.text("left_ms")
             ),
+            "no permit left" => format!(
+                "{} of {} backend servers limit their requests, to {} a second in all from all nodes, and the node held no permit",
+                self.text("limited"),
+                self.text("backends"),
+                self.text("limit")
+            ),
             "no repeat left" => "the retry budget is exhausted".to_owned(),
             "request" => self.describe_outcome(),
             _ => self.describe_other(),
@@ -125,6 +131,9 @@
             }
             "timeout" => "abandoned: its time limit was reached",
             "no_place" => "refused, nothing ran: no backend server could take it",
+            "no_room" => "refused, nothing ran: no backend server had room for it",
+            "over_share" => "refused, nothing ran: its client account was over its share",
+            "held" => "refused, nothing ran: backend servers crashed under earlier attempts",
             "not_informed" => "refused, nothing ran: the node had no fresh configuration or keys",
             "unknown_outcome" => "failed: the request may have run, and its answer is lost",
             other => other,
