--- a/crates/cassiareel-bench/src/bin/orders.rs
+++ b/crates/cassiareel-bench/src/bin/orders.rs
@@ -65,6 +65,7 @@
     hang: 0.0,
     late: 0.0,
     cross: 0.0,
+    request_limit: None,
 };
 
 fn fault_cases() -> Vec<FaultCase> {
--- a/crates/cassiareel-bench/src/model/engine.rs
+++ b/crates/cassiareel-bench/src/model/engine.rs
@@ -205,6 +205,7 @@
             age_ms: age.as_millis() as u64,
             versions: Vec::new(),
             leaving: false,
+            request_limit: None,
         }
     }
 
--- a/crates/cassiareel-relay/src/peers/limits.rs
+++ b/crates/cassiareel-relay/src/peers/limits.rs
@@ -19,7 +19,7 @@
 use cassiareel::{
     kernel::{
         quota::{
-            LimitChange, LimitReading, NodeKey, PermitCall, PermitGrant, PermitRequest,
+            LimitChange, LimitReading, NodeKey, PermitCall, PermitMessage, PermitReply,
             ReportedReading,
         },
         suspect::ProcessKey,
@@ -75,23 +75,16 @@
     address: SocketAddr,
 }
 
-/// A message to a node.
+/// A message to a node: a request for permits, or a change that is passed on.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct LimitMessage {
-    from: Sender,
-    readings: Vec<ReportedReading>,
-    requests: Vec<(ProcessKey, PermitRequest)>,
+    permits: PermitMessage,
+    /// The address of the node that sends the message.
+    address: SocketAddr,
     /// The node at which a change was learnt that is to be passed on.
     origin: Option<Sender>,
 }
 
-/// The reply to a message.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-struct LimitReply {
-    readings: Vec<ReportedReading>,
-    grants: Vec<(ProcessKey, Option<PermitGrant>)>,
-}
-
 /// How a reading became known, for logs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Origin {
@@ -177,9 +170,12 @@
         .collect();
     for (_, address) in children(&nodes, origin.node, own.node) {
         let message = LimitMessage {
-            from: own,
-            readings: readings.to_vec(),
-            requests: Vec::new(),
+            permits: PermitMessage {
+                from: own.node,
+                readings: readings.to_vec(),
+                requests: Vec::new(),
+            },
+            address: own.address,
             origin: Some(origin),
         };
         let (task_state, address) = (state.clone(), *address);
@@ -215,7 +211,7 @@
 pub(super) async fn serve(state: &Arc<State>, request: http::Request<Incoming>) -> Reply {
     let now = clock::now();
     if request.method() == Method::GET {
-        let reply = LimitReply {
+        let reply = PermitReply {
             readings: state.server_limits.quotas().readings(now),
             grants: Vec::new(),
         };
@@ -231,36 +227,26 @@
     message::encode_reply(state, &handle(state, &message))
 }
 
-fn handle(state: &Arc<State>, message: &LimitMessage) -> LimitReply {
+fn handle(state: &Arc<State>, message: &LimitMessage) -> PermitReply {
     let now = clock::now();
-    for sender in [Some(message.from), message.origin].into_iter().flatten() {
+    let sender = Sender {
+        node: message.permits.from,
+        address: message.address,
+    };
+    for sender in [Some(sender), message.origin].into_iter().flatten() {
         if state.server_limits.add_node(sender.node, sender.address) {
             info!(state.log, "unlisted node"; "peer" => %sender.address);
         }
     }
-    let changed = record_readings(state, &message.readings, now);
+    let changed = record_readings(state, &message.permits.readings, now);
     if let Some(origin) = message.origin.filter(|_| !changed.is_empty()) {
         pass_on(state, origin, &changed);
     }
-    let mut quotas = state.server_limits.quotas();
-    let requests = message.requests.iter();
-    let grants: Vec<_> = requests
-        .map(|(process, request)| {
-            let grant = quotas.grant(message.from.node, *process, request, now);
-            (*process, grant)
-        })
-        .collect();
-    let processes = grants.iter().map(|(process, _)| *process);
-    LimitReply {
-        readings: processes
-            .filter_map(|process| quotas.report(process, now))
-            .collect(),
-        grants,
-    }
+    state.server_limits.quotas().answer(&message.permits, now)
 }
 
 /// Sends a message; returns the reply, or `None` without one.
-async fn send(state: &State, client: &Client, message: &LimitMessage) -> Option<LimitReply> {
+async fn send(state: &State, client: &Client, message: &LimitMessage) -> Option<PermitReply> {
     let body = message::encode_request(state, message)?;
     let reply = client.call(Method::POST, PATH, body, CALL_TIMEOUT).await;
     let reply = reply.ok().filter(|reply| reply.status == StatusCode::OK)?;
@@ -313,17 +299,9 @@
 /// Asks one owner for permits.
 async fn call_owner(state: Arc<State>, client: Arc<Client>, call: PermitCall) {
     let asked_at = clock::now();
-    let readings = {
-        let quotas = state.server_limits.quotas();
-        let processes = call.requests.iter().map(|(process, _)| *process);
-        processes
-            .filter_map(|process| quotas.report(process, asked_at))
-            .collect()
-    };
     let message = LimitMessage {
-        from: own_sender(&state),
-        readings,
-        requests: call.requests.clone(),
+        permits: state.server_limits.quotas().message(&call, asked_at),
+        address: own_sender(&state).address,
         origin: None,
     };
     let address = address_of(&state, call.to).map(|address| address.to_string());
@@ -340,14 +318,7 @@
     };
     // The ages of the reply are those at some time after the call began.
     record_readings(&state, &reply.readings, asked_at);
-    let mut quotas = state.server_limits.quotas();
-    let was_silent = quotas.record_answer(call.to);
-    let grants: HashMap<ProcessKey, Option<PermitGrant>> = reply.grants.into_iter().collect();
-    for (process, _) in &call.requests {
-        let grant = grants.get(process).copied().flatten();
-        quotas.receive(call.to, *process, grant, asked_at);
-    }
-    drop(quotas);
+    let was_silent = state.server_limits.quotas().apply(&call, &reply, asked_at);
     if was_silent {
         info!(state.log, "limit owner answers"; "peer" => address);
     }
@@ -401,7 +372,7 @@
             .await;
         let reply = reply
             .ok()
-            .and_then(|reply| rmp_serde::from_slice::<LimitReply>(&reply.body).ok());
+            .and_then(|reply| rmp_serde::from_slice::<PermitReply>(&reply.body).ok());
         if let Some(reply) = reply {
             let known = record_readings(state, &reply.readings, asked_at);
             if !known.is_empty() {
--- a/crates/cassiareel-standins/src/demo/scenario.rs
+++ b/crates/cassiareel-standins/src/demo/scenario.rs
@@ -55,6 +55,7 @@
     hang: 0.0,
     late: 0.05,
     cross: 0.05,
+    request_limit: None,
 };
 /// Time within which every order that runs late has run.
 const LATE_ORDER_DELAY: Duration = Duration::from_millis(500);
--- a/crates/cassiareel-standins/src/engine/faults.rs
+++ b/crates/cassiareel-standins/src/engine/faults.rs
@@ -14,6 +14,8 @@
     pub poison: Option<String>,
     /// The engine reports that it is leaving, and refuses new requests.
     pub leaving: bool,
+    /// The limit that the engine names in its reports, in requests a second from all nodes.
+    pub request_limit: Option<f64>,
 }
 
 /// A fault of a version: the failure, and the conditions under which a request fails.
--- a/crates/cassiareel-standins/src/engine/state.rs
+++ b/crates/cassiareel-standins/src/engine/state.rs
@@ -304,6 +304,7 @@
             age_ms: 0,
             versions: self.versions.loaded().map(|v| v.as_str().into()).collect(),
             leaving: self.faults.leaving,
+            request_limit: self.faults.request_limit,
         };
         self.reports.record(now, report);
     }
--- a/crates/cassiareel-standins/src/service/faults.rs
+++ b/crates/cassiareel-standins/src/service/faults.rs
@@ -23,6 +23,8 @@
     pub late: f64,
     /// The probability that the order runs and is answered with the answer to an earlier call.
     pub cross: f64,
+    /// The limit that each answer names, in requests a second from all nodes.
+    pub request_limit: Option<f64>,
 }
 
 /// The injected fault of a call.
--- a/crates/cassiareel-standins/src/service/server.rs
+++ b/crates/cassiareel-standins/src/service/server.rs
@@ -31,6 +31,7 @@
 const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The header of a refusal that states that the order did not run.
 const NOT_RUN_HEADER: &str = "x-not-run";
+const REQUEST_LIMIT_HEADER: &str = "x-request-limit";
 /// The delay after which an order runs whose connection was reset by [`CallFault::RunLate`].
 const LATE_RUN_DELAY: Duration = Duration::from_millis(300);
 
@@ -113,7 +114,12 @@
             _ => {
                 self.running.fetch_add(1, Ordering::Relaxed);
                 let _running = RunningGuard(&self.running);
-                self.handle_order(req).await
+                let limit = self.lock().faults.request_limit;
+                let mut res = self.handle_order(req).await;
+                if let Some(limit) = limit {
+                    res.insert_header(REQUEST_LIMIT_HEADER, limit.to_string());
+                }
+                res
             }
         }
     }
--- a/crates/cassiareel-standins/tests/orders.rs
+++ b/crates/cassiareel-standins/tests/orders.rs
@@ -98,6 +98,7 @@
     hang: 0.0,
     late: 0.0,
     cross: 0.0,
+    request_limit: None,
 };
 
 const RAN: (u16, &str) = (200, "ran");
--- a/crates/cassiareel-standins/tests/service.rs
+++ b/crates/cassiareel-standins/tests/service.rs
@@ -43,6 +43,7 @@
     hang: 0.0,
     late: 0.0,
     cross: 0.0,
+    request_limit: None,
 };
 
 #[test_case(FaultCase { faults: NO_FAULTS, expected: RAN, runs: 1 }; "none")]
--- a/crates/cassiareel/src/backend/engine.rs
+++ b/crates/cassiareel/src/backend/engine.rs
@@ -119,6 +119,9 @@
     pub versions: Vec<VersionId>,
     /// Whether the engine is about to shut down.
     pub leaving: bool,
+    /// The requests a second that the engine takes from all nodes together; `None` for no limit.
+    #[serde(default)]
+    pub request_limit: Option<f64>,
 }
 
 /// Whether a block of a prefix entered or left an engine's cache.
--- a/crates/cassiareel/src/backend/http_service.rs
+++ b/crates/cassiareel/src/backend/http_service.rs
@@ -18,6 +18,9 @@
 /// The header with a call's id, in requests and answers.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// The header in which a service names the requests a second that it takes from all nodes together.
+const REQUEST_LIMIT_HEADER: &str = "x-request-limit";
+
 /// A plain service's backend server that is reached over HTTP.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpService {
@@ -75,6 +78,9 @@
             }
         }
         let not_run = res.header(NOT_RUN_HEADER).is_some();
+        let limit = res
+            .header(REQUEST_LIMIT_HEADER)
+            .map(|value| value.as_str().parse().unwrap_or(f64::NAN));
         let media_type = res
             .header(headers::CONTENT_TYPE)
             .map(|value| value.as_str().to_owned());
@@ -89,6 +95,7 @@
             return Err(CallError::NotRun { cause });
         }
         Ok(Answer {
+            request_limit: limit,
             status: status.into(),
             media_type,
             body,
--- a/crates/cassiareel/src/backend/service.rs
+++ b/crates/cassiareel/src/backend/service.rs
@@ -20,8 +20,11 @@
 }
 
 /// A service's complete answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
+    /// The requests a second that the service takes from all nodes together; `None` for no limit, and
+    /// no number where it can't be read.
+    pub request_limit: Option<f64>,
     /// The HTTP status.
     pub status: u16,
     /// The media type of the body, if the service gave one.
--- a/crates/cassiareel/src/engines/choose.rs
+++ b/crates/cassiareel/src/engines/choose.rs
@@ -63,6 +63,13 @@
             let Some(i) = choice.index else {
                 break;
             };
+            if !self.limits.take(&pool.servers[i].backend, now) {
+                candidates[i].skip_reason = Some(SkipReason::Limit);
+                choice = named_policy
+                    .policy
+                    .choose(request.routing, &candidates, random);
+                continue;
+            }
             if pool.servers[i]
                 .memory
                 .try_reserve(request.routing.memory_tokens())
@@ -109,14 +116,20 @@
                 health: pool.weight(route, i),
                 token_ms: server.load.token_ms(),
                 slowdown: server.load.slowdown(),
-                skip_reason: self.skip_reason(request, pool, i),
+                skip_reason: self.skip_reason(now, request, pool, i),
             }
         };
         pool.servers.iter().enumerate().map(candidate).collect()
     }
 
     /// Returns the reason why a server can't be chosen under any policy, or none if it can.
-    fn skip_reason(&self, request: &Request<'_>, pool: &Pool, i: usize) -> Option<SkipReason> {
+    fn skip_reason(
+        &self,
+        now: Time,
+        request: &Request<'_>,
+        pool: &Pool,
+        i: usize,
+    ) -> Option<SkipReason> {
         let server = &pool.servers[i];
         let backlog = server.load.own_backlog_tokens() * u64::from(server.sharers());
         if request.exclude.contains(&server.backend) {
@@ -127,6 +140,8 @@
             Some(SkipReason::Unloaded)
         } else if server.is_model() && backlog >= self.options.max_backlog_tokens {
             Some(SkipReason::Busy)
+        } else if !self.limits.may_send(&server.backend, now) {
+            Some(SkipReason::Limit)
         } else {
             None
         }
@@ -147,6 +162,7 @@
                 && c.skip_reason.is_none()
                 && request.routing.memory_tokens() <= c.free_tokens
                 && pool.take_trial(route, i)
+                && self.limits.take(&pool.servers[i].backend, now)
         })?;
         let scores = (0..candidates.len())
             .map(|other| (0.0, (other != i).then_some(SkipReason::Score)))
--- a/crates/cassiareel/src/engines/poll.rs
+++ b/crates/cassiareel/src/engines/poll.rs
@@ -75,6 +75,7 @@
                     table: table.clone(),
                     connect: connect.clone(),
                     budgets: budgets.clone(),
+                    log: log.clone(),
                 };
                 spawner.spawn(poller.run()).detach();
             }
@@ -97,6 +98,7 @@
     table: Arc<BackendTable>,
     connect: EngineConnector,
     budgets: Arc<ByteBudgets>,
+    log: Logger,
 }
 
 impl Poller {
@@ -134,6 +136,11 @@
             Ok(report) => {
                 let now = self.budgets.origin.elapsed();
                 self.table.on_load(now, &self.backend, &report);
+                if let Some(change) = self.table.record_limit(now, &self.backend, &report) {
+                    info!(self.log, "backend limit changed"; "backend" => &*self.backend,
+                        "limit" => change.after, "before" => change.before,
+                        "age_ms" => report.age_ms);
+                }
             }
             Err(_) => self.table.on_unreachable(&self.backend),
         }
--- a/crates/cassiareel/src/engines/table.rs
+++ b/crates/cassiareel/src/engines/table.rs
@@ -10,6 +10,7 @@
 
 use super::{
     health::{CallOutcome, HealthChange, HealthTracker},
+    limits::RequestLimits,
     pool::Pool,
     reservation::Signals,
     BackendServer, CacheFeed, PoolId,
@@ -18,6 +19,7 @@
     backend::{CacheEvents, LoadReport},
     kernel::{
         health::{self, Outcome},
+        quota::LimitChange,
         routing::{self, Policy, PrefixIndex, Slot, Subsets},
         BackendId, DataCentreId, NodeId, Time,
     },
@@ -83,6 +85,7 @@
     pub(super) table: ArcSwap<Table>,
     pub(super) index: PrefixIndex,
     pub(super) signals: Arc<Signals>,
+    pub(super) limits: RequestLimits,
     outcomes: Receiver<CallOutcome>,
     capacity: Receiver<()>,
     // Locked only by updates of the table, never by a request.
@@ -132,6 +135,7 @@
                 outcomes: outcome_sender,
                 capacity: capacity_sender,
             }),
+            limits: RequestLimits::new(),
             outcomes,
             capacity,
             writer: Mutex::new(writer),
@@ -185,10 +189,32 @@
     pub fn on_load(&self, now: Time, backend: &str, report: &LoadReport) {
         if let Some(server) = self.table.load().servers.get(backend) {
             server.record_report(now, report);
-            let _ = self.signals.capacity.try_send(());
+            self.notify_capacity();
         }
     }
 
+    /// Records the limit that an engine's report names; returns the change where another one holds.
+    pub fn record_limit(
+        &self,
+        now: Time,
+        backend: &str,
+        report: &LoadReport,
+    ) -> Option<LimitChange> {
+        let at = now.saturating_sub(Time::from_millis(report.age_ms));
+        self.limits.record(backend, report.request_limit, at, at)
+    }
+
+    /// Returns the limits that engines name.
+    pub fn limits(&self) -> &RequestLimits {
+        &self.limits
+    }
+
+    /// Signals that a server may have capacity again.
+    pub fn notify_capacity(&self) {
+        // A full channel means that the last signal was not received yet.
+        let _ = self.signals.capacity.try_send(());
+    }
+
     /// Applies an engine's cache events or snapshot.
     pub fn on_cache(&self, backend: &str, answer: &CacheEvents) {
         let Some(slot) = self.server(backend).and_then(|server| server.cache_slot) else {
--- a/crates/cassiareel/src/front/choose.rs
+++ b/crates/cassiareel/src/front/choose.rs
@@ -15,7 +15,7 @@
 
 use super::Refusal;
 use crate::{
-    backend::{Engine, HttpEngine},
+    backend::{Answer, Engine, HttpEngine},
     engines::{
         self, AdmissionQueue, BackendTable, Decision, EngineConnector, Options, Placement, PoolId,
         QueuedRequest, Request, Reservation, RouteId, SubsetConfig,
@@ -139,6 +139,7 @@
     pub(super) fn set_nodes(&self, all: Vec<NodeId>, local: NodeId) {
         let old = self.nodes.load();
         if old.all != all || old.local != local {
+            self.table.limits().set_nodes(&all, &local, self.now());
             self.nodes.store(Arc::new(NodeSet { all, local }));
             self.update(&self.settings.load());
         }
@@ -279,6 +280,28 @@
         self.queue.waiting()
     }
 
+    /// Records the limit that a service names in its answer to a call that was sent at `sent`.
+    pub(super) fn record_limit(&self, addr: SocketAddr, answer: &Answer, sent: Time) {
+        let backend = addr.to_string();
+        let limit = answer.request_limit;
+        if limit.is_some_and(|limit| !engines::is_valid_limit(limit)) {
+            info!(self.log, "backend named an unclear limit"; "backend" => &backend);
+        }
+        let change = self
+            .table
+            .limits()
+            .record(&backend, limit, sent, self.now());
+        if let Some(change) = change {
+            info!(self.log, "backend limit changed"; "backend" => backend, "limit" => change.after,
+                "before" => change.before);
+        }
+    }
+
+    /// Returns the table of backend servers.
+    pub(super) fn table(&self) -> &BackendTable {
+        &self.table
+    }
+
     /// Returns the time on the chooser's clock.
     pub(super) fn now(&self) -> Time {
         self.origin.elapsed()
--- a/crates/cassiareel/src/front/context.rs
+++ b/crates/cassiareel/src/front/context.rs
@@ -7,8 +7,9 @@
 
 use super::Chooser;
 use crate::{
+    engines::BackendTable,
     hooks::{Hooks, NoHooks},
-    kernel::{DataCentreId, NodeId},
+    kernel::{DataCentreId, NodeId, Time},
     observe::Metrics,
     orders::Orders,
     peer::SharedState,
@@ -75,6 +76,16 @@
         self.chooser.set_nodes(nodes, local);
     }
 
+    /// Returns the table of backend servers.
+    pub(crate) fn backend_table(&self) -> &BackendTable {
+        self.chooser.table()
+    }
+
+    /// Returns the time on the clock of the table.
+    pub(crate) fn backend_time(&self) -> Time {
+        self.chooser.now()
+    }
+
     /// Returns the number of requests that wait for a backend server.
     pub fn waiting(&self) -> usize {
         self.chooser.waiting()
--- a/crates/cassiareel/src/front/order.rs
+++ b/crates/cassiareel/src/front/order.rs
@@ -229,7 +229,11 @@
         let rejected_by = self.rejected_by.clone();
         Box::pin(async move {
             let service = HttpService::new(guard.addr, answer_timeout);
+            let sent = context.chooser.now();
             let answer = service.call(&call).await;
+            if let Ok(answer) = &answer {
+                context.chooser.record_limit(guard.addr, answer, sent);
+            }
             guard.set_outcome(match &answer {
                 Ok(answer) if answer.status < MIN_SERVER_ERROR => health::Outcome::Success,
                 Ok(_) => health::Outcome::Fault,
--- a/crates/cassiareel/src/front/service.rs
+++ b/crates/cassiareel/src/front/service.rs
@@ -40,7 +40,11 @@
         ));
     };
     let service = HttpService::new(guard.addr, ANSWER_HEAD_TIMEOUT);
+    let sent = context.chooser.now();
     let answer = service.call(call).await;
+    if let Ok(answer) = &answer {
+        context.chooser.record_limit(guard.addr, answer, sent);
+    }
     let server = guard.addr.to_string();
     let outcome = match &answer {
         Ok(answer) if answer.status >= MIN_SERVER_ERROR => health::Outcome::Fault,
--- a/crates/cassiareel/src/kernel/quota/mod.rs
+++ b/crates/cassiareel/src/kernel/quota/mod.rs
@@ -20,6 +20,7 @@
   the limits, not with the nodes.
 */
 
+mod exchange;
 mod owner;
 mod owners;
 mod permits;
@@ -36,6 +37,7 @@
 #[cfg(test)]
 mod reading_tests;
 
+pub use exchange::{PermitMessage, PermitReply};
 pub use owner::{PermitGrant, PermitRequest, QuotaOwner};
 pub use owners::{owners, quota};
 pub use permits::{LimitChange, PermitPool, Purpose};
--- a/crates/cassiareel/src/kernel/quota/quotas.rs
+++ b/crates/cassiareel/src/kernel/quota/quotas.rs
@@ -60,6 +60,16 @@
         }
     }
 
+    /// Returns this node's key.
+    pub fn own(&self) -> NodeKey {
+        self.own
+    }
+
+    /// Sets this node's key, where it was not known at the start.
+    pub fn set_own(&mut self, own: NodeKey) {
+        self.own = own;
+    }
+
     /// Replaces the list of nodes.
     pub fn set_nodes(&mut self, mut nodes: Vec<NodeKey>, now: Time) {
         nodes.sort_unstable();
--- a/crates/cassiareel/src/kernel/routing/policy.rs
+++ b/crates/cassiareel/src/kernel/routing/policy.rs
@@ -71,6 +71,8 @@
     Unloaded,
     /// The request was lost at this server before.
     Excluded,
+    /// The server takes no more requests from all nodes, by the limit that it names.
+    Limit,
 }
 
 impl SkipReason {
@@ -84,6 +86,7 @@
             SkipReason::Leaving => "leaving",
             SkipReason::Unloaded => "unloaded",
             SkipReason::Excluded => "excluded",
+            SkipReason::Limit => "limit",
         }
     }
 }
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -12,6 +12,7 @@
 #[cfg(test)]
 mod node_set_tests;
 mod options;
+mod permits;
 mod router;
 
 use std::{
@@ -29,6 +30,7 @@
 pub use router::Router;
 
 use coordination::Coordination;
+use permits::PermitExchange;
 
 use crate::{
     control::lease::Candidate,
@@ -114,7 +116,16 @@
             open_requests.clone(),
         );
         runtime.spawn(gauges).detach();
+        let permits = PermitExchange {
+            parts: parts.clone(),
+            log: log.clone(),
+        };
+        let calls = permits
+            .clone()
+            .run(coordination.peers.clone(), runtime.spawner());
+        runtime.spawn(calls).detach();
         if let Some(peers) = &coordination.peers {
+            peers.set_permit_owner(Box::new(permits.clone()));
             let seeds = options.peers.clone();
             let maintain = node_set::maintain(parts, peers.clone(), seeds);
             runtime.spawn(maintain).detach();
--- a/crates/cassiareel/src/peer/mod.rs
+++ b/crates/cassiareel/src/peer/mod.rs
@@ -22,7 +22,7 @@
 
 pub use auth::{Keys, KeysError};
 pub use counted_request::CountedRequest;
-pub(crate) use peers::PeerHandler;
+pub(crate) use peers::{PeerHandler, PermitOwner};
 pub use peers::{Peers, Traffic};
 pub use settings::ActiveSettings;
 pub use shared_state::{NodeTally, SharedState, StateUpdate};
--- a/crates/cassiareel/src/peer/peers.rs
+++ b/crates/cassiareel/src/peer/peers.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         atomic::{AtomicU64, Ordering},
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
     },
     time::Duration,
 };
@@ -19,6 +19,7 @@
 use crate::{
     kernel::{
         membership::{Action, Event, Member, Membership, Message, NodeState, GOSSIP_PERIOD},
+        quota::{PermitMessage, PermitReply},
         revision::Source,
         Revision, Time,
     },
@@ -51,6 +52,15 @@
 /// Time within which a body must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The path of requests for permits.
+const PERMITS_PATH: &str = "/peer/permits";
+
+/// Answers other nodes' requests for permits.
+pub(crate) trait PermitOwner: Send + Sync {
+    /// Grants permits out of the node's quotas.
+    fn answer(&self, message: &PermitMessage) -> PermitReply;
+}
+
 /// The body of a request or an answer in an exchange.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct ExchangeMessage {
@@ -88,6 +98,7 @@
     budget: Mutex<(Time, f64)>,
     completed_exchanges: AtomicU64,
     leaving: std::sync::atomic::AtomicBool,
+    permit_owner: OnceLock<Box<dyn PermitOwner>>,
     spawner: Spawner,
     log: Logger,
     /// Counts of sent bytes and exchanges.
@@ -116,12 +127,33 @@
             budget: Mutex::new((Time::ZERO, EXCHANGE_BYTES_PER_SECOND)),
             completed_exchanges: AtomicU64::new(0),
             leaving: false.into(),
+            permit_owner: OnceLock::new(),
             spawner,
             log,
             traffic: Traffic::default(),
         })
     }
 
+    /// Sets what answers requests for permits. Only the first call has an effect.
+    pub(crate) fn set_permit_owner(&self, owner: Box<dyn PermitOwner>) {
+        // A second owner is never set: a node sets its own at its start.
+        let _ = self.permit_owner.set(owner);
+    }
+
+    /// Asks a peer for permits.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the cause if no valid answer arrives.
+    pub(crate) async fn request_permits(
+        &self,
+        to: SocketAddr,
+        message: &PermitMessage,
+    ) -> Result<PermitReply, String> {
+        self.call(to, PERMITS_PATH, message, MAX_EXCHANGE_BYTES)
+            .await
+    }
+
     /// Runs exchanges periodically until dropped.
     pub async fn run(self: Arc<Peers>) {
         loop {
@@ -376,6 +408,13 @@
                 Ok(request) => self.answer_exchange(request),
                 Err(err) => return error_response(StatusCode::BadRequest, &err.to_string()),
             },
+            PERMITS_PATH => match rmp_serde::from_slice::<PermitMessage>(&body) {
+                Ok(message) => {
+                    let reply = self.permit_owner.get().map(|owner| owner.answer(&message));
+                    rmp_serde::to_vec(&reply.unwrap_or_default())
+                }
+                Err(err) => return error_response(StatusCode::BadRequest, &err.to_string()),
+            },
             "/peer/settings" => {
                 let message = self.settings.message();
                 let bytes = message.tree.len() as u64;
