--- a/crates/cassiareel/src/engines/limits.rs
+++ b/crates/cassiareel/src/engines/limits.rs
@@ -68,7 +68,7 @@
         received: Time,
     ) -> Option<LimitChange> {
         let limit = match limit {
-            Some(limit) if !is_valid(limit) => self.limit(backend, received),
+            Some(limit) if !is_valid_limit(limit) => self.limit(backend, received),
             limit => limit,
         };
         let reading = LimitReading {
@@ -124,7 +124,7 @@
 }
 
 /// Reports whether a limit can hold.
-pub fn is_valid(limit: Rate) -> bool {
+pub fn is_valid_limit(limit: Rate) -> bool {
     limit.is_finite() && limit >= 0.0
 }
 
