--- a/crates/cassiareel-relay/src/front/limit.rs
+++ b/crates/cassiareel-relay/src/front/limit.rs
@@ -26,8 +26,12 @@
 }
 
 /// Records the limit that a backend server names in its answer to a request that was sent at `sent`.
+///
+/// An answer without a limit ends it only where it is the answer of a run: reports and rejections may
+/// lack the header, and another process may have answered.
 pub(super) fn record_limit(state: &Arc<State>, member: &Backend, answer: &Answer, sent: Moment) {
     let limit = match &answer.limit {
+        LimitHeader::Absent if !answer.signed => return,
         LimitHeader::Absent => None,
         LimitHeader::Rate(rate) => Some(*rate),
         LimitHeader::Malformed { text, lowest } => {
