--- a/crates/cassiareel/src/kernel/quota/owners.rs
+++ b/crates/cassiareel/src/kernel/quota/owners.rs
@@ -39,7 +39,7 @@
 /// assert_eq!(found.len(), 3);
 /// let reversed: Vec<u64> = nodes.iter().rev().copied().collect();
 /// assert_eq!(found, owners(7, 9.9, &reversed));
-/// assert_eq!(quota(9.9, found.len()), 3.3);
+/// assert_eq!(quota(9.0, found.len()), 3.0);
 /// ```
 pub fn owners(process: ProcessKey, limit: Rate, nodes: &[NodeKey]) -> Vec<NodeKey> {
     let mut ranked: Vec<(u64, NodeKey)> = nodes
