--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -278,10 +278,12 @@
         let nodes = u32::try_from(members.records.len())
             .unwrap_or(u32::MAX)
             .max(1);
-        self.server_limits.set_members(&members);
         if !self.store_cache.update_members(members, began) {
             return;
         }
+        if let Some((members, _)) = self.store_cache.members.get() {
+            self.server_limits.set_members(&members);
+        }
         if self.node_count.swap(nodes, Ordering::Relaxed) != nodes {
             info!(self.log, "node count changed"; "nodes" => nodes, "turn" => self.store_cache.reader_rank(),
                 "age_ms" => clock::now().saturating_sub(began).as_millis() as u64);
