--- a/crates/cassiareel-relay/src/peers/limits.rs
+++ b/crates/cassiareel-relay/src/peers/limits.rs
@@ -272,12 +272,13 @@
         let calls = state.server_limits.due_calls();
         for call in calls {
             let Some(address) = address_of(&state, call.to) else {
+                record_silence(&state, &call, None);
                 continue;
             };
             let client = clients
                 .entry(address)
                 .or_insert_with(|| Arc::new(Client::new(address, state.spawner.clone())));
-            let task = call_owner(state.clone(), client.clone(), call);
+            let task = call_owner(state.clone(), client.clone(), address, call);
             state.spawner.spawn(task).detach();
         }
         report_use(&state, &mut logged);
@@ -297,30 +298,36 @@
 }
 
 /// Asks one owner for permits.
-async fn call_owner(state: Arc<State>, client: Arc<Client>, call: PermitCall) {
+async fn call_owner(
+    state: Arc<State>,
+    client: Arc<Client>,
+    address: SocketAddr,
+    call: PermitCall,
+) {
     let asked_at = clock::now();
     let message = LimitMessage {
         permits: state.server_limits.quotas().message(&call, asked_at),
         address: own_sender(&state).address,
         origin: None,
     };
-    let address = address_of(&state, call.to).map(|address| address.to_string());
     let Some(reply) = send(&state, &client, &message).await else {
-        let is_new = state
-            .server_limits
-            .quotas()
-            .record_silence(&call, clock::now());
-        if is_new {
-            info!(state.log, "limit owner silent"; "peer" => address,
-                "backends" => call.requests.len());
-        }
+        record_silence(&state, &call, Some(address));
         return;
     };
     // The ages of the reply are those at some time after the call began.
     record_readings(&state, &reply.readings, asked_at);
     let was_silent = state.server_limits.quotas().apply(&call, &reply, asked_at);
     if was_silent {
-        info!(state.log, "limit owner answers"; "peer" => address);
+        info!(state.log, "limit owner answers"; "peer" => %address);
+    }
+}
+
+/// Records that an owner did not answer a call, or that its address is not known.
+fn record_silence(state: &State, call: &PermitCall, address: Option<SocketAddr>) {
+    let mut quotas = state.server_limits.quotas();
+    if quotas.record_silence(call, clock::now()) {
+        info!(state.log, "limit owner silent"; "peer" => address.map(|address| address.to_string()),
+            "backends" => call.requests.len());
     }
 }
 
