One shared state for limits of the fleet on both fronts

The relay's ServerLimits and the own front's RequestLimits each had the flag and the lock around kernel::quota, with the same methods, and a node_key of their own: FleetLimits and kernel::quota::node_key serve both. So does is_valid_limit, which the adapter had written again.

No decision changes.

--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -78,17 +78,23 @@
         if !state.server_limits.is_any() {
             return;
         }
+        let now = clock::now();
+        let mut quotas = state.server_limits.quotas();
         while let Some(chosen) = choose(&self.candidates, self.need, fastrand::f64) {
             let process = self.members[chosen].process();
-            if state.server_limits.may_send(process, self.purpose) {
+            if quotas.may_send(process, self.purpose, now) {
                 break;
             }
-            state.server_limits.note_want(process, self.purpose);
+            quotas.note_want(process, self.purpose, now);
             self.candidates[chosen].excluded = true;
             self.passed_over = true;
         }
         for (member, candidate) in self.members.iter().zip(&mut self.candidates) {
-            candidate.excluded |= !state.server_limits.may_send(member.process(), self.purpose);
+            candidate.excluded |= !quotas.may_send(member.process(), self.purpose, now);
+        }
+        drop(quotas);
+        if self.passed_over {
+            state.server_limits.wanted.notify(usize::MAX);
         }
     }
 
@@ -146,7 +152,7 @@
             let same = member.entry.data_centre == runner.entry.data_centre;
             candidate.excluded |= member.number == runner.number
                 || candidate.suspect
-                || state.server_limits.limit(member.process()).is_some()
+                || state.server_limits.limit(member.process(), now).is_some()
                 || excluded.contains(&member.number)
                 || member.entry.version != runner.entry.version;
             // Engines of one data centre often fail together, so those of the runner's are the last
@@ -234,7 +240,10 @@
     // The new version's share may go elsewhere where its limits leave no permit. The rest may not go
     // to the new version for that reason.
     let is_usable = |member: &Backend| {
-        wanted != Some(true) || state.server_limits.may_send(member.process(), purpose)
+        wanted != Some(true)
+            || state
+                .server_limits
+                .may_send(member.process(), purpose, clock::now())
     };
     let any_match = members
         .iter()
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -17,7 +17,7 @@
 
 use super::{
     choose::CandidateSet,
-    limit::log_no_permit,
+    limit::{is_limited, log_no_permit},
     report::{self, Liveness},
     request::Request,
     reservation::{reserve, Reservation},
@@ -326,7 +326,7 @@
 /// Queries the load of one engine, and adds what this node has just sent there. An engine that
 /// limits its requests is not queried: its load is taken to be this node's own.
 async fn query_load(state: &Arc<State>, request: &Request, engine: &Backend) -> Option<EngineLoad> {
-    if state.server_limits.limit(engine.process()).is_some() {
+    if is_limited(state, engine) {
         return Some(own_load(state, request, engine));
     }
     let body = query(state, engine, state.protocol.report_path()).await?;
@@ -372,7 +372,7 @@
 
 /// Queries how many tokens of a prompt's part an engine has in its memory.
 async fn query_prompt_tokens(state: &Arc<State>, part: u64, engine: &Backend) -> Option<u64> {
-    if state.server_limits.limit(engine.process()).is_some() {
+    if is_limited(state, engine) {
         return None;
     }
     let body = query(state, engine, state.protocol.memory_events_path()).await?;
--- a/crates/cassiareel-relay/src/front/limit.rs
+++ b/crates/cassiareel-relay/src/front/limit.rs
@@ -21,21 +21,29 @@
 /// Takes a permit for one request or call; returns `None` if the limit of the backend server leaves
 /// none.
 pub(super) fn take_permit(state: &State, member: &Backend, purpose: Purpose) -> Option<Permit> {
-    let taken = state.server_limits.take(member.process(), purpose);
+    let limits = &state.server_limits;
+    let taken = limits.take(member.process(), purpose, clock::now());
     taken.then_some(Permit(()))
 }
 
+/// Reports whether a backend server names a limit.
+pub(super) fn is_limited(state: &State, member: &Backend) -> bool {
+    let limit = state.server_limits.limit(member.process(), clock::now());
+    limit.is_some()
+}
+
 /// Records the limit that a backend server names in its answer to a request that was sent at `sent`.
 ///
 /// An answer without a limit ends it only where it is the answer of a run: reports and rejections may
 /// lack the header, and another process may have answered.
 pub(super) fn record_limit(state: &Arc<State>, member: &Backend, answer: &Answer, sent: Moment) {
+    let received = clock::now();
     let limit = match &answer.limit {
         LimitHeader::Absent if !answer.signed => return,
         LimitHeader::Absent => None,
         LimitHeader::Rate(rate) => Some(*rate),
         LimitHeader::Malformed { text, lowest } => {
-            let known = state.server_limits.limit(member.process());
+            let known = state.server_limits.limit(member.process(), received);
             let limit = lowest.or(known);
             warn!(state.log, "backend named an unclear limit"; "backend" => &*member.entry.id,
                 "service" => &*member.entry.service, "text" => text, "limit" => limit);
@@ -45,7 +53,7 @@
     let reading = LimitReading {
         limit,
         sent,
-        received: clock::now(),
+        received,
     };
     record_limit_answer(state, member.process(), reading);
 }
--- a/crates/cassiareel-relay/src/front/reservation.rs
+++ b/crates/cassiareel-relay/src/front/reservation.rs
@@ -12,7 +12,11 @@
 use http::Method;
 use slog::debug;
 
-use super::{engine_call::call_engine, limit::take_permit, request::Request};
+use super::{
+    engine_call::call_engine,
+    limit::{is_limited, take_permit},
+    request::Request,
+};
 use crate::{backends::Backend, state::State};
 
 /// Timeout of the reservation call.
@@ -43,7 +47,7 @@
         return Reservation::Unsupported;
     };
     // An engine that limits its requests gets the request itself only.
-    if state.server_limits.limit(engine.process()).is_some() {
+    if is_limited(state, engine) {
         return Reservation::Unsupported;
     }
     let Some(permit) = take_permit(state, engine, Purpose::New) else {
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -32,7 +32,6 @@
 mod peers;
 pub mod protocol;
 mod rollouts;
-mod server_limits;
 pub mod settings;
 #[cfg(test)]
 mod settings_tests;
--- a/crates/cassiareel-relay/src/peers/limits.rs
+++ b/crates/cassiareel-relay/src/peers/limits.rs
@@ -19,8 +19,8 @@
 use cassiareel::{
     kernel::{
         quota::{
-            LimitChange, LimitReading, NodeKey, PermitCall, PermitMessage, PermitReply,
-            ReportedReading,
+            node_key, LimitChange, LimitReading, NodeKey, PermitCall, PermitMessage, PermitReply,
+            QuotaOwner, ReportedReading,
         },
         suspect::ProcessKey,
     },
@@ -38,7 +38,6 @@
     clock::{self, Moment},
     front::{empty_reply, Reply},
     net::Client,
-    server_limits::node_key,
     state::State,
 };
 
@@ -121,7 +120,7 @@
     reading: LimitReading,
     by: Origin,
 ) -> Option<LimitChange> {
-    let change = state.server_limits.record(process, reading)?;
+    let change = state.server_limits.record(process, reading, clock::now())?;
     let backend = state.backends.find_process(process);
     let id = backend.as_ref().map(|backend| backend.entry.id.to_string());
     let service = backend.map(|backend| backend.entry.service.to_string());
@@ -234,7 +233,8 @@
         address: message.address,
     };
     for sender in [Some(sender), message.origin].into_iter().flatten() {
-        if state.server_limits.add_node(sender.node, sender.address) {
+        if state.server_limits.quotas().add_node(sender.node, now) {
+            state.unlisted_nodes.add(sender.node, sender.address);
             info!(state.log, "unlisted node"; "peer" => %sender.address);
         }
     }
@@ -269,8 +269,7 @@
         }
         within(POLL_INTERVAL, wanted).await;
         Timer::after(COLLECT_TIME).await;
-        let calls = state.server_limits.due_calls();
-        for call in calls {
+        for call in state.server_limits.due_calls(clock::now()) {
             let Some(address) = address_of(&state, call.to) else {
                 record_silence(&state, &call, None);
                 continue;
@@ -294,16 +293,11 @@
     });
     listed
         .map(|record| record.address)
-        .or_else(|| state.server_limits.unlisted_address(node))
+        .or_else(|| state.unlisted_nodes.address(node))
 }
 
 /// Asks one owner for permits.
-async fn call_owner(
-    state: Arc<State>,
-    client: Arc<Client>,
-    address: SocketAddr,
-    call: PermitCall,
-) {
+async fn call_owner(state: Arc<State>, client: Arc<Client>, address: SocketAddr, call: PermitCall) {
     let asked_at = clock::now();
     let message = LimitMessage {
         permits: state.server_limits.quotas().message(&call, asked_at),
@@ -352,14 +346,14 @@
             continue;
         };
         let sent = used.saturating_sub(last.used) as f64 / spent.as_secs_f64();
-        let owned = quotas.owned(process, now);
+        let owner = quotas.owner(process);
         info!(state.log, "limit share"; "backend" => &*backend.entry.id,
             "service" => &*backend.entry.service, "limit" => pool.limit(now),
             "age_ms" => pool.reading().map(|r| now.saturating_sub(r.received).as_millis() as u64),
             "demand" => pool.demand(), "share" => sent, "permits" => pool.available(now),
             "owners" => quotas.owners(process, now).len(),
-            "own_quota" => owned.map(|(quota, _, _)| quota),
-            "users" => owned.map(|(_, users, _)| users));
+            "own_quota" => owner.map(QuotaOwner::quota),
+            "users" => owner.map(QuotaOwner::users));
         state
             .metrics
             .set_limit(&backend.entry.id, pool.limit(now), pool.demand(), sent);
--- a/crates/cassiareel-relay/src/peers/mod.rs
+++ b/crates/cassiareel-relay/src/peers/mod.rs
@@ -29,9 +29,11 @@
 #[cfg(test)]
 mod roster_tests;
 mod store_cache;
+mod unlisted;
 
 pub(crate) use exchange::{follow_peers, serve_peers};
 pub(crate) use limits::{follow_limits, record_answer as record_limit_answer};
 pub(crate) use losses::send_losses;
 pub(crate) use members::Members;
 pub(crate) use store_cache::StoreCache;
+pub(crate) use unlisted::UnlistedNodes;
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -12,7 +12,8 @@
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use cassiareel::{
-    kernel::suspect::Suspects,
+    fleet_limits::FleetLimits,
+    kernel::{quota::node_key, suspect::Suspects},
     runtime::{lock, Spawner},
 };
 use event_listener::Event;
@@ -29,10 +30,9 @@
     },
     metrics::Metrics,
     model::{EngineShape, Limits, ServiceId},
-    peers::{Members, StoreCache},
+    peers::{Members, StoreCache, UnlistedNodes},
     protocol::Protocol,
     rollouts::Rollouts,
-    server_limits::ServerLimits,
     settings::Settings,
     source::{NodeRecord, Source},
 };
@@ -78,7 +78,9 @@
     /// The admission of requests.
     pub admission: Admission,
     /// The limits that backend servers name for the whole fleet.
-    pub server_limits: ServerLimits,
+    pub server_limits: FleetLimits,
+    /// Nodes that are not in the list of the fleet's nodes yet.
+    pub unlisted_nodes: UnlistedNodes,
     /// The headers of the platform.
     pub protocol: Arc<dyn Protocol>,
     /// The store.
@@ -136,7 +138,7 @@
         spawner: Spawner,
     ) -> State {
         let (read_request_sender, read_requests) = async_channel::bounded(1);
-        let server_limits = ServerLimits::new(&settings.node.name);
+        let server_limits = FleetLimits::new(node_key(&settings.node.name), clock::now());
         State {
             authority: Mutex::new(ConfigFreshness::new(settings.bounds.revoke)),
             store_cache: StoreCache::new(&settings.node.name, &settings.node.data_centre),
@@ -146,6 +148,7 @@
             rollouts: Rollouts::default(),
             admission: Admission::default(),
             server_limits,
+            unlisted_nodes: UnlistedNodes::default(),
             protocol,
             source,
             log,
@@ -282,7 +285,8 @@
             return;
         }
         if let Some((members, _)) = self.store_cache.members.get() {
-            self.server_limits.set_members(&members);
+            let all = self.unlisted_nodes.merge(&members);
+            self.server_limits.quotas().set_nodes(all, clock::now());
         }
         if self.node_count.swap(nodes, Ordering::Relaxed) != nodes {
             info!(self.log, "node count changed"; "nodes" => nodes, "turn" => self.store_cache.reader_rank(),
@@ -331,11 +335,10 @@
     /// Returns when a caller may retry where no backend server of a service takes its request now:
     /// after a typical time, and not before one of them takes requests again.
     pub(crate) fn retry_after(&self, service: &str, typical: Duration) -> Duration {
-        let limit_wait = |backend: &Backend| self.server_limits.expected_wait(backend.process());
-        let wait = self
-            .backends
-            .time_to_accept(service, clock::now(), limit_wait);
-        typical.max(wait)
+        let now = clock::now();
+        let quotas = self.server_limits.quotas();
+        let limit_wait = |backend: &Backend| quotas.expected_wait(backend.process(), now);
+        typical.max(self.backends.time_to_accept(service, now, limit_wait))
     }
 
     /// Reports whether the node should get new connections.
--- a/crates/cassiareel/src/engines/mod.rs
+++ b/crates/cassiareel/src/engines/mod.rs
@@ -34,7 +34,7 @@
 pub use decision::{Decision, Reason, ScoredCandidate};
 pub use feed::{CacheFeed, Fetch};
 pub use health::{HealthChange, RouteId};
-pub use limits::{is_valid_limit, node_key, RequestLimits};
+pub use limits::RequestLimits;
 pub use poll::{
     cache_answer_bytes, poll, EngineConnector, CACHE_ANSWER_BYTES, CACHE_BYTE_RATE, REPORT_BYTES,
     REPORT_BYTE_RATE,
--- a/crates/cassiareel/src/front/choose.rs
+++ b/crates/cassiareel/src/front/choose.rs
@@ -23,6 +23,7 @@
     kernel::{
         admission::{Exceeded, LimitScope, Limiter, Limits, Permit, QueueLimits},
         health::{self, Outcome},
+        quota::is_valid_limit,
         routing::RoutingRequest,
         BackendId, DataCentreId, NodeId, Revision, Time,
     },
@@ -284,7 +285,7 @@
     pub(super) fn record_limit(&self, addr: SocketAddr, answer: &Answer, sent: Time) {
         let backend = addr.to_string();
         let limit = answer.request_limit;
-        if limit.is_some_and(|limit| !engines::is_valid_limit(limit)) {
+        if limit.is_some_and(|limit| !is_valid_limit(limit)) {
             info!(self.log, "backend named an unclear limit"; "backend" => &backend);
         }
         let change = self
--- a/crates/cassiareel/src/kernel/quota/mod.rs
+++ b/crates/cassiareel/src/kernel/quota/mod.rs
@@ -39,10 +39,10 @@
 
 pub use exchange::{PermitMessage, PermitReply};
 pub use owner::{PermitGrant, PermitRequest, QuotaOwner};
-pub use owners::{owners, quota};
+pub use owners::{node_key, owners, quota};
 pub use permits::{LimitChange, PermitPool, Purpose};
 pub use quotas::{PermitCall, Quotas};
-pub use reading::{LimitReading, ReportedReading};
+pub use reading::{is_valid_limit, LimitReading, ReportedReading};
 
 use std::time::Duration;
 
--- a/crates/cassiareel/src/kernel/quota/owner.rs
+++ b/crates/cassiareel/src/kernel/quota/owner.rs
@@ -76,13 +76,18 @@
         self.permits = self.permits.min(self.capacity());
     }
 
+    /// Returns the quota.
+    pub fn quota(&self) -> Rate {
+        self.quota
+    }
+
     /// Returns the number of nodes that lately wanted permits.
     pub fn users(&self) -> usize {
         self.demands.len()
     }
 
     /// Returns the requests a second that all nodes lately wanted to send.
-    pub fn total_demand(&self) -> Rate {
+    fn total_demand(&self) -> Rate {
         self.demands.values().map(|demand| demand.rate).sum()
     }
 
--- a/crates/cassiareel/src/kernel/quota/owners.rs
+++ b/crates/cassiareel/src/kernel/quota/owners.rs
@@ -1,6 +1,6 @@
 //! Which nodes own the quotas of a limit.
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{super::suspect::ProcessKey, NodeKey, Rate};
 
@@ -15,6 +15,11 @@
 /// process that takes nothing still gets a request now and then.
 const MIN_RATE: Rate = 0.1;
 
+/// Returns the key of a node by its name.
+pub fn node_key(name: &str) -> NodeKey {
+    xxh3_64(name.as_bytes())
+}
+
 /// Returns how many nodes own quotas of a limit.
 fn owner_count(limit: Rate) -> usize {
     if limit < MIN_RATE_OF_TWO {
--- a/crates/cassiareel/src/kernel/quota/permits.rs
+++ b/crates/cassiareel/src/kernel/quota/permits.rs
@@ -72,8 +72,8 @@
     asked_at: Time,
     /// The permits that it was asked for, while its answer is awaited.
     pending: Option<u32>,
-    /// The first of the requests since its last answer that it did not answer.
-    silent_since: Option<Time>,
+    /// Whether it did not answer the last request.
+    is_silent: bool,
     /// Permits of it that expired unused.
     unused: u32,
 }
@@ -236,7 +236,7 @@
     pub fn receive(&mut self, owner: NodeKey, grant: PermitGrant, asked_at: Time) {
         let contact = self.owners.entry(owner).or_default();
         contact.pending = None;
-        contact.silent_since = None;
+        contact.is_silent = false;
         contact.next_request = asked_at + grant.next;
         if grant.permits > 0 {
             self.held.push(HeldPermits {
@@ -252,7 +252,7 @@
         let contact = self.owners.entry(owner).or_default();
         contact.pending = None;
         contact.next_request = now + RETRY_DELAY;
-        contact.silent_since.get_or_insert(now);
+        contact.is_silent = true;
     }
 
     /// Returns when a permit is expected at the earliest, as far as this node knows.
@@ -270,9 +270,8 @@
         let Some(contact) = self.owners.get(&owner) else {
             return true;
         };
-        let is_urgent = self.urgent > 0
-            && contact.silent_since.is_none()
-            && contact.asked_at + URGENT_INTERVAL <= now;
+        let is_urgent =
+            self.urgent > 0 && !contact.is_silent && contact.asked_at + URGENT_INTERVAL <= now;
         contact.pending.is_none() && (contact.next_request <= now || is_urgent)
     }
 
--- a/crates/cassiareel/src/kernel/quota/quotas.rs
+++ b/crates/cassiareel/src/kernel/quota/quotas.rs
@@ -247,12 +247,9 @@
         Some(owner.grant(node, request, now))
     }
 
-    /// Returns the quota that this node owns, with the number and the demand of its users; `None`
-    /// if it has granted none.
-    pub fn owned(&self, process: ProcessKey, now: Time) -> Option<(Rate, usize, Rate)> {
-        let owner = self.processes.get(&process)?.owner.as_ref()?;
-        let quota = quota(self.limit(process, now)?, self.owners(process, now).len());
-        Some((quota, owner.users(), owner.total_demand()))
+    /// Returns the owner of this node's quota; `None` if it has granted no permits.
+    pub fn owner(&self, process: ProcessKey) -> Option<&QuotaOwner> {
+        self.processes.get(&process)?.owner.as_ref()
     }
 
     /// Records the answer of an owner that was asked at `asked_at`.
--- a/crates/cassiareel/src/kernel/quota/reading.rs
+++ b/crates/cassiareel/src/kernel/quota/reading.rs
@@ -10,6 +10,11 @@
     Rate,
 };
 
+/// Reports whether a limit that was named can hold.
+pub fn is_valid_limit(limit: Rate) -> bool {
+    limit.is_finite() && limit >= 0.0
+}
+
 /// What one answer says of its backend server's limit. The answer was begun at some time between
 /// `sent` and `received`.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/cassiareel/src/lib.rs
+++ b/crates/cassiareel/src/lib.rs
@@ -11,7 +11,8 @@
 - [`kernel`] contains all decisions as pure state machines: events and a time in, actions out.
 - [`settings`] is the typed tree that operators edit.
 - [`store`], [`backend`] and [`peer`] access other systems through traits and thin HTTP adapters.
-- [`engines`] is a node's table of backend servers, from which requests choose without a lock.
+- [`engines`] is a node's table of backend servers, from which requests choose without a lock, and
+  [`fleet_limits`] holds the limits that these name for all nodes together.
 - [`front`] serves callers and operators, [`control`] runs moves and placements, and [`observe`] writes
   the log of decisions and the metrics.
 - [`wire`] provides HTTP by a library with the checks that it lacks, and [`runtime`] provides executors
@@ -21,6 +22,7 @@
 pub mod backend;
 pub mod control;
 pub mod engines;
+pub mod fleet_limits;
 pub mod front;
 pub mod hooks;
 pub mod kernel;
--- a/crates/cassiareel/src/node/permits.rs
+++ b/crates/cassiareel/src/node/permits.rs
@@ -6,10 +6,11 @@
 use smol::Timer;
 
 use crate::{
-    engines::{node_key, BackendTable},
+    engines::BackendTable,
+    fleet_limits::FleetLimits,
     front::FrontContext,
     kernel::{
-        quota::{PermitCall, PermitMessage, PermitReply, ReportedReading},
+        quota::{node_key, PermitCall, PermitMessage, PermitReply, ReportedReading},
         Time,
     },
     peer::{Peers, PermitOwner},
@@ -36,6 +37,10 @@
         self.parts.backend_table()
     }
 
+    fn limits(&self) -> &FleetLimits {
+        &self.table().limits().fleet
+    }
+
     fn now(&self) -> Time {
         self.parts.backend_time()
     }
@@ -43,12 +48,13 @@
     /// Makes the calls until dropped.
     pub(super) async fn run(self, peers: Option<Arc<Peers>>, spawner: Spawner) {
         loop {
-            Timer::after(POLL_INTERVAL).await;
-            if !self.table().limits().is_any() {
+            let wanted = self.limits().wanted.listen();
+            if !self.limits().is_any() {
+                wanted.await;
                 continue;
             }
-            let calls = self.table().limits().quotas().calls(self.now());
-            for call in calls {
+            Timer::after(POLL_INTERVAL).await;
+            for call in self.limits().due_calls(self.now()) {
                 // Without peers the node owns all quotas itself.
                 if let Some(peers) = peers.clone() {
                     let exchange = self.clone();
@@ -65,20 +71,20 @@
         let asked_at = self.now();
         let others = peers.others();
         let owner = others.iter().find(|node| node_key(&node.name) == call.to);
-        let message = self.table().limits().quotas().message(call, asked_at);
+        let message = self.limits().quotas().message(call, asked_at);
         let reply = match owner {
             Some(owner) => within(CALL_TIMEOUT, peers.request_permits(owner.addr, &message)).await,
             None => None,
         };
         let Some(Ok(reply)) = reply else {
             let now = self.now();
-            if self.table().limits().quotas().record_silence(call, now) {
+            if self.limits().quotas().record_silence(call, now) {
                 info!(self.log, "limit owner silent"; "engines" => call.requests.len());
             }
             return;
         };
         self.record_readings(&reply.readings, asked_at);
-        let was_silent = self.table().limits().quotas().apply(call, &reply, asked_at);
+        let was_silent = self.limits().quotas().apply(call, &reply, asked_at);
         if was_silent {
             info!(self.log, "limit owner answers");
         }
@@ -87,8 +93,8 @@
 
     fn record_readings(&self, readings: &[ReportedReading], at: Time) {
         for report in readings {
-            let limits = self.table().limits();
-            limits.record_reading(report.process, report.reading(at), self.now());
+            let reading = report.reading(at);
+            self.limits().record(report.process, reading, self.now());
         }
     }
 }
@@ -97,6 +103,6 @@
     fn answer(&self, message: &PermitMessage) -> PermitReply {
         let now = self.now();
         self.record_readings(&message.readings, now);
-        self.table().limits().quotas().answer(message, now)
+        self.limits().quotas().answer(message, now)
     }
 }
