--- a/crates/cassiareel-standins/src/channel_body.rs
+++ b/crates/cassiareel-standins/src/channel_body.rs
@@ -73,22 +73,34 @@
 
 impl AsyncRead for ChannelBody {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         out: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let ready = match self.as_mut().poll_fill_buf(cx) {
-            Poll::Ready(Ok(ready)) => ready,
-            Poll::Ready(Err(err)) => return Poll::Ready(Err(err)),
-            Poll::Pending => return Poll::Pending,
-        };
-        let n = ready.len().min(out.len());
-        out[..n].copy_from_slice(&ready[..n]);
-        self.consume(n);
-        Poll::Ready(Ok(n))
+        poll_read_buffered(self, cx, out)
     }
 }
 
+/// Reads from a reader's buffer, which is filled first if it is empty.
+pub(crate) fn poll_read_buffered<R>(
+    mut reader: Pin<&mut R>,
+    cx: &mut Context<'_>,
+    out: &mut [u8],
+) -> Poll<io::Result<usize>>
+where
+    R: AsyncBufRead,
+{
+    let ready = match reader.as_mut().poll_fill_buf(cx) {
+        Poll::Ready(Ok(ready)) => ready,
+        Poll::Ready(Err(err)) => return Poll::Ready(Err(err)),
+        Poll::Pending => return Poll::Pending,
+    };
+    let n = ready.len().min(out.len());
+    out[..n].copy_from_slice(&ready[..n]);
+    reader.consume(n);
+    Poll::Ready(Ok(n))
+}
+
 /// Reports whether a timer has fired.
 fn has_fired(timer: &mut Option<Timer>, cx: &mut Context<'_>) -> bool {
     timer
--- a/crates/cassiareel-standins/src/engine/stream.rs
+++ b/crates/cassiareel-standins/src/engine/stream.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use super::text::TextDecoder;
+use crate::channel_body::poll_read_buffered;
 
 /// The maximum number of pending tokens that are sent as one event each. More are sent as a single
 /// event.
@@ -322,19 +323,11 @@
 
 impl AsyncRead for Reader {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         out: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let ready = match self.as_mut().poll_fill_buf(cx) {
-            Poll::Ready(Ok(ready)) => ready,
-            Poll::Ready(Err(err)) => return Poll::Ready(Err(err)),
-            Poll::Pending => return Poll::Pending,
-        };
-        let n = ready.len().min(out.len());
-        out[..n].copy_from_slice(&ready[..n]);
-        self.consume(n);
-        Poll::Ready(Ok(n))
+        poll_read_buffered(self, cx, out)
     }
 }
 
--- a/crates/cassiareel/src/kernel/routing/first_token.rs
+++ b/crates/cassiareel/src/kernel/routing/first_token.rs
@@ -1,9 +1,9 @@
 //! The policy that minimizes the expected time to the first token.
 
 use super::{
-    eligibility::{into_choice, skip_reason},
+    eligibility::{into_choice, scores},
     expected::expected_ms,
-    Candidate, Choice, Policy, RoutingRequest, SkipReason,
+    Candidate, Choice, Policy, RoutingRequest,
 };
 use crate::plugin::Plugin;
 
@@ -74,10 +74,7 @@
         random: u64,
     ) -> Choice {
         let homes = top_home_weights(candidates);
-        let scores: Vec<(f64, Option<SkipReason>)> = candidates
-            .iter()
-            .map(|c| (self.score(request, c, homes), skip_reason(request, c)))
-            .collect();
+        let scores = scores(request, candidates, |c| self.score(request, c, homes));
         let eligible = || scores.iter().filter(|s| s.1.is_none()).map(|s| s.0);
         let bound = eligible().fold(f64::INFINITY, f64::min) * (1.0 + self.margin) + self.margin_ms;
         let equal_count = eligible().filter(|&score| score <= bound).count();
--- a/crates/cassiareel/src/kernel/routing/least_outstanding.rs
+++ b/crates/cassiareel/src/kernel/routing/least_outstanding.rs
@@ -1,7 +1,7 @@
 //! The baseline policy that chooses the backend server with the fewest outstanding requests.
 
 use super::{
-    eligibility::{into_choice, lowest_score, skip_reason},
+    eligibility::{into_choice, lowest_score, scores},
     Candidate, Choice, Policy, RoutingRequest,
 };
 use crate::plugin::Plugin;
@@ -20,10 +20,7 @@
         candidates: &[Candidate<'_>],
         random: u64,
     ) -> Choice {
-        let scores: Vec<_> = candidates
-            .iter()
-            .map(|c| (f64::from(c.outstanding), skip_reason(request, c)))
-            .collect();
+        let scores = scores(request, candidates, |c| f64::from(c.outstanding));
         into_choice(lowest_score(&scores, random), scores)
     }
 }
--- a/crates/cassiareel/src/kernel/routing/power_of_two.rs
+++ b/crates/cassiareel/src/kernel/routing/power_of_two.rs
@@ -1,7 +1,7 @@
 //! The baseline policy that chooses the less loaded of two random backend servers.
 
 use super::{
-    eligibility::{into_choice, skip_reason},
+    eligibility::{into_choice, nth_eligible, scores},
     Candidate, Choice, Policy, RoutingRequest,
 };
 use crate::plugin::Plugin;
@@ -23,19 +23,12 @@
         candidates: &[Candidate<'_>],
         random: u64,
     ) -> Choice {
-        let scores: Vec<_> = candidates
-            .iter()
-            .map(|c| (f64::from(c.outstanding), skip_reason(request, c)))
-            .collect();
+        let scores = scores(request, candidates, |c| f64::from(c.outstanding));
         let eligible = scores.iter().filter(|s| s.1.is_none()).count() as u64;
         if eligible == 0 {
             return into_choice(None, scores);
         }
-        let nth = |n| {
-            (0..scores.len())
-                .filter(|&i| scores[i].1.is_none())
-                .nth(n as usize)
-        };
+        let nth = |n: u64| nth_eligible(&scores, n as usize);
         let one = (random >> DRAW_BITS) % eligible;
         let other = (one + 1 + u64::from(random as u32) % (eligible - 1).max(1)) % eligible;
         let index = [nth(one), nth(other)]
--- a/crates/cassiareel/src/kernel/routing/random.rs
+++ b/crates/cassiareel/src/kernel/routing/random.rs
@@ -1,7 +1,7 @@
 //! The baseline policy that chooses a backend server at random.
 
 use super::{
-    eligibility::{into_choice, skip_reason},
+    eligibility::{into_choice, nth_eligible, scores},
     Candidate, Choice, Policy, RoutingRequest,
 };
 use crate::plugin::Plugin;
@@ -20,15 +20,9 @@
         candidates: &[Candidate<'_>],
         random: u64,
     ) -> Choice {
-        let scores: Vec<_> = candidates
-            .iter()
-            .map(|c| (0.0, skip_reason(request, c)))
-            .collect();
+        let scores = scores(request, candidates, |_| 0.0);
         let eligible = scores.iter().filter(|s| s.1.is_none()).count();
         let nth = (random % eligible.max(1) as u64) as usize;
-        let index = (0..scores.len())
-            .filter(|&i| scores[i].1.is_none())
-            .nth(nth);
-        into_choice(index, scores)
+        into_choice(nth_eligible(&scores, nth), scores)
     }
 }
--- a/crates/cassiareel/src/kernel/routing/round_robin.rs
+++ b/crates/cassiareel/src/kernel/routing/round_robin.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use super::{
-    eligibility::{into_choice, lowest_score, skip_reason},
+    eligibility::{into_choice, lowest_score, scores},
     Candidate, Choice, Policy, RoutingRequest,
 };
 use crate::plugin::Plugin;
@@ -25,10 +25,7 @@
         candidates: &[Candidate<'_>],
         _random: u64,
     ) -> Choice {
-        let scores: Vec<_> = candidates
-            .iter()
-            .map(|c| (0.0, skip_reason(request, c)))
-            .collect();
+        let scores = scores(request, candidates, |_| 0.0);
         let turn = self.next.fetch_add(1, Ordering::Relaxed);
         into_choice(lowest_score(&scores, turn), scores)
     }
