--- a/crates/cassiareel/src/kernel/quota/mod.rs
+++ b/crates/cassiareel/src/kernel/quota/mod.rs
@@ -28,6 +28,8 @@
 mod reachability;
 mod reading;
 
+#[cfg(test)]
+mod fleet_simulation;
 #[cfg(test)]
 mod fleet_tests;
 #[cfg(test)]
