--- a/crates/cassiareel-relay/src/peers/limits.rs
+++ b/crates/cassiareel-relay/src/peers/limits.rs
@@ -5,7 +5,8 @@
 call carries all backend servers of an owner, and never runs on the path of a request. Each message
 also carries what its sender knows of the limits. A node that learns from an answer that a limit
 begins, ends or moves tells all other nodes, which pass the message on along a tree, so that no node
-sends more than a few messages. A node that starts asks another one before it serves.
+sends more than a few messages. A node that starts asks another one before it serves, and a node
+that had no contact for a while asks when it has contact again.
 */
 
 use std::{
@@ -67,6 +68,9 @@
 const MAX_FETCH_ATTEMPTS: usize = 2;
 const FETCH_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// The interval between attempts where no peer answered.
+const FETCH_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// The sender of a message.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 struct Sender {
@@ -255,8 +259,11 @@
 
 /// Asks for permits as long as the node runs, beginning with what other nodes know of limits.
 pub(crate) async fn follow_limits(state: Arc<State>) {
-    fetch_readings(&state).await;
+    state.wait_nodes_read().await;
+    let is_fetched = fetch_readings(&state).await;
     state.limits_read.store(true, Ordering::Relaxed);
+    let refetch = refetch_readings(state.clone(), is_fetched);
+    state.spawner.spawn(refetch).detach();
     let mut clients: HashMap<SocketAddr, Arc<Client>> = HashMap::new();
     let mut logged = HashMap::new();
     loop {
@@ -361,9 +368,8 @@
     }
 }
 
-/// Asks other nodes for the limits that they know, for a node that has just started.
-async fn fetch_readings(state: &Arc<State>) {
-    state.wait_nodes_read().await;
+/// Asks other nodes for the limits that they know; reports whether one answered.
+async fn fetch_readings(state: &Arc<State>) -> bool {
     let peers = state.store_cache.roster().parents(clock::now());
     for (name, address) in peers.iter().take(MAX_FETCH_ATTEMPTS) {
         let client = Client::new(*address, state.spawner.clone());
@@ -380,8 +386,33 @@
                 // Owners have to know of this node before it takes a quota.
                 pass_on(state, own_sender(state), &known);
             }
-            return;
+            return true;
         }
         info!(state.log, "limits not fetched"; "peer" => name);
     }
+    false
+}
+
+/// Asks other nodes for the limits until one answers, and again after each time in which this node
+/// got no updates: it may have been cut off or suspended, and has missed changes. Its own answers
+/// would show a limit only once it sends requests, and load queries are no requests.
+async fn refetch_readings(state: Arc<State>, mut is_fetched: bool) {
+    let mut last_update = clock::now();
+    loop {
+        state.store_cache.updated.listen().await;
+        let now = clock::now();
+        let gap = now.saturating_sub(last_update);
+        last_update = now;
+        if gap > state.reading().overdue_age() {
+            is_fetched = false;
+        }
+        let has_peers = || !state.store_cache.roster().parents(now).is_empty();
+        if is_fetched || !has_peers() {
+            continue;
+        }
+        is_fetched = fetch_readings(&state).await;
+        if !is_fetched {
+            Timer::after(FETCH_RETRY_DELAY).await;
+        }
+    }
 }
