--- a/crates/cassiareel-relay/src/peers/limits.rs
+++ b/crates/cassiareel-relay/src/peers/limits.rs
@@ -112,9 +112,19 @@
     if !change.is_notable() {
         return;
     }
-    let report = state.server_limits.quotas().report(process, clock::now());
-    let own = own_sender(state);
-    pass_on(state, own, report.as_slice());
+    if state.limit_spread().begin(process, clock::now()) {
+        spread(state, &[process]);
+    }
+}
+
+/// Tells all other nodes of the limits of processes.
+fn spread(state: &Arc<State>, processes: &[ProcessKey]) {
+    let now = clock::now();
+    let quotas = state.server_limits.quotas();
+    let reports = processes.iter().map(|process| quotas.report(*process, now));
+    let readings: Vec<ReportedReading> = reports.flatten().collect();
+    drop(quotas);
+    pass_on(state, own_sender(state), &readings);
 }
 
 /// Records a reading, and logs a change.
@@ -162,6 +172,9 @@
 /// Passes readings on to this node's part of the tree whose root is `origin`. A part that is not
 /// reached learns of the limit from answers or with permits.
 fn pass_on(state: &Arc<State>, origin: Sender, readings: &[ReportedReading]) {
+    if readings.is_empty() {
+        return;
+    }
     let Some((members, _)) = state.store_cache.members.get() else {
         return;
     };
@@ -242,8 +255,11 @@
             info!(state.log, "unlisted node"; "peer" => %sender.address);
         }
     }
-    let changed = record_readings(state, &message.permits.readings, now);
-    if let Some(origin) = message.origin.filter(|_| !changed.is_empty()) {
+    let mut changed = record_readings(state, &message.permits.readings, now);
+    if let Some(origin) = message.origin {
+        let mut spread = state.limit_spread();
+        changed.retain(|report| spread.accept(report.process, now));
+        drop(spread);
         pass_on(state, origin, &changed);
     }
     state.server_limits.quotas().answer(&message.permits, now)
@@ -268,7 +284,9 @@
     let mut logged = HashMap::new();
     loop {
         let wanted = state.server_limits.wanted.listen();
-        if !state.server_limits.is_any() {
+        let due = state.limit_spread().take_due(clock::now());
+        spread(&state, &due);
+        if !state.server_limits.is_any() && !state.limit_spread().is_pending() {
             clients.clear();
             logged.clear();
             wanted.await;
@@ -382,10 +400,8 @@
             .and_then(|reply| rmp_serde::from_slice::<PermitReply>(&reply.body).ok());
         if let Some(reply) = reply {
             let known = record_readings(state, &reply.readings, asked_at);
-            if !known.is_empty() {
-                // Owners have to know of this node before it takes a quota.
-                pass_on(state, own_sender(state), &known);
-            }
+            // Owners have to know of this node before it takes a quota.
+            pass_on(state, own_sender(state), &known);
             return true;
         }
         info!(state.log, "limits not fetched"; "peer" => name);
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -13,7 +13,10 @@
 use async_channel::{Receiver, Sender};
 use cassiareel::{
     fleet_limits::FleetLimits,
-    kernel::{quota::node_key, suspect::Suspects},
+    kernel::{
+        quota::{node_key, Spread},
+        suspect::Suspects,
+    },
     runtime::{lock, Spawner},
 };
 use event_listener::Event;
@@ -123,6 +126,7 @@
     data_centre_losses: Mutex<DataCentreHealth>,
     speeds: Mutex<ServiceSpeeds>,
     suspects: Mutex<Suspects>,
+    limit_spread: Mutex<Spread>,
     read_request_sender: Sender<()>,
     read_requests: Receiver<()>,
     version_signal: (Sender<()>, Receiver<()>),
@@ -172,6 +176,7 @@
             data_centre_losses: Mutex::default(),
             speeds: Mutex::default(),
             suspects: Mutex::default(),
+            limit_spread: Mutex::default(),
             read_request_sender,
             read_requests,
         }
@@ -192,6 +197,11 @@
         lock(&self.suspects)
     }
 
+    /// Locks what was passed on of the limits that backend servers name.
+    pub(crate) fn limit_spread(&self) -> MutexGuard<'_, Spread> {
+        lock(&self.limit_spread)
+    }
+
     /// Locks the freshness of the configuration.
     pub(crate) fn authority(&self) -> MutexGuard<'_, ConfigFreshness> {
         lock(&self.authority)
--- a/crates/cassiareel/src/kernel/quota/mod.rs
+++ b/crates/cassiareel/src/kernel/quota/mod.rs
@@ -27,6 +27,7 @@
 mod quotas;
 mod reachability;
 mod reading;
+mod spread;
 
 #[cfg(test)]
 mod fleet_simulation;
@@ -38,6 +39,8 @@
 mod permits_tests;
 #[cfg(test)]
 mod reading_tests;
+#[cfg(test)]
+mod spread_tests;
 
 pub use exchange::{PermitMessage, PermitReply};
 pub use owner::{PermitGrant, PermitRequest, QuotaOwner};
@@ -45,6 +48,7 @@
 pub use permits::{LimitChange, PermitPool, Purpose};
 pub use quotas::{PermitCall, Quotas};
 pub use reading::{is_valid_limit, LimitReading, ReportedReading};
+pub use spread::Spread;
 
 use std::time::Duration;
 
