--- a/crates/cassiareel-bench/src/model/node.rs
+++ b/crates/cassiareel-bench/src/model/node.rs
@@ -219,5 +219,6 @@
         output_tokens: call.max_output - generated.min(call.max_output),
         data_centre: None,
         idempotent: true,
+        ..RoutingRequest::default()
     }
 }
--- a/crates/cassiareel/src/engines/choose.rs
+++ b/crates/cassiareel/src/engines/choose.rs
@@ -63,7 +63,7 @@
             let Some(i) = choice.index else {
                 break;
             };
-            if !self.limits.take(&pool.servers[i].backend, now) {
+            if !self.take_permit(request, &pool.servers[i], now) {
                 candidates[i].skip_reason = Some(SkipReason::Limit);
                 choice = named_policy
                     .policy
@@ -91,6 +91,12 @@
         (decision, None)
     }
 
+    /// Takes a permit for a request; returns `false` if the server's limit leaves none.
+    fn take_permit(&self, request: &Request<'_>, server: &BackendServer, now: Time) -> bool {
+        let purpose = request.routing.purpose;
+        self.limits.take(&server.backend, purpose, now)
+    }
+
     fn candidates<'a>(
         &self,
         now: Time,
@@ -140,7 +146,10 @@
             Some(SkipReason::Unloaded)
         } else if server.is_model() && backlog >= self.options.max_backlog_tokens {
             Some(SkipReason::Busy)
-        } else if !self.limits.may_send(&server.backend, now) {
+        } else if !self
+            .limits
+            .may_send(&server.backend, request.routing.purpose, now)
+        {
             Some(SkipReason::Limit)
         } else {
             None
@@ -162,7 +171,7 @@
                 && c.skip_reason.is_none()
                 && request.routing.memory_tokens() <= c.free_tokens
                 && pool.take_trial(route, i)
-                && self.limits.take(&pool.servers[i].backend, now)
+                && self.take_permit(request, &pool.servers[i], now)
         })?;
         let scores = (0..candidates.len())
             .map(|other| (0.0, (other != i).then_some(SkipReason::Score)))
--- a/crates/cassiareel/src/engines/limits.rs
+++ b/crates/cassiareel/src/engines/limits.rs
@@ -62,15 +62,15 @@
     }
 
     /// Reports whether a request may be sent to a backend server now; counts it as wanted if not.
-    pub(super) fn may_send(&self, backend: &str, now: Time) -> bool {
+    pub(super) fn may_send(&self, backend: &str, purpose: Purpose, now: Time) -> bool {
         if !self.fleet.is_any() {
             return true;
         }
         let process = process_key(backend);
         let mut quotas = self.fleet.quotas();
-        let may_send = quotas.may_send(process, Purpose::New, now);
+        let may_send = quotas.may_send(process, purpose, now);
         if !may_send {
-            quotas.note_want(process, Purpose::New, now);
+            quotas.note_want(process, purpose, now);
             drop(quotas);
             self.fleet.wanted.notify(usize::MAX);
         }
@@ -78,8 +78,8 @@
     }
 
     /// Takes a permit for a request to a backend server; returns `false` if there is none.
-    pub(super) fn take(&self, backend: &str, now: Time) -> bool {
-        self.fleet.take(process_key(backend), Purpose::New, now)
+    pub(super) fn take(&self, backend: &str, purpose: Purpose, now: Time) -> bool {
+        self.fleet.take(process_key(backend), purpose, now)
     }
 }
 
--- a/crates/cassiareel/src/engines/table_tests.rs
+++ b/crates/cassiareel/src/engines/table_tests.rs
@@ -9,6 +9,7 @@
     backend::{CacheEvents, LoadReport},
     kernel::{
         health::Outcome,
+        quota::Purpose,
         routing::{RoutingRequest, SkipReason},
         BackendId,
     },
@@ -277,6 +278,27 @@
     assert_eq!((reason, none.is_none()), (Reason::NoneFit, true));
 }
 
+/// A stream that callers already have part of must not wait behind new ones.
+#[test]
+fn the_last_permit_of_a_limit_is_not_for_a_repeat_but_for_a_resumed_stream() {
+    let table = build_table(&["e1"], 1);
+    let limits = table.limits();
+    let named = 10 * T0;
+    limits.record("e1", Some(2.0), named, named);
+    let request = |purpose| RoutingRequest {
+        purpose,
+        ..routing_request()
+    };
+    let chosen = |purpose, now| choose(&table, now, &request(purpose), &[]).1.is_some();
+    assert!(!chosen(Purpose::New, named));
+    limits.fleet.due_calls(named);
+    let later = named + T0 / 2;
+    limits.fleet.due_calls(later);
+    assert!(!chosen(Purpose::Repeat, later));
+    assert!(chosen(Purpose::Ongoing, later));
+    assert!(!chosen(Purpose::New, later));
+}
+
 #[test]
 fn a_replaced_table_keeps_its_state_and_reservations_outlive_it() {
     let table = build_table(&["e1", "e2"], 1);
--- a/crates/cassiareel/src/front/choose.rs
+++ b/crates/cassiareel/src/front/choose.rs
@@ -23,7 +23,7 @@
     kernel::{
         admission::{Exceeded, LimitScope, Limiter, Limits, Permit, QueueLimits},
         health::{self, Outcome},
-        quota::is_valid_limit,
+        quota::{is_valid_limit, Purpose},
         routing::RoutingRequest,
         BackendId, DataCentreId, NodeId, Revision, Time,
     },
@@ -248,6 +248,11 @@
         let routing = RoutingRequest {
             data_centre: Some(self.data_centre.clone()),
             idempotent: route.idempotent,
+            purpose: if exclude.is_empty() {
+                Purpose::New
+            } else {
+                Purpose::Repeat
+            },
             ..RoutingRequest::default()
         };
         let (decision, guard) = self.choose_again(route, "", &routing, exclude);
@@ -273,6 +278,11 @@
             output_tokens: max_tokens.saturating_sub(generated),
             data_centre: Some(self.data_centre.clone()),
             idempotent: true,
+            purpose: if generated > 0 {
+                Purpose::Ongoing
+            } else {
+                Purpose::New
+            },
         }
     }
 
--- a/crates/cassiareel/src/kernel/quota/permits.rs
+++ b/crates/cassiareel/src/kernel/quota/permits.rs
@@ -25,11 +25,12 @@
 const URGENT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What a permit is used for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Purpose {
     /// Work that was begun before, such as a stream that is resumed.
     Ongoing,
     /// Work that begins.
+    #[default]
     New,
     /// A repeat of work that failed elsewhere. It leaves the last permit to work that begins.
     Repeat,
--- a/crates/cassiareel/src/kernel/routing/policy.rs
+++ b/crates/cassiareel/src/kernel/routing/policy.rs
@@ -1,7 +1,7 @@
 //! The policy trait and its registry.
 
 use crate::{
-    kernel::{BackendId, DataCentreId},
+    kernel::{quota::Purpose, BackendId, DataCentreId},
     plugin::Plugin,
 };
 
@@ -18,6 +18,8 @@
     pub data_centre: Option<DataCentreId>,
     /// Whether the request may safely run twice, and so may serve as a trial of an ejected server.
     pub idempotent: bool,
+    /// What the request would use a permit for, at a backend server that names a limit.
+    pub purpose: Purpose,
 }
 
 impl RoutingRequest {
