--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -46,6 +46,9 @@
 mod rollout_tests;
 #[cfg(test)]
 mod samples;
+mod share_draw;
+#[cfg(test)]
+mod share_draw_tests;
 mod shutdown;
 #[cfg(test)]
 mod shutdown_tests;
@@ -73,5 +76,6 @@
 pub use read_schedule::{remaining, ReadSchedule};
 pub use registry::{Registry, RegistryChanges};
 pub use rollout::{state_to_report, Exposure, Judge, RolloutDecision, Tally, MIN_SHARE};
+pub use share_draw::ShareDraw;
 pub use shutdown::{accepts_during_shutdown, Shutdown, BALANCER_DELAY};
 pub use speeds::{EndedStream, ServiceSpeeds};
--- a/crates/cassiareel-relay/src/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/rollouts/mod.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     clock::Moment,
-    kernel::{Baselines, RolloutDecision, MIN_SHARE},
+    kernel::{Baselines, RolloutDecision, ShareDraw, MIN_SHARE},
     model::{Revision, ServiceId, Version},
 };
 
@@ -59,6 +59,8 @@
     /// The revision of the registry at which each version was first seen.
     first_seen: HashMap<(ServiceId, Version), Revision>,
     counts: HashMap<(ServiceId, Revision), Arc<Mutex<RolloutCounts>>>,
+    /// The draws of the requests that each new version gets in any case.
+    draws: HashMap<(ServiceId, Revision), ShareDraw>,
     /// Runs of services that are being rolled out, which may be open.
     open_runs: Vec<Weak<MeasuredRun>>,
 }
@@ -77,15 +79,13 @@
 }
 
 impl ActiveRollout {
-    /// Draws whether a request is sent to the new version.
-    fn draw_new_version(&self, share: f64) -> bool {
-        let drawn = fastrand::f64();
-        if drawn < share.min(MIN_SHARE) {
-            return true;
-        }
+    /// Draws whether a request is sent to the new version beyond its least share, so that it gets
+    /// `share` of all requests.
+    fn draw_trial(&self, share: f64) -> bool {
+        let chance = (share - MIN_SHARE) / (1.0 - MIN_SHARE);
         // The budget limits a burst between two poolings of the counts, which are infrequent.
         let decrement = |left: u32| left.checked_sub(1);
-        drawn < share
+        fastrand::f64() < chance
             && self
                 .trial_budget
                 .fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement)
@@ -143,13 +143,24 @@
         match active.split {
             RolloutDecision::Complete => VersionRule::Prefer(target),
             RolloutDecision::RollBack => VersionRule::Never(target),
-            RolloutDecision::Share(share) if active.draw_new_version(share) => {
+            RolloutDecision::Share(share)
+                if self.draw_least_share(service, active, share) || active.draw_trial(share) =>
+            {
                 VersionRule::Prefer(target)
             }
             RolloutDecision::Share(_) => VersionRule::Avoid(target),
         }
     }
 
+    /// Draws whether a request is one of those that the new version gets in any case.
+    fn draw_least_share(&self, service: &ServiceId, active: &ActiveRollout, share: f64) -> bool {
+        let key = (service.clone(), active.order);
+        let mut inner = self.lock();
+        let draw = inner.draws.entry(key);
+        let draw = draw.or_insert_with(|| ShareDraw::new(fastrand::f64()));
+        draw.draw(share.min(MIN_SHARE), fastrand::f64())
+    }
+
     /// Begins to measure a run; returns `None` where its service has no undecided rollout.
     pub(crate) fn begin_run(
         &self,
