--- a/crates/cassiareel-relay/src/net/client.rs
+++ b/crates/cassiareel-relay/src/net/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cassiareel::runtime::{within, Spawner};
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
 
 use super::{build_request, Pool, SendError};
@@ -27,6 +27,8 @@
 pub struct ClientResponse {
     /// The status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
@@ -39,6 +41,11 @@
         }
     }
 
+    /// Returns the address to which it makes calls.
+    pub fn address(&self) -> SocketAddr {
+        self.pool.address()
+    }
+
     /// Makes one call. A connection on which a call failed is not used again.
     ///
     /// # Errors
@@ -62,7 +69,7 @@
         path: &str,
         body: Bytes,
     ) -> Result<ClientResponse, SourceError> {
-        let address = self.pool.address();
+        let address = self.address();
         let request = build_request(address, method, path, body).map_err(connection_error)?;
         let mut lease = self
             .pool
@@ -88,6 +95,7 @@
         lease.put_back(None);
         Ok(ClientResponse {
             status: parts.status,
+            headers: parts.headers,
             body: body.to_bytes(),
         })
     }
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -12,7 +12,7 @@
 };
 
 use cassiareel::runtime::within;
-use http::{Method, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -39,6 +39,10 @@
 /// The path of the call.
 const PATH: &str = "/news";
 
+/// The header of a reply that holds the digest of the backend servers whose limits its sender knows.
+/// It is missing where it knows none.
+const LIMITS_HEADER: &str = "limits";
+
 /// The interval at which a node that needs no peer checks whether it needs one.
 const IDLE_POLL: Duration = Duration::from_millis(250);
 
@@ -118,7 +122,20 @@
         }),
         losses: losses::report_since(state, known.losses),
     };
-    message::encode_reply(state, &updates)
+    let mut reply = message::encode_reply(state, &updates);
+    let digest = state.server_limits.digest(now);
+    if digest != 0 {
+        let value = HeaderValue::from(digest);
+        reply.headers_mut().insert(LIMITS_HEADER, value);
+    }
+    reply
+}
+
+/// Returns the digest of the limits that the sender of a reply knows.
+fn limits_digest(headers: &HeaderMap) -> u64 {
+    let value = headers.get(LIMITS_HEADER);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
 /// Waits until this node has an update for one whose state is `known`, up to a limit; returns how
@@ -214,10 +231,13 @@
 
 /// Queries one peer repeatedly on a kept connection, as long as it answers and is the preferred
 /// one.
-async fn follow_peer(state: &State, client: &Client, name: &str) {
+async fn follow_peer(state: &Arc<State>, client: &Client, name: &str) {
     let mut received = LossPosition::default();
     loop {
-        let answer = fetch_updates(state, client, &mut received).await;
+        let (answer, digest) = fetch_updates(state, client, &mut received).await;
+        if digest.is_some_and(|digest| digest != state.server_limits.digest(clock::now())) {
+            limits::exchange_readings(state, client.address());
+        }
         if answer != PeerStatus::Fresh {
             if state.store_cache.roster().exclude(name, clock::now()) {
                 info!(state.log, "peer excluded"; "peer" => name, "answer" => answer.name(),
@@ -234,14 +254,19 @@
     }
 }
 
-/// Queries one peer once. `received` is how far its losses were received.
-async fn fetch_updates(state: &State, client: &Client, received: &mut LossPosition) -> PeerStatus {
+/// Queries one peer once; returns the result, and the digest of the limits that the peer knows.
+/// `received` is how far its losses were received.
+async fn fetch_updates(
+    state: &State,
+    client: &Client,
+    received: &mut LossPosition,
+) -> (PeerStatus, Option<u64>) {
     let known = CacheState {
         losses: *received,
         ..own_state(state)
     };
     let Some(body) = message::encode_request(state, &known) else {
-        return PeerStatus::Silent;
+        return (PeerStatus::Silent, None);
     };
     let reading = state.reading();
     let wait = known.wait(reading);
@@ -249,25 +274,27 @@
     let reply = client
         .call(Method::POST, PATH, body, wait + reading.answer_timeout())
         .await;
-    let updates: Option<Updates> = reply
-        .ok()
-        .filter(|reply| reply.status == StatusCode::OK)
-        .and_then(|reply| rmp_serde::from_slice(&reply.body).ok());
-    let Some(updates) = updates else {
-        return PeerStatus::Silent;
+    let reply = reply.ok().filter(|reply| reply.status == StatusCode::OK);
+    let updates: Option<(Updates, u64)> = reply.and_then(|reply| {
+        let updates = rmp_serde::from_slice(&reply.body).ok()?;
+        Some((updates, limits_digest(&reply.headers)))
+    });
+    let Some((updates, digest)) = updates else {
+        return (PeerStatus::Silent, None);
     };
     let (had_no_update, store_lost) = (updates.waited >= wait, updates.store_lost);
     *received = losses::receive(state, &updates.losses);
     apply_updates(state, updates, began);
     state.store_cache.updated.notify(usize::MAX);
     state.store_cache.peer_updated.notify(usize::MAX);
-    if store_lost {
+    let status = if store_lost {
         PeerStatus::CutOff
     } else if had_no_update && !state.store_cache.is_fresh(reading.overdue_age()) {
         PeerStatus::Behind
     } else {
         PeerStatus::Fresh
-    }
+    };
+    (status, Some(digest))
 }
 
 /// Applies a reply to a call that began at `began`. The request arrived after `began`, and the ages
--- a/crates/cassiareel-relay/src/peers/limits.rs
+++ b/crates/cassiareel-relay/src/peers/limits.rs
@@ -386,20 +386,52 @@
     }
 }
 
+/// Sends a peer what this node knows of the limits, and asks for what the peer knows, unless that
+/// was done just before.
+///
+/// Nodes do so where a peer knows other limits than they: a change that was passed on may have been
+/// lost, and a node that has just started may have asked a peer that did not know it either.
+pub(super) fn exchange_readings(state: &Arc<State>, address: SocketAddr) {
+    let now = clock::now();
+    if !state.limit_spread().accept_exchange(now) {
+        return;
+    }
+    let own = own_sender(state);
+    let message = LimitMessage {
+        permits: PermitMessage {
+            from: own.node,
+            readings: state.server_limits.quotas().readings(now),
+            requests: Vec::new(),
+        },
+        address: own.address,
+        origin: None,
+    };
+    let task_state = state.clone();
+    let task = async move {
+        let client = Client::new(address, task_state.spawner.clone());
+        if send(&task_state, &client, &message).await.is_some() {
+            fetch_from(&task_state, &client).await;
+        }
+    };
+    state.spawner.spawn(task).detach();
+}
+
+/// Asks one node for the limits that it knows; returns those that changed notably, or `None` without
+/// a reply.
+async fn fetch_from(state: &State, client: &Client) -> Option<Vec<ReportedReading>> {
+    let asked_at = clock::now();
+    let reply = client.call(Method::GET, PATH, Bytes::new(), FETCH_TIMEOUT);
+    let reply = reply.await.ok()?;
+    let reply: PermitReply = rmp_serde::from_slice(&reply.body).ok()?;
+    Some(record_readings(state, &reply.readings, asked_at))
+}
+
 /// Asks other nodes for the limits that they know; reports whether one answered.
 async fn fetch_readings(state: &Arc<State>) -> bool {
     let peers = state.store_cache.roster().parents(clock::now());
     for (name, address) in peers.iter().take(MAX_FETCH_ATTEMPTS) {
         let client = Client::new(*address, state.spawner.clone());
-        let asked_at = clock::now();
-        let reply = client
-            .call(Method::GET, PATH, Bytes::new(), FETCH_TIMEOUT)
-            .await;
-        let reply = reply
-            .ok()
-            .and_then(|reply| rmp_serde::from_slice::<PermitReply>(&reply.body).ok());
-        if let Some(reply) = reply {
-            let known = record_readings(state, &reply.readings, asked_at);
+        if let Some(known) = fetch_from(state, &client).await {
             // Owners have to know of this node before it takes a quota.
             pass_on(state, own_sender(state), &known);
             return true;
--- a/crates/cassiareel/src/fleet_limits.rs
+++ b/crates/cassiareel/src/fleet_limits.rs
@@ -70,6 +70,14 @@
         Some(change)
     }
 
+    /// Returns a digest of the processes that have a limit; 0 if none has.
+    pub fn digest(&self, now: Time) -> u64 {
+        if !self.is_any() {
+            return 0;
+        }
+        self.quotas().digest(now)
+    }
+
     /// Returns the limit of a process.
     pub fn limit(&self, process: ProcessKey, now: Time) -> Option<Rate> {
         if !self.is_any() {
--- a/crates/cassiareel/src/kernel/quota/quotas.rs
+++ b/crates/cassiareel/src/kernel/quota/quotas.rs
@@ -144,6 +144,12 @@
             .collect()
     }
 
+    /// Returns a digest of the processes that have a limit; 0 if none has.
+    pub fn digest(&self, now: Time) -> u64 {
+        let limited = self.limited(now).into_iter();
+        limited.fold(0, |digest, (process, _)| digest ^ process)
+    }
+
     /// Reports whether any process has a limit.
     pub fn has_limits(&self, now: Time) -> bool {
         let mut entries = self.processes.values();
--- a/crates/cassiareel/src/kernel/quota/spread.rs
+++ b/crates/cassiareel/src/kernel/quota/spread.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
     passed: HashMap<ProcessKey, Passed>,
+    /// When this node last exchanged all that it knows with another one.
+    exchanged: Option<Time>,
 }
 
 impl Spread {
@@ -66,6 +68,16 @@
         due
     }
 
+    /// Reports whether this node may exchange all that it knows with another one now.
+    pub fn accept_exchange(&mut self, now: Time) -> bool {
+        let last = self.exchanged;
+        let is_accepted = last.is_none_or(|last| now >= last + SPREAD_INTERVAL);
+        if is_accepted {
+            self.exchanged = Some(now);
+        }
+        is_accepted
+    }
+
     /// Reports whether a change is still to be passed on.
     pub fn is_pending(&self) -> bool {
         self.passed.values().any(|passed| passed.is_outdated)
--- a/crates/cassiareel/src/kernel/quota/spread_tests.rs
+++ b/crates/cassiareel/src/kernel/quota/spread_tests.rs
@@ -42,3 +42,12 @@
     assert!(spread.accept(PROCESS + 1, NOW));
     assert!(spread.accept(PROCESS, NOW + Duration::from_secs(1)));
 }
+
+/// Nodes whose readings do not agree must not exchange them with each update of the store's values.
+#[test]
+fn readings_are_exchanged_once_a_second() {
+    let mut spread = Spread::default();
+    assert!(spread.accept_exchange(NOW));
+    assert!(!spread.accept_exchange(NOW + Duration::from_millis(900)));
+    assert!(spread.accept_exchange(NOW + Duration::from_secs(1)));
+}
