--- a/crates/cassiareel-relay/src/peers/limits.rs
+++ b/crates/cassiareel-relay/src/peers/limits.rs
@@ -409,8 +409,9 @@
     let task_state = state.clone();
     let task = async move {
         let client = Client::new(address, task_state.spawner.clone());
-        if send(&task_state, &client, &message).await.is_some() {
-            fetch_from(&task_state, &client).await;
+        let is_sent = send(&task_state, &client, &message).await.is_some();
+        if !is_sent || fetch_from(&task_state, &client).await.is_none() {
+            info!(task_state.log, "limits not fetched"; "peer" => %address);
         }
     };
     state.spawner.spawn(task).detach();
