--- a/crates/cassiareel/src/engines/limits.rs
+++ b/crates/cassiareel/src/engines/limits.rs
@@ -12,7 +12,7 @@
     },
 };
 
-/// The key of a node that has not been told its name, and knows no other node.
+/// The key of a node whose name is not set yet, and which knows no other node.
 const UNNAMED: NodeKey = 0;
 
 /// The limits of the backend servers in a table.
--- a/crates/cassiareel/src/kernel/quota/owner_tests.rs
+++ b/crates/cassiareel/src/kernel/quota/owner_tests.rs
@@ -63,7 +63,7 @@
     assert_eq!(owner.grant(1, &request(99.0, 100), now).permits, 2);
 }
 
-/// Each of many nodes is told to come back so late that together they ask at a bounded rate.
+/// Owners give each of many nodes an interval at which together they ask at a bounded rate.
 #[test]
 fn many_nodes_ask_little_more_often_than_permits_become_free() {
     let (mut owner, now) = full_owner();
--- a/crates/cassiareel/src/kernel/quota/permits_tests.rs
+++ b/crates/cassiareel/src/kernel/quota/permits_tests.rs
@@ -94,7 +94,7 @@
     assert!(pool.requests(&[OWNER], later).is_empty());
 }
 
-/// A process that names a limit and is never heard of again gets a request at last.
+/// A process that names a limit and then sends no answer gets a request in the end.
 #[test]
 fn a_limit_that_no_answer_confirms_ends() {
     let mut pool = pool(0);
