--- a/crates/cassiareel-relay/src/front/probe.rs
+++ b/crates/cassiareel-relay/src/front/probe.rs
@@ -68,9 +68,10 @@
         let body = match report::read(state, member).await {
             Liveness::Alive(body) => body,
             Liveness::Unknown => return None,
-            Liveness::Gone | Liveness::Silent => {
+            liveness @ (Liveness::Gone | Liveness::Silent) => {
                 info!(state.log, "engine asked"; "request" => &*request.ask.id,
-                    "backend" => &*member.entry.id, "lives" => false);
+                    "backend" => &*member.entry.id, "lives" => false,
+                    "evidence" => liveness.name());
                 return Some("silent");
             }
         };
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -34,6 +34,18 @@
     Unknown,
 }
 
+impl Liveness {
+    /// Returns the name in logs.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Liveness::Alive(_) => "answered",
+            Liveness::Gone => "gone",
+            Liveness::Silent => "silent",
+            Liveness::Unknown => "not_asked",
+        }
+    }
+}
+
 /// Reads an engine's report over a new connection, since a kept connection may be dead without
 /// notice.
 pub(super) async fn read(state: &Arc<State>, member: &Backend) -> Liveness {
