--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -47,6 +47,7 @@
     tokens: AtomicU64,
     received_at_ms: AtomicU64,
     lost_at_ms: AtomicU64,
+    unreachable_at_ms: AtomicU64,
     reported: Mutex<ReportedLoad>,
     health: Mutex<Health>,
 }
@@ -74,6 +75,7 @@
             tokens: AtomicU64::new(0),
             received_at_ms: AtomicU64::new(0),
             lost_at_ms: AtomicU64::new(0),
+            unreachable_at_ms: AtomicU64::new(0),
             reported: Mutex::default(),
             health: Mutex::default(),
         }
@@ -138,13 +140,19 @@
         received > 0 && received >= millis(since)
     }
 
-    /// Records that its process is believed to be lost.
+    /// Records that its process may be lost, so that it is avoided for a while. Its runs go on.
     pub(crate) fn mark_lost(&self, now: Moment) {
         self.lost_at_ms.store(millis(now), Ordering::Relaxed);
         self.health().record_loss(now);
         self.pool.clear();
     }
 
+    /// Records that a connection attempt got no answer. The VM of a process that only pauses
+    /// accepts connections.
+    pub(crate) fn mark_unreachable(&self, now: Moment) {
+        self.unreachable_at_ms.store(millis(now), Ordering::Relaxed);
+    }
+
     /// Records that its process has ended: nothing or another process listens at its address, or it
     /// is no longer in the registry.
     pub(crate) fn mark_ended(&self) {
@@ -172,16 +180,28 @@
         !self.is_leaving() && !self.has_ended() && self.backoff.left(now).is_none()
     }
 
-    /// Reports whether its process is known to have ended, or is believed to be lost since `since`.
+    /// Reports whether its process is known to have ended, or may be lost since `since`.
     pub(crate) fn is_gone(&self, since: Moment) -> bool {
         self.has_ended() || self.was_lost(since)
     }
 
-    /// Reports whether it was believed to be lost at or after `since`, and no byte was received
-    /// from it after that.
+    /// Reports whether it was marked as lost at or after `since`, and no byte was received from it
+    /// after that.
     pub(crate) fn was_lost(&self, since: Moment) -> bool {
-        let lost = self.lost_at_ms.load(Ordering::Relaxed);
-        lost > 0 && lost >= millis(since) && self.received_at_ms.load(Ordering::Relaxed) <= lost
+        self.was_marked(&self.lost_at_ms, since)
+    }
+
+    /// Reports whether it was found to be unreachable at or after `since`, and no byte was received
+    /// from it after that.
+    pub(crate) fn was_unreachable(&self, since: Moment) -> bool {
+        self.was_marked(&self.unreachable_at_ms, since)
+    }
+
+    /// Reports whether the time in `mark` is not before `since`, and no byte was received after it.
+    fn was_marked(&self, mark: &AtomicU64, since: Moment) -> bool {
+        let marked = mark.load(Ordering::Relaxed);
+        let received = self.received_at_ms.load(Ordering::Relaxed);
+        marked > 0 && marked >= millis(since) && received <= marked
     }
 }
 
--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -115,7 +115,7 @@
             true
         }
         Liveness::Unknown => true,
-        Liveness::Gone | Liveness::Silent => false,
+        Liveness::Gone | Liveness::Unreachable | Liveness::Silent => false,
     }
 }
 
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -383,6 +383,6 @@
 async fn query(state: &Arc<State>, engine: &Backend, path: &str) -> Option<Bytes> {
     match report::read_path(state, engine, path, QUERY_TIMEOUT, MAX_IDLE).await {
         Liveness::Alive(body) => Some(body),
-        Liveness::Gone | Liveness::Silent | Liveness::Unknown => None,
+        Liveness::Gone | Liveness::Unreachable | Liveness::Silent | Liveness::Unknown => None,
     }
 }
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -1,10 +1,11 @@
 /*!
 Serves one event stream of a caller over as many backend servers as necessary.
 
-Complete events are passed on as they arrive. If the backend server is lost, falls silent or sends
+Complete events are passed on as they arrive. If the backend server is lost or sends
 something that is not a stream of this request, its connection is closed first. Then the stream
 continues after its last event at another backend server: the engine that holds a copy of the run's
-memory, or any other, which prefills the prompt again.
+memory, or any other, which prefills the prompt again. Silence alone is no loss: [`super::probe`]
+decides what a silent backend server shows.
 */
 
 use std::{collections::VecDeque, sync::atomic::Ordering, sync::Arc, time::Duration};
@@ -24,7 +25,7 @@
     loss::{self, LostRun},
     probe::Probes,
     request::Request,
-    run::{log_first_event, wait_until_lost, Run, RunProgress, LOSS_CHECK_INTERVAL},
+    run::{known_loss, log_first_event, wait_until_lost, Run, RunProgress, LOSS_CHECK_INTERVAL},
     send::{send, ResponseHead, SendOptions, SendOutcome},
     stream_error::StreamError,
     suspect, trials,
@@ -234,8 +235,8 @@
             return Ok(());
         };
         let member = run.place.backend.clone();
-        if member.was_lost(run.sent_at.max(run.last_received)) {
-            return self.resume("engine lost").await;
+        if let Some(cause) = known_loss(&self.request, &member, run.last_received) {
+            return self.resume(cause).await;
         }
         let silent = now.saturating_sub(run.last_received);
         let silence_limit = if member.received_within(now, SILENCE_LIMIT) {
@@ -247,11 +248,11 @@
             return Ok(());
         }
         let (state, request) = (&self.state, &self.request);
-        let lost = run
+        let status = run
             .probes
             .probe(state, request, &member, run.events, silent)
             .await;
-        match lost {
+        match status.loss_cause(request.route.kind.may_repeat()) {
             Some(cause) => self.resume(cause).await,
             None => Ok(()),
         }
--- a/crates/cassiareel-relay/src/front/loss.rs
+++ b/crates/cassiareel-relay/src/front/loss.rs
@@ -15,6 +15,7 @@
 
 use super::{
     content,
+    probe::SILENT,
     process_status::{self, ProcessStatus},
     report::{self, Liveness},
     request::Request,
@@ -51,7 +52,11 @@
 /// the request is sent again.
 pub(super) async fn record_lost_run(state: &Arc<State>, lost: &LostRun<'_>) {
     let now = clock::now();
-    record_lost_backend(state, lost.member, now);
+    if lost.cause == SILENT {
+        lost.member.mark_lost(now);
+    } else {
+        record_lost_backend(state, lost.member, now);
+    }
     let was_suspect = state.suspects().is_suspect(&lost.request.content);
     let loss_check = LossCheck {
         state: state.clone(),
@@ -177,7 +182,7 @@
                 info!(state.log, "backend process exited"; "backend" => &*member.entry.id);
                 return;
             }
-            Liveness::Silent => member.mark_lost(now),
+            Liveness::Unreachable | Liveness::Silent => member.mark_lost(now),
             Liveness::Unknown => {}
         }
         if !last {
--- a/crates/cassiareel-relay/src/front/probe.rs
+++ b/crates/cassiareel-relay/src/front/probe.rs
@@ -1,4 +1,18 @@
-//! Probes whether an engine is alive and still works on a request.
+/*!
+Probes whether an engine is alive and still works on a request.
+
+A silent engine may have crashed, or it may only pause and go on. Three kinds of evidence differ in
+what they prove:
+
+- Its process has ended: the connection was refused, or another process has its address. The run is
+  lost for certain.
+- No connection could be opened, or its reports do not list the run. The run is most likely lost.
+- The connection was accepted, and no answer came. A process that only pauses for a moment looks
+  the same, so the run counts as lost only after a while.
+
+Only the first is enough to give up a request that may not be repeated. A request that may be
+repeated continues elsewhere after the others as well.
+*/
 
 use std::{sync::Arc, time::Duration};
 
@@ -15,8 +29,17 @@
     state::State,
 };
 
-/// Number of reports that do not list the run, with no report in between that does, that show that
-/// the run has ended.
+/// The cause of a loss of a run whose engine accepts connections and answers nothing.
+pub(super) const SILENT: &str = "silent";
+
+/// The cause of a loss of a run whose engine accepts no connections.
+pub(super) const UNREACHABLE: &str = "unreachable";
+
+/// The cause of a loss of a run whose engine's process has ended.
+pub(super) const ENGINE_LOST: &str = "engine lost";
+
+/// Number of reports that show that a run has ended, with no report in between that does not, that
+/// are taken for its end.
 const MAX_MISSES: u32 = 2;
 
 /// Shortest time between two reports that both count, since a report is already stale when it
@@ -26,16 +49,47 @@
 /// Silence after which a run that had produced events and is not listed any more counts as ended.
 const MAX_UNREPORTED_SILENCE: Duration = Duration::from_millis(1200);
 
+/// How long an engine that accepts connections may leave probes unanswered until its run is taken
+/// for lost. Processes pause for about a second, and the run must not go on there beside the next.
+const MAX_PAUSE: Duration = Duration::from_millis(1200);
+
 /// Silence after which a run is given up even if its engine may still work on it.
 const MAX_STALL: Duration = Duration::from_secs(6);
 
 /// Silence after which events that the engine has generated but that did not arrive count as lost.
 const LOST_EVENTS_SILENCE: Duration = Duration::from_millis(500);
 
+/// What a probe shows of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RunStatus {
+    /// Nothing shows that it is lost.
+    Open,
+    /// It is most likely lost, for this reason.
+    PresumedLost(&'static str),
+    /// The engine's process has ended.
+    Ended,
+}
+
+impl RunStatus {
+    /// Returns why the run is given up, if it is. A run that may not be repeated is given up only
+    /// if it is certain to have ended.
+    pub(super) fn loss_cause(self, may_repeat: bool) -> Option<&'static str> {
+        match self {
+            RunStatus::PresumedLost(cause) if may_repeat => Some(cause),
+            RunStatus::Ended => Some(ENGINE_LOST),
+            RunStatus::Open | RunStatus::PresumedLost(_) => None,
+        }
+    }
+}
+
 /// The probes of one run.
 #[derive(Debug)]
 pub(super) struct Probes {
     last_probe: Moment,
+    /// The first probe of those in a row that the engine left unanswered.
+    unanswered_since: Option<Moment>,
+    /// Number of events that were received before the last report.
+    received: u64,
     misses: u32,
 }
 
@@ -44,6 +98,8 @@
     pub(super) fn new(now: Moment) -> Probes {
         Probes {
             last_probe: now,
+            unanswered_since: None,
+            received: 0,
             misses: 0,
         }
     }
@@ -53,8 +109,8 @@
         now.saturating_sub(self.last_probe)
     }
 
-    /// Probes the engine, and returns the reason if the run is lost. `events` events of the run
-    /// were received, and none for `silent`.
+    /// Probes the engine, and returns what that shows of the run. `events` events of the run were
+    /// received, and none for `silent`.
     pub(super) async fn probe(
         &mut self,
         state: &Arc<State>,
@@ -62,50 +118,80 @@
         member: &Backend,
         events: u64,
         silent: Duration,
-    ) -> Option<&'static str> {
-        let is_spaced = self.age(clock::now()) >= MIN_REPORT_SPACING;
-        self.last_probe = clock::now();
-        let body = match report::read(state, member).await {
-            Liveness::Alive(body) => body,
-            Liveness::Unknown => return None,
-            liveness @ (Liveness::Gone | Liveness::Silent) => {
-                info!(state.log, "engine asked"; "request" => &*request.ask.id,
-                    "backend" => &*member.entry.id, "lives" => false,
-                    "evidence" => liveness.name());
-                return Some("silent");
-            }
+    ) -> RunStatus {
+        let began = clock::now();
+        let is_spaced = self.age(began) >= MIN_REPORT_SPACING;
+        self.last_probe = began;
+        let liveness = report::read(state, member).await;
+        let Liveness::Alive(body) = liveness else {
+            info!(state.log, "engine asked"; "request" => &*request.ask.id,
+                "backend" => &*member.entry.id, "lives" => false, "evidence" => liveness.name());
+            return match liveness {
+                Liveness::Gone => RunStatus::Ended,
+                Liveness::Unreachable => RunStatus::PresumedLost(UNREACHABLE),
+                _ => self.note_unanswered(member, began, clock::now()),
+            };
         };
+        self.unanswered_since = None;
         member.note_received(clock::now());
         let report = state.protocol.read_report(&body, &request.ask.id);
         info!(state.log, "engine asked"; "request" => &*request.ask.id,
             "backend" => &*member.entry.id, "lives" => true,
             "runs" => report.as_ref().map(|r| r.runs), "held" => report.as_ref().map(|r| r.open_requests),
             "made" => report.as_ref().map(|r| r.events), "came" => events);
-        self.evaluate(&report?, events, silent, is_spaced)
+        report.map_or(RunStatus::Open, |report| {
+            self.evaluate(&report, events, silent, is_spaced)
+        })
+    }
+
+    /// Records a probe that began at `began` and was not answered. Bytes that the engine sent to
+    /// other requests meanwhile show that it is alive.
+    fn note_unanswered(&mut self, member: &Backend, began: Moment, now: Moment) -> RunStatus {
+        let since = self
+            .unanswered_since
+            .filter(|since| !member.received_since(*since));
+        let since = *self.unanswered_since.insert(since.unwrap_or(began));
+        if now.saturating_sub(since) < MAX_PAUSE {
+            return RunStatus::Open;
+        }
+        RunStatus::PresumedLost(SILENT)
     }
 
-    /// Evaluates a report, and returns the reason if it shows that the run is lost.
+    /// Evaluates a report.
     pub(super) fn evaluate(
         &mut self,
         report: &Report,
         events: u64,
         silent: Duration,
         is_spaced: bool,
-    ) -> Option<&'static str> {
-        if report.runs {
+    ) -> RunStatus {
+        if self.received != events {
+            self.received = events;
             self.misses = 0;
-            let lost = report.events > events && silent > LOST_EVENTS_SILENCE;
-            return lost.then_some("events lost");
         }
-        // A run that waits for its first event, or that was preempted, is one of those that the
-        // engine holds without generating for them.
-        if report.open_requests > report.generating
+        let cause = if report.runs {
+            // An engine that has just paused may report events that are still on the way.
+            if report.events <= events || silent <= LOST_EVENTS_SILENCE {
+                self.misses = 0;
+                return RunStatus::Open;
+            }
+            "events lost"
+        } else if report.open_requests > report.generating
             && (events == 0 || silent < MAX_UNREPORTED_SILENCE)
         {
-            let stalled = silent > MAX_STALL;
-            return stalled.then_some("stalled");
-        }
+            // A run that waits for its first event, or that was preempted, is one of those that
+            // the engine holds without generating for them.
+            if silent > MAX_STALL {
+                return RunStatus::PresumedLost("stalled");
+            }
+            return RunStatus::Open;
+        } else {
+            "run ended"
+        };
         self.misses += u32::from(is_spaced);
-        (self.misses >= MAX_MISSES).then_some("run ended")
+        if self.misses < MAX_MISSES {
+            return RunStatus::Open;
+        }
+        RunStatus::PresumedLost(cause)
     }
 }
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -14,7 +14,7 @@
 use crate::{
     backends::Backend,
     clock,
-    net::{build_request, SendError},
+    net::{build_request, Lease, SendError},
     state::State,
 };
 
@@ -28,7 +28,10 @@
     Alive(Bytes),
     /// The process is gone: another process has its address, or the connection was refused.
     Gone,
-    /// No valid response arrived in time.
+    /// No connection could be opened in time.
+    Unreachable,
+    /// The connection was accepted, and no valid response arrived in time. A process that only
+    /// pauses looks like this.
     Silent,
     /// Nothing was sent, since the process takes no more requests by the limit that it named.
     Unknown,
@@ -40,6 +43,7 @@
         match self {
             Liveness::Alive(_) => "answered",
             Liveness::Gone => "gone",
+            Liveness::Unreachable => "unreachable",
             Liveness::Silent => "silent",
             Liveness::Unknown => "not_asked",
         }
@@ -65,11 +69,20 @@
     if take_permit(state, member, Purpose::Ongoing).is_none() {
         return Liveness::Unknown;
     }
-    let liveness = within(limit, request_path(state, member, path, idle))
-        .await
-        .unwrap_or(Liveness::Silent);
-    if matches!(liveness, Liveness::Gone) {
-        member.mark_ended();
+    let began = clock::now();
+    let liveness = match member.pool.take(idle, limit).await {
+        Ok(lease) => {
+            let left = limit.saturating_sub(clock::now().saturating_sub(began));
+            let reading = request_path(state, member, path, idle, lease);
+            within(left, reading).await.unwrap_or(Liveness::Silent)
+        }
+        Err(SendError::Refused) => Liveness::Gone,
+        Err(_) => Liveness::Unreachable,
+    };
+    match liveness {
+        Liveness::Gone => member.mark_ended(),
+        Liveness::Unreachable => member.mark_unreachable(clock::now()),
+        Liveness::Alive(_) | Liveness::Silent | Liveness::Unknown => {}
     }
     liveness
 }
@@ -79,12 +92,8 @@
     member: &Backend,
     path: &str,
     idle: Duration,
+    mut lease: Lease,
 ) -> Liveness {
-    let mut lease = match member.pool.take(idle, REPORT_TIMEOUT).await {
-        Ok(lease) => lease,
-        Err(SendError::Refused) => return Liveness::Gone,
-        Err(_) => return Liveness::Silent,
-    };
     let Ok(mut request) = build_request(member.entry.address, Method::GET, path, Bytes::new())
     else {
         return Liveness::Silent;
--- a/crates/cassiareel-relay/src/front/run.rs
+++ b/crates/cassiareel-relay/src/front/run.rs
@@ -6,7 +6,11 @@
 use smol::Timer;
 
 use super::{
-    backup::Backups, choose::MAX_CONTACT_AGE, probe::Probes, request::Request, send::ResponseHead,
+    backup::Backups,
+    choose::MAX_CONTACT_AGE,
+    probe::{Probes, ENGINE_LOST, UNREACHABLE},
+    request::Request,
+    send::ResponseHead,
 };
 use crate::{
     backends::{Backend, LoadGuard},
@@ -95,8 +99,22 @@
     }
 }
 
+/// Returns why a run of which nothing was received since `since` is lost, by what is known of its
+/// engine without another probe.
+pub(super) fn known_loss(
+    request: &Request,
+    member: &Backend,
+    since: Moment,
+) -> Option<&'static str> {
+    if member.has_ended() {
+        return Some(ENGINE_LOST);
+    }
+    let may_repeat = request.route.kind.may_repeat();
+    (may_repeat && member.was_unreachable(since)).then_some(UNREACHABLE)
+}
+
 /// Waits until an engine that has not responded yet is believed to have lost the run; returns the
-/// reason.
+/// reason. A run that may not be repeated must be certain to have ended.
 pub(super) async fn wait_until_lost(
     state: &Arc<State>,
     request: &Request,
@@ -107,8 +125,8 @@
     loop {
         Timer::after(LOSS_CHECK_INTERVAL).await;
         let now = clock::now();
-        if member.is_gone(since) {
-            return "engine lost";
+        if let Some(cause) = known_loss(request, member, since) {
+            return cause;
         }
         let silent = now.saturating_sub(since);
         if probes.age(now) < FIRST_EVENT_SILENCE
@@ -116,7 +134,8 @@
         {
             continue;
         }
-        if let Some(cause) = probes.probe(state, request, member, 0, silent).await {
+        let status = probes.probe(state, request, member, 0, silent).await;
+        if let Some(cause) = status.loss_cause(request.route.kind.may_repeat()) {
             return cause;
         }
     }
