--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -42,6 +42,8 @@
     /// When it became known.
     known_since: Moment,
     has_ended: AtomicBool,
+    /// Whether the registry has no entry of it any more.
+    is_removed: AtomicBool,
     open_requests: AtomicU32,
     unread_tokens: AtomicU64,
     tokens: AtomicU64,
@@ -70,6 +72,7 @@
             known_since: clock::now(),
             entry,
             has_ended: AtomicBool::new(false),
+            is_removed: AtomicBool::new(false),
             open_requests: AtomicU32::new(0),
             unread_tokens: AtomicU64::new(0),
             tokens: AtomicU64::new(0),
@@ -153,13 +156,24 @@
         self.unreachable_at_ms.store(millis(now), Ordering::Relaxed);
     }
 
-    /// Records that its process has ended: nothing or another process listens at its address, or it
-    /// is no longer in the registry.
+    /// Records that its process has ended: nothing or another process listens at its address.
     pub(crate) fn mark_ended(&self) {
         self.has_ended.store(true, Ordering::Relaxed);
         self.pool.clear();
     }
 
+    /// Records that the registry has no entry of it any more. It gets no new work; its process may
+    /// go on serving for a while, so its requests go on.
+    pub(crate) fn mark_removed(&self) {
+        self.is_removed.store(true, Ordering::Relaxed);
+        self.pool.clear();
+    }
+
+    /// Reports whether the registry has no entry of it any more.
+    pub(crate) fn is_removed(&self) -> bool {
+        self.is_removed.load(Ordering::Relaxed)
+    }
+
     /// Reports whether it is leaving, by its own answer or by the registry.
     pub(crate) fn is_leaving(&self) -> bool {
         self.is_draining.load(Ordering::Relaxed) || self.backoff.is_leaving()
@@ -177,7 +191,12 @@
 
     /// Reports whether it takes new work from this node.
     pub(crate) fn accepts_requests(&self, now: Moment) -> bool {
-        !self.is_leaving() && !self.has_ended() && self.backoff.left(now).is_none()
+        self.is_staying() && self.backoff.left(now).is_none()
+    }
+
+    /// Reports whether it may take new work now or later.
+    fn is_staying(&self) -> bool {
+        !self.is_leaving() && !self.has_ended() && !self.is_removed()
     }
 
     /// Reports whether its process is known to have ended, or may be lost since `since`.
@@ -294,16 +313,14 @@
     }
 
     /// Returns the time until the first backend server of a service takes requests, of those that
-    /// are neither leaving nor ended: after the backoff that it requested, and after the time that
+    /// are neither leaving, removed nor ended: after the backoff that it requested, and after the time that
     /// `limit_wait` returns for its limit.
     pub(crate) fn time_to_accept<F>(&self, service: &str, now: Moment, limit_wait: F) -> Duration
     where
         F: Fn(&Backend) -> Duration,
     {
         let backends = self.of_service(service);
-        let staying = backends
-            .iter()
-            .filter(|backend| !backend.is_leaving() && !backend.has_ended());
+        let staying = backends.iter().filter(|backend| backend.is_staying());
         let times = staying.map(|backend| {
             let backoff = backend.backoff.left(now).unwrap_or_default();
             backoff.max(limit_wait(backend))
@@ -344,7 +361,7 @@
         }
         for backend in old.values().flat_map(|backends| backends.iter()) {
             if !kept.contains(&backend.number) {
-                backend.mark_ended();
+                backend.mark_removed();
             }
         }
         let services = services
--- a/crates/cassiareel-relay/src/front/process_status.rs
+++ b/crates/cassiareel-relay/src/front/process_status.rs
@@ -108,7 +108,7 @@
 async fn wait_for_evidence(member: &Backend) -> ProcessStatus {
     let mut waited = Duration::ZERO;
     while waited < EVIDENCE_TIMEOUT {
-        if member.has_ended() {
+        if member.has_ended() || member.is_removed() {
             return ProcessStatus::Exited;
         }
         Timer::after(POLL_INTERVAL).await;
--- a/crates/cassiareel-relay/src/front/suspect.rs
+++ b/crates/cassiareel-relay/src/front/suspect.rs
@@ -43,9 +43,10 @@
 }
 
 /// Returns the evidence against a request that counts if the backend server that lost the run at
-/// `at` has crashed, or `None` if the backend server was leaving, so that its exit was expected.
+/// `at` has crashed, or `None` if the backend server was leaving or had left the registry, so that its
+/// exit was expected.
 pub(super) fn potential_loss(lost: &LostRun<'_>, at: Moment) -> Option<Loss> {
-    if lost.member.is_leaving() {
+    if lost.member.is_leaving() || lost.member.is_removed() {
         return None;
     }
     Some(Loss {
