A request that times out does not end the streams of its server

What callers saw: beside a version that shortened a route's timeout, begun streams of a sound server were cut and a stream that ran once got 502. No change of the configuration is needed: any order or plain request whose deadline passes at a slow moment does the same.

Cause: a plain request whose time passes was recorded as the loss of its server (`record_lost_run`, `mark_lost`), which other requests take for certain: each stream there that had no byte since is given up without a question at the next check, after 100 ms.

Ruled out: the change itself.

Change: a run that is late is recorded for the choice of later requests and its process is checked for a crash as before, but the server is not marked as lost. A broken connection still marks it.

--- a/crates/cassiareel-relay/src/front/loss.rs
+++ b/crates/cassiareel-relay/src/front/loss.rs
@@ -46,12 +46,24 @@
     pub first_event: Option<Moment>,
 }
 
-/// Records a lost run, and checks whether the process has exited. The check runs in the background,
-/// unless backend servers have crashed under the request before: then its result decides whether
-/// the request is sent again.
+/// Records a lost run, and checks whether the process has exited.
 pub(super) async fn record_lost_run(state: &Arc<State>, lost: &LostRun<'_>) {
+    record_lost_backend(state, lost.member, clock::now());
+    check_lost_run(state, lost).await;
+}
+
+/// Records a run that did not end within the request's time, and checks whether the process has
+/// exited. The backend server may be sound, so its other runs go on.
+pub(super) async fn record_late_run(state: &Arc<State>, late: &LostRun<'_>) {
+    late.member.health().record_loss(clock::now());
+    check_lost_run(state, late).await;
+}
+
+/// Checks whether the process that lost a run has exited. The check runs in the background, unless
+/// backend servers have crashed under the request before: then its result decides whether the
+/// request is sent again.
+async fn check_lost_run(state: &Arc<State>, lost: &LostRun<'_>) {
     let now = clock::now();
-    record_lost_backend(state, lost.member, now);
     let was_suspect = state.suspects().is_suspect(&lost.request.content);
     let loss_check = LossCheck {
         state: state.clone(),
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -250,7 +250,11 @@
                 sent_at,
                 first_event: None,
             };
-            loss::record_lost_run(state, &lost).await;
+            if matches!(outcome, AttemptOutcome::TimedOut) {
+                loss::record_late_run(state, &lost).await;
+            } else {
+                loss::record_lost_run(state, &lost).await;
+            }
         }
     }
     outcome
