A server that leaves the registry keeps its runs

What callers saw: when the operator removed a service, or a server left without reporting that it drains, streams that waited for their head there got 502 and begun streams were cut, though the server was sound and would have served them to the end; streams that may be resumed were sent again.

Cause: a backend server that is missing in the registry was marked as ended, like one whose process is proved to be gone. A stream that waits for its head takes that for the loss of its run, and its loss then ended the begun streams there. The registry also drops servers that leave and go on serving.

Change: a missing server is "unlisted": it gets no new work, as one that is leaving, and its runs end only by what their own connections or probes show. An entry for another process at its address still proves its end. In the check for crashes, being unlisted still counts against a process that does not answer, but one that answers is alive.

--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -1,7 +1,7 @@
 //! The backend servers in use, with the node's own open work at each.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -42,6 +42,8 @@
     /// When it became known.
     known_since: Moment,
     has_ended: AtomicBool,
+    /// Whether it is missing in the registry, which removes those that leave and those that ended.
+    is_unlisted: AtomicBool,
     open_requests: AtomicU32,
     unread_tokens: AtomicU64,
     tokens: AtomicU64,
@@ -69,6 +71,7 @@
             known_since: clock::now(),
             entry,
             has_ended: AtomicBool::new(false),
+            is_unlisted: AtomicBool::new(false),
             open_requests: AtomicU32::new(0),
             unread_tokens: AtomicU64::new(0),
             tokens: AtomicU64::new(0),
@@ -145,16 +148,27 @@
         self.pool.clear();
     }
 
-    /// Records that its process has ended: nothing or another process listens at its address, or it
-    /// is no longer in the registry.
+    /// Records that its process has ended: nothing or another process listens at its address.
     pub(crate) fn mark_ended(&self) {
         self.has_ended.store(true, Ordering::Relaxed);
         self.pool.clear();
     }
 
+    /// Records that it is missing in the registry. It gets no new work, but it may still serve what
+    /// it has.
+    fn mark_unlisted(&self) {
+        self.is_unlisted.store(true, Ordering::Relaxed);
+        self.pool.clear();
+    }
+
+    /// Reports whether it is missing in the registry.
+    pub(crate) fn is_unlisted(&self) -> bool {
+        self.is_unlisted.load(Ordering::Relaxed)
+    }
+
     /// Reports whether it is leaving, by its own answer or by the registry.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed) || self.backoff.is_leaving()
+        self.is_draining.load(Ordering::Relaxed) || self.is_unlisted() || self.backoff.is_leaving()
     }
 
     /// Returns the backoff that it has requested of this node.
@@ -314,7 +328,9 @@
         let old = self.services.load_full();
         let mut services: HashMap<ServiceId, Vec<Arc<Backend>>> = HashMap::new();
         let mut kept = Vec::new();
+        let mut addresses = HashSet::new();
         for entry in newest_by_address(entries) {
+            addresses.insert(entry.address);
             let backend = self.keep_or_add(&old, entry);
             kept.push(backend.number);
             services
@@ -323,8 +339,13 @@
                 .push(backend);
         }
         for backend in old.values().flat_map(|backends| backends.iter()) {
-            if !kept.contains(&backend.number) {
+            if kept.contains(&backend.number) {
+                continue;
+            }
+            if addresses.contains(&backend.entry.address) {
                 backend.mark_ended();
+            } else {
+                backend.mark_unlisted();
             }
         }
         let services = services
--- a/crates/cassiareel-relay/src/front/process_status.rs
+++ b/crates/cassiareel-relay/src/front/process_status.rs
@@ -105,10 +105,12 @@
     wait_for_evidence(member).await
 }
 
+/// Waits for evidence against a process that does not answer. The registry drops such a process
+/// after a while.
 async fn wait_for_evidence(member: &Backend) -> ProcessStatus {
     let mut waited = Duration::ZERO;
     while waited < EVIDENCE_TIMEOUT {
-        if member.has_ended() {
+        if member.has_ended() || member.is_unlisted() {
             return ProcessStatus::Exited;
         }
         Timer::after(POLL_INTERVAL).await;
