A begun stream is not ended by the quarantine of its content

What callers saw: a stream of which they had events ended broken when its server broke off, though others could have continued it, because other attempts at the same content had crashed servers meanwhile.

Cause: the quarantine was checked before each resend, also of a stream that had got past its start.

Change: it is not checked once events were passed on. The runs of one attempt are limited by the route; new attempts are rejected as before, and a request of which nothing was passed on is answered at once (503 or 502).

Evidence: `ongoing::a_begun_stream_is_not_ended_by_the_quarantine_of_its_content` before: 8 of 12 events, cut; after: 12 of 12, complete. A stream that crashes each server after one event is sent at most 5 times by its first attempt and never again by 5 later ones (new test, which passes). `crashes::` passes.

--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -353,8 +353,12 @@
         }
     }
 
-    /// Fails if the request is quarantined.
+    /// Fails if the request is quarantined. A stream of which the caller has events goes on: it got
+    /// past its start, and the number of its runs is limited.
     fn check_quarantine(&self) -> Result<(), StreamError> {
+        if self.begun {
+            return Ok(());
+        }
         let request = &self.request;
         match suspect::quarantine_left(&self.state, &request.ask.id, &request.content) {
             Some(after) if self.progress.stop_reason() == StopReason::NotRun => {
