--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -1,7 +1,7 @@
 //! The backend servers in use, with the node's own open work at each.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -164,7 +164,7 @@
 
     /// Records that the registry has no entry of it any more. It gets no new work; its process may
     /// go on serving for a while, so its requests go on.
-    pub(crate) fn mark_removed(&self) {
+    fn mark_removed(&self) {
         self.is_removed.store(true, Ordering::Relaxed);
         self.pool.clear();
     }
@@ -176,7 +176,7 @@
 
     /// Reports whether it is leaving, by its own answer or by the registry.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed) || self.backoff.is_leaving()
+        self.is_draining.load(Ordering::Relaxed) || self.is_removed() || self.backoff.is_leaving()
     }
 
     /// Returns the backoff that it has requested of this node.
@@ -196,7 +196,7 @@
 
     /// Reports whether it may take new work now or later.
     fn is_staying(&self) -> bool {
-        !self.is_leaving() && !self.has_ended() && !self.is_removed()
+        !self.is_leaving() && !self.has_ended()
     }
 
     /// Reports whether its process is known to have ended, or may be lost since `since`.
@@ -313,7 +313,7 @@
     }
 
     /// Returns the time until the first backend server of a service takes requests, of those that
-    /// are neither leaving, removed nor ended: after the backoff that it requested, and after the time that
+    /// are neither leaving nor ended: after the backoff that it requested, and after the time that
     /// `limit_wait` returns for its limit.
     pub(crate) fn time_to_accept<F>(&self, service: &str, now: Moment, limit_wait: F) -> Duration
     where
@@ -351,7 +351,9 @@
         let old = self.services.load_full();
         let mut services: HashMap<ServiceId, Vec<Arc<Backend>>> = HashMap::new();
         let mut kept = Vec::new();
+        let mut addresses = HashSet::new();
         for entry in newest_by_address(entries) {
+            addresses.insert(entry.address);
             let backend = self.keep_or_add(&old, entry);
             kept.push(backend.number);
             services
@@ -360,7 +362,12 @@
                 .push(backend);
         }
         for backend in old.values().flat_map(|backends| backends.iter()) {
-            if !kept.contains(&backend.number) {
+            if kept.contains(&backend.number) {
+                continue;
+            }
+            if addresses.contains(&backend.entry.address) {
+                backend.mark_ended();
+            } else {
                 backend.mark_removed();
             }
         }
--- a/crates/cassiareel-relay/src/front/process_status.rs
+++ b/crates/cassiareel-relay/src/front/process_status.rs
@@ -105,6 +105,8 @@
     wait_for_evidence(member).await
 }
 
+/// Waits for evidence against a process that does not answer. The registry drops such a process
+/// after a while.
 async fn wait_for_evidence(member: &Backend) -> ProcessStatus {
     let mut waited = Duration::ZERO;
     while waited < EVIDENCE_TIMEOUT {
