--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -231,11 +231,12 @@
     /// Checks whether an engine that sends nothing is still alive and works on the run.
     async fn check_silent_engine(&mut self) -> Result<(), StreamError> {
         let now = clock::now();
+        let may_replace = self.progress.may_replace(true);
         let Some(run) = self.run.as_mut() else {
             return Ok(());
         };
         let member = run.place.backend.clone();
-        if let Some(cause) = known_loss(&self.request, &member, run.last_received) {
+        if let Some(cause) = known_loss(&member, run.last_received, may_replace) {
             return self.resume(cause).await;
         }
         let silent = now.saturating_sub(run.last_received);
@@ -252,7 +253,7 @@
             .probes
             .probe(state, request, &member, run.events, silent)
             .await;
-        match status.loss_cause(request.route.kind.may_repeat()) {
+        match status.loss_cause(may_replace) {
             Some(cause) => self.resume(cause).await,
             None => Ok(()),
         }
@@ -451,8 +452,12 @@
         let limit = self.request.left();
         let sending =
             async { Ok(send(&self.state, &self.request, &member, &options, limit, permit).await) };
-        let presumed_lost =
-            async { Err(wait_until_lost(&self.state, &self.request, &member, sent_at).await) };
+        let may_replace = self.progress.may_replace(false);
+        let presumed_lost = async {
+            let waiting =
+                wait_until_lost(&self.state, &self.request, &member, sent_at, may_replace);
+            Err(waiting.await)
+        };
         let sent = match sending.or(presumed_lost).await {
             Ok(sent) => sent,
             Err(cause) => {
--- a/crates/cassiareel-relay/src/front/probe.rs
+++ b/crates/cassiareel-relay/src/front/probe.rs
@@ -10,8 +10,9 @@
 - The connection was accepted, and no answer came. A process that only pauses for a moment looks
   the same, so the run counts as lost only after a while.
 
-Only the first is enough to give up a request that may not be repeated. A request that may be
-repeated continues elsewhere after the others as well.
+Only the first is enough to give up a run that no other may replace: that of a request that may run
+once, or the last one that its route allows. Other requests continue elsewhere after the others as
+well.
 */
 
 use std::{sync::Arc, time::Duration};
@@ -71,11 +72,11 @@
 }
 
 impl RunStatus {
-    /// Returns why the run is given up, if it is. A run that may not be repeated is given up only
+    /// Returns why the run is given up, if it is. A run that no other may replace is given up only
     /// if it is certain to have ended.
-    pub(super) fn loss_cause(self, may_repeat: bool) -> Option<&'static str> {
+    pub(super) fn loss_cause(self, may_replace: bool) -> Option<&'static str> {
         match self {
-            RunStatus::PresumedLost(cause) if may_repeat => Some(cause),
+            RunStatus::PresumedLost(cause) if may_replace => Some(cause),
             RunStatus::Ended => Some(ENGINE_LOST),
             RunStatus::Open | RunStatus::PresumedLost(_) => None,
         }
--- a/crates/cassiareel-relay/src/front/probe_tests.rs
+++ b/crates/cassiareel-relay/src/front/probe_tests.rs
@@ -62,14 +62,14 @@
 
 struct CauseCase {
     status: RunStatus,
-    may_repeat: bool,
+    may_replace: bool,
     cause: Option<&'static str>,
 }
 
-#[test_case(&CauseCase { status: RunStatus::PresumedLost(SILENT), may_repeat: false, cause: None }; "silent, runs once")]
-#[test_case(&CauseCase { status: RunStatus::PresumedLost(SILENT), may_repeat: true, cause: Some(SILENT) }; "silent, may be repeated")]
-#[test_case(&CauseCase { status: RunStatus::Ended, may_repeat: false, cause: Some(ENGINE_LOST) }; "ended, runs once")]
-#[test_case(&CauseCase { status: RunStatus::Open, may_repeat: true, cause: None }; "open")]
-fn a_run_that_may_not_be_repeated_is_given_up_only_if_it_ended(case: &CauseCase) {
-    assert_eq!(case.status.loss_cause(case.may_repeat), case.cause);
+#[test_case(&CauseCase { status: RunStatus::PresumedLost(SILENT), may_replace: false, cause: None }; "silent, no other run")]
+#[test_case(&CauseCase { status: RunStatus::PresumedLost(SILENT), may_replace: true, cause: Some(SILENT) }; "silent, another run")]
+#[test_case(&CauseCase { status: RunStatus::Ended, may_replace: false, cause: Some(ENGINE_LOST) }; "ended, no other run")]
+#[test_case(&CauseCase { status: RunStatus::Open, may_replace: true, cause: None }; "open")]
+fn a_run_that_none_may_replace_is_given_up_only_if_it_ended(case: &CauseCase) {
+    assert_eq!(case.status.loss_cause(case.may_replace), case.cause);
 }
--- a/crates/cassiareel-relay/src/front/run.rs
+++ b/crates/cassiareel-relay/src/front/run.rs
@@ -100,32 +100,32 @@
 }
 
 /// Returns why a run of which nothing was received since `since` is lost, by what is known of its
-/// engine without another probe.
+/// engine without another probe. `may_replace` states whether another run may take its place.
 pub(super) fn known_loss(
-    request: &Request,
     member: &Backend,
     since: Moment,
+    may_replace: bool,
 ) -> Option<&'static str> {
     if member.has_ended() {
         return Some(ENGINE_LOST);
     }
-    let may_repeat = request.route.kind.may_repeat();
-    (may_repeat && member.was_unreachable(since)).then_some(UNREACHABLE)
+    (may_replace && member.was_unreachable(since)).then_some(UNREACHABLE)
 }
 
 /// Waits until an engine that has not responded yet is believed to have lost the run; returns the
-/// reason. A run that may not be repeated must be certain to have ended.
+/// reason. A run that none may replace must be certain to have ended.
 pub(super) async fn wait_until_lost(
     state: &Arc<State>,
     request: &Request,
     member: &Backend,
     since: Moment,
+    may_replace: bool,
 ) -> &'static str {
     let mut probes = Probes::new(since);
     loop {
         Timer::after(LOSS_CHECK_INTERVAL).await;
         let now = clock::now();
-        if let Some(cause) = known_loss(request, member, since) {
+        if let Some(cause) = known_loss(member, since, may_replace) {
             return cause;
         }
         let silent = now.saturating_sub(since);
@@ -135,7 +135,7 @@
             continue;
         }
         let status = probes.probe(state, request, member, 0, silent).await;
-        if let Some(cause) = status.loss_cause(request.route.kind.may_repeat()) {
+        if let Some(cause) = status.loss_cause(may_replace) {
             return cause;
         }
     }
--- a/crates/cassiareel-relay/src/kernel/continuation.rs
+++ b/crates/cassiareel-relay/src/kernel/continuation.rs
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Reports whether another run may take the place of the one that the last send began. `ran`
+    /// states whether that run was already recorded.
+    pub fn may_replace(&self, ran: bool) -> bool {
+        let mut lost = *self;
+        if !ran {
+            lost.record_run();
+        }
+        lost.may_send().is_ok()
+    }
+
     /// Returns the reason to give if the stream is not sent again.
     pub fn stop_reason(&self) -> StopReason {
         if self.runs == 0 {
