A silent engine does not end an answer that no other attempt can continue

What callers saw: an answer that ran at a sound engine ended with the code "partial", or a collected one with 503, because the engine had written nothing for a while and then went on: after 150 ms for a caller that reconnected to another node without its tokens, after 1.2 s for the last attempt that the settings allow (retries.attempts), after 1.8 s before its first token.

Cause: the generation's state machine took silence for a loss regardless of whether anything could take the attempt's place, and the driver dropped the connection when a probe of the engine was late.

Ruled out: orders and plain calls, silent for 1 and 3 s before they are sent and while they run, were answered on the old code. A settings change beside the silence makes no difference.

Change: `Generation::is_replaceable` says whether another attempt may follow. An attempt that none may replace is given up for silence only after `time.first_token`, reattaching included, and its engine is not probed. A refused connection, a lost stream and a wrong stream end it as before.

Tests: crates/cassiareel-standins/tests/silence.rs, with the stand-ins' new `silence::fall_silent` (nothing is read, written or answered, the listener accepts).

Why it works: silence is no evidence of an end, and where nothing can be gained by giving up, waiting costs the caller nothing that it still had.

--- a/crates/cassiareel-standins/src/lib.rs
+++ b/crates/cassiareel-standins/src/lib.rs
@@ -12,6 +12,8 @@
 - [`vms`]: the platform's VM list, which lags behind.
 - [`weights`]: the rate-limited weight store.
 
+Engines and services can fall silent for a time, as sound servers may ([`silence`]).
+
 A [`fleet`] runs nodes together with the stand-ins in one process, a [`caller`] reads answers like a
 standard client, the [`matrix`] injects every fault at every step, and the [`demo`] shows a
 deployment under faults.
@@ -26,6 +28,7 @@
 pub mod objects;
 mod respond;
 pub mod service;
+pub mod silence;
 mod token_bucket;
 #[cfg(test)]
 mod token_bucket_tests;
--- a/crates/cassiareel-standins/src/service/mod.rs
+++ b/crates/cassiareel-standins/src/service/mod.rs
@@ -37,7 +37,7 @@
 pub struct PlainService {
     server_handle: ServerHandle,
     server: Arc<Server>,
-    _runtime: Runtime,
+    runtime: Runtime,
 }
 
 impl PlainService {
@@ -69,7 +69,7 @@
         Ok(PlainService {
             server_handle,
             server,
-            _runtime: runtime,
+            runtime,
         })
     }
 
@@ -82,4 +82,14 @@
     pub fn set_faults(&self, faults: Faults) {
         self.server.set_faults(faults);
     }
+
+    /// Freezes the service: its connections stay open, and nothing is read or written.
+    pub fn pause(&self) {
+        self.runtime.pause();
+    }
+
+    /// Resumes a paused service.
+    pub fn resume(&self) {
+        self.runtime.resume();
+    }
 }
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -105,7 +105,7 @@
     pub(super) tokens_at_open: usize,
 }
 
-/// Time for an engine to send the head of its answer to an attach or cancel.
+/// Time for an engine to send the head of its answer to a cancel.
 const ENGINE_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Shortest time without a token after which an engine may be considered silent.
@@ -114,7 +114,7 @@
 /// Tokens that an attempt must generate itself to count as having made progress.
 const MIN_PROGRESS_TOKENS: usize = 8;
 
-/// Timeout for reattaching to the live stream of an attempt.
+/// Timeout for reattaching to the live stream of an attempt that can be replaced.
 const ATTACH_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Range of random attempt numbers for a node that resumes an answer.
@@ -202,7 +202,10 @@
             Timer::at(due).await;
             None
         };
-        let awaited_engine = self.awaited_engine;
+        // An attempt that can't be replaced waits for its engine until its own deadline.
+        let awaited_engine = self
+            .awaited_engine
+            .filter(|_| self.machine.is_replaceable());
         let silent = async {
             match awaited_engine {
                 Some(addr) => Some(Some(Err(wait_until_unresponsive(addr).await))),
@@ -359,7 +362,7 @@
         match action {
             Action::Choose { attempt, exclude } => Some(self.choose(attempt, &exclude)),
             Action::Open { attempt, .. } => self.open(attempt).await,
-            Action::Attach { attempt, .. } => self.attach(attempt).await,
+            Action::Attach { attempt, until, .. } => self.attach(attempt, until).await,
             Action::Cancel { attempt, .. } => {
                 self.cancel(attempt);
                 None
@@ -460,10 +463,14 @@
             prior_text_bytes: self.text_bytes,
             priority: self.driver.policy.limits.priority,
         };
-        let opened = engine
-            .open(&start)
-            .or(async { Err(wait_until_unresponsive(addr).await) })
-            .await;
+        let is_replaceable = self.machine.is_replaceable();
+        let silent = async {
+            match is_replaceable {
+                true => Err(wait_until_unresponsive(addr).await),
+                false => smol::future::pending().await,
+            }
+        };
+        let opened = engine.open(&start).or(silent).await;
         match opened {
             Ok(chunks) => {
                 self.chunks = Some(chunks);
@@ -476,10 +483,11 @@
     }
 
     /// Reattaches to the live stream of an attempt whose connection was lost.
-    async fn attach(&mut self, attempt: Attempt) -> Option<Event> {
+    async fn attach(&mut self, attempt: Attempt, until: Time) -> Option<Event> {
         self.lost_at = self.lost_at.or(self.last_token_at);
         self.chunks = None;
-        let engine = HttpEngine::new(self.guard.as_ref()?.addr, ENGINE_HEAD_TIMEOUT);
+        let limit = until.saturating_sub(self.now());
+        let engine = HttpEngine::new(self.guard.as_ref()?.addr, limit);
         let from = self.machine.position();
         let attached = async {
             engine
@@ -487,8 +495,8 @@
                 .await
         };
         let timeout = async {
-            Timer::after(ATTACH_TIMEOUT).await;
-            let cause = format!("no answer within {ATTACH_TIMEOUT:?}");
+            Timer::after(limit).await;
+            let cause = format!("no answer within {limit:?}");
             Err(StreamError::Lost { cause })
         };
         match attached.or(timeout).await {
--- a/crates/cassiareel/src/kernel/generation/action.rs
+++ b/crates/cassiareel/src/kernel/generation/action.rs
@@ -39,6 +39,8 @@
         attempt: Attempt,
         /// The backend server.
         backend: BackendId,
+        /// The time until which the engine may answer.
+        until: Time,
     },
     /// Cancel the attempt at a backend server, so that the server does no useless work.
     Cancel {
--- a/crates/cassiareel/src/kernel/generation/machine.rs
+++ b/crates/cassiareel/src/kernel/generation/machine.rs
@@ -10,13 +10,15 @@
 pub struct Limits {
     /// Time to wait for a backend server to be chosen.
     pub queue_timeout: Duration,
-    /// Time from the start of an attempt to its first token.
+    /// Time from the start of an attempt to its first token. An attempt that can't be replaced may
+    /// be silent for as long at any time.
     pub first_token: Duration,
     /// The shortest time without a token after which an engine may count as silent.
     pub min_silence: Duration,
-    /// The longest time without a token, regardless of the engine's speed.
+    /// The longest time without a token before an attempt is replaced, regardless of the engine's
+    /// speed.
     pub max_silence: Duration,
-    /// Time for reattaching to a live stream.
+    /// Time for reattaching to a live stream whose connection was lost.
     pub attach_timeout: Duration,
     /// Time between two choices of a backend server while none is available.
     pub retry_interval: Duration,
@@ -157,22 +159,12 @@
     /// does not send them to the caller.
     pub fn resume(limits: Limits, now: Time, from: Resume) -> (Generation, Vec<Action>) {
         let (mut generation, _) = Generation::start(limits, now);
-        let until = now + limits.attach_timeout;
         generation.attempt = from.attempt;
         generation.next_attempt = from.next_attempt;
         generation.delivered = from.delivered;
         generation.position = if from.tokens_known { from.delivered } else { 0 };
         generation.may_have_run = true;
-        let attempt = from.attempt;
-        let backend = from.backend;
-        let actions = vec![
-            Action::Attach {
-                attempt,
-                backend: backend.clone(),
-            },
-            Action::Wake { at: until },
-        ];
-        generation.stage = Stage::Attaching { backend, until };
+        let actions = generation.attach(now, from.backend);
         (generation, actions)
     }
 
@@ -186,6 +178,15 @@
         self.position
     }
 
+    /// Reports whether another attempt may replace the current one.
+    ///
+    /// None may if the current attempt is the last that is allowed, or if the caller has tokens
+    /// from another node that this node doesn't know. Such an attempt is not given up because its
+    /// engine is silent, unless it exceeds [`Limits::first_token`].
+    pub fn is_replaceable(&self) -> bool {
+        self.position >= self.delivered && self.losses + 1 < self.limits.max_attempts
+    }
+
     /// Reports whether the answer has ended.
     pub fn is_ended(&self) -> bool {
         self.stage == Stage::Ended
@@ -309,16 +310,52 @@
 
     /// Sets and returns the deadline for the next token.
     fn await_token(&mut self, now: Time) -> Time {
-        let at = now
-            + self
-                .token_interval
-                .silence_timeout(self.limits.min_silence, self.limits.max_silence);
+        let at = now + self.silence_timeout();
         if let Stage::Running { due, .. } = &mut self.stage {
             *due = at;
         }
         at
     }
 
+    /// Returns the time without a token after which the current attempt is given up.
+    fn silence_timeout(&self) -> Duration {
+        let Limits {
+            first_token,
+            min_silence,
+            max_silence,
+            ..
+        } = self.limits;
+        let timeout = self
+            .token_interval
+            .silence_timeout(min_silence, max_silence);
+        match self.is_replaceable() {
+            true => timeout,
+            false => timeout.max(first_token),
+        }
+    }
+
+    /// Starts reattaching to the live stream of the current attempt.
+    fn attach(&mut self, now: Time, backend: BackendId) -> Vec<Action> {
+        let timeout = match self.is_replaceable() {
+            true => self.limits.attach_timeout,
+            false => self.limits.first_token,
+        };
+        let until = now + timeout;
+        self.stage = Stage::Attaching {
+            backend: backend.clone(),
+            until,
+        };
+        let attempt = self.attempt;
+        vec![
+            Action::Attach {
+                attempt,
+                backend,
+                until,
+            },
+            Action::Wake { at: until },
+        ]
+    }
+
     fn attached(&mut self, now: Time) -> Vec<Action> {
         let Stage::Attaching { backend, .. } = &self.stage else {
             return Vec::new();
@@ -340,17 +377,8 @@
             {
                 self.may_have_run = true;
                 self.attaches += 1;
-                let until = now + self.limits.attach_timeout;
                 let backend = backend.clone();
-                self.stage = Stage::Attaching {
-                    backend: backend.clone(),
-                    until,
-                };
-                let attempt = self.attempt;
-                vec![
-                    Action::Attach { attempt, backend },
-                    Action::Wake { at: until },
-                ]
+                self.attach(now, backend)
             }
             Stage::Running { backend, .. } => {
                 self.may_have_run |= loss != Loss::Refused;
--- a/crates/cassiareel/src/kernel/generation/mod.rs
+++ b/crates/cassiareel/src/kernel/generation/mod.rs
@@ -19,6 +19,8 @@
 mod machine;
 #[cfg(test)]
 mod machine_tests;
+#[cfg(test)]
+mod silence_tests;
 mod token_interval;
 #[cfg(test)]
 mod token_interval_tests;
--- a/crates/cassiareel/src/settings/policy.rs
+++ b/crates/cassiareel/src/settings/policy.rs
@@ -128,9 +128,10 @@
     TimePolicy => Times {
         /// The longest time that a request may wait for a backend server.
         queue: Duration as "Option<DurationText>" = Duration::from_secs(5),
-        /// The longest time from opening an attempt to its first token.
+        /// The longest time from opening an attempt to its first token, and the longest silence of
+        /// an attempt that no other may replace.
         first_token: Duration as "Option<DurationText>" = Duration::from_secs(20),
-        /// The longest time between two tokens of an attempt.
+        /// The longest time between two tokens before another attempt replaces this one.
         between_tokens: Duration as "Option<DurationText>" = Duration::from_secs(2),
         /// The longest time to connect to a backend server.
         connect: Duration as "Option<DurationText>" = Duration::from_secs(1),
