A resumed answer waits for a silent engine as long as a running one

What callers saw: a caller that reconnected to another node and gave its tokens back got a complete answer, but the node sent the prompt to a second engine when the first had been silent for 150 ms: the work ran twice, and an engine that was only silent went on to a stream that nobody read.

Cause: the node that resumes reattaches with the timeout for a live stream whose connection this node has just seen lost. The resuming node has seen nothing end.

After a lost connection of its own the timeout stays at 150 ms, and a refused connection or an unknown stream ends the wait at once, as before. A connection that isn't made in time no longer counts as a crash of the engine: only a refused one does (`StreamError::NotSent::refused`), which the longer wait would else have made possible.

In virtual time: silence_tests.rs, "resumed with known tokens", and the 150 ms after a lost connection.

A connection that times out has no test of its own: the stand-ins' listeners accept while they are silent.

--- a/crates/cassiareel-standins/tests/silence.rs
+++ b/crates/cassiareel-standins/tests/silence.rs
@@ -376,6 +376,7 @@
 #[test_case(RESUMED; "one second")]
 #[test_case(ResumeCase { time_ms: 300, ..RESUMED }; "shortly")]
 #[test_case(ResumeCase { time_ms: 3_000, ..RESUMED }; "three seconds")]
+#[test_case(ResumeCase { token_ids: true, ..RESUMED }; "one second, with the caller's tokens")]
 #[test_case(ResumeCase { token_ids: true, time_ms: 3_000, max_runs: 3 }; "three seconds, with the caller's tokens")]
 fn a_stream_whose_engine_is_silent_goes_on_at_another_node(case: ResumeCase) {
     let (breakpoint, handle) = Breakpoint::new(Step::TokensPassed, 12);
--- a/crates/cassiareel/src/backend/engine.rs
+++ b/crates/cassiareel/src/backend/engine.rs
@@ -77,6 +77,8 @@
     NotSent {
         /// What failed.
         cause: String,
+        /// Whether the address refused the connection, since no process listens there.
+        refused: bool,
     },
     /// The connection was lost. The engine may still be running.
     #[snafu(display("engine was lost: {cause}"))]
--- a/crates/cassiareel/src/backend/http_engine.rs
+++ b/crates/cassiareel/src/backend/http_engine.rs
@@ -51,8 +51,9 @@
         let mut res = wire::send(self.addr, req, limits)
             .await
             .map_err(|err| match err {
-                SendError::NotSent { .. } => StreamError::NotSent {
+                SendError::NotSent { refused, .. } => StreamError::NotSent {
                     cause: err.to_string(),
+                    refused,
                 },
                 SendError::NoAnswer { .. } => StreamError::Lost {
                     cause: err.to_string(),
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -114,7 +114,7 @@
 /// Tokens that an attempt must generate itself to count as having made progress.
 const MIN_PROGRESS_TOKENS: usize = 8;
 
-/// Timeout for reattaching to the live stream of an attempt that can be replaced.
+/// Timeout for reattaching to the live stream of a replaceable attempt after its connection was lost.
 const ATTACH_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Range of random attempt numbers for a node that resumes an answer.
@@ -516,22 +516,20 @@
         }
     }
 
-    /// Records a crash of the engine as evidence against the request, if the engine can't be
-    /// connected to.
+    /// Records a crash of the engine as evidence against the request, if no process listens at the
+    /// engine's address any more.
     fn record_crash(&self, cause: &StreamError) {
-        if matches!(cause, StreamError::NotSent { .. }) {
-            let Driver {
-                context,
-                tickets,
-                id,
-                ..
-            } = &self.driver;
-            let Some(guard) = &self.guard else {
-                return;
-            };
-            let early = self.tokens.len() < self.tokens_at_open + MIN_PROGRESS_TOKENS;
-            suspect::record_crash(context, tickets.content_digest(), id, guard.addr, early);
-        }
+        let (StreamError::NotSent { refused: true, .. }, Some(guard)) = (cause, &self.guard) else {
+            return;
+        };
+        let Driver {
+            context,
+            tickets,
+            id,
+            ..
+        } = &self.driver;
+        let early = self.tokens.len() < self.tokens_at_open + MIN_PROGRESS_TOKENS;
+        suspect::record_crash(context, tickets.content_digest(), id, guard.addr, early);
     }
 
     /// Cancels an attempt in the background, so that the next attempt does not wait for it.
--- a/crates/cassiareel/src/kernel/generation/machine.rs
+++ b/crates/cassiareel/src/kernel/generation/machine.rs
@@ -164,7 +164,8 @@
         generation.delivered = from.delivered;
         generation.position = if from.tokens_known { from.delivered } else { 0 };
         generation.may_have_run = true;
-        let actions = generation.attach(now, from.backend);
+        // This node has seen no connection of the attempt end, so that a silent engine may be sound.
+        let actions = generation.attach(now, from.backend, limits.min_silence);
         (generation, actions)
     }
 
@@ -334,10 +335,11 @@
         }
     }
 
-    /// Starts reattaching to the live stream of the current attempt.
-    fn attach(&mut self, now: Time, backend: BackendId) -> Vec<Action> {
+    /// Starts reattaching to the live stream of the current attempt, for which an engine has
+    /// `timeout` if the attempt can be replaced.
+    fn attach(&mut self, now: Time, backend: BackendId, timeout: Duration) -> Vec<Action> {
         let timeout = match self.is_replaceable() {
-            true => self.limits.attach_timeout,
+            true => timeout,
             false => self.limits.first_token,
         };
         let until = now + timeout;
@@ -378,7 +380,7 @@
                 self.may_have_run = true;
                 self.attaches += 1;
                 let backend = backend.clone();
-                self.attach(now, backend)
+                self.attach(now, backend, self.limits.attach_timeout)
             }
             Stage::Running { backend, .. } => {
                 self.may_have_run |= loss != Loss::Refused;
--- a/crates/cassiareel/src/kernel/generation/silence_tests.rs
+++ b/crates/cassiareel/src/kernel/generation/silence_tests.rs
@@ -135,6 +135,7 @@
 #[test_case(CASE; "a running stream")]
 #[test_case(Case { start: Start::Here { tokens: 0 }, given_up_ms: 20_000, ..CASE }; "before the first token")]
 #[test_case(Case { start: Start::Attached { tokens_known: true, tokens: 0 }, ..CASE }; "a resumed stream")]
+#[test_case(Case { start: Start::Elsewhere { tokens_known: true }, ..CASE }; "resumed with known tokens")]
 #[test_case(LAST; "the last attempt")]
 #[test_case(Case { start: Start::Here { tokens: 0 }, ..LAST }; "the last attempt before its first token")]
 #[test_case(Case { start: Start::Elsewhere { tokens_known: false }, max_attempts: 4, ..LAST }; "resumed with unknown tokens")]
@@ -156,6 +157,17 @@
     }
 }
 
+/// The engine of a lost connection is likely gone, and the caller waits.
+#[test]
+fn a_live_stream_is_awaited_briefly_after_its_connection_was_lost() {
+    let (mut generation, _) = start(&CASE);
+    let loss = Loss::Reset;
+    let actions = generation.step(Time::ZERO, Event::Lost { attempt: 1, loss });
+    assert!(matches!(actions[0], Action::Attach { until, .. } if until == LIMITS.attach_timeout));
+    let (at, _) = run_until_given_up(&mut generation, actions);
+    assert_eq!(at, LIMITS.attach_timeout);
+}
+
 /// A certain end of an attempt is not waited for.
 #[test_case(Start::Elsewhere { tokens_known: false }, Loss::Refused; "the engine is gone")]
 #[test_case(Start::Attached { tokens_known: false, tokens: 0 }, Loss::Mismatch; "the engine sends other tokens")]
--- a/crates/cassiareel/src/wire/client.rs
+++ b/crates/cassiareel/src/wire/client.rs
@@ -1,6 +1,6 @@
 //! Calls to other servers, with a timeout for each stage.
 
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{future::Future, io, net::SocketAddr, time::Duration};
 
 use http_types::{Request, Response};
 use smol::net::TcpStream;
@@ -39,6 +39,8 @@
         addr: SocketAddr,
         /// What failed.
         cause: String,
+        /// Whether the address refused the connection, since no process listens there.
+        refused: bool,
     },
     /// The connection was made, but no complete response head was received.
     #[snafu(display("no answer from {addr}: {cause}"))]
@@ -61,9 +63,7 @@
     req: Request,
     timeouts: CallTimeouts,
 ) -> Result<Response, SendError> {
-    let stream = with_timeout(timeouts.connect, TcpStream::connect(addr))
-        .await
-        .map_err(|cause| SendError::NotSent { addr, cause })?;
+    let stream = connect(addr, timeouts.connect).await?;
     // Tokens are small writes, which must not wait for an acknowledgement.
     let _ = stream.set_nodelay(true);
     with_timeout(timeouts.head, async_h1::connect(stream, req))
@@ -71,6 +71,22 @@
         .map_err(|cause| SendError::NoAnswer { addr, cause })
 }
 
+/// Connects to a server within `limit`.
+async fn connect(addr: SocketAddr, limit: Duration) -> Result<TcpStream, SendError> {
+    let not_sent = |cause, refused| SendError::NotSent {
+        addr,
+        cause,
+        refused,
+    };
+    let Some(connection) = within(limit, TcpStream::connect(addr)).await else {
+        return Err(not_sent(late(limit), false));
+    };
+    connection.map_err(|err| {
+        let refused = err.kind() == io::ErrorKind::ConnectionRefused;
+        not_sent(err.to_string(), refused)
+    })
+}
+
 /// Waits for a result for at most `limit`.
 async fn with_timeout<F, T, E>(limit: Duration, future: F) -> Result<T, String>
 where
@@ -79,6 +95,11 @@
 {
     match within(limit, future).await {
         Some(result) => result.map_err(|err| err.to_string()),
-        None => Err(format!("no result within {limit:?}")),
+        None => Err(late(limit)),
     }
 }
+
+/// Describes a result that did not come within `limit`.
+fn late(limit: Duration) -> String {
+    format!("no result within {limit:?}")
+}
