A plain call waits for its whole answer until the configured deadline

What callers saw: a call to a service that was silent for more than 10 s got 502, although `time.answer` allowed 30 s; with a shorter `time.answer` than 10 s a call to a hung service was not ended at its deadline, and a service that fell silent amid the body held the call without any.

Cause: the time for the head was a constant, and reading the body had no limit.

Change: `time.answer` bounds the complete answer of calls, orders and queries of orders. A read after the deadline is an unknown outcome, as a late head is.

--- a/crates/cassiareel-standins/tests/silence.rs
+++ b/crates/cassiareel-standins/tests/silence.rs
@@ -1,7 +1,8 @@
 //! A sound server that falls silent for a time costs no answer, no second run and no suspicion.
 
 use std::{
-    net::SocketAddr,
+    io::{self, Read, Write},
+    net::{SocketAddr, TcpListener},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -426,3 +427,100 @@
     setup.wait_until_idle();
     setup.messages.check_no_loss();
 }
+
+/// A plain service that answers a call with a head and half of its body, and the rest later.
+struct SlowBody {
+    listener: TcpListener,
+    pause: Duration,
+}
+
+impl SlowBody {
+    const BODY: &'static [u8] = b"{\"order\":\"81\"}";
+
+    fn start(pause: Duration) -> SlowBody {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has ports");
+        SlowBody { listener, pause }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.listener.local_addr().expect("the listener is bound")
+    }
+
+    /// Answers one call.
+    fn answer(&self) -> io::Result<()> {
+        let (mut stream, _) = self.listener.accept()?;
+        let _ = stream.read(&mut [0; 4096])?;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n",
+            Self::BODY.len()
+        );
+        stream.write_all(head.as_bytes())?;
+        let (begin, rest) = Self::BODY.split_at(Self::BODY.len() / 2);
+        stream.write_all(begin)?;
+        thread::sleep(self.pause);
+        stream.write_all(rest)
+    }
+}
+
+/// How long a call's service is silent, and for how long its caller waits for the answer.
+#[derive(Clone, Copy)]
+struct DeadlineCase {
+    /// Whether the silence begins amid the body.
+    amid_body: bool,
+    silent_ms: u64,
+    answer_ms: u64,
+    status: u16,
+    /// The longest time until the caller has its answer.
+    max_ms: u64,
+}
+
+const ANSWERED: DeadlineCase = DeadlineCase {
+    amid_body: false,
+    silent_ms: 1_000,
+    answer_ms: 5_000,
+    status: 200,
+    max_ms: 3_000,
+};
+const LATE: DeadlineCase = DeadlineCase {
+    silent_ms: 4_000,
+    answer_ms: 600,
+    status: 502,
+    ..ANSWERED
+};
+
+#[test_case(ANSWERED; "one second")]
+#[test_case(DeadlineCase { amid_body: true, ..ANSWERED }; "one second amid the body")]
+#[test_case(DeadlineCase { silent_ms: 10_500, answer_ms: 30_000, max_ms: 14_000, ..ANSWERED }; "for long")]
+#[test_case(LATE; "beyond the deadline")]
+#[test_case(DeadlineCase { amid_body: true, ..LATE }; "beyond the deadline amid the body")]
+fn a_call_is_waited_for_until_its_deadline(case: DeadlineCase) {
+    let mut setup = Setup::new(FleetOptions::new(1, 1));
+    let silent = Duration::from_millis(case.silent_ms);
+    let slow = SlowBody::start(silent);
+    let mut tree = setup.tree(&format!("policy.time.answer = \"{}ms\"", case.answer_ms));
+    if case.amid_body {
+        for service in &setup.services {
+            tree = tree.replace(&service.addr().to_string(), &slow.addr().to_string());
+        }
+    }
+    setup.fleet.apply(&tree);
+    let addr = setup.addr(0);
+    thread::scope(|scope| {
+        let began = Instant::now();
+        let call = scope.spawn(move || {
+            let caller = Caller::new(CALLER_KEY);
+            let sent = caller.post(addr, "/services/lookup/engrave", &[], "{}".to_owned());
+            let mut res = smol::block_on(sent).expect("the node answers");
+            let body = smol::block_on(res.body_string()).expect("the body is complete");
+            (res.status(), body, began.elapsed())
+        });
+        match case.amid_body {
+            // A caller that gave up closes its connection.
+            true => drop(slow.answer()),
+            false => fall_silent(&setup.servers(Kind::Call), silent, || ()),
+        }
+        let (status, body, took) = call.join().expect("the caller has its answer");
+        assert_eq!(u16::from(status), case.status, "{body}");
+        assert!(took < Duration::from_millis(case.max_ms), "{took:?}");
+    });
+}
--- a/crates/cassiareel/src/backend/http_service.rs
+++ b/crates/cassiareel/src/backend/http_service.rs
@@ -1,9 +1,12 @@
 //! The HTTP client for plain services.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use async_trait::async_trait;
-use http_types::{headers, Method, Request, StatusCode, Url};
+use http_types::{headers, Method, Request, Response, StatusCode, Url};
 use serde::Deserialize;
 
 use super::{Answer, Call, CallError, CallStatus, Service};
@@ -25,20 +28,35 @@
 #[derive(Clone, Copy, Debug)]
 pub struct HttpService {
     addr: SocketAddr,
-    timeouts: CallTimeouts,
+    answer_timeout: Duration,
 }
 
 impl HttpService {
     /// Creates a client for the server at an address.
     ///
-    /// `head` is the time for the server to send the head of its answer.
-    pub fn new(addr: SocketAddr, head: Duration) -> HttpService {
+    /// `answer_timeout` is the time for the server to send its complete answer.
+    pub fn new(addr: SocketAddr, answer_timeout: Duration) -> HttpService {
         HttpService {
             addr,
-            timeouts: CallTimeouts::new(head),
+            answer_timeout,
         }
     }
 
+    /// Sends a request and reads the complete answer.
+    async fn exchange(&self, req: Request) -> Result<(Response, Vec<u8>), SendError> {
+        let began = Instant::now();
+        let timeouts = CallTimeouts::new(self.answer_timeout);
+        let mut res = wire::send(self.addr, req, timeouts).await?;
+        let time = self.answer_timeout.saturating_sub(began.elapsed());
+        let body = wire::read_body_within(res.take_body(), MAX_ANSWER_BYTES, time)
+            .await
+            .map_err(|err| SendError::NoAnswer {
+                addr: self.addr,
+                cause: err.to_string(),
+            })?;
+        Ok((res, body))
+    }
+
     fn build_request(&self, call: &Call) -> Result<Request, CallError> {
         let url = format!("http://{}{}", self.addr, call.path);
         let url = Url::parse(&url).map_err(|err| CallError::NotRun {
@@ -61,16 +79,14 @@
 impl Service for HttpService {
     async fn call(&self, call: &Call) -> Result<Answer, CallError> {
         let req = self.build_request(call)?;
-        let mut res = wire::send(self.addr, req, self.timeouts)
-            .await
-            .map_err(|err| match err {
-                SendError::NotSent { .. } => CallError::NotRun {
-                    cause: err.to_string(),
-                },
-                SendError::NoAnswer { .. } => CallError::Unknown {
-                    cause: err.to_string(),
-                },
-            })?;
+        let (res, body) = self.exchange(req).await.map_err(|err| match err {
+            SendError::NotSent { .. } => CallError::NotRun {
+                cause: err.to_string(),
+            },
+            SendError::NoAnswer { .. } => CallError::Unknown {
+                cause: err.to_string(),
+            },
+        })?;
         if let Some(name) = res.header(REQUEST_ID_HEADER) {
             if name.as_str() != call.id {
                 let cause = format!("the answer is for {:?}, not {:?}", name.as_str(), call.id);
@@ -85,11 +101,6 @@
             .header(headers::CONTENT_TYPE)
             .map(|value| value.as_str().to_owned());
         let status = res.status();
-        let body = wire::read_body(res.take_body(), MAX_ANSWER_BYTES)
-            .await
-            .map_err(|err| CallError::Unknown {
-                cause: err.to_string(),
-            })?;
         if not_run && status != StatusCode::Ok {
             let cause = String::from_utf8_lossy(&body).into_owned();
             return Err(CallError::NotRun { cause });
@@ -106,7 +117,8 @@
         let unknown = |cause: String| CallError::Unknown { cause };
         let url = format!("http://{}/orders/{id}", self.addr);
         let url = Url::parse(&url).map_err(|err| unknown(err.to_string()))?;
-        let mut res = wire::send(self.addr, Request::new(Method::Get, url), self.timeouts)
+        let (res, body) = self
+            .exchange(Request::new(Method::Get, url))
             .await
             .map_err(|err| unknown(err.to_string()))?;
         if res.status() != StatusCode::Ok {
@@ -115,9 +127,6 @@
         let media_type = res
             .header(headers::CONTENT_TYPE)
             .map(|value| value.as_str().to_owned());
-        let body = wire::read_body(res.take_body(), MAX_ANSWER_BYTES)
-            .await
-            .map_err(|err| unknown(err.to_string()))?;
         let status: OrderStatus =
             serde_json::from_slice(&body).map_err(|err| unknown(err.to_string()))?;
         // The answer must be about this call, as answers may be delivered to the wrong call.
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -247,9 +247,17 @@
         if let Some(refusal) = suspect::refusal(&self.context, &policy, &content) {
             return Err(refusal);
         }
-        service::call(&self.context, &route, &call, content, &watch, &log)
-            .await
-            .map(service::response)
+        let answer_timeout = policy.time.answer;
+        let answer = service::call(
+            &self.context,
+            &route,
+            answer_timeout,
+            &call,
+            content,
+            &watch,
+            &log,
+        );
+        answer.await.map(service::response)
     }
 }
 
--- a/crates/cassiareel/src/front/service.rs
+++ b/crates/cassiareel/src/front/service.rs
@@ -13,9 +13,6 @@
     settings::Route,
 };
 
-/// Time for a plain service to send the head of its answer.
-const ANSWER_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Lowest status that marks a failure of the service. It leaves open whether the call ran.
 pub(super) const MIN_SERVER_ERROR: u16 = 500;
 
@@ -24,10 +21,12 @@
 
 /// Calls a plain service once and returns its answer.
 ///
-/// `content` is the digest of the call, by which crashes are attributed to it.
+/// `answer_timeout` is the time for the service's complete answer, and `content` the digest of the
+/// call, by which crashes are attributed to it.
 pub(super) async fn call(
     context: &FrontContext,
     route: &Route,
+    answer_timeout: Duration,
     call: &Call,
     content: ShortDigest,
     watch: &CountedRequest,
@@ -39,7 +38,7 @@
             RETRY_AFTER,
         ));
     };
-    let service = HttpService::new(guard.addr, ANSWER_HEAD_TIMEOUT);
+    let service = HttpService::new(guard.addr, answer_timeout);
     let sent = context.chooser.now();
     let answer = service.call(call).await;
     if let Ok(answer) = &answer {
