--- a/crates/cassiareel/src/backend/engine.rs
+++ b/crates/cassiareel/src/backend/engine.rs
@@ -77,6 +77,8 @@
     NotSent {
         /// What failed.
         cause: String,
+        /// Whether the address refused the connection, since no process listens there.
+        refused: bool,
     },
     /// The connection was lost. The engine may still be running.
     #[snafu(display("engine was lost: {cause}"))]
@@ -84,6 +86,12 @@
         /// What failed.
         cause: String,
     },
+    /// Nothing has arrived for some time. The engine may be sound and go on.
+    #[snafu(display("engine is silent: {cause}"))]
+    Silent {
+        /// What did not arrive.
+        cause: String,
+    },
     /// Another reader has attached to the stream.
     #[snafu(display("the stream was taken up by another reader"))]
     Replaced,
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -105,16 +105,16 @@
     pub(super) tokens_at_open: usize,
 }
 
-/// Time for an engine to send the head of its answer to an attach or cancel.
+/// Time for an engine to send the head of its answer to a cancel.
 const ENGINE_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Shortest time without a token after which an engine may be considered silent.
-const MIN_SILENCE: Duration = Duration::from_millis(1200);
+/// Shortest time without an answer after which an engine may be considered silent.
+pub(super) const MIN_SILENCE: Duration = Duration::from_millis(1200);
 
 /// Tokens that an attempt must generate itself to count as having made progress.
 const MIN_PROGRESS_TOKENS: usize = 8;
 
-/// Timeout for reattaching to the live stream of an attempt.
+/// Timeout for reattaching to the live stream of a replaceable attempt after its connection was lost.
 const ATTACH_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Range of random attempt numbers for a node that resumes an answer.
@@ -202,7 +202,10 @@
             Timer::at(due).await;
             None
         };
-        let awaited_engine = self.awaited_engine;
+        // An attempt that can't be replaced waits for its engine until its own deadline.
+        let awaited_engine = self
+            .awaited_engine
+            .filter(|_| self.machine.is_replaceable());
         let silent = async {
             match awaited_engine {
                 Some(addr) => Some(Some(Err(wait_until_unresponsive(addr).await))),
@@ -285,22 +288,10 @@
 
     /// Records a stream's error and turns it into an event.
     fn error_event(&mut self, attempt: Attempt, err: &StreamError) -> Event {
-        let service = ("service", &*self.driver.route.service);
-        self.driver
-            .context
-            .metrics
-            .count(Counter::LostAttempts, 1, &[service]);
-        info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
-        self.count_error(err);
-        if let Some(guard) = &mut self.guard {
-            match err {
-                // An engine that refuses is reachable, and its load reports show that it is full.
-                StreamError::Refused { .. } | StreamError::Replaced => {}
-                StreamError::Malformed { .. } => guard.set_outcome(health::Outcome::Fault),
-                StreamError::NotSent { .. } | StreamError::Lost { .. } => {
-                    guard.set_outcome(health::Outcome::Lost);
-                }
-            }
+        // A silent engine may be sound, so that its silence counts neither as a loss nor as an error
+        // of its version.
+        if !matches!(err, StreamError::Silent { .. }) {
+            self.record_error(attempt, err);
         }
         let loss = match err {
             StreamError::Refused { status, message } => {
@@ -317,10 +308,33 @@
             StreamError::Replaced => return Event::Replaced { attempt },
             StreamError::Malformed { .. } => Loss::Mismatch,
             StreamError::Lost { .. } => Loss::Reset,
+            StreamError::Silent { .. } => Loss::Silent,
         };
         Event::Lost { attempt, loss }
     }
 
+    /// Counts and logs a stream's error.
+    fn record_error(&mut self, attempt: Attempt, err: &StreamError) {
+        let service = ("service", &*self.driver.route.service);
+        self.driver
+            .context
+            .metrics
+            .count(Counter::LostAttempts, 1, &[service]);
+        info!(self.driver.log, "attempt lost"; "attempt" => attempt, "cause" => %err);
+        self.count_error(err);
+        let Some(guard) = &mut self.guard else {
+            return;
+        };
+        match err {
+            // An engine that refuses is reachable, and its load reports show that it is full.
+            StreamError::Refused { .. } | StreamError::Replaced | StreamError::Silent { .. } => {}
+            StreamError::Malformed { .. } => guard.set_outcome(health::Outcome::Fault),
+            StreamError::NotSent { .. } | StreamError::Lost { .. } => {
+                guard.set_outcome(health::Outcome::Lost);
+            }
+        }
+    }
+
     /// Counts an error of the version, unless the caller caused it.
     fn count_error(&self, err: &StreamError) {
         let callers_fault = matches!(err, StreamError::Refused { status, .. }
@@ -359,7 +373,7 @@
         match action {
             Action::Choose { attempt, exclude } => Some(self.choose(attempt, &exclude)),
             Action::Open { attempt, .. } => self.open(attempt).await,
-            Action::Attach { attempt, .. } => self.attach(attempt).await,
+            Action::Attach { attempt, until, .. } => self.attach(attempt, until).await,
             Action::Cancel { attempt, .. } => {
                 self.cancel(attempt);
                 None
@@ -460,10 +474,14 @@
             prior_text_bytes: self.text_bytes,
             priority: self.driver.policy.limits.priority,
         };
-        let opened = engine
-            .open(&start)
-            .or(async { Err(wait_until_unresponsive(addr).await) })
-            .await;
+        let is_replaceable = self.machine.is_replaceable();
+        let silent = async {
+            match is_replaceable {
+                true => Err(wait_until_unresponsive(addr).await),
+                false => smol::future::pending().await,
+            }
+        };
+        let opened = engine.open(&start).or(silent).await;
         match opened {
             Ok(chunks) => {
                 self.chunks = Some(chunks);
@@ -476,10 +494,11 @@
     }
 
     /// Reattaches to the live stream of an attempt whose connection was lost.
-    async fn attach(&mut self, attempt: Attempt) -> Option<Event> {
+    async fn attach(&mut self, attempt: Attempt, until: Time) -> Option<Event> {
         self.lost_at = self.lost_at.or(self.last_token_at);
         self.chunks = None;
-        let engine = HttpEngine::new(self.guard.as_ref()?.addr, ENGINE_HEAD_TIMEOUT);
+        let limit = until.saturating_sub(self.now());
+        let engine = HttpEngine::new(self.guard.as_ref()?.addr, limit);
         let from = self.machine.position();
         let attached = async {
             engine
@@ -487,8 +506,8 @@
                 .await
         };
         let timeout = async {
-            Timer::after(ATTACH_TIMEOUT).await;
-            let cause = format!("no answer within {ATTACH_TIMEOUT:?}");
+            Timer::after(limit).await;
+            let cause = format!("no answer within {limit:?}");
             Err(StreamError::Lost { cause })
         };
         match attached.or(timeout).await {
@@ -508,22 +527,20 @@
         }
     }
 
-    /// Records a crash of the engine as evidence against the request, if the engine can't be
-    /// connected to.
+    /// Records a crash of the engine as evidence against the request, if no process listens at the
+    /// engine's address any more.
     fn record_crash(&self, cause: &StreamError) {
-        if matches!(cause, StreamError::NotSent { .. }) {
-            let Driver {
-                context,
-                tickets,
-                id,
-                ..
-            } = &self.driver;
-            let Some(guard) = &self.guard else {
-                return;
-            };
-            let early = self.tokens.len() < self.tokens_at_open + MIN_PROGRESS_TOKENS;
-            suspect::record_crash(context, tickets.content_digest(), id, guard.addr, early);
-        }
+        let (StreamError::NotSent { refused: true, .. }, Some(guard)) = (cause, &self.guard) else {
+            return;
+        };
+        let Driver {
+            context,
+            tickets,
+            id,
+            ..
+        } = &self.driver;
+        let early = self.tokens.len() < self.tokens_at_open + MIN_PROGRESS_TOKENS;
+        suspect::record_crash(context, tickets.content_digest(), id, guard.addr, early);
     }
 
     /// Cancels an attempt in the background, so that the next attempt does not wait for it.
@@ -533,7 +550,10 @@
         let Some(mut guard) = self.guard.take() else {
             return;
         };
-        // An attempt that is cancelled while its caller is connected counts as lost.
+        let silence = self.last_token_at.map(|at| at.elapsed().as_millis() as u64);
+        info!(self.driver.log, "attempt cancelled"; "attempt" => attempt,
+            "server" => %guard.addr, "tokens" => self.tokens.len(), "silent_ms" => silence);
+        // A server whose attempt is cancelled while its caller is connected is avoided for a while.
         if !self.caller_gone {
             guard.set_outcome(health::Outcome::Lost);
         }
