One unreadable entry no longer hides the rest of a list

One object that another writer left (nested 300 deep, a number like 1e999, a version or name of another type, null) kept a node from following the settings and moves for as long as it stood there, since the list and the events of a watch were decoded as a whole. The list of VMs had the same fault.

Change: lists and watches keep each entry undecoded (`RawValue`) and read it by itself. An entry that can't be read is skipped with the log line "unreadable entry skipped". An event of a deletion needs only its metadata. A single object that is read by name is still an error, which its reader handles. The daemon passes its log.

Not done: a count of skipped entries beside the log line.

--- a/crates/cassiareel/src/store/http_objects.rs
+++ b/crates/cassiareel/src/store/http_objects.rs
@@ -7,8 +7,12 @@
 use http_types::{headers, mime, Body, Method, Request, Response, StatusCode, Url};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use slog::{o, Discard, Logger};
 
-use super::{Listing, Object, Objects, StoreError, StoreVersion};
+use super::{
+    entries::{parse_entry, skip_unreadable, Entry},
+    Listing, Object, Objects, StoreError, StoreVersion,
+};
 use crate::{
     runtime::within,
     wire::{read_body, send, CallTimeouts, SendError},
@@ -52,6 +56,7 @@
 pub struct HttpObjects {
     addr: SocketAddr,
     timeout: Duration,
+    log: Logger,
 }
 
 impl HttpObjects {
@@ -60,9 +65,15 @@
         HttpObjects {
             addr,
             timeout: DEFAULT_TIMEOUT,
+            log: Logger::root(Discard, o!()),
         }
     }
 
+    /// Sets the logger for objects that can't be read; lists and watches omit them.
+    pub fn log(self, log: Logger) -> HttpObjects {
+        HttpObjects { log, ..self }
+    }
+
     /// Sets the time limit of a call; a watch may take its own wait in addition.
     pub fn timeout(self, timeout: Duration) -> HttpObjects {
         HttpObjects { timeout, ..self }
@@ -170,15 +181,12 @@
             cause: format!("the kind {kind} is not known"),
         })?;
         let version = parse_version(list.metadata.resource_version.as_deref())?;
-        let objects: Result<_, _> = list
+        let objects = list
             .items
-            .into_iter()
-            .map(|envelope| envelope.into_object(kind))
+            .iter()
+            .filter_map(|entry| skip_unreadable(&self.log, kind, read_object(entry, kind)))
             .collect();
-        Ok(Listing {
-            objects: objects?,
-            version,
-        })
+        Ok(Listing { objects, version })
     }
 
     async fn watch(
@@ -203,7 +211,7 @@
             Answer::new(&res, body.unwrap_or_default()).check_read()?;
         }
         let mut lines = WatchLines::new(res);
-        match within(wait, lines.next_batch(kind)).await {
+        match within(wait, lines.next_batch(kind, &self.log)).await {
             Some(objects) => objects,
             None => Ok(Vec::new()),
         }
@@ -324,7 +332,7 @@
 #[derive(Deserialize)]
 struct ListEnvelope {
     metadata: Metadata,
-    items: Vec<ObjectEnvelope>,
+    items: Vec<Entry>,
 }
 
 impl ObjectEnvelope {
@@ -364,34 +372,61 @@
 struct WatchEvent {
     #[serde(rename = "type")]
     change: String,
-    object: Value,
+    object: Entry,
+}
+
+/// An object of which only the metadata is read.
+#[derive(Deserialize)]
+struct DeletedEnvelope {
+    metadata: Metadata,
 }
 
 impl WatchEvent {
-    /// Returns the changed object, with a null spec if it was deleted, or `None` for a bookmark.
-    fn into_object(self, kind: &str) -> Result<Option<Object>, StoreError> {
-        let parse = |value| {
-            let envelope: ObjectEnvelope =
-                serde_json::from_value(value).map_err(|err| StoreError::Invalid {
-                    cause: format!("malformed event: {err}"),
-                })?;
-            envelope.into_object(kind)
-        };
+    /// Returns the changed object, with a null spec if it was deleted, or `None` for a bookmark and
+    /// for an object that can't be read.
+    fn into_object(self, kind: &str, log: &Logger) -> Result<Option<Object>, StoreError> {
         match self.change.as_str() {
-            "ADDED" | "MODIFIED" => parse(self.object).map(Some),
-            "DELETED" => parse(self.object).map(|mut object| {
-                object.spec = Value::Null;
-                Some(object)
-            }),
-            "ERROR" if self.object["code"] == 410 => Err(StoreError::Expired),
-            "ERROR" => Err(StoreError::NotApplied {
-                cause: self.object.to_string(),
-            }),
+            "ADDED" | "MODIFIED" => {
+                let object = read_object(&self.object, kind);
+                Ok(skip_unreadable(log, kind, object))
+            }
+            "DELETED" => {
+                let object = read_deleted(&self.object, kind);
+                Ok(skip_unreadable(log, kind, object))
+            }
+            "ERROR" => Err(watch_error(&self.object)),
             _ => Ok(None),
         }
     }
 }
 
+/// Reads an object.
+fn read_object(entry: &Entry, kind: &str) -> Result<Object, StoreError> {
+    parse_entry::<ObjectEnvelope>(entry)?.into_object(kind)
+}
+
+/// Reads a deleted object, whose contents don't matter any more.
+fn read_deleted(entry: &Entry, kind: &str) -> Result<Object, StoreError> {
+    let DeletedEnvelope { metadata } = parse_entry(entry)?;
+    Ok(Object {
+        version: parse_version(metadata.resource_version.as_deref())?,
+        kind: kind.to_owned(),
+        name: metadata.name,
+        spec: Value::Null,
+    })
+}
+
+/// Returns the error that an event of a watch states.
+fn watch_error(entry: &Entry) -> StoreError {
+    let status: Value = parse_entry(entry).unwrap_or_default();
+    match status["code"] == 410 {
+        true => StoreError::Expired,
+        false => StoreError::NotApplied {
+            cause: entry.to_string(),
+        },
+    }
+}
+
 /// The lines of the answer to a watch.
 struct WatchLines {
     reader: BufReader<Body>,
@@ -405,7 +440,7 @@
     }
 
     /// Waits for an event; returns it with all further events that have already arrived.
-    async fn next_batch(&mut self, kind: &str) -> Result<Vec<Object>, StoreError> {
+    async fn next_batch(&mut self, kind: &str, log: &Logger) -> Result<Vec<Object>, StoreError> {
         let mut objects = Vec::new();
         loop {
             let next = if objects.is_empty() {
@@ -414,7 +449,7 @@
                 future::poll_once(self.next()).await.transpose()?
             };
             match next {
-                Some(Some(event)) => objects.extend(event.into_object(kind)?),
+                Some(Some(event)) => objects.extend(event.into_object(kind, log)?),
                 Some(None) | None => return Ok(objects),
             }
         }
--- a/crates/cassiareel/src/store/http_vms.rs
+++ b/crates/cassiareel/src/store/http_vms.rs
@@ -8,9 +8,13 @@
 use async_trait::async_trait;
 use http_types::{Method, Request, StatusCode, Url};
 use serde::Deserialize;
+use slog::{o, Discard, Logger};
 use smol::Timer;
 
-use super::{StoreError, Vm, VmList, VmState};
+use super::{
+    entries::{parse_entry, skip_unreadable, Entry},
+    StoreError, Vm, VmList, VmState,
+};
 use crate::wire::{read_body, send, CallTimeouts};
 
 /// Time limit for a complete answer.
@@ -22,16 +26,26 @@
 ///
 /// Of each instance it reads `name`, the last segment of `zone` as the data centre, the first
 /// `networkIP`, and `status`: `RUNNING` means live, `STOPPING` and `SUSPENDING` mean leaving, and
-/// instances with any other status are omitted.
-#[derive(Clone, Copy, Debug)]
+/// instances with any other status are omitted. An instance that can't be read is omitted and
+/// logged.
+#[derive(Clone, Debug)]
 pub struct HttpVms {
     addr: SocketAddr,
+    log: Logger,
 }
 
 impl HttpVms {
     /// Creates a client of the VM list at `addr`.
     pub fn new(addr: SocketAddr) -> HttpVms {
-        HttpVms { addr }
+        HttpVms {
+            addr,
+            log: Logger::root(Discard, o!()),
+        }
+    }
+
+    /// Sets the logger for instances that can't be read.
+    pub fn log(self, log: Logger) -> HttpVms {
+        HttpVms { log, ..self }
     }
 
     async fn fetch(&self) -> Result<Vec<u8>, StoreError> {
@@ -68,10 +82,12 @@
             serde_json::from_slice(&body).map_err(|err| StoreError::Invalid {
                 cause: err.to_string(),
             })?;
-        list.items
-            .into_iter()
-            .filter_map(|instance| instance.into_vm().transpose())
-            .collect()
+        let read = |entry: &Entry| parse_entry(entry).and_then(Instance::into_vm);
+        Ok(list
+            .items
+            .iter()
+            .filter_map(|entry| skip_unreadable(&self.log, "instances", read(entry)).flatten())
+            .collect())
     }
 }
 
@@ -79,7 +95,7 @@
 struct InstanceList {
     // The API omits the field if the list is empty.
     #[serde(default)]
-    items: Vec<Instance>,
+    items: Vec<Entry>,
 }
 
 #[derive(Deserialize)]
--- a/crates/cassiareel/src/store/mod.rs
+++ b/crates/cassiareel/src/store/mod.rs
@@ -6,6 +6,7 @@
 Support for another platform takes one more adapter and no change to any decision logic.
 */
 
+mod entries;
 mod http_objects;
 mod http_vms;
 mod memory;
--- a/crates/cassiareeld/src/main.rs
+++ b/crates/cassiareeld/src/main.rs
@@ -62,7 +62,7 @@
 /// Runs a node until a signal stops it, and returns the number of requests that were cut.
 fn run(config: Config, log: &Logger) -> io::Result<usize> {
     let signals = shutdown::catch_signals()?;
-    let objects = Arc::new(HttpObjects::new(config.objects));
+    let objects = Arc::new(HttpObjects::new(config.objects).log(log.clone()));
     let grace = config.grace;
     let mut node = Node::start(config.into_options()?, objects, log)?;
     let signal = smol::block_on(signals.recv()).unwrap_or_default();
