One odd value in a load report costs that value only

An engine whose load report held one odd value (a negative count, a number out of range, a limit of another type) counted as unreachable and was ejected after three polls, though it served. Counts whose sum exceeds 32 bits, and a cache event with the largest sequence number, stopped the task that read them in builds that check for overflow.

Change: each value of a report is read by itself. The log names the fields ("load report has unreadable values"). A report that can't be read at all is logged ("load report can't be read") and doesn't count as a lost connection; what the engine reported before holds until it is stale. Sums saturate.

--- a/crates/cassiareel-bench/src/model/engine.rs
+++ b/crates/cassiareel-bench/src/model/engine.rs
@@ -203,9 +203,7 @@
             total_tokens: self.profile.memory_tokens,
             token_ms: self.token_ms,
             age_ms: age.as_millis() as u64,
-            versions: Vec::new(),
-            leaving: false,
-            request_limit: None,
+            ..LoadReport::default()
         }
     }
 
--- a/crates/cassiareel-standins/src/engine/state.rs
+++ b/crates/cassiareel-standins/src/engine/state.rs
@@ -305,6 +305,7 @@
             versions: self.versions.loaded().map(|v| v.as_str().into()).collect(),
             leaving: self.faults.leaving,
             request_limit: self.faults.request_limit,
+            ..LoadReport::default()
         };
         self.reports.record(now, report);
     }
--- a/crates/cassiareel/src/backend/engine.rs
+++ b/crates/cassiareel/src/backend/engine.rs
@@ -130,6 +130,9 @@
     /// The requests a second that the engine takes from all nodes together; `None` for no limit.
     #[serde(default)]
     pub request_limit: Option<f64>,
+    /// Names of the fields whose values can't be read and are unknown.
+    #[serde(skip)]
+    pub unreadable: Vec<String>,
 }
 
 /// Whether a block of a prefix entered or left an engine's cache.
--- a/crates/cassiareel/src/backend/http_engine.rs
+++ b/crates/cassiareel/src/backend/http_engine.rs
@@ -9,8 +9,8 @@
 use serde_json::{json, Value};
 
 use super::{
-    AttemptRequest, CacheEvents, ChunkStream, Engine, EngineCommand, LoadReport, StreamChunk,
-    StreamError,
+    load_report::parse_load_report, AttemptRequest, CacheEvents, ChunkStream, Engine,
+    EngineCommand, LoadReport, StreamChunk, StreamError,
 };
 use crate::{
     kernel::{generation::FinishReason, Attempt, Position, RequestId, TokenId},
@@ -139,7 +139,7 @@
         let body = self
             .control_call(self.build_request(Method::Get, "/load"))
             .await?;
-        parse(&body)
+        parse_load_report(&body)
     }
 
     async fn cache_events(&self, since: u64, full: bool) -> Result<CacheEvents, StreamError> {
--- a/crates/cassiareel/src/backend/mod.rs
+++ b/crates/cassiareel/src/backend/mod.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod http_engine;
 mod http_service;
+mod load_report;
 mod service;
 
 pub use engine::{
--- a/crates/cassiareel/src/engines/feed.rs
+++ b/crates/cassiareel/src/engines/feed.rs
@@ -60,7 +60,7 @@
                 continue;
             }
             gap |= event.sequence > self.next;
-            self.next = event.sequence + 1;
+            self.next = event.sequence.saturating_add(1);
             match event.kind {
                 CacheEventKind::Stored => index.insert(slot, &[event.block]),
                 CacheEventKind::Removed => index.remove(slot, event.block),
--- a/crates/cassiareel/src/engines/feed_tests.rs
+++ b/crates/cassiareel/src/engines/feed_tests.rs
@@ -72,6 +72,10 @@
     answers: vec![snapshot(&[5], 30), answer(&[], 2)],
     fetch: Fetch::Full, gaps: 1, cached: &[5], absent: &[],
 }; "a restarted engine")]
+#[test_case(&Case {
+    answers: vec![snapshot(&[5], 3), answer(&[stored(u64::MAX, 7)], 4)],
+    fetch: Fetch::Full, gaps: 1, cached: &[5, 7], absent: &[],
+}; "the largest sequence number")]
 fn feed(case: &Case) {
     let index = PrefixIndex::new(256, 4);
     let mut feed = CacheFeed::default();
--- a/crates/cassiareel/src/engines/poll.rs
+++ b/crates/cassiareel/src/engines/poll.rs
@@ -6,12 +6,12 @@
     time::{Duration, Instant},
 };
 
-use slog::{info, Logger};
+use slog::{info, warn, Logger};
 use smol::Timer;
 
 use super::{BackendTable, Fetch};
 use crate::{
-    backend::{CacheEvents, Engine},
+    backend::{CacheEvents, Engine, StreamError},
     kernel::{
         admission::{Bucket, Rate},
         BackendId,
@@ -134,6 +134,10 @@
     async fn poll_load(&self, engine: &dyn Engine) {
         match engine.load().await {
             Ok(report) => {
+                if !report.unreadable.is_empty() {
+                    warn!(self.log, "load report has unreadable values"; "backend" => &*self.backend,
+                        "fields" => report.unreadable.join(" "));
+                }
                 let now = self.budgets.origin.elapsed();
                 self.table.on_load(now, &self.backend, &report);
                 if let Some(change) = self.table.record_limit(now, &self.backend, &report) {
@@ -142,6 +146,11 @@
                         "age_ms" => report.age_ms);
                 }
             }
+            Err(cause @ StreamError::Malformed { .. }) => {
+                // The engine is reachable. What it reported before holds until it is stale.
+                warn!(self.log, "load report can't be read"; "backend" => &*self.backend,
+                    "cause" => %cause);
+            }
             Err(_) => self.table.on_unreachable(&self.backend),
         }
     }
--- a/crates/cassiareel/src/kernel/routing/load.rs
+++ b/crates/cassiareel/src/kernel/routing/load.rs
@@ -134,7 +134,10 @@
         if self.is_stale(now) {
             return open.saturating_mul(sharers.max(1));
         }
-        let reported = self.running.load(Ordering::Relaxed) + self.waiting.load(Ordering::Relaxed);
+        let (running, waiting) = (&self.running, &self.waiting);
+        let reported = running
+            .load(Ordering::Relaxed)
+            .saturating_add(waiting.load(Ordering::Relaxed));
         let since = f64::from(self.since_report.load(Ordering::Relaxed)) * sharer_factor(sharers);
         let corrected = (f64::from(reported) + since).max(0.0).round() as u32;
         corrected.max(open)
--- a/crates/cassiareel/src/kernel/routing/load_tests.rs
+++ b/crates/cassiareel/src/kernel/routing/load_tests.rs
@@ -90,3 +90,17 @@
         load.slowdown()
     );
 }
+
+#[test]
+fn the_largest_reported_counts_do_not_overflow() {
+    let load = Load::default();
+    let now = Duration::from_secs(60);
+    let report = ReportedLoad {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        token_ms: 42.0,
+        age: Duration::ZERO,
+    };
+    load.record_report(now, &report);
+    assert_eq!(load.outstanding(now, 3), u32::MAX);
+}
