A begun stream waits for a server that limits its requests

What callers saw: a stream of which they had events ended broken at the moment its run was lost, because the only server that could continue it had no permit left (`Server-Limit`) or had requested backoff (`Retry-After`), though it would have taken the stream a second later.

Cause: without a candidate for a resend, a stream that had run was given up at once. A resend whose permit was taken by another request in between also used up a part of the retry budget.

Change: a stream of which events were passed on searches again every 200 ms as long as some server that is not leaving is expected to take requests before the request's end. With none expected, it ends at once as before. Requests of which nothing was passed on are still answered at once. The retry of a resend without a permit is refunded.

--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -289,8 +289,13 @@
 
     /// Returns the time until the first backend server of a service takes requests, of those that
     /// are neither leaving nor ended: after the backoff that it requested, and after the time that
-    /// `limit_wait` returns for its limit.
-    pub(crate) fn time_to_accept<F>(&self, service: &str, now: Moment, limit_wait: F) -> Duration
+    /// `limit_wait` returns for its limit. Returns `None` if there are none.
+    pub(crate) fn time_to_accept<F>(
+        &self,
+        service: &str,
+        now: Moment,
+        limit_wait: F,
+    ) -> Option<Duration>
     where
         F: Fn(&Backend) -> Duration,
     {
@@ -302,7 +307,7 @@
             let backoff = backend.backoff.left(now).unwrap_or_default();
             backoff.max(limit_wait(backend))
         });
-        times.min().unwrap_or_default()
+        times.min()
     }
 
     /// Returns the backend server whose process has a key.
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -15,6 +15,7 @@
 use http::response;
 use http_body_util::BodyExt;
 use slog::{info, warn};
+use smol::Timer;
 
 use super::{
     backup::Backups,
@@ -45,6 +46,9 @@
 /// engine.
 const BUSY_SILENCE_LIMIT: Duration = Duration::from_millis(500);
 
+/// Interval between searches for an engine that takes a stream of which the caller has events.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How long a caller should wait before it retries after no engine accepted its stream.
 const RETRY_AFTER: Duration = Duration::from_millis(600);
 
@@ -141,9 +145,7 @@
         if left.is_zero() {
             return Err(StreamError::Timeout);
         }
-        if self.state.handing_over.load(Ordering::Relaxed) && self.request.route.kind.may_repeat() {
-            return Err(StreamError::HandedOver);
-        }
+        self.check_hand_over()?;
         let Some(run) = self.run.as_mut() else {
             return Ok(Received::Lost("no run"));
         };
@@ -375,17 +377,44 @@
             return Ok(ChosenEngine::at_copy(member, copy));
         }
         let (state, request) = (&self.state, &self.request);
-        pick_engine(state, request, &self.tried, self.purpose())
-            .await
-            .map_err(|err| match err {
-                PickError::NoEngine => self.stop_error(self.progress.stop_reason()),
-                PickError::NoCapacity(lack) => {
+        loop {
+            match pick_engine(state, request, &self.tried, self.purpose()).await {
+                Ok(chosen) => return Ok(chosen),
+                Err(PickError::NoEngine) => self.wait_for_engine().await?,
+                Err(PickError::NoCapacity(lack)) => {
                     let after = request.record_rejection(state, lack);
-                    StreamError::NoCapacity {
+                    return Err(StreamError::NoCapacity {
                         after: state.retry_after(&request.service, after),
-                    }
+                    });
                 }
-            })
+            }
+        }
+    }
+
+    /// Waits a little before the next search, for a stream of which the caller has events and that
+    /// an engine takes in time: one that names a limit or has requested backoff.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream can't go on.
+    async fn wait_for_engine(&self) -> Result<(), StreamError> {
+        self.check_hand_over()?;
+        let left = self.request.left();
+        let wait = self.state.time_to_accept(&self.request.service);
+        if !self.begun || wait.is_none_or(|wait| wait >= left) {
+            return Err(self.stop_error(self.progress.stop_reason()));
+        }
+        Timer::after(SEARCH_INTERVAL.min(left)).await;
+        Ok(())
+    }
+
+    /// Fails if the node is stopping and another node can continue the stream.
+    fn check_hand_over(&self) -> Result<(), StreamError> {
+        let is_stopping = self.state.handing_over.load(Ordering::Relaxed);
+        if is_stopping && self.request.route.kind.may_repeat() {
+            return Err(StreamError::HandedOver);
+        }
+        Ok(())
     }
 
     /// Reports whether a prompt would be prefilled for a stream that can't end in time even at the
@@ -421,12 +450,19 @@
             reservation,
             ..
         } = target;
+        let is_resend = self.progress.was_sent();
         let Some(permit) = take_permit(&self.state, &member, self.purpose()) else {
-            self.progress.record_send();
-            self.tried.push(member.number);
+            if is_resend {
+                self.state.refund_retry(&self.request.service);
+            }
+            if self.begun {
+                self.wait_for_engine().await?;
+            } else {
+                self.progress.record_send();
+                self.tried.push(member.number);
+            }
             return Ok(false);
         };
-        let is_resend = self.progress.was_sent();
         self.progress.record_send();
         self.tried.push(member.number);
         let prompt = &self.request.ask.prompt;
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -345,10 +345,16 @@
     /// Returns when a caller may retry where no backend server of a service takes its request now:
     /// after a typical time, and not before one of them takes requests again.
     pub(crate) fn retry_after(&self, service: &str, typical: Duration) -> Duration {
+        typical.max(self.time_to_accept(service).unwrap_or_default())
+    }
+
+    /// Returns the time until the first backend server of a service is expected to take requests;
+    /// `None` if all are leaving or have ended.
+    pub(crate) fn time_to_accept(&self, service: &str) -> Option<Duration> {
         let now = clock::now();
         let quotas = self.server_limits.quotas();
         let limit_wait = |backend: &Backend| quotas.expected_wait(backend.process(), now);
-        typical.max(self.backends.time_to_accept(service, now, limit_wait))
+        self.backends.time_to_accept(service, now, limit_wait)
     }
 
     /// Reports whether the node should get new connections.
