Kept connections follow the limits that their callers know

What callers saw: a connection was closed under a head that was being sent, or before a request on a connection that may still be reused: - after a version with longer `idle-timeout-ms` or `header-timeout-ms`, on each connection that was open before it; - without a change, where a slow head began on a connection that had been idle for a while: the time of the head counted as idle; - at a stop, where a part of a head had arrived on a kept connection.

Cause: a connection kept the limits at its opening for its whole life; the idle time went on while a head was read; and closing idle connections also closed those with a part of a head.

Ruled out: lower limits, a larger body after a higher `max-body-bytes` (both pass before and after).

Change: the limits are read anew at each check. Lower times apply from the caller's next request on, since it knows those at its last one; higher ones apply at once. A connection on which a head is read is not idle, and the time for heads alone bounds it.

Open: the buffer of a connection still has the size of its opening, so that a head over an older, lower `max-header-bytes` gets 431 there.

--- a/crates/cassiareel-relay/src/front/activity.rs
+++ b/crates/cassiareel-relay/src/front/activity.rs
@@ -88,22 +88,45 @@
         Some(limit.saturating_sub(spent))
     }
 
-    /// Waits until the caller has exceeded one of the limits.
-    pub(super) async fn wait_overdue(&self, limits: &Limits) -> CloseReason {
-        let interval = CHECK_INTERVAL.min(limits.header_time);
+    /// Reports whether a part of a head was received.
+    pub(super) fn is_reading_head(&self) -> bool {
+        self.head_left(Duration::ZERO).is_some()
+    }
+
+    /// Waits until the caller has exceeded one of the limits, of which `limits` returns those in
+    /// force.
+    ///
+    /// A caller knows the limits that were in force at its last request. Lower ones apply from its
+    /// next request on, and higher ones at once.
+    pub(super) async fn wait_overdue<F>(&self, limits: F) -> CloseReason
+    where
+        F: Fn() -> Limits,
+    {
+        let mut allowed = limits();
         let mut seen = 0;
         let mut idle = Duration::ZERO;
-        while idle < limits.idle_time + CHECK_INTERVAL {
-            let wait = match self.head_left(limits.header_time) {
+        while idle < allowed.idle_time + CHECK_INTERVAL {
+            let interval = CHECK_INTERVAL.min(allowed.header_time);
+            let wait = match self.head_left(allowed.header_time) {
                 Some(Duration::ZERO) => return CloseReason::Head,
                 Some(left) => left.min(interval),
                 None => interval,
             };
             Timer::after(wait).await;
             let now = self.transitions.load(Ordering::Relaxed);
-            let busy = self.is_busy() || now != seen;
-            idle = if busy { Duration::ZERO } else { idle + wait };
+            let had_request = self.is_busy() || now != seen;
             seen = now;
+            let new = limits();
+            allowed = if had_request {
+                new
+            } else {
+                allowed.longest(&new)
+            };
+            idle = if had_request || self.is_reading_head() {
+                Duration::ZERO
+            } else {
+                idle + wait
+            };
         }
         CloseReason::Idle
     }
--- a/crates/cassiareel-relay/src/front/server.rs
+++ b/crates/cassiareel-relay/src/front/server.rs
@@ -102,10 +102,14 @@
             ),
     );
     let finished = async { Ok(connection.as_mut().await) };
-    let overdue = async { Err(activity.wait_overdue(&limits).await) };
+    let overdue = async { Err(activity.wait_overdue(|| state.limits()).await) };
     let closing = async {
-        state.close_idle.listen().await;
-        Err(CloseReason::Idle)
+        loop {
+            state.close_idle.listen().await;
+            if !activity.is_reading_head() {
+                return Err(CloseReason::Idle);
+            }
+        }
     };
     let ended = match finished.or(overdue).or(closing).await {
         Ok(ended) => ended,
@@ -115,7 +119,7 @@
         }
         Err(CloseReason::Head) => {
             info!(state.log, "connection closed"; "cause" => "its head did not come in time",
-                "limit_ms" => limits.header_time.as_millis() as u64);
+                "limit_ms" => state.limits().header_time.as_millis() as u64);
             return;
         }
     };
--- a/crates/cassiareel-relay/src/model/policy.rs
+++ b/crates/cassiareel-relay/src/model/policy.rs
@@ -46,6 +46,17 @@
     pub idle_time: Duration,
 }
 
+impl Limits {
+    /// Returns these limits with the longer one of each time.
+    pub fn longest(self, other: &Limits) -> Limits {
+        Limits {
+            header_time: self.header_time.max(other.header_time),
+            idle_time: self.idle_time.max(other.idle_time),
+            ..self
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
