Only a response of the same media type continues a stream

What callers saw: a stream had begun and broke off; the next server answered 200 with a text or with JSON, and its text stood in the middle of the stream, which looked complete.

Cause: any signed success was split into events, whatever its type.

Ruled out, with tests that pass before and after: an error's status (500 that looks like events, 404) ends or resumes the stream without its text; a stream without length or chunks that is closed at an event's border is complete, one that is reset or ends inside an event is resumed, or is cut if it runs once.

Change: the media type of the first success decides; a later success of another type is closed and counts as a lost run.

Open: an event without a number in the middle of a numbered stream, such as the raw head of an error in a body without chunks, is passed on as before.

--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use cassiareel::{kernel::quota::Purpose, runtime::within};
 use futures_lite::FutureExt;
-use http::response;
+use http::{header::CONTENT_TYPE, response};
 use http_body_util::BodyExt;
 use slog::{info, warn};
 use smol::Timer;
@@ -58,6 +58,8 @@
     request: Arc<Request>,
     run: Option<Run>,
     head: Option<response::Parts>,
+    /// The media type of the first success.
+    first_type: Option<String>,
     failure: Option<Box<ResponseHead>>,
     progress: Continuation,
     tried: Vec<u64>,
@@ -88,6 +90,7 @@
             request,
             run: None,
             head: None,
+            first_type: None,
             failure: None,
             tried: Vec::new(),
             begun: false,
@@ -504,9 +507,24 @@
         };
         let now = clock::now();
         match sent {
+            SendOutcome::Head(head) if !self.may_follow(&head.parts) => {
+                drop(head);
+                self.progress.record_run();
+                self.record_loss(
+                    &member,
+                    backups,
+                    "not the same stream",
+                    RunProgress::unanswered(sent_at, trial),
+                )
+                .await;
+                Ok(false)
+            }
             SendOutcome::Head(head) if head.parts.status.is_success() => {
                 self.progress.record_run();
-                self.head.get_or_insert_with(|| head.parts.clone());
+                if self.first_type.is_none() {
+                    self.first_type = Some(media_type(&head.parts));
+                    self.head = Some(head.parts.clone());
+                }
                 self.run = Some(Run {
                     head,
                     splitter: EventSplitter::default(),
@@ -555,6 +573,15 @@
         }
     }
 
+    /// Reports whether a response may follow what the caller has of the stream: a success only if it
+    /// is of the first response's media type.
+    fn may_follow(&self, parts: &response::Parts) -> bool {
+        let Some(first) = &self.first_type else {
+            return true;
+        };
+        !parts.status.is_success() || *first == media_type(parts)
+    }
+
     /// Returns what a send uses a permit for. A stream of which the caller has a part goes before
     /// those that begin.
     fn purpose(&self) -> Purpose {
@@ -583,3 +610,14 @@
         }
     }
 }
+
+/// Returns the media type of a response without its parameters, in lower case; empty if there is
+/// none.
+fn media_type(parts: &response::Parts) -> String {
+    let value = parts.headers.get(CONTENT_TYPE);
+    let text = value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let end = text.find(';').unwrap_or(text.len());
+    text[..end].trim().to_ascii_lowercase()
+}
