The adapter for engines takes only event streams for output

Cause: a success of any media type was read as a stream, so that a text that looks like events counted as output. Errors' texts never reached callers: each chunk must parse and names its attempt and position, and a stream is complete only with its finish.

Change: a response of another type is malformed, and the attempt is lost.

Open: async-h1 takes a response with neither a length nor chunks for an empty one, so that such a stream is lost (never complete). async-sse has a debug assertion that fails where a connection is lost inside an event after an earlier part of its line was read (debug builds only). Both are unchanged.

--- a/crates/cassiareel/src/backend/http_engine.rs
+++ b/crates/cassiareel/src/backend/http_engine.rs
@@ -23,6 +23,9 @@
 /// Time for an engine to send the head of its answer to a control call.
 const CONTROL_HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The media type of a stream.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// An engine that is reached over HTTP.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpEngine {
@@ -43,6 +46,15 @@
 
     async fn stream(&self, req: Request) -> Result<ChunkStream, StreamError> {
         let res = self.send(req, self.open_timeouts).await?;
+        let media_type = res.content_type();
+        if media_type
+            .as_ref()
+            .is_none_or(|mime| mime.essence() != EVENT_STREAM)
+        {
+            return Err(StreamError::Malformed {
+                cause: format!("{media_type:?} is not the type of a stream"),
+            });
+        }
         Ok(Box::pin(chunk_stream(res)))
     }
 
