--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -13,9 +13,10 @@
 use bytes::Bytes;
 use cassiareel::{kernel::quota::Purpose, runtime::within};
 use futures_lite::FutureExt;
-use http::response;
+use http::{header::CONTENT_TYPE, response};
 use http_body_util::BodyExt;
 use slog::{info, warn};
+use smol::Timer;
 
 use super::{
     backup::Backups,
@@ -46,6 +47,9 @@
 /// engine.
 const BUSY_SILENCE_LIMIT: Duration = Duration::from_millis(500);
 
+/// Interval between searches for an engine that takes a stream of which the caller has events.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How long a caller should wait before it retries after no engine accepted its stream.
 const RETRY_AFTER: Duration = Duration::from_millis(600);
 
@@ -55,6 +59,8 @@
     request: Arc<Request>,
     run: Option<Run>,
     head: Option<response::Parts>,
+    /// The media type of the first success.
+    first_type: Option<String>,
     failure: Option<Box<ResponseHead>>,
     progress: Continuation,
     tried: Vec<u64>,
@@ -85,6 +91,7 @@
             request,
             run: None,
             head: None,
+            first_type: None,
             failure: None,
             tried: Vec::new(),
             begun: false,
@@ -142,9 +149,7 @@
         if left.is_zero() {
             return Err(StreamError::Timeout);
         }
-        if self.state.handing_over.load(Ordering::Relaxed) && self.request.route.kind.may_repeat() {
-            return Err(StreamError::HandedOver);
-        }
+        self.check_hand_over()?;
         let Some(run) = self.run.as_mut() else {
             return Ok(Received::Lost("no run"));
         };
@@ -377,17 +382,44 @@
             return Ok(ChosenEngine::at_copy(member, copy));
         }
         let (state, request) = (&self.state, &self.request);
-        pick_engine(state, request, &self.tried, self.purpose())
-            .await
-            .map_err(|err| match err {
-                PickError::NoEngine => self.stop_error(self.progress.stop_reason()),
-                PickError::NoCapacity(lack) => {
+        loop {
+            match pick_engine(state, request, &self.tried, self.purpose()).await {
+                Ok(chosen) => return Ok(chosen),
+                Err(PickError::NoEngine) => self.wait_for_engine().await?,
+                Err(PickError::NoCapacity(lack)) => {
                     let after = request.record_rejection(state, lack);
-                    StreamError::NoCapacity {
+                    return Err(StreamError::NoCapacity {
                         after: state.retry_after(&request.service, after),
-                    }
+                    });
                 }
-            })
+            }
+        }
+    }
+
+    /// Waits a little before the next search, for a stream of which the caller has events and that
+    /// an engine takes in time: one that names a limit or has requested backoff.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream can't go on.
+    async fn wait_for_engine(&self) -> Result<(), StreamError> {
+        self.check_hand_over()?;
+        let left = self.request.left();
+        let wait = self.state.time_to_accept(&self.request.service);
+        if !self.begun || wait.is_none_or(|wait| wait >= left) {
+            return Err(self.stop_error(self.progress.stop_reason()));
+        }
+        Timer::after(SEARCH_INTERVAL.min(left)).await;
+        Ok(())
+    }
+
+    /// Fails if the node is stopping and another node can continue the stream.
+    fn check_hand_over(&self) -> Result<(), StreamError> {
+        let is_stopping = self.state.handing_over.load(Ordering::Relaxed);
+        if is_stopping && self.request.route.kind.may_repeat() {
+            return Err(StreamError::HandedOver);
+        }
+        Ok(())
     }
 
     /// Reports whether a prompt would be prefilled for a stream that can't end in time even at the
@@ -423,12 +455,19 @@
             reservation,
             ..
         } = target;
+        let is_resend = self.progress.was_sent();
         let Some(permit) = take_permit(&self.state, &member, self.purpose()) else {
-            self.progress.record_send();
-            self.tried.push(member.number);
+            if is_resend {
+                self.state.refund_retry(&self.request.service);
+            }
+            if self.begun {
+                self.wait_for_engine().await?;
+            } else {
+                self.progress.record_send();
+                self.tried.push(member.number);
+            }
             return Ok(false);
         };
-        let is_resend = self.progress.was_sent();
         self.progress.record_send();
         self.tried.push(member.number);
         let prompt = &self.request.ask.prompt;
@@ -474,9 +513,24 @@
         };
         let now = clock::now();
         match sent {
+            SendOutcome::Head(head) if !self.may_follow(&head.parts) => {
+                drop(head);
+                self.progress.record_run();
+                self.record_loss(
+                    &member,
+                    backups,
+                    "not the same stream",
+                    RunProgress::unanswered(sent_at, trial),
+                )
+                .await;
+                Ok(false)
+            }
             SendOutcome::Head(head) if head.parts.status.is_success() => {
                 self.progress.record_run();
-                self.head.get_or_insert_with(|| head.parts.clone());
+                if self.first_type.is_none() {
+                    self.first_type = Some(media_type(&head.parts));
+                    self.head = Some(head.parts.clone());
+                }
                 self.run = Some(Run {
                     head,
                     splitter: EventSplitter::default(),
@@ -525,6 +579,15 @@
         }
     }
 
+    /// Reports whether a response may follow what the caller has of the stream: a success only if it
+    /// is of the first response's media type.
+    fn may_follow(&self, parts: &response::Parts) -> bool {
+        let Some(first) = &self.first_type else {
+            return true;
+        };
+        !parts.status.is_success() || *first == media_type(parts)
+    }
+
     /// Returns what a send uses a permit for. A stream of which the caller has a part goes before
     /// those that begin.
     fn purpose(&self) -> Purpose {
@@ -553,3 +616,14 @@
         }
     }
 }
+
+/// Returns the media type of a response without its parameters, in lower case; empty if there is
+/// none.
+fn media_type(parts: &response::Parts) -> String {
+    let value = parts.headers.get(CONTENT_TYPE);
+    let text = value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let end = text.find(';').unwrap_or(text.len());
+    text[..end].trim().to_ascii_lowercase()
+}
