--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -26,6 +26,8 @@
     name: &'static str,
     probes: bool,
     failing_since: Option<Moment>,
+    /// Whether the last failure was an answer that could not be read.
+    is_unreadable: bool,
     pauses: Backoff,
 }
 
@@ -36,6 +38,7 @@
             name,
             probes: false,
             failing_since: None,
+            is_unreadable: false,
             pauses: Backoff::default(),
         }
     }
@@ -48,7 +51,8 @@
         }
     }
 
-    /// Makes one call. A failure is logged when it is the first of its series.
+    /// Makes one call. A failure is logged when it is the first of its series, or the first answer
+    /// that can't be read after other failures.
     pub(super) async fn call<F, T>(&mut self, state: &State, call: F) -> Option<T>
     where
         F: Future<Output = Result<T, SourceError>>,
@@ -74,6 +78,7 @@
     /// Logs objects that could not be read.
     pub(super) fn log_unreadable(&self, state: &State, names: &[String]) {
         if let Some(first) = names.first() {
+            state.metrics.count_unreadable(self.name, names.len());
             warn!(state.log, "objects unreadable"; "call" => self.name, "count" => names.len(),
                 "first" => first);
         }
@@ -98,8 +103,15 @@
 
     /// Records a failed call.
     pub(super) fn note_failure(&mut self, state: &State, err: &SourceError) {
-        Metrics::count(&state.metrics.store_calls, "failed");
-        self.set_store_lost(state, true);
+        let is_unreadable = matches!(err, SourceError::Unreadable { .. });
+        let outcome = if is_unreadable {
+            "unreadable"
+        } else {
+            "failed"
+        };
+        Metrics::count(&state.metrics.store_calls, outcome);
+        // A store whose answer can't be read is within reach.
+        self.set_store_lost(state, !is_unreadable);
         let store = match state.store_lost.load(Ordering::Relaxed) {
             _ if self.probes => StoreStatus::Probing,
             true => StoreStatus::Unreachable,
@@ -107,10 +119,14 @@
         };
         self.pauses
             .record_failure(clock::now(), store, pause_factor(state));
-        if self.failing_since.is_none() {
-            self.failing_since = Some(clock::now());
+        let is_first = self.failing_since.is_none();
+        if is_unreadable && (is_first || !self.is_unreadable) {
+            warn!(state.log, "answer unreadable"; "call" => self.name, "cause" => %err);
+        } else if is_first {
             warn!(state.log, "store unavailable"; "call" => self.name, "cause" => %err);
         }
+        self.is_unreadable = is_unreadable;
+        self.failing_since.get_or_insert_with(clock::now);
     }
 
     /// Sets whether the store is lost for the other tasks, where this kind of call detects it.
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -32,6 +32,13 @@
     pub backend: String,
 }
 
+/// Labels of a counter by the calls that read.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct CallLabel {
+    /// The calls, as the log names them.
+    pub call: String,
+}
+
 /// A gauge for each backend server that names a limit, in requests a second.
 type RateGauges = Family<BackendLabel, Gauge<f64, AtomicU64>>;
 
@@ -51,6 +58,8 @@
     pub no_room: Family<Outcome, Counter>,
     /// Calls of the store, by outcome.
     pub store_calls: Family<Outcome, Counter>,
+    /// Objects that could not be read, by the calls that read them.
+    pub unreadable: Family<CallLabel, Counter>,
     /// The limits that backend servers name for the whole fleet.
     pub limits: RateGauges,
     /// What this node would send to them.
@@ -80,6 +89,7 @@
             resumed: Family::default(),
             no_room: Family::default(),
             store_calls: Family::default(),
+            unreadable: Family::default(),
             limits: Family::default(),
             limit_demand: Family::default(),
             limit_share: Family::default(),
@@ -133,6 +143,16 @@
         family.get_or_create(&labels).inc();
     }
 
+    /// Counts objects that could not be read.
+    pub fn count_unreadable(&self, call: &str, objects: usize) {
+        let labels = CallLabel {
+            call: call.to_owned(),
+        };
+        self.unreadable
+            .get_or_create(&labels)
+            .inc_by(objects as u64);
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("answers", "Answers to callers", self.answers.clone());
@@ -149,6 +169,11 @@
             "Calls of the store",
             self.store_calls.clone(),
         );
+        registry.register(
+            "unreadable",
+            "Objects that could not be read",
+            self.unreadable.clone(),
+        );
         registry.register(
             "limit",
             "Requests a second that a backend server takes from all nodes",
