A refusal that is written again refuses no other request

What callers saw: a faulty server wrote an earlier refusal once more on a kept connection. Requests that a server ran were answered `not run, try again`, or ran at a second server; a server was taken for full, leaving or limited on the word of such an answer.

Cause: an answer without an id counted as one to the request that was sent, and load, backoff and limits were noted before the id was compared at all.

Change: an answer belongs to a request by its id, or where its connection has carried no other request. Nothing is taken from any other answer. A refusal without an id on a kept connection counts as lost where the request may not run twice, unless it can be told whose it is: a call behind the request is answered next only where the refusal was the request's own; otherwise, the request's own answer comes next and is used. The call expects a process that does not exist, so that a full server tells it from a request by 421. Requests that may be repeated are sent elsewhere, as before. An idle connection is peeked before it is used, and dropped if anything is unread on it. A report takes a failure on a kept connection for silence.

--- a/crates/cassiareel-relay/src/front/engine_call.rs
+++ b/crates/cassiareel-relay/src/front/engine_call.rs
@@ -33,6 +33,11 @@
     let answer = lease.conn.send(request).await.ok()?;
     let succeeded = answer.status().is_success();
     let body = answer.into_body().collect().await.ok()?.to_bytes();
+    if !succeeded {
+        // It may be the refusal of an earlier request, written again: the answer is then still to
+        // come on this connection.
+        return None;
+    }
     lease.put_back(None);
-    succeeded.then_some(body)
+    Some(body)
 }
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -86,6 +86,12 @@
     };
     let (parts, body) = response.into_parts();
     let answer = state.protocol.read_answer(&parts);
+    // A call has no id. An answer with one, and a failure where other requests went before, may be an
+    // answer to them that was written once more.
+    let is_own = answer.request.is_none() && (parts.status.is_success() || !lease.conn.is_kept());
+    if !is_own {
+        return Liveness::Silent;
+    }
     record_backoff_requests(state, member, &answer, clock::now());
     record_limit(state, member, &answer, sent_at);
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -2,9 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cassiareel::runtime::within;
-use http::{header::HOST, response, HeaderValue, StatusCode};
-use http_body_util::Full;
+use bytes::Bytes;
+use cassiareel::{kernel::quota::Purpose, runtime::within};
+use http::{header::HOST, response, HeaderValue, Method, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use slog::info;
 
@@ -12,13 +13,13 @@
     backends::Backend,
     clock::{self, Moment},
     metrics::Metrics,
-    net::{Lease, SendError},
+    net::{self, Lease, SendError},
     protocol::{Answer, Dispatch, MemoryCopy},
     state::State,
 };
 
 use super::{
-    limit::{record_limit, Permit},
+    limit::{record_limit, take_permit, Permit},
     request::Request,
 };
 
@@ -29,6 +30,12 @@
 /// lost on a connection that the backend server closes.
 const MAX_IDLE_UNREPEATABLE: Duration = Duration::from_millis(900);
 
+/// Largest body of a refusal, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+
+/// The id of no process.
+const NO_PROCESS: &str = "none";
+
 /// Outcome of one send.
 #[derive(Debug)]
 pub(super) enum SendOutcome {
@@ -80,6 +87,41 @@
     pub lease: Lease,
 }
 
+impl ResponseHead {
+    fn new(state: &State, head: http::Response<Incoming>, lease: Lease) -> ResponseHead {
+        let (parts, body) = head.into_parts();
+        ResponseHead {
+            answer: state.protocol.read_answer(&parts),
+            parts,
+            body,
+            lease,
+        }
+    }
+
+    /// Returns the request to which the response belongs, by its id. A response without one can
+    /// belong to no other request where the connection has carried none.
+    fn owner(&self, request: &Request) -> Owner {
+        match &self.answer.request {
+            Some(id) if **id == *request.ask.id => Owner::Request,
+            Some(_) => Owner::Other,
+            None if self.lease.conn.is_kept() => Owner::Unknown,
+            None => Owner::Request,
+        }
+    }
+}
+
+/// The request to which a response belongs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Owner {
+    /// The one that was sent.
+    Request,
+    /// Another one.
+    Other,
+    /// The response does not say it: a faulty backend server may have written the response to an
+    /// earlier request once more.
+    Unknown,
+}
+
 /// What one send adds to its request.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SendOptions {
@@ -151,16 +193,8 @@
             .await
         {
             Ok(head) => {
-                let (parts, body) = head.into_parts();
-                let answer = state.protocol.read_answer(&parts);
-                record_limit(state, member, &answer, sent_at);
-                let head = ResponseHead {
-                    parts,
-                    answer,
-                    body,
-                    lease,
-                };
-                return check_head(state, request, member, head);
+                let head = ResponseHead::new(state, head, lease);
+                return attribute(state, request, member, head, sent_at).await;
             }
             // The kept connection was closed in the meantime; a new one shows whether the backend
             // server is alive.
@@ -180,7 +214,7 @@
     request: &Request,
     member: &Backend,
     options: &SendOptions,
-) -> http::Request<Full<bytes::Bytes>> {
+) -> http::Request<Full<Bytes>> {
     let mut built = http::Request::new(Full::new(request.body.clone()));
     *built.method_mut() = request.method.clone();
     *built.uri_mut() = request.target.clone();
@@ -205,31 +239,113 @@
     built
 }
 
-/// Checks the head of a response. A response to another request, and a success without the
-/// signature of a run, count as lost responses.
-fn check_head(
-    state: &State,
+/// Accepts a response only where it belongs to the request. No header of any other is used.
+async fn attribute(
+    state: &Arc<State>,
     request: &Request,
     member: &Backend,
     head: ResponseHead,
+    sent_at: Moment,
 ) -> SendOutcome {
-    let (parts, answer) = (&head.parts, &head.answer);
-    let now = clock::now();
-    if let Some(load) = answer.load {
-        member.note_load(load, now);
+    match head.owner(request) {
+        Owner::Request => accept(state, member, head, sent_at),
+        Owner::Other => SendOutcome::Lost("an answer of another request".to_owned()),
+        Owner::Unknown if !head.answer.not_run => {
+            SendOutcome::Lost("an answer without an id on a kept connection".to_owned())
+        }
+        // Whether or not it ran, it may be sent once more.
+        Owner::Unknown if request.route.kind.may_repeat() => {
+            SendOutcome::NotRun(head.parts.status.as_u16())
+        }
+        Owner::Unknown => {
+            let status = head.parts.status.as_u16();
+            let outcome = check_refusal(state, request, member, head, sent_at).await;
+            info!(state.log, "refusal checked"; "request" => &*request.ask.id,
+                "backend" => &*member.entry.id, "status" => status,
+                "outcome" => outcome.name(), "detail" => outcome.detail());
+            outcome
+        }
     }
-    record_backoff_requests(state, member, answer, now);
-    let is_other_request = answer
-        .request
-        .as_ref()
-        .is_some_and(|id| **id != *request.ask.id);
-    if is_other_request {
-        return SendOutcome::Lost("an answer of another request".to_owned());
+}
+
+/// Finds out whether a refusal without an id belongs to a request that may not run twice.
+///
+/// Responses come in the order of their requests. A call behind the request is thus answered next
+/// where the refusal was the request's own; otherwise, the request's true response is next.
+async fn check_refusal(
+    state: &Arc<State>,
+    request: &Request,
+    member: &Backend,
+    refusal: ResponseHead,
+    sent_at: Moment,
+) -> SendOutcome {
+    let next = match call_behind(state, member, refusal.body, refusal.lease).await {
+        Ok(next) => next,
+        Err(cause) => return SendOutcome::Lost(format!("a refusal without an id, then {cause}")),
+    };
+    if answers_call(&next, &refusal.parts) {
+        record_head(state, member, &refusal.answer, &refusal.parts, sent_at);
+        return SendOutcome::NotRun(refusal.parts.status.as_u16());
     }
-    member.note_received(now);
-    if parts.status == StatusCode::MISDIRECTED_REQUEST {
-        member.mark_ended();
+    if next.answer.request.as_deref() != Some(&*request.ask.id) {
+        return SendOutcome::Lost("refusals that can't be attributed".to_owned());
     }
+    let mut next = next;
+    // The answer to the call is still to come on this connection.
+    next.answer.keep_alive = Some(Duration::ZERO);
+    accept(state, member, next, sent_at)
+}
+
+/// Reports whether a response is one to the call that follows a refused request: it has no id and
+/// is no second copy of the refusal.
+fn answers_call(next: &ResponseHead, refusal: &response::Parts) -> bool {
+    let for_call = [StatusCode::MISDIRECTED_REQUEST, StatusCode::BAD_REQUEST];
+    let status = next.parts.status;
+    let is_copy = status == refusal.status || !for_call.contains(&status);
+    next.answer.request.is_none() && !(next.answer.not_run && is_copy)
+}
+
+/// Reads a response to its end, calls the backend server on the same connection, and returns the
+/// head of what comes next. The call expects a process that does not exist: a backend server that
+/// is full tells it from a request by status 421.
+///
+/// # Errors
+///
+/// Returns what failed.
+async fn call_behind(
+    state: &State,
+    member: &Backend,
+    body: Incoming,
+    mut lease: Lease,
+) -> Result<ResponseHead, String> {
+    take_permit(state, member, Purpose::Ongoing).ok_or("no permit")?;
+    let body = Limited::new(body, MAX_REFUSAL_BYTES);
+    body.collect().await.map_err(|err| err.to_string())?;
+    lease
+        .conn
+        .wait_ready()
+        .await
+        .map_err(|err| err.to_string())?;
+    let path = state.protocol.report_path();
+    let mut call = net::build_request(member.entry.address, Method::GET, path, Bytes::new())
+        .map_err(|err| err.to_string())?;
+    state
+        .protocol
+        .write_expected_process(call.headers_mut(), NO_PROCESS);
+    let head = lease.conn.send(call).await.map_err(|err| err.to_string())?;
+    Ok(ResponseHead::new(state, head, lease))
+}
+
+/// Accepts a response that belongs to the request. A success without the signature of a run counts
+/// as a lost response.
+fn accept(
+    state: &Arc<State>,
+    member: &Backend,
+    head: ResponseHead,
+    sent_at: Moment,
+) -> SendOutcome {
+    let (parts, answer) = (&head.parts, &head.answer);
+    record_head(state, member, answer, parts, sent_at);
     if answer.not_run {
         return SendOutcome::NotRun(parts.status.as_u16());
     }
@@ -240,6 +356,26 @@
     SendOutcome::Head(Box::new(head))
 }
 
+/// Records what the head of a response says of its backend server.
+fn record_head(
+    state: &Arc<State>,
+    member: &Backend,
+    answer: &Answer,
+    parts: &response::Parts,
+    sent_at: Moment,
+) {
+    let now = clock::now();
+    record_limit(state, member, answer, sent_at);
+    if let Some(load) = answer.load {
+        member.note_load(load, now);
+    }
+    record_backoff_requests(state, member, answer, now);
+    member.note_received(now);
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        member.mark_ended();
+    }
+}
+
 /// Records the backoff that a backend server requests in a response: that it is leaving, or for how
 /// long it wants no requests from this node.
 pub(super) fn record_backoff_requests(
--- a/crates/cassiareel-relay/src/net/conn.rs
+++ b/crates/cassiareel-relay/src/net/conn.rs
@@ -1,13 +1,18 @@
 //! One HTTP connection, owned by its user.
 
-use std::{fmt, io, net::SocketAddr, time::Duration};
+use std::{
+    fmt, io, mem,
+    net::{self, SocketAddr},
+    sync::{Arc, Weak},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cassiareel::runtime::{within, Spawner};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
-use smol::{net::TcpStream, Task};
+use smol::{net::TcpStream, Async, Task};
 use smol_hyper::rt::FuturesIo;
 use snafu::Snafu;
 
@@ -21,6 +26,12 @@
     sender: http1::SendRequest<Full<Bytes>>,
     // Dropping the task closes the socket.
     _driver: Task<()>,
+    /// The socket, as long as the driver has not closed it.
+    socket: Weak<Async<net::TcpStream>>,
+    /// Whether a request was sent.
+    has_sent: bool,
+    /// Whether another request was sent before the last one.
+    is_kept: bool,
     /// When the last answer was read whole.
     pub(super) idle_since: Moment,
     /// How long the connection may stay idle.
@@ -71,6 +82,8 @@
         let stream = within(limit, connected).await.unwrap_or_else(late)?;
         // Without this option, the last part of a request may wait for an acknowledgement.
         stream.set_nodelay(true).map_err(not_sent)?;
+        let socket: Arc<Async<net::TcpStream>> = stream.clone().into();
+        let socket = Arc::downgrade(&socket);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(FuturesIo::new(stream))
@@ -83,6 +96,9 @@
         Ok(Conn {
             sender,
             _driver: driver,
+            socket,
+            has_sent: false,
+            is_kept: false,
             idle_since: clock::now(),
             keep_alive: Duration::MAX,
         })
@@ -98,6 +114,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.is_kept = mem::replace(&mut self.has_sent, true);
         self.sender
             .try_send_request(request)
             .await
@@ -110,6 +127,30 @@
             })
     }
 
+    /// Reports whether the connection has carried a request before the one that was sent last. What
+    /// arrives on it may then belong to another request.
+    pub fn is_kept(&self) -> bool {
+        self.is_kept
+    }
+
+    /// Waits until the connection can take the next request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`SendError::NotSent`] if the connection is closed.
+    pub async fn wait_ready(&mut self) -> Result<(), SendError> {
+        self.sender.ready().await.map_err(not_sent)
+    }
+
+    /// Reports whether an idle connection is open and nothing has arrived on it unasked.
+    pub(super) fn is_quiet(&self) -> bool {
+        let Some(socket) = self.socket.upgrade() else {
+            return false;
+        };
+        let peeked = socket.get_ref().peek(&mut [0]);
+        !self.is_closed() && peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Reports whether the connection can take a request.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/cassiareel-relay/src/net/pool.rs
+++ b/crates/cassiareel-relay/src/net/pool.rs
@@ -87,6 +87,7 @@
     }
 
     /// Closes the connections that were idle for too long, and takes the one that was used last.
+    /// Those on which something arrived unasked are closed on the way.
     fn reuse(&self, idle: Duration) -> Option<Conn> {
         let now = clock::now();
         let mut conns = lock(&self.inner.idle);
@@ -94,10 +95,15 @@
             let age = now.saturating_sub(conn.idle_since);
             age < conn.keep_alive && !conn.is_closed()
         });
-        let at = conns
-            .iter()
-            .rposition(|conn| conn.is_ready() && now.saturating_sub(conn.idle_since) <= idle)?;
-        conns.remove(at)
+        let is_usable =
+            |conn: &Conn| conn.is_ready() && now.saturating_sub(conn.idle_since) <= idle;
+        while let Some(at) = conns.iter().rposition(is_usable) {
+            let conn = conns.remove(at);
+            if conn.as_ref().is_some_and(Conn::is_quiet) {
+                return conn;
+            }
+        }
+        None
     }
 }
 
