An odd value in a server's report costs itself, not the report

Change: where the whole can't be decoded, its runs or changes are decoded one by one. Values that can't be read are logged (`values unreadable`) and counted (`cassiareel_relay_unreadable_total{call}`).

--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use cassiareel::kernel::quota::Purpose;
 use futures_util::future::join_all;
-use slog::info;
+use slog::{info, warn};
 use smol::Timer;
 
 use super::{
@@ -330,7 +330,10 @@
         return Some(own_load(state, request, engine));
     }
     let body = query(state, engine, state.protocol.report_path()).await?;
-    let report = state.protocol.read_report(&body, &request.ask.id)?;
+    let report = state.protocol.read_report(&body, &request.ask.id);
+    let unreadable = report.as_ref().map_or(1, |report| report.unreadable);
+    note_unreadable(state, engine, "report", unreadable);
+    let report = report?;
     let own = engine.candidate(clock::now(), true).unread_tokens / request.ask.prompt.input.max(1);
     Some(EngineLoad {
         prefilling: report
@@ -376,7 +379,18 @@
         return None;
     }
     let body = query(state, engine, state.protocol.memory_events_path()).await?;
-    Some(state.protocol.read_memory(&body, part).unwrap_or(0))
+    let reading = state.protocol.read_memory(&body, part);
+    note_unreadable(state, engine, "memory", reading.unreadable);
+    Some(reading.tokens.unwrap_or(0))
+}
+
+/// Logs and counts values in an engine's answer that could not be read.
+fn note_unreadable(state: &State, engine: &Backend, call: &str, values: usize) {
+    if values > 0 {
+        state.metrics.count_unreadable(call, values);
+        warn!(state.log, "values unreadable"; "backend" => &*engine.entry.id, "call" => call,
+            "count" => values);
+    }
 }
 
 /// Reads a path from one engine.
--- a/crates/cassiareel-relay/src/front/probe_tests.rs
+++ b/crates/cassiareel-relay/src/front/probe_tests.rs
@@ -26,6 +26,7 @@
         per_request: Vec::new(),
         used_tokens: 0,
         capacity_tokens: 0,
+        unreadable: 0,
     }
 }
 
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -58,7 +58,7 @@
     pub no_room: Family<Outcome, Counter>,
     /// Calls of the store, by outcome.
     pub store_calls: Family<Outcome, Counter>,
-    /// Objects that could not be read, by the calls that read them.
+    /// Objects, and values of reports, that could not be read, by the calls that read them.
     pub unreadable: Family<CallLabel, Counter>,
     /// The limits that backend servers name for the whole fleet.
     pub limits: RateGauges,
--- a/crates/cassiareel-relay/src/protocol.rs
+++ b/crates/cassiareel-relay/src/protocol.rs
@@ -52,9 +52,8 @@
     /// Returns the path of an engine's list of changes in its memory, which needs no slot.
     fn memory_events_path(&self) -> &'static str;
 
-    /// Reads how many tokens of a part of a prompt an engine keeps; `None` where its list does not
-    /// name the part.
-    fn read_memory(&self, body: &[u8], part: u64) -> Option<u64>;
+    /// Reads how many tokens of a part of a prompt an engine keeps.
+    fn read_memory(&self, body: &[u8], part: u64) -> MemoryReading;
 
     /// Returns the call that makes an engine copy a run's memory to another engine while the run
     /// continues.
@@ -184,6 +183,17 @@
     pub used_tokens: u64,
     /// All of the engine's memory, in tokens; zero where it is not reported.
     pub capacity_tokens: u64,
+    /// How many of the requests for which the engine generates could not be read.
+    pub unreadable: usize,
+}
+
+/// What an engine's list of changes in its memory says of one part of a prompt.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct MemoryReading {
+    /// The part's tokens that the engine keeps; `None` where no readable change names the part.
+    pub tokens: Option<u64>,
+    /// How many changes could not be read.
+    pub unreadable: usize,
 }
 
 /// A request that can't be handled.
