A peer's odd reply ends no task of a node

Cause: the wait that a peer states in a reply was added to the time of the call; a wait near the largest duration ended the task that follows peers, for good. The node then read the store for itself and received no more news of peers.

Ruled out: replies that are empty, announce a list of four billion elements, or hold an odd loss: the reply counts as none, the peer is excluded for a time, and the node follows the store itself. One odd element costs the reply it stands in: peers run this program, so that no element of another writer is in one.

Change: the stated wait is at most the time that the call took; ages that peers state are added without overflow.

--- a/crates/cassiareel-relay/src/peers/cache_state.rs
+++ b/crates/cassiareel-relay/src/peers/cache_state.rs
@@ -50,7 +50,9 @@
     /// would be sent again and again.
     pub(super) fn is_newer_than(&self, other: &CacheState, elapsed: Duration) -> bool {
         let is_fresher = |own: Option<Duration>, other: Option<Duration>| match (own, other) {
-            (Some(own), Some(other)) => own + MIN_AGE_GAIN < other + elapsed,
+            (Some(own), Some(other)) => {
+                own.saturating_add(MIN_AGE_GAIN) < other.saturating_add(elapsed)
+            }
             (own, None) => own.is_some(),
             (None, Some(_)) => false,
         };
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -302,7 +302,9 @@
 /// age.
 fn apply_updates(state: &State, updates: Updates, began: Moment) {
     let cache = &state.store_cache;
-    let answered_at = began + updates.waited;
+    // The reply is no later than now, whatever its sender states.
+    let took = clock::now().saturating_sub(began);
+    let answered_at = began + updates.waited.min(took);
     if let Some(update) = updates.policy {
         let read = answered_at.saturating_sub(update.age);
         match update.value {
