--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -4,9 +4,11 @@
 
 use bytes::Bytes;
 use cassiareel::{kernel::quota::Purpose, runtime::within};
+use futures_lite::FutureExt;
 use http::{header::CONTENT_LENGTH, response, HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use slog::{info, warn};
+use smol::Timer;
 
 use super::{
     body::{full_body, Reply},
@@ -37,6 +39,9 @@
 /// How long a caller should wait before it retries if no backend server is available.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Interval between checks whether a late attempt can be repeated elsewhere.
+const REPEAT_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A repeatable request is sent elsewhere after its objective times this factor.
 const RETRY_OBJECTIVE_FACTOR: f64 = 1.2;
 
@@ -205,14 +210,13 @@
         trials::plain_size(request),
         sent_at,
     );
-    let limit = attempt_timeout(request, ran);
     let reading = async {
         match send(
             state,
             request,
             member,
             &SendOptions::default(),
-            limit,
+            request.left(),
             permit,
         )
         .await
@@ -224,9 +228,12 @@
             SendOutcome::TimedOut => AttemptOutcome::TimedOut,
         }
     };
-    let outcome = within(limit, reading)
-        .await
-        .unwrap_or(AttemptOutcome::TimedOut);
+    let late = wait_until_late(state, request, member, ran);
+    let outcome = reading.or(async {
+        late.await;
+        AttemptOutcome::TimedOut
+    });
+    let outcome = outcome.await;
     drop(place);
     let now = clock::now();
     count_trial(trial.as_ref(), &outcome);
@@ -299,6 +306,20 @@
     }
 }
 
+/// Waits until an attempt takes too long. One that can't be repeated elsewhere, since no backend server
+/// or no retry is left, goes on until the request's time is over.
+async fn wait_until_late(state: &Arc<State>, request: &Request, member: &Backend, ran: u32) {
+    Timer::after(attempt_timeout(request, ran)).await;
+    while !request.left().is_zero() {
+        let tried = [member.number];
+        let candidates = CandidateSet::new(state, request, &tried, Purpose::Repeat);
+        if candidates.best().is_some() && state.may_retry(&request.service, false) {
+            return;
+        }
+        Timer::after(REPEAT_POLL_INTERVAL.min(request.left())).await;
+    }
+}
+
 /// Returns how long one attempt may take. An attempt that may be repeated elsewhere leaves time for
 /// that.
 fn attempt_timeout(request: &Request, ran: u32) -> Duration {
