--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -41,7 +41,7 @@
     is_draining: AtomicBool,
     /// When it became known.
     known_since: Moment,
-    has_ended: AtomicBool,
+    ended_at_ms: AtomicU64,
     /// Whether the registry has no entry of it any more.
     is_removed: AtomicBool,
     open_requests: AtomicU32,
@@ -71,7 +71,7 @@
             is_draining: AtomicBool::new(entry.phase == Phase::Draining),
             known_since: clock::now(),
             entry,
-            has_ended: AtomicBool::new(false),
+            ended_at_ms: AtomicU64::new(0),
             is_removed: AtomicBool::new(false),
             open_requests: AtomicU32::new(0),
             unread_tokens: AtomicU64::new(0),
@@ -158,7 +158,8 @@
 
     /// Records that its process has ended: nothing or another process listens at its address.
     pub(crate) fn mark_ended(&self) {
-        self.has_ended.store(true, Ordering::Relaxed);
+        let now = millis(clock::now()).max(1);
+        self.ended_at_ms.store(now, Ordering::Relaxed);
         self.pool.clear();
     }
 
@@ -186,7 +187,13 @@
 
     /// Reports whether its process is known to have ended.
     pub(crate) fn has_ended(&self) -> bool {
-        self.has_ended.load(Ordering::Relaxed)
+        self.ended_at_ms.load(Ordering::Relaxed) > 0
+    }
+
+    /// Reports whether its process is known to have ended, and no byte was received from it after
+    /// that. A process that closes its listener may still finish its requests.
+    pub(crate) fn has_ended_silently(&self) -> bool {
+        self.was_marked(&self.ended_at_ms, Moment::ZERO)
     }
 
     /// Reports whether it takes new work from this node.
--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -114,8 +114,8 @@
             engine.note_received(clock::now());
             true
         }
-        Liveness::Unknown => true,
-        Liveness::Gone | Liveness::Unreachable | Liveness::Silent => false,
+        Liveness::Answered | Liveness::Unknown => true,
+        Liveness::Replaced | Liveness::Refused | Liveness::Unreachable | Liveness::Silent => false,
     }
 }
 
@@ -145,12 +145,21 @@
         }
     }
 
+    /// Reports whether a run can continue from a copy, since its holder is believed to be alive.
+    pub(super) fn is_usable(&self, now: Moment) -> bool {
+        self.held.as_ref().is_some_and(|held| {
+            let member = &held.place.backend;
+            member.accepts_requests(now) && !member.was_lost(now.saturating_sub(RECENT_LOSS))
+        })
+    }
+
     /// Returns the copy to continue from, if its holder is believed to be alive.
     pub(super) fn take(self, now: Moment) -> Option<(Arc<Backend>, MemoryCopy)> {
+        if !self.is_usable(now) {
+            return None;
+        }
         let held = self.held?;
-        let member = held.place.backend.clone();
-        let lost = member.was_lost(now.saturating_sub(RECENT_LOSS));
-        (member.accepts_requests(now) && !lost).then_some((member, held.copy))
+        Some((held.place.backend.clone(), held.copy))
     }
 
     /// Releases a requested copy once the run has ended. Its holder does not free it with the run,
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -16,7 +16,7 @@
 use smol::Timer;
 
 use super::{
-    choose::CandidateSet,
+    choose::{CandidateSet, MAX_CONTACT_AGE},
     limit::{is_limited, log_no_permit},
     report::{self, Liveness},
     request::Request,
@@ -229,6 +229,41 @@
     }
 }
 
+/// Chooses the engine that takes the place of one that is silent. Returns `None` if no other engine
+/// answers or no retry is left: the run is then better left where it is, since its engine may go on.
+pub(super) async fn pick_successor(
+    state: &Arc<State>,
+    request: &Request,
+    silent: &Backend,
+    tried: &[u64],
+    purpose: Purpose,
+) -> Option<ChosenEngine> {
+    if !state.may_retry(&request.service, purpose == Purpose::Ongoing) {
+        return None;
+    }
+    let chosen = pick_engine(state, request, tried, purpose).await.ok()?;
+    let member = &chosen.member;
+    if member.number == silent.number {
+        return None;
+    }
+    let recent = member.received_within(clock::now(), MAX_CONTACT_AGE);
+    if !recent && !is_responding(state, member).await {
+        return None;
+    }
+    // The silent engine may go on at any moment, at best together with others.
+    (!is_responding(state, silent).await).then_some(chosen)
+}
+
+/// Probes whether an engine responds now.
+async fn is_responding(state: &Arc<State>, engine: &Backend) -> bool {
+    let liveness = report::read(state, engine).await;
+    let responds = matches!(liveness, Liveness::Alive(_) | Liveness::Answered);
+    if responds {
+        engine.note_received(clock::now());
+    }
+    responds
+}
+
 /// Returns what a request needs of an engine, and how long it may wait there.
 fn requirements(state: &State, request: &Request) -> PromptDemand {
     let prompt = &request.ask.prompt;
@@ -397,6 +432,11 @@
 async fn query(state: &Arc<State>, engine: &Backend, path: &str) -> Option<Bytes> {
     match report::read_path(state, engine, path, QUERY_TIMEOUT, MAX_IDLE).await {
         Liveness::Alive(body) => Some(body),
-        Liveness::Gone | Liveness::Unreachable | Liveness::Silent | Liveness::Unknown => None,
+        Liveness::Replaced
+        | Liveness::Refused
+        | Liveness::Answered
+        | Liveness::Unreachable
+        | Liveness::Silent
+        | Liveness::Unknown => None,
     }
 }
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -21,12 +21,15 @@
 use super::{
     backup::Backups,
     choose::pick_backup,
-    engines::{pick_engine, ChosenEngine, PickError},
+    engines::{pick_engine, pick_successor, ChosenEngine, PickError},
     limit::take_permit,
     loss::{self, LostRun},
-    probe::Probes,
+    probe::{Probes, ENGINE_LOST, SILENT, UNREACHABLE},
     request::Request,
-    run::{known_loss, log_first_event, wait_until_lost, Run, RunProgress, LOSS_CHECK_INTERVAL},
+    run::{
+        log_first_event, probe_interval, wait_until_lost, PendingRun, Run, RunProgress,
+        LOSS_CHECK_INTERVAL,
+    },
     send::{send, ResponseHead, SendOptions, SendOutcome},
     stream_error::StreamError,
     suspect, trials,
@@ -67,6 +70,8 @@
     begun: bool,
     lost_at: Option<Moment>,
     copy: Option<(Arc<Backend>, MemoryCopy)>,
+    /// The engine that was chosen before the last run was given up.
+    successor: Option<ChosenEngine>,
     ready: VecDeque<Event>,
 }
 
@@ -97,6 +102,7 @@
             begun: false,
             lost_at: None,
             copy: None,
+            successor: None,
             ready: VecDeque::new(),
         }
     }
@@ -241,8 +247,8 @@
             return Ok(());
         };
         let member = run.place.backend.clone();
-        if let Some(cause) = known_loss(&member, run.last_received, may_replace) {
-            return self.resume(cause).await;
+        if may_replace && member.has_ended_silently() {
+            return self.resume(ENGINE_LOST).await;
         }
         let silent = now.saturating_sub(run.last_received);
         let silence_limit = if member.received_within(now, SILENCE_LIMIT) {
@@ -250,20 +256,38 @@
         } else {
             SILENCE_LIMIT
         };
-        if silent < silence_limit || run.probes.age(now) < SILENCE_LIMIT {
+        if silent < silence_limit
+            || run.probes.age(now) < probe_interval(SILENCE_LIMIT, may_replace)
+        {
             return Ok(());
         }
+        if may_replace && member.was_unreachable(run.last_received) {
+            return self.resume(UNREACHABLE).await;
+        }
         let (state, request) = (&self.state, &self.request);
         let status = run
             .probes
             .probe(state, request, &member, run.events, silent)
             .await;
         match status.loss_cause(may_replace) {
+            Some(SILENT) if !self.prepare_successor(&member).await => Ok(()),
             Some(cause) => self.resume(cause).await,
             None => Ok(()),
         }
     }
 
+    /// Chooses the engine at which the stream continues before the run of a silent engine is given
+    /// up. Without one, or without a retry left, the run is kept, since its engine may go on.
+    async fn prepare_successor(&mut self, silent: &Backend) -> bool {
+        let run = self.run.as_ref();
+        if run.is_some_and(|run| run.backups.is_usable(clock::now())) {
+            return self.state.may_retry(&self.request.service, self.begun);
+        }
+        let (tried, purpose) = (&self.tried, self.purpose());
+        self.successor = pick_successor(&self.state, &self.request, silent, tried, purpose).await;
+        self.successor.is_some()
+    }
+
     /// Closes the run and continues the stream elsewhere.
     async fn resume(&mut self, cause: &'static str) -> Result<(), StreamError> {
         if let Some(run) = self.run.take() {
@@ -381,6 +405,9 @@
         if let Some((member, copy)) = self.copy.take() {
             return Ok(ChosenEngine::at_copy(member, copy));
         }
+        if let Some(successor) = self.successor.take() {
+            return Ok(successor);
+        }
         let (state, request) = (&self.state, &self.request);
         loop {
             match pick_engine(state, request, &self.tried, self.purpose()).await {
@@ -406,8 +433,9 @@
         self.check_hand_over()?;
         let left = self.request.left();
         let wait = self.state.time_to_accept(&self.request.service);
-        if !self.begun || wait.is_none_or(|wait| wait >= left) {
-            return Err(self.stop_error(self.progress.stop_reason()));
+        let stop_reason = self.progress.stop_reason();
+        if stop_reason == StopReason::NotRun || wait.is_none_or(|wait| wait >= left) {
+            return Err(self.stop_error(stop_reason));
         }
         Timer::after(SEARCH_INTERVAL.min(left)).await;
         Ok(())
@@ -491,15 +519,19 @@
         let limit = self.request.left();
         let sending =
             async { Ok(send(&self.state, &self.request, &member, &options, limit, permit).await) };
-        let may_replace = self.progress.may_replace(false);
-        let presumed_lost = async {
-            let waiting =
-                wait_until_lost(&self.state, &self.request, &member, sent_at, may_replace);
-            Err(waiting.await)
+        let pending = PendingRun {
+            member: &member,
+            sent_at,
+            may_replace: self.progress.may_replace(false),
+            tried: &self.tried,
+            purpose: self.purpose(),
         };
+        let presumed_lost =
+            async { Err(wait_until_lost(&self.state, &self.request, &pending).await) };
         let sent = match sending.or(presumed_lost).await {
             Ok(sent) => sent,
-            Err(cause) => {
+            Err((cause, successor)) => {
+                self.successor = successor;
                 self.progress.record_run();
                 self.record_loss(
                     &member,
--- a/crates/cassiareel-relay/src/front/loss.rs
+++ b/crates/cassiareel-relay/src/front/loss.rs
@@ -191,12 +191,12 @@
                 member.health().record_activity();
                 return;
             }
-            Liveness::Gone => {
+            Liveness::Replaced | Liveness::Refused => {
                 info!(state.log, "backend process exited"; "backend" => &*member.entry.id);
                 return;
             }
             Liveness::Unreachable | Liveness::Silent => member.mark_lost(now),
-            Liveness::Unknown => {}
+            Liveness::Answered | Liveness::Unknown => {}
         }
         if !last {
             Timer::after(RETRY_DELAY).await;
--- a/crates/cassiareel-relay/src/front/probe.rs
+++ b/crates/cassiareel-relay/src/front/probe.rs
@@ -4,15 +4,15 @@
 A silent engine may have crashed, or it may only pause and go on. Three kinds of evidence differ in
 what they prove:
 
-- Its process has ended: the connection was refused, or another process has its address. The run is
-  lost for certain.
-- No connection could be opened, or its reports do not list the run. The run is most likely lost.
+- Another process has its address. The run is lost for certain.
+- A connection was refused or could not be opened, or its reports do not list the run. The run is
+  most likely lost. A process that is about to exit may close its listener and finish its runs.
 - The connection was accepted, and no answer came. A process that only pauses for a moment looks
   the same, so the run counts as lost only after a while.
 
 Only the first is enough to give up a run that no other may replace: that of a request that may run
-once, or the last one that its route allows. Other requests continue elsewhere after the others as
-well.
+once, or the last one that its route allows. Such a run ends with its own connection. Other requests
+continue elsewhere after the others as well.
 */
 
 use std::{sync::Arc, time::Duration};
@@ -54,6 +54,10 @@
 /// for lost. Processes pause for about a second, and the run must not go on there beside the next.
 const MAX_PAUSE: Duration = Duration::from_millis(1200);
 
+/// Number of probes in a row that have to be unanswered for that. A node that was paused itself may
+/// find one late, with the run's events still unread.
+const MIN_UNANSWERED: u32 = 3;
+
 /// Silence after which a run is given up even if its engine may still work on it.
 const MAX_STALL: Duration = Duration::from_secs(6);
 
@@ -67,7 +71,7 @@
     Open,
     /// It is most likely lost, for this reason.
     PresumedLost(&'static str),
-    /// The engine's process has ended.
+    /// Another process has the engine's address.
     Ended,
 }
 
@@ -89,6 +93,8 @@
     last_probe: Moment,
     /// The first probe of those in a row that the engine left unanswered.
     unanswered_since: Option<Moment>,
+    /// Number of those probes.
+    unanswered: u32,
     /// Number of events that were received before the last report.
     received: u64,
     misses: u32,
@@ -100,6 +106,7 @@
         Probes {
             last_probe: now,
             unanswered_since: None,
+            unanswered: 0,
             received: 0,
             misses: 0,
         }
@@ -127,11 +134,7 @@
         let Liveness::Alive(body) = liveness else {
             info!(state.log, "engine asked"; "request" => &*request.ask.id,
                 "backend" => &*member.entry.id, "lives" => false, "evidence" => liveness.name());
-            return match liveness {
-                Liveness::Gone => RunStatus::Ended,
-                Liveness::Unreachable => RunStatus::PresumedLost(UNREACHABLE),
-                _ => self.note_unanswered(member, began, clock::now()),
-            };
+            return self.note_failure(&liveness, member, began);
         };
         self.unanswered_since = None;
         member.note_received(clock::now());
@@ -145,17 +148,46 @@
         })
     }
 
-    /// Records a probe that began at `began` and was not answered. Bytes that the engine sent to
-    /// other requests meanwhile show that it is alive.
-    fn note_unanswered(&mut self, member: &Backend, began: Moment, now: Moment) -> RunStatus {
+    /// Records a probe that began at `began` and got no report. An engine that does not respond is
+    /// avoided for new work.
+    fn note_failure(&mut self, liveness: &Liveness, member: &Backend, began: Moment) -> RunStatus {
+        let now = clock::now();
+        match liveness {
+            Liveness::Replaced => RunStatus::Ended,
+            Liveness::Refused => RunStatus::PresumedLost(ENGINE_LOST),
+            Liveness::Unreachable => {
+                member.mark_unreachable(now);
+                member.mark_lost(now);
+                RunStatus::PresumedLost(UNREACHABLE)
+            }
+            Liveness::Silent if self.is_pause_over(member, began, now) => {
+                member.mark_lost(now);
+                RunStatus::PresumedLost(SILENT)
+            }
+            Liveness::Silent => RunStatus::Open,
+            Liveness::Answered => {
+                self.unanswered_since = None;
+                member.note_received(now);
+                RunStatus::Open
+            }
+            // Nothing was sent.
+            Liveness::Alive(_) | Liveness::Unknown => RunStatus::Open,
+        }
+    }
+
+    /// Records a probe that began at `began` and was not answered, and reports whether the engine has
+    /// been silent for longer than a pause lasts. Bytes that it sent to other requests meanwhile show
+    /// that it is alive.
+    fn is_pause_over(&mut self, member: &Backend, began: Moment, now: Moment) -> bool {
         let since = self
             .unanswered_since
             .filter(|since| !member.received_since(*since));
-        let since = *self.unanswered_since.insert(since.unwrap_or(began));
-        if now.saturating_sub(since) < MAX_PAUSE {
-            return RunStatus::Open;
+        if since.is_none() {
+            self.unanswered = 0;
         }
-        RunStatus::PresumedLost(SILENT)
+        self.unanswered += 1;
+        let since = *self.unanswered_since.insert(since.unwrap_or(began));
+        self.unanswered >= MIN_UNANSWERED && now.saturating_sub(since) >= MAX_PAUSE
     }
 
     /// Evaluates a report.
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -26,8 +26,12 @@
 pub(super) enum Liveness {
     /// The expected process answered with this body.
     Alive(Bytes),
-    /// The process is gone: another process has its address, or the connection was refused.
-    Gone,
+    /// Another process has its address.
+    Replaced,
+    /// The connection was refused: no process listens at its address.
+    Refused,
+    /// The process answered, but without what was asked for.
+    Answered,
     /// No connection could be opened in time.
     Unreachable,
     /// The connection was accepted, and no valid response arrived in time. A process that only
@@ -42,7 +46,9 @@
     pub(super) fn name(&self) -> &'static str {
         match self {
             Liveness::Alive(_) => "answered",
-            Liveness::Gone => "gone",
+            Liveness::Replaced => "replaced",
+            Liveness::Refused => "gone",
+            Liveness::Answered => "no_report",
             Liveness::Unreachable => "unreachable",
             Liveness::Silent => "silent",
             Liveness::Unknown => "not_asked",
@@ -76,13 +82,11 @@
             let reading = request_path(state, member, path, idle, lease);
             within(left, reading).await.unwrap_or(Liveness::Silent)
         }
-        Err(SendError::Refused) => Liveness::Gone,
+        Err(SendError::Refused) => Liveness::Refused,
         Err(_) => Liveness::Unreachable,
     };
-    match liveness {
-        Liveness::Gone => member.mark_ended(),
-        Liveness::Unreachable => member.mark_unreachable(clock::now()),
-        Liveness::Alive(_) | Liveness::Silent | Liveness::Unknown => {}
+    if matches!(liveness, Liveness::Replaced | Liveness::Refused) {
+        member.mark_ended();
     }
     liveness
 }
@@ -116,10 +120,10 @@
     record_backoff_requests(state, member, &answer, clock::now());
     record_limit(state, member, &answer, sent_at);
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
-        return Liveness::Gone;
+        return Liveness::Replaced;
     }
     if !parts.status.is_success() {
-        return Liveness::Silent;
+        return Liveness::Answered;
     }
     match body.collect().await {
         Ok(body) => {
--- a/crates/cassiareel-relay/src/front/run.rs
+++ b/crates/cassiareel-relay/src/front/run.rs
@@ -2,13 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
+use cassiareel::kernel::quota::Purpose;
 use slog::info;
 use smol::Timer;
 
 use super::{
     backup::Backups,
     choose::MAX_CONTACT_AGE,
-    probe::{Probes, ENGINE_LOST, UNREACHABLE},
+    engines::{pick_successor, ChosenEngine},
+    probe::{Probes, ENGINE_LOST, SILENT, UNREACHABLE},
     request::Request,
     send::ResponseHead,
 };
@@ -27,6 +29,9 @@
 /// engine.
 const BUSY_FIRST_EVENT_SILENCE: Duration = Duration::from_millis(1500);
 
+/// Interval between the probes for a run that no other may replace.
+const SOLE_RUN_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval between checks whether the engine was lost, by evidence from other requests.
 pub(super) const LOSS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -99,48 +104,75 @@
     }
 }
 
-/// Returns why a run of which nothing was received since `since` is lost, by what is known of its
-/// engine without another probe. `may_replace` states whether another run may take its place.
-pub(super) fn known_loss(
-    member: &Backend,
-    since: Moment,
-    may_replace: bool,
-) -> Option<&'static str> {
-    if member.has_ended() {
-        return Some(ENGINE_LOST);
-    }
-    (may_replace && member.was_unreachable(since)).then_some(UNREACHABLE)
+/// A run whose engine has not responded yet.
+pub(super) struct PendingRun<'a> {
+    /// The engine.
+    pub member: &'a Backend,
+    /// When the request was sent.
+    pub sent_at: Moment,
+    /// Whether another run may take its place.
+    pub may_replace: bool,
+    /// The engines to which the request was sent.
+    pub tried: &'a [u64],
+    /// What the next send would use a permit for.
+    pub purpose: Purpose,
 }
 
 /// Waits until an engine that has not responded yet is believed to have lost the run; returns the
-/// reason. A run that none may replace must be certain to have ended.
+/// reason and, if the engine is only silent, the engine that takes its place. A run that none may
+/// replace must be certain to have ended.
 pub(super) async fn wait_until_lost(
     state: &Arc<State>,
     request: &Request,
-    member: &Backend,
-    since: Moment,
-    may_replace: bool,
-) -> &'static str {
-    let mut probes = Probes::new(since);
+    pending: &PendingRun<'_>,
+) -> (&'static str, Option<ChosenEngine>) {
+    let PendingRun {
+        member,
+        sent_at,
+        may_replace,
+        ..
+    } = *pending;
+    let mut probes = Probes::new(sent_at);
     loop {
         Timer::after(LOSS_CHECK_INTERVAL).await;
         let now = clock::now();
-        if let Some(cause) = known_loss(member, since, may_replace) {
-            return cause;
+        if may_replace && member.has_ended_silently() {
+            return (ENGINE_LOST, None);
         }
-        let silent = now.saturating_sub(since);
-        if probes.age(now) < FIRST_EVENT_SILENCE
+        let silent = now.saturating_sub(sent_at);
+        if probes.age(now) < probe_interval(FIRST_EVENT_SILENCE, may_replace)
             || (silent < BUSY_FIRST_EVENT_SILENCE && member.received_within(now, MAX_CONTACT_AGE))
         {
             continue;
         }
+        if may_replace && member.was_unreachable(sent_at) {
+            return (UNREACHABLE, None);
+        }
         let status = probes.probe(state, request, member, 0, silent).await;
-        if let Some(cause) = status.loss_cause(may_replace) {
-            return cause;
+        match status.loss_cause(may_replace) {
+            Some(SILENT) => {
+                let (tried, purpose) = (pending.tried, pending.purpose);
+                let successor = pick_successor(state, request, member, tried, purpose).await;
+                if successor.is_some() {
+                    return (SILENT, successor);
+                }
+            }
+            Some(cause) => return (cause, None),
+            None => {}
         }
     }
 }
 
+/// Returns the time between two probes. Those of a run that no other may replace show only whether its
+/// engine is to be avoided.
+pub(super) fn probe_interval(usual: Duration, may_replace: bool) -> Duration {
+    if may_replace {
+        usual
+    } else {
+        SOLE_RUN_PROBE_INTERVAL
+    }
+}
+
 /// Logs the first event of a run, with the gap since a loss.
 pub(super) fn log_first_event(
     state: &State,
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -337,6 +337,15 @@
         })
     }
 
+    /// Reports whether a retry is left in a service's budget.
+    pub(crate) fn may_retry(&self, service: &ServiceId, begun: bool) -> bool {
+        let is_left = self.take_retry(service, begun);
+        if is_left {
+            self.refund_retry(service);
+        }
+        is_left
+    }
+
     /// Returns a retry that reached no backend server to the budget.
     pub(crate) fn refund_retry(&self, service: &ServiceId) {
         self.with_budget(service, |budget| budget.refund(clock::now()));
