--- a/crates/cassiareel-relay/src/front/loss.rs
+++ b/crates/cassiareel-relay/src/front/loss.rs
@@ -120,8 +120,8 @@
             "service" => &*member.entry.service, "cause" => self.cause, "process" => status.name(),
             "ran_ms" => self.ran.as_millis() as u64,
             "written_ms" => self.written.map(|written| written.as_millis() as u64));
-        if let (ProcessStatus::Exited, Some(loss)) = (status, self.loss) {
-            suspect::record_loss(state, loss);
+        if let (ProcessStatus::Exited, Some(loss)) = (status, &self.loss) {
+            suspect::record_loss(state, loss.clone());
         }
     }
 }
--- a/crates/cassiareel-relay/src/front/suspect.rs
+++ b/crates/cassiareel-relay/src/front/suspect.rs
@@ -56,19 +56,21 @@
         early: lost
             .first_event
             .is_none_or(|first| at.saturating_sub(first) < EARLY_PHASE),
+        parts: [].into(),
     })
 }
 
 /// Records a crash as evidence against a request and has other nodes notified.
 pub(super) fn record_loss(state: &State, loss: Loss) {
+    let (content, early) = (loss.content, loss.early);
     let (is_new, ends) = {
         let mut suspects = state.suspects();
         let is_new = suspects.record_loss(loss);
-        (is_new, suspects.crash_count(&loss.content, clock::now()))
+        (is_new, suspects.crash_count(&content, clock::now()))
     };
     if is_new {
         warn!(state.log, "request suspected of crashes";
-            "content" => content::short_hex(&loss.content), "early" => loss.early, "ends" => ends);
+            "content" => content::short_hex(&content), "early" => early, "ends" => ends);
         state.store_cache.notify_loss();
     }
 }
--- a/crates/cassiareel-relay/src/peers/losses.rs
+++ b/crates/cassiareel-relay/src/peers/losses.rs
@@ -32,7 +32,7 @@
 pub(super) const PATH: &str = "/losses";
 
 /// The largest body of such a call, in bytes.
-const MAX_CALL_BYTES: usize = 64 << 10;
+const MAX_CALL_BYTES: usize = 256 << 10;
 
 /// The limit of a call that sends or fetches losses.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/cassiareel-relay/src/peers/losses_tests.rs
+++ b/crates/cassiareel-relay/src/peers/losses_tests.rs
@@ -59,6 +59,7 @@
         process,
         at: Duration::ZERO,
         early: true,
+        parts: [].into(),
     }
 }
 
--- a/crates/cassiareel/src/front/suspect.rs
+++ b/crates/cassiareel/src/front/suspect.rs
@@ -61,6 +61,7 @@
         process: process_key(server, now),
         at: now,
         early,
+        parts: [].into(),
     };
     if context.shared.suspects().record_loss(loss) {
         info!(context.log, "backend server crashed while it ran a request"; "attempt" => attempt,
--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -22,8 +22,6 @@
 pub mod revision;
 pub mod routing;
 pub mod suspect;
-#[cfg(test)]
-mod suspect_tests;
 pub mod ticket;
 #[cfg(test)]
 mod ticket_tests;
--- a/crates/cassiareel/src/kernel/suspect_tests.rs
+++ b/crates/cassiareel/src/kernel/suspect/content_tests.rs
@@ -5,11 +5,7 @@
 
 use test_case::test_case;
 
-use super::{
-    suspect::{Loss, Suspects, Verdict},
-    ticket::ShortDigest,
-    Time,
-};
+use super::{super::ticket::ShortDigest, Loss, Suspects, Time, Verdict};
 
 const NODES: usize = 6;
 
@@ -29,6 +25,7 @@
         process,
         at,
         early: true,
+        parts: [].into(),
     }
 }
 
@@ -259,7 +256,7 @@
     for order in 0..2 {
         let mut node = Suspects::default();
         for loss in &losses {
-            node.record_loss(*loss);
+            node.record_loss(loss.clone());
         }
         let now = losses.iter().map(|loss| loss.at).max().unwrap_or_default();
         let seen = node.verdict(&SUSPECT, SCENE_BOUND, now);
@@ -405,6 +402,7 @@
                     process: (active.server as u64) << 32 | incarnations[active.server],
                     at: now,
                     early: now.saturating_sub(active.began) < EARLY_RUN,
+                    parts: [].into(),
                 });
                 affected.push(active.number);
                 while ended.contains(&active.server) {
--- a/crates/cassiareel/src/kernel/suspect.rs
+++ b/crates/cassiareel/src/kernel/suspect/suspects.rs
@@ -1,130 +1,27 @@
-/*!
-Detection of requests that crash backend servers.
-
-A request is identified by a digest of its content and its caller, so that it stays the same under a
-new name. When the process of a backend server crashes, every request that it had just begun to run
-becomes a suspect, since nothing shows which of them caused the crash. A request that is a suspect
-in several separate crashes is quarantined: it is held back and not sent.
-
-Evidence for a request outweighs evidence against it, since backend servers crash for many reasons
-and the running requests are often innocent:
-
-- A request that a server has served, before or after a crash, is not held for some time.
-- A crash does not count if another request that ran in the same process is a suspect in more
-  crashes.
-- A crash that coincides with the crashes of a group of servers that did not run the request counts
-  half, and only the crashes of one attempt count.
-- A crash of a run that had been going on for a while counts half.
-- If other servers crash around the time of the request's crashes at least as often as those that
-  ran it, more crashes are required, and only crashes of runs that had just begun count.
-
-Crashes of other servers are no such evidence where another request explains them: one that crashed
-as many servers, one after another. Otherwise several requests that crash servers at the same time
-would each be the excuse of the others.
-
-Losses are facts that nodes exchange in any order. A loss carries its age instead of a time, since
-clocks differ between nodes.
-*/
-
 use std::{
     collections::{HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-use serde_with::{serde_as, Bytes, DurationMilliSeconds};
-
-use super::{ticket::ShortDigest, Time};
-
-/// Time after which a loss no longer counts against a request.
-const LOSS_RETENTION: Duration = Duration::from_secs(600);
-
-/// How long a run that a server survived is evidence for its request.
-const EXONERATION_TIME: Duration = Duration::from_secs(60);
+use super::{
+    super::ticket::ShortDigest, clusters::clusters, parts::HeldParts, stored_time,
+    survivals::Survivals, AttemptKey, Loss, PartKey, ProcessKey, ReportedLoss, Time, Verdict,
+    EXONERATION_TIME, EXTRA_CRASHES, GROUP_CRASH_TIME, LOSS_RETENTION, MIN_GROUP_CRASHES,
+    PART_LOSS_RETENTION,
+};
 
 /// Crashes that follow each other within this time may have one cause.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(1000);
 
-/// Processes that crash together as a group do so within this time.
-const GROUP_CRASH_TIME: Duration = Duration::from_millis(300);
-
-/// Number of other processes that must crash together with a process to explain its crash.
-const MIN_GROUP_CRASHES: usize = 2;
-
 /// The maximum number of losses that are kept; the oldest are dropped first.
 const MAX_LOSSES: usize = 512;
 
-/// Number of survived requests that are kept for each half of [`EXONERATION_TIME`].
-const MAX_SURVIVED_REQUESTS: usize = 4096;
-
-/// Additional crashes that are required if many servers crash around the same time.
-const EXTRA_CRASHES: u32 = 2;
-
 /// The weight of a crash of a run that had just begun.
 const EARLY_WEIGHT: u32 = 2;
 
 /// The weight of a crash of a run that had been going on for a while.
 const LATE_WEIGHT: u32 = 1;
 
-/// Identifies one attempt of a caller.
-pub type AttemptKey = u64;
-
-/// Identifies one process of a backend server; the same on all nodes.
-pub type ProcessKey = u64;
-
-/// The crash of a backend server's process while it ran a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Loss {
-    /// The request.
-    pub content: ShortDigest,
-    /// The attempt.
-    pub attempt: AttemptKey,
-    /// The process.
-    pub process: ProcessKey,
-    /// The time of the crash on the clock of the node that observed it.
-    pub at: Time,
-    /// Whether the run had just begun.
-    pub early: bool,
-}
-
-impl Loss {
-    /// Returns the loss as it is sent to other nodes.
-    fn report(&self, now: Time) -> ReportedLoss {
-        ReportedLoss {
-            content: self.content,
-            attempt: self.attempt,
-            process: self.process,
-            age: now.saturating_sub(self.at),
-        }
-    }
-}
-
-/// A loss as one node reports it to another.
-#[serde_as]
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ReportedLoss {
-    #[serde_as(as = "Bytes")]
-    content: ShortDigest,
-    attempt: AttemptKey,
-    process: ProcessKey,
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    age: Duration,
-}
-
-/// The decision on a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// The request may be sent.
-    Allowed,
-    /// The request is held back.
-    Held {
-        /// Crashes that count against the request.
-        crashes: u32,
-        /// How long the request is held back if no further crash occurs.
-        remaining: Duration,
-    },
-}
-
 /// The losses and survived runs of requests.
 ///
 /// # Examples
@@ -135,8 +32,8 @@
 ///
 /// let mut suspects = Suspects::default();
 /// let now = Duration::from_secs(9);
-/// let loss = Loss { content: [7; 16], attempt: 1, process: 1, at: now, early: true };
-/// suspects.record_loss(loss);
+/// let loss = Loss { content: [7; 16], attempt: 1, process: 1, at: now, early: true, parts: [].into() };
+/// suspects.record_loss(loss.clone());
 /// assert_eq!(suspects.verdict(&[7; 16], 2, now), Verdict::Allowed);
 /// suspects.record_loss(Loss { process: 2, ..loss });
 /// assert!(matches!(suspects.verdict(&[7; 16], 2, now), Verdict::Held { crashes: 2, .. }));
@@ -150,55 +47,143 @@
     late_losses: VecDeque<Loss>,
     /// Number of early losses that were dropped from the front of the list.
     dropped_early: u64,
-    survived: SurvivedRequests,
+    /// Number of losses of each request.
+    counts: HashMap<ShortDigest, usize>,
+    survived: Survivals<ShortDigest>,
+    survived_parts: Survivals<PartKey>,
+    last_survival: Option<Time>,
+    held_parts: HeldParts,
 }
 
-/// The requests that servers survived recently, in two maps that each cover half of
-/// [`EXONERATION_TIME`].
-#[derive(Clone, Debug, Default)]
-struct SurvivedRequests {
-    newer_since: Time,
-    newer: HashMap<ShortDigest, Time>,
-    older: HashMap<ShortDigest, Time>,
+/// What a report of a loss changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Change {
+    New,
+    FewerParts,
+    Known,
 }
 
 impl Suspects {
     /// Records the crash of a process that ran a request, and reports whether the loss is new.
     pub fn record_loss(&mut self, loss: Loss) -> bool {
-        self.insert(Loss {
-            at: stored_time(loss.at),
-            ..loss
-        })
+        let now = stored_time(loss.at);
+        let loss = loss.stored(|part| !self.survived_parts.clears(part, now));
+        let is_new = self.insert(loss) == Change::New;
+        self.update_held_parts(now);
+        is_new
     }
 
-    fn insert(&mut self, loss: Loss) -> bool {
-        let is_known =
-            |known: &Loss| known.content == loss.content && known.process == loss.process;
-        if self.all_losses().any(is_known) {
-            return false;
+    fn insert(&mut self, loss: Loss) -> Change {
+        let is_same = |known: &Loss| known.content == loss.content && known.process == loss.process;
+        if self.late_losses.iter().any(is_same) {
+            return Change::Known;
+        }
+        if let Some(at) = self.early_losses.iter().position(is_same) {
+            return self.keep_parts(at, |part| loss.parts.contains(part));
         }
+        *self.counts.entry(loss.content).or_default() += 1;
         let list = if loss.early {
             &mut self.early_losses
         } else {
             &mut self.late_losses
         };
+        let early = loss.early;
         list.push_back(loss);
         if list.len() > MAX_LOSSES {
-            list.pop_front();
-            self.dropped_early += u64::from(loss.early);
+            let dropped = list.pop_front();
+            self.dropped_early += u64::from(early);
+            dropped.iter().for_each(|loss| self.forget(&loss.content));
+        }
+        Change::New
+    }
+
+    /// Adjusts the number of losses of a request, of which one is dropped.
+    fn forget(&mut self, content: &ShortDigest) {
+        if let Some(count) = self.counts.get_mut(content) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(content);
+            }
+        }
+    }
+
+    /// Removes the parts of a loss for which `is_kept` does not hold. A loss that changes becomes
+    /// the newest one, so that it is reported again.
+    fn keep_parts<F>(&mut self, at: usize, is_kept: F) -> Change
+    where
+        F: Fn(&PartKey) -> bool,
+    {
+        if self.early_losses[at].parts.iter().all(&is_kept) {
+            return Change::Known;
         }
-        true
+        let Some(mut loss) = self.early_losses.remove(at) else {
+            return Change::Known;
+        };
+        loss.parts = loss.parts.iter().copied().filter(is_kept).collect();
+        self.early_losses.push_back(loss);
+        self.dropped_early += 1;
+        Change::FewerParts
+    }
+
+    fn update_held_parts(&mut self, now: Time) {
+        let early: Vec<&Loss> = self.early_losses.iter().collect();
+        let late: Vec<&Loss> = self.late_losses.iter().collect();
+        self.held_parts.update(&early, &late, now);
     }
 
     /// Records that a server ran and served a request without a crash. A failed request must not be
     /// recorded, since it may not have started to run.
     pub fn record_survival(&mut self, content: ShortDigest, now: Time) {
-        self.survived.record(content, stored_time(now));
+        let now = stored_time(now);
+        self.survived.record(content, now);
+        self.last_survival = Some(now);
+    }
+
+    /// Records that a run wrote its answer past its start, which shows that none of these parts of
+    /// its prompt crashes servers. Reports whether recorded losses changed, so that other nodes
+    /// should be notified.
+    pub fn record_part_survival(&mut self, parts: &[PartKey], now: Time) -> bool {
+        let now = stored_time(now);
+        self.last_survival = Some(now);
+        for part in parts {
+            self.survived_parts.record(*part, now);
+        }
+        let is_cleared = |loss: &Loss| {
+            loss.at <= now + EXONERATION_TIME && loss.parts.iter().any(|part| parts.contains(part))
+        };
+        let mut changed = false;
+        for _ in 0..self.early_losses.len() {
+            let Some(at) = self.early_losses.iter().position(is_cleared) else {
+                break;
+            };
+            self.keep_parts(at, |part| !parts.contains(part));
+            changed = true;
+        }
+        if changed {
+            self.update_held_parts(now);
+        }
+        changed
+    }
+
+    /// Records that a request with these parts is sent. If one of them was held, the request tries
+    /// it, and this node holds others with that part until the outcome is known.
+    pub fn record_part_send(&mut self, parts: &[PartKey], now: Time) {
+        self.held_parts.record_send(parts, stored_time(now));
+    }
+
+    /// Decides whether a request with these parts of its prompt may be sent.
+    ///
+    /// A part is held for a time after its last crash. Then it is tried again: first by one node of
+    /// the fleet alone, for which `is_probing_node` is true, and later by all nodes.
+    pub fn part_verdict(&self, parts: &[PartKey], is_probing_node: bool, now: Time) -> Verdict {
+        let now = stored_time(now);
+        self.held_parts
+            .verdict(parts, is_probing_node, self.last_survival, now)
     }
 
     /// Reports whether any crash is recorded for a request.
     pub fn is_suspect(&self, content: &ShortDigest) -> bool {
-        self.all_losses().any(|loss| loss.content == *content)
+        self.counts.contains_key(content)
     }
 
     /// Returns the number of crashes that count against a request.
@@ -243,7 +228,7 @@
         let skip = known.saturating_sub(self.dropped_early) as usize;
         let reports = self.early_losses.iter().skip(skip);
         let reports = reports.map(|loss| loss.report(stored_time(now)));
-        let reports = reports.filter(|loss| loss.age < LOSS_RETENTION).collect();
+        let reports = reports.filter(is_reported).collect();
         (reports, self.known_losses())
     }
 
@@ -255,7 +240,7 @@
             .iter()
             .map(|loss| loss.report(stored_time(now)));
         reports
-            .filter(|loss| loss.age <= age.min(LOSS_RETENTION))
+            .filter(|loss| loss.age <= age && is_reported(loss))
             .collect()
     }
 
@@ -265,16 +250,23 @@
         self.dropped_early + self.early_losses.len() as u64
     }
 
-    /// Merges the losses reported by another node and returns the new ones.
+    /// Merges the losses reported by another node. Returns the new ones and those that now have
+    /// fewer parts, which other nodes should learn of.
     pub fn merge(&mut self, reports: &[ReportedLoss], now: Time) -> Vec<Loss> {
-        let losses = reports.iter().map(|report| Loss {
-            content: report.content,
-            attempt: report.attempt,
-            process: report.process,
-            at: stored_time(now).saturating_sub(report.age),
-            early: true,
-        });
-        losses.filter(|loss| self.insert(*loss)).collect()
+        let now = stored_time(now);
+        let mut changed = Vec::new();
+        for report in reports {
+            let cleared = &self.survived_parts;
+            let at = now.saturating_sub(report.age);
+            let loss = report.received(|part| !cleared.clears(part, at), now);
+            if self.insert(loss.clone()) != Change::Known {
+                changed.push(loss);
+            }
+        }
+        if !changed.is_empty() {
+            self.update_held_parts(now);
+        }
+        changed
     }
 
     /// Iterates over all recorded losses.
@@ -284,12 +276,15 @@
 
     /// Returns the losses that count against a request, the oldest first.
     fn counted_losses(&self, content: &ShortDigest, now: Time) -> Vec<Loss> {
+        if !self.is_suspect(content) {
+            return Vec::new();
+        }
         let counts = |loss: &&Loss| {
             loss.content == *content
                 && now.saturating_sub(loss.at) < LOSS_RETENTION
                 && !self.is_survived(loss)
         };
-        let mut losses: Vec<Loss> = self.all_losses().filter(counts).copied().collect();
+        let mut losses: Vec<Loss> = self.all_losses().filter(counts).cloned().collect();
         let crashes = losses.len();
         losses.retain(|loss| !self.has_likelier_cause(loss, crashes));
         losses.sort_by_key(|loss| loss.at);
@@ -305,7 +300,8 @@
         }
         let others = self
             .all_losses()
-            .filter(|loss| !explained.contains(&loss.process));
+            .filter(|loss| !explained.contains(&loss.process))
+            .filter(|loss| !self.held_parts.explains(loss.process, 1));
         let crash_times: HashMap<ProcessKey, Time> =
             others.map(|loss| (loss.process, loss.at)).collect();
         crash_times.into_values().collect()
@@ -318,7 +314,10 @@
         let mut by_content: HashMap<ShortDigest, Vec<Loss>> = HashMap::new();
         let others = self.early_losses.iter();
         for loss in others.filter(|loss| loss.content != *content && !self.is_survived(loss)) {
-            by_content.entry(loss.content).or_default().push(*loss);
+            by_content
+                .entry(loss.content)
+                .or_default()
+                .push(loss.clone());
         }
         let mut all: Vec<Vec<Loss>> = by_content.into_values().collect();
         for losses in &mut all {
@@ -333,13 +332,15 @@
 
     /// Reports whether servers survived the request of a loss, so that the loss does not count.
     fn is_survived(&self, loss: &Loss) -> bool {
-        let survived_at = self.survived.last_survival(&loss.content);
-        survived_at.is_some_and(|survived_at| loss.at <= survived_at + EXONERATION_TIME)
+        self.survived.clears(&loss.content, loss.at)
     }
 
-    /// Reports whether another request with more than `crashes` losses ran in the process of a
-    /// loss.
+    /// Reports whether another request with more than `crashes` losses, or one with a held part that
+    /// has as many, ran in the process of a loss.
     fn has_likelier_cause(&self, loss: &Loss, crashes: usize) -> bool {
+        if self.held_parts.explains(loss.process, crashes) {
+            return true;
+        }
         let is_beside =
             |other: &&Loss| other.process == loss.process && other.content != loss.content;
         let mut beside = self.all_losses().filter(is_beside);
@@ -348,46 +349,18 @@
 
     /// Returns the number of recorded losses of a request.
     fn loss_count(&self, content: &ShortDigest) -> usize {
-        self.all_losses()
-            .filter(|loss| loss.content == *content)
-            .count()
-    }
-}
-
-impl SurvivedRequests {
-    fn record(&mut self, content: ShortDigest, now: Time) {
-        if now.saturating_sub(self.newer_since) > EXONERATION_TIME / 2 {
-            self.older = std::mem::take(&mut self.newer);
-            self.newer_since = now;
-        }
-        if self.newer.len() < MAX_SURVIVED_REQUESTS {
-            self.newer.insert(content, now);
-        }
-    }
-
-    fn last_survival(&self, content: &ShortDigest) -> Option<Time> {
-        let newer = self.newer.get(content);
-        newer.or_else(|| self.older.get(content)).copied()
+        self.counts.get(content).copied().unwrap_or(0)
     }
 }
 
-/// Returns a time as it is stored, offset by [`LOSS_RETENTION`]. The offset leaves room for losses
-/// that occurred before the clock of a newly started node began.
-fn stored_time(time: Time) -> Time {
-    time + LOSS_RETENTION
-}
-
-/// Splits losses into clusters that may have one cause: each spans less than `span`. A request that
-/// is sent again at once after each crash must not make a single cluster without an end.
-fn clusters(losses: &[Loss], span: Duration) -> impl Iterator<Item = &[Loss]> {
-    let mut rest = losses;
-    std::iter::from_fn(move || {
-        let first = rest.first()?;
-        let count = rest.partition_point(|loss| loss.at.saturating_sub(first.at) < span);
-        let (cluster, after) = rest.split_at(count);
-        rest = after;
-        Some(cluster)
-    })
+/// Reports whether a loss is recent enough to be reported to other nodes.
+fn is_reported(loss: &ReportedLoss) -> bool {
+    let retention = if loss.parts.is_empty() {
+        LOSS_RETENTION
+    } else {
+        PART_LOSS_RETENTION
+    };
+    loss.age < retention
 }
 
 /// Returns the weight of a cluster of losses. `others` holds the crash times of other processes,
