--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -94,7 +94,8 @@
         }
     }
     let content = content::digest(&ask, tenant.as_deref(), &parts.method, &parts.uri, &body);
-    if let Some(after) = suspect::quarantine_left(state, &ask.id, &content) {
+    let prompt_parts = content::part_keys(&ask.prompt, &service);
+    if let Some(after) = suspect::hold_left(state, &ask.id, &content, &prompt_parts) {
         return Err((Some(ask), Refusal::Held { after }));
     }
     let admitted = match admit_share(state, &ask, &route, &service, tenant.as_ref(), priority) {
@@ -104,6 +105,7 @@
     let limit = ask.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     Ok(Request {
         content,
+        parts: prompt_parts,
         service,
         headers: state.protocol.forwarded_headers(&parts.headers),
         method: parts.method,
--- a/crates/cassiareel-relay/src/front/content.rs
+++ b/crates/cassiareel-relay/src/front/content.rs
@@ -6,11 +6,13 @@
 account is quarantined for requests that another account sends.
 */
 
-use cassiareel::kernel::ticket::ShortDigest;
+use std::sync::Arc;
+
+use cassiareel::kernel::{suspect::PartKey, ticket::ShortDigest};
 use http::{Method, Uri};
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{xxh3_64_with_seed, Xxh3};
 
-use crate::model::RequestHead;
+use crate::model::{Prompt, RequestHead};
 
 /// Returns the digest of a request, which includes its client account.
 pub(super) fn digest(
@@ -38,6 +40,16 @@
     hasher.digest128().to_le_bytes()
 }
 
+/// Returns the keys of the parts of a prompt in order. The last part is left out, since it belongs to
+/// the request alone. A part has another key at each service, whose models differ.
+pub(super) fn part_keys(prompt: &Prompt, service: &str) -> Arc<[PartKey]> {
+    let parts = prompt.parts.iter().map(|(id, _)| *id);
+    let shared = parts.take(prompt.parts.len().saturating_sub(1));
+    shared
+        .map(|id| xxh3_64_with_seed(service.as_bytes(), id))
+        .collect()
+}
+
 /// Returns the first 8 bytes of a digest in hexadecimal for logs, long enough to distinguish the
 /// requests of a day.
 pub(super) fn short_hex(content: &ShortDigest) -> String {
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -27,7 +27,8 @@
     run::{log_first_event, wait_until_lost, Run, RunProgress, LOSS_CHECK_INTERVAL},
     send::{send, ResponseHead, SendOptions, SendOutcome},
     stream_error::StreamError,
-    suspect, trials,
+    suspect::{self, is_past_start},
+    trials,
 };
 use crate::{
     backends::{Backend, LoadGuard},
@@ -58,6 +59,8 @@
     progress: Continuation,
     tried: Vec<u64>,
     begun: bool,
+    /// Whether an engine wrote the answer past its start.
+    past_start: bool,
     lost_at: Option<Moment>,
     copy: Option<(Arc<Backend>, MemoryCopy)>,
     ready: VecDeque<Event>,
@@ -87,6 +90,7 @@
             failure: None,
             tried: Vec::new(),
             begun: false,
+            past_start: false,
             lost_at: None,
             copy: None,
             ready: VecDeque::new(),
@@ -188,6 +192,14 @@
             if let Some(trial) = &run.trial {
                 trial.note_event(now);
             }
+            if !self.past_start
+                && run
+                    .first_event
+                    .is_some_and(|first| is_past_start(first, now))
+            {
+                self.past_start = true;
+                suspect::record_part_survival(&self.state, &self.request.parts);
+            }
             self.begun = true;
             self.ready.push_back(event);
         }
@@ -327,6 +339,7 @@
                 .map_err(|stop| self.stop_error(stop))?;
             self.check_quarantine()?;
             let target = self.choose_target().await?;
+            self.check_quarantine()?;
             if self.is_too_late(&target) {
                 return Err(self.stop_error(self.progress.stop_reason()));
             }
@@ -353,10 +366,16 @@
         }
     }
 
-    /// Fails if the request is quarantined.
+    /// Fails if the request is quarantined, or held for a part of its prompt on which no run of it
+    /// got past the start.
     fn check_quarantine(&self) -> Result<(), StreamError> {
         let request = &self.request;
-        match suspect::quarantine_left(&self.state, &request.ask.id, &request.content) {
+        let parts = if self.past_start {
+            &[][..]
+        } else {
+            &request.parts
+        };
+        match suspect::hold_left(&self.state, &request.ask.id, &request.content, parts) {
             Some(after) if self.progress.stop_reason() == StopReason::NotRun => {
                 Err(StreamError::Held { after })
             }
@@ -423,6 +442,7 @@
             return Ok(false);
         };
         let is_resend = self.progress.was_sent();
+        suspect::record_send(&self.state, &self.request);
         self.progress.record_send();
         self.tried.push(member.number);
         let prompt = &self.request.ask.prompt;
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -152,7 +152,7 @@
     if is_first {
         return None;
     }
-    suspect::quarantine_left(state, &request.ask.id, &request.content)
+    suspect::hold_left(state, &request.ask.id, &request.content, &request.parts)
 }
 
 /// Returns how long a request of the given `age` may wait for requests that arrived before it.
@@ -196,6 +196,7 @@
     ran: u32,
     permit: Permit,
 ) -> AttemptOutcome {
+    suspect::record_send(state, request);
     let place = LoadGuard::run(member, 0, 0);
     let sent_at = clock::now();
     let entry = &member.entry;
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cassiareel::kernel::ticket::ShortDigest;
+use cassiareel::kernel::{suspect::PartKey, ticket::ShortDigest};
 use http::{HeaderMap, Method, Uri};
 
 use super::body_memory::BodyMemory;
@@ -36,6 +36,8 @@
     pub _body_memory: BodyMemory,
     /// The digest of the work, which does not depend on the request id.
     pub content: ShortDigest,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Arc<[PartKey]>,
     pub route: Arc<Route>,
     /// The service chosen among the targets of the route.
     pub service: ServiceId,
--- a/crates/cassiareel-relay/src/front/suspect.rs
+++ b/crates/cassiareel-relay/src/front/suspect.rs
@@ -1,14 +1,15 @@
 /*!
-Quarantines requests during whose runs backend servers crashed.
+Holds requests during whose runs backend servers crashed, and requests whose prompts have a part on
+which backend servers crash.
 
-The decision and its evidence are in [`cassiareel::kernel::suspect`]. A quarantined request has not
-run in this attempt, and the caller is told when to retry.
+The decisions and their evidence are in [`cassiareel::kernel::suspect`]. A held request has not run
+in this attempt, and the caller is told when to retry.
 */
 
 use std::time::Duration;
 
 use cassiareel::kernel::{
-    suspect::{Loss, Verdict},
+    suspect::{Loss, PartKey, Verdict},
     ticket::ShortDigest,
 };
 use slog::{info, warn};
@@ -17,6 +18,7 @@
 use super::{content, loss::LostRun, request::Request};
 use crate::{
     clock::{self, Moment},
+    metrics::Metrics,
     state::State,
 };
 
@@ -26,8 +28,20 @@
 /// A run counts as having just begun until this long after its first event.
 const EARLY_PHASE: Duration = Duration::from_millis(300);
 
+/// Returns how long a request is still held for its content or a part of its prompt, or `None` if it
+/// may be sent.
+pub(super) fn hold_left(
+    state: &State,
+    id: &str,
+    content: &ShortDigest,
+    parts: &[PartKey],
+) -> Option<Duration> {
+    let quarantine = quarantine_left(state, id, content);
+    quarantine.or_else(|| part_hold_left(state, id, parts))
+}
+
 /// Returns how long a request is still quarantined, or `None` if it may be sent.
-pub(super) fn quarantine_left(state: &State, id: &str, content: &ShortDigest) -> Option<Duration> {
+fn quarantine_left(state: &State, id: &str, content: &ShortDigest) -> Option<Duration> {
     let now = clock::now();
     let Verdict::Held {
         crashes: ends,
@@ -39,9 +53,42 @@
     info!(state.log, "request quarantined"; "request" => id,
         "content" => content::short_hex(content), "ends" => ends,
         "left_ms" => left.as_millis() as u64);
+    Metrics::count(&state.metrics.held, "content");
     Some(left)
 }
 
+/// Returns how long the part of a prompt that is held longest is still held, or `None` if none is.
+///
+/// The first reader of the store is the node that tries a part again before the others.
+fn part_hold_left(state: &State, id: &str, parts: &[PartKey]) -> Option<Duration> {
+    let now = clock::now();
+    let is_probing_node = state.store_cache.reader_rank() == 0;
+    let (left, part, crashes) = {
+        let suspects = state.suspects();
+        let held = parts.iter().filter_map(|part| {
+            match suspects.part_verdict(&[*part], is_probing_node, now) {
+                Verdict::Held { crashes, remaining } => Some((remaining, *part, crashes)),
+                Verdict::Allowed => None,
+            }
+        });
+        held.max()?
+    };
+    info!(state.log, "request held for a part of its prompt"; "request" => id,
+        "part" => format!("{part:016x}"), "ends" => crashes,
+        "left_ms" => left.as_millis() as u64);
+    Metrics::count(&state.metrics.held, "part");
+    Some(left)
+}
+
+/// Records that a request is sent. If a part of its prompt was held, the send tries it again.
+pub(super) fn record_send(state: &State, request: &Request) {
+    if !request.parts.is_empty() {
+        state
+            .suspects()
+            .record_part_send(&request.parts, clock::now());
+    }
+}
+
 /// Returns the evidence against a request that counts if the backend server that lost the run at
 /// `at` has crashed, or `None` if the backend server was leaving, so that its exit was expected.
 pub(super) fn potential_loss(lost: &LostRun<'_>, at: Moment) -> Option<Loss> {
@@ -55,8 +102,8 @@
         at,
         early: lost
             .first_event
-            .is_none_or(|first| at.saturating_sub(first) < EARLY_PHASE),
-        parts: [].into(),
+            .is_none_or(|first| !is_past_start(first, at)),
+        parts: lost.request.parts.clone(),
     })
 }
 
@@ -75,9 +122,26 @@
     }
 }
 
-/// Records that a backend server completed a request, which is evidence for the request.
+/// Records that a backend server completed a request, which is evidence for the request and the parts
+/// of its prompt.
 pub(super) fn record_success(state: &State, request: &Request) {
     state
         .suspects()
         .record_survival(request.content, clock::now());
+    record_part_survival(state, &request.parts);
+}
+
+/// Reports whether a run whose first event arrived at `first` is past the start of its answer.
+pub(super) fn is_past_start(first: Moment, now: Moment) -> bool {
+    now.saturating_sub(first) >= EARLY_PHASE
+}
+
+/// Records that a backend server wrote an answer past its start, which is evidence for the parts of
+/// the prompt.
+pub(super) fn record_part_survival(state: &State, parts: &[PartKey]) {
+    let has_changed =
+        !parts.is_empty() && state.suspects().record_part_survival(parts, clock::now());
+    if has_changed {
+        state.store_cache.notify_loss();
+    }
 }
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -49,6 +49,8 @@
     pub resumed: Family<Outcome, Counter>,
     /// Requests that no backend server had room for, by what was missing.
     pub no_room: Family<Outcome, Counter>,
+    /// Decisions to hold a request, by what crashed backend servers.
+    pub held: Family<Outcome, Counter>,
     /// Calls of the store, by outcome.
     pub store_calls: Family<Outcome, Counter>,
     /// The limits that backend servers name for the whole fleet.
@@ -79,6 +81,7 @@
             losses: Family::default(),
             resumed: Family::default(),
             no_room: Family::default(),
+            held: Family::default(),
             store_calls: Family::default(),
             limits: Family::default(),
             limit_demand: Family::default(),
@@ -144,6 +147,7 @@
             self.resumed.clone(),
         );
         registry.register("no_room", "Requests without room", self.no_room.clone());
+        registry.register("held", "Decisions to hold a request", self.held.clone());
         registry.register(
             "store_calls",
             "Calls of the store",
