--- a/crates/cassiareel-standins/tests/suspects.rs
+++ b/crates/cassiareel-standins/tests/suspects.rs
@@ -10,7 +10,7 @@
     engine::{expected_answer, Faults},
     fleet::{Fleet, FleetOptions, CALLER_KEY},
 };
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// Time within which a node's evidence against a request reaches all other nodes.
 const SHARE_TIME: Duration = Duration::from_secs(3);
@@ -111,3 +111,64 @@
     );
     assert!(received.done, "{received:?}");
 }
+
+/// Number of engines that crash on a message before it has to be held.
+const PART_CRASHES: usize = 5;
+
+/// Number of sends that may follow after every node knows of these crashes.
+const MAX_LATER_CRASHES: usize = 3;
+
+/// Sends a chat whose second message is `context` to a node; returns the status and the code of the
+/// error, if any.
+fn chat(fleet: &Fleet, node: usize, context: &str, number: usize) -> (u16, Option<String>) {
+    let addr = fleet.addr(node).expect("the node serves");
+    let message = |text: String| json!({"role": "user", "content": text});
+    let messages = [
+        message("a shared message".to_owned()),
+        message(context.to_owned()),
+        message(format!("question {number}")),
+    ];
+    let body = json!({"model": "draft", "messages": messages, "max_tokens": 20,
+        "ignore_eos": true});
+    smol::block_on(async {
+        let caller = Caller::new(CALLER_KEY);
+        let sent = caller.post(addr, "/v1/chat/completions", &[], body.to_string());
+        let mut response = sent.await.expect("the node answers");
+        let answer: Value = response.body_json().await.unwrap_or_default();
+        let code = answer["error"]["code"].as_str().map(str::to_owned);
+        (response.status().into(), code)
+    })
+}
+
+/// Each request differs from the others in its last message, and crashes engines of its own until the
+/// message that they share is found.
+#[test]
+fn a_message_that_crashes_engines_is_rejected_in_every_prompt() {
+    const NODES: usize = 3;
+    const ENGINES: usize = 30;
+    const DEADLY: &str = "a poison message";
+    let fleet = start_fleet(ENGINES, NODES);
+    let mut number = 0;
+    while crashed_engines(&fleet) < PART_CRASHES && number < ENGINES {
+        chat(&fleet, number % NODES, DEADLY, number);
+        chat(&fleet, number % NODES, "a plain message", number);
+        number += 1;
+    }
+    thread::sleep(SHARE_TIME);
+    let before = crashed_engines(&fleet);
+    for number in number..number + ENGINES {
+        let node = number % NODES;
+        let (_, code) = chat(&fleet, node, DEADLY, number);
+        let crashed = crashed_engines(&fleet) - before;
+        assert!(
+            crashed <= MAX_LATER_CRASHES,
+            "{crashed} engines crashed later"
+        );
+        assert_eq!(code.as_deref(), Some("engines_lost"), "node {node}");
+        assert_eq!(chat(&fleet, node, "a plain message", number), (200, None));
+    }
+    println!(
+        "{before} engines crashed, {} later",
+        crashed_engines(&fleet) - before
+    );
+}
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -128,6 +128,10 @@
         if let Some(refusal) = suspect::refusal(&self.context, &policy, &tickets.content_digest()) {
             return Err(refusal);
         }
+        let parts = suspect::part_keys(&prompt);
+        if let Some(refusal) = suspect::part_refusal(&self.context, &log, &parts) {
+            return Err(refusal);
+        }
         let chooser = &self.context.chooser;
         let prefix = routing::block_hashes(&prompt.text);
         let incoming = IncomingRequest {
@@ -156,6 +160,7 @@
             id,
             format: format.clone(),
             prompt,
+            parts,
             route,
             watch,
             context: self.context.clone(),
--- a/crates/cassiareel/src/front/context.rs
+++ b/crates/cassiareel/src/front/context.rs
@@ -73,6 +73,8 @@
 
     /// Sets the nodes that share the backend servers: those in the platform's list of VMs.
     pub fn set_nodes(&self, nodes: Vec<NodeId>, local: NodeId) {
+        self.shared
+            .set_probing_node(nodes.iter().min() == Some(&local));
         self.chooser.set_nodes(nodes, local);
     }
 
--- a/crates/cassiareel/src/front/deliver.rs
+++ b/crates/cassiareel/src/front/deliver.rs
@@ -47,6 +47,7 @@
             self.tokens.truncate(self.delivered().0);
             return Some(Event::WrongStream);
         }
+        self.record_progress();
         // Tokens and text that the caller has from another node are not sent again.
         let (delivered, delivered_text) = self.delivered();
         let ids = &ids[delivered.saturating_sub(previous.0).min(ids.len())..];
@@ -204,6 +205,7 @@
                     &self.driver.context,
                     &self.driver.tickets.content_digest(),
                 );
+                suspect::record_part_survival(&self.driver.context, &self.driver.parts);
                 self.write_finish(reason, usage).await;
                 Signal::Complete {
                     text: std::mem::take(&mut self.text),
--- a/crates/cassiareel/src/front/generate.rs
+++ b/crates/cassiareel/src/front/generate.rs
@@ -24,6 +24,7 @@
     kernel::{
         generation::{Action, Event, FinishReason, Generation, Limits, Loss, NoBackend, Resume},
         health, moves,
+        suspect::PartKey,
         ticket::TokenDigest,
         Attempt, RequestId, Time, TokenId,
     },
@@ -54,6 +55,8 @@
 pub(super) struct Driver {
     pub(super) id: RequestId,
     pub(super) prompt: Prompt,
+    /// The parts of the prompt that other requests may share.
+    pub(super) parts: Arc<[PartKey]>,
     pub(super) route: Route,
     pub(super) watch: CountedRequest,
     pub(super) format: AnswerFormat,
@@ -103,6 +106,8 @@
     pub(super) lost_at: Option<Instant>,
     /// Number of tokens in the answer when the last attempt was opened.
     pub(super) tokens_at_open: usize,
+    /// Whether an engine wrote the answer past its start.
+    pub(super) past_start: bool,
 }
 
 /// Time for an engine to send the head of its answer to an attach or cancel.
@@ -175,6 +180,7 @@
             last_token_at: None,
             lost_at: None,
             tokens_at_open: 0,
+            past_start: false,
         };
         run.perform(actions).await;
         while !run.machine.is_ended() {
@@ -384,9 +390,12 @@
             tickets,
             ..
         } = &self.driver;
-        if let Some(refusal) = suspect::refusal(context, policy, &tickets.content_digest()) {
+        let quarantine = suspect::refusal(context, policy, &tickets.content_digest());
+        if quarantine.is_some() {
             info!(self.driver.log, "request quarantined: engines crashed while they ran it";
                 "attempt" => attempt);
+        }
+        if let Some(refusal) = quarantine.or_else(|| self.part_refusal()) {
             self.refusal = Some(refusal);
             let reason = NoBackend::Unplaced;
             return Event::NotChosen { attempt, reason };
@@ -417,6 +426,29 @@
         }
     }
 
+    /// Returns the refusal of a request that is held for a part of its prompt. A request that got past
+    /// the start of its answer goes on.
+    fn part_refusal(&self) -> Option<Refusal> {
+        let Driver {
+            context,
+            log,
+            parts,
+            ..
+        } = &self.driver;
+        if self.past_start {
+            return None;
+        }
+        suspect::part_refusal(context, log, parts)
+    }
+
+    /// Records once that an engine wrote the answer past its start.
+    pub(super) fn record_progress(&mut self) {
+        if !self.past_start && self.tokens.len() >= self.tokens_at_open + MIN_PROGRESS_TOKENS {
+            self.past_start = true;
+            suspect::record_part_survival(&self.driver.context, &self.driver.parts);
+        }
+    }
+
     /// Chooses a backend server for an attempt that continues after the tokens so far.
     fn choose_again(
         &self,
@@ -444,6 +476,7 @@
         self.run_hooks(Step::AttemptChosen).await;
         self.tokens_at_open = self.tokens.len();
         let addr = self.guard.as_ref()?.addr;
+        suspect::record_send(&self.driver.context, &self.driver.parts);
         let engine = HttpEngine::new(addr, self.driver.policy.time.first_token);
         let mut body = (*self.driver.prompt.body).clone();
         let model = format!(
@@ -515,6 +548,7 @@
             let Driver {
                 context,
                 tickets,
+                parts,
                 id,
                 ..
             } = &self.driver;
@@ -522,7 +556,8 @@
                 return;
             };
             let early = self.tokens.len() < self.tokens_at_open + MIN_PROGRESS_TOKENS;
-            suspect::record_crash(context, tickets.content_digest(), id, guard.addr, early);
+            let content = tickets.content_digest();
+            suspect::record_crash(context, content, parts, id, guard.addr, early);
         }
     }
 
--- a/crates/cassiareel/src/front/suspect.rs
+++ b/crates/cassiareel/src/front/suspect.rs
@@ -1,17 +1,18 @@
 //! Quarantine of requests that are the suspected cause of crashes of backend servers.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use http_types::StatusCode;
-use slog::info;
+use serde_json::Value;
+use slog::{info, Logger};
 use smol::net::TcpStream;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::{service::MIN_SERVER_ERROR, FrontContext, Refusal};
+use super::{service::MIN_SERVER_ERROR, FrontContext, Prompt, Refusal};
 use crate::{
     backend::{Answer, Call, CallError},
     kernel::{
-        suspect::{Loss, ProcessKey, Verdict},
+        suspect::{Loss, PartKey, ProcessKey, Verdict},
         ticket::{short_digest, ShortDigest},
         Time,
     },
@@ -44,12 +45,62 @@
     Some(Refusal::new(StatusCode::UnprocessableEntity, message).with_code("engines_lost"))
 }
 
-/// Records that a backend server crashed while it ran an attempt.
+/// Returns the refusal of a request with a part of its prompt on which backend servers crash, or none
+/// if the request may run.
+pub(super) fn part_refusal(
+    context: &FrontContext,
+    log: &Logger,
+    parts: &[PartKey],
+) -> Option<Refusal> {
+    let shared = &context.shared;
+    let (is_probing_node, now) = (shared.is_probing_node(), shared.now());
+    let (remaining, part, crashes) = {
+        let suspects = shared.suspects();
+        let held = parts.iter().filter_map(|part| {
+            match suspects.part_verdict(&[*part], is_probing_node, now) {
+                Verdict::Held { crashes, remaining } => Some((remaining, *part, crashes)),
+                Verdict::Allowed => None,
+            }
+        });
+        held.max()?
+    };
+    info!(log, "request held for a message in its prompt"; "part" => format!("{part:016x}"),
+        "crashes" => crashes, "left_ms" => remaining.as_millis() as u64);
+    let message = format!(
+        "{crashes} engines died under requests with a message of this prompt, which is refused for \
+         {} s",
+        remaining.as_secs()
+    );
+    Some(Refusal::busy(message, remaining).with_code("engines_lost"))
+}
+
+/// Records that a request is sent. If a part of its prompt was held, the send tries it again.
+pub(super) fn record_send(context: &FrontContext, parts: &[PartKey]) {
+    let now = context.shared.now();
+    context.shared.suspects().record_part_send(parts, now);
+}
+
+/// Returns the keys of the messages of a chat in order. The last one is left out, since it belongs to
+/// the request alone. A message has another key at each service, whose models differ.
+pub(super) fn part_keys(prompt: &Prompt) -> Arc<[PartKey]> {
+    let messages = prompt.body.get("messages").and_then(Value::as_array);
+    let messages = messages.map_or(&[][..], Vec::as_slice);
+    let service = xxh3_64(prompt.model.as_bytes());
+    let shared = &messages[..messages.len().saturating_sub(1)];
+    shared
+        .iter()
+        .map(|message| xxh3_64_with_seed(message.to_string().as_bytes(), service))
+        .collect()
+}
+
+/// Records that a backend server crashed while it ran an attempt at a request with these parts of its
+/// prompt.
 ///
 /// `early` states that the attempt had made little or no progress.
 pub(super) fn record_crash(
     context: &FrontContext,
     content: ShortDigest,
+    parts: &Arc<[PartKey]>,
     attempt: &str,
     server: SocketAddr,
     early: bool,
@@ -61,7 +112,7 @@
         process: process_key(server, now),
         at: now,
         early,
-        parts: [].into(),
+        parts: parts.clone(),
     };
     if context.shared.suspects().record_loss(loss) {
         info!(context.log, "backend server crashed while it ran a request"; "attempt" => attempt,
@@ -99,7 +150,7 @@
     let connection = within(CONNECT_TIMEOUT, TcpStream::connect(server)).await;
     let refused = |err: io::Error| err.kind() == io::ErrorKind::ConnectionRefused;
     if connection.is_some_and(|result| result.is_err_and(refused)) {
-        record_crash(context, content, attempt, server, true);
+        record_crash(context, content, &Arc::default(), attempt, server, true);
     }
 }
 
@@ -130,3 +181,10 @@
     let now = context.shared.now();
     context.shared.suspects().record_survival(*content, now);
 }
+
+/// Records that a backend server wrote an answer past its start, which is evidence for the parts of
+/// the prompt.
+pub(super) fn record_part_survival(context: &FrontContext, parts: &[PartKey]) {
+    let now = context.shared.now();
+    context.shared.suspects().record_part_survival(parts, now);
+}
--- a/crates/cassiareel/src/peer/shared_state.rs
+++ b/crates/cassiareel/src/peer/shared_state.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::{Mutex, MutexGuard},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Mutex, MutexGuard,
+    },
     time::Instant,
 };
 
@@ -74,6 +77,8 @@
     pub view: ArcSwap<View>,
     start: Instant,
     suspects: Mutex<Suspects>,
+    /// Whether this node is the one that tries parts of prompts again that were held.
+    is_probing_node: AtomicBool,
     counts: Mutex<TallyTable>,
     pub(super) baselines: Mutex<HashMap<ServiceId, Baseline>>,
 }
@@ -94,6 +99,7 @@
             view: ArcSwap::from_pointee(View::new()),
             start: Instant::now(),
             suspects: Mutex::default(),
+            is_probing_node: AtomicBool::new(true),
             counts: Mutex::new(TallyTable::default()),
             baselines: Mutex::default(),
         }
@@ -129,6 +135,17 @@
         self.suspects.lock().expect("the lock is not poisoned")
     }
 
+    /// Reports whether this node is the one that tries parts of prompts again that were held.
+    pub fn is_probing_node(&self) -> bool {
+        self.is_probing_node.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether this node is the one that tries parts of prompts again that were held.
+    pub fn set_probing_node(&self, is_probing_node: bool) {
+        self.is_probing_node
+            .store(is_probing_node, Ordering::Relaxed);
+    }
+
     /// Counts the start of a request on this node.
     pub fn record_start(&self, key: Key) {
         self.lock().own.entry(key).or_default().begin();
