--- a/crates/cassiareel/src/kernel/suspect/mod.rs
+++ b/crates/cassiareel/src/kernel/suspect/mod.rs
@@ -45,6 +45,10 @@
 
 #[cfg(test)]
 mod content_tests;
+#[cfg(test)]
+mod fleet_simulation;
+#[cfg(test)]
+mod fleet_tests;
 
 pub use loss::{AttemptKey, Loss, PartKey, ProcessKey, ReportedLoss};
 pub use suspects::Suspects;
