--- a/crates/cassiareel/src/kernel/suspect/parts.rs
+++ b/crates/cassiareel/src/kernel/suspect/parts.rs
@@ -5,11 +5,12 @@
 the process. A part is held if it was in enough crashed processes under different contents and no
 other cause explains these crashes better:
 
-- A content explains the crashes in which it ran if there are several, and if it carries the part or
-  has at least as many crashes as the part.
+- A content explains the crashes in which it ran if there are several, and if it has the most crashes
+  of those that carry the part, or at least as many crashes as the part.
 - A later part of the same prompts explains the crashes that it shares with an earlier part, since
   crashes without it would show that the earlier part is the cause.
-- A part of other prompts explains the crashes that it shares with a part if it has more of them.
+- A part of other prompts explains the crashes that it shares with a part if it has more crashes,
+  unless both have many and servers survived other runs meanwhile.
 
 A part that is left with some crashes of its own is held nevertheless, and then for all its crashes.
 Crashes of groups of servers count less, and crashes of other servers around those of the part
@@ -17,7 +18,7 @@
 */
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -35,9 +36,9 @@
 /// Number of crashes that other causes must leave unexplained if they explain some.
 const MIN_UNEXPLAINED: usize = 2;
 
-/// Number of crashes of a part from which it is held although another part was in the same
+/// Number of crashes of a part from which it is held although parts of other prompts were in the same
 /// processes.
-const MIN_TIED_CRASHES: usize = 5;
+const MIN_FREQUENT_CRASHES: usize = 5;
 
 /// How long a part is held after its last crash.
 const HOLD_TIME: Duration = Duration::from_secs(600);
@@ -65,14 +66,32 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeldParts {
     held: HashMap<PartKey, HeldPart>,
+    /// All parts that the losses name.
+    named: HashSet<PartKey>,
     /// The processes whose crash a held part explains, each with the most crashes of such a part.
     explained: HashMap<ProcessKey, u32>,
 }
 
 impl HeldParts {
     /// Decides anew after the losses have changed.
-    pub(super) fn update(&mut self, early: &[&Loss], late: &[&Loss], now: Time) {
-        let causes = Causes::new(early, late, now);
+    pub(super) fn update(
+        &mut self,
+        early: &VecDeque<Loss>,
+        late: &VecDeque<Loss>,
+        last_survival: Option<Time>,
+        now: Time,
+    ) {
+        self.named = early
+            .iter()
+            .flat_map(|loss| &*loss.parts)
+            .copied()
+            .collect();
+        if self.named.is_empty() {
+            self.held.clear();
+            self.explained.clear();
+            return;
+        }
+        let causes = Causes::new(early, late, last_survival, now);
         let mut held = HashMap::new();
         let mut explained: HashMap<ProcessKey, u32> = HashMap::new();
         for (key, part) in &causes.parts {
@@ -87,7 +106,12 @@
             let tried = self.held.get(key).and_then(|before| before.tried);
             held.insert(*key, part.hold(tried));
         }
-        *self = HeldParts { held, explained };
+        (self.held, self.explained) = (held, explained);
+    }
+
+    /// Reports whether a recorded loss names one of these parts.
+    pub(super) fn are_named(&self, parts: &[PartKey]) -> bool {
+        parts.iter().any(|part| self.named.contains(part))
     }
 
     /// Decides whether a request with these parts may be sent. `last_survival` is the time of the
@@ -177,22 +201,57 @@
 /// The possible causes of crashes.
 struct Causes {
     parts: HashMap<PartKey, PartCrashes>,
-    /// The contents with several crashes: the processes, and the parts.
-    contents: Vec<(HashSet<ProcessKey>, HashSet<PartKey>)>,
+    /// The contents with several crashes.
+    contents: Vec<ContentCrashes>,
     /// All crashes, those of runs that had been going on included.
     all: HashMap<ProcessKey, Time>,
+    /// When a server last survived a run, as far as this node knows.
+    last_survival: Option<Time>,
+}
+
+/// The crashes of one content.
+#[derive(Debug, Default)]
+struct ContentCrashes {
+    processes: HashSet<ProcessKey>,
+    parts: HashSet<PartKey>,
+}
+
+/// Where another part stands in the prompts that contain a part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Order {
+    Same,
+    Earlier,
+    Later,
+    /// In other prompts only.
+    Beside,
+}
+
+fn order(key: PartKey, part: &PartCrashes, other_key: PartKey, other: &PartCrashes) -> Order {
+    if key == other_key {
+        Order::Same
+    } else if part.later.contains(&other_key) {
+        Order::Later
+    } else if other.later.contains(&key) {
+        Order::Earlier
+    } else {
+        Order::Beside
+    }
 }
 
 impl Causes {
-    fn new(early: &[&Loss], late: &[&Loss], now: Time) -> Causes {
-        let counts = |loss: &&&Loss| now.saturating_sub(loss.at) < PART_LOSS_RETENTION;
+    fn new(
+        early: &VecDeque<Loss>,
+        late: &VecDeque<Loss>,
+        last_survival: Option<Time>,
+        now: Time,
+    ) -> Causes {
+        let counts = |loss: &&Loss| now.saturating_sub(loss.at) < PART_LOSS_RETENTION;
         let mut parts: HashMap<PartKey, PartCrashes> = HashMap::new();
-        let mut contents: HashMap<ShortDigest, (HashSet<ProcessKey>, HashSet<PartKey>)> =
-            HashMap::new();
+        let mut contents: HashMap<ShortDigest, ContentCrashes> = HashMap::new();
         for loss in early.iter().filter(counts) {
-            let (processes, carried) = contents.entry(loss.content).or_default();
-            processes.insert(loss.process);
-            carried.extend(&*loss.parts);
+            let content = contents.entry(loss.content).or_default();
+            content.processes.insert(loss.process);
+            content.parts.extend(&*loss.parts);
             for (i, part) in loss.parts.iter().enumerate() {
                 let part = parts.entry(*part).or_default();
                 let at = part.crashes.entry(loss.process).or_insert(loss.at);
@@ -202,48 +261,79 @@
             }
         }
         parts.retain(|_, part| part.is_candidate());
-        contents.retain(|_, (processes, _)| processes.len() >= MIN_CRASHES);
+        contents.retain(|_, content| content.processes.len() >= MIN_CRASHES);
         let all = early.iter().chain(late).filter(counts);
         Causes {
             parts,
             contents: contents.into_values().collect(),
             all: all.map(|loss| (loss.process, loss.at)).collect(),
+            last_survival,
         }
     }
 
     fn is_held(&self, key: PartKey, part: &PartCrashes) -> bool {
-        let unexplained = part.crashes.keys();
-        let unexplained = unexplained.filter(|process| !self.explains(key, part, **process));
+        let explaining = self.better_causes(key, part);
+        let crashes = part.crashes.keys();
+        let unexplained = crashes.filter(|process| !explaining.contains(process));
         let unexplained = unexplained.count();
         let is_enough = unexplained == part.crashes.len() || unexplained >= MIN_UNEXPLAINED;
-        is_enough && !self.is_tied(key, part) && self.is_beyond_storms(key, part)
+        (is_enough || self.is_frequent(key, part))
+            && !self.is_tied(key, part)
+            && self.is_beyond_storms(key, part)
     }
 
-    /// Reports whether another cause explains a crash of a part better.
-    fn explains(&self, key: PartKey, part: &PartCrashes, process: ProcessKey) -> bool {
-        let by_content = self.contents.iter().any(|(processes, carried)| {
-            processes.contains(&process)
-                && (carried.contains(&key) || processes.len() >= part.crashes.len())
+    /// Returns the processes whose crash another cause explains better than a part does.
+    fn better_causes(&self, key: PartKey, part: &PartCrashes) -> HashSet<ProcessKey> {
+        let mut explained = HashSet::new();
+        // A single part explains the crashes of several contents better than these do.
+        let own = self
+            .contents
+            .iter()
+            .filter(|content| content.parts.contains(&key));
+        let own = own.max_by_key(|content| content.processes.len());
+        let beside = self.contents.iter().filter(|content| {
+            !content.parts.contains(&key) && content.processes.len() >= part.crashes.len()
         });
-        let is_better = |other_key: &PartKey, other: &PartCrashes| {
-            let is_later = part.later.contains(other_key);
-            let is_earlier = other.later.contains(&key);
-            is_later || (!is_earlier && other.crashes.len() > part.crashes.len())
-        };
-        by_content
-            || self.parts.iter().any(|(other_key, other)| {
-                other.crashes.contains_key(&process) && is_better(other_key, other)
-            })
+        for content in own.into_iter().chain(beside) {
+            explained.extend(&content.processes);
+        }
+        for (other_key, other) in &self.parts {
+            let is_better = match order(key, part, *other_key, other) {
+                Order::Later => true,
+                Order::Beside => other.crashes.len() > part.crashes.len(),
+                Order::Same | Order::Earlier => false,
+            };
+            if is_better {
+                explained.extend(other.crashes.keys());
+            }
+        }
+        explained
+    }
+
+    /// Reports whether a part was in so many crashes, while servers survived other runs, that the parts
+    /// of other prompts beside it are no better explanation.
+    fn is_frequent(&self, key: PartKey, part: &PartCrashes) -> bool {
+        let first_crash = part.crashes.values().min();
+        if part.crashes.len() < MIN_FREQUENT_CRASHES || self.last_survival.as_ref() <= first_crash {
+            return false;
+        }
+        !self.parts.iter().any(
+            |(other_key, other)| match order(key, part, *other_key, other) {
+                Order::Later => true,
+                Order::Beside => other.crashes.len() > 2 * part.crashes.len(),
+                Order::Same | Order::Earlier => false,
+            },
+        )
     }
 
     /// Reports whether a part of other prompts was in the same processes, too few to tell which of
     /// the two is the cause.
     fn is_tied(&self, key: PartKey, part: &PartCrashes) -> bool {
         let is_tied = |(other_key, other): (&PartKey, &PartCrashes)| {
-            let is_ordered = part.later.contains(other_key) || other.later.contains(&key);
-            *other_key != key && !is_ordered && other.crashes.keys().eq(part.crashes.keys())
+            order(key, part, *other_key, other) == Order::Beside
+                && other.crashes.keys().eq(part.crashes.keys())
         };
-        part.crashes.len() < MIN_TIED_CRASHES && self.parts.iter().any(is_tied)
+        part.crashes.len() < MIN_FREQUENT_CRASHES && self.parts.iter().any(is_tied)
     }
 
     /// Reports whether the crashes are more than those that occur by chance when servers crash
@@ -278,10 +368,13 @@
                 explained.extend(other.crashes.keys());
             }
         }
-        for (processes, _) in &self.contents {
-            let times = processes.iter().filter_map(|process| self.all.get(process));
+        for content in &self.contents {
+            let times = content
+                .processes
+                .iter()
+                .filter_map(|process| self.all.get(process));
             if is_repeated(times.copied().collect()) {
-                explained.extend(processes);
+                explained.extend(&content.processes);
             }
         }
         let others = self.all.iter();
@@ -294,7 +387,7 @@
 /// times.
 fn is_repeated(mut times: Vec<Time>) -> bool {
     times.sort();
-    times.len() >= MIN_TIED_CRASHES || groups(&times).count() >= MIN_CRASHES
+    times.len() >= MIN_FREQUENT_CRASHES || groups(&times).count() >= MIN_CRASHES
 }
 
 /// Returns the weight of crashes within [`GROUP_CRASH_TIME`] of each other, two for a crash that has
@@ -309,7 +402,7 @@
         return 1;
     }
     if group.len() > MIN_GROUP_CRASHES {
-        return 2;
+        return group.len();
     }
     2 * group.len()
 }
--- a/crates/cassiareel/src/kernel/suspect/suspects.rs
+++ b/crates/cassiareel/src/kernel/suspect/suspects.rs
@@ -6,8 +6,7 @@
 use super::{
     super::ticket::ShortDigest, clusters::clusters, parts::HeldParts, stored_time,
     survivals::Survivals, AttemptKey, Loss, PartKey, ProcessKey, ReportedLoss, Time, Verdict,
-    EXONERATION_TIME, EXTRA_CRASHES, GROUP_CRASH_TIME, LOSS_RETENTION, MIN_GROUP_CRASHES,
-    PART_LOSS_RETENTION,
+    EXTRA_CRASHES, GROUP_CRASH_TIME, LOSS_RETENTION, MIN_GROUP_CRASHES, PART_LOSS_RETENTION,
 };
 
 /// Crashes that follow each other within this time may have one cause.
@@ -126,9 +125,8 @@
     }
 
     fn update_held_parts(&mut self, now: Time) {
-        let early: Vec<&Loss> = self.early_losses.iter().collect();
-        let late: Vec<&Loss> = self.late_losses.iter().collect();
-        self.held_parts.update(&early, &late, now);
+        let (early, late) = (&self.early_losses, &self.late_losses);
+        self.held_parts.update(early, late, self.last_survival, now);
     }
 
     /// Records that a server ran and served a request without a crash. A failed request must not be
@@ -148,21 +146,17 @@
         for part in parts {
             self.survived_parts.record(*part, now);
         }
-        let is_cleared = |loss: &Loss| {
-            loss.at <= now + EXONERATION_TIME && loss.parts.iter().any(|part| parts.contains(part))
-        };
-        let mut changed = false;
-        for _ in 0..self.early_losses.len() {
-            let Some(at) = self.early_losses.iter().position(is_cleared) else {
-                break;
-            };
-            self.keep_parts(at, |part| !parts.contains(part));
-            changed = true;
+        if !self.held_parts.are_named(parts) {
+            return false;
         }
-        if changed {
-            self.update_held_parts(now);
+        let mut at = 0;
+        for _ in 0..self.early_losses.len() {
+            if self.keep_parts(at, |part| !parts.contains(part)) == Change::Known {
+                at += 1;
+            }
         }
-        changed
+        self.update_held_parts(now);
+        true
     }
 
     /// Records that a request with these parts is sent. If one of them was held, the request tries
