--- a/crates/cassiareel/src/kernel/suspect/fleet_simulation.rs
+++ b/crates/cassiareel/src/kernel/suspect/fleet_simulation.rs
@@ -302,13 +302,6 @@
             return self.fail(request, true);
         }
         let verdict = suspects.verdict(&request.content, CONTENT_BOUND, self.now);
-        if std::env::var("DBG").is_ok() && request.content[15] >= 200 {
-            println!(
-                "{:?} node {node} {verdict:?} {:?}",
-                self.now,
-                suspects.crash_count(&request.content, self.now)
-            );
-        }
         if verdict != Verdict::Allowed {
             return self.fail(request, false);
         }
--- a/crates/cassiareel/src/kernel/suspect/mod.rs
+++ b/crates/cassiareel/src/kernel/suspect/mod.rs
@@ -74,6 +74,9 @@
 /// Number of other processes that must crash together with a process to explain its crash.
 const MIN_GROUP_CRASHES: usize = 2;
 
+/// Number of crashes that other causes must leave unexplained for a cause beside them.
+const MIN_UNEXPLAINED: usize = 2;
+
 /// Additional crashes that are required if many servers crash around the same time.
 const EXTRA_CRASHES: u32 = 2;
 
--- a/crates/cassiareel/src/kernel/suspect/parts.rs
+++ b/crates/cassiareel/src/kernel/suspect/parts.rs
@@ -18,13 +18,14 @@
 */
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
 use super::{
     super::ticket::ShortDigest, Loss, PartKey, ProcessKey, Time, Verdict, EXTRA_CRASHES,
-    GROUP_CRASH_TIME, MIN_GROUP_CRASHES, PART_LOSS_RETENTION,
+    GROUP_CRASH_TIME, MIN_GROUP_CRASHES, MIN_UNEXPLAINED, PART_LOSS_RETENTION,
 };
 
 /// Number of processes that must have crashed on a part before it is held.
@@ -33,9 +34,6 @@
 /// Number of different contents among them. The crashes of a single one are explained by the content.
 const MIN_CONTENTS: usize = 2;
 
-/// Number of crashes that other causes must leave unexplained if they explain some.
-const MIN_UNEXPLAINED: usize = 2;
-
 /// Number of crashes of a part from which it is held although parts of other prompts were in the same
 /// processes.
 const MIN_FREQUENT_CRASHES: usize = 5;
@@ -94,17 +92,14 @@
         let causes = Causes::new(early, late, last_survival, now);
         let mut held = HashMap::new();
         let mut explained: HashMap<ProcessKey, u32> = HashMap::new();
-        for (key, part) in &causes.parts {
-            if !causes.is_held(*key, part) {
-                continue;
-            }
+        for (key, part) in causes.held_parts() {
             let crashes = part.crashes.len() as u32;
             for process in part.crashes.keys() {
                 let most = explained.entry(*process).or_default();
                 *most = crashes.max(*most);
             }
-            let tried = self.held.get(key).and_then(|before| before.tried);
-            held.insert(*key, part.hold(tried));
+            let tried = self.held.get(&key).and_then(|before| before.tried);
+            held.insert(key, part.hold(tried));
         }
         (self.held, self.explained) = (held, explained);
     }
@@ -271,7 +266,24 @@
         }
     }
 
-    fn is_held(&self, key: PartKey, part: &PartCrashes) -> bool {
+    /// Returns the parts that are held.
+    fn held_parts(&self) -> Vec<(PartKey, &PartCrashes)> {
+        let parts = self.parts.iter().map(|(key, part)| (*key, part));
+        let likely: Vec<(PartKey, &PartCrashes)> = parts
+            .filter(|(key, part)| self.is_likely(*key, part))
+            .collect();
+        // A later part without a crash of its own adds nothing to a likely earlier one.
+        let adds = |(key, part): &(PartKey, &PartCrashes)| {
+            !likely.iter().any(|(other_key, other)| {
+                order(*key, part, *other_key, other) == Order::Earlier
+                    && other.crashes.len() > part.crashes.len()
+                    && part.crashes.keys().all(|at| other.crashes.contains_key(at))
+            })
+        };
+        likely.iter().copied().filter(adds).collect()
+    }
+
+    fn is_likely(&self, key: PartKey, part: &PartCrashes) -> bool {
         let explaining = self.better_causes(key, part);
         let crashes = part.crashes.keys();
         let unexplained = crashes.filter(|process| !explaining.contains(process));
@@ -297,24 +309,34 @@
         for content in own.into_iter().chain(beside) {
             explained.extend(&content.processes);
         }
+        let mut later = Vec::new();
         for (other_key, other) in &self.parts {
-            let is_better = match order(key, part, *other_key, other) {
-                Order::Later => true,
-                Order::Beside => other.crashes.len() > part.crashes.len(),
-                Order::Same | Order::Earlier => false,
-            };
-            if is_better {
-                explained.extend(other.crashes.keys());
+            match order(key, part, *other_key, other) {
+                Order::Later => later.push(other),
+                Order::Beside if other.crashes.len() > part.crashes.len() => {
+                    explained.extend(other.crashes.keys());
+                }
+                Order::Beside | Order::Same | Order::Earlier => {}
             }
         }
+        // Where servers survived other runs, several harmless later parts are an unlikely explanation:
+        // a part that all prompts share would have been cleared by these runs.
+        later.sort_by_key(|other| Reverse(other.crashes.len()));
+        let count = if self.has_survivals_since(part) {
+            1
+        } else {
+            later.len()
+        };
+        for other in later.into_iter().take(count) {
+            explained.extend(other.crashes.keys());
+        }
         explained
     }
 
     /// Reports whether a part was in so many crashes, while servers survived other runs, that the parts
     /// of other prompts beside it are no better explanation.
     fn is_frequent(&self, key: PartKey, part: &PartCrashes) -> bool {
-        let first_crash = part.crashes.values().min();
-        if part.crashes.len() < MIN_FREQUENT_CRASHES || self.last_survival.as_ref() <= first_crash {
+        if part.crashes.len() < MIN_FREQUENT_CRASHES || !self.has_survivals_since(part) {
             return false;
         }
         !self.parts.iter().any(
@@ -326,6 +348,11 @@
         )
     }
 
+    /// Reports whether servers survived other runs since the first crash of a part.
+    fn has_survivals_since(&self, part: &PartCrashes) -> bool {
+        self.last_survival.as_ref() > part.crashes.values().min()
+    }
+
     /// Reports whether a part of other prompts was in the same processes, too few to tell which of
     /// the two is the cause.
     fn is_tied(&self, key: PartKey, part: &PartCrashes) -> bool {
--- a/crates/cassiareel/src/kernel/suspect/suspects.rs
+++ b/crates/cassiareel/src/kernel/suspect/suspects.rs
@@ -6,7 +6,8 @@
 use super::{
     super::ticket::ShortDigest, clusters::clusters, parts::HeldParts, stored_time,
     survivals::Survivals, AttemptKey, Loss, PartKey, ProcessKey, ReportedLoss, Time, Verdict,
-    EXTRA_CRASHES, GROUP_CRASH_TIME, LOSS_RETENTION, MIN_GROUP_CRASHES, PART_LOSS_RETENTION,
+    EXTRA_CRASHES, GROUP_CRASH_TIME, LOSS_RETENTION, MIN_GROUP_CRASHES, MIN_UNEXPLAINED,
+    PART_LOSS_RETENTION,
 };
 
 /// Crashes that follow each other within this time may have one cause.
@@ -280,7 +281,11 @@
         };
         let mut losses: Vec<Loss> = self.all_losses().filter(counts).cloned().collect();
         let crashes = losses.len();
-        losses.retain(|loss| !self.has_likelier_cause(loss, crashes));
+        let by_part = |loss: &Loss| self.held_parts.explains(loss.process, crashes);
+        let own = losses.iter().filter(|loss| !by_part(loss)).count();
+        losses.retain(|loss| {
+            (own >= MIN_UNEXPLAINED || !by_part(loss)) && !self.has_likelier_cause(loss, crashes)
+        });
         losses.sort_by_key(|loss| loss.at);
         losses
     }
@@ -329,12 +334,9 @@
         self.survived.clears(&loss.content, loss.at)
     }
 
-    /// Reports whether another request with more than `crashes` losses, or one with a held part that
-    /// has as many, ran in the process of a loss.
+    /// Reports whether another request with more than `crashes` losses ran in the process of a
+    /// loss.
     fn has_likelier_cause(&self, loss: &Loss, crashes: usize) -> bool {
-        if self.held_parts.explains(loss.process, crashes) {
-            return true;
-        }
         let is_beside =
             |other: &&Loss| other.process == loss.process && other.content != loss.content;
         let mut beside = self.all_losses().filter(is_beside);
