--- a/crates/cassiareel/src/kernel/suspect/fleet_tests.rs
+++ b/crates/cassiareel/src/kernel/suspect/fleet_tests.rs
@@ -117,19 +117,19 @@
     assert!(all.is_empty(), "{all:#?}");
 }
 
-#[test_case(vec![(Culprit::Part { place: 1 }, 0.1), (Culprit::Part { place: 1 }, 0.1)], 6; "two deadly parts")]
-#[test_case(vec![(Culprit::Part { place: 1 }, 0.2), (Culprit::Part { place: 1 }, 0.02)], 6; "a frequent deadly part and a rare one")]
-#[test_case(vec![(Culprit::Part { place: 0 }, 0.2)], 6; "the first part is deadly")]
-#[test_case(vec![(Culprit::Part { place: 1 }, 0.1), (Culprit::Content, 0.05)], 6; "a deadly part beside a deadly content")]
-#[test_case(vec![(Culprit::Part { place: 1 }, 0.2)], 0; "a fleet that has just started")]
-#[test_case(vec![(Culprit::Part { place: 1 }, 0.5)], 0; "a fleet that has just started gets many")]
-#[test_case(vec![(Culprit::Content, 0.1)], 6; "a deadly content alone")]
-fn every_culprit_is_held_and_nothing_else(culprits: Vec<(Culprit, f64)>, since: u64) {
+#[test_case(&[(Culprit::Part { place: 1 }, 0.1), (Culprit::Part { place: 1 }, 0.1)], 6; "two deadly parts")]
+#[test_case(&[(Culprit::Part { place: 1 }, 0.2), (Culprit::Part { place: 1 }, 0.02)], 6; "a frequent deadly part and a rare one")]
+#[test_case(&[(Culprit::Part { place: 0 }, 0.2)], 6; "the first part is deadly")]
+#[test_case(&[(Culprit::Part { place: 1 }, 0.1), (Culprit::Content, 0.05)], 6; "a deadly part beside a deadly content")]
+#[test_case(&[(Culprit::Part { place: 1 }, 0.2)], 0; "a fleet that has just started")]
+#[test_case(&[(Culprit::Part { place: 1 }, 0.5)], 0; "a fleet that has just started gets many")]
+#[test_case(&[(Culprit::Content, 0.1)], 6; "a deadly content alone")]
+fn every_culprit_is_held_and_nothing_else(culprits: &[(Culprit, f64)], since: u64) {
     let mut all = Vec::new();
     for (nodes, batch, rate) in [(6, 12, 8.0), (6, 128, 8.0), (6, 128, 40.0), (295, 12, 40.0)] {
         let scene = Scene {
             rate,
-            culprits: culprits.clone(),
+            culprits: culprits.to_vec(),
             since: seconds(since),
             ..scene(nodes, batch)
         };
