--- a/crates/cassiareel-relay/src/front/suspect.rs
+++ b/crates/cassiareel-relay/src/front/suspect.rs
@@ -28,6 +28,10 @@
 /// A run counts as having just begun until this long after its first event.
 const EARLY_PHASE: Duration = Duration::from_millis(300);
 
+/// Time after its start in which a node tries no held part, since it has not yet seen whether servers
+/// survive other requests.
+const MIN_PROBING_UPTIME: Duration = Duration::from_secs(60);
+
 /// Returns how long a request is still held for its content or a part of its prompt, or `None` if it
 /// may be sent.
 pub(super) fn hold_left(
@@ -62,7 +66,8 @@
 /// The first reader of the store is the node that tries a part again before the others.
 fn part_hold_left(state: &State, id: &str, parts: &[PartKey]) -> Option<Duration> {
     let now = clock::now();
-    let is_probing_node = state.store_cache.reader_rank() == 0;
+    let is_probing_node =
+        state.store_cache.reader_rank() == 0 && !state.started_within(MIN_PROBING_UPTIME);
     let (left, part, crashes) = {
         let suspects = state.suspects();
         let held = parts.iter().filter_map(|part| {
--- a/crates/cassiareel/src/front/suspect.rs
+++ b/crates/cassiareel/src/front/suspect.rs
@@ -26,6 +26,10 @@
 /// Shortest time between a crash at an address and the next crash of the restarted process there.
 const MIN_RESTART_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time after its start in which a node tries no held part, since it has not yet seen whether servers
+/// survive other requests.
+const MIN_PROBING_UPTIME: Duration = Duration::from_secs(60);
+
 /// Returns the refusal of a quarantined request, under which too many backend servers crashed, or
 /// none if the request may run.
 pub(super) fn refusal(
@@ -53,7 +57,8 @@
     parts: &[PartKey],
 ) -> Option<Refusal> {
     let shared = &context.shared;
-    let (is_probing_node, now) = (shared.is_probing_node(), shared.now());
+    let now = shared.now();
+    let is_probing_node = shared.is_probing_node() && now >= MIN_PROBING_UPTIME;
     let (remaining, part, crashes) = {
         let suspects = shared.suspects();
         let held = parts.iter().filter_map(|part| {
--- a/crates/cassiareel/src/kernel/suspect/parts.rs
+++ b/crates/cassiareel/src/kernel/suspect/parts.rs
@@ -123,8 +123,7 @@
         }
         let held = parts.iter().filter_map(|part| self.held.get(part));
         let waits = held.filter_map(|part| {
-            // A node that has just started does not know what servers survived before.
-            let is_uncertain = last_survival.is_some_and(|at| at < part.first_crash);
+            let is_uncertain = last_survival.is_none_or(|at| at < part.first_crash);
             let remaining = part.remaining(is_probing_node, is_uncertain, now);
             remaining.map(|remaining| (remaining, part.crashes))
         });
