--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -32,7 +32,8 @@
     },
     send::{send, ResponseHead, SendOptions, SendOutcome},
     stream_error::StreamError,
-    suspect, trials,
+    suspect::{self, is_past_start},
+    trials,
 };
 use crate::{
     backends::{Backend, LoadGuard},
@@ -68,6 +69,8 @@
     progress: Continuation,
     tried: Vec<u64>,
     begun: bool,
+    /// Whether an engine wrote the answer past its start.
+    past_start: bool,
     lost_at: Option<Moment>,
     copy: Option<(Arc<Backend>, MemoryCopy)>,
     /// The engine that was chosen before the last run was given up.
@@ -100,6 +103,7 @@
             failure: None,
             tried: Vec::new(),
             begun: false,
+            past_start: false,
             lost_at: None,
             copy: None,
             successor: None,
@@ -200,6 +204,14 @@
             if let Some(trial) = &run.trial {
                 trial.note_event(now);
             }
+            if !self.past_start
+                && run
+                    .first_event
+                    .is_some_and(|first| is_past_start(first, now))
+            {
+                self.past_start = true;
+                suspect::record_part_survival(&self.state, &self.request.parts);
+            }
             self.begun = true;
             self.ready.push_back(event);
         }
@@ -358,6 +370,7 @@
                 .map_err(|stop| self.stop_error(stop))?;
             self.check_quarantine()?;
             let target = self.choose_target().await?;
+            self.check_quarantine()?;
             if self.is_too_late(&target) {
                 return Err(self.stop_error(self.progress.stop_reason()));
             }
@@ -384,14 +397,20 @@
         }
     }
 
-    /// Fails if the request is quarantined. A stream of which the caller has events goes on: it got
-    /// past its start, and the number of its runs is limited.
+    /// Fails if the request is quarantined, or held for a part of its prompt. A stream of which the
+    /// caller has events goes on beside the former, and one that got past its start beside both: the
+    /// number of its runs is limited.
     fn check_quarantine(&self) -> Result<(), StreamError> {
-        if self.begun {
+        if self.past_start {
             return Ok(());
         }
-        let request = &self.request;
-        match suspect::quarantine_left(&self.state, &request.ask.id, &request.content) {
+        let (state, request) = (&self.state, &self.request);
+        let left = if self.begun {
+            suspect::part_hold_left(state, &request.ask.id, &request.parts)
+        } else {
+            suspect::hold_left(state, &request.ask.id, &request.content, &request.parts)
+        };
+        match left {
             Some(after) if self.progress.stop_reason() == StopReason::NotRun => {
                 Err(StreamError::Held { after })
             }
@@ -496,6 +515,7 @@
             }
             return Ok(false);
         };
+        suspect::record_send(&self.state, &self.request);
         self.progress.record_send();
         self.tried.push(member.number);
         let prompt = &self.request.ask.prompt;
