A stopping node takes no late stream that it would hand over again (LOST)

What callers saw: a resumed stream that reached a stopping node 5.7 s after SIGTERM was accepted, waited 1.1 s at its engine, and was handed over a second time 1.9 s later, cut in the middle of its answer.

Cause: a stream was accepted if it could end 0.3 s before the process, but streams are handed over 0.45 s before, and the wait for a place at an engine was not counted. Change: the margin of a stream is that of the hand-over, and it may wait 0.45 s.

--- a/crates/cassiareel-relay/src/kernel/shutdown.rs
+++ b/crates/cassiareel-relay/src/kernel/shutdown.rs
@@ -32,6 +32,12 @@
 /// The time reserved for the exit of the process itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// How long before the end of a shutdown open streams are handed over.
+pub const HAND_OVER_MARGIN: Duration = Duration::from_millis(450);
+
+/// The time that a stream may wait for a place at its engine.
+const ENGINE_WAIT: Duration = Duration::from_millis(450);
+
 /// A shutdown in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct Shutdown {
@@ -52,12 +58,12 @@
     if route.kind == RouteKind::ResumableStream && shutdown.elapsed <= BALANCER_DELAY {
         return true;
     }
-    let expected = if route.kind.is_stream() {
-        stream_time(prompt, done)
+    let (expected, margin) = if route.kind.is_stream() {
+        (stream_time(prompt, done) + ENGINE_WAIT, HAND_OVER_MARGIN)
     } else {
-        PLAIN_TIME
+        (PLAIN_TIME, EXIT_MARGIN)
     };
-    shutdown.remaining >= expected.min(route.timeout) + EXIT_MARGIN
+    shutdown.remaining >= expected.min(route.timeout) + margin
 }
 
 /// Returns the longest typical time of a stream from its arrival to its end.
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -15,7 +15,7 @@
     clock,
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{bind_listener, serve_callers, serve_metrics, serve_readiness, OpenRequests},
-    kernel::BALANCER_DELAY,
+    kernel::{BALANCER_DELAY, HAND_OVER_MARGIN},
     peers::{follow_limits, follow_peers, send_losses, serve_peers},
     protocol::Protocol,
     settings::Settings,
@@ -31,9 +31,6 @@
 /// Time that is kept back from the grace period for the process's own exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
-/// Time before the end of the grace period at which streams are handed over to other nodes.
-const HAND_OVER_MARGIN: Duration = Duration::from_millis(450);
-
 /// The interval at which a stopping node checks what is still open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
