A stopping node takes a late stream only with three seconds left (LOST)

After the time in which the balancer may not know of the stop, a stream needs three seconds at least; its caller goes to another node at once. Test: shutdown_tests, 'the last event of a stream that may wait at its engine'.

--- a/crates/cassiareel-relay/src/kernel/shutdown.rs
+++ b/crates/cassiareel-relay/src/kernel/shutdown.rs
@@ -38,6 +38,10 @@
 /// The time that a stream may wait for a place at its engine.
 const ENGINE_WAIT: Duration = Duration::from_millis(450);
 
+/// The time that has to be left for any stream, since a busy engine may make even a short one wait for
+/// more than a second.
+const MIN_STREAM_TIME: Duration = Duration::from_secs(3);
+
 /// A shutdown in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct Shutdown {
@@ -59,7 +63,8 @@
         return true;
     }
     let (expected, margin) = if route.kind.is_stream() {
-        (stream_time(prompt, done) + ENGINE_WAIT, HAND_OVER_MARGIN)
+        let expected = stream_time(prompt, done) + ENGINE_WAIT;
+        (expected.max(MIN_STREAM_TIME), HAND_OVER_MARGIN)
     } else {
         (PLAIN_TIME, EXIT_MARGIN)
     };
--- a/crates/cassiareel-relay/src/kernel/shutdown_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/shutdown_tests.rs
@@ -29,6 +29,7 @@
 #[test_case(&Case { kind: RouteKind::ResumableStream, timeout: 25_000, tokens: (5_000, 1_040), done: 0, elapsed: 3_600, accepted: false }; "a stream that begins late")]
 #[test_case(&Case { kind: RouteKind::ResumableStream, timeout: 25_000, tokens: (5_000, 1_040), done: 760, elapsed: 3_600, accepted: true }; "the rest of a stream that another node handed over")]
 #[test_case(&Case { kind: RouteKind::ResumableStream, timeout: 25_000, tokens: (2_900, 840), done: 744, elapsed: 5_700, accepted: false }; "the rest of a stream that would be handed over again")]
+#[test_case(&Case { kind: RouteKind::ResumableStream, timeout: 25_000, tokens: (2_900, 840), done: 832, elapsed: 5_000, accepted: false }; "the last event of a stream that may wait at its engine")]
 #[test_case(&Case { kind: RouteKind::NonIdempotent, timeout: 800, tokens: (0, 0), done: 0, elapsed: 6_800, accepted: true }; "an order with a short timeout")]
 #[test_case(&Case { kind: RouteKind::NonIdempotent, timeout: 4_000, tokens: (0, 0), done: 0, elapsed: 6_800, accepted: false }; "an order that may take longer")]
 fn requests_that_can_end_in_time_are_accepted(case: &Case) {
