--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -442,8 +442,8 @@
         }
     }
 
-    /// Waits a little before the next search, for a stream of which the caller has events and that
-    /// an engine takes in time: one that names a limit or has requested backoff.
+    /// Waits a little before the next search, for a stream that may have run and that an engine takes
+    /// in time: one that names a limit, has requested backoff or is silent.
     ///
     /// # Errors
     ///
--- a/crates/cassiareel-relay/src/front/probe.rs
+++ b/crates/cassiareel-relay/src/front/probe.rs
@@ -36,7 +36,7 @@
 /// The cause of a loss of a run whose engine accepts no connections.
 pub(super) const UNREACHABLE: &str = "unreachable";
 
-/// The cause of a loss of a run whose engine's process has ended.
+/// The cause of a loss of a run at whose engine's address no process or another one listens.
 pub(super) const ENGINE_LOST: &str = "engine lost";
 
 /// Number of reports that show that a run has ended, with no report in between that does not, that
