A request that is open at the end of a stop is answered

Cause: the process exited with requests open; nothing answered them. Class: a process ends what it took on without saying so.

Change: 0.4 s before the end of the grace period, each request of which the caller has no part of the answer is answered: 503 with Retry-After where it was certainly not passed on, 504 where it may run. A request counts the sends that may have led to a run for that. Dropping it closes its connection to the server. Streams that have begun are handed over as before. It works for any wait, since the whole of reading and serving a request ends with the same signal.

--- a/crates/cassiareel-cli/src/explain_logs.rs
+++ b/crates/cassiareel-cli/src/explain_logs.rs
@@ -136,6 +136,7 @@
             "held" => "refused, nothing ran: backend servers crashed under earlier attempts",
             "not_informed" => "refused, nothing ran: the node had no fresh configuration or keys",
             "unknown_outcome" => "failed: the request may have run, and its answer is lost",
+            "stopped" => "abandoned: the node stopped, and the request may have run",
             other => other,
         };
         let mut text = format!(
--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -4,13 +4,20 @@
 
 use bytes::Bytes;
 use cassiareel::runtime::within;
+use futures_lite::FutureExt;
 use http::request;
 use http_body::Body as _;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
 
-use super::{body_memory::BodyMemory, content, refusal::Refusal, request::Request, suspect};
+use super::{
+    body_memory::BodyMemory,
+    content,
+    refusal::{Refusal, STOPPING_RETRY_AFTER},
+    request::{Request, SendCount},
+    suspect,
+};
 use crate::{
     admission::Admitted,
     clock::{self, Moment},
@@ -43,8 +50,10 @@
 /// callers don't return together.
 const STALE_KEYS_RETRY_FRACTION: std::ops::Range<f64> = 0.2..0.4;
 
-/// How long a caller should wait before it retries at another node.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// The rejection of a request that can't end before the node exits.
+const STOPPING: Refusal = Refusal::NoBackend {
+    after: STOPPING_RETRY_AFTER,
+};
 
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
@@ -66,31 +75,26 @@
     if head_size(&parts) > state.limits().header_bytes {
         return Err((Some(ask), Refusal::HeadTooLarge));
     }
-    // The body is read before any other rejection, so that the connection can be kept.
-    let (body, memory) = match read_body(state, &ask, body).await {
+    let reading = read_and_authorize(state, &ask, body, arrived);
+    let stopping = async {
+        state.wait_requests_end().await;
+        Err(STOPPING)
+    };
+    let (body, memory, access) = match reading.or(stopping).await {
         Ok(read) => read,
         Err(refusal) => return Err((Some(ask), refusal)),
     };
-    let patience = ask
-        .deadline
-        .unwrap_or(DEFAULT_DEADLINE)
-        .mul_f64(STARTUP_WAIT_FRACTION);
-    state.wait_informed(patience.min(STARTUP_WAIT)).await;
     let Access {
         route,
         tenant,
         priority,
-    } = match authorize(state, &ask, arrived).await {
-        Ok(found) => found,
-        Err(refusal) => return Err((Some(ask), refusal)),
-    };
+    } = access;
     let service = choose_service(&route);
     if let Some(leave) = state.leave_progress(clock::now()) {
         let done = ask.last_event.unwrap_or(0);
         let done = state.speeds().tokens(&service, done);
         if !accepts_during_shutdown(leave, &route, &ask.prompt, done) {
-            let after = LEAVING_RETRY_AFTER;
-            return Err((Some(ask), Refusal::NoBackend { after }));
+            return Err((Some(ask), STOPPING));
         }
     }
     let content = content::digest(&ask, tenant.as_deref(), &parts.method, &parts.uri, &body);
@@ -118,10 +122,29 @@
         admitted,
         arrived,
         end: arrived + limit,
+        sends: SendCount::default(),
         ask,
     })
 }
 
+/// Reads the body and checks the key. The body is read before any other rejection, so that the
+/// connection can be kept.
+async fn read_and_authorize(
+    state: &State,
+    ask: &RequestHead,
+    body: Incoming,
+    arrived: Moment,
+) -> Result<(Bytes, BodyMemory, Access), Refusal> {
+    let (body, memory) = read_body(state, ask, body).await?;
+    let patience = ask
+        .deadline
+        .unwrap_or(DEFAULT_DEADLINE)
+        .mul_f64(STARTUP_WAIT_FRACTION);
+    state.wait_informed(patience.min(STARTUP_WAIT)).await;
+    let access = authorize(state, ask, arrived).await?;
+    Ok((body, memory, access))
+}
+
 /// Returns the size of a head in bytes, with one space after each colon.
 fn head_size(parts: &request::Parts) -> usize {
     const LINE: usize = "  HTTP/1.1\r\n".len();
--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
-use futures_lite::stream;
+use futures_lite::{stream, FutureExt};
 use http::{
     header::{CONNECTION, CONTENT_LENGTH},
     HeaderValue, Response,
@@ -23,6 +23,7 @@
 };
 use crate::{
     clock::{self, Moment},
+    kernel::Event,
     metrics::Metrics,
     model::RequestHead,
     state::State,
@@ -57,7 +58,12 @@
     if request.route.kind.is_stream() {
         return serve_stream(state, Arc::new(request), guard).await;
     }
-    match plain::serve(state, &request).await {
+    let serving = plain::serve(state, &request);
+    let stopping = async {
+        state.wait_requests_end().await;
+        Err(request.stop_refusal())
+    };
+    match serving.or(stopping).await {
         Ok(reply) => {
             let outcome = if reply.status().is_success() {
                 "served"
@@ -76,13 +82,19 @@
 
 /// Serves an event stream. The head is sent with the first event.
 async fn serve_stream(state: &Arc<State>, request: Arc<Request>, guard: OpenMetricGuard) -> Reply {
-    let mut generation = Generation::new(state.clone(), request.clone());
-    let first = match generation.next().await {
-        Ok(Some(event)) => event,
-        Ok(None) => return fail_stream(state, &request, generation, StreamError::Broken).await,
-        Err(err) => return fail_stream(state, &request, generation, err).await,
+    let beginning = begin_stream(state, &request);
+    let stopping = async {
+        state.wait_requests_end().await;
+        let refusal = request.stop_refusal();
+        log_request(state, &request, refusal.name());
+        Err(refusal.reply())
+    };
+    let (mut generation, first) = match beginning.or(stopping).await {
+        Ok(begun) => begun,
+        Err(reply) => return reply,
     };
     let Some(head) = generation.take_head() else {
+        log_request(state, &request, Refusal::UnknownOutcome.name());
         return Refusal::UnknownOutcome.reply();
     };
     log_request(state, &request, "streaming");
@@ -108,6 +120,23 @@
     reply
 }
 
+/// Waits for the first event of a stream.
+///
+/// # Errors
+///
+/// Fails with the answer to a stream that ended before.
+async fn begin_stream(
+    state: &Arc<State>,
+    request: &Arc<Request>,
+) -> Result<(Generation, Event), Reply> {
+    let mut generation = Generation::new(state.clone(), request.clone());
+    match generation.next().await {
+        Ok(Some(event)) => Ok((generation, event)),
+        Ok(None) => Err(fail_stream(state, request, generation, StreamError::Broken).await),
+        Err(err) => Err(fail_stream(state, request, generation, err).await),
+    }
+}
+
 /// Answers a stream that ended before its first event: with the engine's own failure, if there is
 /// one.
 async fn fail_stream(
--- a/crates/cassiareel-relay/src/front/refusal.rs
+++ b/crates/cassiareel-relay/src/front/refusal.rs
@@ -11,6 +11,9 @@
 
 use super::body::{full_body, Reply};
 
+/// How long a caller that a stopping node refuses should wait before it retries at another node.
+pub(super) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Why the relay itself answers a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Refusal {
@@ -57,6 +60,8 @@
     UnknownOutcome,
     /// No response arrived in time.
     Timeout,
+    /// The node exits before the response has arrived; the request may have run.
+    Stopped,
 }
 
 impl Refusal {
@@ -75,7 +80,7 @@
             | Refusal::Held { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::OverShare { .. } => StatusCode::TOO_MANY_REQUESTS,
             Refusal::UnknownOutcome => StatusCode::BAD_GATEWAY,
-            Refusal::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::Timeout | Refusal::Stopped => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -95,6 +100,7 @@
             Refusal::Held { .. } => "held",
             Refusal::UnknownOutcome => "unknown_outcome",
             Refusal::Timeout => "timeout",
+            Refusal::Stopped => "stopped",
         }
     }
 
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -1,12 +1,21 @@
 //! A caller's request after admission.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cassiareel::kernel::{suspect::PartKey, ticket::ShortDigest};
 use http::{HeaderMap, Method, Uri};
 
-use super::body_memory::BodyMemory;
+use super::{
+    body_memory::BodyMemory,
+    refusal::{Refusal, STOPPING_RETRY_AFTER},
+};
 use crate::{
     admission::Admitted,
     clock::{self, Moment},
@@ -50,6 +59,29 @@
     pub arrived: Moment,
     /// When the caller's deadline or the route's timeout passes.
     pub end: Moment,
+    /// The sends that may have led to a run.
+    pub sends: SendCount,
+}
+
+/// The number of sends of a request that may have led to a run.
+#[derive(Debug, Default)]
+pub(super) struct SendCount(AtomicU32);
+
+impl SendCount {
+    /// Counts a send that begins.
+    pub(super) fn begin(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Uncounts a send that has certainly not led to a run.
+    pub(super) fn undo(&self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Reports whether a send may have led to a run.
+    pub(super) fn is_any(&self) -> bool {
+        self.0.load(Ordering::Relaxed) > 0
+    }
 }
 
 impl Request {
@@ -60,6 +92,16 @@
             .saturating_sub(RETURN_MARGIN)
     }
 
+    /// Returns the answer to a request that the node does not finish before it exits.
+    pub(super) fn stop_refusal(&self) -> Refusal {
+        if self.sends.is_any() {
+            return Refusal::Stopped;
+        }
+        Refusal::NoBackend {
+            after: STOPPING_RETRY_AFTER,
+        }
+    }
+
     /// Records that the request was rejected for want of `lack`. Returns how long the caller should
     /// wait before it retries.
     pub(super) fn record_rejection(&self, state: &State, lack: Shortage) -> Duration {
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -187,6 +187,7 @@
             }
         };
         let sent_at = clock::now();
+        request.sends.begin();
         match lease
             .conn
             .send(build_request(state, request, member, options))
@@ -194,15 +195,21 @@
         {
             Ok(head) => {
                 let head = ResponseHead::new(state, head, lease);
-                return attribute(state, request, member, head, sent_at).await;
+                let outcome = attribute(state, request, member, head, sent_at).await;
+                if matches!(outcome, SendOutcome::NotRun(_)) {
+                    request.sends.undo();
+                }
+                return outcome;
             }
-            // The kept connection was closed in the meantime; a new one shows whether the backend
-            // server is alive.
-            Err(SendError::NotSent { .. }) if reused => {}
+            Err(SendError::Lost { cause }) => return SendOutcome::Lost(cause),
             Err(err @ (SendError::NotSent { .. } | SendError::Refused)) => {
-                return SendOutcome::Unreached(err.to_string());
+                request.sends.undo();
+                // A kept connection was closed in the meantime; a new one shows whether the backend
+                // server is alive.
+                if !(reused && matches!(err, SendError::NotSent { .. })) {
+                    return SendOutcome::Unreached(err.to_string());
+                }
             }
-            Err(SendError::Lost { cause }) => return SendOutcome::Lost(cause),
         }
     }
     SendOutcome::Unreached("closed before the request was sent".to_owned())
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -77,5 +77,7 @@
 pub use registry::{Registry, RegistryChanges};
 pub use rollout::{state_to_report, Exposure, Judge, RolloutDecision, Tally, MIN_SHARE};
 pub use share_draw::ShareDraw;
-pub use shutdown::{accepts_during_shutdown, Shutdown, BALANCER_DELAY, HAND_OVER_MARGIN};
+pub use shutdown::{
+    accepts_during_shutdown, Shutdown, ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN,
+};
 pub use speeds::{EndedStream, ServiceSpeeds};
--- a/crates/cassiareel-relay/src/kernel/shutdown.rs
+++ b/crates/cassiareel-relay/src/kernel/shutdown.rs
@@ -32,6 +32,10 @@
 /// The time reserved for the exit of the process itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// How long before the end of a shutdown open requests are answered. It leaves time to write the
+/// answers.
+pub const ANSWER_MARGIN: Duration = Duration::from_millis(400);
+
 /// How long before the end of a shutdown open streams are handed over.
 pub const HAND_OVER_MARGIN: Duration = Duration::from_millis(450);
 
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -15,7 +15,7 @@
     clock,
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{bind_listener, serve_callers, serve_metrics, serve_readiness, OpenRequests},
-    kernel::{BALANCER_DELAY, HAND_OVER_MARGIN},
+    kernel::{ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN},
     peers::{follow_limits, follow_peers, send_losses, serve_peers},
     protocol::Protocol,
     settings::Settings,
@@ -130,7 +130,9 @@
     }
 }
 
-/// Finishes what is open within the grace period; returns how many requests were still open.
+/// Finishes what is open within the grace period. Requests that are still open shortly before its end
+/// are answered with what is known of them. Returns how many are open at the end: answers of which the
+/// callers have a part.
 async fn stop(state: &State, open: &OpenRequests) -> usize {
     let began = clock::now();
     let grace = state.settings.load().bounds.grace;
@@ -148,6 +150,9 @@
         if spent + HAND_OVER_MARGIN >= grace {
             state.handing_over.store(true, Ordering::Relaxed);
         }
+        if spent + ANSWER_MARGIN >= grace && state.end_requests() {
+            info!(state.log, "requests ended"; "open" => open.count());
+        }
         Timer::after(CHECK_INTERVAL).await;
     }
     let left = open.count();
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -130,6 +130,8 @@
     read_request_sender: Sender<()>,
     read_requests: Receiver<()>,
     version_signal: (Sender<()>, Receiver<()>),
+    /// Closed when open requests are to be answered, since the process is about to exit.
+    requests_end: (Sender<()>, Receiver<()>),
 }
 
 impl State {
@@ -172,6 +174,7 @@
             limits_read: AtomicBool::new(false),
             orders_read: AtomicBool::new(false),
             version_signal: async_channel::bounded(1),
+            requests_end: async_channel::bounded(1),
             budgets: Mutex::default(),
             data_centre_losses: Mutex::default(),
             speeds: Mutex::default(),
@@ -412,6 +415,19 @@
         })
     }
 
+    /// Ends all requests of which the caller has no part of the answer; returns `false` if they were
+    /// ended before.
+    pub(crate) fn end_requests(&self) -> bool {
+        self.requests_end.0.close()
+    }
+
+    /// Waits until requests are to be answered with what is known, since the process is about to
+    /// exit.
+    pub(crate) async fn wait_requests_end(&self) {
+        // Nothing is sent: the receiver fails when the channel is closed.
+        let _ = self.requests_end.1.recv().await;
+    }
+
     /// Waits for a read of the configuration that began at or after `since`; returns `false` where
     /// there was none within `limit`.
     pub(crate) async fn wait_config_read(&self, since: Moment, limit: Duration) -> bool {
