A stopping node judges by recent runs whether a request can still end

Cause: admission in a stop assumed 4.3 s for any plain request and 6 s for a stream of unknown size, whatever the route's runs take.

Change: the relay remembers the times of the last 64 runs of each route and service. What may run once is taken if a slow run would end in time (1.25 of the slowest, from four runs on), what may be repeated if a usual run would (the median of the route, or of the service). Where nothing is known, the route's timeout stands for both. A run that was given up counts as one without end. The rest is refused at once with 503, and its caller finds another node.

--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -21,7 +21,7 @@
 use crate::{
     admission::Admitted,
     clock::{self, Moment},
-    kernel::{accepts_during_shutdown, AdmissionRequest, Lookup},
+    kernel::{AdmissionRequest, Lookup},
     model::{AccountId, RequestHead, Route, ServiceId},
     state::State,
 };
@@ -90,12 +90,10 @@
         priority,
     } = access;
     let service = choose_service(&route);
-    if let Some(leave) = state.leave_progress(clock::now()) {
-        let done = ask.last_event.unwrap_or(0);
-        let done = state.speeds().tokens(&service, done);
-        if !accepts_during_shutdown(leave, &route, &ask.prompt, done) {
-            return Err((Some(ask), STOPPING));
-        }
+    let events = ask.last_event.unwrap_or(0);
+    let done = state.speeds().tokens(&service, events);
+    if !state.has_time_to_run(&route, &service, &ask.prompt, done) {
+        return Err((Some(ask), STOPPING));
     }
     let content = content::digest(&ask, tenant.as_deref(), &parts.method, &parts.uri, &body);
     let prompt_parts = content::part_keys(&ask.prompt, &service);
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -157,6 +157,7 @@
     async fn wait(&mut self) -> Result<Received, StreamError> {
         let left = self.request.left();
         if left.is_zero() {
+            self.request.record_run(&self.state, None);
             return Err(StreamError::Timeout);
         }
         self.check_hand_over()?;
@@ -231,6 +232,8 @@
             let entry = &run.place.backend.entry;
             let ended = run.summary(&self.request, self.progress.last_event().unwrap_or(0));
             self.state.speeds().record(&entry.service, ended);
+            let took = clock::now().saturating_sub(run.sent_at);
+            self.request.record_run(&self.state, Some(took));
             suspect::record_success(&self.state, &self.request);
             run.backups.release(&self.state, &run.place.backend);
             let idle_limit = run.head.answer.keep_alive;
@@ -627,7 +630,10 @@
                 .await;
                 Ok(false)
             }
-            SendOutcome::TimedOut => Err(StreamError::Timeout),
+            SendOutcome::TimedOut => {
+                self.request.record_run(&self.state, None);
+                Err(StreamError::Timeout)
+            }
         }
     }
 
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -244,6 +244,7 @@
             let took = now.saturating_sub(sent_at);
             member.health().record_answer(failed, took);
             if !failed {
+                request.record_run(state, Some(took));
                 suspect::record_success(state, request);
             }
             record_load(state, request, member, answer.load, took);
@@ -259,6 +260,7 @@
                 first_event: None,
             };
             if matches!(outcome, AttemptOutcome::TimedOut) {
+                request.record_run(state, None);
                 loss::record_late_run(state, &lost).await;
             } else {
                 loss::record_lost_run(state, &lost).await;
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Records how long a run of the request took, or that it did not end in its time.
+    pub(super) fn record_run(&self, state: &State, took: Option<Duration>) {
+        let mut times = state.run_times();
+        times.record(&self.route.name, &self.service, took);
+    }
+
     /// Records that the request was rejected for want of `lack`. Returns how long the caller should
     /// wait before it retries.
     pub(super) fn record_rejection(&self, state: &State, lack: Shortage) -> Duration {
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -44,6 +44,9 @@
 mod rollout;
 #[cfg(test)]
 mod rollout_tests;
+mod run_times;
+#[cfg(test)]
+mod run_times_tests;
 #[cfg(test)]
 mod samples;
 mod share_draw;
@@ -76,6 +79,7 @@
 pub use read_schedule::{remaining, ReadSchedule};
 pub use registry::{Registry, RegistryChanges};
 pub use rollout::{state_to_report, Exposure, Judge, RolloutDecision, Tally, MIN_SHARE};
+pub use run_times::{ExpectedTimes, RunTimes};
 pub use share_draw::ShareDraw;
 pub use shutdown::{
     accepts_during_shutdown, Shutdown, ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN,
--- a/crates/cassiareel-relay/src/kernel/shutdown.rs
+++ b/crates/cassiareel-relay/src/kernel/shutdown.rs
@@ -3,7 +3,9 @@
 
 The balancer needs a moment to send callers elsewhere, and kept-alive connections continue to bring
 requests. A request that can't end before the process does is rejected at once, so that the caller
-goes to another node. A resumable stream is accepted as long as the balancer may not know of the
+goes to another node: one that may run once if a slow run would not end in time, and one that may be
+repeated if a usual run would not. Where nothing is known of the runs, the route's timeout stands for
+both. A resumable stream is accepted as long as the balancer may not know of the
 shutdown yet: a caller that is rejected then often reaches another node that is shutting down, while
 one whose stream is handed over at the end finds its prompt in its engine's memory. After that,
 connections without a request are closed, so that their callers' next requests go to other nodes at
@@ -12,6 +14,7 @@
 
 use std::time::Duration;
 
+use super::ExpectedTimes;
 use crate::model::{Prompt, Route, RouteKind};
 
 /// The assumed duration of a stream of unknown size.
@@ -23,15 +26,9 @@
 /// The time in which a busy engine generates one token.
 const DECODE_TOKEN_TIME: Duration = Duration::from_micros(7500);
 
-/// The assumed duration of a plain request, if its route allows that much.
-const PLAIN_TIME: Duration = Duration::from_millis(4300);
-
 /// How long after the start of a shutdown the balancer may still send callers.
 pub const BALANCER_DELAY: Duration = Duration::from_millis(2500);
 
-/// The time reserved for the exit of the process itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
-
 /// How long before the end of a shutdown open requests are answered. It leaves time to write the
 /// answers.
 pub const ANSWER_MARGIN: Duration = Duration::from_millis(400);
@@ -55,22 +52,27 @@
     pub remaining: Duration,
 }
 
-/// Reports whether a node that is shutting down accepts a request. `done` is the number of tokens
-/// of the answer that the caller already has.
+/// Reports whether a node that is shutting down sends a request to a backend server. `done` is the
+/// number of tokens of the answer that the caller already has, and `times` what is known of the runs.
 pub fn accepts_during_shutdown(
     shutdown: Shutdown,
     route: &Route,
     prompt: &Prompt,
     done: u64,
+    times: ExpectedTimes,
 ) -> bool {
     if route.kind == RouteKind::ResumableStream && shutdown.elapsed <= BALANCER_DELAY {
         return true;
     }
-    let (expected, margin) = if route.kind.is_stream() {
-        let expected = stream_time(prompt, done) + ENGINE_WAIT;
-        (expected.max(MIN_STREAM_TIME), HAND_OVER_MARGIN)
-    } else {
-        (PLAIN_TIME, EXIT_MARGIN)
+    let usual = times.usual.unwrap_or(route.timeout);
+    let slow = times.slow.unwrap_or(route.timeout);
+    let by_size = (stream_time(prompt, done) + ENGINE_WAIT).max(MIN_STREAM_TIME);
+    let (expected, margin) = match route.kind {
+        RouteKind::Idempotent => (usual, ANSWER_MARGIN),
+        RouteKind::NonIdempotent => (slow, ANSWER_MARGIN),
+        RouteKind::ResumableStream => (by_size, HAND_OVER_MARGIN),
+        RouteKind::Stream if prompt.max_output == 0 => (slow, HAND_OVER_MARGIN),
+        RouteKind::Stream => (slow.max(by_size), HAND_OVER_MARGIN),
     };
     shutdown.remaining >= expected.min(route.timeout) + margin
 }
--- a/crates/cassiareel-relay/src/kernel/shutdown_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/shutdown_tests.rs
@@ -4,7 +4,7 @@
 
 use test_case::test_case;
 
-use super::{accepts_during_shutdown, samples, Shutdown};
+use super::{accepts_during_shutdown, samples, ExpectedTimes, Shutdown};
 use crate::model::{Prompt, Route, RouteKind};
 
 struct Case {
@@ -47,7 +47,47 @@
         remaining: Duration::from_millis(8_000 - case.elapsed),
     };
     assert_eq!(
-        accepts_during_shutdown(shutdown, &route, &prompt, case.done),
+        accepts_during_shutdown(
+            shutdown,
+            &route,
+            &prompt,
+            case.done,
+            ExpectedTimes::default()
+        ),
         case.accepted
     );
 }
+
+struct TimesCase {
+    kind: RouteKind,
+    /// The time of a usual and of a slow run, in milliseconds.
+    times: (Option<u64>, Option<u64>),
+    /// The time since the start of the shutdown, which takes 8,000 ms, in milliseconds.
+    elapsed: u64,
+    accepted: bool,
+}
+
+#[test_case(&TimesCase { kind: RouteKind::NonIdempotent, times: (Some(100), Some(3_000)), elapsed: 4_600, accepted: true }; "a slow order ends in time")]
+#[test_case(&TimesCase { kind: RouteKind::NonIdempotent, times: (Some(100), Some(3_000)), elapsed: 4_601, accepted: false }; "a slow order does not end")]
+#[test_case(&TimesCase { kind: RouteKind::NonIdempotent, times: (Some(100), None), elapsed: 0, accepted: false }; "slow orders are unknown")]
+#[test_case(&TimesCase { kind: RouteKind::Idempotent, times: (Some(100), Some(3_000)), elapsed: 7_500, accepted: true }; "a usual safe request ends in time")]
+#[test_case(&TimesCase { kind: RouteKind::Idempotent, times: (Some(2_500), None), elapsed: 5_101, accepted: false }; "a usual safe request does not end")]
+#[test_case(&TimesCase { kind: RouteKind::Idempotent, times: (None, None), elapsed: 0, accepted: false }; "safe requests are unknown")]
+#[test_case(&TimesCase { kind: RouteKind::Stream, times: (None, Some(4_000)), elapsed: 3_500, accepted: true }; "a slow stream ends in time")]
+#[test_case(&TimesCase { kind: RouteKind::Stream, times: (None, Some(4_000)), elapsed: 3_600, accepted: false }; "a slow stream does not end")]
+fn requests_are_accepted_by_the_times_of_recent_runs(case: &TimesCase) {
+    let route = Route {
+        timeout: Duration::from_secs(8),
+        ..samples::route(case.kind)
+    };
+    let shutdown = Shutdown {
+        elapsed: Duration::from_millis(case.elapsed),
+        remaining: Duration::from_millis(8_000 - case.elapsed),
+    };
+    let times = ExpectedTimes {
+        usual: case.times.0.map(Duration::from_millis),
+        slow: case.times.1.map(Duration::from_millis),
+    };
+    let accepted = accepts_during_shutdown(shutdown, &route, &Prompt::default(), 0, times);
+    assert_eq!(accepted, case.accepted);
+}
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -28,11 +28,11 @@
     backends::{Backend, Backends},
     clock::{self, Moment},
     kernel::{
-        Catalog, ConfigFreshness, DataCentreHealth, ReadSchedule, RetryBudget, RetryCause,
-        ServiceSpeeds, Shutdown,
+        accepts_during_shutdown, Catalog, ConfigFreshness, DataCentreHealth, ReadSchedule,
+        RetryBudget, RetryCause, RunTimes, ServiceSpeeds, Shutdown,
     },
     metrics::Metrics,
-    model::{EngineShape, Limits, ServiceId},
+    model::{EngineShape, Limits, Prompt, Route, ServiceId},
     peers::{Members, StoreCache, UnlistedNodes},
     protocol::Protocol,
     rollouts::Rollouts,
@@ -125,6 +125,7 @@
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     data_centre_losses: Mutex<DataCentreHealth>,
     speeds: Mutex<ServiceSpeeds>,
+    run_times: Mutex<RunTimes>,
     suspects: Mutex<Suspects>,
     limit_spread: Mutex<Spread>,
     read_request_sender: Sender<()>,
@@ -178,6 +179,7 @@
             budgets: Mutex::default(),
             data_centre_losses: Mutex::default(),
             speeds: Mutex::default(),
+            run_times: Mutex::default(),
             suspects: Mutex::default(),
             limit_spread: Mutex::default(),
             read_request_sender,
@@ -195,6 +197,27 @@
         lock(&self.speeds)
     }
 
+    /// Locks the times of recent runs.
+    pub(crate) fn run_times(&self) -> MutexGuard<'_, RunTimes> {
+        lock(&self.run_times)
+    }
+
+    /// Reports whether a request may be sent to a backend server: always, unless the node stops and the
+    /// request would not end in time. `done` is the number of tokens of the answer that the caller has.
+    pub(crate) fn has_time_to_run(
+        &self,
+        route: &Route,
+        service: &ServiceId,
+        prompt: &Prompt,
+        done: u64,
+    ) -> bool {
+        let Some(leave) = self.leave_progress(clock::now()) else {
+            return true;
+        };
+        let times = self.run_times().expected(&route.name, service);
+        accepts_during_shutdown(leave, route, prompt, done, times)
+    }
+
     /// Locks the requests under which backend servers crashed.
     pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
         lock(&self.suspects)
