A run is not given up in a stop for a repeat that can't end

Cause: an attempt is given up, and a failure repeated, by the objective and the retry budget alone; the end of the grace period was no part of the decision.

Change: a repeat is judged like a new request: only where a usual run still ends in time is an attempt given up for it.

--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -114,7 +114,9 @@
         match try_once(state, request, &member, ran, permit).await {
             AttemptOutcome::Answered(answer) => {
                 ran += 1;
-                let should_retry = may_retry(request, &answer) && ran < request.route.attempts;
+                let should_retry = may_retry(request, &answer)
+                    && ran < request.route.attempts
+                    && request.has_time_to_run(state);
                 if !should_retry {
                     return Ok(into_reply(answer));
                 }
@@ -310,13 +312,17 @@
 }
 
 /// Waits until an attempt takes too long. One that can't be repeated elsewhere, since no backend server
-/// or no retry is left, goes on until the request's time is over.
+/// or no retry is left or the node stops before the repeat could end, goes on until the request's time is
+/// over.
 async fn wait_until_late(state: &Arc<State>, request: &Request, member: &Backend, ran: u32) {
     Timer::after(attempt_timeout(request, ran)).await;
     while !request.left().is_zero() {
         let tried = [member.number];
         let candidates = CandidateSet::new(state, request, &tried, Purpose::Repeat);
-        if candidates.best().is_some() && state.may_retry(&request.service, false) {
+        let may_repeat = request.has_time_to_run(state)
+            && candidates.best().is_some()
+            && state.may_retry(&request.service, false);
+        if may_repeat {
             return;
         }
         Timer::after(REPEAT_POLL_INTERVAL.min(request.left())).await;
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Reports whether a run can still end before the node exits, where it stops.
+    pub(super) fn has_time_to_run(&self, state: &State) -> bool {
+        state.has_time_to_run(&self.route, &self.service, &self.ask.prompt, 0)
+    }
+
     /// Records how long a run of the request took, or that it did not end in its time.
     pub(super) fn record_run(&self, state: &State, took: Option<Duration>) {
         let mut times = state.run_times();
