A stopping node exits only when its answers are written

Cause: a request counted as open until the body of its answer was dropped, which the HTTP library does as soon as the body is in its own buffer. The process thus exited with answers unwritten, and reported none as cut.

Change: an ended request stays open until the socket is flushed, which the library does only with an empty buffer, or until its connection is gone.

--- a/crates/cassiareel-relay/src/front/activity.rs
+++ b/crates/cassiareel-relay/src/front/activity.rs
@@ -5,6 +5,9 @@
 leave a connection idle for a longer time. The HTTP library's own limit on heads also applies to
 idle connections, so the socket is wrapped here: bytes that arrive while no request is open begin a
 head.
+
+The wrapped socket also shows when an answer is written. The HTTP library drops the body of an answer
+that it still holds in its buffer, and flushes the socket only once the buffer is empty.
 */
 
 use std::{
@@ -28,20 +31,24 @@
 /// Longest interval between checks of a connection.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The number of open requests, which shows whether a stopping node may exit.
+/// The number of open requests of all connections, which shows whether a stopping node may exit.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OpenRequests(Arc<AtomicUsize>);
 
 impl OpenRequests {
-    /// Returns how many requests were read and are not answered yet.
+    /// Returns how many requests were read whose answers are not written yet.
     pub(crate) fn count(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
 }
 
 /// The activity of one connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Activity {
+    /// The open requests of all connections.
+    open: OpenRequests,
+    /// Number of requests that ended and whose answers may not be written yet.
+    unwritten: AtomicUsize,
     /// Number of requests begun plus number of requests ended; odd while a request is open.
     transitions: AtomicUsize,
     /// When the head that is being read began, in microseconds; 0 if none is being read.
@@ -58,6 +65,16 @@
 }
 
 impl Activity {
+    /// Returns the activity of a new connection, whose requests count as open in `open`.
+    pub(super) fn new(open: OpenRequests) -> Activity {
+        Activity {
+            open,
+            unwritten: AtomicUsize::new(0),
+            transitions: AtomicUsize::new(0),
+            head_began_us: AtomicU64::new(0),
+        }
+    }
+
     fn is_busy(&self) -> bool {
         self.transitions.load(Ordering::Relaxed) % 2 == 1
     }
@@ -70,12 +87,20 @@
     }
 
     fn begin(&self) {
+        self.open.0.fetch_add(1, Ordering::Relaxed);
         self.transitions.fetch_add(1, Ordering::Relaxed);
         self.head_began_us.store(0, Ordering::Relaxed);
     }
 
     fn end(&self) {
         self.transitions.fetch_add(1, Ordering::Relaxed);
+        self.unwritten.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that all bytes of the answers to ended requests are written, or that none will be.
+    fn record_written(&self) {
+        let written = self.unwritten.swap(0, Ordering::Relaxed);
+        self.open.0.fetch_sub(written, Ordering::Relaxed);
     }
 
     /// Returns the time left for the head that is being read, or `None` if none is being read.
@@ -132,24 +157,28 @@
     }
 }
 
+impl Drop for Activity {
+    fn drop(&mut self) {
+        self.record_written();
+    }
+}
+
 /// Returns the monotonic clock in microseconds, never 0.
 fn now_us() -> u64 {
     (clock::now().as_micros() as u64).max(1)
 }
 
-/// Counts a request as open until its response was written or dropped.
+/// Counts a request as open until its response is complete or dropped, and from then on until it is
+/// written.
 pub(super) struct OpenRequestGuard {
-    open: OpenRequests,
     activity: Arc<Activity>,
 }
 
 impl OpenRequestGuard {
     /// Counts a request that was just read.
-    pub(super) fn new(open: &OpenRequests, activity: &Arc<Activity>) -> OpenRequestGuard {
-        open.0.fetch_add(1, Ordering::Relaxed);
+    pub(super) fn new(activity: &Arc<Activity>) -> OpenRequestGuard {
         activity.begin();
         OpenRequestGuard {
-            open: open.clone(),
             activity: activity.clone(),
         }
     }
@@ -168,12 +197,11 @@
 
 impl Drop for OpenRequestGuard {
     fn drop(&mut self) {
-        self.open.0.fetch_sub(1, Ordering::Relaxed);
         self.activity.end();
     }
 }
 
-/// A caller's socket that records when bytes arrive.
+/// A caller's socket that records when bytes arrive and when all bytes are written.
 #[derive(Debug)]
 pub(super) struct MonitoredStream {
     stream: TcpStream,
@@ -219,7 +247,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.activity.record_written();
+        }
+        flushed
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/cassiareel-relay/src/front/server.rs
+++ b/crates/cassiareel-relay/src/front/server.rs
@@ -80,12 +80,12 @@
         return;
     }
     let limits = state.limits();
-    let activity = Arc::new(Activity::default());
+    let activity = Arc::new(Activity::new(open));
     let service = {
         let state = state.clone();
         let activity = activity.clone();
         service_fn(move |request| {
-            let guard = OpenRequestGuard::new(&open, &activity);
+            let guard = OpenRequestGuard::new(&activity);
             let state = state.clone();
             async move {
                 let reply = handle(state, request).await;
