A request whose handler panics is answered

Cause: the task of a connection runs its handlers; a panic ends the task.

Evidence: front/handler_tests.rs fails without the change (0 of 1; the panic reaches the connection) and passes with it. The runtime itself is sound: crates/cassiareel/tests/runtime_panic.rs, which passed before as well, shows that other tasks go on.

Change: a handler's panic is caught, logged and answered with 502, which promises nothing. A begun stream is still cut, so that it does not look complete.

--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -1,6 +1,6 @@
 //! Handles one request of a caller: serves it if it is admitted, and logs the outcome.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{future::Future, panic::AssertUnwindSafe, sync::Arc};
 
 use bytes::Bytes;
 use futures_lite::{stream, FutureExt};
@@ -9,7 +9,7 @@
     HeaderValue, Response,
 };
 use hyper::body::Incoming;
-use slog::info;
+use slog::{error, info, Logger};
 
 use super::{
     admit::admit,
@@ -30,10 +30,26 @@
 };
 
 /// Handles one request of a caller.
-pub(super) async fn handle(
-    state: Arc<State>,
-    request: http::Request<Incoming>,
-) -> Result<Reply, Infallible> {
+pub(super) async fn handle(state: Arc<State>, request: http::Request<Incoming>) -> Reply {
+    let log = state.log.clone();
+    answer_panic(&log, answer(state, request)).await
+}
+
+/// Returns the answer that `answering` produces, or a failure if it panics: the request may have run.
+pub(super) async fn answer_panic<F>(log: &Logger, answering: F) -> Reply
+where
+    F: Future<Output = Reply>,
+{
+    let answer = AssertUnwindSafe(answering).catch_unwind().await;
+    answer.unwrap_or_else(|_| {
+        // The panic hook has written the message and the place to standard error.
+        error!(log, "request handler panicked");
+        Refusal::UnknownOutcome.reply()
+    })
+}
+
+/// Admits and serves a request.
+async fn answer(state: Arc<State>, request: http::Request<Incoming>) -> Reply {
     let arrived = clock::now();
     let (parts, body) = request.into_parts();
     let mut reply = match admit(&state, parts, body, arrived).await {
@@ -47,7 +63,7 @@
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
     }
-    Ok(reply)
+    reply
 }
 
 /// Serves a request that was admitted.
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -15,6 +15,8 @@
 mod engines;
 mod generation;
 mod handler;
+#[cfg(test)]
+mod handler_tests;
 mod limit;
 mod loss;
 mod plain;
--- a/crates/cassiareel-relay/src/front/server.rs
+++ b/crates/cassiareel-relay/src/front/server.rs
@@ -89,7 +89,7 @@
             let state = state.clone();
             async move {
                 let reply = handle(state, request).await;
-                Ok::<Reply, Infallible>(guard.attach(reply?))
+                Ok::<Reply, Infallible>(guard.attach(reply))
             }
         })
     };
