--- a/crates/cassiareel-relay/src/follow/rollouts.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/mod.rs
@@ -7,6 +7,9 @@
 nodes.
 */
 
+mod decision;
+mod pooling;
+
 use std::{
     collections::HashMap,
     sync::{
@@ -18,15 +21,17 @@
 
 use cassiareel::runtime::within;
 use futures_lite::FutureExt;
-use slog::{info, warn};
+
+use decision::decide;
+use pooling::{own_counts, pool_counts};
 
 use super::call::StoreCaller;
 use crate::{
     clock::{self, Moment},
-    kernel::{state_to_report, Exposure, Judge, ReadSchedule, RolloutDecision, Tally},
+    kernel::ReadSchedule,
     model::{Revision, Rollout, RolloutState, ServiceId},
     rollouts::ActiveRollout,
-    source::{Counts, Freshness, Orders, SourceError},
+    source::Orders,
     state::State,
 };
 
@@ -206,125 +211,6 @@
     share as u32 + u32::from(chance)
 }
 
-/// How a rollout continues until counts are pooled again.
-struct Decision {
-    split: RolloutDecision,
-    /// Requests that the new version has to get soon, from all nodes together.
-    missing_requests: f64,
-}
-
-impl From<RolloutDecision> for Decision {
-    /// Creates a decision without missing requests.
-    fn from(split: RolloutDecision) -> Decision {
-        Decision {
-            split,
-            missing_requests: 0.0,
-        }
-    }
-}
-
-/// Decides how a rollout continues; reports a new verdict to the operator.
-async fn decide(
-    state: &State,
-    first_seen: &FirstSeen,
-    rollout: &Rollout,
-    pooled: &[Counts],
-) -> Decision {
-    match rollout.state {
-        Some(RolloutState::Completed) => return RolloutDecision::Complete.into(),
-        Some(RolloutState::RolledBack) => return RolloutDecision::RollBack.into(),
-        Some(RolloutState::Running) | None => {}
-    }
-    let counts = pooled
-        .iter()
-        .filter(|c| c.service == rollout.service && c.order == rollout.created);
-    let (mut old, mut new) = (Tally::default(), Tally::default());
-    let mut elapsed = first_seen
-        .get(&rollout_key(rollout))
-        .map_or(Duration::ZERO, |at| clock::now().saturating_sub(*at));
-    for count in counts {
-        old = old.merge(count.old);
-        new = new.merge(count.new);
-        elapsed = elapsed.max(Duration::from_millis(count.known_ms));
-    }
-    let typical = old.baselines();
-    state
-        .rollouts
-        .set_typical(&rollout.service, rollout.created, typical);
-    let bounds = &state.settings.load().bounds;
-    let judge = Judge {
-        duration: rollout.duration,
-        exposure: Exposure {
-            share: bounds.exposure_share,
-            slack: bounds.exposure_slack,
-        },
-    };
-    let decision = Decision {
-        split: judge.decide(elapsed, old, new),
-        missing_requests: judge.missing_requests(old, new),
-    };
-    let Some(verdict) = state_to_report(rollout.state, decision.split) else {
-        return decision;
-    };
-    info!(state.log, "rollout verdict"; "service" => &*rollout.service,
-        "target" => &*rollout.target, "verdict" => ?verdict,
-        "elapsed_ms" => elapsed.as_millis() as u64, "old" => format_tally(old), "new" => format_tally(new));
-    match state.source.write_rollout_state(rollout, verdict).await {
-        Ok(()) => decision,
-        // Another node has already written a verdict; it is read next time.
-        Err(SourceError::Conflict) => RolloutDecision::Share(0.0).into(),
-        Err(err) => {
-            warn!(state.log, "verdict not written"; "service" => &*rollout.service, "cause" => %err);
-            decision
-        }
-    }
-}
-
-/// Returns this node's counts of the rollouts that are under way.
-fn own_counts<'a, I>(state: &State, first_seen: &FirstSeen, rollouts: I) -> Vec<Counts>
-where
-    I: Iterator<Item = &'a Rollout>,
-{
-    let now = clock::now();
-    state.rollouts.check_open_runs(now);
-    rollouts
-        .map(|rollout| {
-            let counted = state.rollouts.counts_of(&rollout.service, rollout.created);
-            let since = first_seen
-                .get(&rollout_key(rollout))
-                .copied()
-                .unwrap_or(now);
-            Counts {
-                service: rollout.service.clone(),
-                order: rollout.created,
-                known_ms: now.saturating_sub(since).as_millis() as u64,
-                old: counted.old,
-                new: counted.new,
-            }
-        })
-        .collect()
-}
-
-/// Writes this node's counts and reads those of all nodes.
-async fn pool_counts(state: &State, caller: &mut StoreCaller, own: &[Counts]) -> Vec<Counts> {
-    let mut record = state.own_record();
-    record.counts = own.to_vec();
-    // This node uses its own counts even where they could not be written.
-    caller.call(state, state.source.write_record(&record)).await;
-    let read = caller
-        .call(state, state.source.read_records(Freshness::Newest))
-        .await;
-    let others = read
-        .map(|read| caller.items(state, read))
-        .unwrap_or_default()
-        .into_iter()
-        .filter(|other| other.name != record.name);
-    own.iter()
-        .cloned()
-        .chain(others.flat_map(|other| other.counts))
-        .collect()
-}
-
 fn is_open(rollout: &Rollout) -> bool {
     matches!(rollout.state, None | Some(RolloutState::Running))
 }
@@ -332,11 +218,3 @@
 fn rollout_key(rollout: &Rollout) -> (ServiceId, Revision) {
     (rollout.service.clone(), rollout.created)
 }
-
-/// Formats a version's counts for a log line.
-fn format_tally(tally: Tally) -> String {
-    let Tally {
-        sent, answers, bad, ..
-    } = tally;
-    format!("sent {sent}, known {answers}, bad {bad}")
-}
