--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -32,6 +32,9 @@
 mod load;
 #[cfg(test)]
 mod load_tests;
+mod order_book;
+#[cfg(test)]
+mod order_book_tests;
 mod placement;
 #[cfg(test)]
 mod placement_tests;
@@ -72,6 +75,7 @@
 pub use freshness::ConfigFreshness;
 pub use health::{DataCentreHealth, Health};
 pub use load::{max_wait, AdmissionRequest, ServiceLoad};
+pub use order_book::{BookChanges, KnownOrder, OrderBook};
 pub use placement::{choose, Candidate, RequestDemand};
 pub use read_schedule::{remaining, ReadSchedule};
 pub use registry::{Registry, RegistryChanges};
--- a/crates/cassiareel-relay/src/model/rollout.rs
+++ b/crates/cassiareel-relay/src/model/rollout.rs
@@ -33,3 +33,10 @@
     /// All traffic goes to the old version, and the new one is no longer used.
     RolledBack,
 }
+
+impl RolloutState {
+    /// Reports whether the rollout has ended.
+    pub fn is_end(self) -> bool {
+        self != RolloutState::Running
+    }
+}
--- a/crates/cassiareel-relay/src/peers/fleet_tests.rs
+++ b/crates/cassiareel-relay/src/peers/fleet_tests.rs
@@ -85,7 +85,7 @@
 impl Fleet {
     fn new(count: usize, fault: Fault) -> Fleet {
         let records: Vec<NodeRecord> = (0..count).map(record).collect();
-        let members = Arc::new(Members::new(records.clone()));
+        let members = Arc::new(Members::new(records.clone(), 0));
         let name = &members.records[0].name;
         let first = name[1..].parse().expect("a number");
         let node = |(i, record): (usize, &NodeRecord)| {
--- a/crates/cassiareel-relay/src/peers/losses_tests.rs
+++ b/crates/cassiareel-relay/src/peers/losses_tests.rs
@@ -70,7 +70,7 @@
 #[test_case(295, Fault::FirstHangs)]
 #[test_case(295, Fault::TwoForwardersHang)]
 fn all_nodes_know_of_a_loss_in_time(count: usize, fault: Fault) {
-    let members = Arc::new(Members::new((0..count).map(record).collect()));
+    let members = Arc::new(Members::new((0..count).map(record).collect(), 0));
     let hung: Vec<String> = match fault {
         Fault::Nothing => Vec::new(),
         Fault::FirstHangs => vec![members.records[0].name.clone()],
--- a/crates/cassiareel-relay/src/peers/roster_tests.rs
+++ b/crates/cassiareel-relay/src/peers/roster_tests.rs
@@ -21,7 +21,7 @@
 
 fn rosters(count: usize) -> Vec<Roster> {
     let fleet = fleet(count);
-    let members = Arc::new(Members::new(fleet.clone()));
+    let members = Arc::new(Members::new(fleet.clone(), 0));
     let roster = |node: &NodeRecord| {
         let mut roster = Roster::new(&node.name, &node.data_centre);
         roster.replace(members.clone());
--- a/crates/cassiareel-relay/src/peers/store_cache.rs
+++ b/crates/cassiareel-relay/src/peers/store_cache.rs
@@ -110,17 +110,29 @@
         self.updated.notify(usize::MAX);
     }
 
-    /// Caches the nodes of the fleet; reports whether it did. Those of an earlier read are ignored.
+    /// Caches the nodes of the fleet, and those of the cached list whose records the store has lost;
+    /// reports whether it did. Those of an earlier era or an earlier read are ignored.
     pub(crate) fn update_members(&self, members: Arc<Members>, began: Moment) -> bool {
-        if self.members.get().is_some_and(|(_, known)| known > began) {
-            return false;
-        }
+        let members = match self.members.get() {
+            Some((known, read)) if (members.era, began) < (known.era, read) => return false,
+            Some((known, _)) => members.keep_lost(&known),
+            None => members,
+        };
         self.roster().replace(members.clone());
         self.members.replace(members, began);
         self.updated.notify(usize::MAX);
         true
     }
 
+    /// Returns the newest era of the store that a cached list is of.
+    pub(crate) fn newest_era(&self) -> StoreEra {
+        let listing = self.listing.get().map(|(listing, _)| listing.revision.era());
+        let orders = self.orders.get().map(|(orders, _)| orders.revision.era());
+        let members = self.members.get().map(|(members, _)| members.era);
+        let eras = [listing, orders, members].into_iter().flatten();
+        eras.max().unwrap_or_default()
+    }
+
     /// Causes a new loss to be sent to the peer that this node queries and to the peers that query
     /// this node.
     pub(crate) fn notify_loss(&self) {
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -288,16 +288,22 @@
 
     /// Caches the nodes of the fleet, by a read that began at `began`.
     pub(crate) fn update_members(&self, members: Arc<Members>, began: Moment) {
-        let nodes = u32::try_from(members.records.len())
-            .unwrap_or(u32::MAX)
-            .max(1);
+        let known = self.store_cache.members.get();
         if !self.store_cache.update_members(members, began) {
             return;
         }
-        if let Some((members, _)) = self.store_cache.members.get() {
-            let all = self.unlisted_nodes.merge(&members);
-            self.server_limits.quotas().set_nodes(all, clock::now());
+        let Some((members, _)) = self.store_cache.members.get() else {
+            return;
+        };
+        if known.is_some_and(|(known, _)| known.era < members.era) {
+            info!(self.log, "node list of a new era"; "era" => members.era,
+                "nodes" => members.records.len(), "lost" => members.lost.len());
         }
+        let all = self.unlisted_nodes.merge(&members);
+        self.server_limits.quotas().set_nodes(all, clock::now());
+        let nodes = u32::try_from(members.records.len())
+            .unwrap_or(u32::MAX)
+            .max(1);
         if self.node_count.swap(nodes, Ordering::Relaxed) != nodes {
             info!(self.log, "node count changed"; "nodes" => nodes, "turn" => self.store_cache.reader_rank(),
                 "age_ms" => clock::now().saturating_sub(began).as_millis() as u64);
