Revisions of the store carry its era

The type StoreRevision orders revisions by the era of the store first; a bare number can't be compared with it.

Listings, orders, their differences and the state that nodes send each other carry the type. Lists of a later era are applied, whatever their numbers.

--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -83,6 +83,6 @@
     }
     for id in &update.removed {
         info!(state.log, "backend removed"; "backend" => &**id,
-            "revision" => registry.revision());
+            "revision" => registry.revision().map(|revision| revision.to_string()));
     }
 }
--- a/crates/cassiareel-relay/src/follow/rollouts.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts.rs
@@ -24,7 +24,7 @@
 use crate::{
     clock::{self, Moment},
     kernel::{state_to_report, Exposure, Judge, ReadSchedule, RolloutDecision, Tally},
-    model::{Revision, Rollout, RolloutState, ServiceId},
+    model::{Revision, Rollout, RolloutState, ServiceId, StoreRevision},
     rollouts::ActiveRollout,
     source::{Counts, Freshness, Orders, SourceError},
     state::State,
@@ -49,7 +49,7 @@
 #[derive(Debug, Default)]
 struct AppliedOrders {
     rollouts: Vec<Rollout>,
-    revision: Option<Revision>,
+    revision: Option<StoreRevision>,
     applied_at: Moment,
     /// Whether a rollout is under way.
     is_active: bool,
--- a/crates/cassiareel-relay/src/kernel/registry.rs
+++ b/crates/cassiareel-relay/src/kernel/registry.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     clock::Moment,
-    model::{BackendId, Entry, Phase, Revision},
+    model::{BackendId, Entry, Phase, StoreRevision},
     source::Listing,
 };
 
@@ -24,7 +24,7 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     entries: HashMap<BackendId, KnownEntry>,
-    revision: Option<Revision>,
+    revision: Option<StoreRevision>,
     last_answer: Option<Moment>,
     returned_at: Option<Moment>,
 }
@@ -76,12 +76,12 @@
     }
 
     /// Returns the known revision; `None` before the first listing.
-    pub fn revision(&self) -> Option<Revision> {
+    pub fn revision(&self) -> Option<StoreRevision> {
         self.revision
     }
 
     /// Advances to a revision; returns `false` if a later one is known.
-    fn advance(&mut self, revision: Revision) -> bool {
+    fn advance(&mut self, revision: StoreRevision) -> bool {
         if self.revision.is_some_and(|known| revision < known) {
             return false;
         }
--- a/crates/cassiareel-relay/src/kernel/registry_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/registry_tests.rs
@@ -6,7 +6,7 @@
 
 use super::Registry;
 use crate::{
-    model::{Entry, Phase},
+    model::{Entry, Phase, StoreRevision},
     source::Listing,
 };
 
@@ -50,7 +50,7 @@
         let listing = Listing {
             entries: entries.collect(),
             unreadable: Vec::new(),
-            revision: *revision,
+            revision: StoreRevision::new(0, *revision),
         };
         registry.apply(&listing, Duration::from_millis(*at));
     }
--- a/crates/cassiareel-relay/src/model/mod.rs
+++ b/crates/cassiareel-relay/src/model/mod.rs
@@ -7,6 +7,7 @@
 mod rollout;
 mod route;
 mod service;
+mod store_revision;
 
 pub use entry::{Entry, Phase};
 pub use ids::{AccountId, BackendId, DataCentre, RequestId, Revision, ServiceId, Version};
@@ -15,3 +16,4 @@
 pub use rollout::{Rollout, RolloutState};
 pub use route::{Route, RouteKind, Target};
 pub use service::{EngineShape, Service};
+pub use store_revision::{StoreEra, StoreRevision};
--- a/crates/cassiareel-relay/src/peers/cache_state.rs
+++ b/crates/cassiareel-relay/src/peers/cache_state.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::losses::LossPosition;
-use crate::{kernel::ReadSchedule, model::Revision};
+use crate::{kernel::ReadSchedule, model::StoreRevision};
 
 /// How much younger a cached value has to be to be sent for its age alone.
 const MIN_AGE_GAIN: Duration = Duration::from_millis(100);
@@ -16,7 +16,7 @@
     /// The version of the configuration.
     pub version: Option<u64>,
     /// The revision of the registry.
-    pub revision: Option<Revision>,
+    pub revision: Option<StoreRevision>,
     /// The digest of the list of the fleet's nodes.
     pub digest: Option<u64>,
     /// The age of the list of nodes.
@@ -29,7 +29,7 @@
     pub is_isolated: bool,
     /// The revision of the orders.
     #[serde(rename = "orders")]
-    pub orders_revision: Option<Revision>,
+    pub orders_revision: Option<StoreRevision>,
     /// The age of the orders.
     #[serde(rename = "ordered")]
     pub orders_age: Option<Duration>,
--- a/crates/cassiareel-relay/src/peers/change.rs
+++ b/crates/cassiareel-relay/src/peers/change.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    model::{BackendId, Entry, Revision},
+    model::{BackendId, Entry, StoreRevision},
     source::Listing,
 };
 
@@ -18,9 +18,9 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Change {
     /// The revision of the list to which the change applies.
-    from: Revision,
+    from: StoreRevision,
     /// The revision of the resulting list.
-    to: Revision,
+    to: StoreRevision,
     /// Entries that are new or changed.
     #[serde(rename = "put")]
     changed: Vec<Entry>,
--- a/crates/cassiareel-relay/src/peers/change_tests.rs
+++ b/crates/cassiareel-relay/src/peers/change_tests.rs
@@ -4,7 +4,7 @@
 
 use super::change::Change;
 use crate::{
-    model::{Entry, Phase, Revision},
+    model::{Entry, Phase, Revision, StoreRevision},
     source::Listing,
 };
 
@@ -28,7 +28,7 @@
             .map(|(id, phase)| entry(*id, *phase))
             .collect(),
         unreadable: vec![format!("bad-{revision}")],
-        revision,
+        revision: StoreRevision::new(0, revision),
     }
 }
 
@@ -72,7 +72,10 @@
         let made = Change::between(&old, &new).apply(&old);
         let made = made.expect("the change applies to its list");
         assert_eq!(sorted(&made), sorted(&new), "{}", case.name);
-        assert_eq!((made.revision, made.unreadable), (9, new.unreadable));
+        assert_eq!(
+            (made.revision, made.unreadable),
+            (StoreRevision::new(0, 9), new.unreadable)
+        );
     }
 }
 
--- a/crates/cassiareel-relay/src/peers/store_cache.rs
+++ b/crates/cassiareel-relay/src/peers/store_cache.rs
@@ -12,7 +12,7 @@
 use super::{cached::Cached, change::Change, members::Members, roster::Roster};
 use crate::{
     clock::{self, Moment},
-    model::{DataCentre, Policy, Revision},
+    model::{DataCentre, Policy, StoreRevision},
     source::{Listing, Orders},
 };
 
@@ -87,7 +87,7 @@
 
     /// Returns the change that turns the listing of an earlier revision into `new`; `None` where
     /// that listing is no longer known.
-    pub(crate) fn change_to(&self, new: &Listing, from: Option<Revision>) -> Option<Change> {
+    pub(crate) fn change_to(&self, new: &Listing, from: Option<StoreRevision>) -> Option<Change> {
         let from = from.filter(|from| *from < new.revision)?;
         let recent_listings = runtime::lock(&self.recent_listings);
         let old = recent_listings.iter().find(|old| old.revision == from)?;
--- a/crates/cassiareel-relay/src/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/rollouts/mod.rs
@@ -29,7 +29,7 @@
 use crate::{
     clock::Moment,
     kernel::{Baselines, RolloutDecision, ShareDraw, MIN_SHARE},
-    model::{Revision, ServiceId, Version},
+    model::{Revision, ServiceId, StoreRevision, Version},
 };
 
 /// The parts of a rollout that requests need.
@@ -57,7 +57,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     /// The revision of the registry at which each version was first seen.
-    first_seen: HashMap<(ServiceId, Version), Revision>,
+    first_seen: HashMap<(ServiceId, Version), StoreRevision>,
     counts: HashMap<(ServiceId, Revision), Arc<Mutex<RolloutCounts>>>,
     /// The draws of the requests that each new version gets in any case.
     draws: HashMap<(ServiceId, Revision), ShareDraw>,
@@ -95,7 +95,7 @@
 
 impl Rollouts {
     /// Records the versions in the registry at a revision; reports whether one is new.
-    pub(crate) fn note_versions<I>(&self, versions: I, revision: Revision) -> bool
+    pub(crate) fn note_versions<I>(&self, versions: I, revision: StoreRevision) -> bool
     where
         I: Iterator<Item = (ServiceId, Version)>,
     {
@@ -108,7 +108,11 @@
     }
 
     /// Replaces the rollouts by those of the operator's orders at a revision.
-    pub(crate) fn replace(&self, active: HashMap<ServiceId, ActiveRollout>, revision: Revision) {
+    pub(crate) fn replace(
+        &self,
+        active: HashMap<ServiceId, ActiveRollout>,
+        revision: StoreRevision,
+    ) {
         self.active.store(active.into());
         let inner = self.lock();
         let covered: HashSet<_> = inner
@@ -123,7 +127,7 @@
     }
 
     /// Reports whether a version appeared after a revision of the orders.
-    pub(crate) fn has_later_version(&self, revision: Revision) -> bool {
+    pub(crate) fn has_later_version(&self, revision: StoreRevision) -> bool {
         self.lock().first_seen.values().any(|seen| *seen > revision)
     }
 
--- a/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
+++ b/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::{self, Moment},
     kernel::{Baselines, LogTimes, RolloutDecision, Tally},
-    model::{ServiceId, Version},
+    model::{ServiceId, StoreRevision, Version},
     rollouts::{ActiveRollout, MeasuredRun, Rollouts, RunSize, VersionRule},
 };
 
@@ -23,20 +23,24 @@
     Arc::from(name)
 }
 
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 /// A node that starts reads orders and registry at the same time: orders of an earlier revision do
 /// not cover the versions that it then sees.
 #[test]
 fn orders_of_an_earlier_revision_cover_no_version() {
     let rollouts = Rollouts::default();
-    rollouts.replace(HashMap::new(), 10);
-    assert!(rollouts.note_versions([(service(), version("v1"))].into_iter(), 12));
-    assert!(rollouts.has_later_version(10));
+    rollouts.replace(HashMap::new(), revision(10));
+    assert!(rollouts.note_versions([(service(), version("v1"))].into_iter(), revision(12)));
+    assert!(rollouts.has_later_version(revision(10)));
     assert!(!rollouts.is_covered(&service(), &version("v1")));
-    rollouts.replace(HashMap::new(), 13);
-    assert!(!rollouts.has_later_version(13));
+    rollouts.replace(HashMap::new(), revision(13));
+    assert!(!rollouts.has_later_version(revision(13)));
     assert!(rollouts.is_covered(&service(), &version("v1")));
-    assert!(!rollouts.note_versions([(service(), version("v1"))].into_iter(), 20));
-    assert!(rollouts.note_versions([(service(), version("v2"))].into_iter(), 30));
+    assert!(!rollouts.note_versions([(service(), version("v1"))].into_iter(), revision(20)));
+    assert!(rollouts.note_versions([(service(), version("v2"))].into_iter(), revision(30)));
     assert!(!rollouts.is_covered(&service(), &version("v2")));
 }
 
@@ -56,7 +60,7 @@
         )])
     };
     assert_eq!(rollouts.version_rule(&service()), VersionRule::Any);
-    rollouts.replace(active(RolloutDecision::Share(0.0)), 1);
+    rollouts.replace(active(RolloutDecision::Share(0.0)), revision(1));
     assert_eq!(
         rollouts.version_rule(&service()),
         VersionRule::Avoid(version("v2"))
@@ -68,7 +72,7 @@
     let known = |tally: Tally| (tally.sent, tally.answers, tally.bad);
     assert_eq!(known(counted.old), (1, 1, 0));
     assert_eq!(known(counted.new), (1, 1, 1));
-    rollouts.replace(active(RolloutDecision::RollBack), 2);
+    rollouts.replace(active(RolloutDecision::RollBack), revision(2));
     assert!(rollouts
         .begin_run(&service(), &version("v2"), SIZE, now)
         .is_none());
@@ -76,7 +80,7 @@
         rollouts.version_rule(&service()),
         VersionRule::Never(version("v2"))
     );
-    rollouts.replace(active(RolloutDecision::Complete), 3);
+    rollouts.replace(active(RolloutDecision::Complete), revision(3));
     assert_eq!(
         rollouts.version_rule(&service()),
         VersionRule::Prefer(version("v2"))
@@ -101,7 +105,7 @@
         split,
         trial_budget: AtomicU32::new(trial_budget),
     };
-    rollouts.replace(HashMap::from([(service(), active)]), 1);
+    rollouts.replace(HashMap::from([(service(), active)]), revision(1));
     rollouts
 }
 
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     kernel::Tally,
-    model::{DataCentre, Entry, Policy, Revision, Rollout, RolloutState, ServiceId},
+    model::{DataCentre, Entry, Policy, Revision, Rollout, RolloutState, ServiceId, StoreRevision},
 };
 
 /// The platform's store, as far as a relay reads and writes it.
@@ -95,7 +95,7 @@
     /// The names of entries that could not be read; they name no backend server.
     pub unreadable: Vec<String>,
     /// The revision.
-    pub revision: Revision,
+    pub revision: StoreRevision,
 }
 
 /// The operator's orders to roll out services, at one revision.
@@ -106,7 +106,7 @@
     /// The names of orders that could not be read.
     pub unreadable: Vec<String>,
     /// The revision: all orders up to it are included.
-    pub revision: Revision,
+    pub revision: StoreRevision,
 }
 
 /// A node's record of itself in the store.
