--- a/crates/cassiareel-relay/src/follow/nodes.rs
+++ b/crates/cassiareel-relay/src/follow/nodes.rs
@@ -69,7 +69,7 @@
         };
         reads += 1;
         outdated_since = None;
-        let era = read.era;
+        let era = read.revision.era();
         let members = Members::new(caller.items(&state, read), era);
         state.update_members(Arc::new(members), began);
         state.nodes_read.store(true, Ordering::Relaxed);
@@ -84,7 +84,7 @@
     let Some(read) = caller.call(state, reading).await else {
         return false;
     };
-    let era = read.era;
+    let era = read.revision.era();
     let members = Members::new(caller.items(state, read), era);
     let own = state.own_record();
     let joined = members.records.contains(&own);
--- a/crates/cassiareel-relay/src/follow/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/mod.rs
@@ -29,7 +29,7 @@
 use crate::{
     clock::{self, Moment},
     kernel::ReadSchedule,
-    model::{Revision, Rollout, RolloutState, ServiceId},
+    model::{Revision, Rollout, RolloutState, ServiceId, StoreRevision},
     rollouts::ActiveRollout,
     source::Orders,
     state::State,
@@ -54,7 +54,7 @@
 #[derive(Debug, Default)]
 struct AppliedOrders {
     rollouts: Vec<Rollout>,
-    revision: Option<Revision>,
+    revision: Option<StoreRevision>,
     applied_at: Moment,
     /// Whether a rollout is under way.
     is_active: bool,
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     kernel::Tally,
-    model::{DataCentre, Entry, Policy, Revision, Rollout, RolloutState, ServiceId},
+    model::{DataCentre, Entry, Policy, Revision, Rollout, RolloutState, ServiceId, StoreRevision},
 };
 
 /// The platform's store, as far as a relay reads and writes it.
@@ -85,6 +85,9 @@
     pub items: Vec<T>,
     /// The names of objects that could not be read.
     pub unreadable: Vec<String>,
+    /// The revision of the store: all changes up to it are included, unless the read allowed for
+    /// older contents.
+    pub revision: StoreRevision,
 }
 
 /// The registry at one revision.
@@ -95,7 +98,7 @@
     /// The names of entries that could not be read; they name no backend server.
     pub unreadable: Vec<String>,
     /// The revision.
-    pub revision: Revision,
+    pub revision: StoreRevision,
 }
 
 /// The operator's orders to roll out services, at one revision.
@@ -106,7 +109,7 @@
     /// The names of orders that could not be read.
     pub unreadable: Vec<String>,
     /// The revision: all orders up to it are included.
-    pub revision: Revision,
+    pub revision: StoreRevision,
 }
 
 /// A node's record of itself in the store.
