--- a/crates/cassiareel-relay/src/peers/mod.rs
+++ b/crates/cassiareel-relay/src/peers/mod.rs
@@ -24,6 +24,8 @@
 #[cfg(test)]
 mod losses_tests;
 mod members;
+#[cfg(test)]
+mod members_tests;
 mod message;
 mod roster;
 #[cfg(test)]
