--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     clock::{self, Moment},
-    kernel::{Backoff, StoreStatus},
+    kernel::{remaining, Backoff, StoreStatus},
     metrics::Metrics,
     source::{ReadObjects, SourceError},
     state::State,
@@ -29,6 +29,8 @@
     /// Whether the last failure was an answer that could not be read.
     is_unreadable: bool,
     pauses: Backoff,
+    /// When the last answered call began.
+    last_answered: Option<Moment>,
 }
 
 impl StoreCaller {
@@ -40,6 +42,7 @@
             failing_since: None,
             is_unreadable: false,
             pauses: Backoff::default(),
+            last_answered: None,
         }
     }
 
@@ -57,8 +60,10 @@
     where
         F: Future<Output = Result<T, SourceError>>,
     {
+        let began = clock::now();
         match call.await {
             Ok(value) => {
+                self.last_answered = Some(began);
                 self.note_success(state);
                 Some(value)
             }
@@ -142,6 +147,14 @@
         self.pauses.may_call(clock::now(), back_at)
     }
 
+    /// Returns the time until `interval` after the start of the last answered call, if it is not over.
+    /// An answer need not renew the cached value, and the value's age alone would then cause the next
+    /// call at once.
+    pub(super) fn interval_left(&self, interval: Duration) -> Option<Duration> {
+        let spent = clock::now().saturating_sub(self.last_answered?);
+        remaining(interval, spent)
+    }
+
     /// Waits for `left`, as long as the cached value may be used, or, after a call that failed,
     /// until the next one.
     pub(super) async fn wait(&self, state: &State, left: Option<Duration>) {
--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -62,9 +62,8 @@
 /// a node that reads for others. Returns how long the cached one may be used; `None` where the read
 /// failed.
 async fn refresh(state: &State, caller: &mut StoreCaller, requested: bool) -> Option<Duration> {
-    let left = |state: &State| state.time_to_read(state.reading(), state.store_cache.policy.age());
     if !(requested && state.store_cache.is_forwarder()) {
-        let left = left(state);
+        let left = time_to_read(state, caller);
         if left.is_some() {
             return left;
         }
@@ -76,13 +75,20 @@
     match caller.call(state, state.source.policy()).await? {
         Some(policy) => {
             state.store_cache.update_policy(Arc::new(policy), began);
-            Some(left(state).unwrap_or_default())
+            Some(time_to_read(state, caller).unwrap_or_default())
         }
         // The operator has not written any yet.
         None => Some(UNWRITTEN_INTERVAL),
     }
 }
 
+/// Returns the time until the configuration is read; `None` where it has to be read now.
+fn time_to_read(state: &State, caller: &StoreCaller) -> Option<Duration> {
+    let reading = state.reading();
+    let left = state.time_to_read(reading, state.store_cache.policy.age());
+    left.or_else(|| caller.interval_left(reading.read_age(0)))
+}
+
 /// Puts a version in force, unless it is older than the one in force.
 fn put_in_force(state: &State, policy: &Policy, began: Moment) {
     let version = policy.version;
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -43,16 +43,22 @@
 /// Reads the registry where the cached one is too old. Returns how long the cached one may be used;
 /// `None` where the read failed.
 async fn refresh(state: &State, caller: &mut StoreCaller) -> Option<Duration> {
-    let left = |state: &State| state.time_to_read(state.reading(), state.store_cache.listing.age());
-    let known = left(state);
-    if known.is_some() || !caller.may_call(state) {
-        return known;
+    let left = time_to_read(state, caller);
+    if left.is_some() || !caller.may_call(state) {
+        return left;
     }
     let began = clock::now();
     let listing = caller.call(state, state.source.registry()).await?;
     caller.log_unreadable(state, &listing.unreadable);
     state.store_cache.update_listing(Arc::new(listing), began);
-    Some(left(state).unwrap_or_default())
+    Some(time_to_read(state, caller).unwrap_or_default())
+}
+
+/// Returns the time until the registry is read; `None` where it has to be read now.
+fn time_to_read(state: &State, caller: &StoreCaller) -> Option<Duration> {
+    let reading = state.reading();
+    let left = state.time_to_read(reading, state.store_cache.listing.age());
+    left.or_else(|| caller.interval_left(reading.read_age(0)))
 }
 
 /// Applies a change to the backend servers that requests use, and logs each of them.
