Orders and verdicts that a restored store has lost hold until it has them again

What callers saw in a test: requests to a version that had been rolled back, and all requests to a version whose order was missing for a moment.

Cause: a list of a new era was taken as if nothing had been lost since the last one of the era before. An order that it lacks was dropped, so that the new version got its part of all traffic; an order that was written again began anew, with no verdict and no counts, since it was known by its revision; a verdict that was lost was not in the store again; and a version that appeared counted as one without an order.

The kernel's OrderBook keeps the orders across eras. An order with the same service, target and duration is the same one, whatever its revision: it keeps its start, counts and verdict. Counts name the era of the order, and nodes that know it by its earlier revision add them up. A known verdict holds; the readers of the store write it again, 0.4 s one after another, then the others over 4 s. A state is written by the revision of the newest list, and the era of the answer shows whether the store was restored meanwhile.

Orders are not read again before the usual interval is over, and their calls are counted apart from those of the counts.

--- a/crates/cassiareel-relay/src/follow/rollouts/decision.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/decision.rs
@@ -4,17 +4,18 @@
 
 use slog::{info, warn};
 
-use super::{rollout_key, FirstSeen};
+use super::{Follower, REWRITE_STEP};
 use crate::{
     clock,
-    kernel::{state_to_report, Exposure, Judge, RolloutDecision, Tally},
-    model::{Rollout, RolloutState},
+    kernel::{state_to_report, Exposure, Judge, KnownOrder, RolloutDecision, Tally},
+    model::RolloutState,
     source::{Counts, SourceError},
     state::State,
 };
 
 /// How a rollout continues until counts are pooled again.
 pub(super) struct Decision {
+    /// How requests are divided between the versions.
     pub split: RolloutDecision,
     /// Requests that the new version has to get soon, from all nodes together.
     pub missing_requests: f64,
@@ -30,60 +31,146 @@
     }
 }
 
-/// Decides how a rollout continues; reports a new verdict to the operator.
-pub(super) async fn decide(
-    state: &State,
-    first_seen: &FirstSeen,
-    rollout: &Rollout,
-    pooled: &[Counts],
-) -> Decision {
-    match rollout.state {
-        Some(RolloutState::Completed) => return RolloutDecision::Complete.into(),
-        Some(RolloutState::RolledBack) => return RolloutDecision::RollBack.into(),
-        Some(RolloutState::Running) | None => {}
+/// The counts of all nodes together.
+struct Pooled {
+    elapsed: Duration,
+    old: Tally,
+    new: Tally,
+}
+
+impl Follower {
+    /// Decides how a rollout continues; reports a new verdict to the operator, and one that the
+    /// store has lost.
+    pub(super) async fn decide(&mut self, order: &KnownOrder, pooled: &[Counts]) -> Decision {
+        let ended = match order.rollout.state {
+            Some(RolloutState::Completed) => Some(RolloutDecision::Complete),
+            Some(RolloutState::RolledBack) => Some(RolloutDecision::RollBack),
+            Some(RolloutState::Running) | None => None,
+        };
+        if let Some(ended) = ended {
+            self.rewrite_verdict(order).await;
+            return ended.into();
+        }
+        let pooled = Pooled::new(order, pooled);
+        let decision = judge(&self.state, order, &pooled);
+        if !self.book.is_listed(order) {
+            return until_listed(decision);
+        }
+        let Some(verdict) = state_to_report(order.rollout.state, decision.split) else {
+            return decision;
+        };
+        let Pooled { elapsed, old, new } = pooled;
+        info!(self.state.log, "rollout verdict"; "service" => &*order.rollout.service,
+            "target" => &*order.rollout.target, "verdict" => ?verdict,
+            "elapsed_ms" => elapsed.as_millis() as u64, "old" => format_tally(old),
+            "new" => format_tally(new));
+        match self.report(order, verdict).await {
+            // Another node has already written a verdict; it is read next time.
+            Err(SourceError::Conflict) => RolloutDecision::Share(0.0).into(),
+            Ok(()) | Err(_) => decision,
+        }
+    }
+
+    /// Writes a verdict again that a restored store has lost. The readers of the store do so first,
+    /// one after another, so that few nodes write the same.
+    async fn rewrite_verdict(&mut self, order: &KnownOrder) {
+        let Some((verdict, since)) = order.lost_verdict() else {
+            return;
+        };
+        let cache = &self.state.store_cache;
+        let steps = u32::try_from(cache.reader_rank()).unwrap_or(u32::MAX);
+        let mut delay = REWRITE_STEP.saturating_mul(steps);
+        if !cache.is_forwarder() {
+            delay += self.rewrite_delay;
+        }
+        if clock::now().saturating_sub(since) < delay {
+            return;
+        }
+        info!(self.state.log, "lost verdict written again"; "service" => &*order.rollout.service,
+            "target" => &*order.rollout.target, "verdict" => ?verdict);
+        // A failure is logged, and followed by another attempt while the verdict is missing.
+        let _ = self.report(order, verdict).await;
     }
-    let counts = pooled
-        .iter()
-        .filter(|c| c.service == rollout.service && c.order == rollout.created);
-    let (mut old, mut new) = (Tally::default(), Tally::default());
-    let mut elapsed = first_seen
-        .get(&rollout_key(rollout))
-        .map_or(Duration::ZERO, |at| clock::now().saturating_sub(*at));
-    for count in counts {
-        old = old.merge(count.old);
-        new = new.merge(count.new);
-        elapsed = elapsed.max(Duration::from_millis(count.known_ms));
+
+    /// Writes the state of a rollout for the operator.
+    async fn report(
+        &mut self,
+        order: &KnownOrder,
+        verdict: RolloutState,
+    ) -> Result<(), SourceError> {
+        let rollout = &order.rollout;
+        let source = &self.state.source;
+        match source.write_rollout_state(rollout, verdict).await {
+            Ok(era) if era == order.created().era() => {
+                self.book.record_verdict(order.id(), verdict, era);
+                Ok(())
+            }
+            Ok(era) => {
+                // The revision may be that of another order now. The next list of that era shows
+                // whether this one has its verdict.
+                warn!(self.state.log, "verdict written in a new era"; "service" => &*rollout.service,
+                    "verdict" => ?verdict, "era" => era);
+                let read_in = order.created().era();
+                self.book.record_verdict(order.id(), verdict, read_in);
+                Ok(())
+            }
+            Err(err) => {
+                if !matches!(err, SourceError::Conflict) {
+                    warn!(self.state.log, "verdict not written"; "service" => &*rollout.service,
+                        "cause" => %err);
+                }
+                Err(err)
+            }
+        }
     }
-    let typical = old.baselines();
-    state
-        .rollouts
-        .set_typical(&rollout.service, rollout.created, typical);
+}
+
+impl Pooled {
+    /// Adds up the counts of an order.
+    fn new(order: &KnownOrder, counts: &[Counts]) -> Pooled {
+        let mut pooled = Pooled {
+            elapsed: clock::now().saturating_sub(order.began),
+            old: Tally::default(),
+            new: Tally::default(),
+        };
+        let is_own = |count: &&Counts| {
+            count.service == order.rollout.service && order.was_created_at(count.created())
+        };
+        for count in counts.iter().filter(is_own) {
+            pooled.old = pooled.old.merge(count.old);
+            pooled.new = pooled.new.merge(count.new);
+            let known = Duration::from_millis(count.known_ms);
+            pooled.elapsed = pooled.elapsed.max(known);
+        }
+        pooled
+    }
+}
+
+/// Judges a rollout by the counts of all nodes.
+fn judge(state: &State, order: &KnownOrder, pooled: &Pooled) -> Decision {
+    let typical = pooled.old.baselines();
+    let service = &order.rollout.service;
+    state.rollouts.set_typical(service, order.id(), typical);
     let bounds = &state.settings.load().bounds;
     let judge = Judge {
-        duration: rollout.duration,
+        duration: order.rollout.duration,
         exposure: Exposure {
             share: bounds.exposure_share,
             slack: bounds.exposure_slack,
         },
     };
-    let decision = Decision {
-        split: judge.decide(elapsed, old, new),
-        missing_requests: judge.missing_requests(old, new),
-    };
-    let Some(verdict) = state_to_report(rollout.state, decision.split) else {
-        return decision;
-    };
-    info!(state.log, "rollout verdict"; "service" => &*rollout.service,
-        "target" => &*rollout.target, "verdict" => ?verdict,
-        "elapsed_ms" => elapsed.as_millis() as u64, "old" => format_tally(old), "new" => format_tally(new));
-    match state.source.write_rollout_state(rollout, verdict).await {
-        Ok(()) => decision,
-        // Another node has already written a verdict; it is read next time.
-        Err(SourceError::Conflict) => RolloutDecision::Share(0.0).into(),
-        Err(err) => {
-            warn!(state.log, "verdict not written"; "service" => &*rollout.service, "cause" => %err);
-            decision
-        }
+    Decision {
+        split: judge.decide(pooled.elapsed, pooled.old, pooled.new),
+        missing_requests: judge.missing_requests(pooled.old, pooled.new),
+    }
+}
+
+/// Returns how a rollout continues whose order the store has lost: no verdict can be written, so the
+/// new version may be rolled back but not complete.
+fn until_listed(decision: Decision) -> Decision {
+    match decision.split {
+        RolloutDecision::Complete => RolloutDecision::Share(0.0).into(),
+        RolloutDecision::Share(_) | RolloutDecision::RollBack => decision,
     }
 }
 
--- a/crates/cassiareel-relay/src/follow/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/mod.rs
@@ -4,7 +4,7 @@
 The counts and the verdict are in the store, so that any node can reach the verdict and none has to
 survive for it. While a rollout is under way, each node writes its own counts and reads those of
 all; the verdict is written under the condition that the order has not changed, and applies to all
-nodes.
+nodes. A verdict that a restored store has lost is written again by the nodes that know it.
 */
 
 mod decision;
@@ -21,15 +21,13 @@
 
 use cassiareel::runtime::within;
 use futures_lite::FutureExt;
-
-use decision::decide;
-use pooling::{own_counts, pool_counts};
+use slog::info;
 
 use super::call::StoreCaller;
 use crate::{
     clock::{self, Moment},
-    kernel::ReadSchedule,
-    model::{Revision, Rollout, RolloutState, ServiceId, StoreRevision},
+    kernel::{KnownOrder, OrderBook, ReadSchedule},
+    model::{RolloutState, StoreRevision},
     rollouts::ActiveRollout,
     source::Orders,
     state::State,
@@ -44,162 +42,204 @@
 /// The interval at which counts are pooled while a rollout is under way.
 const POOLING_INTERVAL: Duration = Duration::from_millis(600);
 
-/// The time within which the orders have to be known when a new version has appeared.
+/// The time within which the orders have to be known when a new version or a new era of the store
+/// has appeared.
 const NEW_VERSION_LIMIT: Duration = Duration::from_millis(1500);
 
-/// When this node first saw each order. Other nodes report their own times with their counts.
-type FirstSeen = HashMap<(ServiceId, Revision), Moment>;
-
-/// The orders that a node has applied.
-#[derive(Debug, Default)]
-struct AppliedOrders {
-    rollouts: Vec<Rollout>,
-    revision: Option<StoreRevision>,
-    applied_at: Moment,
-    /// Whether a rollout is under way.
-    is_active: bool,
-}
+/// The time between the first attempts of two readers to write a lost verdict again. It is enough
+/// for the others to read what the first one wrote.
+const REWRITE_STEP: Duration = Duration::from_millis(400);
 
-impl AppliedOrders {
-    /// Reports whether orders have to be applied: where they are new, and repeatedly for the counts
-    /// while a rollout is under way.
-    fn is_due(&self, orders: &Orders, now: Moment) -> bool {
-        let counts_due = self.is_active && now.saturating_sub(self.applied_at) >= POOLING_INTERVAL;
-        let orders_new = !self.is_active && self.revision != Some(orders.revision);
-        counts_due || orders_new || self.revision.is_none() || self.rollouts != orders.rollouts
-    }
-}
+/// The time over which the attempts of all other nodes are spread.
+const REWRITE_SPREAD: Duration = Duration::from_secs(4);
 
 /// Follows the operator's orders, by own reads or by updates from peers.
 pub(crate) async fn follow_rollouts(state: Arc<State>) {
-    let mut caller = StoreCaller::new("rollouts");
-    let mut first_seen = FirstSeen::new();
-    let mut applied = AppliedOrders::default();
-    let mut uncovered_since = None;
-    // When the last read of the orders began.
-    let mut last: Option<Moment> = None;
+    let mut follower = Follower::new(state.clone());
     state.wait_nodes_read().await;
     // The registry names the versions that the orders are about.
     state.wait_registry_read().await;
     loop {
         let peer_updated = state.store_cache.peer_updated.listen();
-        let next = refresh(&state, &mut caller, applied.is_active, &mut uncovered_since).await;
+        let next = follower.refresh().await;
         if let Some((orders, began)) = state.store_cache.orders.get() {
-            let now = clock::now();
-            let since = last.map_or(began, |last| last.max(began.saturating_sub(IDLE_LIMIT)));
-            last = Some(began);
-            if applied.is_due(&orders, now) {
-                let is_active =
-                    apply_orders(&state, &mut caller, &mut first_seen, &orders, since).await;
-                applied = AppliedOrders {
-                    rollouts: orders.rollouts.clone(),
-                    revision: Some(orders.revision),
-                    applied_at: now,
-                    is_active,
-                };
-            }
+            follower.apply(&orders, began).await;
         }
-        let due = async {
-            match next {
-                Some(left) => {
-                    let most = if applied.is_active {
-                        left.min(POOLING_INTERVAL)
-                    } else {
-                        left
-                    };
-                    within(most, state.wait_version()).await;
-                }
-                None => caller.wait_to_retry(&state).await,
-            }
-        };
-        due.or(peer_updated).await;
+        follower.wait(next).or(peer_updated).await;
     }
 }
 
-/// Reads the operator's orders where the cached ones are too old, or do not cover all versions in
-/// the registry. Returns how long the cached ones may be used; `None` where the read failed.
-async fn refresh(
-    state: &State,
-    caller: &mut StoreCaller,
+/// What one node knows of the operator's orders.
+struct Follower {
+    state: Arc<State>,
+    /// Reads the orders.
+    reader: StoreCaller,
+    /// Writes and reads the counts.
+    pool: StoreCaller,
+    book: OrderBook,
+    /// The time since which the cached orders do not cover all versions in the registry, or are of
+    /// an earlier era.
+    incomplete_since: Option<Moment>,
+    /// When the last read of the orders began.
+    last_read: Option<Moment>,
+    /// The list that was last put in force, whether it has all orders, and when that was.
+    applied: Option<(StoreRevision, bool)>,
+    applied_at: Moment,
+    /// Whether a rollout is under way, or a verdict is to be written again.
     is_active: bool,
-    uncovered_since: &mut Option<Moment>,
-) -> Option<Duration> {
-    let left = time_to_read(state, is_active, uncovered_since);
-    if left.is_some() {
-        return left;
+    /// How long this node waits, unless it is one of the readers, before it writes a lost verdict.
+    rewrite_delay: Duration,
+}
+
+impl Follower {
+    fn new(state: Arc<State>) -> Follower {
+        Follower {
+            state,
+            reader: StoreCaller::new("rollouts"),
+            pool: StoreCaller::new("counts"),
+            book: OrderBook::default(),
+            incomplete_since: None,
+            last_read: None,
+            applied: None,
+            applied_at: Moment::default(),
+            is_active: false,
+            rewrite_delay: REWRITE_SPREAD.mul_f64(fastrand::f64()),
+        }
     }
-    if !caller.may_call(state) {
-        return None;
+
+    /// Reads the operator's orders where the cached ones are too old, or may lack an order. Returns
+    /// how long the cached ones may be used; `None` where the read failed.
+    async fn refresh(&mut self) -> Option<Duration> {
+        let left = self.time_to_read();
+        if left.is_some() || !self.reader.may_call(&self.state) {
+            return left;
+        }
+        let began = clock::now();
+        let reading = self.state.source.orders();
+        let orders = self.reader.call(&self.state, reading).await?;
+        self.reader.log_unreadable(&self.state, &orders.unreadable);
+        self.state
+            .store_cache
+            .update_orders(Arc::new(orders), began);
+        Some(self.time_to_read().unwrap_or_default())
     }
-    let began = clock::now();
-    let orders = caller.call(state, state.source.orders()).await?;
-    caller.log_unreadable(state, &orders.unreadable);
-    state.store_cache.update_orders(Arc::new(orders), began);
-    Some(time_to_read(state, is_active, uncovered_since).unwrap_or_default())
-}
 
-/// Returns how long the cached orders may be used; `None` where they have to be read.
-/// `uncovered_since` is the time since which they do not cover all versions in the registry.
-fn time_to_read(
-    state: &State,
-    is_active: bool,
-    uncovered_since: &mut Option<Moment>,
-) -> Option<Duration> {
-    let now = clock::now();
-    let cached = state.store_cache.orders.get();
-    if cached.is_none_or(|(orders, _)| !state.rollouts.has_later_version(orders.revision)) {
-        *uncovered_since = None;
-        let bound = if is_active { ACTIVE_LIMIT } else { IDLE_LIMIT };
-        return state.time_to_read(ReadSchedule::new(bound), state.store_cache.orders.age());
+    /// Returns how long the cached orders may be used; `None` where they have to be read.
+    fn time_to_read(&mut self) -> Option<Duration> {
+        let now = clock::now();
+        let cache = &self.state.store_cache;
+        let (schedule, left) = if self.may_be_incomplete(now) {
+            let since = *self.incomplete_since.get_or_insert(now);
+            let schedule = ReadSchedule::new(NEW_VERSION_LIMIT);
+            let left = match cache.reader_rank() {
+                0 => None,
+                rank => schedule.remaining(rank, now.saturating_sub(since)),
+            };
+            (schedule, left)
+        } else {
+            self.incomplete_since = None;
+            let limit = if self.is_active {
+                ACTIVE_LIMIT
+            } else {
+                IDLE_LIMIT
+            };
+            let schedule = ReadSchedule::new(limit);
+            (
+                schedule,
+                self.state.time_to_read(schedule, cache.orders.age()),
+            )
+        };
+        left.or_else(|| self.reader.interval_left(schedule.read_age(0)))
     }
-    let since = *uncovered_since.get_or_insert(now);
-    match state.store_cache.reader_rank() {
-        0 => None,
-        rank => ReadSchedule::new(NEW_VERSION_LIMIT).remaining(rank, now.saturating_sub(since)),
+
+    /// Reports whether the cached orders may lack one that a newer read would show: that of a
+    /// version that has appeared since, or one that a restored store had lost.
+    fn may_be_incomplete(&self, now: Moment) -> bool {
+        let Some((orders, began)) = self.state.store_cache.orders.get() else {
+            return false;
+        };
+        let is_outdated = orders.revision.era() < self.state.store_cache.newest_era();
+        let has_settled = self.book.is_settled(now) && !self.book.is_settled(began);
+        is_outdated || has_settled || self.state.rollouts.has_later_version(orders.revision)
+    }
+
+    /// Puts the cached orders in force where they are new, and repeatedly while a rollout is under
+    /// way. `began` is when their read began.
+    async fn apply(&mut self, orders: &Orders, began: Moment) {
+        let now = clock::now();
+        // A rollout's time may have begun as early as the last read that did not show the order.
+        let since = self
+            .last_read
+            .map_or(began, |last| last.max(began.saturating_sub(IDLE_LIMIT)));
+        self.last_read = Some(began);
+        let changes = self
+            .book
+            .apply(&orders.rollouts, orders.revision, since, now);
+        if changes.is_new_era {
+            self.log_new_era(orders);
+        }
+        let list = (orders.revision, self.book.is_settled(began));
+        let is_new = !self.is_active && self.applied != Some(list);
+        let counts_due = self.is_active && now.saturating_sub(self.applied_at) >= POOLING_INTERVAL;
+        if changes.changed || is_new || counts_due {
+            self.is_active = self.put_in_force(list).await;
+            self.applied = Some(list);
+            self.applied_at = now;
+        }
     }
-}
 
-/// Puts the rollouts in force; reports whether one is under way. `since` is when the last read
-/// began that did not show the new orders: a rollout's time may have begun as early as that.
-async fn apply_orders(
-    state: &State,
-    caller: &mut StoreCaller,
-    first_seen: &mut FirstSeen,
-    orders: &Orders,
-    since: Moment,
-) -> bool {
-    let rollouts = &orders.rollouts;
-    first_seen.retain(|key, _| rollouts.iter().any(|r| *key == rollout_key(r)));
-    for rollout in rollouts {
-        first_seen.entry(rollout_key(rollout)).or_insert(since);
+    /// Puts the orders in force; reports whether a rollout is under way.
+    async fn put_in_force(&mut self, list: (StoreRevision, bool)) -> bool {
+        let orders = self.book.orders().to_vec();
+        let open: Vec<&KnownOrder> = orders.iter().filter(|order| is_open(order)).collect();
+        let pooled = self.pool_counts(&open).await;
+        let mut rollouts = HashMap::new();
+        for order in &orders {
+            let decision = self.decide(order, &pooled).await;
+            let missing = decision.missing_requests;
+            let active = ActiveRollout {
+                order: order.id(),
+                target: order.rollout.target.clone(),
+                split: decision.split,
+                trial_budget: AtomicU32::new(own_share(&self.state, missing)),
+            };
+            rollouts.insert(order.rollout.service.clone(), active);
+        }
+        let (revision, is_settled) = list;
+        let state = &self.state;
+        state.rollouts.replace(rollouts, revision, is_settled);
+        // Until then, no known backend server may be used.
+        if state.registry_read.load(Ordering::Relaxed)
+            && !state.rollouts.has_later_version(revision)
+        {
+            state.orders_read.store(true, Ordering::Relaxed);
+        }
+        let has_lost = |order: &KnownOrder| order.lost_verdict().is_some();
+        !open.is_empty() || self.book.orders().iter().any(has_lost)
     }
-    let open = |rollout: &&Rollout| is_open(rollout);
-    let is_active = rollouts.iter().any(is_open);
-    let pooled = if is_active {
-        let own = own_counts(state, first_seen, rollouts.iter().filter(open));
-        pool_counts(state, caller, &own).await
-    } else {
-        Vec::new()
-    };
-    let mut active_rollouts = HashMap::new();
-    for rollout in rollouts {
-        let decision = decide(state, first_seen, rollout, &pooled).await;
-        let active = ActiveRollout {
-            order: rollout.created,
-            target: rollout.target.clone(),
-            split: decision.split,
-            trial_budget: AtomicU32::new(own_share(state, decision.missing_requests)),
+
+    /// Waits until orders or counts are due: `left` is how long the cached orders may be used.
+    async fn wait(&self, left: Option<Duration>) {
+        let Some(left) = left else {
+            return self.reader.wait_to_retry(&self.state).await;
         };
-        active_rollouts.insert(rollout.service.clone(), active);
+        let now = clock::now();
+        let pooling = self.is_active.then_some(POOLING_INTERVAL);
+        let settled = self.book.settles_at().filter(|at| *at > now);
+        let limits = [pooling, settled.map(|at| at.saturating_sub(now))];
+        let least = limits.into_iter().flatten().fold(left, Duration::min);
+        within(least, self.state.wait_version()).await;
     }
-    state.rollouts.replace(active_rollouts, orders.revision);
-    // Until then, no known backend server may be used.
-    if state.registry_read.load(Ordering::Relaxed)
-        && !state.rollouts.has_later_version(orders.revision)
-    {
-        state.orders_read.store(true, Ordering::Relaxed);
+
+    /// Logs the first list of a new era of the store.
+    fn log_new_era(&self, orders: &Orders) {
+        let known = self.book.orders();
+        let lost = known.iter().filter(|order| !self.book.is_listed(order));
+        let verdicts = known.iter().filter(|order| order.lost_verdict().is_some());
+        info!(self.state.log, "orders of a new era"; "era" => orders.revision.era(),
+            "orders" => orders.rollouts.len(), "lost" => lost.count(),
+            "verdicts_lost" => verdicts.count());
     }
-    is_active
 }
 
 /// Returns this node's share of the requests that all nodes together have to send.
@@ -211,10 +251,6 @@
     share as u32 + u32::from(chance)
 }
 
-fn is_open(rollout: &Rollout) -> bool {
-    matches!(rollout.state, None | Some(RolloutState::Running))
-}
-
-fn rollout_key(rollout: &Rollout) -> (ServiceId, Revision) {
-    (rollout.service.clone(), rollout.created)
+fn is_open(order: &KnownOrder) -> bool {
+    !order.rollout.state.is_some_and(RolloutState::is_end)
 }
--- a/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
@@ -1,59 +1,58 @@
 //! The counts of a rollout, pooled over all nodes.
 
-use super::{rollout_key, FirstSeen};
+use super::Follower;
 use crate::{
     clock,
-    follow::call::StoreCaller,
-    model::Rollout,
+    kernel::KnownOrder,
     source::{Counts, Freshness},
-    state::State,
 };
 
-/// Returns this node's counts of the rollouts that are under way.
-pub(super) fn own_counts<'a, I>(state: &State, first_seen: &FirstSeen, rollouts: I) -> Vec<Counts>
-where
-    I: Iterator<Item = &'a Rollout>,
-{
-    let now = clock::now();
-    state.rollouts.check_open_runs(now);
-    rollouts
-        .map(|rollout| {
-            let counted = state.rollouts.counts_of(&rollout.service, rollout.created);
-            let since = first_seen
-                .get(&rollout_key(rollout))
-                .copied()
-                .unwrap_or(now);
-            Counts {
-                service: rollout.service.clone(),
-                order: rollout.created,
-                known_ms: now.saturating_sub(since).as_millis() as u64,
-                old: counted.old,
-                new: counted.new,
-            }
-        })
-        .collect()
-}
+impl Follower {
+    /// Writes this node's counts of the rollouts that are under way, and returns those of all nodes.
+    pub(super) async fn pool_counts(&mut self, open: &[&KnownOrder]) -> Vec<Counts> {
+        if open.is_empty() {
+            return Vec::new();
+        }
+        let own = self.own_counts(open);
+        let mut record = self.state.own_record();
+        record.counts = own.clone();
+        let source = &self.state.source;
+        // This node uses its own counts even where they could not be written.
+        self.pool
+            .call(&self.state, source.write_record(&record))
+            .await;
+        let read = self
+            .pool
+            .call(&self.state, source.read_records(Freshness::Newest))
+            .await;
+        let others = read
+            .map(|read| self.pool.items(&self.state, read))
+            .unwrap_or_default()
+            .into_iter()
+            .filter(|other| other.name != record.name);
+        own.into_iter()
+            .chain(others.flat_map(|other| other.counts))
+            .collect()
+    }
 
-/// Writes this node's counts and reads those of all nodes.
-pub(super) async fn pool_counts(
-    state: &State,
-    caller: &mut StoreCaller,
-    own: &[Counts],
-) -> Vec<Counts> {
-    let mut record = state.own_record();
-    record.counts = own.to_vec();
-    // This node uses its own counts even where they could not be written.
-    caller.call(state, state.source.write_record(&record)).await;
-    let read = caller
-        .call(state, state.source.read_records(Freshness::Newest))
-        .await;
-    let others = read
-        .map(|read| caller.items(state, read))
-        .unwrap_or_default()
-        .into_iter()
-        .filter(|other| other.name != record.name);
-    own.iter()
-        .cloned()
-        .chain(others.flat_map(|other| other.counts))
-        .collect()
+    /// Returns this node's counts.
+    fn own_counts(&self, open: &[&KnownOrder]) -> Vec<Counts> {
+        let now = clock::now();
+        let rollouts = &self.state.rollouts;
+        rollouts.check_open_runs(now);
+        open.iter()
+            .map(|order| {
+                let service = &order.rollout.service;
+                let counted = rollouts.counts_of(service, order.id());
+                Counts {
+                    service: service.clone(),
+                    order: order.rollout.created,
+                    era: order.created().era(),
+                    known_ms: now.saturating_sub(order.began).as_millis() as u64,
+                    old: counted.old,
+                    new: counted.new,
+                }
+            })
+            .collect()
+    }
 }
--- a/crates/cassiareel-relay/src/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/rollouts/mod.rs
@@ -4,7 +4,8 @@
 A backend server of a version that has just appeared may belong to a rollout that this node has not
 read yet. It gets no request until the operator's orders were read at the revision of the store at
 which the registry named it, or a later one. Revisions are the same on all nodes, also where a peer
-passed the value on.
+passed the value on. Right after a restore of the store, an order may be missing until the operator
+has written it again.
 */
 
 mod measured_run;
@@ -29,14 +30,14 @@
 use crate::{
     clock::Moment,
     kernel::{Baselines, RolloutDecision, ShareDraw, MIN_SHARE},
-    model::{Revision, ServiceId, StoreRevision, Version},
+    model::{ServiceId, StoreRevision, Version},
 };
 
 /// The parts of a rollout that requests need.
 #[derive(Debug)]
 pub(crate) struct ActiveRollout {
-    /// The revision at which the order was created.
-    pub order: Revision,
+    /// The revision by which this node knows the order.
+    pub order: StoreRevision,
     /// The new version.
     pub target: Version,
     /// The part of the requests that the new version gets.
@@ -58,9 +59,9 @@
 struct Inner {
     /// The revision of the registry at which each version was first seen.
     first_seen: HashMap<(ServiceId, Version), StoreRevision>,
-    counts: HashMap<(ServiceId, Revision), Arc<Mutex<RolloutCounts>>>,
+    counts: HashMap<(ServiceId, StoreRevision), Arc<Mutex<RolloutCounts>>>,
     /// The draws of the requests that each new version gets in any case.
-    draws: HashMap<(ServiceId, Revision), ShareDraw>,
+    draws: HashMap<(ServiceId, StoreRevision), ShareDraw>,
     /// Runs of services that are being rolled out, which may be open.
     open_runs: Vec<Weak<MeasuredRun>>,
 }
@@ -107,21 +108,28 @@
         inner.first_seen.len() > before
     }
 
-    /// Replaces the rollouts by those of the operator's orders at a revision.
+    /// Replaces the rollouts by those of the operator's orders at a revision. `is_complete` is
+    /// whether that list has all orders: a restored store may lack some for a while, and a version
+    /// that appears meanwhile may belong to one of them, unless its service has no other.
     pub(crate) fn replace(
         &self,
         active: HashMap<ServiceId, ActiveRollout>,
         revision: StoreRevision,
+        is_complete: bool,
     ) {
         self.active.store(active.into());
         let inner = self.lock();
+        let known = self.covered.load();
         let covered: HashSet<_> = inner
             .first_seen
             .iter()
-            .filter(|(_, seen)| **seen <= revision)
+            .filter(|(version, seen)| {
+                let is_covered = is_complete || inner.is_only_version(version);
+                known.contains(*version) || (**seen <= revision && is_covered)
+            })
             .map(|(version, _)| version.clone())
             .collect();
-        if covered.len() != self.covered.load().len() {
+        if covered.len() != known.len() {
             self.covered.store(covered.into());
         }
     }
@@ -198,14 +206,19 @@
     }
 
     /// Returns the counts of a rollout.
-    pub(crate) fn counts_of(&self, service: &ServiceId, order: Revision) -> RolloutCounts {
+    pub(crate) fn counts_of(&self, service: &ServiceId, order: StoreRevision) -> RolloutCounts {
         let counts = self.lock().counts_of(service, order);
         let counted = *runtime::lock(&counts);
         counted
     }
 
     /// Sets the typical times of the old version of a rollout, over all nodes.
-    pub(crate) fn set_typical(&self, service: &ServiceId, order: Revision, typical: Baselines) {
+    pub(crate) fn set_typical(
+        &self,
+        service: &ServiceId,
+        order: StoreRevision,
+        typical: Baselines,
+    ) {
         let counts = self.lock().counts_of(service, order);
         runtime::lock(&counts).typical = typical;
     }
@@ -216,7 +229,17 @@
 }
 
 impl Inner {
-    fn counts_of(&mut self, service: &ServiceId, order: Revision) -> Arc<Mutex<RolloutCounts>> {
+    /// Reports whether a service has had no version but this one.
+    fn is_only_version(&self, version: &(ServiceId, Version)) -> bool {
+        let mut versions = self.first_seen.keys();
+        !versions.any(|other| other.0 == version.0 && other.1 != version.1)
+    }
+
+    fn counts_of(
+        &mut self,
+        service: &ServiceId,
+        order: StoreRevision,
+    ) -> Arc<Mutex<RolloutCounts>> {
         let key = (service.clone(), order);
         self.counts.entry(key).or_default().clone()
     }
--- a/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
+++ b/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
@@ -32,11 +32,11 @@
 #[test]
 fn orders_of_an_earlier_revision_cover_no_version() {
     let rollouts = Rollouts::default();
-    rollouts.replace(HashMap::new(), revision(10));
+    rollouts.replace(HashMap::new(), revision(10), true);
     assert!(rollouts.note_versions([(service(), version("v1"))].into_iter(), revision(12)));
     assert!(rollouts.has_later_version(revision(10)));
     assert!(!rollouts.is_covered(&service(), &version("v1")));
-    rollouts.replace(HashMap::new(), revision(13));
+    rollouts.replace(HashMap::new(), revision(13), true);
     assert!(!rollouts.has_later_version(revision(13)));
     assert!(rollouts.is_covered(&service(), &version("v1")));
     assert!(!rollouts.note_versions([(service(), version("v1"))].into_iter(), revision(20)));
@@ -52,7 +52,7 @@
         HashMap::from([(
             service(),
             ActiveRollout {
-                order: 7,
+                order: revision(7),
                 target,
                 split,
                 trial_budget: AtomicU32::new(0),
@@ -60,7 +60,7 @@
         )])
     };
     assert_eq!(rollouts.version_rule(&service()), VersionRule::Any);
-    rollouts.replace(active(RolloutDecision::Share(0.0)), revision(1));
+    rollouts.replace(active(RolloutDecision::Share(0.0)), revision(1), true);
     assert_eq!(
         rollouts.version_rule(&service()),
         VersionRule::Avoid(version("v2"))
@@ -68,11 +68,11 @@
     let now = clock::now();
     begin(&rollouts, "v1", now).note_event(now);
     begin(&rollouts, "v2", now).note_failure();
-    let counted = rollouts.counts_of(&service(), 7);
+    let counted = rollouts.counts_of(&service(), revision(7));
     let known = |tally: Tally| (tally.sent, tally.answers, tally.bad);
     assert_eq!(known(counted.old), (1, 1, 0));
     assert_eq!(known(counted.new), (1, 1, 1));
-    rollouts.replace(active(RolloutDecision::RollBack), revision(2));
+    rollouts.replace(active(RolloutDecision::RollBack), revision(2), true);
     assert!(rollouts
         .begin_run(&service(), &version("v2"), SIZE, now)
         .is_none());
@@ -80,7 +80,7 @@
         rollouts.version_rule(&service()),
         VersionRule::Never(version("v2"))
     );
-    rollouts.replace(active(RolloutDecision::Complete), revision(3));
+    rollouts.replace(active(RolloutDecision::Complete), revision(3), true);
     assert_eq!(
         rollouts.version_rule(&service()),
         VersionRule::Prefer(version("v2"))
@@ -100,12 +100,12 @@
 fn rolling_out(split: RolloutDecision, trial_budget: u32) -> Rollouts {
     let rollouts = Rollouts::default();
     let active = ActiveRollout {
-        order: 7,
+        order: revision(7),
         target: version("v2"),
         split,
         trial_budget: AtomicU32::new(trial_budget),
     };
-    rollouts.replace(HashMap::from([(service(), active)]), revision(1));
+    rollouts.replace(HashMap::from([(service(), active)]), revision(1), true);
     rollouts
 }
 
@@ -135,18 +135,18 @@
 #[test_case(&Run { first: Some(SECOND), gap: 5 * QUICK, checked_at: 3 * SECOND, counted: (1, 1) }; "slow between events")]
 fn runs_that_are_slow_count_before_they_end(run: &Run) {
     let rollouts = rolling_out(RolloutDecision::Share(0.5), 0);
-    rollouts.set_typical(&service(), 7, typical());
+    rollouts.set_typical(&service(), revision(7), typical());
     let began = clock::now();
     let measured = begin(&rollouts, "v2", began);
     if let Some(first) = run.first {
         (0..10).for_each(|event| measured.note_event(began + first + run.gap * event));
     }
     rollouts.check_open_runs(began + run.checked_at);
-    let new = rollouts.counts_of(&service(), 7).new;
+    let new = rollouts.counts_of(&service(), revision(7)).new;
     assert_eq!((new.answers, new.bad), run.counted);
     // A run that was counted is not counted again.
     rollouts.check_open_runs(began + run.checked_at);
-    assert_eq!(rollouts.counts_of(&service(), 7).new, new);
+    assert_eq!(rollouts.counts_of(&service(), revision(7)).new, new);
 }
 
 #[test]
@@ -155,9 +155,9 @@
     let began = clock::now();
     let _measured = begin(&rollouts, "v2", began);
     rollouts.check_open_runs(began + 4 * TYPICAL);
-    assert_eq!(rollouts.counts_of(&service(), 7).new.bad, 0);
+    assert_eq!(rollouts.counts_of(&service(), revision(7)).new.bad, 0);
     rollouts.check_open_runs(began + OBJECTIVE + TYPICAL);
-    assert_eq!(rollouts.counts_of(&service(), 7).new.bad, 1);
+    assert_eq!(rollouts.counts_of(&service(), revision(7)).new.bad, 1);
 }
 
 fn typical() -> Baselines {
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     kernel::Tally,
-    model::{DataCentre, Entry, Policy, Revision, Rollout, RolloutState, ServiceId, StoreRevision},
+    model::{
+        DataCentre, Entry, Policy, Revision, Rollout, RolloutState, ServiceId, StoreEra,
+        StoreRevision,
+    },
 };
 
 /// The platform's store, as far as a relay reads and writes it.
@@ -40,7 +43,8 @@
     async fn orders(&self) -> Result<Orders, SourceError>;
 
     /// Writes the state of a rollout for the operator, unless the order has changed since it was
-    /// read.
+    /// read; returns the era in which the store took it. Where the store was restored since the
+    /// read, the state may stand at another order that has the same revision.
     ///
     /// # Errors
     ///
@@ -50,7 +54,7 @@
         &self,
         rollout: &Rollout,
         state: RolloutState,
-    ) -> Result<(), SourceError>;
+    ) -> Result<StoreEra, SourceError>;
 
     /// Writes a node's record, in place of its earlier one.
     ///
@@ -132,6 +136,9 @@
     pub service: ServiceId,
     /// The revision at which the order was created.
     pub order: Revision,
+    /// The era of the store in which it was; 0 where an earlier build wrote the counts.
+    #[serde(default)]
+    pub era: StoreEra,
     /// For how long the node has known the order, in milliseconds.
     pub known_ms: u64,
     /// Runs of the old version.
@@ -140,6 +147,13 @@
     pub new: Tally,
 }
 
+impl Counts {
+    /// Returns the revision at which the order was created.
+    pub fn created(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.order)
+    }
+}
+
 /// A failed call of the store.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
