--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -11,12 +11,13 @@
 };
 
 use futures_lite::FutureExt;
-use slog::info;
+use slog::{info, warn};
 
 use super::call::StoreCaller;
 use crate::{
     clock::{self, Moment},
     kernel::{Registry, RegistryChanges},
+    model::StoreRevision,
     state::State,
 };
 
@@ -32,7 +33,9 @@
         let listing = state.store_cache.listing.get();
         if let Some((listing, read)) = listing.filter(|(_, read)| last != Some(*read)) {
             last = Some(read);
+            let before = registry.revision();
             let update = registry.apply(&listing, read);
+            log_era(&state, &registry, before);
             apply_update(&state, &registry, &update);
             state.registry_read.store(true, Ordering::Relaxed);
         }
@@ -61,6 +64,18 @@
     left.or_else(|| caller.interval_left(reading.read_age(0)))
 }
 
+/// Logs that the store was restored, where the registry is of a later era than that of `before`.
+fn log_era(state: &State, registry: &Registry, before: Option<StoreRevision>) {
+    let (Some(before), Some(now)) = (before, registry.revision()) else {
+        return;
+    };
+    if before.era() < now.era() {
+        warn!(state.log, "store restored"; "era" => now.era(), "before" => before.era(),
+            "revision" => now.to_string(), "kept" => registry.missing_count(),
+            "held" => registry.held_count());
+    }
+}
+
 /// Applies a change to the backend servers that requests use, and logs each of them.
 fn apply_update(state: &State, registry: &Registry, update: &RegistryChanges) {
     if update.is_empty() {
