--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -11,12 +11,13 @@
 };
 
 use futures_lite::FutureExt;
-use slog::info;
+use slog::{info, warn};
 
 use super::call::StoreCaller;
 use crate::{
     clock::{self, Moment},
     kernel::{Registry, RegistryChanges},
+    model::StoreRevision,
     state::State,
 };
 
@@ -32,7 +33,9 @@
         let listing = state.store_cache.listing.get();
         if let Some((listing, read)) = listing.filter(|(_, read)| last != Some(*read)) {
             last = Some(read);
+            let before = registry.revision();
             let update = registry.apply(&listing, read);
+            log_era(&state, &registry, before);
             apply_update(&state, &registry, &update);
             state.registry_read.store(true, Ordering::Relaxed);
         }
@@ -43,16 +46,34 @@
 /// Reads the registry where the cached one is too old. Returns how long the cached one may be used;
 /// `None` where the read failed.
 async fn refresh(state: &State, caller: &mut StoreCaller) -> Option<Duration> {
-    let left = |state: &State| state.time_to_read(state.reading(), state.store_cache.listing.age());
-    let known = left(state);
-    if known.is_some() || !caller.may_call(state) {
-        return known;
+    let left = time_to_read(state, caller);
+    if left.is_some() || !caller.may_call(state) {
+        return left;
     }
     let began = clock::now();
     let listing = caller.call(state, state.source.registry()).await?;
     caller.log_unreadable(state, &listing.unreadable);
     state.store_cache.update_listing(Arc::new(listing), began);
-    Some(left(state).unwrap_or_default())
+    Some(time_to_read(state, caller).unwrap_or_default())
+}
+
+/// Returns the time until the registry is read; `None` where it has to be read now.
+fn time_to_read(state: &State, caller: &StoreCaller) -> Option<Duration> {
+    let reading = state.reading();
+    let left = state.time_to_read(reading, state.store_cache.listing.age());
+    left.or_else(|| caller.interval_left(reading.read_age(0)))
+}
+
+/// Logs that the store was restored, where the registry is of a later era than that of `before`.
+fn log_era(state: &State, registry: &Registry, before: Option<StoreRevision>) {
+    let (Some(before), Some(now)) = (before, registry.revision()) else {
+        return;
+    };
+    if before.era() < now.era() {
+        warn!(state.log, "store restored"; "era" => now.era(), "before" => before.era(),
+            "revision" => now.to_string(), "kept" => registry.missing_count(),
+            "held" => registry.held_count());
+    }
 }
 
 /// Applies a change to the backend servers that requests use, and logs each of them.
@@ -83,6 +104,6 @@
     }
     for id in &update.removed {
         info!(state.log, "backend removed"; "backend" => &**id,
-            "revision" => registry.revision());
+            "revision" => registry.revision().map(|revision| revision.to_string()));
     }
 }
--- a/crates/cassiareel-relay/src/peers/store_cache.rs
+++ b/crates/cassiareel-relay/src/peers/store_cache.rs
@@ -12,7 +12,7 @@
 use super::{cached::Cached, change::Change, members::Members, roster::Roster};
 use crate::{
     clock::{self, Moment},
-    model::{DataCentre, Policy, Revision},
+    model::{DataCentre, Policy, StoreEra, StoreRevision},
     source::{Listing, Orders},
 };
 
@@ -87,7 +87,7 @@
 
     /// Returns the change that turns the listing of an earlier revision into `new`; `None` where
     /// that listing is no longer known.
-    pub(crate) fn change_to(&self, new: &Listing, from: Option<Revision>) -> Option<Change> {
+    pub(crate) fn change_to(&self, new: &Listing, from: Option<StoreRevision>) -> Option<Change> {
         let from = from.filter(|from| *from < new.revision)?;
         let recent_listings = runtime::lock(&self.recent_listings);
         let old = recent_listings.iter().find(|old| old.revision == from)?;
@@ -110,17 +110,32 @@
         self.updated.notify(usize::MAX);
     }
 
-    /// Caches the nodes of the fleet; reports whether it did. Those of an earlier read are ignored.
+    /// Caches the nodes of the fleet, and those of the cached list whose records the store has lost;
+    /// reports whether it did. Those of an earlier era or an earlier read are ignored.
     pub(crate) fn update_members(&self, members: Arc<Members>, began: Moment) -> bool {
-        if self.members.get().is_some_and(|(_, known)| known > began) {
-            return false;
-        }
+        let members = match self.members.get() {
+            Some((known, read)) if (members.era, began) < (known.era, read) => return false,
+            Some((known, _)) => members.keep_lost(&known),
+            None => members,
+        };
         self.roster().replace(members.clone());
         self.members.replace(members, began);
         self.updated.notify(usize::MAX);
         true
     }
 
+    /// Returns the newest era of the store that a cached list is of.
+    pub(crate) fn newest_era(&self) -> StoreEra {
+        let listing = self
+            .listing
+            .get()
+            .map(|(listing, _)| listing.revision.era());
+        let orders = self.orders.get().map(|(orders, _)| orders.revision.era());
+        let members = self.members.get().map(|(members, _)| members.era);
+        let eras = [listing, orders, members].into_iter().flatten();
+        eras.max().unwrap_or_default()
+    }
+
     /// Causes a new loss to be sent to the peer that this node queries and to the peers that query
     /// this node.
     pub(crate) fn notify_loss(&self) {
