An answer without a length is read to the end of its connection

Callers of the own front got a 200 with an empty body, framed as whole, where a plain service's answer had neither a length nor chunks: async-h1 sets no body for such an answer, and drops what follows its head. An order's empty outcome was kept as its record. An answer that was reset behind its head looked whole as well, and so did one with a transfer encoding other than "chunked" or with that name in other letters.

wire::send reads the head itself now and gives the body a reader for each way in which its end is known: length, chunks, or the end of the connection, where a reset is an error. Another transfer encoding is no answer.

--- a/crates/cassiareel/src/wire/client.rs
+++ b/crates/cassiareel/src/wire/client.rs
@@ -2,10 +2,13 @@
 
 use std::{future::Future, io, net::SocketAddr, time::Duration};
 
+use async_h1::client::Encoder;
+use futures_lite::io as async_io;
 use http_types::{Request, Response};
 use smol::net::TcpStream;
 use snafu::Snafu;
 
+use super::response::{read_response, ResponseError};
 use crate::runtime::within;
 
 /// Timeouts of a call.
@@ -66,11 +69,18 @@
     let stream = connect(addr, timeouts.connect).await?;
     // Tokens are small writes, which must not wait for an acknowledgement.
     let _ = stream.set_nodelay(true);
-    with_timeout(timeouts.head, async_h1::connect(stream, req))
+    with_timeout(timeouts.head, exchange(stream, req))
         .await
         .map_err(|cause| SendError::NoAnswer { addr, cause })
 }
 
+/// Writes a request and reads the head of its response.
+async fn exchange(mut stream: TcpStream, req: Request) -> Result<Response, ResponseError> {
+    let method = req.method();
+    async_io::copy(&mut Encoder::new(req), &mut stream).await?;
+    read_response(stream, method).await
+}
+
 /// Connects to a server within `limit`.
 async fn connect(addr: SocketAddr, limit: Duration) -> Result<TcpStream, SendError> {
     let not_sent = |cause, refused| SendError::NotSent {
--- a/crates/cassiareel/src/wire/mod.rs
+++ b/crates/cassiareel/src/wire/mod.rs
@@ -1,15 +1,17 @@
 /*!
 HTTP server and client on top of `async-h1`, with checks that the library lacks.
 
-The library does not answer requests with a malformed head, has no client timeouts, and treats a
-body that is shorter than its `Content-Length` as complete. [`serve`] answers invalid heads with a
-4xx status, [`send`] has a timeout for each stage of a call, and [`read_body`] compares the length of
-a body with the header and treats a difference as a lost connection.
+The library does not answer requests with a malformed head, has no client timeouts, drops the body
+of a response without a length, and treats a body that is shorter than its `Content-Length` as
+complete. [`serve`] answers invalid heads with a 4xx status, [`send`] has a timeout for each stage of
+a call and reads a body without a length to the end of its connection, and [`read_body`] compares the
+length of a body with the header and treats a difference as a lost connection.
 */
 
 mod body;
 mod client;
 mod listener;
+mod response;
 mod server;
 
 pub use body::{read_body, read_body_within, BodyError};
