Interim heads of an answer are read up to the final one

Callers of the own front got a status of 1xx with an empty body as a service's answer, where the server wrote an interim head (100, 103) before its answer, or closed after it: async-h1 returns the first head as the response. With the final answer behind it, 102 was a lost answer.

Heads of status 1xx are skipped up to 16 times, and a connection that ends then is a lost answer. A switch of protocols, for which no request asks, is none as well.

--- a/crates/cassiareel-standins/tests/half_answers.rs
+++ b/crates/cassiareel-standins/tests/half_answers.rs
@@ -120,6 +120,11 @@
 #[test_case(cut(&["HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r"]); "inside the blank line")]
 #[test_case(cut(&["HTTP/1.1 200 OK\r\n", "content-length: 8\r\n"]); "between headers in pieces")]
 #[test_case(cut(&["HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n", "engr"]); "an encoding without chunks")]
+#[test_case(cut(&["HTTP/1.1 100 Continue\r\n\r\n"]); "after 100")]
+#[test_case(cut(&["HTTP/1.1 102 Processing\r\n\r\n"]); "after 102")]
+#[test_case(cut(&["HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"]); "after 103")]
+#[test_case(cut(&["HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\ncont"]); "after 100 inside a header")]
+#[test_case(cut(&["HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n"]); "101")]
 #[test_case(cut(&[SIZED]); "before a body with a length")]
 #[test_case(cut(&[SIZED, "engra"]); "inside a body with a length")]
 #[test_case(cut(&["HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 8\r\n\r\n", "engrave"]); "inside a body with a length and a close")]
@@ -157,6 +162,10 @@
 #[test_case(cut(&[UNSIZED, BODY]); "no length")]
 #[test_case(cut(&[UNSIZED, "engr", "aved"]); "no length, in pieces")]
 #[test_case(cut(&["HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nengr", "aved"]); "no length, a part with the head")]
+#[test_case(Wire { end: End::Keep, ..cut(&["HTTP/1.1 100 Continue\r\n\r\n", SIZED, BODY]) }; "after 100")]
+#[test_case(Wire { end: End::Keep, ..cut(&["HTTP/1.1 102 Processing\r\n\r\n", SIZED, BODY]) }; "after 102")]
+#[test_case(Wire { end: End::Keep, ..cut(&["HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\n", "content-length: 8\r\n\r\nengraved"]) }; "after 103 in one piece")]
+#[test_case(cut(&["HTTP/1.1 100 Continue\r\n\r\n", UNSIZED, BODY]); "after 100, no length")]
 #[test_case(Wire { end: End::Keep, ..cut(&["HTTP/1.1 200 ", "OK\r", "\ncontent-len", "gth: 8\r\n\r", "\neng", "raved"]) }; "a length, in pieces")]
 #[test_case(Wire { end: End::Keep, ..cut(&[CHUNKED, "8", "\r", "\neng", "raved", "\r", "\n0", "\r\n", "\r\n"]) }; "chunks, in pieces")]
 fn a_whole_answer_arrives(wire: Wire) {
@@ -185,11 +194,13 @@
 };
 
 #[test_case(&CONTROL; "no length")]
+#[test_case(&ControlCase { head: "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", ..CONTROL }; "no length behind 103")]
 #[test_case(&ControlCase { end: End::Reset, whole: false, ..CONTROL }; "no length, reset")]
 #[test_case(&ControlCase { share: 0.5, whole: false, ..CONTROL }; "no length, half")]
 #[test_case(&ControlCase { share: 0.0, whole: false, ..CONTROL }; "no length, nothing")]
 #[test_case(&ControlCase { head: "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n", whole: false, ..CONTROL }; "a length that is not reached")]
 #[test_case(&ControlCase { head: "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n", share: 0.0, whole: false, ..CONTROL }; "half a head")]
+#[test_case(&ControlCase { head: "HTTP/1.1 100 X\r\n\r\n", share: 0.0, whole: false, ..CONTROL }; "100")]
 fn a_control_answer_that_ends_early_is_lost(case: &ControlCase) {
     let object = r#"{"kind":"k","metadata":{"name":"a","resourceVersion":"7"},"spec":1}"#;
     let list = format!(r#"{{"metadata":{{"resourceVersion":"7"}},"items":[{object}]}}"#);
--- a/crates/cassiareel/src/wire/response.rs
+++ b/crates/cassiareel/src/wire/response.rs
@@ -15,6 +15,15 @@
 /// The start of a head's line with a transfer encoding.
 const TRANSFER_ENCODING_FIELD: &[u8] = b"transfer-encoding:";
 
+/// The start of an interim response's head.
+const INTERIM_HEAD_START: &[u8] = b"HTTP/1.1 1";
+
+/// The start of the head of a response that switches protocols.
+const SWITCH_HEAD_START: &[u8] = b"HTTP/1.1 101";
+
+/// The number of interim heads that may come before a response.
+const MAX_INTERIM_HEADS: usize = 16;
+
 /// Why no response could be read.
 #[derive(Debug, Snafu)]
 pub(super) enum ResponseError {
@@ -54,7 +63,7 @@
     R: AsyncRead + Send + Sync + Unpin + 'static,
 {
     let mut reader = BufReader::new(stream);
-    let head = read_head(&mut reader).await?;
+    let head = read_final_head(&mut reader).await?;
     let mut res = decode(Cursor::new(head.clone())).await?;
     if let Some(encoding) = res.header(headers::TRANSFER_ENCODING) {
         if encoding.as_str() != CHUNKED {
@@ -79,6 +88,26 @@
     Ok(res)
 }
 
+/// Reads heads up to the first that is not an interim one (RFC 9110, section 15.2). No request asks
+/// for another protocol, so the head of a switch is none of an answer.
+async fn read_final_head<R>(reader: &mut BufReader<R>) -> Result<Vec<u8>, ResponseError>
+where
+    R: AsyncRead + Unpin,
+{
+    for _ in 0..=MAX_INTERIM_HEADS {
+        let head = read_head(reader).await?;
+        if !head.starts_with(INTERIM_HEAD_START) {
+            return Ok(head);
+        }
+        if head.starts_with(SWITCH_HEAD_START) {
+            let cause = "a switch of protocols";
+            return MalformedSnafu { cause }.fail();
+        }
+    }
+    let cause = format!("more than {MAX_INTERIM_HEADS} interim heads");
+    MalformedSnafu { cause }.fail()
+}
+
 /// Reads the bytes of a head, up to its blank line.
 async fn read_head<R>(reader: &mut BufReader<R>) -> Result<Vec<u8>, ResponseError>
 where
