A chunked body whose end arrives in pieces is not awaited until its timeout

Callers of the own front waited for an answer until the configured answer time, 4 s in the test, where the last line break or the trailers of a chunked answer arrived in two pieces; a request body of a caller waited alike until its body time and was refused with 408. async-h1's reader of chunks returns "pending" for an incomplete trailer without reading on, so nothing wakes the task.

read_body polls again every 20 ms.

--- a/crates/cassiareel-standins/tests/half_answers.rs
+++ b/crates/cassiareel-standins/tests/half_answers.rs
@@ -177,6 +177,22 @@
     );
 }
 
+#[test_case(&[CHUNKED, "8\r\nengraved\r\n0\r\n\r", "\n"]; "inside the last line break")]
+#[test_case(&[CHUNKED, "8\r\nengraved\r\n0\r\nx: 1", "\r\n\r\n"]; "inside a trailer")]
+#[test_case(&[CHUNKED, "8\r\nengraved\r\n0\r\nx: 1\r\n", "\r\n"]; "behind a trailer")]
+fn a_chunked_answer_whose_end_comes_in_pieces_is_not_awaited_in_vain(
+    pieces: &'static [&'static str],
+) {
+    let began = std::time::Instant::now();
+    let addr = serve(Wire {
+        pieces,
+        end: End::Keep,
+    });
+    let answer = smol::block_on(HttpService::new(addr, ANSWER_TIME).call(&call()));
+    assert_eq!(answer.expect("a whole answer").body, BODY.as_bytes());
+    assert!(began.elapsed() < ANSWER_TIME, "{:?}", began.elapsed());
+}
+
 /// The end of a store's or an engine's answer, and whether it is whole.
 struct ControlCase {
     head: &'static str,
--- a/crates/cassiareel/src/wire/body.rs
+++ b/crates/cassiareel/src/wire/body.rs
@@ -1,11 +1,16 @@
 //! Reading of whole bodies, with a check of their length against the header.
 
-use std::time::Duration;
+use std::{future::Future, pin::pin, time::Duration};
 
 use futures_lite::{io, AsyncReadExt, FutureExt};
 use smol::Timer;
 use snafu::Snafu;
 
+use crate::runtime::within;
+
+/// Interval between the polls of a body that misses its wake-up.
+const REPOLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Why a body could not be read.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum BodyError {
@@ -65,8 +70,8 @@
         return Err(BodyError::TooLong { limit });
     }
     let mut bytes = Vec::with_capacity(announced.unwrap_or(0));
-    body.take(limit as u64 + 1)
-        .read_to_end(&mut bytes)
+    let mut rest = body.take(limit as u64 + 1);
+    poll_repeatedly(rest.read_to_end(&mut bytes))
         .await
         .map_err(|err| BodyError::Io { kind: err.kind() })?;
     if bytes.len() > limit {
@@ -81,6 +86,20 @@
     }
 }
 
+/// Waits for a future that may miss its wake-up. The HTTP library's reader of chunks registers none where
+/// the end of the last chunk arrives in pieces.
+async fn poll_repeatedly<F>(future: F) -> F::Output
+where
+    F: Future,
+{
+    let mut future = pin!(future);
+    loop {
+        if let Some(output) = within(REPOLL_INTERVAL, future.as_mut()).await {
+            return output;
+        }
+    }
+}
+
 /// Reads a whole body like [`read_body`], within a time limit.
 ///
 /// # Errors
