A backend server's switch of protocols is no answer

Callers of the relay got "101 Switching Protocols" with an empty body as the whole answer to an order, a safe request or a stream, where a backend server sent that head, which no request asks for: hyper returns it as the final response. It counts as a lost response now: work that runs once gets 502, other work is sent again.

--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -336,8 +336,8 @@
     Ok(ResponseHead::new(state, head, lease))
 }
 
-/// Accepts a response that belongs to the request. A success without the signature of a run counts
-/// as a lost response.
+/// Accepts a response that belongs to the request. A success without the signature of a run and a
+/// switch of protocols count as lost responses.
 fn accept(
     state: &Arc<State>,
     member: &Backend,
@@ -349,6 +349,9 @@
     if answer.not_run {
         return SendOutcome::NotRun(parts.status.as_u16());
     }
+    if parts.status.is_informational() {
+        return SendOutcome::Lost("a switch of protocols that was not requested".to_owned());
+    }
     let is_signed_run = answer.signed && !answer.encoded && answer.request.is_some();
     if parts.status.is_success() && !is_signed_run {
         return SendOutcome::Lost("a success without a run's signature".to_owned());
