A request that is open at the end of a planned stop gets an answer

Callers of the own front got no answer, a connection that just ends, where a node stopped under a request it had read and passed on: Node::stop returned at the end of the drain time, or at once after a second signal, and the process exited. Among them orders, whose caller could not tell whether they ran.

A channel that is closed 250 ms before the end of the drain time ends what has no answer: status 504 with the outcome "unknown", which promises nothing. A request that is read after that is refused with 503, "not_run": nothing of it was sent. A stream that has begun is cut without its end, as before, and its caller resumes it elsewhere.

Ruled out: an order that ends within the drain time was answered before too.

--- a/crates/cassiareel-standins/tests/stopping.rs
+++ b/crates/cassiareel-standins/tests/stopping.rs
@@ -7,16 +7,18 @@
         Arc,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cassiareel_standins::{
     caller::{Caller, ReceivedStream},
     engine::expected_answer,
     fleet::{Fleet, FleetOptions, CALLER_KEY},
+    service::{Faults, Ledger, PlainService},
 };
 use serde_json::json;
 use smol::lock::RwLock;
+use test_case::test_case;
 
 const NODES: usize = 6;
 const CALLERS: usize = 12;
@@ -93,3 +95,112 @@
     assert_eq!(counts.failed.load(Ordering::SeqCst), 0);
     assert!(counts.complete.load(Ordering::SeqCst) >= CALLERS);
 }
+
+/// How long a test waits for a condition before it fails.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The time that a stop leaves to open requests.
+const STOP_TIME: Duration = Duration::from_millis(1200);
+
+/// A call of a plain service.
+const CALL: Case = Case {
+    path: "/services/orders/engrave",
+    delay: Duration::from_secs(60),
+    limit: STOP_TIME,
+    late: false,
+    answer: (504, "unknown"),
+};
+
+/// A request that is open when a node stops.
+struct Case {
+    path: &'static str,
+    /// The time that the service takes.
+    delay: Duration,
+    /// The time that the stop leaves.
+    limit: Duration,
+    /// Whether the request comes after the node has begun to leave.
+    late: bool,
+    /// The status and the outcome that the caller gets.
+    answer: (u16, &'static str),
+}
+
+/// A fleet of one node with a plain service.
+struct StopSetup {
+    fleet: Fleet,
+    ledger: Ledger,
+    service: PlainService,
+}
+
+impl StopSetup {
+    fn new() -> StopSetup {
+        let ledger = Ledger::default();
+        let service = PlainService::start("orders@v1", &ledger).expect("loopback has ports");
+        let mut fleet = Fleet::start(&FleetOptions::new(1, 1)).expect("loopback has ports");
+        let services = format!(
+            "[services.orders]\nkind = \"plain\"\nversion = \"v1\"\n[services.orders.policy]\n\
+             time.answer = \"90s\"\n[services.orders.versions.v1.placements.d0]\nservers = [\"{}\"]\n",
+            service.addr()
+        );
+        let tree = fleet.settings_tree().replace(
+            "services = [\"draft\"]",
+            "services = [\"draft\", \"orders\"]",
+        );
+        fleet.apply(&(tree + &services));
+        StopSetup {
+            fleet,
+            ledger,
+            service,
+        }
+    }
+
+    /// Waits until a backend server works on a request.
+    fn wait_until_busy(&self) {
+        let until = Instant::now() + WAIT_TIMEOUT;
+        while self.ledger.entries().is_empty() && self.fleet.busy_engine().is_none() {
+            assert!(
+                Instant::now() < until,
+                "no request reached a backend server"
+            );
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
+
+/// Sends a request; returns the status and the outcome, or `None` without an answer.
+fn send(addr: SocketAddr, path: &str) -> Option<(u16, String)> {
+    let body = json!({"model": "draft", "prompt": "x", "max_tokens": 100_000, "ignore_eos": true});
+    let headers = [("idempotency-key", "k")];
+    let caller = Caller::new(CALLER_KEY);
+    let res = smol::block_on(caller.post(addr, path, &headers, body.to_string())).ok()?;
+    let outcome = res.header("x-outcome").map(|value| value.as_str());
+    Some((res.status().into(), outcome.unwrap_or_default().to_owned()))
+}
+
+#[test_case(&CALL; "an order that takes longer")]
+#[test_case(&Case { late: true, ..CALL }; "an order that takes longer, late")]
+#[test_case(&Case { limit: Duration::ZERO, ..CALL }; "an order and a second signal")]
+#[test_case(&Case { delay: STOP_TIME / 4, answer: (200, "ran"), ..CALL }; "an order that ends in time")]
+#[test_case(&Case { path: "/v1/completions", ..CALL }; "a generation that takes longer")]
+#[test_case(&Case { path: "/v1/completions", late: true, ..CALL }; "a generation that takes longer, late")]
+fn a_request_that_is_open_at_the_end_of_a_stop_is_answered(case: &Case) {
+    let mut setup = StopSetup::new();
+    setup.service.set_faults(Faults {
+        delay_ms: case.delay.as_millis() as u64,
+        ..Faults::default()
+    });
+    let addr = setup.fleet.addr(0).expect("the node serves");
+    if case.late {
+        setup.fleet.node(0).expect("the node runs").begin_leaving();
+    }
+    let path = case.path;
+    let caller = thread::spawn(move || send(addr, path));
+    setup.wait_until_busy();
+    let mut node = setup.fleet.take_node(0).expect("the node runs");
+    let cut = smol::block_on(node.stop(case.limit));
+    // As the daemon, which exits.
+    drop(node);
+    let answer = caller.join().expect("the caller does not panic");
+    let (status, outcome) = case.answer;
+    assert_eq!(answer, Some((status, outcome.to_owned())));
+    assert_eq!(cut, usize::from(status != 200));
+}
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -1,8 +1,9 @@
 //! The endpoints for callers.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{future, net::SocketAddr, sync::Arc, time::Duration};
 
-use futures_lite::io::BufReader;
+use async_channel::Receiver;
+use futures_lite::{io::BufReader, FutureExt};
 use http_types::{headers, Body, Method, Request, Response, StatusCode};
 use serde_json::json;
 use slog::{info, o};
@@ -13,7 +14,7 @@
     generate::{Driver, Signal},
     order,
     resume::{self, TicketIssuer},
-    service, suspect, Endpoint, FrontContext, Prompt, Refusal,
+    service, suspect, Endpoint, FrontContext, Outcome, Prompt, Refusal,
 };
 use crate::{
     kernel::{moves, routing, RequestId},
@@ -34,15 +35,29 @@
 /// Length limit of a request id, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 128;
 
+/// Value of `Retry-After` in refusals of a node that stops.
+const STOP_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Serves the requests of callers.
 pub struct CallerApi {
     context: Arc<FrontContext>,
+    /// Closed at the end of a planned stop.
+    stopped: Option<Receiver<()>>,
 }
 
 impl CallerApi {
     /// Creates the interface with a node's context.
     pub fn new(context: Arc<FrontContext>) -> CallerApi {
-        CallerApi { context }
+        CallerApi {
+            context,
+            stopped: None,
+        }
+    }
+
+    /// Sets the channel whose closing ends the requests that have no answer yet: they get status 504.
+    pub fn with_stop(mut self, stopped: Receiver<()>) -> CallerApi {
+        self.stopped = Some(stopped);
+        self
     }
 
     async fn answer(&self, mut req: Request) -> Response {
@@ -50,7 +65,10 @@
             Ok(id) => id,
             Err(refusal) => return refusal.response(),
         };
-        let mut res = match self.dispatch(&mut req, &request_id).await {
+        let answered = self
+            .dispatch(&mut req, &request_id)
+            .or(self.wait_for_stop());
+        let mut res = match answered.await {
             Ok(res) => res,
             Err(refusal) => {
                 info!(self.context.log, "refused"; "request" => &request_id,
@@ -62,7 +80,23 @@
         res
     }
 
+    /// Waits until the node has stopped, and returns the refusal of a request that may have run by then.
+    async fn wait_for_stop(&self) -> Result<Response, Refusal> {
+        match &self.stopped {
+            // Nothing is sent on the channel, so this waits until it is closed.
+            Some(stopped) => drop(stopped.recv().await),
+            None => future::pending().await,
+        }
+        let message = "the node stopped before the answer";
+        Err(Refusal::new(StatusCode::GatewayTimeout, message)
+            .with_code("node_stopped")
+            .with_outcome(Outcome::Unknown))
+    }
+
     async fn dispatch(&self, req: &mut Request, request_id: &str) -> Result<Response, Refusal> {
+        if self.stopped.as_ref().is_some_and(Receiver::is_closed) {
+            return Err(node_stopping());
+        }
         let snapshot = self.context.settings.load_full();
         let identity = identify(&snapshot, req)?;
         let path = req.url().path().to_owned();
@@ -398,8 +432,8 @@
     }
 }
 
-/// Returns the refusal of a generation whose driver was dropped without a signal, as when the node
-/// stops.
+/// Returns the refusal of a request that a node which stops does not start, or of a generation whose
+/// driver was dropped without a signal.
 fn node_stopping() -> Refusal {
-    Refusal::busy("the node stops", std::time::Duration::from_secs(1))
+    Refusal::busy("the node stops", STOP_RETRY_AFTER)
 }
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -23,6 +23,7 @@
 };
 
 use arc_swap::ArcSwap;
+use async_channel::Sender;
 use slog::{info, o, Logger};
 use smol::Timer;
 
@@ -49,6 +50,8 @@
     options: Options,
     settings: Arc<ArcSwap<Snapshot>>,
     open_requests: Arc<router::OpenRequests>,
+    /// Closing it ends the open requests with an answer.
+    stop_signal: Option<Sender<()>>,
     caller_server: Option<ServerHandle>,
     control_server: ServerHandle,
     coordination: Coordination,
@@ -60,6 +63,9 @@
 /// Time between updates of the gauges.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for the answers to requests that are still open at the end of a stop.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(250);
+
 /// Time between checks for open requests while a node stops.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -88,7 +94,8 @@
         .with_shared(shared.clone())
         .with_orders(objects.clone());
         let parts = Arc::new(parts);
-        let front = CallerApi::new(parts.clone());
+        let (stop_signal, stopped) = async_channel::bounded(1);
+        let front = CallerApi::new(parts.clone()).with_stop(stopped);
         let callers =
             Router::new(open_requests.clone(), settings.clone()).with_callers(Arc::new(front));
         let status = status_source(&options, settings.clone(), open_requests.clone());
@@ -148,6 +155,7 @@
             options,
             settings,
             open_requests,
+            stop_signal: Some(stop_signal),
             caller_server: Some(caller_server),
             control_server,
             coordination,
@@ -210,18 +218,29 @@
 
     /// Stops accepting connections and waits at most `limit` until every accepted request is answered
     /// completely; returns the number of requests that were not.
+    ///
+    /// Those that have no answer shortly before get status 504 in the time that is left, at least
+    /// 250 ms.
     pub async fn stop(&mut self, limit: Duration) -> usize {
         self.begin_leaving();
         if let Some(server) = self.caller_server.take() {
             server.stop_accepting();
         }
+        self.wait_until_answered(limit.saturating_sub(LAST_ANSWER_TIME))
+            .await;
+        let unanswered = self.open_requests.count();
+        self.stop_signal = None;
+        self.wait_until_answered(LAST_ANSWER_TIME).await;
+        info!(self.log, "stopped"; "left" => unanswered);
+        unanswered
+    }
+
+    /// Waits at most `limit` until no request is open.
+    async fn wait_until_answered(&self, limit: Duration) {
         let deadline = Instant::now() + limit;
         while self.open_requests.count() > 0 && Instant::now() < deadline {
             Timer::after(STOP_POLL_INTERVAL).await;
         }
-        let unanswered = self.open_requests.count();
-        info!(self.log, "stopped"; "left" => unanswered);
-        unanswered
     }
 }
 
