A node that has stopped reads no further request

A caller of the own front whose request on a kept connection arrived between the last count of open requests and the exit of the process got no answer, though it was read: connections that were idle stayed open and were served until the process was gone.

--- a/crates/cassiareel-standins/tests/stopping.rs
+++ b/crates/cassiareel-standins/tests/stopping.rs
@@ -1,7 +1,8 @@
 //! A planned stop of a node interrupts no request.
 
 use std::{
-    net::SocketAddr,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc,
@@ -204,3 +205,41 @@
     assert_eq!(answer, Some((status, outcome.to_owned())));
     assert_eq!(cut, usize::from(status != 200));
 }
+
+/// Sends a call on a kept connection; returns the answer as text, empty if there is none.
+fn call_on(stream: &mut TcpStream, key: &str) -> String {
+    let head = format!(
+        "GET /services/orders/{key} HTTP/1.1\r\nhost: n\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         x-request-id: {key}\r\n\r\n"
+    );
+    // A write to a connection that the node has closed may fail.
+    let _ = stream.write_all(head.as_bytes());
+    let mut answer = Vec::new();
+    let mut bytes = [0; 4096];
+    // The body of each answer is one JSON object.
+    while !answer.ends_with(b"}") {
+        match stream.read(&mut bytes) {
+            Ok(read) if read > 0 => answer.extend_from_slice(&bytes[..read]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn no_request_on_a_kept_connection_is_read_after_a_stop() {
+    let mut setup = StopSetup::new();
+    let addr = setup.fleet.addr(0).expect("the node serves");
+    let mut stream = TcpStream::connect(addr).expect("the node serves");
+    stream
+        .set_read_timeout(Some(WAIT_TIMEOUT))
+        .expect("an open socket");
+    assert!(call_on(&mut stream, "first").starts_with("HTTP/1.1 200"));
+    let mut node = setup.fleet.take_node(0).expect("the node runs");
+    assert_eq!(smol::block_on(node.stop(STOP_TIME)), 0);
+    // The daemon would exit now, under whatever it reads.
+    let answer = call_on(&mut stream, "second");
+    assert_eq!(answer, "");
+    assert_eq!(setup.ledger.runs("second"), 0);
+    assert_eq!(setup.ledger.runs("first"), 1);
+}
--- a/crates/cassiareel/src/node/mod.rs
+++ b/crates/cassiareel/src/node/mod.rs
@@ -42,7 +42,7 @@
     runtime::Runtime,
     settings::{Scope, Snapshot},
     store::Objects,
-    wire::{self, ServerHandle, ServerLimits, ServerLimitsSource},
+    wire::{self, OpenConnections, ServerHandle, ServerLimits, ServerLimitsSource},
 };
 
 /// A running node.
@@ -53,6 +53,8 @@
     /// Closing it ends the open requests with an answer.
     stop_signal: Option<Sender<()>>,
     caller_server: Option<ServerHandle>,
+    /// The callers' connections, once no more are accepted.
+    open_connections: Option<OpenConnections>,
     control_server: ServerHandle,
     coordination: Coordination,
     log: Logger,
@@ -157,6 +159,7 @@
             open_requests,
             stop_signal: Some(stop_signal),
             caller_server: Some(caller_server),
+            open_connections: None,
             control_server,
             coordination,
             log,
@@ -224,17 +227,28 @@
     pub async fn stop(&mut self, limit: Duration) -> usize {
         self.begin_leaving();
         if let Some(server) = self.caller_server.take() {
-            server.stop_accepting();
+            self.open_connections = Some(server.stop_accepting());
         }
         self.wait_until_answered(limit.saturating_sub(LAST_ANSWER_TIME))
             .await;
         let unanswered = self.open_requests.count();
         self.stop_signal = None;
-        self.wait_until_answered(LAST_ANSWER_TIME).await;
+        self.close_connections().await;
         info!(self.log, "stopped"; "left" => unanswered);
         unanswered
     }
 
+    /// Reads no further requests, and waits a little for the answers to what was read.
+    async fn close_connections(&self) {
+        let deadline = Instant::now() + LAST_ANSWER_TIME;
+        if let Some(open) = &self.open_connections {
+            open.close();
+            while open.count() > 0 && Instant::now() < deadline {
+                Timer::after(STOP_POLL_INTERVAL).await;
+            }
+        }
+    }
+
     /// Waits at most `limit` until no request is open.
     async fn wait_until_answered(&self, limit: Duration) {
         let deadline = Instant::now() + limit;
--- a/crates/cassiareel/src/wire/mod.rs
+++ b/crates/cassiareel/src/wire/mod.rs
@@ -18,8 +18,8 @@
 pub use client::{send, CallTimeouts, SendError};
 pub use listener::bind_listener;
 pub use server::{
-    serve, serve_with_source, Handler, ServerHandle, ServerLimits, ServerLimitsSource,
-    MAX_HEAD_BYTES,
+    serve, serve_with_source, Handler, OpenConnections, ServerHandle, ServerLimits,
+    ServerLimitsSource, MAX_HEAD_BYTES,
 };
 
 /// A boxed future, as returned by methods of trait objects.
--- a/crates/cassiareel/src/wire/server.rs
+++ b/crates/cassiareel/src/wire/server.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use async_channel::{Receiver, Sender};
 use async_h1::server::{decode, Encoder};
 use futures_lite::{io, AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::{headers, Method, Request, Response, StatusCode};
@@ -56,18 +57,42 @@
     fn handle(&self, req: Request, from: SocketAddr) -> BoxFuture<'_, Response>;
 }
 
-/// A running server; dropping it stops accepting and drops its connections.
+/// A running server; dropping it stops accepting and closes the connections that wait for a request.
 #[derive(Debug)]
 pub struct ServerHandle {
     /// The bound address.
     pub addr: SocketAddr,
     accept: smol::Task<()>,
+    open: OpenConnections,
 }
 
 impl ServerHandle {
-    /// Stops accepting connections; those already open are still served.
-    pub fn stop_accepting(self) {
-        drop(self.accept);
+    /// Stops accepting connections, and returns those already open, which are still served.
+    pub fn stop_accepting(self) -> OpenConnections {
+        let ServerHandle { accept, open, .. } = self;
+        drop(accept);
+        open
+    }
+}
+
+/// The open connections of a server that accepts no more. Dropping it closes them like
+/// [`OpenConnections::close`].
+#[derive(Debug)]
+pub struct OpenConnections {
+    count: Arc<AtomicUsize>,
+    /// Closing it ends the wait for further requests.
+    reading: Sender<()>,
+}
+
+impl OpenConnections {
+    /// Closes each connection when it waits for a request, so that none is read any more.
+    pub fn close(&self) {
+        self.reading.close();
+    }
+
+    /// Returns the number of open connections.
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
     }
 }
 
@@ -98,6 +123,11 @@
 ) -> io::Result<ServerHandle> {
     let addr = listener.local_addr()?;
     let connections = Arc::new(AtomicUsize::new(0));
+    let (reading, closed) = async_channel::bounded(1);
+    let open = OpenConnections {
+        count: connections.clone(),
+        reading,
+    };
     let tasks = spawner.clone();
     let accept = spawner.spawn(async move {
         loop {
@@ -110,6 +140,7 @@
             let limits = source();
             let full = slot.open_connections > limits.max_connections;
             let handler = handler.clone();
+            let closed = closed.clone();
             tasks
                 .spawn(async move {
                     let _slot = slot;
@@ -121,21 +152,22 @@
                         )
                         .await;
                     } else {
-                        serve_connection(stream, from, limits, &*handler).await;
+                        serve_connection(stream, from, limits, &*handler, &closed).await;
                     }
                 })
                 .detach();
         }
     });
-    Ok(ServerHandle { addr, accept })
+    Ok(ServerHandle { addr, accept, open })
 }
 
-/// Serves the requests of one connection in sequence.
+/// Serves the requests of one connection in sequence, until `closed` is closed.
 async fn serve_connection(
     stream: TcpStream,
     from: SocketAddr,
     limits: ServerLimits,
     handler: &dyn Handler,
+    closed: &Receiver<()>,
 ) {
     let _ = stream.set_nodelay(true);
     loop {
@@ -144,6 +176,11 @@
                 Timer::after(limits.head_timeout).await;
                 None
             })
+            .or(async {
+                // Nothing is sent on the channel, so this waits until it is closed.
+                let _ = closed.recv().await;
+                Some(Ok(None))
+            })
             .await;
         let (req, mut rest) = match head {
             Some(Ok(Some(parts))) => parts,
@@ -304,13 +341,13 @@
     fn new(count: &Arc<AtomicUsize>) -> ConnectionSlot {
         ConnectionSlot {
             count: count.clone(),
-            open_connections: count.fetch_add(1, Ordering::Relaxed) + 1,
+            open_connections: count.fetch_add(1, Ordering::SeqCst) + 1,
         }
     }
 }
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.count.fetch_sub(1, Ordering::Relaxed);
+        self.count.fetch_sub(1, Ordering::SeqCst);
     }
 }
