What arrives behind a request is kept for the next one

A caller of the own front that sent two requests in one piece got an answer to the first and none to the second: async-h1 reads each request through a buffer of its own, and what the buffer holds beyond the request is dropped with it. Where only a part of the second was in the buffer, the rest was read as the start of another request and refused. The bytes of a body could thus be read as a request that nobody sent.

A server's connection hands out bytes only to the end of a line, or of a body whose length is known, and keeps the others, so the library's buffer never holds more than one request. Reading the rest of a body after its answer is bounded by the time for the last answer (1 s), after which the connection is closed.

--- a/crates/cassiareel/src/wire/body.rs
+++ b/crates/cassiareel/src/wire/body.rs
@@ -88,7 +88,7 @@
 
 /// Waits for a future that may miss its wake-up. The HTTP library's reader of chunks registers none where
 /// the end of the last chunk arrives in pieces.
-async fn poll_repeatedly<F>(future: F) -> F::Output
+pub(super) async fn poll_repeatedly<F>(future: F) -> F::Output
 where
     F: Future,
 {
--- a/crates/cassiareel/src/wire/mod.rs
+++ b/crates/cassiareel/src/wire/mod.rs
@@ -11,6 +11,7 @@
 mod body;
 mod client;
 mod listener;
+mod request_stream;
 mod response;
 mod server;
 
--- a/crates/cassiareel/src/wire/server.rs
+++ b/crates/cassiareel/src/wire/server.rs
@@ -18,8 +18,8 @@
     Timer,
 };
 
-use super::BoxFuture;
-use crate::runtime::Spawner;
+use super::{body::poll_repeatedly, request_stream::RequestStream, BoxFuture};
+use crate::runtime::{within, Spawner};
 
 /// Limits on the resources that clients may use at a server.
 #[derive(Clone, Copy, Debug)]
@@ -170,8 +170,10 @@
     closed: &Receiver<()>,
 ) {
     let _ = stream.set_nodelay(true);
+    let requests = RequestStream::new(stream.clone());
     loop {
-        let head = async { Some(decode(stream.clone()).await) }
+        requests.set_body_length(None);
+        let head = async { Some(decode(requests.clone()).await) }
             .or(async {
                 Timer::after(limits.head_timeout).await;
                 None
@@ -205,6 +207,7 @@
         if let Some(problem) = content_length_problem(req.header(headers::CONTENT_LENGTH)) {
             return refuse(stream, StatusCode::BadRequest, problem).await;
         }
+        requests.set_body_length(req.header(headers::CONTENT_LENGTH).and_then(|_| req.len()));
         let method = req.method();
         let close = wants_close(req.header(headers::CONNECTION));
         let mut res = handler.handle(req, from).await;
@@ -217,8 +220,10 @@
             return;
         }
         // A rest of the body that the handler did not read would be parsed as the next head.
-        let drained = io::copy((&mut rest).take(MAX_DRAINED_BYTES), &mut io::sink()).await;
-        if close || drained.map_or(true, |n| n == MAX_DRAINED_BYTES) {
+        let mut sink = io::sink();
+        let rest = io::copy((&mut rest).take(MAX_DRAINED_BYTES), &mut sink);
+        let drained = within(LINGER_TIMEOUT, poll_repeatedly(rest)).await;
+        if close || !matches!(drained, Some(Ok(n)) if n < MAX_DRAINED_BYTES) {
             return linger(&stream).await;
         }
     }
@@ -325,7 +330,7 @@
 /// Bytes that are read and discarded after the last answer on a connection.
 const MAX_LINGER_BYTES: u64 = 64 << 20;
 
-/// Time for a client to read the last answer on its connection.
+/// Time for a client to read the last answer on its connection, or to send the rest of a body after it.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Size of the buffer into which a response is encoded before each write.
