--- a/crates/cassiareel/src/wire/server.rs
+++ b/crates/cassiareel/src/wire/server.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use async_channel::{Receiver, Sender};
 use async_h1::server::{decode, Encoder};
 use futures_lite::{io, AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::{headers, Method, Request, Response, StatusCode};
@@ -17,8 +18,8 @@
     Timer,
 };
 
-use super::BoxFuture;
-use crate::runtime::Spawner;
+use super::{body::poll_repeatedly, request_stream::RequestStream, BoxFuture};
+use crate::runtime::{within, Spawner};
 
 /// Limits on the resources that clients may use at a server.
 #[derive(Clone, Copy, Debug)]
@@ -56,18 +57,42 @@
     fn handle(&self, req: Request, from: SocketAddr) -> BoxFuture<'_, Response>;
 }
 
-/// A running server; dropping it stops accepting and drops its connections.
+/// A running server; dropping it stops accepting and closes the connections that wait for a request.
 #[derive(Debug)]
 pub struct ServerHandle {
     /// The bound address.
     pub addr: SocketAddr,
     accept: smol::Task<()>,
+    open: OpenConnections,
 }
 
 impl ServerHandle {
-    /// Stops accepting connections; those already open are still served.
-    pub fn stop_accepting(self) {
-        drop(self.accept);
+    /// Stops accepting connections, and returns those already open, which are still served.
+    pub fn stop_accepting(self) -> OpenConnections {
+        let ServerHandle { accept, open, .. } = self;
+        drop(accept);
+        open
+    }
+}
+
+/// The open connections of a server that accepts no more. Dropping it closes them like
+/// [`OpenConnections::close`].
+#[derive(Debug)]
+pub struct OpenConnections {
+    count: Arc<AtomicUsize>,
+    /// Closing it ends the wait for further requests.
+    reading: Sender<()>,
+}
+
+impl OpenConnections {
+    /// Closes each connection when it waits for a request, so that none is read any more.
+    pub fn close(&self) {
+        self.reading.close();
+    }
+
+    /// Returns the number of open connections.
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
     }
 }
 
@@ -98,6 +123,11 @@
 ) -> io::Result<ServerHandle> {
     let addr = listener.local_addr()?;
     let connections = Arc::new(AtomicUsize::new(0));
+    let (reading, closed) = async_channel::bounded(1);
+    let open = OpenConnections {
+        count: connections.clone(),
+        reading,
+    };
     let tasks = spawner.clone();
     let accept = spawner.spawn(async move {
         loop {
@@ -110,6 +140,7 @@
             let limits = source();
             let full = slot.open_connections > limits.max_connections;
             let handler = handler.clone();
+            let closed = closed.clone();
             tasks
                 .spawn(async move {
                     let _slot = slot;
@@ -121,29 +152,37 @@
                         )
                         .await;
                     } else {
-                        serve_connection(stream, from, limits, &*handler).await;
+                        serve_connection(stream, from, limits, &*handler, &closed).await;
                     }
                 })
                 .detach();
         }
     });
-    Ok(ServerHandle { addr, accept })
+    Ok(ServerHandle { addr, accept, open })
 }
 
-/// Serves the requests of one connection in sequence.
+/// Serves the requests of one connection in sequence, until `closed` is closed.
 async fn serve_connection(
     stream: TcpStream,
     from: SocketAddr,
     limits: ServerLimits,
     handler: &dyn Handler,
+    closed: &Receiver<()>,
 ) {
     let _ = stream.set_nodelay(true);
+    let requests = RequestStream::new(stream.clone());
     loop {
-        let head = async { Some(decode(stream.clone()).await) }
+        requests.set_body_length(None);
+        let head = async { Some(decode(requests.clone()).await) }
             .or(async {
                 Timer::after(limits.head_timeout).await;
                 None
             })
+            .or(async {
+                // Nothing is sent on the channel, so this waits until it is closed.
+                let _ = closed.recv().await;
+                Some(Ok(None))
+            })
             .await;
         let (req, mut rest) = match head {
             Some(Ok(Some(parts))) => parts,
@@ -168,6 +207,7 @@
         if let Some(problem) = content_length_problem(req.header(headers::CONTENT_LENGTH)) {
             return refuse(stream, StatusCode::BadRequest, problem).await;
         }
+        requests.set_body_length(req.header(headers::CONTENT_LENGTH).and_then(|_| req.len()));
         let method = req.method();
         let close = wants_close(req.header(headers::CONNECTION));
         let mut res = handler.handle(req, from).await;
@@ -180,8 +220,10 @@
             return;
         }
         // A rest of the body that the handler did not read would be parsed as the next head.
-        let drained = io::copy((&mut rest).take(MAX_DRAINED_BYTES), &mut io::sink()).await;
-        if close || drained.map_or(true, |n| n == MAX_DRAINED_BYTES) {
+        let mut sink = io::sink();
+        let rest = io::copy((&mut rest).take(MAX_DRAINED_BYTES), &mut sink);
+        let drained = within(LINGER_TIMEOUT, poll_repeatedly(rest)).await;
+        if close || !matches!(drained, Some(Ok(n)) if n < MAX_DRAINED_BYTES) {
             return linger(&stream).await;
         }
     }
@@ -288,7 +330,7 @@
 /// Bytes that are read and discarded after the last answer on a connection.
 const MAX_LINGER_BYTES: u64 = 64 << 20;
 
-/// Time for a client to read the last answer on its connection.
+/// Time for a client to read the last answer on its connection, or to send the rest of a body after it.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Size of the buffer into which a response is encoded before each write.
@@ -304,13 +346,13 @@
     fn new(count: &Arc<AtomicUsize>) -> ConnectionSlot {
         ConnectionSlot {
             count: count.clone(),
-            open_connections: count.fetch_add(1, Ordering::Relaxed) + 1,
+            open_connections: count.fetch_add(1, Ordering::SeqCst) + 1,
         }
     }
 }
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.count.fetch_sub(1, Ordering::Relaxed);
+        self.count.fetch_sub(1, Ordering::SeqCst);
     }
 }
