--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -90,8 +90,9 @@
         priority,
     } = access;
     let service = choose_service(&route);
-    let events = ask.last_event.unwrap_or(0);
-    let done = state.speeds().tokens(&service, events);
+    let done = ask
+        .last_event
+        .map_or(0, |event| state.speeds().tokens(&service, event));
     if !state.has_time_to_run(&route, &service, &ask.prompt, done) {
         return Err((Some(ask), STOPPING));
     }
