--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -14,8 +14,10 @@
 use super::call::StoreCaller;
 use crate::{
     clock::{self, Moment},
-    kernel::Catalog,
-    model::Policy,
+    kernel::{Catalog, ConfigRead},
+    model::{Policy, StoreEra},
+    peers::KnownPolicy,
+    source::PolicyRead,
     state::State,
 };
 
@@ -25,17 +27,26 @@
 /// The interval of reads until a configuration has been written.
 const UNWRITTEN_INTERVAL: Duration = Duration::from_millis(500);
 
+/// A read whose version is lower than the one in force.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct IgnoredRead {
+    version: u64,
+    era: StoreEra,
+    proof: ConfigRead,
+}
+
 /// Keeps the configuration up to date, by whole reads or by updates from peers.
 pub(crate) async fn follow_policy(state: Arc<State>) {
     let mut caller = StoreCaller::probing("configuration");
     let mut was_trusted = false;
     let mut requested = false;
+    let mut ignored = None;
     state.wait_nodes_read().await;
     loop {
         let peer_updated = state.store_cache.peer_updated.listen();
-        let next = refresh(&state, &mut caller, requested).await;
-        if let Some((policy, read)) = state.store_cache.policy.get() {
-            put_in_force(&state, &policy, read);
+        let next = refresh(&state, &mut caller, requested, &mut ignored).await;
+        if let Some(known) = state.store_cache.policy.get() {
+            put_in_force(&state, &known);
         }
         was_trusted = log_authority(&state, was_trusted);
         let due = async {
@@ -61,7 +72,12 @@
 /// Reads the configuration where the cached one is too old, or where a request needs a fresh one on
 /// a node that reads for others. Returns how long the cached one may be used; `None` where the read
 /// failed.
-async fn refresh(state: &State, caller: &mut StoreCaller, requested: bool) -> Option<Duration> {
+async fn refresh(
+    state: &State,
+    caller: &mut StoreCaller,
+    requested: bool,
+    ignored: &mut Option<IgnoredRead>,
+) -> Option<Duration> {
     if !(requested && state.store_cache.is_forwarder()) {
         let left = time_to_read(state, caller);
         if left.is_some() {
@@ -73,8 +89,8 @@
     }
     let began = clock::now();
     match caller.call(state, state.source.policy()).await? {
-        Some(policy) => {
-            state.store_cache.update_policy(Arc::new(policy), began);
+        Some(read) => {
+            record_read(state, read, began, ignored);
             Some(time_to_read(state, caller).unwrap_or_default())
         }
         // The operator has not written any yet.
@@ -89,32 +105,43 @@
     left.or_else(|| caller.interval_left(reading.read_age(0)))
 }
 
-/// Puts a version in force, unless it is older than the one in force.
-fn put_in_force(state: &State, policy: &Policy, began: Moment) {
+/// Records a read of the configuration. One that is older than the version in force does not
+/// replace it. `ignored` is the last one that was logged.
+fn record_read(state: &State, read: PolicyRead, began: Moment, ignored: &mut Option<IgnoredRead>) {
+    let (version, era) = (read.policy.version, read.era);
+    let in_force = state.catalog().map(|catalog| catalog.version());
+    let proof = state.store_cache.update_policy(read, began);
+    let is_older = in_force.is_some_and(|in_force| version < in_force);
+    let older = is_older.then_some(IgnoredRead {
+        version,
+        era,
+        proof,
+    });
+    if older.is_some() && *ignored != older {
+        warn!(state.log, "older configuration ignored"; "version" => version,
+            "in_force" => in_force, "era" => era, "proves" => proof.name());
+    }
+    *ignored = older;
+}
+
+/// Puts a version in force, and records until when keys may be trusted.
+fn put_in_force(state: &State, known: &KnownPolicy) {
+    let policy = &known.policy;
     let version = policy.version;
     let old = state.catalog().map(|catalog| catalog.version());
-    match old {
-        Some(old) if version < old => {
-            // A delayed answer: it says nothing about which version is current.
-            warn!(state.log, "older configuration ignored"; "version" => version, "in_force" => old);
-            return;
-        }
-        Some(old) if version == old => {}
-        _ => {
-            let (routes, services) = (policy.routes.len(), policy.services.len());
-            state
-                .catalog
-                .store(Arc::new(Some(Arc::new(Catalog::new(policy.clone())))));
-            state
-                .metrics
-                .config_version
-                .set(i64::try_from(version).unwrap_or(i64::MAX));
-            info!(state.log, "configuration in force"; "version" => version, "before" => old,
-                "routes" => routes, "services" => services,
-                "read_ms" => clock::now().saturating_sub(began).as_millis() as u64);
-        }
+    if old != Some(version) {
+        let (routes, services) = (policy.routes.len(), policy.services.len());
+        let catalog = Catalog::new(Policy::clone(policy));
+        state.catalog.store(Arc::new(Some(Arc::new(catalog))));
+        state
+            .metrics
+            .config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        info!(state.log, "configuration in force"; "version" => version, "before" => old,
+            "routes" => routes, "services" => services,
+            "read_ms" => clock::now().saturating_sub(known.read).as_millis() as u64);
     }
-    state.authority().record_read(began);
+    state.authority().record_read(known.trusted);
 }
 
 /// Logs a change of whether keys may be trusted.
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -12,6 +12,9 @@
 mod catalog;
 #[cfg(test)]
 mod catalog_tests;
+mod config_eras;
+#[cfg(test)]
+mod config_eras_tests;
 mod continuation;
 #[cfg(test)]
 mod continuation_tests;
@@ -62,6 +65,7 @@
 pub use baseline::{Baseline, Baselines, LogTimes};
 pub use budget::{RetryBudget, RetryCause};
 pub use catalog::{Catalog, Lookup};
+pub use config_eras::{ConfigEras, ConfigRead};
 pub use continuation::{Continuation, StopReason};
 pub use engine_load::{
     choose_least_loaded, choose_most_cached, choose_with_room, EngineLoad, PromptDemand,
--- a/crates/cassiareel-relay/src/peers/cache_state.rs
+++ b/crates/cassiareel-relay/src/peers/cache_state.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::losses::LossPosition;
-use crate::{kernel::ReadSchedule, model::StoreRevision};
+use crate::{
+    kernel::ReadSchedule,
+    model::{StoreEra, StoreRevision},
+};
 
 /// How much younger a cached value has to be to be sent for its age alone.
 const MIN_AGE_GAIN: Duration = Duration::from_millis(100);
@@ -15,6 +18,9 @@
 pub(super) struct CacheState {
     /// The version of the configuration.
     pub version: Option<u64>,
+    /// The latest era in which the configuration was read.
+    #[serde(rename = "era")]
+    pub config_era: Option<StoreEra>,
     /// The revision of the registry.
     pub revision: Option<StoreRevision>,
     /// The digest of the list of the fleet's nodes.
@@ -56,11 +62,17 @@
             (own, None) => own.is_some(),
             (None, Some(_)) => false,
         };
+        // What was read in an earlier era is no younger, whatever its age.
+        let era = |revision: Option<StoreRevision>| revision.map(StoreRevision::era);
+        let is_current =
+            self.config_era >= other.config_era && era(self.revision) >= era(other.revision);
+        let has_current_orders = era(self.orders_revision) >= era(other.orders_revision);
         self.losses.is_ahead_of(other.losses)
             || self.version > other.version
             || self.revision > other.revision
             || (self.digest != other.digest && is_fresher(self.members_age, other.members_age))
-            || is_fresher(self.age, other.age)
-            || is_fresher(self.orders_age, other.orders_age)
+            || self.orders_revision > other.orders_revision
+            || (is_current && is_fresher(self.age, other.age))
+            || (has_current_orders && is_fresher(self.orders_age, other.orders_age))
     }
 }
--- a/crates/cassiareel-relay/src/peers/cached.rs
+++ b/crates/cassiareel-relay/src/peers/cached.rs
@@ -54,6 +54,19 @@
         Some(clock::now().saturating_sub(read_began))
     }
 
+    /// Records that a read that began at `read_began` returned the same value, if the cached one
+    /// still fulfils a condition.
+    pub(super) fn confirm_if<F>(&self, read_began: Moment, condition: F)
+    where
+        F: FnOnce(&T) -> bool,
+    {
+        if let Some((value, known)) = lock(&self.inner).as_mut() {
+            if condition(value) {
+                *known = read_began.max(*known);
+            }
+        }
+    }
+
     /// Records that a read that began at `read_began` returned the same value.
     pub(super) fn confirm(&self, read_began: Moment) {
         if let Some((_, known)) = lock(&self.inner).as_mut() {
--- a/crates/cassiareel-relay/src/peers/change.rs
+++ b/crates/cassiareel-relay/src/peers/change.rs
@@ -52,7 +52,7 @@
 
     /// Returns the list that results from applying the change to `old`; `None` where `old` is not
     /// the list to which the change applies.
-    pub(crate) fn apply(self, old: &Listing) -> Option<Listing> {
+    pub(crate) fn apply(&self, old: &Listing) -> Option<Listing> {
         if old.revision != self.from {
             return None;
         }
@@ -62,7 +62,7 @@
         let kept = old.entries.iter().filter(is_kept).cloned();
         Some(Listing {
             entries: kept.chain(self.changed.iter().cloned()).collect(),
-            unreadable: self.unreadable,
+            unreadable: self.unreadable.clone(),
             revision: self.to,
         })
     }
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -26,11 +26,12 @@
     losses::{self, LossPosition, LossReport},
     members::Members,
     message,
+    policy_cache::{KnownPolicy, PeerPolicy},
 };
 use crate::{
     clock::{self, Moment},
     front::{empty_reply, serve_fn, Reply},
-    model::Policy,
+    model::{Policy, StoreEra, StoreRevision},
     net::Client,
     source::{Listing, Orders},
     state::State,
@@ -46,6 +47,12 @@
 /// The interval at which a node that needs no peer checks whether it needs one.
 const IDLE_POLL: Duration = Duration::from_millis(250);
 
+/// The longest time for which a node that starts waits for what its peers know.
+const START_QUERY_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The maximum number of peers that it asks.
+const MAX_START_QUERIES: usize = 3;
+
 /// The largest body of a request, in bytes.
 const MAX_REQUEST_BYTES: usize = 1 << 10;
 
@@ -56,6 +63,21 @@
     value: Option<Arc<T>>,
 }
 
+/// The update of the configuration.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct PolicyUpdate {
+    /// The latest era in which it was read.
+    era: StoreEra,
+    version: u64,
+    /// The time since its last read began.
+    age: Duration,
+    /// The time since the last read began that proves that it is the newest.
+    #[serde(rename = "proved")]
+    trusted_age: Duration,
+    /// The configuration, where the querying node has an older one.
+    value: Option<Arc<Policy>>,
+}
+
 /// A reply.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Updates {
@@ -64,7 +86,7 @@
     /// Whether the store does not answer the node.
     #[serde(rename = "lost")]
     store_lost: bool,
-    policy: Option<Update<Policy>>,
+    policy: Option<PolicyUpdate>,
     listing: Option<Update<Listing>>,
     /// The change of the registry, in place of the whole registry.
     change: Option<Change>,
@@ -104,19 +126,19 @@
     let change = listing
         .as_ref()
         .and_then(|(listing, _)| state.store_cache.change_to(listing, known.revision));
+    let orders = state.store_cache.orders.get();
     let updates = Updates {
         waited,
         store_lost: state.store_lost.load(Ordering::Relaxed),
-        policy: update_for(state.store_cache.policy.get(), now, |policy| {
-            Some(policy.version) > known.version
-        }),
-        listing: update_for(listing, now, |listing| {
-            change.is_none() && Some(listing.revision) > known.revision
-        }),
+        policy: policy_update(state, known.version, now),
+        listing: update_in_era(listing, now, known.revision, |listing| listing.revision).map(
+            |update| Update {
+                value: update.value.filter(|_| change.is_none()),
+                ..update
+            },
+        ),
         change,
-        orders: update_for(state.store_cache.orders.get(), now, |orders| {
-            Some(orders.revision) > known.orders_revision
-        }),
+        orders: update_in_era(orders, now, known.orders_revision, |orders| orders.revision),
         members: update_for(state.store_cache.members.get(), now, |members| {
             Some(members.digest) != known.digest
         }),
@@ -157,7 +179,8 @@
 fn own_state(state: &State) -> CacheState {
     let cache = &state.store_cache;
     CacheState {
-        version: cache.policy.get().map(|(policy, _)| policy.version),
+        version: cache.policy.get().map(|known| known.policy.version),
+        config_era: cache.policy.era(),
         revision: cache.listing.get().map(|(listing, _)| listing.revision),
         digest: cache.members.get().map(|(members, _)| members.digest),
         members_age: cache.members.age(),
@@ -170,6 +193,41 @@
     }
 }
 
+/// Returns the update of the configuration for a node that has the version `known`.
+fn policy_update(state: &State, known: Option<u64>, now: Moment) -> Option<PolicyUpdate> {
+    let cache = &state.store_cache.policy;
+    let KnownPolicy {
+        policy,
+        read,
+        trusted,
+    } = cache.get()?;
+    Some(PolicyUpdate {
+        era: cache.era()?,
+        version: policy.version,
+        age: now.saturating_sub(read),
+        trusted_age: now.saturating_sub(trusted),
+        value: (Some(policy.version) > known).then_some(policy),
+    })
+}
+
+/// Returns the update of a value for a node that has the revision `known`: the value where this
+/// node's is newer, its age where it is of the same era, and nothing where it is of an earlier one.
+fn update_in_era<F, T>(
+    cached: Option<(Arc<T>, Moment)>,
+    now: Moment,
+    known: Option<StoreRevision>,
+    revision: F,
+) -> Option<Update<T>>
+where
+    F: Fn(&T) -> StoreRevision,
+{
+    let own = revision(&cached.as_ref()?.0);
+    if known.is_some_and(|known| own.era() < known.era()) {
+        return None;
+    }
+    update_for(cached, now, |_| Some(own) > known)
+}
+
 fn update_for<F, T>(cached: Option<(Arc<T>, Moment)>, now: Moment, differs: F) -> Option<Update<T>>
 where
     F: FnOnce(&T) -> bool,
@@ -265,28 +323,13 @@
         losses: *received,
         ..own_state(state)
     };
-    let Some(body) = message::encode_request(state, &known) else {
-        return (PeerStatus::Silent, None);
-    };
     let reading = state.reading();
     let wait = known.wait(reading);
-    let began = clock::now();
-    let reply = client
-        .call(Method::POST, PATH, body, wait + reading.answer_timeout())
-        .await;
-    let reply = reply.ok().filter(|reply| reply.status == StatusCode::OK);
-    let updates: Option<(Updates, u64)> = reply.and_then(|reply| {
-        let updates = rmp_serde::from_slice(&reply.body).ok()?;
-        Some((updates, limits_digest(&reply.headers)))
-    });
-    let Some((updates, digest)) = updates else {
+    let Some((updates, digest)) = query(state, client, &known).await else {
         return (PeerStatus::Silent, None);
     };
     let (had_no_update, store_lost) = (updates.waited >= wait, updates.store_lost);
     *received = losses::receive(state, &updates.losses);
-    apply_updates(state, updates, began);
-    state.store_cache.updated.notify(usize::MAX);
-    state.store_cache.peer_updated.notify(usize::MAX);
     let status = if store_lost {
         PeerStatus::CutOff
     } else if had_no_update && !state.store_cache.is_fresh(reading.overdue_age()) {
@@ -297,41 +340,102 @@
     (status, Some(digest))
 }
 
+/// Sends a peer the state of this node's cache, and applies its reply except for the losses; returns
+/// the reply and the digest of the limits that the peer knows.
+async fn query(state: &State, client: &Client, known: &CacheState) -> Option<(Updates, u64)> {
+    let body = message::encode_request(state, known)?;
+    let limit = known.wait(state.reading()) + state.reading().answer_timeout();
+    let began = clock::now();
+    let reply = client.call(Method::POST, PATH, body, limit).await;
+    let reply = reply.ok().filter(|reply| reply.status == StatusCode::OK)?;
+    let updates: Updates = rmp_serde::from_slice(&reply.body).ok()?;
+    apply_updates(state, &updates, known, began);
+    state.store_cache.updated.notify(usize::MAX);
+    state.store_cache.peer_updated.notify(usize::MAX);
+    Some((updates, limits_digest(&reply.headers)))
+}
+
 /// Applies a reply to a call that began at `began`. The request arrived after `began`, and the ages
 /// are those at the end of its wait: each read began no earlier than the end of the wait minus the
 /// age.
-fn apply_updates(state: &State, updates: Updates, began: Moment) {
+fn apply_updates(state: &State, updates: &Updates, known: &CacheState, began: Moment) {
     let cache = &state.store_cache;
     // The reply is no later than now, whatever its sender states.
     let took = clock::now().saturating_sub(began);
     let answered_at = began + updates.waited.min(took);
-    if let Some(update) = updates.policy {
-        let read = answered_at.saturating_sub(update.age);
-        match update.value {
-            Some(policy) => cache.update_policy(policy, read),
-            None => cache.policy.confirm(read),
-        }
+    if let Some(update) = &updates.policy {
+        apply_policy(state, update, answered_at);
     }
-    if let Some(update) = updates.listing {
+    if let Some(update) = &updates.listing {
         let read = answered_at.saturating_sub(update.age);
-        match (update.value, updates.change) {
-            (Some(listing), _) => cache.update_listing(listing, read),
+        match (&update.value, &updates.change) {
+            (Some(listing), _) => cache.update_listing(listing.clone(), read),
             (None, Some(change)) => cache.apply_change(change, read),
-            (None, None) => cache.listing.confirm(read),
+            (None, None) => cache.listing.confirm_if(read, |listing| {
+                is_same_era(listing.revision, known.revision)
+            }),
         }
     }
-    if let Some(update) = updates.orders {
+    if let Some(update) = &updates.orders {
         let read = answered_at.saturating_sub(update.age);
-        match update.value {
-            Some(orders) => cache.update_orders(orders, read),
-            None => cache.orders.confirm(read),
+        match &update.value {
+            Some(orders) => cache.update_orders(orders.clone(), read),
+            None => cache.orders.confirm_if(read, |orders| {
+                is_same_era(orders.revision, known.orders_revision)
+            }),
         }
     }
-    if let Some(update) = updates.members {
+    if let Some(update) = &updates.members {
         let read = answered_at.saturating_sub(update.age);
-        match update.value {
-            Some(members) => state.update_members(members, read),
+        match &update.value {
+            Some(members) => state.update_members(members.clone(), read),
             None => cache.members.confirm(read),
         }
     }
 }
+
+/// Reports whether the cached value is of the era of the one that a peer confirmed.
+fn is_same_era(cached: StoreRevision, confirmed: Option<StoreRevision>) -> bool {
+    confirmed.is_some_and(|confirmed| confirmed.era() == cached.era())
+}
+
+/// Applies a peer's update of the configuration. One without the configuration is about a version
+/// that this node has, or had before it learnt of a later one.
+fn apply_policy(state: &State, update: &PolicyUpdate, answered_at: Moment) {
+    let cache = &state.store_cache.policy;
+    let held = cache.get().map(|known| known.policy);
+    let held = held.filter(|held| held.version == update.version);
+    let Some(policy) = update.value.clone().or(held) else {
+        return;
+    };
+    cache.record_peer(PeerPolicy {
+        era: update.era,
+        known: KnownPolicy {
+            policy,
+            read: answered_at.saturating_sub(update.age),
+            trusted: answered_at.saturating_sub(update.trusted_age),
+        },
+    });
+}
+
+/// Asks peers for what they know, until one answers: a node that starts may read a configuration
+/// from a restored store that is older than the one that the others have in force.
+pub(crate) async fn ask_peer_at_start(state: Arc<State>) {
+    state.wait_nodes_read().await;
+    within(START_QUERY_TIMEOUT, async {
+        let peers = state.store_cache.roster().parents(clock::now());
+        for (_, address) in peers.into_iter().take(MAX_START_QUERIES) {
+            let client = Client::new(address, state.spawner.clone());
+            // A peer that knows nothing answers at once, too.
+            let known = CacheState {
+                age: Some(Duration::MAX),
+                ..CacheState::default()
+            };
+            if query(&state, &client, &known).await.is_some() {
+                break;
+            }
+        }
+    })
+    .await;
+    state.peer_asked.store(true, Ordering::Relaxed);
+}
--- a/crates/cassiareel-relay/src/peers/mod.rs
+++ b/crates/cassiareel-relay/src/peers/mod.rs
@@ -10,6 +10,8 @@
 */
 
 mod cache_state;
+#[cfg(test)]
+mod cache_state_tests;
 mod cached;
 mod change;
 #[cfg(test)]
@@ -25,15 +27,19 @@
 mod losses_tests;
 mod members;
 mod message;
+mod policy_cache;
+#[cfg(test)]
+mod policy_cache_tests;
 mod roster;
 #[cfg(test)]
 mod roster_tests;
 mod store_cache;
 mod unlisted;
 
-pub(crate) use exchange::{follow_peers, serve_peers};
+pub(crate) use exchange::{ask_peer_at_start, follow_peers, serve_peers};
 pub(crate) use limits::{follow_limits, record_answer as record_limit_answer};
 pub(crate) use losses::send_losses;
 pub(crate) use members::Members;
+pub(crate) use policy_cache::KnownPolicy;
 pub(crate) use store_cache::StoreCache;
 pub(crate) use unlisted::UnlistedNodes;
--- a/crates/cassiareel-relay/src/peers/store_cache.rs
+++ b/crates/cassiareel-relay/src/peers/store_cache.rs
@@ -9,11 +9,14 @@
 use cassiareel::runtime;
 use event_listener::Event;
 
-use super::{cached::Cached, change::Change, members::Members, roster::Roster};
+use super::{
+    cached::Cached, change::Change, members::Members, policy_cache::PolicyCache, roster::Roster,
+};
 use crate::{
     clock::{self, Moment},
-    model::{DataCentre, Policy, StoreRevision},
-    source::{Listing, Orders},
+    kernel::ConfigRead,
+    model::{DataCentre, StoreRevision},
+    source::{Listing, Orders, PolicyRead},
 };
 
 /// The number of recent registry listings that are kept to compute changes from.
@@ -23,7 +26,7 @@
 #[derive(Debug)]
 pub(crate) struct StoreCache {
     /// The operator's configuration.
-    pub policy: Cached<Policy>,
+    pub policy: PolicyCache,
     /// The registry.
     pub listing: Cached<Listing>,
     /// The operator's orders to roll services out to other versions.
@@ -47,7 +50,7 @@
     /// Creates an empty cache.
     pub(crate) fn new(own: &str, data_centre: &DataCentre) -> StoreCache {
         StoreCache {
-            policy: Cached::default(),
+            policy: PolicyCache::default(),
             listing: Cached::default(),
             orders: Cached::default(),
             members: Cached::default(),
@@ -65,11 +68,12 @@
         runtime::lock(&self.roster)
     }
 
-    /// Caches a configuration, unless it is older than the cached one.
-    pub(crate) fn update_policy(&self, policy: Arc<Policy>, began: Moment) {
-        self.policy
-            .replace_if_newer(policy, began, |policy| policy.version);
+    /// Caches the configuration of this node's own read, unless it is older than the cached one;
+    /// returns what the read proves.
+    pub(crate) fn update_policy(&self, read: PolicyRead, began: Moment) -> ConfigRead {
+        let proof = self.policy.record_read(read, began);
         self.updated.notify(usize::MAX);
+        proof
     }
 
     /// Caches a registry listing, unless it is older than the cached one.
@@ -96,7 +100,7 @@
 
     /// Applies a change to the cached listing. A change of another listing is ignored: the next
     /// request asks for one that applies.
-    pub(crate) fn apply_change(&self, change: Change, began: Moment) {
+    pub(crate) fn apply_change(&self, change: &Change, began: Moment) {
         let changed = self.listing.get().and_then(|(held, _)| change.apply(&held));
         if let Some(listing) = changed {
             self.update_listing(Arc::new(listing), began);
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     kernel::Tally,
-    model::{DataCentre, Entry, Policy, Revision, Rollout, RolloutState, ServiceId, StoreRevision},
+    model::{
+        DataCentre, Entry, Policy, Revision, Rollout, RolloutState, ServiceId, StoreEra,
+        StoreRevision,
+    },
 };
 
 /// The platform's store, as far as a relay reads and writes it.
@@ -23,7 +26,7 @@
     /// # Errors
     ///
     /// Fails when the store does not answer in time, refuses the call or sends what can't be read.
-    async fn policy(&self) -> Result<Option<Policy>, SourceError>;
+    async fn policy(&self) -> Result<Option<PolicyRead>, SourceError>;
 
     /// Reads the registry of backend servers.
     ///
@@ -87,6 +90,15 @@
     pub unreadable: Vec<String>,
 }
 
+/// The configuration, as read from the store.
+#[derive(Clone, Debug)]
+pub struct PolicyRead {
+    /// The configuration.
+    pub policy: Policy,
+    /// The store's era at the time of the read.
+    pub era: StoreEra,
+}
+
 /// The registry at one revision.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Listing {
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -118,6 +118,8 @@
     pub registry_read: AtomicBool,
     /// Whether another node was asked for the limits that backend servers name.
     pub limits_read: AtomicBool,
+    /// Whether another node was asked for the configuration, or there was no time for it.
+    pub peer_asked: AtomicBool,
     /// Whether the operator's orders were read since the first backend servers were known.
     pub orders_read: AtomicBool,
     authority: Mutex<ConfigFreshness>,
@@ -170,6 +172,7 @@
             nodes_read: AtomicBool::new(false),
             registry_read: AtomicBool::new(false),
             limits_read: AtomicBool::new(false),
+            peer_asked: AtomicBool::new(false),
             orders_read: AtomicBool::new(false),
             version_signal: async_channel::bounded(1),
             budgets: Mutex::default(),
@@ -377,6 +380,7 @@
             && self.registry_read.load(Ordering::Relaxed)
             && self.orders_read.load(Ordering::Relaxed)
             && self.limits_read.load(Ordering::Relaxed)
+            && self.peer_asked.load(Ordering::Relaxed)
     }
 
     /// Reports whether the node started less than `age` ago.
