--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -26,12 +26,12 @@
     losses::{self, LossPosition, LossReport},
     members::Members,
     message,
-    policy_cache::{KnownPolicy, PeerPolicy},
+    policy_update::PolicyUpdate,
 };
 use crate::{
     clock::{self, Moment},
     front::{empty_reply, serve_fn, Reply},
-    model::{Policy, StoreEra, StoreRevision},
+    model::StoreRevision,
     net::Client,
     source::{Listing, Orders},
     state::State,
@@ -63,21 +63,6 @@
     value: Option<Arc<T>>,
 }
 
-/// The update of the configuration.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct PolicyUpdate {
-    /// The latest era in which it was read.
-    era: StoreEra,
-    version: u64,
-    /// The time since its last read began.
-    age: Duration,
-    /// The time since the last read began that proves that it is the newest.
-    #[serde(rename = "proved")]
-    trusted_age: Duration,
-    /// The configuration, where the querying node has an older one.
-    value: Option<Arc<Policy>>,
-}
-
 /// A reply.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Updates {
@@ -130,7 +115,7 @@
     let updates = Updates {
         waited,
         store_lost: state.store_lost.load(Ordering::Relaxed),
-        policy: policy_update(state, known.version, now),
+        policy: PolicyUpdate::new(&state.store_cache.policy, known.version, now),
         listing: update_in_era(listing, now, known.revision, |listing| listing.revision).map(
             |update| Update {
                 value: update.value.filter(|_| change.is_none()),
@@ -193,23 +178,6 @@
     }
 }
 
-/// Returns the update of the configuration for a node that has the version `known`.
-fn policy_update(state: &State, known: Option<u64>, now: Moment) -> Option<PolicyUpdate> {
-    let cache = &state.store_cache.policy;
-    let KnownPolicy {
-        policy,
-        read,
-        trusted,
-    } = cache.get()?;
-    Some(PolicyUpdate {
-        era: cache.era()?,
-        version: policy.version,
-        age: now.saturating_sub(read),
-        trusted_age: now.saturating_sub(trusted),
-        value: (Some(policy.version) > known).then_some(policy),
-    })
-}
-
 /// Returns the update of a value for a node that has the revision `known`: the value where this
 /// node's is newer, its age where it is of the same era, and nothing where it is of an earlier one.
 fn update_in_era<F, T>(
@@ -364,7 +332,7 @@
     let took = clock::now().saturating_sub(began);
     let answered_at = began + updates.waited.min(took);
     if let Some(update) = &updates.policy {
-        apply_policy(state, update, answered_at);
+        update.apply(&cache.policy, answered_at);
     }
     if let Some(update) = &updates.listing {
         let read = answered_at.saturating_sub(update.age);
@@ -399,26 +367,7 @@
     confirmed.is_some_and(|confirmed| confirmed.era() == cached.era())
 }
 
-/// Applies a peer's update of the configuration. One without the configuration is about a version
-/// that this node has, or had before it learnt of a later one.
-fn apply_policy(state: &State, update: &PolicyUpdate, answered_at: Moment) {
-    let cache = &state.store_cache.policy;
-    let held = cache.get().map(|known| known.policy);
-    let held = held.filter(|held| held.version == update.version);
-    let Some(policy) = update.value.clone().or(held) else {
-        return;
-    };
-    cache.record_peer(PeerPolicy {
-        era: update.era,
-        known: KnownPolicy {
-            policy,
-            read: answered_at.saturating_sub(update.age),
-            trusted: answered_at.saturating_sub(update.trusted_age),
-        },
-    });
-}
-
-/// Asks peers for what they know, until one answers: a node that starts may read a configuration
+/// Asks peers for what they know, until one has a configuration: a node that starts may read a configuration
 /// from a restored store that is older than the one that the others have in force.
 pub(crate) async fn ask_peer_at_start(state: Arc<State>) {
     state.wait_nodes_read().await;
@@ -426,12 +375,13 @@
         let peers = state.store_cache.roster().parents(clock::now());
         for (_, address) in peers.into_iter().take(MAX_START_QUERIES) {
             let client = Client::new(address, state.spawner.clone());
-            // A peer that knows nothing answers at once, too.
+            // With such an age, a peer that knows nothing does not wait for an update.
             let known = CacheState {
                 age: Some(Duration::MAX),
                 ..CacheState::default()
             };
-            if query(&state, &client, &known).await.is_some() {
+            let reply = query(&state, &client, &known).await;
+            if reply.is_some_and(|(updates, _)| updates.policy.is_some()) {
                 break;
             }
         }
--- a/crates/cassiareel-relay/src/peers/mod.rs
+++ b/crates/cassiareel-relay/src/peers/mod.rs
@@ -30,6 +30,7 @@
 mod policy_cache;
 #[cfg(test)]
 mod policy_cache_tests;
+mod policy_update;
 mod roster;
 #[cfg(test)]
 mod roster_tests;
