No verdict is reached right after a restore, when another node may know a lost one

Found by the model (kernel/verdict_restore_model_tests.rs): one node has the verdict of a rollout acknowledged, the store loses it, and another node, which had not read it, reaches the other verdict before the first one writes it again. On the first verdict the platform has already stopped one side's servers.

Cause: a node took the lack of a verdict in a list of a new era for the lack of one. For 10 s from its first list of a new era, and for 10 s from its start where the store was ever restored, a node reaches no verdict; it still keeps requests from a version that is bad. A state is written only on an order of the newest era that the node knows, by the read of the counts right before the write too.

--- a/crates/cassiareel-relay/src/follow/rollouts/decision.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/decision.rs
@@ -52,9 +52,15 @@
             return ended.into();
         }
         let pooled = Pooled::new(order, pooled);
-        let decision = judge(&self.state, order, &pooled);
-        if !self.book.is_listed(order) {
-            return until_listed(decision);
+        let mut decision = judge(&self.state, order, &pooled);
+        let is_writable = self.is_writable(order);
+        let may_end = is_writable && self.book.may_end(clock::now());
+        if !may_end {
+            decision = without_completion(decision);
+        }
+        let is_share = matches!(decision.split, RolloutDecision::Share(_));
+        if !is_writable || !(may_end || is_share) {
+            return decision;
         }
         let Some(verdict) = state_to_report(order.rollout.state, decision.split) else {
             return decision;
@@ -83,7 +89,7 @@
         if !cache.is_forwarder() {
             delay += self.rewrite_delay;
         }
-        if clock::now().saturating_sub(since) < delay {
+        if clock::now().saturating_sub(since) < delay || !self.is_writable(order) {
             return;
         }
         info!(self.state.log, "lost verdict written again"; "service" => &*order.rollout.service,
@@ -92,6 +98,13 @@
         let _ = self.report(order, verdict).await;
     }
 
+    /// Reports whether the state of an order can be written: it was read in the newest known era. In a
+    /// later one, its revision may be that of another order.
+    fn is_writable(&self, order: &KnownOrder) -> bool {
+        let newest = self.state.store_cache.newest_era().max(self.pooled_era);
+        self.book.is_listed(order) && order.created().era() == newest
+    }
+
     /// Writes the state of a rollout for the operator.
     async fn report(
         &mut self,
@@ -165,9 +178,9 @@
     }
 }
 
-/// Returns how a rollout continues whose order the store has lost: no verdict can be written, so the
-/// new version may be rolled back but not complete.
-fn until_listed(decision: Decision) -> Decision {
+/// Returns how a rollout continues while no verdict can be written: the new version may be rolled
+/// back but not complete.
+fn without_completion(decision: Decision) -> Decision {
     match decision.split {
         RolloutDecision::Complete => RolloutDecision::Share(0.0).into(),
         RolloutDecision::Share(_) | RolloutDecision::RollBack => decision,
--- a/crates/cassiareel-relay/src/follow/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/mod.rs
@@ -27,7 +27,7 @@
 use crate::{
     clock::{self, Moment},
     kernel::{KnownOrder, OrderBook, ReadSchedule},
-    model::{RolloutState, StoreRevision},
+    model::{RolloutState, StoreEra, StoreRevision},
     rollouts::ActiveRollout,
     source::Orders,
     state::State,
@@ -87,6 +87,8 @@
     applied_at: Moment,
     /// Whether a rollout is under way, or a verdict is to be written again.
     is_active: bool,
+    /// The era of the store when counts were last read.
+    pooled_era: StoreEra,
     /// How long this node waits, unless it is one of the readers, before it writes a lost verdict.
     rewrite_delay: Duration,
 }
@@ -103,6 +105,7 @@
             applied: None,
             applied_at: Moment::default(),
             is_active: false,
+            pooled_era: 0,
             rewrite_delay: REWRITE_SPREAD.mul_f64(fastrand::f64()),
         }
     }
--- a/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
@@ -25,6 +25,9 @@
             .pool
             .call(&self.state, source.read_records(Freshness::Newest))
             .await;
+        if let Some(read) = &read {
+            self.pooled_era = read.revision.era();
+        }
         let others = read
             .map(|read| self.pool.items(&self.state, read))
             .unwrap_or_default()
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -60,6 +60,8 @@
 mod speeds_tests;
 #[cfg(test)]
 mod verdict_model_tests;
+#[cfg(test)]
+mod verdict_restore_model_tests;
 
 pub use backoff::{Backoff, StoreStatus};
 pub use baseline::{Baseline, Baselines, LogTimes};
--- a/crates/cassiareel-relay/src/kernel/order_book.rs
+++ b/crates/cassiareel-relay/src/kernel/order_book.rs
@@ -17,11 +17,12 @@
     model::{Rollout, RolloutState, ServiceId, StoreEra, StoreRevision},
 };
 
-/// How long after a restore the operator may take to write lost orders again.
+/// How long after a restore the operator may take to write lost orders again, and the nodes to write
+/// lost verdicts again.
 const RESTORE_GRACE: Duration = Duration::from_secs(10);
 
 /// An order that is in force.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct KnownOrder {
     /// The order as last read, with the newest known state.
     pub rollout: Rollout,
@@ -48,13 +49,15 @@
 }
 
 /// The orders that are in force at a node.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct OrderBook {
     orders: Vec<KnownOrder>,
     revision: Option<StoreRevision>,
     /// When the first list of the newest era was applied; `None` in the first era that the node
     /// knows.
     restored_at: Option<Moment>,
+    /// When the first list of a restored store was applied, also where the node knows no era before.
+    entered_at: Option<Moment>,
 }
 
 impl KnownOrder {
@@ -142,6 +145,9 @@
         if is_new_era {
             self.restored_at = Some(now);
         }
+        if is_new_era || (known.is_none() && revision.era() > 0) {
+            self.entered_at = Some(now);
+        }
         let before = std::mem::take(&mut self.orders);
         self.orders = rollouts
             .iter()
@@ -199,6 +205,12 @@
         Some(self.restored_at? + RESTORE_GRACE)
     }
 
+    /// Reports whether a verdict may be reached: right after a restore, another node may know one
+    /// that the store has lost.
+    pub fn may_end(&self, now: Moment) -> bool {
+        self.entered_at.is_none_or(|at| now >= at + RESTORE_GRACE)
+    }
+
     fn has_order_of(&self, service: &ServiceId) -> bool {
         let mut orders = self.orders.iter();
         orders.any(|order| order.rollout.service == *service)
--- a/crates/cassiareel-relay/src/kernel/order_book_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/order_book_tests.rs
@@ -161,6 +161,27 @@
     assert_eq!(book.orders()[0].lost_verdict(), None);
 }
 
+/// A node that starts right after a restore knows no verdict that the store has lost.
+#[test_case(0, Duration::ZERO, true; "never restored")]
+#[test_case(3, 9 * SECOND, false; "a restored store")]
+#[test_case(3, 10 * SECOND, true; "a while after the start")]
+fn a_new_node_of_a_restored_store_reaches_no_verdict_at_once(era: u64, after: Duration, may: bool) {
+    let mut book = OrderBook::default();
+    book.apply(&[KNOWN.rollout()], at(era, 10), START, START);
+    assert_eq!(book.may_end(START + after), may);
+}
+
+/// Other nodes may name the order by its revision in an earlier era.
+#[test]
+fn counts_of_an_order_are_known_by_all_its_revisions() {
+    let mut book = book(KNOWN.state);
+    book.apply(&[AGAIN.rollout()], at(1, 26), START, START);
+    let order = &book.orders()[0];
+    assert_eq!((order.id(), order.created()), (at(0, 20), at(1, 25)));
+    assert!(order.was_created_at(at(0, 20)) && order.was_created_at(at(1, 25)));
+    assert!(!order.was_created_at(at(1, 20)));
+}
+
 #[test]
 fn the_first_era_that_a_node_knows_is_settled() {
     let mut book = OrderBook::default();
--- a/crates/cassiareel-relay/src/model/rollout.rs
+++ b/crates/cassiareel-relay/src/model/rollout.rs
@@ -7,7 +7,7 @@
 use super::{Revision, ServiceId, Version};
 
 /// An order to move a service's traffic to the backend servers of another version.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Rollout {
     /// The service.
     pub service: ServiceId,
@@ -24,7 +24,7 @@
 }
 
 /// The state of a rollout, as reported to the operator.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum RolloutState {
     /// Traffic is split between the old and the new version.
     Running,
--- a/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
+++ b/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
@@ -44,6 +44,25 @@
     assert!(!rollouts.is_covered(&service(), &version("v2")));
 }
 
+/// A restored store may lack the order of a version that appears, unless its service has no other.
+#[test]
+fn a_version_beside_another_waits_for_complete_orders() {
+    let rollouts = Rollouts::default();
+    let at = |number| StoreRevision::new(1, number);
+    rollouts.replace(HashMap::new(), revision(90), true);
+    rollouts.note_versions([(service(), version("v1"))].into_iter(), revision(80));
+    rollouts.replace(HashMap::new(), revision(90), true);
+    rollouts.note_versions([(service(), version("v2"))].into_iter(), revision(95));
+    let other: ServiceId = Arc::from("other");
+    rollouts.note_versions([(other.clone(), version("v1"))].into_iter(), at(20));
+    rollouts.replace(HashMap::new(), at(30), false);
+    assert!(rollouts.is_covered(&service(), &version("v1")));
+    assert!(!rollouts.is_covered(&service(), &version("v2")));
+    assert!(rollouts.is_covered(&other, &version("v1")));
+    rollouts.replace(HashMap::new(), at(30), true);
+    assert!(rollouts.is_covered(&service(), &version("v2")));
+}
+
 #[test]
 fn requests_and_counts_follow_the_rollout() {
     let rollouts = Rollouts::default();
