--- a/crates/cassiareel-relay/src/follow/rollouts/decision.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/decision.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock,
     kernel::{state_to_report, Exposure, Judge, KnownOrder, RolloutDecision, Tally},
-    model::RolloutState,
+    model::{RolloutState, StoreRevision},
     source::{Counts, SourceError},
     state::State,
 };
@@ -146,9 +146,8 @@
             old: Tally::default(),
             new: Tally::default(),
         };
-        let is_own = |count: &&Counts| {
-            count.service == order.rollout.service && order.was_created_at(count.created())
-        };
+        let is_own =
+            |count: &&Counts| count.service == order.rollout.service && is_of(order, count);
         for count in counts.iter().filter(is_own) {
             pooled.old = pooled.old.merge(count.old);
             pooled.new = pooled.new.merge(count.new);
@@ -159,6 +158,14 @@
     }
 }
 
+/// Reports whether counts of a service are of an order.
+fn is_of(order: &KnownOrder, count: &Counts) -> bool {
+    match count.era {
+        Some(era) => order.was_created_at(StoreRevision::new(era, count.order)),
+        None => order.rollout.created == count.order,
+    }
+}
+
 /// Judges a rollout by the counts of all nodes.
 fn judge(state: &State, order: &KnownOrder, pooled: &Pooled) -> Decision {
     let typical = pooled.old.baselines();
--- a/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
@@ -50,7 +50,7 @@
                 Counts {
                     service: service.clone(),
                     order: order.rollout.created,
-                    era: order.created().era(),
+                    era: Some(order.created().era()),
                     known_ms: now.saturating_sub(order.began).as_millis() as u64,
                     old: counted.old,
                     new: counted.new,
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -136,9 +136,9 @@
     pub service: ServiceId,
     /// The revision at which the order was created.
     pub order: Revision,
-    /// The era of the store in which it was; 0 where an earlier build wrote the counts.
+    /// The era of the store in which it was; `None` where an earlier build wrote the counts.
     #[serde(default)]
-    pub era: StoreEra,
+    pub era: Option<StoreEra>,
     /// For how long the node has known the order, in milliseconds.
     pub known_ms: u64,
     /// Runs of the old version.
@@ -147,13 +147,6 @@
     pub new: Tally,
 }
 
-impl Counts {
-    /// Returns the revision at which the order was created.
-    pub fn created(&self) -> StoreRevision {
-        StoreRevision::new(self.era, self.order)
-    }
-}
-
 /// A failed call of the store.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
