--- a/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
@@ -25,6 +25,9 @@
             .pool
             .call(&self.state, source.read_records(Freshness::Newest))
             .await;
+        if let Some(read) = &read {
+            self.pooled_era = read.revision.era();
+        }
         let others = read
             .map(|read| self.pool.items(&self.state, read))
             .unwrap_or_default()
@@ -47,7 +50,7 @@
                 Counts {
                     service: service.clone(),
                     order: order.rollout.created,
-                    era: order.created().era(),
+                    era: Some(order.created().era()),
                     known_ms: now.saturating_sub(order.began).as_millis() as u64,
                     old: counted.old,
                     new: counted.new,
