A stream whose last event has arrived is complete when its continuation is empty

Callers of the relay got a cut stream, though every event had arrived: where a backend server closed between the last event and the stream's end, the stream was continued after its last event, the continuation ended without an event, and that counted as "ended inside an event" until the route's runs were used up.

A signed continuation of a begun stream that ends without an event is its rest, if a length or chunks state its end; one that just ends with its connection may have been cut behind its head and is not. It records no speed.

--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -13,7 +13,10 @@
 use bytes::Bytes;
 use cassiareel::{kernel::quota::Purpose, runtime::within};
 use futures_lite::FutureExt;
-use http::{header::CONTENT_TYPE, response};
+use http::{
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+    response,
+};
 use http_body_util::BodyExt;
 use slog::{info, warn};
 use smol::Timer;
@@ -218,10 +221,14 @@
         Ok(())
     }
 
-    /// Reports whether the run ended after a complete event.
+    /// Reports whether the run ended after a complete event, or had nothing to add to those that the
+    /// caller has. A body without a stated end that is empty may have been cut.
     fn is_complete(&self) -> bool {
-        let run = self.run.as_ref();
-        run.is_some_and(|run| run.splitter.pending_bytes() == 0 && run.events > 0)
+        let Some(run) = &self.run else {
+            return false;
+        };
+        let may_add_nothing = self.begun && has_stated_end(&run.head.parts);
+        run.splitter.pending_bytes() == 0 && (run.events > 0 || may_add_nothing)
     }
 
     /// Returns the connection of a completed run to its pool, and records the run's speed and
@@ -229,8 +236,11 @@
     fn finish(&mut self) {
         if let Some(run) = self.run.take() {
             let entry = &run.place.backend.entry;
-            let ended = run.summary(&self.request, self.progress.last_event().unwrap_or(0));
-            self.state.speeds().record(&entry.service, ended);
+            // A run without an event shows no speed.
+            if run.events > 0 {
+                let ended = run.summary(&self.request, self.progress.last_event().unwrap_or(0));
+                self.state.speeds().record(&entry.service, ended);
+            }
             suspect::record_success(&self.state, &self.request);
             run.backups.release(&self.state, &run.place.backend);
             let idle_limit = run.head.answer.keep_alive;
@@ -669,6 +679,13 @@
     }
 }
 
+/// Reports whether a response states where its body ends: by a length or in chunks.
+fn has_stated_end(parts: &response::Parts) -> bool {
+    [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| parts.headers.contains_key(name))
+}
+
 /// Returns the media type of a response without its parameters, in lower case; empty if there is
 /// none.
 fn media_type(parts: &response::Parts) -> String {
