A stream whose servers answer with failures runs no more often than its route allows

Cause: the run in excess is meant for one that was lost with its server, whatever ended the runs before.

Evidence: continuation_tests.rs, 1 of 2 cases failed before (6 runs in place of 5), none after. Ruled out: runs counted twice or resent by a caller; the log of one request has six sends that were answered 500.

Change: failures that servers answered are counted, and stay within the route's number.

--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -603,7 +603,7 @@
                 Ok(true)
             }
             SendOutcome::Head(head) => {
-                self.progress.record_run();
+                self.progress.record_failure();
                 trials::record_failure(trial.as_ref());
                 member
                     .health()
--- a/crates/cassiareel-relay/src/kernel/continuation.rs
+++ b/crates/cassiareel-relay/src/kernel/continuation.rs
@@ -18,6 +18,8 @@
     repeatable: bool,
     sends: u32,
     runs: u32,
+    /// The runs that their backend servers ended with a failure.
+    failures: u32,
 }
 
 /// The reason why a stream may not be sent again.
@@ -32,7 +34,7 @@
 impl Continuation {
     /// Returns the progress of a stream of which the caller has the events up to `last_event`. It
     /// may run at up to `max_runs` backend servers if it is `repeatable`, and at most once
-    /// otherwise.
+    /// otherwise. One more run may take the place of one that was lost with its backend server.
     pub fn new(last_event: Option<u64>, max_runs: u32, repeatable: bool) -> Continuation {
         Continuation {
             last_event,
@@ -40,6 +42,7 @@
             repeatable,
             sends: 0,
             runs: 0,
+            failures: 0,
         }
     }
 
@@ -60,7 +63,9 @@
     /// Fails with the reason if it may not.
     pub fn may_send(&self) -> Result<(), StopReason> {
         let may_repeat = self.repeatable || self.runs == 0;
-        let within_limits = self.sends < self.max_runs + SPARE_SENDS && self.runs <= self.max_runs;
+        let within_limits = self.sends < self.max_runs + SPARE_SENDS
+            && self.failures < self.max_runs
+            && self.runs <= self.max_runs;
         if may_repeat && within_limits {
             Ok(())
         } else {
@@ -97,6 +102,12 @@
         self.runs += 1;
     }
 
+    /// Records that a backend server ran the last send and answered with a failure.
+    pub fn record_failure(&mut self) {
+        self.record_run();
+        self.failures += 1;
+    }
+
     /// Records an event; returns `false` if it does not follow the last one. An event without a
     /// number is always accepted.
     pub fn accept_event(&mut self, id: Option<u64>) -> bool {
--- a/crates/cassiareel-relay/src/kernel/continuation_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/continuation_tests.rs
@@ -1,6 +1,7 @@
 //! An exhaustive search of the ways in which backend servers can break a stream.
 
 use cassiareel::kernel::check::{search, Model};
+use test_case::test_case;
 
 use super::{Continuation, StopReason};
 
@@ -176,3 +177,21 @@
         assert!(report.violation.is_some(), "{model:?}: {report}");
     }
 }
+
+#[test_case(0; "no run was lost")]
+#[test_case(1; "a run was lost")]
+fn a_stream_whose_backend_servers_fail_runs_no_more_often_than_allowed(lost: u32) {
+    let max_runs = 5;
+    let mut progress = Continuation::new(None, max_runs, true);
+    for _ in 0..lost {
+        progress.record_send();
+        progress.record_run();
+    }
+    let mut failures = 0;
+    while progress.may_send().is_ok() {
+        progress.record_send();
+        progress.record_failure();
+        failures += 1;
+    }
+    assert_eq!(failures, max_runs);
+}
