--- a/crates/cassiareel/src/control/lease_tests.rs
+++ b/crates/cassiareel/src/control/lease_tests.rs
@@ -91,3 +91,25 @@
     });
     assert!(a.grant().unwrap().valid_until > Duration::ZERO);
 }
+
+#[test]
+fn lease_of_a_restored_record_is_not_acquired_while_a_lost_holder_may_act() {
+    let objects = Arc::new(MemoryObjects::new(1));
+    let (a, b) = (candidate("a", &objects), candidate("b", &objects));
+    let c = candidate("c", &objects);
+    smol::block_on(async {
+        a.poll().await;
+        a.poll().await;
+        a.release().await;
+        // The copy has a free lease.
+        objects.copy();
+        b.poll().await;
+        b.poll().await;
+        assert!(b.grant().is_some());
+        objects.restore();
+        for _ in 0..3 {
+            c.poll().await;
+        }
+    });
+    assert!(b.grant().is_none() || c.grant().is_none());
+}
--- a/crates/cassiareel/src/control/moves_tests.rs
+++ b/crates/cassiareel/src/control/moves_tests.rs
@@ -136,3 +136,30 @@
     assert!(err.to_string().contains("no placement"), "{err}");
     assert_eq!(objects.call_counts().writes, 0);
 }
+
+#[test]
+fn numbers_of_lost_moves_and_changes_are_not_given_again() {
+    smol::block_on(async {
+        let objects = MemoryObjects::new(1);
+        let first = moves::start(&objects, plan("v2"), RESOURCES, "ana")
+            .await
+            .unwrap();
+        objects.copy();
+        moves::pause(&objects, "drafts", "ana").await.unwrap();
+        moves::cancel(&objects, "drafts", "ana").await.unwrap();
+        let lost = moves::start(&objects, plan("v3"), RESOURCES, "ana")
+            .await
+            .unwrap();
+        objects.restore();
+        moves::pause(&objects, "drafts", "ivo").await.unwrap();
+        let paused = moves::status(&objects, "drafts").await.unwrap().latest;
+        let paused = paused.expect("the first move is stored");
+        assert_eq!(paused.id, first.id);
+        assert!(paused.change > lost.change + 2, "{}", paused.change);
+        moves::cancel(&objects, "drafts", "ivo").await.unwrap();
+        let next = moves::start(&objects, plan("v4"), RESOURCES, "ivo")
+            .await
+            .unwrap();
+        assert!(next.id > lost.id, "{} and {}", next.id, lost.id);
+    });
+}
--- a/crates/cassiareel/src/kernel/lease/machine_tests.rs
+++ b/crates/cassiareel/src/kernel/lease/machine_tests.rs
@@ -165,3 +165,37 @@
         "commands need not wait after a release"
     );
 }
+
+#[test]
+fn number_of_a_lost_holder_is_not_given_again() {
+    let mut lease = Lease::new("b".into(), 1, Timing::default());
+    let free = |fence| Record {
+        holder: None,
+        ..record("a", fence, 0)
+    };
+    lease.step(secs(0), Event::Tick);
+    let found = Some((at(9), free(3)));
+    lease.step(secs(0), Event::Read { found });
+    let restored = Some((StoreVersion::new(1, 4), free(1)));
+    let written = Event::Written {
+        version: StoreVersion::new(1, 5),
+    };
+    let fence = (1..60).find_map(|second| {
+        match lease.step(secs(second), Event::Tick) {
+            Some(Action::Read) => {
+                let found = restored.clone();
+                lease.step(secs(second), Event::Read { found });
+            }
+            // The first write was sent before the restore.
+            Some(Action::Write { version, .. }) if version.era() == 0 => {
+                lease.step(secs(second), Event::Conflict);
+            }
+            Some(Action::Write { .. }) => {
+                lease.step(secs(second), written.clone());
+            }
+            None => {}
+        }
+        lease.grant(secs(second)).map(|grant| grant.fence)
+    });
+    assert!(fence.expect("the lease is acquired in time") > 3);
+}
--- a/crates/cassiareel/src/orders/driver_tests.rs
+++ b/crates/cassiareel/src/orders/driver_tests.rs
@@ -8,13 +8,13 @@
 use slog::{o, Discard, Logger};
 use test_case::test_case;
 
-use super::{OrderClient, Orders, Request, SendResult, SettleError};
+use super::{OrderClient, Orders, Request, SendResult, SettleError, KIND};
 use crate::{
     hooks::NoHooks,
     kernel::order::{EarlierCalls, Limits, Outcome, QueryResult, Reply, Verdict},
     observe::Metrics,
     runtime::Runtime,
-    store::{Call, Fault, MemoryObjects},
+    store::{Call, Fault, MemoryObjects, Objects},
     wire::BoxFuture,
 };
 
@@ -99,6 +99,19 @@
         }
     }
 
+    /// Waits until the only record is in a state.
+    fn wait_for_record(&self, state: &str) {
+        let in_state = async || {
+            let listing = self.store.list(KIND).await.expect("the store is available");
+            listing.objects.iter().any(|o| o.spec["state"] == state)
+        };
+        smol::block_on(async {
+            while !in_state().await {
+                smol::Timer::after(LIMITS.retry_delay).await;
+            }
+        });
+    }
+
     fn call(&self, node: usize, digest: &str, service: &Service) -> Reply {
         let request = Request {
             account: "zrinski".into(),
@@ -203,3 +216,46 @@
     ));
     assert_eq!(*service.sends.lock().expect("the lock is not poisoned"), 1);
 }
+
+/// The reply to a call whose key may belong to a lost record.
+const UNREAD: Reply = Reply::NotRun {
+    earlier: EarlierCalls::MayHaveRun,
+};
+
+/// What the copy has of the key, and how the first call in the lost seconds ends.
+struct LostRecord {
+    /// The results of a call before the copy; no call if empty.
+    before: &'static [SendResult],
+    service: Service,
+    /// The state of the lost record.
+    state: &'static str,
+    /// The node of the repeat.
+    node: usize,
+    reply: Reply,
+}
+
+#[test_case(&LostRecord { before: &[], service: plain(), state: "done", node: 0, reply: ran(true) }; "at the same node")]
+#[test_case(&LostRecord { before: &[], service: plain(), state: "done", node: 1, reply: ran(true) }; "at another node")]
+#[test_case(&LostRecord { before: &[SendResult::NotSent, SendResult::NotSent], service: plain(), state: "done", node: 1, reply: ran(true) }; "the copy says not run")]
+#[test_case(&LostRecord { before: &[], service: Service::new(&[SendResult::Lost], QueryResult::Inconclusive), state: "unknown", node: 1, reply: Reply::Unknown }; "the outcome is unknown")]
+fn a_repeat_runs_nothing_though_the_record_is_lost(case: &LostRecord) {
+    let test_bed = TestBed::new();
+    if !case.before.is_empty() {
+        let before = Service::new(case.before, QueryResult::Inconclusive);
+        assert_eq!(test_bed.call(0, "d", &before), NOT_RUN);
+        test_bed.wait_for_record("not_run");
+    }
+    test_bed.store.copy();
+    test_bed.call(0, "d", &case.service);
+    test_bed.wait_for_record(case.state);
+    test_bed.store.restore();
+    let mut reply = test_bed.call(case.node, "d", &case.service);
+    while [UNREAD, Reply::InProgress].contains(&reply) {
+        reply = test_bed.call(case.node, "d", &case.service);
+    }
+    assert_eq!(
+        *case.service.sends.lock().expect("the lock is not poisoned"),
+        1
+    );
+    assert_eq!(reply, case.reply);
+}
--- a/crates/cassiareel/src/settings/store_tests.rs
+++ b/crates/cassiareel/src/settings/store_tests.rs
@@ -74,6 +74,27 @@
     });
 }
 
+#[test]
+fn an_edit_in_a_restored_store_is_above_every_lost_revision() {
+    smol::block_on(async {
+        let store = store().await;
+        store.copy();
+        for i in 1..4 {
+            let next = named(&format!("lost-{i}"));
+            apply(&store, &edit(Some(i), next)).await.unwrap();
+        }
+        let lost = revision(&store).await;
+        store.restore();
+        let applied = apply(&store, &edit(Some(1), named("new"))).await.unwrap();
+        assert!(applied.revision > lost, "{} and {lost}", applied.revision);
+        let late = apply(&store, &edit(Some(lost), named("late"))).await;
+        assert!(
+            matches!(late, Err(ApplyError::UnknownBase { .. })),
+            "{late:?}"
+        );
+    });
+}
+
 #[test]
 fn an_edit_without_changes_creates_no_revision() {
     smol::block_on(async {
