--- a/crates/cassiareel/src/kernel/order/event.rs
+++ b/crates/cassiareel/src/kernel/order/event.rs
@@ -1,7 +1,7 @@
 //! The events of an order's state machine.
 
 use super::{Outcome, Record};
-use crate::store::StoreVersion;
+use crate::{kernel::Time, store::StoreVersion};
 
 /// How a write to the store failed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -52,6 +52,12 @@
     NotSent,
     /// The service's answer was lost, belongs to another request or came too late.
     Lost,
+    /// The store was restored from a copy, and may lack records of earlier calls until the nodes have
+    /// written them again.
+    EraBegan {
+        /// The time at which the nodes have written them.
+        settled_at: Time,
+    },
     /// The query of the service ended.
     Queried(QueryResult),
     /// Time passed.
--- a/crates/cassiareel/src/kernel/order/machine.rs
+++ b/crates/cassiareel/src/kernel/order/machine.rs
@@ -86,6 +86,8 @@
     AssumeFresh,
     /// Waits forever after a failed read.
     ForgetRead,
+    /// Sends although the store may have lost the record of an earlier call.
+    SendUnsettled,
 }
 
 /// A non-idempotent call on one node.
@@ -127,6 +129,8 @@
     // INVARIANT: names this call's attempt, in the claimed state.
     claim: Record,
     send_deadline: Time,
+    // Until this time, records of earlier calls may be missing in the store.
+    settled_at: Time,
     sends: u32,
     // INVARIANT: set while a write of this call is unresolved and may take effect later.
     has_open_write: bool,
@@ -149,6 +153,7 @@
             limits,
             claim,
             send_deadline,
+            settled_at: Time::ZERO,
             sends: 0,
             has_open_write: false,
             write_failed: false,
@@ -177,6 +182,10 @@
 
     /// Handles an event that occurs at the time `now`, and returns the resulting actions.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
+        if let Event::EraBegan { settled_at } = event {
+            self.settled_at = self.settled_at.max(settled_at);
+            return Vec::new();
+        }
         match std::mem::replace(&mut self.stage, Stage::Ended) {
             Stage::Claiming => self.step_claiming(now, &event),
             Stage::Reading => self.step_reading(now, event),
@@ -310,9 +319,13 @@
 
     /// Sends the order, for which this call has the permission.
     ///
-    /// After the send deadline it is recorded as not run instead.
+    /// After the send deadline, and while records of earlier calls may be missing, it is recorded as
+    /// not run instead.
     fn send_order(&mut self, now: Time, version: StoreVersion) -> Vec<Action> {
         self.has_open_write = false;
+        if now < self.settled_at && !self.is_mutated("SendUnsettled") {
+            return self.finish_unsettled(version);
+        }
         if now >= self.send_deadline {
             return self.finish_not_run(version);
         }
@@ -430,6 +443,14 @@
         self.record_own_state(reply, State::NotRun, version)
     }
 
+    /// Ends a call whose key an earlier call may have used, in a record that the store has lost.
+    fn finish_unsettled(&mut self, version: StoreVersion) -> Vec<Action> {
+        let reply = Reply::NotRun {
+            earlier: EarlierCalls::MayHaveRun,
+        };
+        self.record_own_state(reply, State::NotRun, version)
+    }
+
     fn record_own_state(
         &mut self,
         reply: Reply,
@@ -517,7 +538,7 @@
                 )
             }
             (WriteStep::Reading, Event::Read(Some(Some(stored)))) => {
-                if stored.record.attempt != record.attempt || !supersedes(&record, &stored.record) {
+                if !record.supersedes(&stored.record) {
                     return Vec::new();
                 }
                 let version = stored.version;
@@ -597,12 +618,3 @@
         false
     }
 }
-
-/// Reports whether a record of an attempt's state replaces the stored record of that attempt.
-fn supersedes(record: &Record, stored: &Record) -> bool {
-    match stored.state {
-        State::Claimed => true,
-        State::Unknown => record.state != State::Unknown,
-        _ => false,
-    }
-}
--- a/crates/cassiareel/src/kernel/order/machine_tests.rs
+++ b/crates/cassiareel/src/kernel/order/machine_tests.rs
@@ -18,6 +18,8 @@
 
 /// A time after every deadline of a call.
 const PAST_DEADLINES: Time = Duration::from_secs(100);
+/// The time at which the nodes have written lost records again.
+const SETTLED_AT: Time = Duration::from_secs(1_000);
 /// The maximum number of states that a search may reach.
 const MAX_STATES: usize = 3_000_000;
 
@@ -39,6 +41,8 @@
     can_block: bool,
     /// Whether operators settle orders, and records expire.
     operator: bool,
+    /// Whether the store is restored from a copy once.
+    restore: bool,
     mutation: Option<Mutation>,
     /// The defect that deletes the record of a key without a timestamp.
     deletes_records: bool,
@@ -50,9 +54,30 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Node {
     order: Order,
+    claim: Record,
     pending: Vec<Action>,
     late: bool,
     reply: Option<Reply>,
+    /// The time at which the call began.
+    start: Time,
+    /// The record that the node writes again in a restored store.
+    remembered: Option<Record>,
+}
+
+/// The progress of a restore from a copy.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Restore {
+    Before,
+    /// Nodes write lost records again.
+    Settling,
+    /// Every node has written its records again.
+    Settled,
+}
+
+impl Restore {
+    fn era(self) -> u64 {
+        u64::from(self != Restore::Before)
+    }
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -72,6 +97,7 @@
     reported_not_run: BTreeSet<Arc<str>>,
     lapsed: bool,
     settled: bool,
+    restore: Restore,
     faults: u8,
     violation: Option<&'static str>,
 }
@@ -93,7 +119,7 @@
             _ => return Err(WriteError::Conflict),
         };
         self.writes += 1;
-        let version = StoreVersion::new(0, self.writes);
+        let version = StoreVersion::new(self.restore.era(), self.writes);
         let next = Some((record.clone(), version));
         self.old = std::mem::replace(&mut self.stored, next);
         Ok(version)
@@ -104,11 +130,17 @@
         let Some(node) = &mut self.nodes[i] else {
             return;
         };
-        let now = if node.late {
-            PAST_DEADLINES
-        } else {
-            Time::ZERO
-        };
+        let mut now = node.start;
+        if node.late {
+            now += PAST_DEADLINES;
+        }
+        if self.restore == Restore::Settled {
+            now = now.max(SETTLED_AT);
+        }
+        if self.restore != Restore::Before {
+            let settled_at = SETTLED_AT;
+            node.order.step(now, Event::EraBegan { settled_at });
+        }
         let actions = node.order.step(now, event);
         self.add_actions(i, actions);
         let node = self.nodes[i].as_mut().expect("the node runs");
@@ -122,6 +154,7 @@
                 Action::Wake { .. } => {}
                 Action::Reply(reply) => self.reply(i, reply),
                 other => {
+                    self.remember(i, &other);
                     let node = self.nodes[i].as_mut().expect("the node runs");
                     // A newer call to the store replaces one whose answer is no longer awaited;
                     // the older one may still take effect.
@@ -138,6 +171,46 @@
         }
     }
 
+    /// Remembers the record of an attempt that may send or has an end.
+    fn remember(&mut self, i: usize, action: &Action) {
+        let node = self.nodes[i].as_mut().expect("the node runs");
+        let record = match action {
+            Action::Send { .. } => node.claim.clone(),
+            Action::Create(record) | Action::Replace { record, .. }
+                if record.state != State::Claimed =>
+            {
+                record.clone()
+            }
+            _ => return,
+        };
+        let other = |known: &Record| known.attempt != record.attempt;
+        if !node.remembered.as_ref().is_some_and(other) {
+            node.remembered = Some(record).filter(|record| record.state != State::NotRun);
+        }
+    }
+
+    /// Returns the write of a record that the store lacks.
+    fn write_again(&self, i: usize) -> Option<Action> {
+        let record = self.nodes[i].as_ref()?.remembered.clone()?;
+        match &self.stored {
+            None => Some(Action::Create(record)),
+            Some((stored, version)) if record.supersedes(stored) => Some(Action::Replace {
+                record,
+                version: *version,
+            }),
+            Some(_) => None,
+        }
+    }
+
+    /// Reports whether a node's record meets the claim of another attempt, which may not send yet.
+    fn meets_other_claim(&self, i: usize) -> bool {
+        let record = self.nodes[i].as_ref().and_then(|n| n.remembered.as_ref());
+        let stored = self.stored.as_ref().map(|(stored, _)| stored);
+        record.zip(stored).is_some_and(|(record, stored)| {
+            record.attempt != stored.attempt && stored.state == State::Claimed
+        })
+    }
+
     /// Records a reply and checks what it states against the runs so far.
     fn reply(&mut self, i: usize, reply: Reply) {
         let attempt = attempt_name(i);
@@ -266,7 +339,11 @@
 
     fn start(&self, world: &World, i: usize) -> World {
         let mut next = world.clone();
-        let (mut order, mut actions) = Order::start(LIMITS, self.claim(i), Time::ZERO);
+        let start = match world.restore {
+            Restore::Settled => SETTLED_AT,
+            _ => Time::ZERO,
+        };
+        let (mut order, mut actions) = Order::start(LIMITS, self.claim(i), start);
         order.mutation = self.mutation;
         if self.mutation == Some(Mutation::SendFirst) {
             actions.extend(order.step(Time::ZERO, Event::Written(Ok(StoreVersion::new(0, 1)))));
@@ -274,9 +351,12 @@
         next.started[i] = true;
         next.nodes[i] = Some(Node {
             order,
+            claim: self.claim(i),
             pending: Vec::new(),
             late: false,
             reply: None,
+            start,
+            remembered: None,
         });
         next.add_actions(i, actions);
         next
@@ -388,7 +468,8 @@
                 late,
             ));
         }
-        if world.faults > 0 {
+        // A record is lost for good if the store and its writer lose it.
+        if world.faults > 0 && !self.restore {
             let mut crash = world.clone();
             crash.faults -= 1;
             let crashed = crash.nodes[i].take().expect("the node runs");
@@ -421,6 +502,46 @@
         next
     }
 
+    /// Returns the steps of a restore from a copy.
+    fn restore_steps(&self, world: &World) -> Vec<(String, World)> {
+        let nodes = 0..world.nodes.len();
+        match world.restore {
+            Restore::Before if self.restore => [None, world.old.clone()]
+                .into_iter()
+                .map(|copy| {
+                    let mut state = world.clone();
+                    state.restore = Restore::Settling;
+                    state.old = None;
+                    state.stored = copy.map(|(record, version)| {
+                        (record, StoreVersion::new(1, version.revision()))
+                    });
+                    ("the store is restored".to_owned(), state)
+                })
+                .collect(),
+            Restore::Settling => {
+                let mut next: Vec<_> = nodes
+                    .clone()
+                    .filter_map(|i| {
+                        let mut state = world.clone();
+                        state.apply(&world.write_again(i)?).ok()?;
+                        Some((
+                            format!("{}: writes its record again", attempt_name(i)),
+                            state,
+                        ))
+                    })
+                    .collect();
+                let is_settled = |i| world.write_again(i).is_none() && !world.meets_other_claim(i);
+                if nodes.clone().all(is_settled) {
+                    let mut state = world.clone();
+                    state.restore = Restore::Settled;
+                    next.push(("the new era is settled".to_owned(), state));
+                }
+                next
+            }
+            _ => Vec::new(),
+        }
+    }
+
     fn store_steps(&self, world: &World) -> Vec<(String, World)> {
         let mut next = Vec::new();
         for at in 0..world.delayed_writes.len() {
@@ -488,6 +609,7 @@
             reported_not_run: BTreeSet::new(),
             lapsed: false,
             settled: false,
+            restore: Restore::Before,
             faults: self.faults,
             violation: None,
         }
@@ -502,6 +624,7 @@
         next.extend((0..world.nodes.len()).flat_map(|i| self.node_steps(world, i)));
         next.extend(self.service_steps(world));
         next.extend(self.store_steps(world));
+        next.extend(self.restore_steps(world));
         next
     }
 
@@ -545,6 +668,7 @@
         faults,
         can_block,
         operator: faults < 2,
+        restore: false,
         mutation: None,
         deletes_records: false,
         only: None,
@@ -566,6 +690,32 @@
     assert!(report.violation.is_none(), "{report}");
 }
 
+#[test_case(0, false; "no other fault")]
+#[test_case(1, false; "one fault and a service that knows nothing")]
+fn orders_run_at_most_once_though_the_store_is_restored(faults: u8, can_block: bool) {
+    let model = Calls {
+        operator: false,
+        restore: true,
+        ..model(SAME_BODY, faults, can_block)
+    };
+    let report = run_search(&format!("restore, {faults}, {can_block}"), &model);
+    assert!(report.violation.is_none(), "{report}");
+}
+
+#[test]
+fn an_order_that_is_sent_before_the_new_era_is_settled_is_caught() {
+    let model = Calls {
+        operator: false,
+        restore: true,
+        mutation: Some(Mutation::SendUnsettled),
+        only: Some("at most once"),
+        ..model(SAME_BODY, 0, false)
+    };
+    let report = run_search("SendUnsettled", &model);
+    let violation = report.violation.expect("the search finds the defect");
+    assert_eq!(violation.invariant, "at most once");
+}
+
 struct Defect {
     mutation: Option<Mutation>,
     deletes_records: bool,
--- a/crates/cassiareel/src/kernel/order/record.rs
+++ b/crates/cassiareel/src/kernel/order/record.rs
@@ -95,6 +95,19 @@
 const CLOCK_MARGIN: Duration = Duration::from_secs(60 * 60);
 
 impl Record {
+    /// Reports whether this record's state replaces a stored record of the same key.
+    pub fn supersedes(&self, stored: &Record) -> bool {
+        if self.attempt != stored.attempt {
+            // In a restored store, another attempt may have a record and not the permission to send.
+            return stored.state == State::NotRun && self.state != State::NotRun;
+        }
+        match stored.state {
+            State::Claimed => self.state != State::Claimed,
+            State::Unknown => !matches!(self.state, State::Claimed | State::Unknown),
+            _ => false,
+        }
+    }
+
     /// Applies the expiry rule for outcomes that are kept for `keep`.
     ///
     /// Unknown orders and claims that were never finished need an operator and are kept.
--- a/crates/cassiareel/src/orders/driver.rs
+++ b/crates/cassiareel/src/orders/driver.rs
@@ -15,6 +15,8 @@
 use smol::Timer;
 
 use super::{
+    keeper,
+    recent::{RecentRecords, RestoreTimes},
     records::{now_ms, Records},
     OrderClient, SendResult,
 };
@@ -51,6 +53,8 @@
 /// The orders of a node.
 pub struct Orders {
     records: Records,
+    /// Dropping it ends the task that writes lost records again.
+    _stop: async_channel::Sender<()>,
     hooks: Arc<dyn Hooks>,
     spawner: Spawner,
     /// Identifies this incarnation of the node, so that attempt names are unique in the fleet.
@@ -67,12 +71,38 @@
         metrics: Arc<Metrics>,
         log: Logger,
     ) -> Orders {
+        let times = RestoreTimes::default();
+        Orders::with_restore_times(objects, spawner, hooks, metrics, times, log)
+    }
+
+    /// Creates the orders of a node with other times after a restore of the store.
+    pub(super) fn with_restore_times(
+        objects: Arc<dyn Objects>,
+        spawner: Spawner,
+        hooks: Arc<dyn Hooks>,
+        metrics: Arc<Metrics>,
+        times: RestoreTimes,
+        log: Logger,
+    ) -> Orders {
+        let (wake, woken) = async_channel::bounded(1);
+        let records = Records {
+            objects,
+            metrics,
+            recent: Arc::new(RecentRecords::new(times)),
+            wake,
+            log,
+        };
+        let (stop, stopped) = async_channel::bounded(1);
+        let keeper = keeper::run(records.clone(), woken);
+        spawner
+            .spawn(keeper.or(async move {
+                // The channel is closed when the orders are dropped.
+                let _: Result<(), _> = stopped.recv().await;
+            }))
+            .detach();
         Orders {
-            records: Records {
-                objects,
-                metrics,
-                log,
-            },
+            records,
+            _stop: stop,
             hooks,
             spawner,
             incarnation: format!("{:016x}{:016x}", fastrand::u64(..), now_ms()),
@@ -111,6 +141,8 @@
             log.new(slog::o!("order" => name(&claim), "attempt" => claim.attempt.to_string()));
         let driver = OrderDriver {
             name: name(&claim),
+            claim: claim.clone(),
+            settled_at: None,
             lapse_after: limits.claim_timeout
                 + limits.answer_timeout
                 + limits.query_timeout
@@ -150,6 +182,9 @@
 /// The state of a running order.
 struct OrderDriver {
     name: String,
+    claim: Record,
+    /// The end of the settling time that the order knows of.
+    settled_at: Option<Instant>,
     lapse_after: Duration,
     records: Records,
     hooks: Arc<dyn Hooks>,
@@ -176,11 +211,25 @@
                 Event::Written(Ok(_)) if order.is_answered() => self.hook(Step::OrderStored).await,
                 _ => {}
             }
+            self.report_era(&mut order);
             let actions = order.step(self.now(), event);
             self.perform(actions).await;
         }
     }
 
+    /// Tells the order of a new era of the store.
+    fn report_era(&mut self, order: &mut Order) {
+        let settled_at = self.records.recent.settled_at();
+        if settled_at == self.settled_at {
+            return;
+        }
+        self.settled_at = settled_at;
+        if let Some(at) = settled_at {
+            let settled_at = at.saturating_duration_since(self.start);
+            order.step(self.now(), Event::EraBegan { settled_at });
+        }
+    }
+
     fn now(&self) -> Time {
         self.start.elapsed()
     }
@@ -236,6 +285,7 @@
                 self.store_call = Some(Box::pin(read));
             }
             Action::Send { by, .. } => {
+                self.records.recent.remember_claim(&self.name, &self.claim);
                 self.hook(Step::OrderRecorded).await;
                 self.send_call = Some(self.send(by));
             }
--- a/crates/cassiareel/src/orders/driver_tests.rs
+++ b/crates/cassiareel/src/orders/driver_tests.rs
@@ -8,7 +8,7 @@
 use slog::{o, Discard, Logger};
 use test_case::test_case;
 
-use super::{OrderClient, Orders, Request, SendResult, SettleError, KIND};
+use super::{recent::RestoreTimes, OrderClient, Orders, Request, SendResult, SettleError, KIND};
 use crate::{
     hooks::NoHooks,
     kernel::order::{EarlierCalls, Limits, Outcome, QueryResult, Reply, Verdict},
@@ -26,6 +26,12 @@
     max_sends: 2,
 };
 
+const RESTORE_TIMES: RestoreTimes = RestoreTimes {
+    memory: Duration::from_secs(3600),
+    check: Duration::from_millis(10),
+    settling: Duration::from_secs(2),
+};
+
 fn outcome() -> Outcome {
     Outcome {
         status: 200,
@@ -84,11 +90,12 @@
         let runtime = Runtime::new("orders", 1);
         let store = Arc::new(MemoryObjects::new(1));
         let node = || {
-            Orders::new(
+            Orders::with_restore_times(
                 store.clone(),
                 runtime.spawner(),
                 Arc::new(NoHooks),
                 Arc::new(Metrics::none()),
+                RESTORE_TIMES,
                 Logger::root(Discard, o!()),
             )
         };
--- a/crates/cassiareel/src/orders/mod.rs
+++ b/crates/cassiareel/src/orders/mod.rs
@@ -12,7 +12,9 @@
 mod driver;
 #[cfg(test)]
 mod driver_tests;
+mod keeper;
 mod operator;
+mod recent;
 mod records;
 
 pub use client::{OrderClient, SendResult};
--- a/crates/cassiareel/src/orders/records.rs
+++ b/crates/cassiareel/src/orders/records.rs
@@ -5,11 +5,13 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use async_channel::Sender;
 use sha2::{Digest, Sha256};
-use slog::{info, Logger};
+use slog::{info, warn, Logger};
 
+use super::recent::RecentRecords;
 use crate::{
-    kernel::order::{Event, Record, StoredRecord, WriteError},
+    kernel::order::{Event, Record, State, StoredRecord, WriteError},
     observe::{Counter, Metrics},
     store::{Object, Objects, StoreError, StoreVersion},
 };
@@ -43,6 +45,9 @@
 pub(super) struct Records {
     pub(super) objects: Arc<dyn Objects>,
     pub(super) metrics: Arc<Metrics>,
+    pub(super) recent: Arc<RecentRecords>,
+    /// Wakes the task that writes lost records again.
+    pub(super) wake: Sender<()>,
     pub(super) log: Logger,
 }
 
@@ -60,12 +65,20 @@
         } else {
             self.objects.update(&object).await
         };
+        self.observe_era();
+        let stored_in = written.as_ref().ok().map(|version| version.era());
+        // A claim whose write failed holds no permission; any other state is final for its attempt.
+        if stored_in.is_some() || record.state != State::Claimed {
+            self.recent.remember(&object.name, &record, stored_in);
+        }
         Event::Written(written.map_err(|err| self.write_error(&err)))
     }
 
     /// Reads the record of a name; its claim counts as lapsed once it is older than `lapse_after`.
     pub(super) async fn read(self, name: String, lapse_after: Duration) -> Event {
-        match self.objects.get(KIND, &name).await {
+        let found = self.objects.get(KIND, &name).await;
+        self.observe_era();
+        match found {
             Ok(None) => Event::Read(Some(None)),
             Ok(Some(object)) => Event::Read(self.parse(object, lapse_after).map(Some)),
             Err(err) => {
@@ -75,6 +88,18 @@
         }
     }
 
+    /// Notes the era that the store's answers name, and starts to write lost records again if it is
+    /// new.
+    pub(super) fn observe_era(&self) {
+        let era = self.objects.era();
+        let Some(before) = self.recent.observe_era(era) else {
+            return;
+        };
+        warn!(self.log, "store of order records has a new era"; "before" => before, "era" => era);
+        // A full channel has woken the task already.
+        let _ = self.wake.try_send(());
+    }
+
     /// Parses an object as a record; logs and returns `None` if it is malformed.
     pub(super) fn parse(&self, object: Object, lapse_after: Duration) -> Option<StoredRecord> {
         let name = object.name;
