--- a/crates/cassiareel/src/kernel/mod.rs
+++ b/crates/cassiareel/src/kernel/mod.rs
@@ -17,6 +17,7 @@
 pub mod lease;
 pub mod membership;
 pub mod moves;
+mod numbers;
 pub mod order;
 pub mod quota;
 pub mod revision;
@@ -30,3 +31,4 @@
     AccountId, Attempt, BackendId, CallerId, DataCentreId, Fence, Incarnation, NodeId, Position,
     RequestId, Revision, ServiceId, Time, TokenId, VersionId,
 };
+pub use numbers::{next_number, number_era};
--- a/crates/cassiareel/src/settings/apply.rs
+++ b/crates/cassiareel/src/settings/apply.rs
@@ -17,7 +17,7 @@
     text_digest, AcceptedRevision, ApplyError, Change, Head, LoadedRevision, PartRef, Tree,
 };
 use crate::{
-    kernel::Revision,
+    kernel::{next_number, Revision},
     store::{Objects, StoreVersion},
 };
 
@@ -154,7 +154,14 @@
     if start.elapsed() > MAX_WRITE_TIME {
         return Err(ApplyError::TimedOut);
     }
-    let revision = head.as_ref().map_or(0, |head| head.accepted.revision) + 1;
+    let last = head.as_ref().map_or(0, |head| head.accepted.revision);
+    // The writes above have shown the store's era; an existing head is replaced in its own era only.
+    let era = if version.is_none() {
+        objects.era()
+    } else {
+        version.era()
+    };
+    let revision = next_number(last, era);
     let references = parts.iter().map(|part| part.reference.clone()).collect();
     let accepted = accepted_revision(edit, revision, &text, references);
     let next = Head::next(head.as_ref(), accepted);
