--- a/crates/cassiareel/src/control/moves.rs
+++ b/crates/cassiareel/src/control/moves.rs
@@ -6,9 +6,9 @@
 use crate::{
     kernel::{
         moves::{Plan, Record, Resources, SettledScope, State, Status, Verdict},
-        ServiceId,
+        next_number, ServiceId,
     },
-    store::Objects,
+    store::{Objects, StoreEra},
 };
 
 /// The object kind of moves; each object has the name of its service.
@@ -43,7 +43,7 @@
 
 impl StoredMoves {
     /// Sets the state of the latest move.
-    fn set_state(&mut self, state: State, reason: &str) -> Result<(), String> {
+    fn set_state(&mut self, state: State, reason: &str, era: StoreEra) -> Result<(), String> {
         let Some(status) = &mut self.record.latest else {
             return Err("no move was ever started; see `cassiareel move start`".to_owned());
         };
@@ -57,7 +57,7 @@
             ));
         }
         status.state = state;
-        status.change += 1;
+        status.change = next_number(status.change, era);
         let id = status.id;
         self.append_history(id, state, reason);
         Ok(())
@@ -109,37 +109,42 @@
         reason: err.to_string(),
     })?;
     let started = wall_seconds();
-    let stored = object_update::update(objects, KIND, &plan.service, |stored: &mut StoredMoves| {
-        let latest = stored.record.latest.as_ref();
-        if let Some(open) = latest.filter(|status| status.state.is_open()) {
-            // The open move was written by this call, in a write whose answer was lost.
-            if open.plan == plan && open.started == started {
-                return Ok(());
+    let stored = object_update::update(
+        objects,
+        KIND,
+        &plan.service,
+        |stored: &mut StoredMoves, era| {
+            let latest = stored.record.latest.as_ref();
+            if let Some(open) = latest.filter(|status| status.state.is_open()) {
+                // The open move was written by this call, in a write whose answer was lost.
+                if open.plan == plan && open.started == started {
+                    return Ok(());
+                }
+                return Err(format!(
+                    "move {} from {} to {} is open; wait for it or cancel it",
+                    open.id, open.plan.from, open.plan.to
+                ));
             }
-            return Err(format!(
-                "move {} from {} to {} is open; wait for it or cancel it",
-                open.id, open.plan.from, open.plan.to
-            ));
-        }
-        let id = latest.map_or(1, |status| status.id + 1);
-        if let Some(done) = latest.filter(|status| status.state == State::Done) {
-            let settled = SettledScope {
-                scope: done.plan.scope.clone(),
-                version: done.plan.to.clone(),
-            };
-            stored.record.settled.retain(|s| s.scope != settled.scope);
-            stored.record.settled.push(settled);
-        }
-        stored.record.latest = Some(Status {
-            id,
-            change: 1,
-            plan: plan.clone(),
-            started,
-            state: State::Running,
-        });
-        stored.append_history(id, State::Running, author);
-        Ok(())
-    })
+            let id = next_number(latest.map_or(0, |status| status.id), era);
+            if let Some(done) = latest.filter(|status| status.state == State::Done) {
+                let settled = SettledScope {
+                    scope: done.plan.scope.clone(),
+                    version: done.plan.to.clone(),
+                };
+                stored.record.settled.retain(|s| s.scope != settled.scope);
+                stored.record.settled.push(settled);
+            }
+            stored.record.latest = Some(Status {
+                id,
+                change: next_number(0, era),
+                plan: plan.clone(),
+                started,
+                state: State::Running,
+            });
+            stored.append_history(id, State::Running, author);
+            Ok(())
+        },
+    )
     .await?;
     stored.record.latest.ok_or(ChangeError::Refused {
         reason: "the move was not kept".to_owned(),
@@ -221,7 +226,7 @@
         objects,
         KIND,
         &verdict.service,
-        |stored: &mut StoredMoves| {
+        |stored: &mut StoredMoves, era| {
             let verdicts = &mut stored.record.verdicts;
             let is_known = |v: &Verdict| v.version == verdict.version && v.id >= verdict.id;
             if !verdicts.iter().any(is_known) {
@@ -239,7 +244,7 @@
                     evidence.scope,
                     evidence.expected * 100.0
                 );
-                return stored.set_state(State::Reversed, &reason);
+                return stored.set_state(State::Reversed, &reason, era);
             }
             Ok(())
         },
@@ -254,8 +259,8 @@
     state: State,
     reason: &str,
 ) -> Result<(), ChangeError> {
-    object_update::update(objects, KIND, service, |stored: &mut StoredMoves| {
-        stored.set_state(state, reason)
+    object_update::update(objects, KIND, service, |stored: &mut StoredMoves, era| {
+        stored.set_state(state, reason, era)
     })
     .await
     .map(|_| ())
--- a/crates/cassiareel/src/control/object_update.rs
+++ b/crates/cassiareel/src/control/object_update.rs
@@ -3,7 +3,7 @@
 use serde::{de::DeserializeOwned, Serialize};
 use snafu::Snafu;
 
-use crate::store::{Object, Objects, StoreError, StoreVersion};
+use crate::store::{Object, Objects, StoreEra, StoreError, StoreVersion};
 
 /// Number of attempts before a change fails because of other writers.
 const MAX_ATTEMPTS: usize = 8;
@@ -51,7 +51,8 @@
 ///
 /// If another writer was first, the change is repeated on the newer contents. If an answer was lost,
 /// the object is read back: if its contents equal what was sent, either this write or another one
-/// with the same change has succeeded, and both count as success.
+/// with the same change has succeeded, and both count as success. `change` is given the store's era,
+/// which numbers that must not be given twice depend on.
 pub(super) async fn update<T, F>(
     objects: &dyn Objects,
     kind: &str,
@@ -60,7 +61,7 @@
 ) -> Result<T, ChangeError>
 where
     T: Default + DeserializeOwned + PartialEq + Serialize,
-    F: Fn(&mut T) -> Result<(), String>,
+    F: Fn(&mut T, StoreEra) -> Result<(), String>,
 {
     let mut sent: Option<T> = None;
     for _ in 0..MAX_ATTEMPTS {
@@ -69,7 +70,10 @@
             return Ok(contents);
         }
         let mut next: T = decode(&object, kind, name)?;
-        change(&mut next).map_err(|reason| ChangeError::Refused { reason })?;
+        let era = object
+            .as_ref()
+            .map_or_else(|| objects.era(), |object| object.version.era());
+        change(&mut next, era).map_err(|reason| ChangeError::Refused { reason })?;
         let spec = serde_json::to_value(&next).map_err(|err| malformed(name, &err))?;
         let version = object
             .as_ref()
--- a/crates/cassiareel/src/kernel/moves/view.rs
+++ b/crates/cassiareel/src/kernel/moves/view.rs
@@ -7,7 +7,7 @@
 use super::{
     uses_new_version, Caller, Cell, Freshness, MoveId, Plan, Ramps, Scope, Verdict, Verdicts,
 };
-use crate::kernel::{ServiceId, Time, VersionId};
+use crate::kernel::{number_era, ServiceId, Time, VersionId};
 
 /// The state of a move.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -135,7 +135,11 @@
         for verdict in &record.verdicts {
             self.verdicts.add(verdict.clone());
         }
-        let position = |record: &Record| record.latest.as_ref().map(|s| (s.id, s.change));
+        let position = |record: &Record| {
+            let latest = record.latest.as_ref();
+            // A restored store may go on with an earlier move than the latest known one.
+            latest.map(|s| (number_era(s.change), s.id, s.change))
+        };
         let known = self.moves.get(service);
         if known.is_some_and(|known| position(&known.record) >= position(&record))
             && !self.is_mutated("accepts an older status")
