--- a/crates/cassiareel/src/control/lease.rs
+++ b/crates/cassiareel/src/control/lease.rs
@@ -97,7 +97,14 @@
         loop {
             let action = {
                 let now = self.now();
-                self.lock().step(now, event)
+                let mut lease = self.lock();
+                let era = self.objects.era();
+                if era > lease.era() {
+                    warn!(self.log, "store of the lease has a new era";
+                        "before" => lease.era(), "era" => era);
+                }
+                lease.step(now, Event::EraSeen { era });
+                lease.step(now, event)
             };
             event = match action {
                 Some(Action::Read) => self.read().await,
--- a/crates/cassiareel/src/kernel/lease/machine.rs
+++ b/crates/cassiareel/src/kernel/lease/machine.rs
@@ -2,8 +2,8 @@
 
 use super::{Record, Timing};
 use crate::{
-    kernel::{Fence, Incarnation, NodeId, Time},
-    store::StoreVersion,
+    kernel::{next_number, Fence, Incarnation, NodeId, Time},
+    store::{StoreEra, StoreVersion},
 };
 
 /// An event of a candidate.
@@ -11,6 +11,11 @@
 pub enum Event {
     /// Time passed.
     Tick,
+    /// An answer named the store's era.
+    EraSeen {
+        /// The era.
+        era: StoreEra,
+    },
     /// The record was read.
     Read {
         /// The object's version and the record; `None` if there is no record.
@@ -102,6 +107,11 @@
     me: NodeId,
     incarnation: Incarnation,
     timing: Timing,
+    // The store's era, and the time at which this candidate first saw it.
+    era: StoreEra,
+    era_since: Time,
+    // The highest fencing number that this candidate knows of.
+    highest_fence: Fence,
     observed: Option<ObservedRecord>,
     grant: Option<Grant>,
     renew_at: Time,
@@ -122,6 +132,9 @@
             me,
             incarnation,
             timing,
+            era: 0,
+            era_since: Time::ZERO,
+            highest_fence: 0,
             observed: None,
             grant: None,
             renew_at: Time::ZERO,
@@ -148,12 +161,18 @@
         self.observed.as_ref().map(|observed| &observed.record)
     }
 
+    /// Returns the store's era that this candidate knows of.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Handles an event that occurs at the time `now`.
     ///
     /// The caller carries out the returned action, if any, and reports its result as an event.
     pub fn step(&mut self, now: Time, event: Event) -> Option<Action> {
         match event {
             Event::Tick => return self.tick(now),
+            Event::EraSeen { era } => self.observe_era(now, era),
             Event::Read { found } => self.read(now, found),
             Event::ReadFailed => self.call = None,
             Event::Written { version } => self.written(now, version),
@@ -165,6 +184,21 @@
         None
     }
 
+    /// Gives up everything that was based on the records of an earlier era.
+    ///
+    /// The restored record may be older than that of the last holder, who is not known then.
+    fn observe_era(&mut self, now: Time, era: StoreEra) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.era_since = now;
+        self.observed = None;
+        self.grant = None;
+        self.pending = None;
+        self.just_read = false;
+    }
+
     fn tick(&mut self, now: Time) -> Option<Action> {
         if self.call.is_some() || self.released {
             return None;
@@ -200,6 +234,7 @@
                 }
                 _ => now,
             };
+            let wait = wait.max(self.lost_commands_end());
             self.pending = Some(PendingWrite {
                 fence: record.fence,
                 version: *version,
@@ -236,13 +271,20 @@
             .map_or((StoreVersion::NONE, 0), |observed| {
                 (observed.version, observed.record.fence)
             });
-        let increment = u64::from(!self.is_mutated("fence does not increase") || version.is_none());
+        let mut era = self.era;
+        let mut last = fence.max(self.highest_fence);
+        if self.is_mutated("fence does not increase") && !version.is_none() {
+            last = fence.saturating_sub(1);
+        }
+        if self.is_mutated("fence ignores the era") {
+            (era, last) = (0, fence);
+        }
         Action::Write {
             version,
             record: Record {
                 holder: Some(self.me.clone()),
                 incarnation: self.incarnation,
-                fence: fence + increment,
+                fence: next_number(last, era),
                 renewal: 0,
             },
         }
@@ -250,6 +292,9 @@
 
     /// Reports whether the holder named in the record must have stopped by now.
     fn may_acquire(&self, now: Time) -> bool {
+        if now < self.lost_grant_end() {
+            return false;
+        }
         let Some(observed) = &self.observed else {
             return true;
         };
@@ -263,6 +308,22 @@
             || now >= observed.since + wait
     }
 
+    /// Returns the end of a grant whose record a restored store has lost.
+    fn lost_grant_end(&self) -> Time {
+        if self.era == 0 || self.is_mutated("no wait in a new era") {
+            return Time::ZERO;
+        }
+        self.era_since + self.timing.duration + self.timing.margin
+    }
+
+    /// Returns the end of the last command under such a grant.
+    fn lost_commands_end(&self) -> Time {
+        match self.era {
+            0 => Time::ZERO,
+            _ => self.lost_grant_end() + self.timing.max_action,
+        }
+    }
+
     fn must_wait_for_commands(&self, record: &Record) -> bool {
         record.holder.is_some() && !self.is_mine(record) && !self.is_mutated("no wait for commands")
     }
@@ -277,7 +338,9 @@
             .observed
             .as_ref()
             .map_or(StoreVersion::NONE, |observed| observed.version);
-        let Some((version, record)) = found.filter(|(version, _)| *version >= known) else {
+        let Some((version, record)) =
+            found.filter(|(version, _)| *version >= known && version.era() == self.era)
+        else {
             // There is no record yet, or the answer comes from a replica that lags behind.
             self.just_read = known.is_none();
             if let Some(pending) = &mut self.pending {
@@ -286,6 +349,7 @@
             return;
         };
         self.just_read = true;
+        self.highest_fence = self.highest_fence.max(record.fence);
         if version > known {
             self.observed = Some(ObservedRecord {
                 version,
@@ -335,6 +399,7 @@
             valid_until: from + self.timing.duration - self.timing.margin,
             commands_from: pending.commands_from,
         });
+        self.highest_fence = self.highest_fence.max(pending.fence);
         self.renew_at = sent + self.timing.renewal_interval();
         self.pending = None;
     }
@@ -406,6 +471,9 @@
         if self.grant.is_none() {
             self.renew_at = Time::ZERO;
         }
+        if self.era == 0 || now >= self.lost_commands_end() {
+            self.era_since = Time::ZERO;
+        }
         if let Some(observed) = self
             .observed
             .as_mut()
--- a/crates/cassiareel/src/kernel/lease/machine_tests.rs
+++ b/crates/cassiareel/src/kernel/lease/machine_tests.rs
@@ -181,6 +181,9 @@
         version: StoreVersion::new(1, 5),
     };
     let fence = (1..60).find_map(|second| {
+        if second > 1 {
+            lease.step(secs(second), Event::EraSeen { era: 1 });
+        }
         match lease.step(secs(second), Event::Tick) {
             Some(Action::Read) => {
                 let found = restored.clone();
--- a/crates/cassiareel/src/kernel/lease/model_tests.rs
+++ b/crates/cassiareel/src/kernel/lease/model_tests.rs
@@ -17,7 +17,7 @@
         check::{search, Model},
         Fence,
     },
-    store::StoreVersion,
+    store::{StoreEra, StoreVersion},
 };
 
 const TIMING: Timing = Timing {
@@ -30,7 +30,8 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Call {
     Sent(Action),
-    Answered(Event),
+    /// The answer, with the store's era.
+    Answered(Event, StoreEra),
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -48,6 +49,13 @@
     now: u64,
     version: StoreVersion,
     record: Record,
+    /// The version and the record before the last write.
+    old: (StoreVersion, Record),
+    /// The record with the highest fencing number that was ever written.
+    highest: Record,
+    /// The highest fencing number that was granted, and its candidate.
+    granted: Option<(Fence, usize)>,
+    restores: u8,
     candidates: [Candidate; 2],
     faults: u8,
     last_effect: Fence,
@@ -60,6 +68,7 @@
     mutation: Option<&'static str>,
     horizon: u64,
     faults: u8,
+    restores: u8,
     commands: bool,
 }
 
@@ -81,27 +90,53 @@
         let (now, version) = (self.time(), self.version);
         for candidate in &mut self.candidates {
             candidate.lease.normalize(now);
-            let stale =
-                |late: &Action| matches!(late, Action::Write { version: v, .. } if *v != version);
+            let stale = |late: &Action| matches!(late, Action::Write { version: v, .. } if *v != version && !v.is_none());
             if candidate.late.as_ref().is_some_and(stale) {
                 candidate.late = None;
             }
         }
     }
 
+    /// Reports whether a write conditional on a version takes effect. A creation names no era.
+    fn replaces(&self, version: StoreVersion) -> bool {
+        version == self.version || version.is_none() && self.version.is_none()
+    }
+
+    /// Checks the fencing number of a candidate's grant against those that were granted before.
+    fn check_grant(&mut self, i: usize) {
+        if self.restores == 0 && self.version.era() == 0 {
+            return;
+        }
+        let Some(grant) = self.candidates[i].lease.grant(self.time()) else {
+            return;
+        };
+        let (fence, holder) = self.granted.unwrap_or((0, i));
+        self.fence_fell |= grant.fence < fence;
+        self.fence_shared |= grant.fence == fence && holder != i;
+        self.granted = Some((grant.fence.max(fence), i));
+    }
+
     /// Applies a call to the store.
     fn apply(&mut self, action: &Action) -> Event {
         match action {
             Action::Read => Event::Read {
                 found: (!self.version.is_none()).then(|| (self.version, self.record.clone())),
             },
-            Action::Write { version, record } if *version == self.version => {
-                let same = self.record.holder == record.holder
-                    && self.record.incarnation == record.incarnation;
-                self.fence_fell |= record.fence < self.record.fence;
-                self.fence_shared |=
-                    !self.version.is_none() && record.fence == self.record.fence && !same;
+            Action::Write { version, record } if self.replaces(*version) => {
+                let same = self.highest.holder == record.holder
+                    && self.highest.incarnation == record.incarnation;
+                // A write that crosses a restore may repeat a number; it is granted to nobody.
+                let checked = self.restores == 0 && self.version.era() == 0;
+                self.fence_fell |= checked && record.fence < self.highest.fence;
+                self.fence_shared |= checked
+                    && self.highest.fence > 0
+                    && record.fence == self.highest.fence
+                    && !same;
                 self.version = StoreVersion::new(self.version.era(), self.version.revision() + 1);
+                if self.restores > 0 {
+                    self.old = (*version, self.record.clone());
+                }
+                self.highest = record.clone();
                 self.record = record.clone();
                 Event::Written {
                     version: self.version,
@@ -126,6 +161,10 @@
             now: 0,
             version: StoreVersion::NONE,
             record: Record::default(),
+            old: (StoreVersion::NONE, Record::default()),
+            highest: Record::default(),
+            granted: None,
+            restores: self.restores,
             candidates: [candidate(0), candidate(1)],
             faults: self.faults,
             last_effect: 0,
@@ -144,6 +183,19 @@
             next.normalize();
             steps.push((format!("time {}", next.now), next));
         }
+        if world.restores > 0 {
+            for (revision, record) in [
+                (0, Record::default()),
+                (world.old.0.revision(), world.old.1.clone()),
+            ] {
+                let mut next = world.clone();
+                next.restores -= 1;
+                next.version = StoreVersion::new(next.version.era() + 1, revision);
+                next.record = record;
+                next.normalize();
+                steps.push(("the store is restored".to_owned(), next));
+            }
+        }
         for (i, candidate) in world.candidates.iter().enumerate() {
             let name = ["a", "b"][i];
             let mut add = |label: &str, change: &dyn Fn(&mut World)| {
@@ -159,7 +211,9 @@
                     let now = w.time();
                     let action = w.candidates[i].lease.step(now, Event::Tick);
                     w.candidates[i].call = match action {
-                        Some(Action::Read) => Some(Call::Answered(w.apply(&Action::Read))),
+                        Some(Action::Read) => {
+                            Some(Call::Answered(w.apply(&Action::Read), w.version.era()))
+                        }
                         action => action.map(Call::Sent),
                     };
                 });
@@ -168,7 +222,7 @@
                 Some(Call::Sent(action)) => {
                     add(&format!("store applies {action:?}"), &|w| {
                         let answer = w.apply(action);
-                        w.candidates[i].call = Some(Call::Answered(answer));
+                        w.candidates[i].call = Some(Call::Answered(answer, w.version.era()));
                     });
                     if world.faults > 0 && matches!(action, Action::Write { .. }) {
                         add("gives up waiting for its write", &|w| {
@@ -180,11 +234,15 @@
                         });
                     }
                 }
-                Some(Call::Answered(event)) => {
+                Some(Call::Answered(event, era)) => {
                     add("receives the answer", &|w| {
                         let now = w.time();
                         w.candidates[i].call = None;
+                        w.candidates[i]
+                            .lease
+                            .step(now, Event::EraSeen { era: *era });
                         w.candidates[i].lease.step(now, event.clone());
+                        w.check_grant(i);
                     });
                     match event {
                         // A lost read does not count as a fault: it only leads back to the state
@@ -280,6 +338,7 @@
         mutation: None,
         horizon,
         faults,
+        restores: 0,
         commands,
     };
     let report = search(&model, MAX_STATES);
@@ -303,6 +362,7 @@
         mutation: Some(mutation),
         horizon: 5,
         faults: 1,
+        restores: 0,
         commands: mutation == "no wait for commands",
     };
     let report = search(&model, MAX_STATES);
@@ -310,3 +370,32 @@
     let violation = report.violation.expect("the search finds the defect");
     assert_eq!(violation.invariant, invariant);
 }
+
+const RESTORED: TwoCandidates = TwoCandidates {
+    mutation: None,
+    horizon: 3,
+    faults: 0,
+    restores: 1,
+    commands: false,
+};
+
+#[test_case::test_case(&RESTORED; "no other fault")]
+#[test_case::test_case(&TwoCandidates { commands: true, ..RESTORED }; "commands in flight")]
+fn lease_is_safe_in_a_restored_store(model: &TwoCandidates) {
+    let report = search(model, MAX_STATES);
+    println!("lease, restored, {} s: {report}", model.horizon);
+    assert!(report.violation.is_none(), "{report}");
+}
+
+#[test_case::test_case("no wait in a new era", "one holder at a time")]
+#[test_case::test_case("fence ignores the era", "a fencing number has one holder")]
+fn search_finds_defect_in_a_restored_store(mutation: &'static str, invariant: &str) {
+    let model = TwoCandidates {
+        mutation: Some(mutation),
+        ..RESTORED
+    };
+    let report = search(&model, MAX_STATES);
+    println!("lease, restored, {mutation}: {report}");
+    let violation = report.violation.expect("the search finds the defect");
+    assert_eq!(violation.invariant, invariant);
+}
