--- a/crates/cassiareel/src/kernel/lease/machine.rs
+++ b/crates/cassiareel/src/kernel/lease/machine.rs
@@ -1,24 +1,32 @@
 //! The state machine of one candidate for a lease.
 
 use super::{Record, Timing};
-use crate::kernel::{Fence, Incarnation, NodeId, Time};
+use crate::{
+    kernel::{next_number, Fence, Incarnation, NodeId, Time},
+    store::{StoreEra, StoreVersion},
+};
 
 /// An event of a candidate.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Event {
     /// Time passed.
     Tick,
+    /// An answer named the store's era.
+    EraSeen {
+        /// The era.
+        era: StoreEra,
+    },
     /// The record was read.
     Read {
         /// The object's version and the record; `None` if there is no record.
-        found: Option<(u64, Record)>,
+        found: Option<(StoreVersion, Record)>,
     },
     /// The record could not be read.
     ReadFailed,
     /// The write took effect.
     Written {
         /// The object's new version.
-        version: u64,
+        version: StoreVersion,
     },
     /// Another write changed the record first.
     Conflict,
@@ -35,10 +43,10 @@
 pub enum Action {
     /// Read the record.
     Read,
-    /// Replace the record if it still has this version; version 0 creates it.
+    /// Replace the record if it still has this version, or create it if there is none.
     Write {
         /// The version that the write is conditional on.
-        version: u64,
+        version: StoreVersion,
         /// The new record.
         record: Record,
     },
@@ -58,7 +66,7 @@
 /// A version of the record, with the time at which it was first read.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct ObservedRecord {
-    version: u64,
+    version: StoreVersion,
     record: Record,
     since: Time,
 }
@@ -67,7 +75,7 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 struct PendingWrite {
     fence: Fence,
-    version: u64,
+    version: StoreVersion,
     // INVARIANT: no earlier write with this fencing number and base version was sent.
     sent: Time,
     commands_from: Time,
@@ -80,14 +88,17 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use cassiareel::kernel::lease::{Action, Event, Lease, Timing};
+/// use cassiareel::{
+///     kernel::lease::{Action, Event, Lease, Timing},
+///     store::StoreVersion,
+/// };
 ///
 /// let now = Duration::ZERO;
 /// let mut lease = Lease::new("n1".into(), 1, Timing::default());
 /// assert_eq!(lease.step(now, Event::Tick), Some(Action::Read));
 /// lease.step(now, Event::Read { found: None });
-/// assert!(matches!(lease.step(now, Event::Tick), Some(Action::Write { version: 0, .. })));
-/// lease.step(now, Event::Written { version: 1 });
+/// assert!(matches!(lease.step(now, Event::Tick), Some(Action::Write { .. })));
+/// lease.step(now, Event::Written { version: StoreVersion::new(0, 1) });
 /// assert_eq!(lease.grant(now).unwrap().fence, 1);
 /// assert!(lease.grant(Duration::from_secs(9)).is_none(), "the margin is a second");
 /// ```
@@ -96,6 +107,11 @@
     me: NodeId,
     incarnation: Incarnation,
     timing: Timing,
+    // The store's era, and the time at which this candidate first saw it.
+    era: StoreEra,
+    era_since: Time,
+    // The highest fencing number that this candidate knows of.
+    highest_fence: Fence,
     observed: Option<ObservedRecord>,
     grant: Option<Grant>,
     renew_at: Time,
@@ -116,6 +132,9 @@
             me,
             incarnation,
             timing,
+            era: 0,
+            era_since: Time::ZERO,
+            highest_fence: 0,
             observed: None,
             grant: None,
             renew_at: Time::ZERO,
@@ -142,12 +161,18 @@
         self.observed.as_ref().map(|observed| &observed.record)
     }
 
+    /// Returns the store's era that this candidate knows of.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Handles an event that occurs at the time `now`.
     ///
     /// The caller carries out the returned action, if any, and reports its result as an event.
     pub fn step(&mut self, now: Time, event: Event) -> Option<Action> {
         match event {
             Event::Tick => return self.tick(now),
+            Event::EraSeen { era } => self.observe_era(now, era),
             Event::Read { found } => self.read(now, found),
             Event::ReadFailed => self.call = None,
             Event::Written { version } => self.written(now, version),
@@ -159,6 +184,21 @@
         None
     }
 
+    /// Gives up everything that was based on the records of an earlier era.
+    ///
+    /// The restored record may be older than that of the last holder, who is not known then.
+    fn observe_era(&mut self, now: Time, era: StoreEra) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.era_since = now;
+        self.observed = None;
+        self.grant = None;
+        self.pending = None;
+        self.just_read = false;
+    }
+
     fn tick(&mut self, now: Time) -> Option<Action> {
         if self.call.is_some() || self.released {
             return None;
@@ -194,6 +234,7 @@
                 }
                 _ => now,
             };
+            let wait = wait.max(self.lost_commands_end());
             self.pending = Some(PendingWrite {
                 fence: record.fence,
                 version: *version,
@@ -227,14 +268,23 @@
         let (version, fence) = self
             .observed
             .as_ref()
-            .map_or((0, 0), |observed| (observed.version, observed.record.fence));
-        let increment = u64::from(!self.is_mutated("fence does not increase") || version == 0);
+            .map_or((StoreVersion::NONE, 0), |observed| {
+                (observed.version, observed.record.fence)
+            });
+        let mut era = self.era;
+        let mut last = fence.max(self.highest_fence);
+        if self.is_mutated("fence does not increase") && !version.is_none() {
+            last = fence.saturating_sub(1);
+        }
+        if self.is_mutated("fence ignores the era") {
+            (era, last) = (0, fence);
+        }
         Action::Write {
             version,
             record: Record {
                 holder: Some(self.me.clone()),
                 incarnation: self.incarnation,
-                fence: fence + increment,
+                fence: next_number(last, era),
                 renewal: 0,
             },
         }
@@ -242,6 +292,9 @@
 
     /// Reports whether the holder named in the record must have stopped by now.
     fn may_acquire(&self, now: Time) -> bool {
+        if now < self.lost_grant_end() {
+            return false;
+        }
         let Some(observed) = &self.observed else {
             return true;
         };
@@ -255,6 +308,22 @@
             || now >= observed.since + wait
     }
 
+    /// Returns the end of a grant whose record a restored store has lost.
+    fn lost_grant_end(&self) -> Time {
+        if self.era == 0 || self.is_mutated("no wait in a new era") {
+            return Time::ZERO;
+        }
+        self.era_since + self.timing.duration + self.timing.margin
+    }
+
+    /// Returns the end of the last command under such a grant.
+    fn lost_commands_end(&self) -> Time {
+        match self.era {
+            0 => Time::ZERO,
+            _ => self.lost_grant_end() + self.timing.max_action,
+        }
+    }
+
     fn must_wait_for_commands(&self, record: &Record) -> bool {
         record.holder.is_some() && !self.is_mine(record) && !self.is_mutated("no wait for commands")
     }
@@ -263,21 +332,24 @@
         record.holder.as_ref() == Some(&self.me) && record.incarnation == self.incarnation
     }
 
-    fn read(&mut self, now: Time, found: Option<(u64, Record)>) {
+    fn read(&mut self, now: Time, found: Option<(StoreVersion, Record)>) {
         self.call = None;
         let known = self
             .observed
             .as_ref()
-            .map_or(0, |observed| observed.version);
-        let Some((version, record)) = found.filter(|(version, _)| *version >= known) else {
+            .map_or(StoreVersion::NONE, |observed| observed.version);
+        let Some((version, record)) =
+            found.filter(|(version, _)| *version >= known && version.era() == self.era)
+        else {
             // There is no record yet, or the answer comes from a replica that lags behind.
-            self.just_read = known == 0;
+            self.just_read = known.is_none();
             if let Some(pending) = &mut self.pending {
-                pending.read_back = pending.version == 0;
+                pending.read_back = pending.version.is_none();
             }
             return;
         };
         self.just_read = true;
+        self.highest_fence = self.highest_fence.max(record.fence);
         if version > known {
             self.observed = Some(ObservedRecord {
                 version,
@@ -302,7 +374,7 @@
         }
     }
 
-    fn written(&mut self, now: Time, version: u64) {
+    fn written(&mut self, now: Time, version: StoreVersion) {
         let (Some(Action::Write { record, .. }), Some(pending)) = (self.call.take(), self.pending)
         else {
             return;
@@ -327,6 +399,7 @@
             valid_until: from + self.timing.duration - self.timing.margin,
             commands_from: pending.commands_from,
         });
+        self.highest_fence = self.highest_fence.max(pending.fence);
         self.renew_at = sent + self.timing.renewal_interval();
         self.pending = None;
     }
@@ -355,8 +428,8 @@
             let version = self
                 .observed
                 .as_ref()
-                .map_or(0, |observed| observed.version)
-                + 1;
+                .map_or(StoreVersion::NONE, |observed| observed.version);
+            let version = StoreVersion::new(version.era(), version.revision() + 1);
             return self.written(now, version);
         }
         self.call = None;
@@ -398,6 +471,9 @@
         if self.grant.is_none() {
             self.renew_at = Time::ZERO;
         }
+        if self.era == 0 || now >= self.lost_commands_end() {
+            self.era_since = Time::ZERO;
+        }
         if let Some(observed) = self
             .observed
             .as_mut()
--- a/crates/cassiareel/src/settings/apply.rs
+++ b/crates/cassiareel/src/settings/apply.rs
@@ -16,7 +16,10 @@
     store::{write_head, write_parts, HeadWrite},
     text_digest, AcceptedRevision, ApplyError, Change, Head, LoadedRevision, PartRef, Tree,
 };
-use crate::{kernel::Revision, store::Objects};
+use crate::{
+    kernel::{next_number, Revision},
+    store::{Objects, StoreVersion},
+};
 
 /// The longest time to write an edit's parts before the head is written.
 ///
@@ -135,7 +138,7 @@
             let head = ensure_parts(objects, current.head, &current.text, edit.time_ms).await?;
             (current.version, Some(head), current.tree)
         }
-        None => (0, None, Tree::default()),
+        None => (StoreVersion::NONE, None, Tree::default()),
     };
     let changes = diff(&old_tree, tree);
     if let (Some(head), true) = (&head, changes.is_empty()) {
@@ -151,7 +154,14 @@
     if start.elapsed() > MAX_WRITE_TIME {
         return Err(ApplyError::TimedOut);
     }
-    let revision = head.as_ref().map_or(0, |head| head.accepted.revision) + 1;
+    let last = head.as_ref().map_or(0, |head| head.accepted.revision);
+    // The writes above have shown the store's era; an existing head is replaced in its own era only.
+    let era = if version.is_none() {
+        objects.era()
+    } else {
+        version.era()
+    };
+    let revision = next_number(last, era);
     let references = parts.iter().map(|part| part.reference.clone()).collect();
     let accepted = accepted_revision(edit, revision, &text, references);
     let next = Head::next(head.as_ref(), accepted);
