--- a/crates/cassiareel-relay/src/model/ids.rs
+++ b/crates/cassiareel-relay/src/model/ids.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use cassiareel::store::StoreVersion;
+
 /// The id of a backend server's process.
 pub type BackendId = Arc<str>;
 
@@ -11,9 +13,12 @@
 /// The id that a caller gives to one attempt of a request.
 pub type RequestId = Arc<str>;
 
-/// A revision of the store, which increases with each change.
+/// A revision of the store, which increases with each change within an era.
 pub type Revision = u64;
 
+/// A revision of the store with the era in which the store gave it out.
+pub type StoreRevision = StoreVersion;
+
 /// The name of a service.
 pub type ServiceId = Arc<str>;
 
--- a/crates/cassiareel-relay/src/model/mod.rs
+++ b/crates/cassiareel-relay/src/model/mod.rs
@@ -7,13 +7,14 @@
 mod rollout;
 mod route;
 mod service;
-mod store_revision;
 
+pub use cassiareel::store::StoreEra;
 pub use entry::{Entry, Phase};
-pub use ids::{AccountId, BackendId, DataCentre, RequestId, Revision, ServiceId, Version};
+pub use ids::{
+    AccountId, BackendId, DataCentre, RequestId, Revision, ServiceId, StoreRevision, Version,
+};
 pub use policy::{Account, Limits, Policy};
 pub use request_head::{Prompt, RequestHead};
 pub use rollout::{Rollout, RolloutState};
 pub use route::{Route, RouteKind, Target};
 pub use service::{EngineShape, Service};
-pub use store_revision::{StoreEra, StoreRevision};
