A younger read of an earlier configuration is no update for a peer

Evidence: cache_state_tests.rs, a_younger_read_of_an_earlier_version_is_no_update fails without the change and passes with it.

--- a/crates/cassiareel-relay/src/peers/cache_state.rs
+++ b/crates/cassiareel-relay/src/peers/cache_state.rs
@@ -66,13 +66,15 @@
         let era = |revision: Option<StoreRevision>| revision.map(StoreRevision::era);
         let is_current =
             self.config_era >= other.config_era && era(self.revision) >= era(other.revision);
+        // A read that found an earlier version does not make the other node's one younger.
+        let has_version = self.version >= other.version;
         let has_current_orders = era(self.orders_revision) >= era(other.orders_revision);
         self.losses.is_ahead_of(other.losses)
             || self.version > other.version
             || self.revision > other.revision
             || (self.digest != other.digest && is_fresher(self.members_age, other.members_age))
             || self.orders_revision > other.orders_revision
-            || (is_current && is_fresher(self.age, other.age))
+            || (is_current && has_version && is_fresher(self.age, other.age))
             || (has_current_orders && is_fresher(self.orders_age, other.orders_age))
     }
 }
--- a/crates/cassiareel-relay/src/peers/cache_state_tests.rs
+++ b/crates/cassiareel-relay/src/peers/cache_state_tests.rs
@@ -34,6 +34,21 @@
     is_newer: bool,
 }
 
+/// Such an update would be sent again and again, since it renews nothing at the other node.
+#[test]
+fn a_younger_read_of_an_earlier_version_is_no_update() {
+    let orders_age = Some(Duration::from_millis(500));
+    let own = CacheState {
+        orders_age,
+        ..Known((1, 3), (1, 5), 100).state()
+    };
+    let other = CacheState {
+        orders_age,
+        ..Known((1, 3), (1, 6), 500).state()
+    };
+    assert!(!own.is_newer_than(&other, Duration::ZERO));
+}
+
 #[test_case(&Case { own: Known((1, 3), (1, 5), 500), other: Known((1, 3), (1, 5), 500), is_newer: false }; "the same")]
 #[test_case(&Case { own: Known((1, 3), (1, 5), 100), other: Known((1, 3), (1, 5), 500), is_newer: true }; "younger")]
 #[test_case(&Case { own: Known((1, 3), (1, 5), 500), other: Known((0, 9), (0, 5), 500), is_newer: true }; "a later era with a lower revision")]
