An acknowledged verdict and a lost order hold until a later read shows otherwise

A verdict that the store had acknowledged was taken back for up to a second, when the list that was read before it was applied once more. An order that a restore had lost was dropped by a list that was read before the operator had time to write it again, if that list was applied later.

Cause: both compared with the time of the application, not with that of the read. Evidence: two tests of order_book_tests.rs fail without the change and pass with it.

--- a/crates/cassiareel-relay/src/follow/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/mod.rs
@@ -177,7 +177,7 @@
         self.last_read = Some(began);
         let changes = self
             .book
-            .apply(&orders.rollouts, orders.revision, since, now);
+            .apply(&orders.rollouts, orders.revision, since, began, now);
         if changes.is_new_era {
             self.log_new_era(orders);
         }
--- a/crates/cassiareel-relay/src/kernel/order_book.rs
+++ b/crates/cassiareel-relay/src/kernel/order_book.rs
@@ -119,22 +119,27 @@
             self.verdict = Some((end, revision.era()));
             self.verdict_lost = None;
         }
-        if let Some((end, _)) = self.verdict.filter(|(_, era)| *era < revision.era()) {
-            self.rollout.state = Some(end);
+        let Some((end, era)) = self.verdict else {
+            return;
+        };
+        // A list that lacks the verdict was read before it was written, or the store has lost it.
+        self.rollout.state = Some(end);
+        if era < revision.era() {
             self.verdict_lost.get_or_insert(now);
         }
     }
 }
 
 impl OrderBook {
-    /// Applies the orders of a list at a revision. `since` is when the last read began that did not
-    /// show the new ones: the time of a rollout may have begun as early as that. A list that is
-    /// older than the known one changes nothing.
+    /// Applies the orders of a list at a revision, which was read at `began`. `since` is when the last
+    /// read began that did not show the new ones: the time of a rollout may have begun as early as
+    /// that. A list that is older than the known one changes nothing.
     pub fn apply(
         &mut self,
         rollouts: &[Rollout],
         revision: StoreRevision,
         since: Moment,
+        began: Moment,
         now: Moment,
     ) -> BookChanges {
         if self.revision.is_some_and(|known| revision < known) {
@@ -159,7 +164,7 @@
                 order
             })
             .collect();
-        if !self.is_settled(now) {
+        if !self.is_settled(began) {
             let missing = before.iter().filter(|order| {
                 order.listed_in < revision.era() && !self.has_order_of(&order.rollout.service)
             });
--- a/crates/cassiareel-relay/src/kernel/order_book_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/order_book_tests.rs
@@ -52,7 +52,7 @@
 fn book(state: Option<RolloutState>) -> OrderBook {
     let mut book = OrderBook::default();
     let order = Order { state, ..KNOWN };
-    book.apply(&[order.rollout()], at(0, FIRST), START, START);
+    book.apply(&[order.rollout()], at(0, FIRST), START, START, START);
     book
 }
 
@@ -105,11 +105,11 @@
 fn an_order_is_the_same_across_eras(case: &Case) {
     let mut book = book(KNOWN.state);
     if case.at.era() > 0 {
-        book.apply(&[], at(1, 1), START, START + SECOND);
+        book.apply(&[], at(1, 1), START, START + SECOND, START + SECOND);
     }
     let now = START + SECOND + case.after;
     let orders: Vec<Rollout> = case.order.into_iter().map(Order::rollout).collect();
-    book.apply(&orders, case.at, now, now);
+    book.apply(&orders, case.at, now, now, now);
     let found = match book.orders() {
         [] => Expected::Withdrawn,
         [order] if order.began == START => Expected::Same,
@@ -137,7 +137,7 @@
 fn a_verdict_holds_after_a_restore(case: &VerdictCase) {
     let mut book = book(Some(case.verdict));
     let now = START + SECOND;
-    book.apply(&[case.stored.rollout()], at(1, 30), now, now);
+    book.apply(&[case.stored.rollout()], at(1, 30), now, now, now);
     let [order] = book.orders() else {
         panic!("one order is in force");
     };
@@ -155,19 +155,45 @@
     let id = book.orders()[0].id();
     book.record_verdict(id, ROLLED_BACK, 0);
     let now = START + SECOND;
-    book.apply(&[AGAIN.rollout()], at(1, 26), now, now);
+    book.apply(&[AGAIN.rollout()], at(1, 26), now, now, now);
     assert_eq!(book.orders()[0].lost_verdict(), Some((ROLLED_BACK, now)));
     book.record_verdict(id, ROLLED_BACK, 1);
     assert_eq!(book.orders()[0].lost_verdict(), None);
 }
 
+/// The list that a node has cached is applied once more after the verdict was acknowledged.
+#[test]
+fn an_acknowledged_verdict_holds_when_an_earlier_list_is_applied_again() {
+    let mut book = book(KNOWN.state);
+    let id = book.orders()[0].id();
+    book.record_verdict(id, ROLLED_BACK, 0);
+    let now = START + SECOND;
+    let changes = book.apply(&[KNOWN.rollout()], at(0, FIRST), START, START, now);
+    assert_eq!(book.orders()[0].rollout.state, Some(ROLLED_BACK));
+    assert_eq!(book.orders()[0].lost_verdict(), None);
+    assert!(!changes.changed);
+}
+
+/// The list was read before the operator had time to write its order again, and is applied later.
+#[test]
+fn an_order_holds_until_a_list_is_read_that_should_have_it() {
+    let mut book = book(KNOWN.state);
+    let began = START + SECOND;
+    book.apply(&[], at(1, 26), began, began, began);
+    let later = began + 20 * SECOND;
+    book.apply(&[], at(1, 26), began, began, later);
+    assert_eq!(book.orders().len(), 1);
+    book.apply(&[], at(1, 26), began, later, later);
+    assert!(book.orders().is_empty());
+}
+
 /// A node that starts right after a restore knows no verdict that the store has lost.
 #[test_case(0, Duration::ZERO, true; "never restored")]
 #[test_case(3, 9 * SECOND, false; "a restored store")]
 #[test_case(3, 10 * SECOND, true; "a while after the start")]
 fn a_new_node_of_a_restored_store_reaches_no_verdict_at_once(era: u64, after: Duration, may: bool) {
     let mut book = OrderBook::default();
-    book.apply(&[KNOWN.rollout()], at(era, 10), START, START);
+    book.apply(&[KNOWN.rollout()], at(era, 10), START, START, START);
     assert_eq!(book.may_end(START + after), may);
 }
 
@@ -175,7 +201,7 @@
 #[test]
 fn counts_of_an_order_are_known_by_all_its_revisions() {
     let mut book = book(KNOWN.state);
-    book.apply(&[AGAIN.rollout()], at(1, 26), START, START);
+    book.apply(&[AGAIN.rollout()], at(1, 26), START, START, START);
     let order = &book.orders()[0];
     assert_eq!((order.id(), order.created()), (at(0, 20), at(1, 25)));
     assert!(order.was_created_at(at(0, 20)) && order.was_created_at(at(1, 25)));
@@ -185,9 +211,9 @@
 #[test]
 fn the_first_era_that_a_node_knows_is_settled() {
     let mut book = OrderBook::default();
-    book.apply(&[], at(3, 10), START, START);
+    book.apply(&[], at(3, 10), START, START, START);
     assert!(book.is_settled(START));
-    book.apply(&[], at(4, 5), START, START);
+    book.apply(&[], at(4, 5), START, START, START);
     assert!(!book.is_settled(START + 9 * SECOND));
     assert!(book.is_settled(START + 10 * SECOND));
 }
--- a/crates/cassiareel-relay/src/kernel/verdict_restore_model_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/verdict_restore_model_tests.rs
@@ -117,7 +117,7 @@
         let at = StoreRevision::new(self.era, self.store.revision);
         let rollouts = self.store.rollouts();
         let book = &mut self.nodes[node].book;
-        book.apply(&rollouts, at, self.now, self.now);
+        book.apply(&rollouts, at, self.now, self.now, self.now);
     }
 
     /// Reports whether a node knows a verdict.
