A node whose record a restore has lost leaves the list after a minute

Running nodes write their records again within seconds.

Evidence: a_node_that_does_not_write_its_record_again_is_dropped fails without the change and passes with it.

--- a/crates/cassiareel-relay/src/peers/members_tests.rs
+++ b/crates/cassiareel-relay/src/peers/members_tests.rs
@@ -1,10 +1,10 @@
 //! The list of a fleet's nodes across restores of the store.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use test_case::test_case;
 
-use super::members::Members;
+use super::{members::Members, StoreCache};
 use crate::source::NodeRecord;
 
 fn record(name: &str, port: u16) -> NodeRecord {
@@ -54,3 +54,19 @@
     let nodes = read.keep_lost(&known).records.len();
     assert_eq!(nodes, 2);
 }
+
+/// A VM that is gone for good leaves the list some time after the restore that lost its record.
+#[test]
+fn a_node_that_does_not_write_its_record_again_is_dropped() {
+    let cache = StoreCache::new("a", &Arc::from("z-a"));
+    let nodes_after = |era: u64, names: &[&str], seconds: u64| {
+        let records = names.iter().zip(1..).map(|(name, port)| record(name, port));
+        let list = Arc::new(Members::new(records.collect(), era));
+        cache.update_members(list, Duration::from_secs(seconds));
+        cache.members.get().map(|(list, _)| list.records.len())
+    };
+    assert_eq!(nodes_after(0, &["a", "b"], 100), Some(2));
+    assert_eq!(nodes_after(1, &["a"], 110), Some(2));
+    assert_eq!(nodes_after(1, &["a"], 150), Some(2));
+    assert_eq!(nodes_after(1, &["a"], 171), Some(1));
+}
--- a/crates/cassiareel-relay/src/peers/store_cache.rs
+++ b/crates/cassiareel-relay/src/peers/store_cache.rs
@@ -22,6 +22,10 @@
 /// The number of recent registry listings that are kept to compute changes from.
 const MAX_RECENT_LISTINGS: usize = 8;
 
+/// The time after a restore of the store within which each running node has written its record
+/// again.
+const REJOIN_LIMIT: Duration = Duration::from_secs(60);
+
 /// The newest known contents of the store.
 #[derive(Debug)]
 pub(crate) struct StoreCache {
@@ -42,6 +46,8 @@
     /// Distinguishes this run of the process from any other.
     pub incarnation: u64,
     roster: Mutex<Roster>,
+    /// When the first list of nodes of the store's present era was read.
+    members_era_at: Mutex<Moment>,
     /// The most recent listings of the registry, the newest last.
     recent_listings: Mutex<VecDeque<Arc<Listing>>>,
 }
@@ -59,6 +65,7 @@
             loss_noted: Event::new(),
             incarnation: fastrand::u64(1..),
             roster: Mutex::new(Roster::new(own, data_centre)),
+            members_era_at: Mutex::default(),
             recent_listings: Mutex::default(),
         }
     }
@@ -119,8 +126,10 @@
     pub(crate) fn update_members(&self, members: Arc<Members>, began: Moment) -> bool {
         let members = match self.members.get() {
             Some((known, read)) if (members.era, began) < (known.era, read) => return false,
-            Some((known, _)) => members.keep_lost(&known),
-            None => members,
+            Some((known, _)) if self.may_be_lost(&members, &known, began) => {
+                members.keep_lost(&known)
+            }
+            _ => members,
         };
         self.roster().replace(members.clone());
         self.members.replace(members, began);
@@ -128,6 +137,16 @@
         true
     }
 
+    /// Reports whether nodes that a list lacks may have lost their records in a restore: each one
+    /// that still runs writes its record again within a limit.
+    fn may_be_lost(&self, members: &Members, known: &Members, began: Moment) -> bool {
+        let mut entered = runtime::lock(&self.members_era_at);
+        if known.era < members.era {
+            *entered = began;
+        }
+        began.saturating_sub(*entered) < REJOIN_LIMIT
+    }
+
     /// Returns the newest era of the store that a cached list is of.
     pub(crate) fn newest_era(&self) -> StoreEra {
         let listing = self
