--- a/crates/cassiareel-relay/src/follow/nodes.rs
+++ b/crates/cassiareel-relay/src/follow/nodes.rs
@@ -57,7 +57,14 @@
             joined_at = join(&state, &mut caller).await;
             info!(state.log, "node record written again"; "lost" => others);
         }
-        if let Some(left) = time_to_read(&state, reads, &mut outdated_since) {
+        let interval = if reads > 0 {
+            ReadSchedule::new(RESTORED_LIMIT).read_age(0)
+        } else {
+            Duration::ZERO
+        };
+        let left = time_to_read(&state, reads, &mut outdated_since)
+            .or_else(|| caller.interval_left(interval));
+        if let Some(left) = left {
             Timer::after(left.min(MAX_CHECK_INTERVAL)).await;
             continue;
         }
