A stop ends its open requests also when the process was suspended meanwhile, and lets none begin after its last count

A node that did not run from 0.4 to 0.25 s before the end of its grace period exited without an answer to what was open. And a request that was read between the last count of open requests and the exit was passed on and dropped.

Change: the requests are ended in any case before the exit, which leaves 0.2 s for the answers; they are ended before the last count, and no request is admitted after that.

The second has no test of its own: the window is a few milliseconds.

--- a/crates/cassiareel-relay/src/front/activity.rs
+++ b/crates/cassiareel-relay/src/front/activity.rs
@@ -38,7 +38,7 @@
 impl OpenRequests {
     /// Returns how many requests were read whose answers are not written yet.
     pub(crate) fn count(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+        self.0.load(Ordering::SeqCst)
     }
 }
 
@@ -87,7 +87,7 @@
     }
 
     fn begin(&self) {
-        self.open.0.fetch_add(1, Ordering::Relaxed);
+        self.open.0.fetch_add(1, Ordering::SeqCst);
         self.transitions.fetch_add(1, Ordering::Relaxed);
         self.head_began_us.store(0, Ordering::Relaxed);
     }
--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -93,7 +93,7 @@
     let done = ask
         .last_event
         .map_or(0, |event| state.speeds().tokens(&service, event));
-    if !state.has_time_to_run(&route, &service, &ask.prompt, done) {
+    if state.has_ended_requests() || !state.has_time_to_run(&route, &service, &ask.prompt, done) {
         return Err((Some(ask), STOPPING));
     }
     let content = content::digest(&ask, tenant.as_deref(), &parts.method, &parts.uri, &body);
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -12,7 +12,7 @@
 use smol::Timer;
 
 use crate::{
-    clock,
+    clock::{self, Moment},
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{bind_listener, serve_callers, serve_metrics, serve_readiness, OpenRequests},
     kernel::{ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN},
@@ -31,6 +31,9 @@
 /// Time that is kept back from the grace period for the process's own exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
+/// The least time for the answers to requests that a stop ends.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// The interval at which a stopping node checks what is still open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -131,6 +134,17 @@
     }
 }
 
+/// Waits until the answers to ended requests are written: until shortly before `end`, and for a time
+/// in any case, since a process that was suspended gets here late.
+async fn wait_until_answered(open: &OpenRequests, end: Moment) {
+    let last = end
+        .saturating_sub(EXIT_MARGIN)
+        .max(clock::now() + MIN_ANSWER_TIME);
+    while open.count() > 0 && clock::now() < last {
+        Timer::after(CHECK_INTERVAL).await;
+    }
+}
+
 /// Finishes what is open within the grace period. Requests that are still open shortly before its end
 /// are answered with what is known of them. Returns how many are open at the end: answers of which the
 /// callers have a part.
@@ -142,7 +156,7 @@
     loop {
         let spent = clock::now().saturating_sub(began);
         let done = spent >= ACCEPT_AFTER_STOP.min(grace / 2) && open.count() == 0;
-        if done || spent + EXIT_MARGIN >= grace {
+        if done || spent + ANSWER_MARGIN >= grace {
             break;
         }
         if spent >= BALANCER_DELAY.min(grace / 2) {
@@ -151,11 +165,15 @@
         if spent + HAND_OVER_MARGIN >= grace {
             state.handing_over.store(true, Ordering::Relaxed);
         }
-        if spent + ANSWER_MARGIN >= grace && state.end_requests() {
-            info!(state.log, "requests ended"; "open" => open.count());
-        }
         Timer::after(CHECK_INTERVAL).await;
     }
+    state.handing_over.store(true, Ordering::Relaxed);
+    state.end_requests();
+    // A request that is read from now on is refused, and one that was read before is counted.
+    if open.count() > 0 {
+        info!(state.log, "requests ended"; "open" => open.count());
+    }
+    wait_until_answered(open, began + grace).await;
     let left = open.count();
     info!(state.log, "stopped"; "cut" => left);
     left
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -448,10 +448,14 @@
         })
     }
 
-    /// Ends all requests of which the caller has no part of the answer; returns `false` if they were
-    /// ended before.
-    pub(crate) fn end_requests(&self) -> bool {
-        self.requests_end.0.close()
+    /// Ends all requests of which the caller has no part of the answer.
+    pub(crate) fn end_requests(&self) {
+        self.requests_end.0.close();
+    }
+
+    /// Reports whether requests were ended, so that none may begin.
+    pub(crate) fn has_ended_requests(&self) -> bool {
+        self.requests_end.0.is_closed()
     }
 
     /// Waits until requests are to be answered with what is known, since the process is about to
