--- a/crates/cassiareel-relay/src/kernel/shutdown.rs
+++ b/crates/cassiareel-relay/src/kernel/shutdown.rs
@@ -62,7 +62,7 @@
     times: ExpectedTimes,
 ) -> bool {
     if route.kind == RouteKind::ResumableStream && shutdown.elapsed <= BALANCER_DELAY {
-        return true;
+        return shutdown.remaining > HAND_OVER_MARGIN;
     }
     let usual = times.usual.unwrap_or(route.timeout);
     let slow = times.slow.unwrap_or(route.timeout);
@@ -70,7 +70,11 @@
     let (expected, margin) = match route.kind {
         RouteKind::Idempotent => (usual, ANSWER_MARGIN),
         RouteKind::NonIdempotent => (slow, ANSWER_MARGIN),
-        RouteKind::ResumableStream => (by_size, HAND_OVER_MARGIN),
+        RouteKind::ResumableStream if done > 0 => (by_size, HAND_OVER_MARGIN),
+        RouteKind::ResumableStream => {
+            let usual = times.usual.unwrap_or_default();
+            (usual.max(by_size), HAND_OVER_MARGIN)
+        }
         RouteKind::Stream if prompt.max_output == 0 => (slow, HAND_OVER_MARGIN),
         RouteKind::Stream => (slow.max(by_size), HAND_OVER_MARGIN),
     };
--- a/crates/cassiareel-relay/src/kernel/shutdown_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/shutdown_tests.rs
@@ -91,3 +91,28 @@
     let accepted = accepts_during_shutdown(shutdown, &route, &Prompt::default(), 0, times);
     assert_eq!(accepted, case.accepted);
 }
+
+/// A short stream at an engine with a queue takes longer than its size tells.
+#[test_case(0, false; "a whole stream")]
+#[test_case(5, true; "the rest of a stream")]
+fn a_short_stream_is_accepted_by_the_times_of_recent_runs(done: u64, accepted: bool) {
+    let route = Route {
+        timeout: Duration::from_secs(25),
+        ..samples::route(RouteKind::ResumableStream)
+    };
+    let prompt = Prompt {
+        input: 100,
+        max_output: 10,
+        ..Prompt::default()
+    };
+    let shutdown = Shutdown {
+        elapsed: Duration::from_millis(2_600),
+        remaining: Duration::from_millis(5_400),
+    };
+    let times = ExpectedTimes {
+        usual: Some(Duration::from_secs(7)),
+        slow: None,
+    };
+    let is_accepted = accepts_during_shutdown(shutdown, &route, &prompt, done, times);
+    assert_eq!(is_accepted, accepted);
+}
