--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -137,8 +137,8 @@
             }
             AttemptOutcome::Lost | AttemptOutcome::TimedOut => ran += 1,
         }
-        let timed_out = request.left().is_zero();
-        if timed_out || ran >= request.route.attempts || refused >= MAX_REFUSALS {
+        let is_over = request.left().is_zero() || !request.has_time_to_run(state);
+        if is_over || ran >= request.route.attempts || refused >= MAX_REFUSALS {
             break;
         }
     }
