--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -87,7 +87,10 @@
             Some(stopped) => drop(stopped.recv().await),
             None => future::pending().await,
         }
-        Err(unanswered())
+        let message = "the node stopped before the answer";
+        Err(Refusal::new(StatusCode::GatewayTimeout, message)
+            .with_code("node_stopped")
+            .with_outcome(Outcome::Unknown))
     }
 
     async fn dispatch(&self, req: &mut Request, request_id: &str) -> Result<Response, Refusal> {
@@ -401,7 +404,7 @@
             res.insert_header(headers::CACHE_CONTROL, "no-cache");
             Ok(res)
         }
-        Err(_) => Err(unanswered()),
+        Err(_) => Err(node_stopping()),
     }
 }
 
@@ -424,21 +427,13 @@
                 res.set_content_type(http_types::mime::JSON);
                 return Ok(res);
             }
-            Err(_) => return Err(unanswered()),
+            Err(_) => return Err(node_stopping()),
         }
     }
 }
 
-/// Returns the refusal of a request that may have run before the node stopped, or of a generation
-/// whose driver was dropped without a signal.
-fn unanswered() -> Refusal {
-    let message = "the node stopped before the answer";
-    Refusal::new(StatusCode::GatewayTimeout, message)
-        .with_code("node_stopped")
-        .with_outcome(Outcome::Unknown)
-}
-
-/// Returns the refusal of a request that a node which stops does not start.
+/// Returns the refusal of a request that a node which stops does not start, or of a generation whose
+/// driver was dropped without a signal.
 fn node_stopping() -> Refusal {
     Refusal::busy("the node stops", STOP_RETRY_AFTER)
 }
