review: a call for a copy takes a late answer of another request

Cause: call_engine sends on kept connections and takes the first success for its answer. Change: a case that shows it, with the stand-ins of the review.

--- /dev/null
+++ b/review/standins/store.rs
@@ -0,0 +1,156 @@
+//! A stand-in of the platform's store: objects by kind and name, with one revision.
+
+use std::{
+    collections::BTreeMap,
+    io::{BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+};
+
+use crate::{
+    http::{read_message, response, Message},
+    json::{member, string},
+};
+
+/// An object.
+#[derive(Clone)]
+struct Object {
+    created: u64,
+    revision: u64,
+    spec: String,
+    status: String,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+}
+
+/// A running store.
+#[derive(Clone)]
+pub struct Store {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Store {
+    /// Starts an empty store.
+    pub fn start() -> Store {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let store = Store {
+            address: listener.local_addr().unwrap(),
+            state: Arc::default(),
+        };
+        let served = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let served = served.clone();
+                thread::spawn(move || served.serve(stream));
+            }
+        });
+        store
+    }
+
+    /// Writes an object, as the operator or a runner does.
+    pub fn put(&self, kind: &str, name: &str, spec: &str) {
+        self.state.lock().unwrap().put(kind, name, spec);
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.objects.remove(&(kind.to_owned(), name.to_owned()));
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut writer = stream.try_clone().unwrap();
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(request)) = read_message(&mut reader) {
+            let (status, body) = self.state.lock().unwrap().answer(&request);
+            let headers = "Content-Type: application/json\r\n";
+            if writer.write_all(&response(status, headers, &body)).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+impl State {
+    fn put(&mut self, kind: &str, name: &str, spec: &str) {
+        self.revision += 1;
+        let revision = self.revision;
+        let key = (kind.to_owned(), name.to_owned());
+        let object = self.objects.entry(key).or_insert_with(|| Object {
+            created: revision,
+            revision,
+            spec: String::new(),
+            status: "null".to_owned(),
+        });
+        object.revision = revision;
+        object.spec = spec.to_owned();
+    }
+
+    fn answer(&mut self, request: &Message) -> (u16, String) {
+        let path = request.target().split('?').next().unwrap_or("");
+        let parts: Vec<&str> = path
+            .trim_start_matches("/-/objects/")
+            .split('/')
+            .collect();
+        let body = request.text();
+        let spec = member(&body, "spec").unwrap_or("{}");
+        match (request.method(), &parts[..]) {
+            ("GET", [kind]) => (200, self.list(kind)),
+            ("GET", [kind, name]) => self.read(kind, name, 404),
+            ("POST", [kind]) => {
+                let metadata = member(&body, "metadata").unwrap_or("{}");
+                let name = string(metadata, "name").unwrap_or_default();
+                if self.find(kind, &name).is_some() {
+                    return self.read(kind, &name, 409);
+                }
+                self.put(kind, &name, spec);
+                self.read(kind, &name, 404)
+            }
+            ("PUT", [kind, name]) => {
+                if self.find(kind, name).is_none() {
+                    return (404, "{}".to_owned());
+                }
+                self.put(kind, name, spec);
+                self.read(kind, name, 404)
+            }
+            _ => (404, "{}".to_owned()),
+        }
+    }
+
+    fn find(&self, kind: &str, name: &str) -> Option<&Object> {
+        self.objects.get(&(kind.to_owned(), name.to_owned()))
+    }
+
+    fn read(&self, kind: &str, name: &str, status: u16) -> (u16, String) {
+        match self.find(kind, name) {
+            Some(object) if status == 409 => (409, object.json(name)),
+            Some(object) => (200, object.json(name)),
+            None => (404, "{}".to_owned()),
+        }
+    }
+
+    fn list(&self, kind: &str) -> String {
+        let of_kind = self.objects.iter().filter(|((of, _), _)| of == kind);
+        let items: Vec<String> = of_kind.map(|((_, name), object)| object.json(name)).collect();
+        let items = items.join(",");
+        format!("{{\"items\":[{items}],\"more\":false,\"at\":{}}}", self.revision)
+    }
+}
+
+impl Object {
+    fn json(&self, name: &str) -> String {
+        format!(
+            "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{},\"created-rev\":{},\
+             \"finalizers\":[],\"deleting\":false}},\"spec\":{},\"status\":{}}}",
+            self.revision, self.created, self.spec, self.status
+        )
+    }
+}
