review: doses and excuses of the cases

Cause: case 1 had 5 in 100 wrong answers where the site's largest dose of late copies is 3, case 3 no share at all. Change: at most 3 in 100 since the disruption began; the claims quote the excuses; nodes take ports below those of connections.

--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -41,7 +41,7 @@
 const COPY_TIME: Duration = Duration::from_secs(4);
 
 /// Part of a faulty runner's answers that may be wrong.
-const MAX_WRONG_PART: f64 = 0.05;
+const MAX_WRONG_PART: f64 = 0.03;
 
 /// Bytes a second of an answer that does not end: 800 Mbit/s, below a node's link of 1,000 Mbit/s.
 const ENDLESS_RATE: u64 = 100_000_000;
@@ -154,6 +154,9 @@
 
     /// Sets what is wrong with it.
     pub fn set_trouble(&self, trouble: Trouble) {
+        // The answers before don't count for the part that may be wrong.
+        self.answers.store(0, Ordering::Relaxed);
+        self.wrong_answers.store(0, Ordering::Relaxed);
         *self.trouble.lock().unwrap() = trouble;
     }
 
@@ -273,12 +276,13 @@
                     None,
                 )
             }
-            "/-/kv-move" if self.trouble() == Trouble::EndlessBody => {
+            "/-/kv-move"
+                if self.trouble() == Trouble::EndlessBody && self.take_wrong_answer(0.0) =>
+            {
                 self.record.line(&format!(
                     "{} answers a call for a copy without end",
                     self.id
                 ));
-                self.wrong_answers.fetch_add(1, Ordering::Relaxed);
                 self.write_endless(writer);
                 return None;
             }
--- a/review/standins/foreign_memory.rs
+++ b/review/standins/foreign_memory.rs
@@ -27,7 +27,7 @@
 
 /// Time without the disruption, and with it.
 const CALM: Duration = Duration::from_secs(10);
-const DISRUPTED: Duration = Duration::from_secs(80);
+const DISRUPTED: Duration = Duration::from_secs(95);
 
 /// Callers of streams at each node.
 const CALLERS: usize = 5;
--- a/review/standins/memory_limit.rs
+++ b/review/standins/memory_limit.rs
@@ -33,6 +33,9 @@
 const CALM: Duration = Duration::from_secs(10);
 const DISRUPTED: Duration = Duration::from_secs(30);
 
+/// The time with it where calls for a copy bring it about, which are rare.
+const LONG_DISRUPTED: Duration = Duration::from_secs(70);
+
 /// Callers of streams, and of orders, at each node.
 const STREAM_CALLERS: usize = 9;
 const ORDER_CALLERS: usize = 4;
@@ -132,7 +135,10 @@
             }
         }
     }
-    thread::sleep(DISRUPTED);
+    thread::sleep(match disruption {
+        Disruption::EndlessBody => LONG_DISRUPTED,
+        _ => DISRUPTED,
+    });
     is_over.store(true, Ordering::SeqCst);
     fleet.nodes.iter().for_each(|node| {
         let (kills, ends) = (&node.memory_kills, &node.ends);
@@ -145,6 +151,12 @@
             ends.load(Ordering::Relaxed)
         ));
     });
+    if disruption == Disruption::EndlessBody {
+        let (answers, wrong) = fleet.engines[0].counts();
+        fleet
+            .record
+            .say(&format!("m-0: {wrong} of {answers} answers did not end"));
+    }
     if disruption == Disruption::DrippingAnswers {
         let (answers, wrong) = fleet.services[0].counts();
         fleet
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -8,7 +8,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -51,10 +51,24 @@
     record: Arc<Record>,
 }
 
+/// The first port for nodes, below those that the kernel gives to connections, and the ports of a process.
+const FIRST_PORT: u16 = 10_000;
+const PORTS_PER_PROCESS: u16 = 100;
+const PROCESS_SLOTS: u32 = 200;
+
+/// The number of ports that this process has tried.
+static TRIED_PORTS: AtomicU16 = AtomicU16::new(0);
+
 /// Returns an address at which nothing listens.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().unwrap()
+    let process = (std::process::id() % PROCESS_SLOTS) as u16;
+    loop {
+        let offset = TRIED_PORTS.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
+        let port = FIRST_PORT + process * PORTS_PER_PROCESS + offset;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return SocketAddr::from(([127, 0, 0, 1], port));
+        }
+    }
 }
 
 impl Node {
--- a/review/standins/service.rs
+++ b/review/standins/service.rs
@@ -81,6 +81,8 @@
 
     /// Makes some of its answers go on without end.
     pub fn set_faulty(&self) {
+        // The answers before don't count for the part that may be wrong.
+        self.answers.store(0, Ordering::Relaxed);
         self.is_faulty.store(true, Ordering::Relaxed);
     }
 
