--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{HashMap, HashSet},
     io::{self, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         atomic::{AtomicU64, Ordering},
         Arc, Mutex,
@@ -56,8 +56,16 @@
     /// It sends a second copy of an answer late, where the next one is expected, and breaks a stream
     /// off.
     LateCopies,
+    /// Its process crashes a while after the first event of a deadly request.
+    Deadly {
+        /// The events that it writes for such a request.
+        events: u64,
+    },
 }
 
+/// The path of a request that is deadly where the runners have [`Trouble::Deadly`].
+pub const DEADLY_PATH: &str = "/draft/deadly";
+
 /// A copy of a run's memory at a runner.
 struct Copy {
     holder: SocketAddr,
@@ -105,6 +113,11 @@
     pub foreign_runs: AtomicU64,
     /// The requests that it ran.
     ran: Mutex<HashSet<String>>,
+    /// The times at which deadly requests reached it, since the record's start.
+    pub deadly_arrivals: Mutex<Vec<Duration>>,
+    /// When its process crashed.
+    pub crashed: Mutex<Option<Duration>>,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Engine {
@@ -130,10 +143,19 @@
             prefill: Mutex::new(()),
             foreign_runs: AtomicU64::new(0),
             ran: Mutex::default(),
+            deadly_arrivals: Mutex::default(),
+            crashed: Mutex::default(),
+            connections: Mutex::default(),
         });
         let served = engine.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if served.has_crashed() {
+                    return;
+                }
+                if let Ok(kept) = stream.try_clone() {
+                    served.connections.lock().unwrap().push(kept);
+                }
                 let served = served.clone();
                 thread::spawn(move || served.serve(stream));
             }
@@ -171,6 +193,27 @@
         self.ran.lock().unwrap().contains(id)
     }
 
+    /// Reports whether its process has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.crashed.lock().unwrap().is_some()
+    }
+
+    /// Ends its process: its connections are closed, and nothing listens at its address.
+    fn crash(&self, cause: &str) {
+        if self.crashed.lock().unwrap().replace(self.record.age()).is_some() {
+            return;
+        }
+        self.record.say(&format!("{} crashes, running {cause}", self.id));
+        // Wakes the accepting thread, which then drops the listener.
+        let _ = TcpStream::connect(self.address);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        let mut memory = self.memory.lock().unwrap();
+        memory.copies.retain(|copy| copy.holder != self.address);
+        memory.runs.retain(|(at, _), _| *at != self.address);
+    }
+
     fn trouble(&self) -> Trouble {
         *self.trouble.lock().unwrap()
     }
@@ -453,11 +496,19 @@
             });
         }
         self.ran.lock().unwrap().insert(id.clone());
+        let crash_after = match self.trouble() {
+            Trouble::Deadly { events } if request.target() == DEADLY_PATH => Some(events),
+            _ => None,
+        };
+        if crash_after.is_some() {
+            let now = self.record.age();
+            self.deadly_arrivals.lock().unwrap().push(now);
+        }
         self.record.line(&format!(
             "{} runs {id} after {after}, reads {unread} tokens",
             self.id
         ));
-        let written = self.write_stream(&key, &text_of, after, unread, writer);
+        let written = self.write_stream(&key, &text_of, after, unread, crash_after, writer);
         let mut memory = self.memory.lock().unwrap();
         memory.runs.remove(&key);
         let until = Instant::now() + COPY_TIME;
@@ -473,6 +524,7 @@
         text_of: &str,
         after: u64,
         unread: u64,
+        crash_after: Option<u64>,
         writer: &mut TcpStream,
     ) -> io::Result<()> {
         let id = &key.1;
@@ -493,7 +545,9 @@
             let event = format!("id: {number}\ndata: {text_of}/{number}\n\n");
             let is_cut = {
                 let mut memory = self.memory.lock().unwrap();
-                let run = memory.runs.get_mut(key).expect("the run is open");
+                let Some(run) = memory.runs.get_mut(key) else {
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                };
                 run.events += 1;
                 run.tokens += EVENT_TOKENS;
                 run.is_cut
@@ -510,6 +564,10 @@
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
             writer.write_all(&chunk(event.as_bytes()))?;
+            if crash_after.is_some_and(|events| number >= after + events) {
+                self.crash(id);
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
         }
         writer.write_all(b"0\r\n\r\n")
     }
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -43,6 +43,7 @@
     pub services: Vec<Arc<Service>>,
     pub nodes: Vec<Arc<Node>>,
     folder: PathBuf,
+    memory: Arc<Mutex<Memory>>,
     prompt_tokens: u64,
     next_request: AtomicU64,
 }
@@ -88,6 +89,7 @@
             services,
             nodes,
             folder,
+            memory,
             prompt_tokens: size.prompt_tokens,
             next_request: AtomicU64::new(1),
         };
@@ -122,6 +124,26 @@
         .into_bytes()
     }
 
+    /// Returns a request for a stream with the same content each time, but for its id.
+    pub fn same_stream_request(&self, id: &str, path: &str) -> Vec<u8> {
+        let tokens = self.prompt_tokens;
+        let body = "y".repeat(tokens as usize);
+        format!(
+            "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Cassiareel-Request-Id: {id}\r\n\
+             X-Cassiareel-Deadline-Ms: 25000\r\nApi-Key: {KEY}\r\nX-Cassiareel-Model: m\r\n\
+             X-Cassiareel-Token-Count: {tokens},1040\r\n\
+             X-Cassiareel-Prompt-Prefix: aa3:200,7fffffff:{}\r\nContent-Length: {}\r\n\r\n{body}",
+            tokens - 200,
+            body.len()
+        )
+        .into_bytes()
+    }
+
+    /// Returns the memory that new runners share with the others.
+    pub fn memory(&self) -> Arc<Mutex<Memory>> {
+        self.memory.clone()
+    }
+
     /// Returns a request for an order, which may run once.
     pub fn order_request(&self, id: &str) -> Vec<u8> {
         self.order_request_by(id, KEY)
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 //! environment the disruption is left out.
 
 mod client;
+mod deadly;
 mod engine;
 mod fleet;
 mod foreign_memory;
@@ -13,9 +14,12 @@
 mod memory_limit;
 mod node;
 mod record;
+mod reloaded_bound;
 mod revoked_key;
+mod rollout;
 mod service;
 mod store;
+mod versions;
 
 use std::{path::PathBuf, process::ExitCode};
 
@@ -48,6 +52,10 @@
         "packet-bodies" => memory_limit::run(record, Disruption::PacketBodies, has_trouble),
         "foreign-memory" => foreign_memory::run(record, has_trouble),
         "revoked-key" => revoked_key::run(record, has_trouble),
+        "bad-version" => rollout::run(record, &rollout::BAD_VERSION, has_trouble),
+        "second-order" => rollout::run(record, &rollout::SECOND_ORDER, has_trouble),
+        "deadly-request" => deadly::run(record, has_trouble),
+        "reloaded-bound" => reloaded_bound::run(record, has_trouble),
         _ => Verdict::NotRun,
     };
     ExitCode::from(match verdict {
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -20,9 +20,11 @@
 /// Has the kernel send a process the signal in the second argument when its parent ends.
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGHUP: i32 = 1;
 
 extern "C" {
     fn prctl(option: i32, arg2: u64, arg3: u64, arg4: u64, arg5: u64) -> i32;
+    fn kill(id: i32, signal: i32) -> i32;
 }
 
 /// How often the platform looks at a process.
@@ -132,6 +134,17 @@
         let _ = self.child.lock().unwrap().kill();
     }
 
+    /// Changes the settings file, and sends SIGHUP.
+    pub fn change_settings(&self, old: &str, new: &str) {
+        let text = fs::read_to_string(&self.settings).unwrap_or_default();
+        let _ = fs::write(&self.settings, text.replace(old, new));
+        let id = self.child.lock().unwrap().id();
+        // SAFETY: the call takes plain numbers; the process is a child of this one.
+        let _ = unsafe { kill(id as i32, SIGHUP) };
+        self.record
+            .say(&format!("the settings of {} change: {new}; SIGHUP", self.name));
+    }
+
     /// Returns the last line of the log that contains a text.
     pub fn last_line(&self, text: &str) -> Option<String> {
         let log = fs::read_to_string(&self.log).unwrap_or_default();
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -65,6 +65,20 @@
         self.state.lock().unwrap().put(kind, name, spec);
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.objects.remove(&(kind.to_owned(), name.to_owned()));
+    }
+
+    /// Returns the status of an object, as JSON.
+    pub fn status(&self, kind: &str, name: &str) -> String {
+        let state = self.state.lock().unwrap();
+        let object = state.find(kind, name);
+        object.map_or("null".to_owned(), |object| object.status.clone())
+    }
+
     /// Returns a copy of the contents.
     pub fn copy(&self) -> Copy {
         let state = self.state.lock().unwrap();
@@ -76,6 +90,16 @@
         self.state.lock().unwrap().is_away = true;
     }
 
+    /// Turns all calls of nodes away with 503, which says that nothing was done; it serves the operator.
+    pub fn turn_away(&self) {
+        self.state.lock().unwrap().is_away = true;
+    }
+
+    /// Serves all calls again.
+    pub fn serve_all(&self) {
+        self.state.lock().unwrap().is_away = false;
+    }
+
     /// Comes back from a copy. Revisions go back, and the era rises by one.
     pub fn come_back(&self, copy: Copy) {
         let mut state = self.state.lock().unwrap();
@@ -148,10 +172,33 @@
                 self.put(kind, name, spec);
                 self.read(kind, name, 404)
             }
+            ("PUT", [kind, name, "status"]) => self.put_status(kind, name, &body),
             _ => (404, "{}".to_owned()),
         }
     }
 
+    /// Replaces the status of an object, if the revision that the call carries is the object's.
+    fn put_status(&mut self, kind: &str, name: &str, body: &str) -> (u16, String) {
+        let metadata = member(body, "metadata").unwrap_or("{}");
+        let expected: Option<u64> = member(metadata, "revision").and_then(|text| text.parse().ok());
+        let status = member(body, "status").unwrap_or("null").to_owned();
+        let next = self.revision + 1;
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(object) = self.objects.get_mut(&key) else {
+            return (404, "{}".to_owned());
+        };
+        if expected.is_some_and(|expected| expected != object.revision) {
+            return (409, object.json(name));
+        }
+        // A PUT that changes nothing does not increase the revision.
+        if object.status != status {
+            object.status = status;
+            object.revision = next;
+            self.revision = next;
+        }
+        self.read(kind, name, 404)
+    }
+
     fn find(&self, kind: &str, name: &str) -> Option<&Object> {
         self.objects.get(&(kind.to_owned(), name.to_owned()))
     }
