--- a/review/standins/deadly.rs
+++ b/review/standins/deadly.rs
@@ -1,4 +1,5 @@
-//! One request crashes each runner that runs it, a while after its first event, and comes again.
+//! One request crashes each runner that runs it, and comes again: a while after its first event, or at once while all
+//! nodes are killed and started again.
 
 use std::{
     sync::{
@@ -25,9 +26,30 @@
     prompt_tokens: 2000,
 };
 
-/// Events that a runner writes for the deadly request before it crashes, 45 ms each, unless `EVENTS` in the
-/// environment says otherwise.
-const EVENTS: u64 = 12;
+/// One case.
+pub struct Case {
+    /// Events that a runner writes for the deadly request before it crashes, 45 ms each, unless `EVENTS` in the
+    /// environment says otherwise.
+    events: u64,
+    /// Whether the disruption is that all nodes are killed once. Otherwise it is the deadly request.
+    has_kill: bool,
+}
+
+/// The runners crash half a second after the first event.
+pub const LATE_CRASH: Case = Case {
+    events: 12,
+    has_kill: false,
+};
+
+/// The runners crash at once, and all nodes are killed after the request was held.
+pub const KILLED_NODES: Case = Case {
+    events: 1,
+    has_kill: true,
+};
+
+/// When the nodes are killed, and how long no deadly request comes after that: longer than they need to be in touch.
+const KILL_AT: Duration = Duration::from_secs(20);
+const QUIET_TIME: Duration = Duration::from_secs(8);
 
 /// How long after a crash the runner is back, as another process.
 const RESTART_TIME: Duration = Duration::from_secs(3);
@@ -50,18 +72,19 @@
 const RUN_TIME: Duration = Duration::from_secs(60);
 
 /// Runs the case.
-pub fn run(record: Record, has_trouble: bool) -> Verdict {
+pub fn run(record: Record, case: &Case, has_trouble: bool) -> Verdict {
     let Some(fleet) = Fleet::start(&SIZE, record) else {
         return Verdict::NotRun;
     };
     let fleet = Arc::new(fleet);
     let events = std::env::var("EVENTS").ok().and_then(|text| text.parse().ok());
-    let trouble = match has_trouble {
+    let trouble = match has_trouble || case.has_kill {
         true => Trouble::Deadly {
-            events: events.unwrap_or(EVENTS),
+            events: events.unwrap_or(case.events),
         },
         false => Trouble::None,
     };
+    let mut has_killed = !(has_trouble && case.has_kill);
     let engines = Arc::new(Mutex::new(fleet.engines.clone()));
     for engine in fleet.engines.iter() {
         engine.set_trouble(trouble);
@@ -81,6 +104,15 @@
     let began = fleet.record.age();
     let mut answers = Vec::new();
     while fleet.record.age() < began + RUN_TIME {
+        if !has_killed && fleet.record.age() > began + KILL_AT {
+            has_killed = true;
+            fleet.nodes.iter().for_each(|node| node.kill());
+            thread::sleep(QUIET_TIME);
+            if !fleet.nodes.iter().all(|node| node.is_ready()) {
+                fleet.record.say("a node is not ready after its restart");
+                return Verdict::NotRun;
+            }
+        }
         let node = answers.len() % fleet.nodes.len();
         let id = fleet.next_id();
         fleet.record.line(&format!("{id}, the deadly request, is sent to front-{}", node + 1));
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -54,7 +54,8 @@
         "revoked-key" => revoked_key::run(record, has_trouble),
         "bad-version" => rollout::run(record, &rollout::BAD_VERSION, has_trouble),
         "second-order" => rollout::run(record, &rollout::SECOND_ORDER, has_trouble),
-        "deadly-request" => deadly::run(record, has_trouble),
+        "deadly-request" => deadly::run(record, &deadly::LATE_CRASH, has_trouble),
+        "forgotten-crashes" => deadly::run(record, &deadly::KILLED_NODES, has_trouble),
         "reloaded-bound" => reloaded_bound::run(record, has_trouble),
         _ => Verdict::NotRun,
     };
