--- a/review/standins/deadly.rs
+++ b/review/standins/deadly.rs
@@ -77,7 +77,9 @@
         return Verdict::NotRun;
     };
     let fleet = Arc::new(fleet);
-    let events = std::env::var("EVENTS").ok().and_then(|text| text.parse().ok());
+    let events = std::env::var("EVENTS")
+        .ok()
+        .and_then(|text| text.parse().ok());
     let trouble = match has_trouble || case.has_kill {
         true => Trouble::Deadly {
             events: events.unwrap_or(case.events),
@@ -94,11 +96,15 @@
     let mut threads = Vec::new();
     for number in 0..SOUND_CALLERS {
         let (fleet, is_over) = (fleet.clone(), is_over.clone());
-        threads.push(thread::spawn(move || call_soundly(&fleet, number, &is_over)));
+        threads.push(thread::spawn(move || {
+            call_soundly(&fleet, number, &is_over)
+        }));
     }
     {
         let (fleet, is_over, engines) = (fleet.clone(), is_over.clone(), engines.clone());
-        threads.push(thread::spawn(move || restart_crashed(&fleet, &engines, trouble, &is_over)));
+        threads.push(thread::spawn(move || {
+            restart_crashed(&fleet, &engines, trouble, &is_over)
+        }));
     }
     thread::sleep(Duration::from_secs(3));
     let began = fleet.record.age();
@@ -115,7 +121,10 @@
         }
         let node = answers.len() % fleet.nodes.len();
         let id = fleet.next_id();
-        fleet.record.line(&format!("{id}, the deadly request, is sent to front-{}", node + 1));
+        fleet.record.line(&format!(
+            "{id}, the deadly request, is sent to front-{}",
+            node + 1
+        ));
         let mut client = Client::new(fleet.nodes[node].front);
         let outcome = client.call(&fleet.same_stream_request(&id, DEADLY_PATH));
         let ending = match &outcome {
@@ -124,12 +133,16 @@
             Outcome::Cut(events) => format!("broken off after {} events", events.len()),
             other => format!("{other:?}"),
         };
-        fleet.record.say(&format!("{id} at front-{}: {ending}", node + 1));
+        fleet
+            .record
+            .say(&format!("{id} at front-{}: {ending}", node + 1));
         answers.push(ending);
         thread::sleep(REPEAT_DELAY);
     }
     is_over.store(true, Ordering::SeqCst);
-    threads.into_iter().for_each(|thread| thread.join().unwrap());
+    threads
+        .into_iter()
+        .for_each(|thread| thread.join().unwrap());
     let engines = engines.lock().unwrap();
     let mut crashes: Vec<Duration> = engines
         .iter()
@@ -199,7 +212,10 @@
                 back.push(engine.id.clone());
                 restarted += 1;
                 let id = format!("m-r{restarted}");
-                let zone = ZONES[ZONES.iter().position(|zone| *zone == engine.zone).unwrap_or(0)];
+                let zone = ZONES[ZONES
+                    .iter()
+                    .position(|zone| *zone == engine.zone)
+                    .unwrap_or(0)];
                 let next = Engine::start(&id, zone, &fleet.memory(), &fleet.record);
                 next.set_trouble(trouble);
                 fleet.store.put("servers", &id, &next.entry("models"));
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -200,10 +200,17 @@
 
     /// Ends its process: its connections are closed, and nothing listens at its address.
     fn crash(&self, cause: &str) {
-        if self.crashed.lock().unwrap().replace(self.record.age()).is_some() {
+        if self
+            .crashed
+            .lock()
+            .unwrap()
+            .replace(self.record.age())
+            .is_some()
+        {
             return;
         }
-        self.record.say(&format!("{} crashes, running {cause}", self.id));
+        self.record
+            .say(&format!("{} crashes, running {cause}", self.id));
         // Wakes the accepting thread, which then drops the listener.
         let _ = TcpStream::connect(self.address);
         for connection in self.connections.lock().unwrap().drain(..) {
--- a/review/standins/foreign_memory.rs
+++ b/review/standins/foreign_memory.rs
@@ -80,7 +80,9 @@
     for engine in fleet.engines.iter().take(FAULTY) {
         let (answers, wrong) = engine.counts();
         let id = &engine.id;
-        fleet.record.say(&format!("{id}: {wrong} of {answers} answers were wrong"));
+        fleet
+            .record
+            .say(&format!("{id}: {wrong} of {answers} answers were wrong"));
     }
     let foreign = foreign.load(Ordering::SeqCst);
     fleet.record.say(&format!(
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -141,8 +141,10 @@
         let id = self.child.lock().unwrap().id();
         // SAFETY: the call takes plain numbers; the process is a child of this one.
         let _ = unsafe { kill(id as i32, SIGHUP) };
-        self.record
-            .say(&format!("the settings of {} change: {new}; SIGHUP", self.name));
+        self.record.say(&format!(
+            "the settings of {} change: {new}; SIGHUP",
+            self.name
+        ));
     }
 
     /// Returns the last line of the log that contains a text.
--- a/review/standins/reloaded_bound.rs
+++ b/review/standins/reloaded_bound.rs
@@ -57,9 +57,9 @@
         fleet.record.say("the node did not read its settings again");
         return Verdict::NotRun;
     }
-    fleet
-        .record
-        .say(&format!("the settings are in force: revoke_ms = {REVOKE_MS}"));
+    fleet.record.say(&format!(
+        "the settings are in force: revoke_ms = {REVOKE_MS}"
+    ));
     let is_over = Arc::new(AtomicBool::new(false));
     let sent: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
     let caller = {
--- a/review/standins/rollout.rs
+++ b/review/standins/rollout.rs
@@ -118,7 +118,9 @@
     ));
     let verdict = deployment.check(target, ordered);
     deployment.is_over.store(true, Ordering::SeqCst);
-    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    callers
+        .into_iter()
+        .for_each(|caller| caller.join().unwrap());
     deployment.nodes.iter().for_each(|node| node.end());
     if std::env::var_os("KEEP").is_none() {
         let _ = std::fs::remove_dir_all(&folder);
@@ -202,7 +204,8 @@
                 continue;
             }
             let now = self.record.age();
-            self.record.say(&format!("the system says: {target} {state}"));
+            self.record
+                .say(&format!("the system says: {target} {state}"));
             if state == "completed" {
                 for runner in old {
                     runner.stop();
@@ -235,8 +238,7 @@
                  X-Cassiareel-Deadline-Ms: 1500\r\nApi-Key: {KEY}\r\nContent-Length: 5\r\n\r\norder"
             );
             self.sent.lock().unwrap().insert(id.clone(), began);
-            self.record
-                .line(&format!("{id} is sent to {}", node.name));
+            self.record.line(&format!("{id} is sent to {}", node.name));
             match client.call(request.as_bytes()) {
                 Outcome::Answer(answer) => self
                     .record
@@ -280,9 +282,10 @@
             };
             let sent = self.sent.lock().unwrap();
             let arrivals = version.arrivals.lock().unwrap();
-            let late = arrivals
-                .iter()
-                .find(|(_, id)| sent.get(id).is_some_and(|sent| *sent > *last + ROLLBACK_TIME));
+            let late = arrivals.iter().find(|(_, id)| {
+                sent.get(id)
+                    .is_some_and(|sent| *sent > *last + ROLLBACK_TIME)
+            });
             if let Some((at, id)) = late {
                 self.record.say(&format!(
                     "EXPOSURE: {id} was sent {} ms after the 50th bad answer of {target} and reached it at {} ms; \
@@ -295,7 +298,8 @@
             }
         }
         let failures = version.failures.lock().unwrap().len();
-        self.record.say(&format!("{target} has given {failures} bad answers"));
+        self.record
+            .say(&format!("{target} has given {failures} bad answers"));
         Verdict::Held
     }
 }
