--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -182,6 +182,12 @@
         *self.trouble.lock().unwrap() = trouble;
     }
 
+    /// Sets what is wrong with it again. Its answers so far go on counting, and those that it gives with
+    /// nothing wrong don't.
+    pub fn change_trouble(&self, trouble: Trouble) {
+        *self.trouble.lock().unwrap() = trouble;
+    }
+
     /// Returns how many answers it gave, and how many of them were wrong.
     pub fn counts(&self) -> (u64, u64) {
         let answers = self.answers.load(Ordering::Relaxed);
@@ -243,7 +249,9 @@
         // A second copy of the last answer, and the request that the answer was about.
         let mut late_copy: Option<(Vec<u8>, String)> = None;
         while let Ok(Some(request)) = read_message(&mut reader) {
-            self.answers.fetch_add(1, Ordering::Relaxed);
+            if self.trouble() != Trouble::None {
+                self.answers.fetch_add(1, Ordering::Relaxed);
+            }
             let mut confused = None;
             if let Some((bytes, about)) = late_copy.take() {
                 if writer.write_all(&bytes).is_err() {
--- a/review/standins/foreign_memory.rs
+++ b/review/standins/foreign_memory.rs
@@ -29,6 +29,11 @@
 const CALM: Duration = Duration::from_secs(10);
 const DISRUPTED: Duration = Duration::from_secs(95);
 
+/// The length of a disruption, and the pause between two: the site file plays it for 5 s, and it may come more than
+/// once.
+const TROUBLE_S: u64 = 5;
+const PAUSE_S: u64 = 1;
+
 /// Callers of streams at each node.
 const CALLERS: usize = 10;
 
@@ -70,8 +75,18 @@
             .map(|engine| engine.foreign_runs.load(Ordering::Relaxed));
         counts.sum()
     };
-    for _ in 0..DISRUPTED.as_secs() {
+    for second in 1..=DISRUPTED.as_secs() {
         thread::sleep(Duration::from_secs(1));
+        let phase = second % (TROUBLE_S + PAUSE_S);
+        if has_trouble && (phase == 0 || phase == TROUBLE_S) {
+            let trouble = if phase == 0 {
+                Trouble::LateCopies
+            } else {
+                Trouble::None
+            };
+            let faulty = fleet.engines.iter().take(FAULTY);
+            faulty.for_each(|engine| engine.change_trouble(trouble));
+        }
         if foreign.load(Ordering::SeqCst) > 0 {
             break;
         }
