Rollouts: an order that replaces another one begins anew

Cause: counts, times and verdicts were kept by the revision at which the object of a service was created, and the status by the target alone. The operator overwrites the object with each order, so both stay.

Change: an order is the object's revision with its contents and without a state of it. The first report writes that number, target and duration into the status under the condition that the object is still at it; a change that leaves the status as it was is the operator's. Counts, draws, pooled records and verdicts are kept by it, and dropped with the order. Versions that an earlier order left without completing them get requests only where no other version is, and the status names them to nodes that start. A version that left and returns waits for orders that were read since.

Why it works: the number is fixed by a conditional write, so all nodes and one that starts later find the same one, and it changes with each order.

The tests of covered versions pass the whole registry, as the caller does.

--- a/crates/cassiareel-relay/src/follow/rollouts/decision.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/decision.rs
@@ -67,8 +67,8 @@
         };
         let Pooled { elapsed, old, new } = pooled;
         info!(self.state.log, "rollout verdict"; "service" => &*order.rollout.service,
-            "target" => &*order.rollout.target, "verdict" => ?verdict,
-            "elapsed_ms" => elapsed.as_millis() as u64, "old" => format_tally(old),
+            "target" => &*order.rollout.target, "order" => order.id().to_string(),
+            "verdict" => ?verdict, "elapsed_ms" => elapsed.as_millis() as u64, "old" => format_tally(old),
             "new" => format_tally(new));
         match self.report(order, verdict).await {
             // Another node has already written a verdict; it is read next time.
@@ -102,7 +102,7 @@
     /// later one, its revision may be that of another order.
     fn is_writable(&self, order: &KnownOrder) -> bool {
         let newest = self.state.store_cache.newest_era().max(self.pooled_era);
-        self.book.is_listed(order) && order.created().era() == newest
+        self.book.is_listed(order) && order.newest_id().era() == newest
     }
 
     /// Writes the state of a rollout for the operator.
@@ -114,17 +114,18 @@
         let rollout = &order.rollout;
         let source = &self.state.source;
         match source.write_rollout_state(rollout, verdict).await {
-            Ok(era) if era == order.created().era() => {
-                self.book.record_verdict(order.id(), verdict, era);
-                Ok(())
-            }
-            Ok(era) => {
-                // The revision may be that of another order now. The next list of that era shows
-                // whether this one has its verdict.
-                warn!(self.state.log, "verdict written in a new era"; "service" => &*rollout.service,
-                    "verdict" => ?verdict, "era" => era);
-                let read_in = order.created().era();
-                self.book.record_verdict(order.id(), verdict, read_in);
+            Ok(at) => {
+                let read_in = order.newest_id().era();
+                let is_same_era = at.era() == read_in;
+                if !is_same_era {
+                    // The revision may be that of another order now. The next list of that era shows
+                    // whether this one has its verdict.
+                    warn!(self.state.log, "verdict written in a new era";
+                        "service" => &*rollout.service, "verdict" => ?verdict, "era" => at.era());
+                }
+                let revision = is_same_era.then_some(at.revision());
+                self.book
+                    .record_state(order.id(), verdict, read_in, revision);
                 Ok(())
             }
             Err(err) => {
@@ -161,8 +162,8 @@
 /// Reports whether counts of a service are of an order.
 fn is_of(order: &KnownOrder, count: &Counts) -> bool {
     match count.era {
-        Some(era) => order.was_created_at(StoreRevision::new(era, count.order)),
-        None => order.rollout.created == count.order,
+        Some(era) => order.has_id(StoreRevision::new(era, count.order)),
+        None => order.rollout.order == count.order,
     }
 }
 
--- a/crates/cassiareel-relay/src/follow/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/mod.rs
@@ -175,12 +175,14 @@
             .last_read
             .map_or(began, |last| last.max(began.saturating_sub(IDLE_LIMIT)));
         self.last_read = Some(began);
+        let before: Vec<StoreRevision> = self.book.orders().iter().map(KnownOrder::id).collect();
         let changes = self
             .book
             .apply(&orders.rollouts, orders.revision, since, began, now);
         if changes.is_new_era {
             self.log_new_era(orders);
         }
+        self.log_new_orders(&before, orders.revision);
         let list = (orders.revision, self.book.is_settled(began));
         let is_new = !self.is_active && self.applied != Some(list);
         let counts_due = self.is_active && now.saturating_sub(self.applied_at) >= POOLING_INTERVAL;
@@ -205,6 +207,7 @@
                 target: order.rollout.target.clone(),
                 split: decision.split,
                 trial_budget: AtomicU32::new(own_share(&self.state, missing)),
+                unproven: order.rollout.unproven.as_slice().into(),
             };
             rollouts.insert(order.rollout.service.clone(), active);
         }
@@ -234,6 +237,19 @@
         within(least, self.state.wait_version()).await;
     }
 
+    /// Logs the orders that came into force with a list, other than those in `before`.
+    fn log_new_orders(&self, before: &[StoreRevision], list: StoreRevision) {
+        let orders = self.book.orders().iter();
+        for order in orders.filter(|order| !before.contains(&order.id())) {
+            let rollout = &order.rollout;
+            info!(self.state.log, "rollout order"; "service" => &*rollout.service,
+                "target" => &*rollout.target, "order" => order.id().to_string(),
+                "duration_ms" => rollout.duration.as_millis() as u64,
+                "state" => ?rollout.state, "unproven" => ?rollout.unproven,
+                "list" => list.to_string());
+        }
+    }
+
     /// Logs the first list of a new era of the store.
     fn log_new_era(&self, orders: &Orders) {
         let known = self.book.orders();
--- a/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
@@ -49,8 +49,8 @@
                 let counted = rollouts.counts_of(service, order.id());
                 Counts {
                     service: service.clone(),
-                    order: order.rollout.created,
-                    era: Some(order.created().era()),
+                    order: order.newest_id().revision(),
+                    era: Some(order.newest_id().era()),
                     known_ms: now.saturating_sub(order.began).as_millis() as u64,
                     old: counted.old,
                     new: counted.new,
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -9,7 +9,7 @@
     backends::{Backend, ServiceBackends},
     clock::{self, Moment},
     kernel::{choose, Candidate, RequestDemand},
-    rollouts::VersionRule,
+    rollouts::VersionRank,
     state::State,
 };
 
@@ -228,29 +228,25 @@
             .rollouts
             .is_covered(&request.service, &member.entry.version)
     };
-    let (wanted, version, strict) = match state.rollouts.version_rule(&request.service) {
-        VersionRule::Any => (None, None, false),
-        VersionRule::Prefer(version) => (Some(true), Some(version), false),
-        VersionRule::Avoid(version) => (Some(false), Some(version), false),
-        VersionRule::Never(version) => (Some(false), Some(version), true),
-    };
-    let matches_rule = |member: &Backend| {
-        wanted.is_none_or(|wanted| (Some(&member.entry.version) == version.as_ref()) == wanted)
-    };
+    let rule = state.rollouts.version_rule(&request.service);
+    let unproven = state.rollouts.unproven_versions(&request.service);
+    let rank = |member: &Backend| rule.rank(&member.entry.version, &unproven);
     // The new version's share may go elsewhere where its limits leave no permit. The rest may not go
     // to the new version for that reason.
     let is_usable = |member: &Backend| {
-        wanted != Some(true)
+        rank(member) != Some(VersionRank::Preferred)
             || state
                 .server_limits
                 .may_send(member.process(), purpose, clock::now())
     };
-    let any_match = members
+    let lowest = members
         .iter()
         .zip(candidates.iter())
-        .filter(|(_, candidate)| !candidate.excluded)
-        .any(|(member, _)| checked(member) && matches_rule(member) && is_usable(member));
+        .filter(|(member, candidate)| !candidate.excluded && checked(member) && is_usable(member))
+        .filter_map(|(member, _)| rank(member))
+        .min();
     for (member, candidate) in members.iter().zip(candidates) {
-        candidate.excluded |= !checked(member) || ((any_match || strict) && !matches_rule(member));
+        let is_allowed = rank(member).is_some_and(|rank| lowest.is_none_or(|least| rank <= least));
+        candidate.excluded |= !checked(member) || !is_allowed;
     }
 }
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -67,6 +67,8 @@
 #[cfg(test)]
 mod verdict_model_tests;
 #[cfg(test)]
+mod verdict_replace_model_tests;
+#[cfg(test)]
 mod verdict_restore_model_tests;
 
 pub use backoff::{Backoff, StoreStatus};
--- a/crates/cassiareel-relay/src/kernel/order_book.rs
+++ b/crates/cassiareel-relay/src/kernel/order_book.rs
@@ -1,20 +1,25 @@
 /*!
 The operator's orders as a node knows them, also across a restore of the store.
 
+The operator overwrites an order with the next one for the same service, before or after it has ended,
+and the object stays the same one. The next order begins anew: nothing that is known of the earlier
+one applies to it, also where both name the same version. Its identity is the revision that the
+object had when its contents were written ([`Rollout::order`]). Two changes of an object are told
+apart: a node's report changes the state, or names another order; a change after which the object's
+status is what it was is the operator's.
+
 A restored store may lack orders and verdicts that it had acknowledged. The operator writes lost
 orders again, with another revision; nobody but the nodes knows their verdicts. So an order that is
 missing in the lists of a new era stays in force for a while, an order with the same contents is the
-same order, and a verdict that was known holds until the store has one again.
-
-Within an era the lists of the store are authoritative: an order that is missing was withdrawn, and
-one with another revision of creation is another order.
+same order, and a verdict that was known holds until the store has one again. Within an era the
+lists of the store are authoritative: an order that is missing was withdrawn.
 */
 
 use std::time::Duration;
 
 use crate::{
     clock::Moment,
-    model::{Rollout, RolloutState, ServiceId, StoreEra, StoreRevision},
+    model::{Revision, Rollout, RolloutState, ServiceId, StoreEra, StoreRevision, StoredState},
 };
 
 /// How long after a restore the operator may take to write lost orders again, and the nodes to write
@@ -28,9 +33,11 @@
     pub rollout: Rollout,
     /// The earliest time at which the rollout may have begun.
     pub began: Moment,
-    /// The revisions at which the order was created, the oldest first; one for each era in which
-    /// the store had it.
-    creations: Vec<StoreRevision>,
+    /// The revisions that identify the order, the oldest first; one for each era in which the store
+    /// had it.
+    ids: Vec<StoreRevision>,
+    /// What the object's status said when it was last read or written.
+    stored: StoredState,
     /// The newest verdict that the store acknowledged, and the era in which it did.
     verdict: Option<(RolloutState, StoreEra)>,
     /// The era of the newest list that has the order.
@@ -61,13 +68,29 @@
 }
 
 impl KnownOrder {
-    /// Creates an order that was not known before.
-    fn new(read: &Rollout, revision: StoreRevision, began: Moment) -> KnownOrder {
+    /// Creates an order that was not known before, and that may have followed another one.
+    fn new(
+        read: &Rollout,
+        revision: StoreRevision,
+        began: Moment,
+        earlier: Option<&KnownOrder>,
+    ) -> KnownOrder {
+        let mut rollout = read.clone();
+        if let Some(earlier) = earlier {
+            if earlier.is_about_earlier(read, revision) {
+                rollout.state = None;
+                rollout.order = read.revision;
+            }
+            let before = &earlier.rollout;
+            rollout.follow(before.state, &before.target, &before.unproven);
+        }
+        let verdict = rollout.state.filter(|state| state.is_end());
         KnownOrder {
-            rollout: read.clone(),
+            ids: vec![StoreRevision::new(revision.era(), rollout.order)],
+            rollout,
             began,
-            creations: vec![creation(read, revision)],
-            verdict: None,
+            stored: read.stored_state(),
+            verdict: verdict.map(|end| (end, revision.era())),
             listed_in: revision.era(),
             verdict_lost: None,
         }
@@ -75,17 +98,18 @@
 
     /// Returns the revision by which this node knows the order as long as it is in force.
     pub fn id(&self) -> StoreRevision {
-        self.creations[0]
+        self.ids[0]
     }
 
-    /// Returns the newest revision at which the order was created, by which other nodes know it.
-    pub fn created(&self) -> StoreRevision {
-        self.creations[self.creations.len() - 1]
+    /// Returns the revision that identifies the order in the newest era that has it, by which other
+    /// nodes know it.
+    pub fn newest_id(&self) -> StoreRevision {
+        self.ids[self.ids.len() - 1]
     }
 
-    /// Reports whether the order was created at a revision.
-    pub fn was_created_at(&self, created: StoreRevision) -> bool {
-        self.creations.contains(&created)
+    /// Reports whether a revision identifies the order.
+    pub fn has_id(&self, id: StoreRevision) -> bool {
+        self.ids.contains(&id)
     }
 
     /// Returns the verdict that the store has lost, and since when that is known.
@@ -94,27 +118,40 @@
         Some((verdict, self.verdict_lost?))
     }
 
-    /// Reports whether an order that was read is this one.
-    fn is_same(&self, read: &Rollout, revision: StoreRevision) -> bool {
+    /// Reports whether a read shows nothing that a read or write of the same era did not show.
+    fn is_newer_than(&self, read: &Rollout, revision: StoreRevision) -> bool {
         let known = &self.rollout;
-        if known.service != read.service || known.target != read.target {
+        let is_equal = known.revision == read.revision && known.has_contents_of(read);
+        self.listed_in == revision.era() && (known.revision > read.revision || is_equal)
+    }
+
+    /// Reports whether an order that was read later is this one. A node's report changes the status of
+    /// the object; where it is unchanged, the operator has written the object again.
+    fn is_same(&self, read: &Rollout, revision: StoreRevision) -> bool {
+        if !self.rollout.has_contents_of(read) {
             return false;
         }
-        if self.listed_in == revision.era() {
-            self.created() == creation(read, revision)
-        } else {
-            known.duration == read.duration
-        }
+        self.listed_in != revision.era()
+            || (self.rollout.order == read.order && !self.is_about_earlier(read, revision))
+    }
+
+    /// Reports whether the status of a later read is about this order or one before it, and not about
+    /// the one that the object has: it is unchanged, or names an order before this one.
+    fn is_about_earlier(&self, read: &Rollout, revision: StoreRevision) -> bool {
+        let is_unchanged = self.stored == read.stored_state();
+        self.listed_in == revision.era() && (is_unchanged || read.order < self.rollout.order)
     }
 
     /// Takes over the order as it was read at a revision.
     fn update(&mut self, read: &Rollout, revision: StoreRevision, now: Moment) {
-        let created = creation(read, revision);
-        if self.created() != created {
-            self.creations.push(created);
+        let id = StoreRevision::new(revision.era(), read.order);
+        if self.newest_id() != id {
+            self.ids.push(id);
         }
         self.listed_in = revision.era();
-        self.rollout = read.clone();
+        let before = std::mem::replace(&mut self.rollout, read.clone());
+        self.rollout.add_unproven(&before.unproven);
+        self.stored = read.stored_state();
         if let Some(end) = read.state.filter(|state| state.is_end()) {
             self.verdict = Some((end, revision.era()));
             self.verdict_lost = None;
@@ -157,11 +194,16 @@
         self.orders = rollouts
             .iter()
             .map(|read| {
-                let mut known = before.iter();
-                let known = known.find(|order| order.is_same(read, revision)).cloned();
-                let mut order = known.unwrap_or_else(|| KnownOrder::new(read, revision, since));
-                order.update(read, revision, now);
-                order
+                let of_service = |order: &&KnownOrder| order.rollout.service == read.service;
+                match before.iter().find(of_service) {
+                    Some(known) if known.is_newer_than(read, revision) => known.clone(),
+                    Some(known) if known.is_same(read, revision) => {
+                        let mut order = known.clone();
+                        order.update(read, revision, now);
+                        order
+                    }
+                    earlier => KnownOrder::new(read, revision, since, earlier),
+                }
             })
             .collect();
         if !self.is_settled(began) {
@@ -177,15 +219,30 @@
         }
     }
 
-    /// Records that the store acknowledged a verdict in an era.
-    pub fn record_verdict(&mut self, id: StoreRevision, verdict: RolloutState, era: StoreEra) {
+    /// Records that the store acknowledged a state of an order that was read in an era, at the
+    /// object's revision that the write made; `None` where the store may have taken it for another
+    /// order.
+    pub fn record_state(
+        &mut self,
+        id: StoreRevision,
+        state: RolloutState,
+        era: StoreEra,
+        revision: Option<Revision>,
+    ) {
         let order = self.orders.iter_mut().find(|order| order.id() == id);
-        let Some(order) = order.filter(|_| verdict.is_end()) else {
+        let Some(order) = order.filter(|order| order.rollout.state.is_none() || state.is_end())
+        else {
             return;
         };
-        order.rollout.state = Some(verdict);
-        order.verdict = Some((verdict, era));
-        order.verdict_lost = None;
+        order.rollout.state = Some(state);
+        if let Some(revision) = revision.filter(|_| order.listed_in == era) {
+            order.rollout.revision = revision;
+            order.stored = order.rollout.stored_state();
+        }
+        if state.is_end() {
+            order.verdict = Some((state, era));
+            order.verdict_lost = None;
+        }
     }
 
     /// Returns the orders that are in force.
@@ -221,8 +278,3 @@
         orders.any(|order| order.rollout.service == *service)
     }
 }
-
-/// Returns the revision at which an order was created, which was read at a revision.
-fn creation(read: &Rollout, revision: StoreRevision) -> StoreRevision {
-    StoreRevision::new(revision.era(), read.created)
-}
--- a/crates/cassiareel-relay/src/kernel/order_book_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/order_book_tests.rs
@@ -43,7 +43,8 @@
             duration: Duration::from_secs(self.seconds),
             state: self.state,
             revision: self.created,
-            created: self.created,
+            order: self.created,
+            unproven: Vec::new(),
         }
     }
 }
@@ -153,11 +154,11 @@
 fn an_acknowledged_verdict_holds_that_no_list_showed() {
     let mut book = book(KNOWN.state);
     let id = book.orders()[0].id();
-    book.record_verdict(id, ROLLED_BACK, 0);
+    book.record_state(id, ROLLED_BACK, 0, None);
     let now = START + SECOND;
     book.apply(&[AGAIN.rollout()], at(1, 26), now, now, now);
     assert_eq!(book.orders()[0].lost_verdict(), Some((ROLLED_BACK, now)));
-    book.record_verdict(id, ROLLED_BACK, 1);
+    book.record_state(id, ROLLED_BACK, 1, None);
     assert_eq!(book.orders()[0].lost_verdict(), None);
 }
 
@@ -166,7 +167,7 @@
 fn an_acknowledged_verdict_holds_when_an_earlier_list_is_applied_again() {
     let mut book = book(KNOWN.state);
     let id = book.orders()[0].id();
-    book.record_verdict(id, ROLLED_BACK, 0);
+    book.record_state(id, ROLLED_BACK, 0, None);
     let now = START + SECOND;
     let changes = book.apply(&[KNOWN.rollout()], at(0, FIRST), START, START, now);
     assert_eq!(book.orders()[0].rollout.state, Some(ROLLED_BACK));
@@ -203,9 +204,9 @@
     let mut book = book(KNOWN.state);
     book.apply(&[AGAIN.rollout()], at(1, 26), START, START, START);
     let order = &book.orders()[0];
-    assert_eq!((order.id(), order.created()), (at(0, 20), at(1, 25)));
-    assert!(order.was_created_at(at(0, 20)) && order.was_created_at(at(1, 25)));
-    assert!(!order.was_created_at(at(1, 20)));
+    assert_eq!((order.id(), order.newest_id()), (at(0, 20), at(1, 25)));
+    assert!(order.has_id(at(0, 20)) && order.has_id(at(1, 25)));
+    assert!(!order.has_id(at(1, 20)));
 }
 
 #[test]
--- a/crates/cassiareel-relay/src/kernel/verdict_restore_model_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/verdict_restore_model_tests.rs
@@ -106,7 +106,8 @@
                 .filter(|(target, _)| *target == order.target)
                 .map(|(_, state)| state),
             revision: order.revision,
-            created: order.created,
+            order: order.created,
+            unproven: Vec::new(),
         };
         self.order.map(rollout).into_iter().collect()
     }
@@ -149,7 +150,7 @@
         }
         let era = write.read_in;
         let book = &mut self.nodes[node].book;
-        book.record_verdict(write.id, write.state, era);
+        book.record_state(write.id, write.state, era, None);
     }
 
     /// Returns the writes that a node may begin.
@@ -157,7 +158,7 @@
         let book = &self.nodes[node].book;
         let mut writes = Vec::new();
         let is_current = |order: &KnownOrder| {
-            let era = order.created().era();
+            let era = order.newest_id().era();
             book.is_listed(order) && (era == self.era || model.ignores_eras)
         };
         let orders = book.orders().iter();
@@ -172,7 +173,7 @@
                 target,
                 state,
                 id: order.id(),
-                read_in: order.created().era(),
+                read_in: order.newest_id().era(),
             };
             if let Some((verdict, _)) = order.lost_verdict() {
                 writes.push(write(verdict));
@@ -193,7 +194,7 @@
             let mut orders = node.book.orders().iter();
             orders.all(|order| {
                 node.book.is_listed(order)
-                    && order.created().era() == self.era
+                    && order.newest_id().era() == self.era
                     && order.lost_verdict().is_none()
             })
         };
--- a/crates/cassiareel-relay/src/model/mod.rs
+++ b/crates/cassiareel-relay/src/model/mod.rs
@@ -15,6 +15,6 @@
 };
 pub use policy::{Account, Limits, Policy};
 pub use request_head::{Prompt, RequestHead};
-pub use rollout::{Rollout, RolloutState};
+pub use rollout::{Rollout, RolloutState, RolloutStatus, StoredState, UnprovenVersion};
 pub use route::{Route, RouteKind, Target};
 pub use service::{EngineShape, Service};
--- a/crates/cassiareel-relay/src/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/rollouts/mod.rs
@@ -3,8 +3,8 @@
 
 A backend server of a version that has just appeared may belong to a rollout that this node has not
 read yet. It gets no request until the operator's orders were read at the revision of the store at
-which the registry named it, or a later one. Revisions are the same on all nodes, also where a peer
-passed the value on. Right after a restore of the store, an order may be missing until the operator
+which the registry named it, or a later one; this also applies to a version that left and returns.
+Revisions are the same on all nodes, also where a peer passed the value on. Right after a restore of the store, an order may be missing until the operator
 has written it again.
 */
 
@@ -30,7 +30,7 @@
 use crate::{
     clock::Moment,
     kernel::{Baselines, RolloutDecision, ShareDraw, MIN_SHARE},
-    model::{ServiceId, StoreRevision, Version},
+    model::{ServiceId, StoreRevision, UnprovenVersion, Version},
 };
 
 /// The parts of a rollout that requests need.
@@ -45,6 +45,8 @@
     /// Requests that this node may send to the new version beyond its least share, until counts are
     /// pooled again.
     pub trial_budget: AtomicU32,
+    /// Versions that earlier orders of the service named and that were not completed.
+    pub unproven: Arc<[UnprovenVersion]>,
 }
 
 /// The versions of services, and the rollouts between them.
@@ -79,6 +81,46 @@
     Never(Version),
 }
 
+/// The order in which versions get a request: the first one that is available.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum VersionRank {
+    /// The version that the request is for.
+    Preferred,
+    /// No order has named it, or its rollout was completed.
+    Proven,
+    /// Another order replaced its rollout before there was a verdict.
+    Superseded,
+    /// The new version of the rollout, for a request that is not for it.
+    OnTrial,
+    /// An earlier rollout of it was rolled back.
+    RolledBack,
+}
+
+impl VersionRule {
+    /// Returns the rank of a version for a request; `None` where it must not get the request.
+    pub(crate) fn rank(
+        &self,
+        version: &Version,
+        unproven: &[UnprovenVersion],
+    ) -> Option<VersionRank> {
+        match self {
+            VersionRule::Prefer(target) if target == version => {
+                return Some(VersionRank::Preferred)
+            }
+            VersionRule::Avoid(target) if target == version => return Some(VersionRank::OnTrial),
+            VersionRule::Never(target) if target == version => return None,
+            _ => {}
+        }
+        let mut unproven = unproven.iter();
+        let rank = match unproven.find(|unproven| unproven.version == *version) {
+            None => VersionRank::Proven,
+            Some(found) if found.rolled_back => VersionRank::RolledBack,
+            Some(_) => VersionRank::Superseded,
+        };
+        Some(rank)
+    }
+}
+
 impl ActiveRollout {
     /// Draws whether a request is sent to the new version beyond its least share, so that it gets
     /// `share` of all requests.
@@ -96,11 +138,24 @@
 
 impl Rollouts {
     /// Records the versions in the registry at a revision; reports whether one is new.
+    ///
+    /// A version that has left while others of its service stay is forgotten. Where it returns, it
+    /// may belong to an order that was not read yet.
     pub(crate) fn note_versions<I>(&self, versions: I, revision: StoreRevision) -> bool
     where
         I: Iterator<Item = (ServiceId, Version)>,
     {
+        let versions: HashSet<(ServiceId, Version)> = versions.collect();
+        let services: HashSet<&ServiceId> = versions.iter().map(|(service, _)| service).collect();
         let mut inner = self.lock();
+        let has_left =
+            |seen: &(ServiceId, Version)| services.contains(&seen.0) && !versions.contains(seen);
+        inner.first_seen.retain(|seen, _| !has_left(seen));
+        let known = self.covered.load();
+        if known.iter().any(has_left) {
+            let covered = known.iter().filter(|seen| !has_left(seen)).cloned();
+            self.covered.store(Arc::new(covered.collect()));
+        }
         let before = inner.first_seen.len();
         for version in versions {
             inner.first_seen.entry(version).or_insert(revision);
@@ -117,8 +172,9 @@
         revision: StoreRevision,
         is_complete: bool,
     ) {
+        let mut inner = self.lock();
+        inner.forget_orders(&active);
         self.active.store(active.into());
-        let inner = self.lock();
         let known = self.covered.load();
         let covered: HashSet<_> = inner
             .first_seen
@@ -164,6 +220,13 @@
         }
     }
 
+    /// Returns the versions of a service that earlier orders named and that were not completed.
+    pub(crate) fn unproven_versions(&self, service: &ServiceId) -> Arc<[UnprovenVersion]> {
+        let active_rollouts = self.active.load();
+        let active = active_rollouts.get(service);
+        active.map_or_else(Arc::default, |active| active.unproven.clone())
+    }
+
     /// Draws whether a request is one of those that the new version gets in any case.
     fn draw_least_share(&self, service: &ServiceId, active: &ActiveRollout, share: f64) -> bool {
         let key = (service.clone(), active.order);
@@ -235,6 +298,16 @@
         !versions.any(|other| other.0 == version.0 && other.1 != version.1)
     }
 
+    /// Forgets the counts and draws of orders that are no longer in force. A run that began under
+    /// such an order ends with counts that nobody reads.
+    fn forget_orders(&mut self, active: &HashMap<ServiceId, ActiveRollout>) {
+        let is_active = |(service, order): &(ServiceId, StoreRevision)| {
+            active.get(service).is_some_and(|a| a.order == *order)
+        };
+        self.counts.retain(|key, _| is_active(key));
+        self.draws.retain(|key, _| is_active(key));
+    }
+
     fn counts_of(
         &mut self,
         service: &ServiceId,
--- a/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
+++ b/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
@@ -40,7 +40,8 @@
     assert!(!rollouts.has_later_version(revision(13)));
     assert!(rollouts.is_covered(&service(), &version("v1")));
     assert!(!rollouts.note_versions([(service(), version("v1"))].into_iter(), revision(20)));
-    assert!(rollouts.note_versions([(service(), version("v2"))].into_iter(), revision(30)));
+    let both = ["v1", "v2"].map(|name| (service(), version(name)));
+    assert!(rollouts.note_versions(both.into_iter(), revision(30)));
     assert!(!rollouts.is_covered(&service(), &version("v2")));
 }
 
@@ -52,7 +53,8 @@
     rollouts.replace(HashMap::new(), revision(90), true);
     rollouts.note_versions([(service(), version("v1"))].into_iter(), revision(80));
     rollouts.replace(HashMap::new(), revision(90), true);
-    rollouts.note_versions([(service(), version("v2"))].into_iter(), revision(95));
+    let both = ["v1", "v2"].map(|name| (service(), version(name)));
+    rollouts.note_versions(both.into_iter(), revision(95));
     let other: ServiceId = Arc::from("other");
     rollouts.note_versions([(other.clone(), version("v1"))].into_iter(), at(20));
     rollouts.replace(HashMap::new(), at(30), false);
@@ -75,6 +77,7 @@
                 target,
                 split,
                 trial_budget: AtomicU32::new(0),
+                unproven: Arc::default(),
             },
         )])
     };
@@ -123,6 +126,7 @@
         target: version("v2"),
         split,
         trial_budget: AtomicU32::new(trial_budget),
+        unproven: Arc::default(),
     };
     rollouts.replace(HashMap::from([(service(), active)]), revision(1), true);
     rollouts
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -43,8 +43,9 @@
     async fn orders(&self) -> Result<Orders, SourceError>;
 
     /// Writes the state of a rollout for the operator, unless the order has changed since it was
-    /// read; returns the era in which the store took it. Where the store was restored since the
-    /// read, the state may stand at another order that has the same revision.
+    /// read; returns the object's revision that the write made, with the era in which the store took
+    /// it. Where the store was restored since the read, the state may stand at another order that has
+    /// the same revision.
     ///
     /// # Errors
     ///
@@ -54,7 +55,7 @@
         &self,
         rollout: &Rollout,
         state: RolloutState,
-    ) -> Result<StoreEra, SourceError>;
+    ) -> Result<StoreRevision, SourceError>;
 
     /// Writes a node's record, in place of its earlier one.
     ///
@@ -143,9 +144,9 @@
 pub struct Counts {
     /// The service.
     pub service: ServiceId,
-    /// The revision at which the order was created.
+    /// The revision that identifies the order.
     pub order: Revision,
-    /// The era of the store in which it was; `None` where an earlier build wrote the counts.
+    /// The era of the store in which it does; `None` where an earlier build wrote the counts.
     #[serde(default)]
     pub era: Option<StoreEra>,
     /// For how long the node has known the order, in milliseconds.
