Relay: bodies are read within a budget that counts what is held

What callers saw: connections closed without an answer, also of requests at sound servers.

Cause: call_engine and the reads of reports had no limit; elsewhere the limit counted the payload, while each collected frame keeps the buffer that it was read into; and no limit applied to all bodies together.

Change: net::read_body copies pieces into a buffer of its own and charges it to a budget of the node until the last reference is dropped. A body may grow only while it is no larger than what it leaves for others. Incomplete events are charged. Messages of nodes and of the store have a budget of their own.

Why it works: what is charged is what is held, and its sum has a bound. Large bodies are refused first, so that small ones of sound servers still fit.

--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -6,13 +6,10 @@
 use cassiareel::runtime::within;
 use futures_lite::FutureExt;
 use http::request;
-use http_body::Body as _;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
 
 use super::{
-    body_memory::BodyMemory,
     content,
     refusal::{Refusal, STOPPING_RETRY_AFTER},
     request::{Request, SendCount},
@@ -23,15 +20,13 @@
     clock::{self, Moment},
     kernel::{AdmissionRequest, Lookup},
     model::{AccountId, RequestHead, Route, ServiceId},
+    net::{self, BodyError},
     state::State,
 };
 
 /// Longest time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Memory that is reserved for a body whose size is unknown until it was read, in bytes.
-const UNKNOWN_BODY_BYTES: u64 = 64 << 10;
-
 /// How long a request waits for a fresh read of the configuration before its key or path is
 /// rejected as unknown.
 const CONFIG_REFRESH_TIMEOUT: Duration = Duration::from_millis(400);
@@ -80,7 +75,7 @@
         state.wait_requests_end().await;
         Err(STOPPING)
     };
-    let (body, memory, access) = match reading.or(stopping).await {
+    let (body, access) = match reading.or(stopping).await {
         Ok(read) => read,
         Err(refusal) => return Err((Some(ask), refusal)),
     };
@@ -114,7 +109,6 @@
         method: parts.method,
         target: origin_form(parts.uri),
         body,
-        _body_memory: memory,
         route,
         tenant,
         priority,
@@ -133,15 +127,15 @@
     ask: &RequestHead,
     body: Incoming,
     arrived: Moment,
-) -> Result<(Bytes, BodyMemory, Access), Refusal> {
-    let (body, memory) = read_body(state, ask, body).await?;
+) -> Result<(Bytes, Access), Refusal> {
+    let body = read_request_body(state, ask, body).await?;
     let patience = ask
         .deadline
         .unwrap_or(DEFAULT_DEADLINE)
         .mul_f64(STARTUP_WAIT_FRACTION);
     state.wait_informed(patience.min(STARTUP_WAIT)).await;
     let access = authorize(state, ask, arrived).await?;
-    Ok((body, memory, access))
+    Ok((body, access))
 }
 
 /// Returns the size of a head in bytes, with one space after each colon.
@@ -162,42 +156,25 @@
     parts.method.as_str().len() + target + LINE + fields + END
 }
 
-/// Reads the complete body.
-async fn read_body(
+/// Reads the complete body. Where there is no memory for it, the request is refused at once.
+async fn read_request_body(
     state: &State,
     ask: &RequestHead,
     body: Incoming,
-) -> Result<(Bytes, BodyMemory), Refusal> {
-    let limit_bytes = state.limits().body_bytes;
-    let size = body.size_hint().upper().unwrap_or(UNKNOWN_BODY_BYTES);
-    if size > limit_bytes as u64 {
-        return Err(Refusal::TooLarge);
-    }
-    let Some(mut memory) = BodyMemory::try_reserve(&state.body_bytes, size, state.max_body_bytes())
-    else {
-        return Err(Refusal::NoBackend {
-            after: STARTUP_RETRY_AFTER,
-        });
+) -> Result<Bytes, Refusal> {
+    let timeout = ask.deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
+    let limit = state.limits().body_bytes;
+    let reading = net::read_body(body, limit, &state.body_budget);
+    let Some(read) = within(timeout, reading).await else {
+        return Err(Refusal::SlowBody);
     };
-    let body_timeout = ask.deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
-    let read = async {
-        let read = Limited::new(body, limit_bytes).collect().await;
-        read.map(|read| {
-            let bytes = read.to_bytes();
-            memory.resize(bytes.len() as u64);
-            (bytes, memory)
-        })
-        .map_err(|err| {
-            if err.is::<http_body_util::LengthLimitError>() {
-                Refusal::TooLarge
-            } else {
-                Refusal::BadRequest
-            }
-        })
-    };
-    within(body_timeout, read)
-        .await
-        .unwrap_or(Err(Refusal::SlowBody))
+    read.map_err(|err| match err {
+        BodyError::TooLarge { .. } => Refusal::TooLarge,
+        BodyError::NoMemory => Refusal::NoBackend {
+            after: STARTUP_RETRY_AFTER,
+        },
+        BodyError::Broken { .. } => Refusal::BadRequest,
+    })
 }
 
 /// What the configuration allows a request.
--- a/crates/cassiareel-relay/src/front/backup.rs
+++ b/crates/cassiareel-relay/src/front/backup.rs
@@ -175,7 +175,14 @@
         let path = state.protocol.release_path(&held.copy.name);
         let (task_state, runner) = (state.clone(), runner.clone());
         let task = async move {
-            let releasing = call_engine(&runner, Method::DELETE, &path, String::new(), permit);
+            let releasing = call_engine(
+                &task_state,
+                &runner,
+                Method::DELETE,
+                &path,
+                String::new(),
+                permit,
+            );
             let released = within(COPY_TIMEOUT, releasing).await.flatten().is_some();
             debug!(task_state.log, "copy released"; "backend" => &*runner.entry.id,
                 "released" => released);
@@ -291,7 +298,7 @@
         let id = request.ask.id.clone();
         let spawner = state.spawner.clone();
         let task = spawner.spawn(async move {
-            let copying = call_engine(&runner, Method::POST, call.path, call.body, permit);
+            let copying = call_engine(&state, &runner, Method::POST, call.path, call.body, permit);
             let name = within(COPY_TIMEOUT, copying)
                 .await
                 .flatten()
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -187,6 +187,9 @@
         run.last_received = now;
         run.place.backend.note_received(now);
         run.splitter.push(bytes).map_err(|_| "event too large")?;
+        if !run.charge.resize(run.splitter.pending_bytes() as u64) {
+            return Err("no memory for an event");
+        }
         while let Some(event) = run.splitter.pop() {
             if !self.progress.accept_event(event.id) {
                 return Err("event out of order");
@@ -599,6 +602,7 @@
                 self.run = Some(Run {
                     head,
                     splitter: EventSplitter::default(),
+                    charge: self.state.body_budget.charge(),
                     place,
                     backups,
                     sent_at,
--- a/crates/cassiareel-relay/src/front/mod.rs
+++ b/crates/cassiareel-relay/src/front/mod.rs
@@ -4,9 +4,6 @@
 mod admit;
 mod backup;
 mod body;
-mod body_memory;
-#[cfg(test)]
-mod body_memory_tests;
 mod choose;
 mod content;
 #[cfg(test)]
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -6,7 +6,6 @@
 use cassiareel::{kernel::quota::Purpose, runtime::within};
 use futures_lite::FutureExt;
 use http::{header::CONTENT_LENGTH, response, HeaderMap, Response, StatusCode};
-use http_body_util::BodyExt;
 use slog::{info, warn};
 use smol::Timer;
 
@@ -25,6 +24,7 @@
     clock,
     kernel::{self, Shortage},
     model::RouteKind,
+    net::read_body,
     protocol::{Load, HOP_BY_HOP_HEADERS},
     rollouts::MeasuredRun,
     state::State,
@@ -348,13 +348,12 @@
         body,
         lease,
     } = head;
-    let read = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES).collect();
-    match read.await {
-        Ok(collected) => {
+    match read_body(body, MAX_RESPONSE_BYTES, &state.body_budget).await {
+        Ok(body) => {
             lease.put_back(answer.keep_alive);
             AttemptOutcome::Answered(FullResponse {
                 parts,
-                body: collected.to_bytes(),
+                body,
                 load: answer.load,
             })
         }
--- a/crates/cassiareel-relay/src/front/report.rs
+++ b/crates/cassiareel-relay/src/front/report.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cassiareel::{kernel::quota::Purpose, runtime::within};
 use http::{Method, StatusCode};
-use http_body_util::BodyExt;
+use slog::warn;
 
 use super::{
     limit::{record_limit, take_permit},
@@ -14,13 +14,16 @@
 use crate::{
     backends::Backend,
     clock,
-    net::{build_request, Lease, SendError},
+    net::{build_request, read_body, BodyError, Lease, SendError},
     state::State,
 };
 
 /// Timeout for reading a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// The largest report or list of cached prompts, in bytes.
+const MAX_REPORT_BYTES: usize = 4 << 20;
+
 /// Whether the expected process answered.
 #[derive(Debug)]
 pub(super) enum Liveness {
@@ -37,7 +40,8 @@
     /// The connection was accepted, and no valid response arrived in time. A process that only
     /// pauses looks like this.
     Silent,
-    /// Nothing was sent, since the process takes no more requests by the limit that it named.
+    /// Nothing was sent, since the process takes no more requests by the limit that it named, or the
+    /// node had no memory for its response.
     Unknown,
 }
 
@@ -125,13 +129,20 @@
     if !parts.status.is_success() {
         return Liveness::Answered;
     }
-    match body.collect().await {
+    match read_body(body, MAX_REPORT_BYTES, &state.body_budget).await {
         Ok(body) => {
             if !idle.is_zero() {
                 lease.put_back(None);
             }
-            Liveness::Alive(body.to_bytes())
+            Liveness::Alive(body)
+        }
+        Err(err) => {
+            warn!(state.log, "report not read"; "backend" => &*member.entry.id, "path" => path,
+                "cause" => %err);
+            match err {
+                BodyError::NoMemory => Liveness::Unknown,
+                BodyError::TooLarge { .. } | BodyError::Broken { .. } => Liveness::Silent,
+            }
         }
-        Err(_) => Liveness::Silent,
     }
 }
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -12,10 +12,7 @@
 use cassiareel::kernel::{suspect::PartKey, ticket::ShortDigest};
 use http::{HeaderMap, Method, Uri};
 
-use super::{
-    body_memory::BodyMemory,
-    refusal::{Refusal, STOPPING_RETRY_AFTER},
-};
+use super::refusal::{Refusal, STOPPING_RETRY_AFTER};
 use crate::{
     admission::Admitted,
     clock::{self, Moment},
@@ -41,8 +38,6 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
-    /// The memory that is reserved for the body.
-    pub _body_memory: BodyMemory,
     /// The digest of the work, which does not depend on the request id.
     pub content: ShortDigest,
     /// The parts of the prompt that other requests may share.
--- a/crates/cassiareel-relay/src/front/reservation.rs
+++ b/crates/cassiareel-relay/src/front/reservation.rs
@@ -56,7 +56,7 @@
     let call = state
         .protocol
         .reserve_call(tokens, RESERVATION_TIME.min(longest));
-    let calling = call_engine(engine, Method::POST, call.path, call.body, permit);
+    let calling = call_engine(state, engine, Method::POST, call.path, call.body, permit);
     let name = within(RESERVE_TIMEOUT, calling)
         .await
         .flatten()
--- a/crates/cassiareel-relay/src/front/run.rs
+++ b/crates/cassiareel-relay/src/front/run.rs
@@ -18,6 +18,7 @@
     backends::{Backend, LoadGuard},
     clock::{self, Moment},
     kernel::{EndedStream, EventSplitter},
+    net::BodyCharge,
     rollouts::MeasuredRun,
     state::State,
 };
@@ -41,6 +42,8 @@
     pub head: Box<ResponseHead>,
     /// Splits the body into events.
     pub splitter: EventSplitter,
+    /// The memory that an incomplete event takes.
+    pub charge: BodyCharge,
     /// Counts the run as this node's work at the engine.
     pub place: LoadGuard,
     /// Copies of the run's memory.
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cassiareel::{kernel::quota::Purpose, runtime::within};
 use http::{header::HOST, response, HeaderValue, Method, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use slog::info;
 
@@ -326,8 +326,9 @@
     mut lease: Lease,
 ) -> Result<ResponseHead, String> {
     take_permit(state, member, Purpose::Ongoing).ok_or("no permit")?;
-    let body = Limited::new(body, MAX_REFUSAL_BYTES);
-    body.collect().await.map_err(|err| err.to_string())?;
+    net::read_body(body, MAX_REFUSAL_BYTES, &state.body_budget)
+        .await
+        .map_err(|err| err.to_string())?;
     lease
         .conn
         .wait_ready()
--- a/crates/cassiareel-relay/src/net/client.rs
+++ b/crates/cassiareel-relay/src/net/client.rs
@@ -1,13 +1,12 @@
 //! A client for short calls with a whole body each way, as the store takes them.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cassiareel::runtime::{within, Spawner};
 use http::{HeaderMap, Method, StatusCode};
-use http_body_util::{BodyExt, Limited};
 
-use super::{build_request, Pool, SendError};
+use super::{build_request, read_body, BodyBudget, Pool, SendError};
 use crate::source::SourceError;
 
 /// The longest time to open a connection.
@@ -20,6 +19,8 @@
 #[derive(Debug)]
 pub struct Client {
     pool: Pool,
+    /// The memory for answers.
+    budget: Arc<BodyBudget>,
 }
 
 /// The answer to a call.
@@ -34,10 +35,11 @@
 }
 
 impl Client {
-    /// Creates a client for calls to `address`.
-    pub fn new(address: SocketAddr, spawner: Spawner) -> Client {
+    /// Creates a client for calls to `address`, whose answers are charged to a budget.
+    pub fn new(address: SocketAddr, spawner: Spawner, budget: Arc<BodyBudget>) -> Client {
         Client {
             pool: Pool::new(address, spawner),
+            budget,
         }
     }
 
@@ -88,15 +90,14 @@
             answer => answer.map_err(connection_error)?,
         };
         let (parts, body) = answer.into_parts();
-        let body = Limited::new(body, MAX_BODY_BYTES)
-            .collect()
+        let body = read_body(body, MAX_BODY_BYTES, &self.budget)
             .await
             .map_err(connection_error)?;
         lease.put_back(None);
         Ok(ClientResponse {
             status: parts.status,
             headers: parts.headers,
-            body: body.to_bytes(),
+            body,
         })
     }
 }
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -16,6 +16,7 @@
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{bind_listener, serve_callers, serve_metrics, serve_readiness, OpenRequests},
     kernel::{ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN},
+    net::BodyBudget,
     peers::{ask_peer_at_start, follow_limits, follow_peers, send_losses, serve_peers},
     protocol::Protocol,
     settings::Settings,
@@ -50,6 +51,8 @@
     pub runtime: Runtime,
     /// The store.
     pub source: Arc<dyn Source>,
+    /// Memory for the bodies of messages of other nodes and of the store.
+    pub message_budget: Arc<BodyBudget>,
     /// The headers of the platform.
     pub protocol: Arc<dyn Protocol>,
     /// The logger.
@@ -68,6 +71,7 @@
     let state = Arc::new(State::new(
         parts.settings,
         parts.source,
+        parts.message_budget,
         parts.protocol,
         parts.log,
         spawner.clone(),
@@ -124,7 +128,7 @@
     match Settings::load(file) {
         Ok(settings) => {
             if **state.settings.load() != settings {
-                state.settings.store(Arc::new(settings));
+                state.replace_settings(settings);
                 info!(state.log, "reloaded"; "by" => by, "changed" => true);
             } else if by == "signal" {
                 info!(state.log, "reloaded"; "by" => by, "changed" => false);
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -13,7 +13,6 @@
 
 use cassiareel::runtime::within;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -32,7 +31,7 @@
     clock::{self, Moment},
     front::{empty_reply, serve_fn, Reply},
     model::StoreRevision,
-    net::Client,
+    net::{read_body, Client},
     source::{Listing, Orders},
     state::State,
 };
@@ -89,7 +88,7 @@
         if request.uri().path() == limits::PATH {
             return limits::serve(&state, request).await;
         }
-        match read_state(request).await {
+        match read_state(&state, request).await {
             Some(known) => answer_request(&state, known).await,
             None => empty_reply(StatusCode::BAD_REQUEST),
         }
@@ -97,9 +96,13 @@
     .await;
 }
 
-async fn read_state(request: http::Request<Incoming>) -> Option<CacheState> {
-    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES);
-    let body = body.collect().await.ok()?.to_bytes();
+async fn read_state(state: &State, request: http::Request<Incoming>) -> Option<CacheState> {
+    let reading = read_body(
+        request.into_body(),
+        MAX_REQUEST_BYTES,
+        &state.message_budget,
+    );
+    let body = reading.await.ok()?;
     rmp_serde::from_slice(&body).ok()
 }
 
@@ -244,7 +247,7 @@
             within(IDLE_POLL, updated).await;
             continue;
         };
-        let client = Client::new(address, state.spawner.clone());
+        let client = state.client(address);
         follow_peer(&state, &client, &name).await;
     }
 }
@@ -374,7 +377,7 @@
     within(START_QUERY_TIMEOUT, async {
         let peers = state.store_cache.roster().parents(clock::now());
         for (_, address) in peers.into_iter().take(MAX_START_QUERIES) {
-            let client = Client::new(address, state.spawner.clone());
+            let client = state.client(address);
             // With such an age, a peer that knows nothing does not wait for an update.
             let known = CacheState {
                 age: Some(Duration::MAX),
--- a/crates/cassiareel-relay/src/peers/limits.rs
+++ b/crates/cassiareel-relay/src/peers/limits.rs
@@ -28,7 +28,6 @@
     runtime::within,
 };
 use http::{Method, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -38,7 +37,7 @@
 use crate::{
     clock::{self, Moment},
     front::{empty_reply, Reply},
-    net::Client,
+    net::{read_body, Client},
     state::State,
 };
 
@@ -196,7 +195,7 @@
         };
         let (task_state, address) = (state.clone(), *address);
         let task = async move {
-            let client = Client::new(address, task_state.spawner.clone());
+            let client = task_state.client(address);
             if send(&task_state, &client, &message).await.is_none() {
                 info!(task_state.log, "limit not passed on"; "peer" => %address);
             }
@@ -233,11 +232,11 @@
         };
         return message::encode_reply(state, &reply);
     }
-    let body = Limited::new(request.into_body(), MAX_CALL_BYTES);
-    let Ok(body) = body.collect().await else {
+    let reading = read_body(request.into_body(), MAX_CALL_BYTES, &state.message_budget);
+    let Ok(body) = reading.await else {
         return empty_reply(StatusCode::BAD_REQUEST);
     };
-    let Ok(message) = rmp_serde::from_slice::<LimitMessage>(&body.to_bytes()) else {
+    let Ok(message) = rmp_serde::from_slice::<LimitMessage>(&body) else {
         return empty_reply(StatusCode::BAD_REQUEST);
     };
     message::encode_reply(state, &handle(state, &message))
@@ -301,7 +300,7 @@
             };
             let client = clients
                 .entry(address)
-                .or_insert_with(|| Arc::new(Client::new(address, state.spawner.clone())));
+                .or_insert_with(|| Arc::new(state.client(address)));
             let task = call_owner(state.clone(), client.clone(), address, call);
             state.spawner.spawn(task).detach();
         }
@@ -408,7 +407,7 @@
     };
     let task_state = state.clone();
     let task = async move {
-        let client = Client::new(address, task_state.spawner.clone());
+        let client = task_state.client(address);
         let is_sent = send(&task_state, &client, &message).await.is_some();
         if !is_sent || fetch_from(&task_state, &client).await.is_none() {
             info!(task_state.log, "limits not fetched"; "peer" => %address);
@@ -431,7 +430,7 @@
 async fn fetch_readings(state: &Arc<State>) -> bool {
     let peers = state.store_cache.roster().parents(clock::now());
     for (name, address) in peers.iter().take(MAX_FETCH_ATTEMPTS) {
-        let client = Client::new(*address, state.spawner.clone());
+        let client = state.client(*address);
         if let Some(known) = fetch_from(state, &client).await {
             // Owners have to know of this node before it takes a quota.
             pass_on(state, own_sender(state), &known);
--- a/crates/cassiareel-relay/src/peers/losses.rs
+++ b/crates/cassiareel-relay/src/peers/losses.rs
@@ -14,7 +14,6 @@
 use bytes::Bytes;
 use cassiareel::{kernel::suspect::ReportedLoss, runtime::within};
 use http::{Method, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -24,7 +23,7 @@
 use crate::{
     clock,
     front::{empty_reply, Reply},
-    net::Client,
+    net::read_body,
     state::State,
 };
 
@@ -119,11 +118,11 @@
     if request.method() == Method::GET {
         return message::encode_reply(state, &report_since(state, LossPosition::default()));
     }
-    let body = Limited::new(request.into_body(), MAX_CALL_BYTES);
-    let Ok(body) = body.collect().await else {
+    let reading = read_body(request.into_body(), MAX_CALL_BYTES, &state.message_budget);
+    let Ok(body) = reading.await else {
         return empty_reply(StatusCode::BAD_REQUEST);
     };
-    let Ok(losses) = rmp_serde::from_slice::<Vec<ReportedLoss>>(&body.to_bytes()) else {
+    let Ok(losses) = rmp_serde::from_slice::<Vec<ReportedLoss>>(&body) else {
         return empty_reply(StatusCode::BAD_REQUEST);
     };
     receive_losses(state, &losses, "call");
@@ -160,7 +159,7 @@
         if !state.store_cache.is_forwarder() {
             return;
         }
-        let client = Client::new(*address, state.spawner.clone());
+        let client = state.client(*address);
         let reply = client
             .call(Method::GET, PATH, Bytes::new(), CALL_TIMEOUT)
             .await;
@@ -219,7 +218,7 @@
     let Some(body) = message::encode_request(state, losses) else {
         return false;
     };
-    let client = Client::new(address, state.spawner.clone());
+    let client = state.client(address);
     let reply = client.call(Method::POST, PATH, body, CALL_TIMEOUT).await;
     reply.is_ok_and(|reply| reply.status == StatusCode::OK)
 }
--- a/crates/cassiareel-relay/src/settings.rs
+++ b/crates/cassiareel-relay/src/settings.rs
@@ -14,6 +14,13 @@
 
 use crate::model::{AccountId, DataCentre};
 
+/// The bodies of requests and responses may take a VM's memory divided by this number.
+const BODY_MEMORY_DIVISOR: u64 = 4;
+
+/// The bodies of messages of other nodes and of the store may take a VM's memory divided by this
+/// number.
+const MESSAGE_MEMORY_DIVISOR: u64 = 8;
+
 /// The settings of one node.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Settings {
@@ -66,6 +73,18 @@
     pub max_fds: u64,
 }
 
+impl Limits {
+    /// Returns the memory for the bodies of callers' requests and backend servers' responses, in bytes.
+    pub fn body_bytes(&self) -> u64 {
+        (self.memory_mb << 20) / BODY_MEMORY_DIVISOR
+    }
+
+    /// Returns the memory for the bodies of messages of other nodes and of the store, in bytes.
+    pub fn message_bytes(&self) -> u64 {
+        (self.memory_mb << 20) / MESSAGE_MEMORY_DIVISOR
+    }
+}
+
 /// The platform's store.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Store {
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         Arc, Mutex, MutexGuard, OnceLock,
@@ -33,6 +34,7 @@
     },
     metrics::Metrics,
     model::{EngineShape, Limits, Prompt, Route, ServiceId},
+    net::{BodyBudget, Client},
     peers::{Members, StoreCache, UnlistedNodes},
     protocol::Protocol,
     rollouts::Rollouts,
@@ -44,9 +46,6 @@
 /// has to be in force.
 const MAX_CONFIG_AGE_PART: f64 = 0.8;
 
-/// Bodies may take the VM's memory divided by this number.
-const BODY_MEMORY_DIVISOR: u64 = 4;
-
 /// How long a node that starts waits for the list of the fleet's nodes.
 const NODES_READ_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -100,8 +99,10 @@
     pub handing_over: AtomicBool,
     /// Notified when connections without a request are to be closed, since the node stops.
     pub close_idle: Event,
-    /// Bytes of request bodies in memory.
-    pub body_bytes: Arc<AtomicU64>,
+    /// Memory for the bodies of callers' requests and of backend servers' responses.
+    pub body_budget: Arc<BodyBudget>,
+    /// Memory for the bodies of messages of other nodes and of the store.
+    pub message_budget: Arc<BodyBudget>,
     /// Whether the node's last reads of the configuration failed.
     pub store_lost: AtomicBool,
     /// Notified when the store answers again after an outage.
@@ -142,11 +143,13 @@
     pub(crate) fn new(
         settings: Settings,
         source: Arc<dyn Source>,
+        message_budget: Arc<BodyBudget>,
         protocol: Arc<dyn Protocol>,
         log: Logger,
         spawner: Spawner,
     ) -> State {
         let (read_request_sender, read_requests) = async_channel::bounded(1);
+        let body_budget = Arc::new(BodyBudget::new(settings.limits.body_bytes()));
         let server_limits = FleetLimits::new(node_key(&settings.node.name), clock::now());
         State {
             authority: Mutex::new(ConfigFreshness::new(settings.bounds.revoke)),
@@ -166,7 +169,8 @@
             leaving_since: OnceLock::new(),
             handing_over: AtomicBool::new(false),
             close_idle: Event::new(),
-            body_bytes: Arc::default(),
+            body_budget,
+            message_budget,
             store_lost: AtomicBool::new(false),
             store_back: Event::new(),
             store_back_at_ms: AtomicU64::new(0),
@@ -263,9 +267,17 @@
             .mul_f64(MAX_CONFIG_AGE_PART)
     }
 
-    /// Returns the most bytes of request bodies that may be in memory: a part of the VM's memory.
-    pub(crate) fn max_body_bytes(&self) -> u64 {
-        (self.settings.load().limits.memory_mb << 20) / BODY_MEMORY_DIVISOR
+    /// Puts other settings in force.
+    pub(crate) fn replace_settings(&self, settings: Settings) {
+        self.body_budget.set_limit(settings.limits.body_bytes());
+        self.message_budget
+            .set_limit(settings.limits.message_bytes());
+        self.settings.store(Arc::new(settings));
+    }
+
+    /// Creates a client for calls to another node.
+    pub(crate) fn client(&self, address: SocketAddr) -> Client {
+        Client::new(address, self.spawner.clone(), self.message_budget.clone())
     }
 
     /// Waits for a short time for the list of the fleet's nodes, which names the peers to query.
