Own front: events and watch lines have a size limit

Cause: the decoder of event streams and read_until have no limit of their own.

Change: EventLimit ends a stream in an event of over 1 MiB, so that the decoder drops the event and the run is lost. A line of a watch is read up to 2 MiB.

Evidence: an_event_without_an_end_ends_the_stream (three cases) reads under 2 MiB of 16; without the limit the decoder reads all of them.

--- a/crates/cassiareel/src/backend/http_engine.rs
+++ b/crates/cassiareel/src/backend/http_engine.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     kernel::{generation::FinishReason, Attempt, Position, RequestId, TokenId},
-    wire::{self, CallTimeouts, SendError},
+    wire::{self, CallTimeouts, EventLimit, SendError},
 };
 
 /// Size limit of the answer to a control call, in bytes.
@@ -216,7 +216,7 @@
     res: Response,
 ) -> impl stream::Stream<Item = Result<StreamChunk, StreamError>> + Send {
     let reader = ChunkReader {
-        events: async_sse::decode(res),
+        events: async_sse::decode(EventLimit::new(res)),
         pending: None,
     };
     stream::unfold(Some(reader), |reader| async {
@@ -231,7 +231,7 @@
 
 /// Reads chunks, and merges those that are available at the same time.
 struct ChunkReader {
-    events: async_sse::Decoder<Response>,
+    events: async_sse::Decoder<EventLimit<Response>>,
     /// The result that was read after the merged chunks and could not be merged.
     pending: Option<Result<StreamChunk, StreamError>>,
 }
@@ -294,7 +294,9 @@
 }
 
 /// Reads the next event that carries a chunk.
-async fn next_chunk(events: &mut async_sse::Decoder<Response>) -> Result<StreamChunk, StreamError> {
+async fn next_chunk(
+    events: &mut async_sse::Decoder<EventLimit<Response>>,
+) -> Result<StreamChunk, StreamError> {
     loop {
         match events.next().await {
             Some(Ok(async_sse::Event::Message(message))) => return parse_chunk(message.data()),
--- a/crates/cassiareel/src/store/http_objects.rs
+++ b/crates/cassiareel/src/store/http_objects.rs
@@ -10,7 +10,7 @@
 };
 
 use async_trait::async_trait;
-use futures_lite::{future, io::BufReader, AsyncBufReadExt};
+use futures_lite::{future, io::BufReader, AsyncBufReadExt, AsyncReadExt};
 use http_types::{headers, mime, Body, Method, Request, Response, StatusCode, Url};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -544,10 +544,16 @@
     /// Returns the next event, or `None` at the end of the answer.
     async fn next(&mut self) -> Result<Option<WatchEvent>, StoreError> {
         let mut line = Vec::new();
-        let read = self.reader.read_until(b'\n', &mut line).await;
+        let mut reader = (&mut self.reader).take(MAX_OBJECT_ANSWER_BYTES as u64);
+        let read = reader.read_until(b'\n', &mut line).await;
         let n = read.map_err(|err| StoreError::NotApplied {
             cause: format!("watch was cut: {}", err.kind()),
         })?;
+        if n == MAX_OBJECT_ANSWER_BYTES && line.last() != Some(&b'\n') {
+            return Err(StoreError::Invalid {
+                cause: format!("an event is larger than {MAX_OBJECT_ANSWER_BYTES} bytes"),
+            });
+        }
         if n == 0 {
             return Ok(None);
         }
--- a/crates/cassiareel/src/wire/mod.rs
+++ b/crates/cassiareel/src/wire/mod.rs
@@ -5,11 +5,15 @@
 of a response without a length, and treats a body that is shorter than its `Content-Length` as
 complete. [`serve`] answers invalid heads with a 4xx status, [`send`] has a timeout for each stage of
 a call and reads a body without a length to the end of its connection, and [`read_body`] compares the
-length of a body with the header and treats a difference as a lost connection.
+length of a body with the header and treats a difference as a lost connection. [`EventLimit`] bounds
+what a decoder of event streams keeps.
 */
 
 mod body;
 mod client;
+mod event_limit;
+#[cfg(test)]
+mod event_limit_tests;
 mod listener;
 mod request_stream;
 mod response;
@@ -17,6 +21,7 @@
 
 pub use body::{read_body, read_body_within, BodyError};
 pub use client::{send, CallTimeouts, SendError};
+pub use event_limit::{EventLimit, MAX_EVENT_BYTES};
 pub use listener::bind_listener;
 pub use server::{
     serve, serve_with_source, Handler, OpenConnections, ServerHandle, ServerLimits,
