Own front: bodies have a bound in sum; one budget type for both fronts

Change: BodyBudget and its buffer move to the shared crate. wire::read_body returns bytes that stay charged to the process's budget until the last clone is dropped; events of engines' streams are charged until they are complete. Bodies of calls are passed on without a copy. A caller whose body finds no memory gets 503 with Retry-After.

Evidence: wire/body_tests.rs, bodies_that_are_held_have_a_bound_in_sum, has no budget to ask before the change.

--- a/crates/cassiareel-cli/tests/orders.rs
+++ b/crates/cassiareel-cli/tests/orders.rs
@@ -182,7 +182,7 @@
         path: "/orders".to_owned(),
         id: name.to_owned(),
         media_type: None,
-        body: b"{}".to_vec(),
+        body: b"{}".to_vec().into(),
     };
     let client = HttpService::new(service.addr(), std::time::Duration::from_secs(5));
     client
--- a/crates/cassiareel-relay/src/front/run.rs
+++ b/crates/cassiareel-relay/src/front/run.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cassiareel::kernel::quota::Purpose;
+use cassiareel::{body_budget::BodyCharge, kernel::quota::Purpose};
 use slog::info;
 use smol::Timer;
 
@@ -18,7 +18,6 @@
     backends::{Backend, LoadGuard},
     clock::{self, Moment},
     kernel::{EndedStream, EventSplitter},
-    net::BodyCharge,
     rollouts::MeasuredRun,
     state::State,
 };
--- a/crates/cassiareel-relay/src/net/body.rs
+++ b/crates/cassiareel-relay/src/net/body.rs
@@ -10,15 +10,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cassiareel::body_budget::{BodyBudget, BufferError, ChargedBuffer};
 use http_body::Body;
 use http_body_util::BodyExt;
 use snafu::Snafu;
 
-use super::{BodyBudget, BodyCharge};
-
-/// The least size of a buffer that has to grow, in bytes.
-const MIN_BUFFER_BYTES: usize = 4 << 10;
-
 /// The reason why a body was not read.
 #[derive(Debug, Eq, PartialEq, Snafu)]
 #[snafu(visibility(pub))]
@@ -40,11 +36,13 @@
     },
 }
 
-/// A buffer whose memory is charged to a budget.
-#[derive(Debug)]
-struct ChargedBuffer {
-    bytes: Vec<u8>,
-    charge: BodyCharge,
+impl From<BufferError> for BodyError {
+    fn from(err: BufferError) -> BodyError {
+        match err {
+            BufferError::TooLarge { limit } => BodyError::TooLarge { limit },
+            BufferError::NoMemory => BodyError::NoMemory,
+        }
+    }
 }
 
 /// Reads a body of at most `limit` bytes to its end. The memory stays charged to the budget until the
@@ -64,12 +62,9 @@
     B: Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    let mut buffer = ChargedBuffer {
-        bytes: Vec::new(),
-        charge: budget.charge(),
-    };
+    let mut buffer = ChargedBuffer::new(budget, limit);
     let hint = body.size_hint();
-    buffer.check_size(hint.lower(), limit)?;
+    buffer.check_size(hint.lower())?;
     if let Some(size) = hint.exact() {
         buffer.reserve(usize::try_from(size).unwrap_or(usize::MAX))?;
     }
@@ -78,54 +73,8 @@
             cause: err.to_string(),
         })?;
         if let Ok(data) = frame.into_data() {
-            buffer.append(&data, limit)?;
+            buffer.append(&data)?;
         }
     }
     Ok(buffer.into_bytes())
 }
-
-impl ChargedBuffer {
-    fn check_size(&self, size: u64, limit: usize) -> Result<(), BodyError> {
-        if size > limit as u64 {
-            return Err(BodyError::TooLarge { limit });
-        }
-        Ok(())
-    }
-
-    fn append(&mut self, data: &[u8], limit: usize) -> Result<(), BodyError> {
-        let needed = self.bytes.len() + data.len();
-        self.check_size(needed as u64, limit)?;
-        if needed > self.bytes.capacity() {
-            let grown = (2 * self.bytes.capacity()).max(MIN_BUFFER_BYTES);
-            self.reserve(needed.max(grown.min(limit)))?;
-        }
-        self.bytes.extend_from_slice(data);
-        Ok(())
-    }
-
-    /// Makes the buffer as large as `size`.
-    fn reserve(&mut self, size: usize) -> Result<(), BodyError> {
-        if !self.charge.resize(size as u64) {
-            return Err(BodyError::NoMemory);
-        }
-        let added = size.saturating_sub(self.bytes.len());
-        let reserved = self.bytes.try_reserve_exact(added);
-        reserved.map_err(|_| BodyError::NoMemory)
-    }
-
-    fn into_bytes(mut self) -> Bytes {
-        self.bytes.shrink_to_fit();
-        // A smaller charge is always possible.
-        let _ = self.charge.resize(self.bytes.capacity() as u64);
-        if self.bytes.is_empty() {
-            return Bytes::new();
-        }
-        Bytes::from_owner(self)
-    }
-}
-
-impl AsRef<[u8]> for ChargedBuffer {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
--- a/crates/cassiareel-relay/src/net/body_tests.rs
+++ b/crates/cassiareel-relay/src/net/body_tests.rs
@@ -3,12 +3,13 @@
 use std::{convert::Infallible, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
+use cassiareel::body_budget::BodyBudget;
 use futures_lite::stream;
 use http_body::Frame;
 use http_body_util::StreamBody;
 use test_case::test_case;
 
-use super::{read_body, BodyBudget, BodyError};
+use super::{read_body, BodyError};
 
 /// The size of the buffer that a connection reads into, in bytes.
 const READ_BUFFER: usize = 64 << 10;
--- a/crates/cassiareel-relay/src/net/client.rs
+++ b/crates/cassiareel-relay/src/net/client.rs
@@ -3,10 +3,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cassiareel::runtime::{within, Spawner};
+use cassiareel::{
+    body_budget::BodyBudget,
+    runtime::{within, Spawner},
+};
 use http::{HeaderMap, Method, StatusCode};
 
-use super::{build_request, read_body, BodyBudget, Pool, SendError};
+use super::{build_request, read_body, Pool, SendError};
 use crate::source::SourceError;
 
 /// The longest time to open a connection.
--- a/crates/cassiareel-relay/src/net/mod.rs
+++ b/crates/cassiareel-relay/src/net/mod.rs
@@ -1,7 +1,6 @@
 //! HTTP connections that the relay opens, to backend servers, peers and the store.
 
 mod body;
-mod body_budget;
 #[cfg(test)]
 mod body_tests;
 mod client;
@@ -10,7 +9,6 @@
 mod request;
 
 pub use body::{read_body, BodyError};
-pub use body_budget::{BodyBudget, BodyCharge};
 pub use client::{Client, ClientResponse};
 pub use conn::{Conn, SendError};
 pub use pool::{Lease, Pool};
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -7,7 +7,10 @@
     time::Duration,
 };
 
-use cassiareel::runtime::{within, Runtime};
+use cassiareel::{
+    body_budget::BodyBudget,
+    runtime::{within, Runtime},
+};
 use slog::{info, warn, Logger};
 use smol::Timer;
 
@@ -16,7 +19,6 @@
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{bind_listener, serve_callers, serve_metrics, serve_readiness, OpenRequests},
     kernel::{ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN},
-    net::BodyBudget,
     peers::{ask_peer_at_start, follow_limits, follow_peers, send_losses, serve_peers},
     protocol::Protocol,
     settings::Settings,
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -13,6 +13,7 @@
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use cassiareel::{
+    body_budget::BodyBudget,
     fleet_limits::FleetLimits,
     kernel::{
         quota::{node_key, Spread},
@@ -34,7 +35,7 @@
     },
     metrics::Metrics,
     model::{EngineShape, Limits, Prompt, Route, ServiceId},
-    net::{BodyBudget, Client},
+    net::Client,
     peers::{Members, StoreCache, UnlistedNodes},
     protocol::Protocol,
     rollouts::Rollouts,
--- a/crates/cassiareel-standins/tests/half_answers.rs
+++ b/crates/cassiareel-standins/tests/half_answers.rs
@@ -107,7 +107,7 @@
         method: Method::Post,
         path: "/engrave".to_owned(),
         media_type: None,
-        body: b"gift set".to_vec(),
+        body: b"gift set".to_vec().into(),
         id: "order".to_owned(),
     }
 }
--- a/crates/cassiareel-standins/tests/service.rs
+++ b/crates/cassiareel-standins/tests/service.rs
@@ -12,7 +12,7 @@
         method: Method::Post,
         path: "/engrave".to_owned(),
         media_type: None,
-        body: b"gift set".to_vec(),
+        body: b"gift set".to_vec().into(),
         id: id.to_owned(),
     }
 }
@@ -95,7 +95,7 @@
         let query = Call {
             method: Method::Get,
             path: "/orders/order".to_owned(),
-            body: Vec::new(),
+            body: Vec::new().into(),
             ..call("ask")
         };
         assert_eq!(adapter.call(&query).await.unwrap().status, 404);
--- a/crates/cassiareel/src/backend/http_engine.rs
+++ b/crates/cassiareel/src/backend/http_engine.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use futures_lite::{future, stream, StreamExt};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use serde::Deserialize;
@@ -86,7 +87,7 @@
     }
 
     /// Sends a control call and reads its whole answer.
-    async fn control_call(&self, req: Request) -> Result<Vec<u8>, StreamError> {
+    async fn control_call(&self, req: Request) -> Result<Bytes, StreamError> {
         let mut res = self
             .send(req, CallTimeouts::new(CONTROL_HEAD_TIMEOUT))
             .await?;
--- a/crates/cassiareel/src/backend/http_service.rs
+++ b/crates/cassiareel/src/backend/http_service.rs
@@ -6,6 +6,7 @@
 };
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use http_types::{headers, Method, Request, Response, StatusCode, Url};
 use serde::Deserialize;
 
@@ -43,7 +44,7 @@
     }
 
     /// Sends a request and reads the complete answer.
-    async fn exchange(&self, req: Request) -> Result<(Response, Vec<u8>), SendError> {
+    async fn exchange(&self, req: Request) -> Result<(Response, Bytes), SendError> {
         let began = Instant::now();
         let timeouts = CallTimeouts::new(self.answer_timeout);
         let mut res = wire::send(self.addr, req, timeouts).await?;
@@ -63,7 +64,7 @@
             cause: format!("{url:?} is not a URL: {err}"),
         })?;
         let mut req = Request::new(call.method, url);
-        req.set_body(call.body.clone());
+        req.set_body(wire::bytes_body(call.body.clone()));
         let media_type = call
             .media_type
             .as_deref()
--- a/crates/cassiareel/src/backend/service.rs
+++ b/crates/cassiareel/src/backend/service.rs
@@ -1,6 +1,7 @@
 //! The trait of a plain service, and the messages of its calls.
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use snafu::Snafu;
 
 /// A call to a plain service.
@@ -13,7 +14,7 @@
     /// The media type of the body, if the caller gave one.
     pub media_type: Option<String>,
     /// The body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// The call's id at the service, sent as `Idempotency-Key` and `X-Request-Id`. The service
     /// returns the latter in its answer.
     pub id: String,
@@ -30,7 +31,7 @@
     /// The media type of the body, if the service gave one.
     pub media_type: Option<String>,
     /// The complete body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 /// A service's answer to a query for the outcome of a call.
@@ -41,7 +42,7 @@
         /// The media type of the body.
         media_type: Option<String>,
         /// The body, which describes the outcome.
-        body: Vec<u8>,
+        body: Bytes,
     },
     /// The service does not know; the call may still arrive there.
     Inconclusive,
--- a/crates/cassiareel/src/front/api.rs
+++ b/crates/cassiareel/src/front/api.rs
@@ -3,6 +3,7 @@
 use std::{future, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_channel::Receiver;
+use bytes::Bytes;
 use futures_lite::{io::BufReader, FutureExt};
 use http_types::{headers, Body, Method, Request, Response, StatusCode};
 use serde_json::json;
@@ -38,6 +39,9 @@
 /// Value of `Retry-After` in refusals of a node that stops.
 const STOP_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// After this time, a caller may retry a request whose body found no memory.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
+
 /// Serves the requests of callers.
 pub struct CallerApi {
     context: Arc<FrontContext>,
@@ -244,7 +248,7 @@
         &self,
         req: &mut Request,
         snapshot: &Snapshot,
-    ) -> Result<Vec<u8>, Refusal> {
+    ) -> Result<Bytes, Refusal> {
         let bounds = snapshot.tree.resolve(&self.context.scope()).bounds;
         let limit = usize::try_from(bounds.body).unwrap_or(usize::MAX);
         wire::read_body_within(req.take_body(), limit, bounds.body_time)
@@ -314,6 +318,7 @@
 /// Returns the refusal of a request whose body could not be read.
 fn body_refusal(err: &BodyError) -> Refusal {
     let status = match err {
+        BodyError::NoMemory => return Refusal::busy(err.to_string(), MEMORY_RETRY),
         BodyError::TooLong { .. } => StatusCode::PayloadTooLarge,
         BodyError::TimedOut { .. } => StatusCode::RequestTimeout,
         BodyError::Truncated { .. } | BodyError::Io { .. } => StatusCode::BadRequest,
--- a/crates/cassiareel/src/front/order.rs
+++ b/crates/cassiareel/src/front/order.rs
@@ -247,7 +247,7 @@
                         mime: answer
                             .media_type
                             .unwrap_or_else(|| DEFAULT_MEDIA_TYPE.to_owned()),
-                        body: answer.body,
+                        body: answer.body.to_vec(),
                     })
                 }
                 Ok(answer) => {
@@ -283,7 +283,7 @@
                         return QueryResult::Ran(order::Outcome {
                             status: StatusCode::Ok.into(),
                             mime: media_type.unwrap_or_else(|| DEFAULT_MEDIA_TYPE.to_owned()),
-                            body,
+                            body: body.to_vec(),
                         });
                     }
                     Ok(CallStatus::Inconclusive) => return QueryResult::Inconclusive,
--- a/crates/cassiareel/src/front/service.rs
+++ b/crates/cassiareel/src/front/service.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_types::{headers, Request, Response, StatusCode};
 use slog::{info, Logger};
 
@@ -11,6 +12,7 @@
     kernel::{health, moves, ticket::ShortDigest},
     peer::CountedRequest,
     settings::Route,
+    wire,
 };
 
 /// Lowest status that marks a failure of the service. It leaves open whether the call ran.
@@ -68,7 +70,7 @@
 }
 
 /// Builds the call to a service from a caller's request.
-pub(super) fn read_call(req: &Request, path: &str, request_id: &str, body: Vec<u8>) -> Call {
+pub(super) fn read_call(req: &Request, path: &str, request_id: &str, body: Bytes) -> Call {
     let query = req
         .url()
         .query()
@@ -88,7 +90,7 @@
 pub(super) fn response(answer: Answer) -> Response {
     let mut res = Response::new(answer.status);
     res.insert_header("x-outcome", Outcome::Ran.name());
-    res.set_body(answer.body);
+    res.set_body(wire::bytes_body(answer.body));
     if let Some(media_type) = answer.media_type {
         res.insert_header(headers::CONTENT_TYPE, media_type);
     }
--- a/crates/cassiareel/src/lib.rs
+++ b/crates/cassiareel/src/lib.rs
@@ -20,6 +20,7 @@
 */
 
 pub mod backend;
+pub mod body_budget;
 pub mod control;
 pub mod engines;
 pub mod fleet_limits;
--- a/crates/cassiareel/src/store/http_objects.rs
+++ b/crates/cassiareel/src/store/http_objects.rs
@@ -10,6 +10,7 @@
 };
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use futures_lite::{future, io::BufReader, AsyncBufReadExt, AsyncReadExt};
 use http_types::{headers, mime, Body, Method, Request, Response, StatusCode, Url};
 use serde::{Deserialize, Serialize};
@@ -324,11 +325,11 @@
     status: StatusCode,
     era: StoreEra,
     retry_after: Option<Duration>,
-    body: Vec<u8>,
+    body: Bytes,
 }
 
 impl Answer {
-    fn new(res: &Response, era: StoreEra, body: Vec<u8>) -> Answer {
+    fn new(res: &Response, era: StoreEra, body: Bytes) -> Answer {
         let retry_after = res
             .header(headers::RETRY_AFTER)
             .and_then(|value| value.as_str().parse().ok())
--- a/crates/cassiareel/src/store/http_vms.rs
+++ b/crates/cassiareel/src/store/http_vms.rs
@@ -6,6 +6,7 @@
 };
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use http_types::{Method, Request, StatusCode, Url};
 use serde::Deserialize;
 use slog::{o, Discard, Logger};
@@ -48,7 +49,7 @@
         HttpVms { log, ..self }
     }
 
-    async fn fetch(&self) -> Result<Vec<u8>, StoreError> {
+    async fn fetch(&self) -> Result<Bytes, StoreError> {
         let not_applied = |cause: String| StoreError::NotApplied { cause };
         let url = format!("http://{}/instances", self.addr);
         let url = Url::parse(&url).map_err(|err| not_applied(err.to_string()))?;
--- a/crates/cassiareel/src/wire/event_limit.rs
+++ b/crates/cassiareel/src/wire/event_limit.rs
@@ -8,13 +8,17 @@
 
 use futures_lite::{AsyncBufRead, AsyncRead};
 
+use super::body::BODIES;
+use crate::body_budget::BodyCharge;
+
 /// The largest event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Passes an event stream on, and ends it in an event that is larger than [`MAX_EVENT_BYTES`].
 ///
 /// A decoder of event streams keeps an event until its blank line. Without a limit, a line or an event
-/// without an end takes any amount of memory. The decoder drops the event in which the stream ends.
+/// without an end takes any amount of memory. The bytes of an event count as those of a body until
+/// it is complete; where they find no memory, the stream ends as well. The decoder drops the event in which the stream ends.
 /// An error in its place is no choice: the decoder panics where one comes in the middle of a line.
 #[derive(Debug)]
 pub struct EventLimit<R> {
@@ -25,8 +29,10 @@
     event_bytes: usize,
     /// Whether the current line has no contents yet.
     is_blank: bool,
-    /// Whether an event was too large.
+    /// Whether an event was too large, or found no memory.
     is_over: bool,
+    /// The memory of the event.
+    charge: BodyCharge,
 }
 
 impl<R> EventLimit<R> {
@@ -38,6 +44,7 @@
             event_bytes: 0,
             is_blank: true,
             is_over: false,
+            charge: BODIES.charge(),
         }
     }
 }
@@ -60,6 +67,7 @@
             }
         }
         this.examined = buffer.len();
+        this.is_over |= !this.charge.resize(this.event_bytes as u64);
         Poll::Ready(Ok(if this.is_over { &[] } else { buffer }))
     }
 
--- a/crates/cassiareel/src/wire/mod.rs
+++ b/crates/cassiareel/src/wire/mod.rs
@@ -10,6 +10,8 @@
 */
 
 mod body;
+#[cfg(test)]
+mod body_tests;
 mod client;
 mod event_limit;
 #[cfg(test)]
@@ -19,7 +21,7 @@
 mod response;
 mod server;
 
-pub use body::{read_body, read_body_within, BodyError};
+pub use body::{bytes_body, read_body, read_body_within, BodyError};
 pub use client::{send, CallTimeouts, SendError};
 pub use event_limit::{EventLimit, MAX_EVENT_BYTES};
 pub use listener::bind_listener;
