Rollouts: builds that identify orders differently refuse each other's lists; tests of ranks and returning versions

A list of orders from a node of an earlier build names the creation of the object as the order. A new node that took it after a verdict of a later order would have begun that order anew. The field of unproven versions is always sent and required, so that neither side takes the other's list and both read the store.

--- a/crates/cassiareel-relay/src/model/rollout.rs
+++ b/crates/cassiareel-relay/src/model/rollout.rs
@@ -17,8 +17,8 @@
 /// that has its contents and no state of it yet: the first node that reports a state writes that
 /// revision into the status, under the condition that the object is still at it.
 ///
-/// Nodes send each other the fields by position; `unproven` is left out where it is empty, since
-/// earlier builds refuse a longer message.
+/// Nodes send each other the fields by position. Earlier builds, which identify an order by the
+/// creation of its object, send and accept fewer fields, so that neither side takes the other's orders.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Rollout {
     /// The service.
@@ -34,7 +34,6 @@
     /// The revision that identifies the order.
     pub order: Revision,
     /// Versions that earlier orders of the service named and that were not completed.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub unproven: Vec<UnprovenVersion>,
 }
 
--- a/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
+++ b/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::{self, Moment},
     kernel::{Baselines, LogTimes, RolloutDecision, Tally},
-    model::{ServiceId, StoreRevision, Version},
+    model::{ServiceId, StoreRevision, UnprovenVersion, Version},
     rollouts::{ActiveRollout, MeasuredRun, Rollouts, RunSize, VersionRule},
 };
 
@@ -45,6 +45,54 @@
     assert!(!rollouts.is_covered(&service(), &version("v2")));
 }
 
+/// Guards against a version that is ordered again and gets requests by the orders of its first time.
+#[test]
+fn a_version_that_left_and_returns_waits_for_the_orders() {
+    let rollouts = Rollouts::default();
+    let note = |names: &[&str], at: u64| {
+        let versions = names.iter().map(|name| (service(), version(name)));
+        rollouts.note_versions(versions, revision(at))
+    };
+    let is_covered = |name: &str| rollouts.is_covered(&service(), &version(name));
+    note(&["v1", "v2"], 10);
+    rollouts.replace(HashMap::new(), revision(10), true);
+    note(&["v1"], 20);
+    assert!(is_covered("v1") && !is_covered("v2"));
+    assert!(note(&["v1", "v2"], 30));
+    rollouts.replace(HashMap::new(), revision(20), true);
+    assert!(is_covered("v1") && !is_covered("v2"));
+    rollouts.replace(HashMap::new(), revision(30), true);
+    assert!(is_covered("v2"));
+    // Where no other version is left, the registry may have lost the entries.
+    note(&[], 40);
+    assert!(is_covered("v1") && is_covered("v2"));
+}
+
+/// A rule, and the versions of a service in the order in which they get a request.
+struct RankCase {
+    rule: VersionRule,
+    order: &'static [&'static str],
+}
+
+/// Guards against requests to a version of an earlier order, which was not completed, beside sound ones.
+#[test_case(&RankCase { rule: VersionRule::Any, order: &["v1", "v4", "v2", "v3"] }; "no order")]
+#[test_case(&RankCase { rule: VersionRule::Prefer(version("v4")), order: &["v4", "v1", "v2", "v3"] }; "for the new one")]
+#[test_case(&RankCase { rule: VersionRule::Avoid(version("v4")), order: &["v1", "v2", "v4", "v3"] }; "not for the new one")]
+#[test_case(&RankCase { rule: VersionRule::Never(version("v4")), order: &["v1", "v2", "v3"] }; "rolled back")]
+fn versions_get_requests_in_the_order_of_their_ranks(case: &RankCase) {
+    let unproven = [("v2", false), ("v3", true)].map(|(name, rolled_back)| UnprovenVersion {
+        version: version(name),
+        rolled_back,
+    });
+    let mut ranked: Vec<_> = ["v1", "v2", "v3", "v4"]
+        .into_iter()
+        .filter_map(|name| Some((case.rule.rank(&version(name), &unproven)?, name)))
+        .collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    let order: Vec<&str> = ranked.into_iter().map(|(_, name)| name).collect();
+    assert_eq!(order, case.order);
+}
+
 /// A restored store may lack the order of a version that appears, unless its service has no other.
 #[test]
 fn a_version_beside_another_waits_for_complete_orders() {
