--- a/crates/cassiareel-relay/src/model/mod.rs
+++ b/crates/cassiareel-relay/src/model/mod.rs
@@ -5,6 +5,7 @@
 mod policy;
 mod request_head;
 mod rollout;
+mod rollout_status;
 mod route;
 mod service;
 
@@ -15,6 +16,7 @@
 };
 pub use policy::{Account, Limits, Policy};
 pub use request_head::{Prompt, RequestHead};
-pub use rollout::{Rollout, RolloutState, RolloutStatus, StoredState, UnprovenVersion};
+pub use rollout::Rollout;
+pub use rollout_status::{RolloutState, RolloutStatus, StoredState, UnprovenVersion};
 pub use route::{Route, RouteKind, Target};
 pub use service::{EngineShape, Service};
--- a/crates/cassiareel-relay/src/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/rollouts/mod.rs
@@ -12,6 +12,7 @@
 mod rollout_counts;
 #[cfg(test)]
 mod rollouts_tests;
+mod version_rule;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -26,6 +27,7 @@
 
 pub(crate) use measured_run::{MeasuredRun, RunSize};
 pub(crate) use rollout_counts::RolloutCounts;
+pub(crate) use version_rule::{VersionRank, VersionRule};
 
 use crate::{
     clock::Moment,
@@ -68,59 +70,6 @@
     open_runs: Vec<Weak<MeasuredRun>>,
 }
 
-/// The versions to which one request may be sent.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum VersionRule {
-    /// Any version.
-    Any,
-    /// This version, or another where no backend server has it.
-    Prefer(Version),
-    /// Any version but this one, or this one where there is no other.
-    Avoid(Version),
-    /// Any version but this one.
-    Never(Version),
-}
-
-/// The order in which versions get a request: the first one that is available.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) enum VersionRank {
-    /// The version that the request is for.
-    Preferred,
-    /// No order has named it, or its rollout was completed.
-    Proven,
-    /// Another order replaced its rollout before there was a verdict.
-    Superseded,
-    /// The new version of the rollout, for a request that is not for it.
-    OnTrial,
-    /// An earlier rollout of it was rolled back.
-    RolledBack,
-}
-
-impl VersionRule {
-    /// Returns the rank of a version for a request; `None` where it must not get the request.
-    pub(crate) fn rank(
-        &self,
-        version: &Version,
-        unproven: &[UnprovenVersion],
-    ) -> Option<VersionRank> {
-        match self {
-            VersionRule::Prefer(target) if target == version => {
-                return Some(VersionRank::Preferred)
-            }
-            VersionRule::Avoid(target) if target == version => return Some(VersionRank::OnTrial),
-            VersionRule::Never(target) if target == version => return None,
-            _ => {}
-        }
-        let mut unproven = unproven.iter();
-        let rank = match unproven.find(|unproven| unproven.version == *version) {
-            None => VersionRank::Proven,
-            Some(found) if found.rolled_back => VersionRank::RolledBack,
-            Some(_) => VersionRank::Superseded,
-        };
-        Some(rank)
-    }
-}
-
 impl ActiveRollout {
     /// Draws whether a request is sent to the new version beyond its least share, so that it gets
     /// `share` of all requests.
