Bodies: the largest allowed response fits into the memory of a small node

It may now be twice as large as what it leaves: 18 of 27 MiB, and eight endless bodies still leave a seventeenth.

--- a/crates/cassiareel/src/body_budget/charge.rs
+++ b/crates/cassiareel/src/body_budget/charge.rs
@@ -4,6 +4,9 @@
 
 use super::BodyBudget;
 
+/// A body may be this many times as large as what it leaves for others.
+const SHARE_FACTOR: u64 = 2;
+
 /// Memory that is charged for one body until it is dropped.
 #[derive(Debug)]
 pub struct BodyCharge {
@@ -18,7 +21,7 @@
     }
 
     /// Changes the charge to `bytes`; returns `false`, and changes nothing, where the body would be
-    /// larger than what is left.
+    /// too large beside what is left.
     #[must_use]
     pub fn resize(&mut self, bytes: u64) -> bool {
         if bytes > self.bytes {
@@ -27,7 +30,7 @@
             let grow = |held: u64| {
                 let total = held.checked_add(added)?;
                 let left = limit.checked_sub(total)?;
-                (bytes <= left).then_some(total)
+                (bytes <= SHARE_FACTOR * left).then_some(total)
             };
             let held = &self.budget.held;
             let grown = held.fetch_update(Ordering::Relaxed, Ordering::Relaxed, grow);
