--- a/crates/cassiareel-relay/src/kernel/order_book.rs
+++ b/crates/cassiareel-relay/src/kernel/order_book.rs
@@ -4,9 +4,9 @@
 The operator overwrites an order with the next one for the same service, before or after it has ended,
 and the object stays the same one. The next order begins anew: nothing that is known of the earlier
 one applies to it, also where both name the same version. Its identity is the revision that the
-object had when its contents were written ([`Rollout::order`]). Two changes of an object are told
-apart: a node's report changes the state, or names another order; a change after which the object's
-status is what it was is the operator's.
+object had when its contents were written ([`Rollout::order`]). Two kinds
+of changes are distinguished: a node's report changes the state, or names another order; a change
+after which the object's status is what it was is the operator's.
 
 A restored store may lack orders and verdicts that it had acknowledged. The operator writes lost
 orders again, with another revision; nobody but the nodes knows their verdicts. So an order that is
--- a/crates/cassiareel-relay/src/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/rollouts/mod.rs
@@ -4,8 +4,8 @@
 A backend server of a version that has just appeared may belong to a rollout that this node has not
 read yet. It gets no request until the operator's orders were read at the revision of the store at
 which the registry named it, or a later one; this also applies to a version that left and returns.
-Revisions are the same on all nodes, also where a peer passed the value on. Right after a restore of the store, an order may be missing until the operator
-has written it again.
+Revisions are the same on all nodes, also where a peer passed the value on. Right after a restore of
+the store, an order may be missing until the operator has written it again.
 */
 
 mod measured_run;
