--- /dev/null
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -0,0 +1,12 @@
+/*!
+Singleton duties: calls to the platform that one node at a time makes for the whole fleet.
+
+A deployment names its duties in the settings; where it names none, nothing here runs. One node holds
+the lease on all duties. Its fencing token goes with each call, and the right to act is checked right
+before the call is sent, since the process may have been suspended in between.
+*/
+
+mod duty;
+mod target;
+
+pub use target::{DutyError, DutyHolder, DutyTarget, ServerOrder, UsageReport};
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -22,6 +22,7 @@
 #[cfg(test)]
 mod backoff_tests;
 pub mod clock;
+pub mod duties;
 mod follow;
 mod front;
 pub mod kernel;
--- a/crates/cassiareel-relay/src/model/mod.rs
+++ b/crates/cassiareel-relay/src/model/mod.rs
@@ -1,5 +1,6 @@
 //! The input data of a node: the operator's policy, registry entries, and callers' requests.
 
+mod demand_sample;
 mod entry;
 mod ids;
 mod policy;
@@ -10,6 +11,7 @@
 mod service;
 
 pub use cassiareel::store::StoreEra;
+pub use demand_sample::DemandSample;
 pub use entry::{Entry, Phase};
 pub use ids::{
     AccountId, BackendId, DataCentre, RequestId, Revision, ServiceId, StoreRevision, Version,
@@ -19,4 +21,4 @@
 pub use rollout::Rollout;
 pub use rollout_status::{RolloutState, RolloutStatus, StoredState, UnprovenVersion};
 pub use route::{Route, RouteKind, Target};
-pub use service::{EngineShape, Service};
+pub use service::{EngineShape, ScaleBounds, Service};
--- a/crates/cassiareel-relay/src/model/service.rs
+++ b/crates/cassiareel-relay/src/model/service.rs
@@ -13,6 +13,20 @@
     pub name: ServiceId,
     /// The properties of its engines, if it runs a model.
     pub engine: Option<EngineShape>,
+    /// The bounds of the number of its backend servers, if that number is to follow the demand.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scale: Option<ScaleBounds>,
+}
+
+/// The bounds of the number of a service's backend servers in each data centre.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ScaleBounds {
+    /// The smallest number.
+    pub min: u32,
+    /// The largest number.
+    pub max: u32,
+    /// The time from an order until a new backend server takes requests.
+    pub boot: Duration,
 }
 
 /// The properties of a service's engines.
