Rollouts: losses of backend servers are no evidence against a version, and exposure has a budget

Cause: with two thirds of the old version's servers lost in turn, 142 of 419 known runs of the old version counted as bad, nearly all of them lost with their servers. Besides, nodes that the store rejects renewed a whole trial by their own counts, completed by them, and requests that no other version had room for went to the new one without a bound. Change: runs that are lost with their server are counted apart, once for each server, and are evidence only where they recur in half of the rollout's time. A node without the counts of the others starts no trial and completes nothing; a completion is in force once it is written. Beyond 20 nodes only forwarders pool counts at the full rate.

--- a/crates/cassiareel-relay/src/follow/rollouts/decision.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/decision.rs
@@ -4,7 +4,7 @@
 
 use slog::{info, warn};
 
-use super::{Follower, REWRITE_STEP};
+use super::{pooling::KnownCounts, Follower, REWRITE_STEP};
 use crate::{
     clock,
     kernel::{state_to_report, Exposure, Judge, KnownOrder, RolloutDecision, Tally},
@@ -19,14 +19,18 @@
     pub split: RolloutDecision,
     /// Requests that the new version has to get soon, from all nodes together.
     pub missing_requests: f64,
+    /// Requests that the new version may get in all, from all nodes together; `None` where the counts of
+    /// the other nodes are not known.
+    pub exposure: Option<f64>,
 }
 
 impl From<RolloutDecision> for Decision {
-    /// Creates a decision without missing requests.
+    /// Creates a decision that sends the new version no requests for their results.
     fn from(split: RolloutDecision) -> Decision {
         Decision {
             split,
             missing_requests: 0.0,
+            exposure: None,
         }
     }
 }
@@ -41,7 +45,7 @@
 impl Follower {
     /// Decides how a rollout continues; reports a new verdict to the operator, and one that the
     /// store has lost.
-    pub(super) async fn decide(&mut self, order: &KnownOrder, pooled: &[Counts]) -> Decision {
+    pub(super) async fn decide(&mut self, order: &KnownOrder, known: &KnownCounts) -> Decision {
         let ended = match order.rollout.state {
             Some(RolloutState::Completed) => Some(RolloutDecision::Complete),
             Some(RolloutState::RolledBack) => Some(RolloutDecision::RollBack),
@@ -51,10 +55,14 @@
             self.rewrite_verdict(order).await;
             return ended.into();
         }
-        let pooled = Pooled::new(order, pooled);
+        let pooled = Pooled::new(order, &known.counts);
         let mut decision = judge(&self.state, order, &pooled);
+        if !known.is_complete {
+            // Other nodes may have sent the new version all that it may get.
+            decision = decision.split.into();
+        }
         let is_writable = self.is_writable(order);
-        let may_end = is_writable && self.book.may_end(clock::now());
+        let may_end = is_writable && known.is_complete && self.book.may_end(clock::now());
         if !may_end {
             decision = without_completion(decision);
         }
@@ -73,7 +81,9 @@
         match self.report(order, verdict).await {
             // Another node has already written a verdict; it is read next time.
             Err(SourceError::Conflict) => RolloutDecision::Share(0.0).into(),
-            Ok(()) | Err(_) => decision,
+            Ok(()) => decision,
+            // The write may have taken effect, which the next read shows.
+            Err(_) => without_completion(decision),
         }
     }
 
@@ -183,6 +193,7 @@
     Decision {
         split: judge.decide(pooled.elapsed, pooled.old, pooled.new),
         missing_requests: judge.missing_requests(pooled.old, pooled.new),
+        exposure: Some(judge.remaining_exposure(pooled.old, pooled.new)),
     }
 }
 
@@ -198,7 +209,11 @@
 /// Formats a version's counts for a log line.
 fn format_tally(tally: Tally) -> String {
     let Tally {
-        sent, answers, bad, ..
+        sent,
+        answers,
+        bad,
+        lost,
+        ..
     } = tally;
-    format!("sent {sent}, known {answers}, bad {bad}")
+    format!("sent {sent}, known {answers}, bad {bad}, lost {lost}")
 }
--- a/crates/cassiareel-relay/src/follow/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/mod.rs
@@ -23,6 +23,7 @@
 use futures_lite::FutureExt;
 use slog::info;
 
+use self::decision::Decision;
 use super::call::StoreCaller;
 use crate::{
     clock::{self, Moment},
@@ -42,6 +43,14 @@
 /// The interval at which counts are pooled while a rollout is under way.
 const POOLING_INTERVAL: Duration = Duration::from_millis(600);
 
+/// The number of nodes up to which all pool counts at that interval, so that the store's load does not
+/// grow with the fleet. In larger fleets the forwarders do, and the others at longer intervals.
+const MAX_FULL_RATE_NODES: u32 = 20;
+
+/// The largest factor by which the interval of the other nodes is longer. Their counts have to be known
+/// soon after a version has proved bad.
+const MAX_POOLING_FACTOR: u32 = 4;
+
 /// The time within which the orders have to be known when a new version or a new era of the store
 /// has appeared.
 const NEW_VERSION_LIMIT: Duration = Duration::from_millis(1500);
@@ -185,7 +194,8 @@
         self.log_new_orders(&before, orders.revision);
         let list = (orders.revision, self.book.is_settled(began));
         let is_new = !self.is_active && self.applied != Some(list);
-        let counts_due = self.is_active && now.saturating_sub(self.applied_at) >= POOLING_INTERVAL;
+        let interval = pooling_interval(&self.state);
+        let counts_due = self.is_active && now.saturating_sub(self.applied_at) >= interval;
         if changes.changed || is_new || counts_due {
             self.is_active = self.put_in_force(list).await;
             self.applied = Some(list);
@@ -207,6 +217,9 @@
                 target: order.rollout.target.clone(),
                 split: decision.split,
                 trial_budget: AtomicU32::new(own_share(&self.state, missing)),
+                exposure_budget: AtomicU32::new(self.exposure_budget(order, &decision)),
+                began: order.began,
+                duration: order.rollout.duration,
                 unproven: order.rollout.unproven.as_slice().into(),
             };
             rollouts.insert(order.rollout.service.clone(), active);
@@ -224,13 +237,25 @@
         !open.is_empty() || self.book.orders().iter().any(has_lost)
     }
 
+    /// Returns the requests that this node may send to a new version until counts are pooled again. Where
+    /// the counts of the other nodes are not known, what is left of the last ones remains.
+    fn exposure_budget(&self, order: &KnownOrder, decision: &Decision) -> u32 {
+        match decision.exposure {
+            Some(exposure) => own_share(&self.state, exposure),
+            None => {
+                let service = &order.rollout.service;
+                self.state.rollouts.exposure_left(service, order.id())
+            }
+        }
+    }
+
     /// Waits until orders or counts are due: `left` is how long the cached orders may be used.
     async fn wait(&self, left: Option<Duration>) {
         let Some(left) = left else {
             return self.reader.wait_to_retry(&self.state).await;
         };
         let now = clock::now();
-        let pooling = self.is_active.then_some(POOLING_INTERVAL);
+        let pooling = self.is_active.then(|| pooling_interval(&self.state));
         let settled = self.book.settles_at().filter(|at| *at > now);
         let limits = [pooling, settled.map(|at| at.saturating_sub(now))];
         let least = limits.into_iter().flatten().fold(left, Duration::min);
@@ -270,6 +295,15 @@
     share as u32 + u32::from(chance)
 }
 
+/// Returns the interval at which this node pools counts while a rollout is under way.
+fn pooling_interval(state: &State) -> Duration {
+    if state.store_cache.is_forwarder() {
+        return POOLING_INTERVAL;
+    }
+    let nodes = state.node_count.load(Ordering::Relaxed);
+    POOLING_INTERVAL * (nodes / MAX_FULL_RATE_NODES).clamp(1, MAX_POOLING_FACTOR)
+}
+
 fn is_open(order: &KnownOrder) -> bool {
     !order.rollout.state.is_some_and(RolloutState::is_end)
 }
--- a/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/pooling.rs
@@ -7,11 +7,19 @@
     source::{Counts, Freshness},
 };
 
+/// The counts that a node knows.
+#[derive(Debug, Default)]
+pub(super) struct KnownCounts {
+    pub(super) counts: Vec<Counts>,
+    /// Whether those of the other nodes could be read.
+    pub(super) is_complete: bool,
+}
+
 impl Follower {
     /// Writes this node's counts of the rollouts that are under way, and returns those of all nodes.
-    pub(super) async fn pool_counts(&mut self, open: &[&KnownOrder]) -> Vec<Counts> {
+    pub(super) async fn pool_counts(&mut self, open: &[&KnownOrder]) -> KnownCounts {
         if open.is_empty() {
-            return Vec::new();
+            return KnownCounts::default();
         }
         let own = self.own_counts(open);
         let mut record = self.state.own_record();
@@ -28,14 +36,17 @@
         if let Some(read) = &read {
             self.pooled_era = read.revision.era();
         }
+        let is_complete = read.is_some();
         let others = read
             .map(|read| self.pool.items(&self.state, read))
             .unwrap_or_default()
             .into_iter()
             .filter(|other| other.name != record.name);
-        own.into_iter()
-            .chain(others.flat_map(|other| other.counts))
-            .collect()
+        let others = others.flat_map(|other| other.counts);
+        KnownCounts {
+            counts: own.into_iter().chain(others).collect(),
+            is_complete,
+        }
     }
 
     /// Returns this node's counts.
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -357,7 +357,7 @@
             events,
             trial,
         } = run_progress;
-        trials::record_failure(trial.as_ref());
+        trials::record_loss(trial.as_ref());
         let now = clock::now();
         self.lost_at.get_or_insert(now);
         let lost = LostRun {
@@ -541,13 +541,10 @@
             ..self.send_options(&member, copy)
         };
         let sent_at = clock::now();
-        let entry = &member.entry;
-        let trial = self.state.rollouts.begin_run(
-            &entry.service,
-            &entry.version,
-            trials::stream_size(&self.request, unread),
-            sent_at,
-        );
+        let size = trials::stream_size(&self.request, unread);
+        let (service, version) = (&member.entry.service, &member.entry.version);
+        let rollouts = &self.state.rollouts;
+        let trial = rollouts.begin_run(service, version, member.number, size, sent_at);
         let backups = match &options.backup {
             Some(holder) => Backups::growing(&self.request, holder, sent_at),
             None => Backups::default(),
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -206,13 +206,11 @@
     suspect::record_send(state, request);
     let place = LoadGuard::run(member, 0, 0);
     let sent_at = clock::now();
-    let entry = &member.entry;
-    let trial = state.rollouts.begin_run(
-        &entry.service,
-        &entry.version,
-        trials::plain_size(request),
-        sent_at,
-    );
+    let size = trials::plain_size(request);
+    let (service, version) = (&member.entry.service, &member.entry.version);
+    let trial = state
+        .rollouts
+        .begin_run(service, version, member.number, size, sent_at);
     let reading = async {
         match send(
             state,
@@ -303,7 +301,8 @@
 fn count_trial(trial: Option<&Arc<MeasuredRun>>, outcome: &AttemptOutcome) {
     match outcome {
         AttemptOutcome::NotRun | AttemptOutcome::Unreached => {}
-        AttemptOutcome::Lost | AttemptOutcome::TimedOut => trials::record_failure(trial),
+        AttemptOutcome::Lost => trials::record_loss(trial),
+        AttemptOutcome::TimedOut => trials::record_failure(trial),
         AttemptOutcome::Answered(answer) if answer.parts.status.is_server_error() => {
             trials::record_failure(trial);
         }
--- a/crates/cassiareel-relay/src/front/trials.rs
+++ b/crates/cassiareel-relay/src/front/trials.rs
@@ -35,7 +35,14 @@
     }
 }
 
-/// Records a run that failed or was lost.
+/// Records a run that was lost with its backend server.
+pub(super) fn record_loss(trial: Option<&Arc<MeasuredRun>>) {
+    if let Some(trial) = trial {
+        trial.note_loss(clock::now());
+    }
+}
+
+/// Records a run that failed, or that did not end in time.
 pub(super) fn record_failure(trial: Option<&Arc<MeasuredRun>>) {
     if let Some(trial) = trial {
         trial.note_failure();
--- a/crates/cassiareel-relay/src/kernel/rollout.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout.rs
@@ -3,8 +3,11 @@
 
 A bad version may get only a small share of all requests until the deadline, and almost none once it
 has proved bad. The verdict depends on the results of its runs compared with the old version's: runs
-that failed, were lost, or were several times slower count as bad, including open ones. The new
-version therefore gets as many requests as a verdict needs soon after the start, and a small share
+that failed or were several times slower count as bad, including open ones. A run that was lost with
+its backend server says more about the server's VM than about the version: where a data centre fails,
+such runs would hide the failures of the new version, or make a good one look bad. They are counted
+apart, and are evidence only if the new version loses servers again and again. The new version
+therefore gets as many requests as a verdict needs soon after the start, and a small share
 from then on, in case it turns bad later. It is rolled back at any time if it is worse than chance
 explains. It is complete towards the end of the rollout's duration if enough of its runs are known
 and few of them are evidence against it; in doubt it is rolled back at the end. Without evidence the
@@ -30,6 +33,10 @@
 /// The part of the allowed exposure that is used for the trial and the share after it.
 const EXPOSURE_PART: f64 = 0.6;
 
+/// The part of the allowed exposure that the new version never exceeds before its verdict. The rest is
+/// left for requests that nodes send before they know each other's counts.
+const MAX_EXPOSURE_PART: f64 = 0.8;
+
 /// The time within which the requests of the trial are to be sent. It spans a few exchanges of
 /// counts, since each node acts on counts that are out of date.
 const TRIAL_TIME: Duration = Duration::from_millis(2500);
@@ -56,7 +63,7 @@
 const BAD_EXTRA_ANSWERS: f64 = 3.0;
 
 /// The share of bad answers above which a version may be doubtful.
-const DOUBTFUL_RATE: f64 = 0.5;
+const DOUBTFUL_RATE: f64 = 0.2;
 
 /// The number of standard deviations by which a doubtful version's bad answers exceed the expected
 /// number.
@@ -65,6 +72,17 @@
 /// The number of bad answers in addition to that.
 const DOUBTFUL_EXTRA_ANSWERS: f64 = 2.0;
 
+/// The number of parts into which a rollout's duration is divided to tell losses that recur from those
+/// of one moment.
+pub const LOSS_PERIODS: u32 = 8;
+
+/// The number of these parts in which runs of the new version have to be lost before the losses are
+/// evidence against it: a failure of a data centre affects two at most.
+const BAD_LOSS_PERIODS: u32 = 4;
+
+/// The number of these parts from which on the losses make a version doubtful.
+const DOUBTFUL_LOSS_PERIODS: u32 = 3;
+
 /// The lowest rate of bad answers that is expected of a good version.
 const MIN_EXPECTED_RATE: f64 = 0.02;
 
@@ -75,8 +93,14 @@
     pub sent: u64,
     /// The number of these whose result is known.
     pub answers: u64,
-    /// The number of these that failed, were lost or were slow.
+    /// The number of these that failed or were slow.
     pub bad: u64,
+    /// The number of requests that were lost with their backend server; their result is not known.
+    #[serde(default)]
+    pub lost: u64,
+    /// The parts of the rollout's duration in which requests were lost, a bit for each.
+    #[serde(default)]
+    pub loss_periods: u8,
     /// The times to an answer or to the first event.
     pub first: LogTimes,
     /// The times between events.
@@ -90,6 +114,8 @@
             sent: self.sent + other.sent,
             answers: self.answers + other.answers,
             bad: self.bad + other.bad,
+            lost: self.lost + other.lost,
+            loss_periods: self.loss_periods | other.loss_periods,
             first: self.first.merge(other.first),
             gap: self.gap.merge(other.gap),
         }
@@ -103,12 +129,45 @@
         }
     }
 
-    /// Returns the share of bad answers.
-    fn bad_rate(self) -> f64 {
-        if self.answers == 0 {
+    /// Counts a request that was lost at `elapsed` since the order of a rollout that takes `duration`.
+    pub fn record_loss(&mut self, elapsed: Duration, duration: Duration) {
+        let part = elapsed.as_secs_f64() / duration.as_secs_f64().max(f64::MIN_POSITIVE);
+        let period = ((part * f64::from(LOSS_PERIODS)) as u32).min(LOSS_PERIODS - 1);
+        self.lost += 1;
+        self.loss_periods |= 1 << period;
+    }
+
+    /// Returns the number of bad ones among the known answers.
+    fn failures(self) -> Ratio {
+        Ratio {
+            of: self.answers,
+            bad: self.bad,
+        }
+    }
+
+    /// Returns the number of lost ones among the requests that have ended.
+    fn losses(self) -> Ratio {
+        Ratio {
+            of: self.answers + self.lost,
+            bad: self.lost,
+        }
+    }
+}
+
+/// A number of requests, and of the bad ones among them.
+#[derive(Clone, Copy, Debug)]
+struct Ratio {
+    of: u64,
+    bad: u64,
+}
+
+impl Ratio {
+    /// Returns the share of bad ones.
+    fn rate(self) -> f64 {
+        if self.of == 0 {
             return 0.0;
         }
-        self.bad as f64 / self.answers as f64
+        self.bad as f64 / self.of as f64
     }
 }
 
@@ -205,6 +264,9 @@
     /// Returns the share that the new version gets next: enough to send what is missing of its
     /// trial within a short time.
     fn share(&self, elapsed: Duration, old: Tally, new: Tally) -> f64 {
+        if self.remaining_exposure(old, new) <= 0.0 {
+            return 0.0;
+        }
         let missing = self.missing_requests(old, new);
         if missing <= 0.0 {
             return MIN_SHARE.min(self.exposure.share * EXPOSURE_PART);
@@ -214,6 +276,14 @@
         (missing / expected).clamp(MIN_SHARE, MAX_SHARE)
     }
 
+    /// Returns the number of requests that the new version may get until counts are pooled again, over
+    /// all nodes, also where no backend server of another version is left.
+    pub fn remaining_exposure(&self, old: Tally, new: Tally) -> f64 {
+        let all = (old.sent + new.sent) as f64;
+        let allowed = (self.exposure.slack + self.exposure.share * all) * MAX_EXPOSURE_PART;
+        (allowed - new.sent as f64).max(0.0)
+    }
+
     /// Returns the number of requests that are missing of the new version's trial, over all nodes.
     /// It is zero while the rate of requests is unknown, and when a verdict against the version is
     /// near.
@@ -227,22 +297,29 @@
     }
 }
 
-/// Reports whether the new version has more bad answers than chance explains.
+/// Reports whether the new version has more bad answers than chance explains, or loses its backend
+/// servers again and again.
 fn is_worse(old: Tally, new: Tally) -> bool {
-    exceeds(old, new, BAD_DEVIATIONS, BAD_EXTRA_ANSWERS)
+    let exceeds = |old, new| exceeds(old, new, BAD_DEVIATIONS, BAD_EXTRA_ANSWERS);
+    let recurs = new.loss_periods.count_ones() >= BAD_LOSS_PERIODS;
+    exceeds(old.failures(), new.failures()) || (recurs && exceeds(old.losses(), new.losses()))
 }
 
-/// Reports whether most answers of the new version are bad, and so many that it may well be worse.
+/// Reports whether many answers of the new version are bad, and so many that it may well be worse.
 /// It can't be complete then.
 fn is_doubtful(old: Tally, new: Tally) -> bool {
-    new.bad_rate() > DOUBTFUL_RATE && exceeds(old, new, DOUBTFUL_DEVIATIONS, DOUBTFUL_EXTRA_ANSWERS)
+    let exceeds = |old, new: Ratio| {
+        new.rate() > DOUBTFUL_RATE && exceeds(old, new, DOUBTFUL_DEVIATIONS, DOUBTFUL_EXTRA_ANSWERS)
+    };
+    let recurs = new.loss_periods.count_ones() >= DOUBTFUL_LOSS_PERIODS;
+    exceeds(old.failures(), new.failures()) || (recurs && exceeds(old.losses(), new.losses()))
 }
 
 /// Reports whether the new version's bad answers exceed the expected number by `deviations`
 /// standard deviations plus `extra` answers.
-fn exceeds(old: Tally, new: Tally, deviations: f64, extra: f64) -> bool {
-    let rate = old.bad_rate().max(MIN_EXPECTED_RATE);
-    let expected = new.answers as f64 * rate;
+fn exceeds(old: Ratio, new: Ratio, deviations: f64, extra: f64) -> bool {
+    let rate = old.rate().max(MIN_EXPECTED_RATE);
+    let expected = new.of as f64 * rate;
     let deviation = (expected * (1.0 - rate)).sqrt();
     new.bad as f64 > expected + deviations * deviation + extra
 }
--- a/crates/cassiareel-relay/src/kernel/rollout_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout_tests.rs
@@ -87,11 +87,21 @@
         sent,
         answers,
         bad,
+        lost: 0,
+        loss_periods: 0,
         first: NO_TIMES,
         gap: NO_TIMES,
     }
 }
 
+const fn with_losses(tally: Tally, lost: u64, loss_periods: u8) -> Tally {
+    Tally {
+        lost,
+        loss_periods,
+        ..tally
+    }
+}
+
 const NO_TIMES: LogTimes = LogTimes {
     count: 0,
     log_sum: 0.0,
@@ -120,6 +130,10 @@
 #[test_case(&Snapshot { ms: 2_000, old: runs(20, 10, 0), new: runs(4, 3, 2), check: SMALL }; "in doubt the new version gets no more")]
 #[test_case(&Snapshot { ms: 100, old: runs(0, 0, 0), new: runs(0, 0, 0), check: SMALL }; "the rate of requests is unknown")]
 #[test_case(&Snapshot { ms: 2_000, old: runs(2_000, 1_900, 0), new: runs(10, 3, 0), check: SMALL }; "many requests need a small share")]
+#[test_case(&Snapshot { ms: 11_500, old: with_losses(runs(60, 47, 0), 13, 0b10), new: runs(20, 19, 5), check: ROLL_BACK }; "failures of the new version beside losses of the old one")]
+#[test_case(&Snapshot { ms: 9_000, old: with_losses(runs(485, 280, 14), 138, 0b1010), new: with_losses(runs(32, 28, 12), 3, 0b1000), check: ROLL_BACK }; "most bad runs were losses of the old version's servers")]
+#[test_case(&Snapshot { ms: 11_500, old: with_losses(runs(60, 50, 0), 3, 0b10), new: with_losses(runs(20, 14, 0), 5, 0b10), check: COMPLETE }; "a data centre of the new version fails")]
+#[test_case(&Snapshot { ms: 8_000, old: runs(100, 100, 0), new: with_losses(runs(30, 10, 0), 18, 0b1_1110), check: ROLL_BACK }; "the new version loses its servers again and again")]
 fn a_rollout_ends_by_evidence(snapshot: &Snapshot) {
     let elapsed = Duration::from_millis(snapshot.ms);
     let decision = JUDGE.decide(elapsed, snapshot.old, snapshot.new);
--- a/crates/cassiareel-relay/src/rollouts/measured_run.rs
+++ b/crates/cassiareel-relay/src/rollouts/measured_run.rs
@@ -6,7 +6,10 @@
 one. The limit is set by the times of the old version's runs, and by the objective in any case.
 */
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
 
 use cassiareel::runtime;
 
@@ -28,11 +31,23 @@
     pub objective: f64,
 }
 
+/// The order that a run is counted for, and the backend server that runs it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RunPlace {
+    /// When the time of the order began.
+    pub order_began: Moment,
+    /// The time within which the rollout has to end.
+    pub order_duration: Duration,
+    /// The number of the backend server.
+    pub backend: u64,
+}
+
 /// One run. Dropping it ends it without recording an answer.
 #[derive(Debug)]
 pub(crate) struct MeasuredRun {
     is_new: bool,
     began: Moment,
+    place: RunPlace,
     size: RunSize,
     counts: Arc<Mutex<RolloutCounts>>,
     progress: Mutex<Progress>,
@@ -48,6 +63,8 @@
     /// Whether its time to the answer or the first event was added to the counts.
     first_measured: bool,
     gap_measured: bool,
+    /// Whether the run was lost with its backend server, so that it is not judged any more.
+    is_lost: bool,
 }
 
 impl MeasuredRun {
@@ -55,6 +72,7 @@
     pub(super) fn begin(
         counts: Arc<Mutex<RolloutCounts>>,
         is_new: bool,
+        place: RunPlace,
         size: RunSize,
         now: Moment,
     ) -> MeasuredRun {
@@ -62,6 +80,7 @@
         MeasuredRun {
             is_new,
             began: now,
+            place,
             size,
             counts,
             progress: Mutex::default(),
@@ -81,7 +100,21 @@
         }
     }
 
-    /// Records that the run failed or was lost.
+    /// Records that the run was lost with its backend server. A run that only counted as slow, since no
+    /// event had come, is no longer evidence against the version. All runs that are lost with one server
+    /// count as one.
+    pub(crate) fn note_loss(&self, now: Moment) {
+        let mut counts = runtime::lock(&self.counts);
+        let is_first = counts.lost_backends.insert(self.place.backend);
+        let tally = counts.tally(self.is_new);
+        self.progress().record_loss(tally);
+        if is_first {
+            let elapsed = now.saturating_sub(self.place.order_began);
+            tally.record_loss(elapsed, self.place.order_duration);
+        }
+    }
+
+    /// Records that the run failed.
     pub(crate) fn note_failure(&self) {
         let mut counts = runtime::lock(&self.counts);
         self.progress()
@@ -94,6 +127,9 @@
         let typical = counts.typical;
         let tally = counts.tally(self.is_new);
         let mut progress = self.progress();
+        if progress.is_lost {
+            return;
+        }
         self.judge_first(&mut progress, tally, &typical, now);
         judge_gap(&mut progress, tally, &typical);
     }
@@ -156,6 +192,15 @@
         }
         self.bad = Some(bad);
     }
+
+    /// Takes the run out of the known ones, unless events had shown how it fares.
+    fn record_loss(&mut self, tally: &mut Tally) {
+        if self.first.is_none() && self.bad.take().is_some_and(|bad| bad) {
+            tally.answers -= 1;
+            tally.bad -= 1;
+        }
+        self.is_lost = true;
+    }
 }
 
 impl Drop for MeasuredRun {
--- a/crates/cassiareel-relay/src/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/rollouts/mod.rs
@@ -8,6 +8,8 @@
 the store, an order may be missing until the operator has written it again.
 */
 
+#[cfg(test)]
+mod fleet_tests;
 mod measured_run;
 mod rollout_counts;
 #[cfg(test)]
@@ -20,11 +22,13 @@
         atomic::{AtomicU32, Ordering},
         Arc, Mutex, MutexGuard, Weak,
     },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use cassiareel::runtime;
 
+use measured_run::RunPlace;
 pub(crate) use measured_run::{MeasuredRun, RunSize};
 pub(crate) use rollout_counts::RolloutCounts;
 pub(crate) use version_rule::{VersionRank, VersionRule};
@@ -47,6 +51,13 @@
     /// Requests that this node may send to the new version beyond its least share, until counts are
     /// pooled again.
     pub trial_budget: AtomicU32,
+    /// Requests that this node may send to the new version until counts are pooled again before it sends
+    /// it no more of those that other versions have no room for.
+    pub exposure_budget: AtomicU32,
+    /// When the time of the order began.
+    pub began: Moment,
+    /// The time within which the rollout has to end.
+    pub duration: Duration,
     /// Versions that earlier orders of the service named and that were not completed.
     pub unproven: Arc<[UnprovenVersion]>,
 }
@@ -71,6 +82,15 @@
 }
 
 impl ActiveRollout {
+    /// Counts a request to the new version.
+    fn spend_exposure(&self) {
+        let decrement = |left: u32| left.checked_sub(1);
+        // A request that was admitted before the budget was used up is sent all the same.
+        let _ = self
+            .exposure_budget
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement);
+    }
+
     /// Draws whether a request is sent to the new version beyond its least share, so that it gets
     /// `share` of all requests.
     fn draw_trial(&self, share: f64) -> bool {
@@ -165,10 +185,23 @@
             {
                 VersionRule::Prefer(target)
             }
+            // Where the other versions lose their backend servers, a bad version would get all requests.
+            RolloutDecision::Share(_) if active.exposure_budget.load(Ordering::Relaxed) == 0 => {
+                VersionRule::Never(target)
+            }
             RolloutDecision::Share(_) => VersionRule::Avoid(target),
         }
     }
 
+    /// Returns what is left of the requests that this node may send to the new version of an order.
+    pub(crate) fn exposure_left(&self, service: &ServiceId, order: StoreRevision) -> u32 {
+        let active_rollouts = self.active.load();
+        let active = active_rollouts
+            .get(service)
+            .filter(|active| active.order == order);
+        active.map_or(0, |active| active.exposure_budget.load(Ordering::Relaxed))
+    }
+
     /// Returns the versions of a service that earlier orders named and that were not completed.
     pub(crate) fn unproven_versions(&self, service: &ServiceId) -> Arc<[UnprovenVersion]> {
         let active_rollouts = self.active.load();
@@ -185,11 +218,13 @@
         draw.draw(share.min(MIN_SHARE), fastrand::f64())
     }
 
-    /// Begins to measure a run; returns `None` where its service has no undecided rollout.
+    /// Begins to measure a run at the backend server with the number `backend`; returns `None` where its service has no undecided
+    /// rollout.
     pub(crate) fn begin_run(
         &self,
         service: &ServiceId,
         version: &Version,
+        backend: u64,
         size: RunSize,
         now: Moment,
     ) -> Option<Arc<MeasuredRun>> {
@@ -199,9 +234,17 @@
             return None;
         }
         let is_new = *version == active.target;
+        if is_new {
+            active.spend_exposure();
+        }
+        let place = RunPlace {
+            order_began: active.began,
+            order_duration: active.duration,
+            backend,
+        };
         let mut inner = self.lock();
         let counted = inner.counts_of(service, active.order);
-        let run = Arc::new(MeasuredRun::begin(counted, is_new, size, now));
+        let run = Arc::new(MeasuredRun::begin(counted, is_new, place, size, now));
         inner.open_runs.push(Arc::downgrade(&run));
         Some(run)
     }
@@ -220,7 +263,7 @@
     /// Returns the counts of a rollout.
     pub(crate) fn counts_of(&self, service: &ServiceId, order: StoreRevision) -> RolloutCounts {
         let counts = self.lock().counts_of(service, order);
-        let counted = *runtime::lock(&counts);
+        let counted = runtime::lock(&counts).clone();
         counted
     }
 
--- a/crates/cassiareel-relay/src/rollouts/rollout_counts.rs
+++ b/crates/cassiareel-relay/src/rollouts/rollout_counts.rs
@@ -1,9 +1,11 @@
 //! A node's counts of one rollout.
 
+use std::collections::HashSet;
+
 use crate::kernel::{Baselines, Tally};
 
 /// A node's counts of one rollout, and the typical times that it knows.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct RolloutCounts {
     /// Runs of the old version.
     pub old: Tally,
@@ -11,6 +13,8 @@
     pub new: Tally,
     /// Typical times of the old version on all nodes.
     pub typical: Baselines,
+    /// The numbers of the backend servers with which runs were lost.
+    pub lost_backends: HashSet<u64>,
 }
 
 impl RolloutCounts {
--- a/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
+++ b/crates/cassiareel-relay/src/rollouts/rollouts_tests.rs
@@ -125,6 +125,9 @@
                 target,
                 split,
                 trial_budget: AtomicU32::new(0),
+                exposure_budget: AtomicU32::new(u32::MAX),
+                began: Moment::default(),
+                duration: DURATION,
                 unproven: Arc::default(),
             },
         )])
@@ -144,7 +147,7 @@
     assert_eq!(known(counted.new), (1, 1, 1));
     rollouts.replace(active(RolloutDecision::RollBack), revision(2), true);
     assert!(rollouts
-        .begin_run(&service(), &version("v2"), SIZE, now)
+        .begin_run(&service(), &version("v2"), BACKEND, SIZE, now)
         .is_none());
     assert_eq!(
         rollouts.version_rule(&service()),
@@ -161,6 +164,12 @@
 const TYPICAL: Duration = Duration::from_millis(1000);
 const OBJECTIVE: Duration = Duration::from_millis(4500);
 
+/// The time within which the rollout has to end.
+const DURATION: Duration = Duration::from_secs(16);
+
+/// The number of the backend server that runs a request.
+const BACKEND: u64 = 1;
+
 const SIZE: RunSize = RunSize {
     units: 1.0,
     objective: 4.5,
@@ -174,6 +183,9 @@
         target: version("v2"),
         split,
         trial_budget: AtomicU32::new(trial_budget),
+        exposure_budget: AtomicU32::new(u32::MAX),
+        began: clock::now(),
+        duration: DURATION,
         unproven: Arc::default(),
     };
     rollouts.replace(HashMap::from([(service(), active)]), revision(1), true);
@@ -181,7 +193,7 @@
 }
 
 fn begin(rollouts: &Rollouts, name: &str, now: Moment) -> Arc<MeasuredRun> {
-    let run = rollouts.begin_run(&service(), &version(name), SIZE, now);
+    let run = rollouts.begin_run(&service(), &version(name), BACKEND, SIZE, now);
     run.expect("the service is being rolled out")
 }
 
