Rollouts: doubt by the probability of the bad answers

Change: a version is doubtful where one as good as the old version would have that many bad answers in less than 2 of 100 cases (binomial), with three bad answers at least.

--- a/crates/cassiareel-relay/src/kernel/rollout.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout.rs
@@ -62,15 +62,13 @@
 /// The number of bad answers in addition to that, since few answers are weak evidence.
 const BAD_EXTRA_ANSWERS: f64 = 3.0;
 
-/// The share of bad answers above which a version may be doubtful.
-const DOUBTFUL_RATE: f64 = 0.2;
+/// The probability below which the bad answers of a version that is as good as the old one make it
+/// doubtful. A good version that is rolled back costs another rollout, a bad one that is complete gets all
+/// requests.
+const DOUBTFUL_PROBABILITY: f64 = 0.02;
 
-/// The number of standard deviations by which a doubtful version's bad answers exceed the expected
-/// number.
-const DOUBTFUL_DEVIATIONS: f64 = 2.5;
-
-/// The number of bad answers in addition to that.
-const DOUBTFUL_EXTRA_ANSWERS: f64 = 2.0;
+/// The number of bad answers below which no version is doubtful, since single ones have many causes.
+const MIN_DOUBTFUL_ANSWERS: u64 = 3;
 
 /// The number of parts into which a rollout's duration is divided to tell losses that recur from those
 /// of one moment.
@@ -305,14 +303,33 @@
     exceeds(old.failures(), new.failures()) || (recurs && exceeds(old.losses(), new.losses()))
 }
 
-/// Reports whether many answers of the new version are bad, and so many that it may well be worse.
-/// It can't be complete then.
+/// Reports whether the new version would hardly have as many bad answers, or lost servers, if it were as
+/// good as the old one. It can't be complete then.
 fn is_doubtful(old: Tally, new: Tally) -> bool {
-    let exceeds = |old, new: Ratio| {
-        new.rate() > DOUBTFUL_RATE && exceeds(old, new, DOUBTFUL_DEVIATIONS, DOUBTFUL_EXTRA_ANSWERS)
-    };
     let recurs = new.loss_periods.count_ones() >= DOUBTFUL_LOSS_PERIODS;
-    exceeds(old.failures(), new.failures()) || (recurs && exceeds(old.losses(), new.losses()))
+    is_improbable(old.failures(), new.failures())
+        || (recurs && is_improbable(old.losses(), new.losses()))
+}
+
+/// Reports whether a version with the old one's rate of bad answers would hardly have those of the new
+/// one.
+fn is_improbable(old: Ratio, new: Ratio) -> bool {
+    // One bad answer more than was seen, since few answers say little about a rate.
+    let rate = (old.bad + 1) as f64 / (old.of + 2) as f64;
+    let rate = rate.max(MIN_EXPECTED_RATE);
+    new.bad >= MIN_DOUBTFUL_ANSWERS && probability_of(new, rate) < DOUBTFUL_PROBABILITY
+}
+
+/// Returns the probability that as many answers or more are bad at a given rate (binomial distribution).
+fn probability_of(ratio: Ratio, rate: f64) -> f64 {
+    let odds = (rate / (1.0 - rate)).ln();
+    let mut log_term = ratio.of as f64 * (1.0 - rate).ln();
+    let mut fewer = 0.0;
+    for bad in 0..ratio.bad {
+        fewer += log_term.exp();
+        log_term += odds + ((ratio.of - bad) as f64 / (bad + 1) as f64).ln();
+    }
+    1.0 - fewer
 }
 
 /// Reports whether the new version's bad answers exceed the expected number by `deviations`
