Rollouts: a version in doubt gets more requests from 0.4 of the duration on

Cause: two bad runs end the trial, since a verdict is near. Change: from 0.4 of the duration on, a version in doubt gets up to 48 requests within the same part of the allowed exposure.

--- a/crates/cassiareel-relay/src/follow/rollouts/decision.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/decision.rs
@@ -192,7 +192,7 @@
     };
     Decision {
         split: judge.decide(pooled.elapsed, pooled.old, pooled.new),
-        missing_requests: judge.missing_requests(pooled.old, pooled.new),
+        missing_requests: judge.missing_requests(pooled.elapsed, pooled.old, pooled.new),
         exposure: Some(judge.remaining_exposure(pooled.old, pooled.new)),
     }
 }
--- a/crates/cassiareel-relay/src/kernel/rollout.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout.rs
@@ -48,6 +48,13 @@
 /// since a verdict is near.
 const DOUBT_RUNS: u64 = 2;
 
+/// The part of the rollout's duration after which a version in doubt gets requests for its verdict
+/// again: the bad runs may have been chance, and a verdict by few runs is as likely wrong as right.
+const DOUBT_PAUSE_PART: f64 = 0.4;
+
+/// The number of requests that a version in doubt gets then.
+const DOUBT_REQUESTS: f64 = 48.0;
+
 /// The part of the rollout's duration after which a good version may be complete.
 const EARLIEST_END_PART: f64 = 0.8;
 
@@ -265,7 +272,7 @@
         if self.remaining_exposure(old, new) <= 0.0 {
             return 0.0;
         }
-        let missing = self.missing_requests(old, new);
+        let missing = self.missing_requests(elapsed, old, new);
         if missing <= 0.0 {
             return MIN_SHARE.min(self.exposure.share * EXPOSURE_PART);
         }
@@ -285,13 +292,19 @@
     /// Returns the number of requests that are missing of the new version's trial, over all nodes.
     /// It is zero while the rate of requests is unknown, and when a verdict against the version is
     /// near.
-    pub fn missing_requests(&self, old: Tally, new: Tally) -> f64 {
+    pub fn missing_requests(&self, elapsed: Duration, old: Tally, new: Tally) -> f64 {
         let all = (old.sent + new.sent) as f64;
-        if all == 0.0 || new.bad >= DOUBT_RUNS {
+        let in_doubt = new.bad >= DOUBT_RUNS;
+        if all == 0.0 || (in_doubt && elapsed < self.duration.mul_f64(DOUBT_PAUSE_PART)) {
             return 0.0;
         }
+        let wanted = if in_doubt {
+            DOUBT_REQUESTS
+        } else {
+            TRIAL_REQUESTS
+        };
         let allowed = (self.exposure.slack + self.exposure.share * all) * EXPOSURE_PART;
-        (TRIAL_REQUESTS.min(allowed) - new.sent as f64).max(0.0)
+        (wanted.min(allowed) - new.sent as f64).max(0.0)
     }
 }
 
--- a/crates/cassiareel-relay/src/kernel/rollout_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout_tests.rs
@@ -138,6 +138,7 @@
 #[test_case(&Snapshot { ms: 9_000, old: with_losses(runs(485, 280, 14), 138, 0b1010), new: with_losses(runs(32, 28, 12), 3, 0b1000), check: ROLL_BACK }; "most bad runs were losses of the old version's servers")]
 #[test_case(&Snapshot { ms: 11_500, old: with_losses(runs(60, 50, 0), 3, 0b10), new: with_losses(runs(20, 14, 0), 5, 0b10), check: COMPLETE }; "a data centre of the new version fails")]
 #[test_case(&Snapshot { ms: 8_000, old: runs(100, 100, 0), new: with_losses(runs(30, 10, 0), 18, 0b1_1110), check: ROLL_BACK }; "the new version loses its servers again and again")]
+#[test_case(&Snapshot { ms: 6_000, old: runs(200, 190, 10), new: runs(16, 14, 4), check: LARGE }; "in doubt for long, the new version gets more")]
 fn a_rollout_ends_by_evidence(snapshot: &Snapshot) {
     let elapsed = Duration::from_millis(snapshot.ms);
     let decision = JUDGE.decide(elapsed, snapshot.old, snapshot.new);
--- a/crates/cassiareel-relay/src/rollouts/fleet_tests.rs
+++ b/crates/cassiareel-relay/src/rollouts/fleet_tests.rs
@@ -215,7 +215,10 @@
         let rollouts = &self.nodes[index].rollouts;
         let (trial, exposure) = match is_complete {
             true => (
-                share(JUDGE.missing_requests(old, new), &mut self.random),
+                share(
+                    JUDGE.missing_requests(now - self.began, old, new),
+                    &mut self.random,
+                ),
                 share(JUDGE.remaining_exposure(old, new), &mut self.random),
             ),
             false => (0, rollouts.exposure_left(&service(), order)),
