Lease candidate: any object, timing and clock over a narrow store trait

Cause: the relay's duties need a lease, and there is to be one implementation. Change: Candidate takes LeaseOptions (object, timing, poll interval, clock) and store::ConditionalStore, which Arc<dyn Objects> implements. It wakes exactly when a renewal or a takeover is due, acquires in the poll that read the record, and logs a lease that expired between polls. Its clock counts suspensions. A fencing number that was refused (Event::Fenced) is never granted again, also not by a renewal in flight.

--- a/crates/cassiareel/src/control/judge_tests.rs
+++ b/crates/cassiareel/src/control/judge_tests.rs
@@ -6,17 +6,16 @@
 
 use super::{
     judge::{record_outcomes_once, Judges},
-    lease::Candidate,
+    lease::{Candidate, LeaseOptions},
     moves,
 };
 use crate::{
     kernel::{
-        lease::Timing,
         moves::{Cell, Key, Outcome, Plan, Resources, Scope, State},
         Time,
     },
     peer::SharedState,
-    store::MemoryObjects,
+    store::{MemoryObjects, Objects},
 };
 
 fn key(version: &str, server: u16) -> Key {
@@ -35,7 +34,9 @@
     let objects = Arc::new(MemoryObjects::new(1));
     let shared = SharedState::new();
     let log = Logger::root(Discard, o!());
-    let holder = Candidate::new("n1".into(), 1, Timing::default(), objects.clone(), log);
+    let store: Arc<dyn Objects> = objects.clone();
+    let options = LeaseOptions::default();
+    let holder = Candidate::new("n1".into(), 1, options, Arc::new(store), log);
     smol::block_on(async {
         holder.poll().await;
         holder.poll().await;
--- a/crates/cassiareel/src/control/lease_tests.rs
+++ b/crates/cassiareel/src/control/lease_tests.rs
@@ -4,15 +4,22 @@
 
 use slog::{o, Discard, Logger};
 
-use super::lease::{Candidate, KIND, NAME};
+use super::lease::{Candidate, LeaseOptions, KIND, NAME};
 use crate::{
-    kernel::lease::{Record, Timing},
+    kernel::lease::Record,
     store::{Call, Fault, MemoryObjects, Objects},
 };
 
 fn candidate(name: &str, objects: &Arc<MemoryObjects>) -> Candidate {
     let log = Logger::root(Discard, o!());
-    Candidate::new(name.into(), 1, Timing::default(), objects.clone(), log)
+    let store: Arc<dyn Objects> = objects.clone();
+    Candidate::new(
+        name.into(),
+        1,
+        LeaseOptions::default(),
+        Arc::new(store),
+        log,
+    )
 }
 
 #[test]
@@ -113,3 +120,18 @@
     });
     assert!(b.grant().is_none() || c.grant().is_none());
 }
+
+/// A number that the receiver of a command refused must not come back with the answer to a renewal.
+#[test]
+fn refused_number_is_replaced_by_a_higher_one() {
+    let objects = Arc::new(MemoryObjects::new(1));
+    let a = candidate("a", &objects);
+    smol::block_on(async {
+        a.poll().await;
+        assert_eq!(a.grant().map(|grant| grant.fence), Some(1));
+        a.fence_off(1, 9);
+        assert!(a.grant().is_none());
+        a.poll().await;
+    });
+    assert_eq!(a.grant().map(|grant| grant.fence), Some(9));
+}
--- a/crates/cassiareel/src/control/mod.rs
+++ b/crates/cassiareel/src/control/mod.rs
@@ -19,5 +19,5 @@
 #[cfg(test)]
 mod moves_tests;
 
-pub use clock::{wall_millis, wall_seconds};
+pub use clock::{boot_time, wall_millis, wall_seconds};
 pub use object_update::ChangeError;
--- a/crates/cassiareel/src/kernel/lease/machine.rs
+++ b/crates/cassiareel/src/kernel/lease/machine.rs
@@ -34,6 +34,13 @@
     NotApplied,
     /// The write may have taken effect.
     Ambiguous,
+    /// The receiver of an action refused this fencing number, since it has seen a higher one.
+    Fenced {
+        /// The refused number.
+        fence: Fence,
+        /// The lowest number to take next.
+        next: Fence,
+    },
     /// The node is stopping as planned, and its last action has ended.
     Release,
 }
@@ -120,6 +127,8 @@
     call_sent: Time,
     just_read: bool,
     released: bool,
+    // The highest fencing number that was refused; it is never granted again.
+    refused_fence: Fence,
     /// The deliberate defect that the model check must find.
     #[cfg(test)]
     pub(crate) mutation: Option<&'static str>,
@@ -143,6 +152,7 @@
             call_sent: Time::ZERO,
             just_read: false,
             released: false,
+            refused_fence: 0,
             #[cfg(test)]
             mutation: None,
         }
@@ -161,6 +171,23 @@
         self.observed.as_ref().map(|observed| &observed.record)
     }
 
+    /// Returns the time at which the next tick is due: the renewal of a held lease, or the first
+    /// moment at which the lease of another holder may be taken. Returns `None` where that is unknown.
+    pub fn due_at(&self, now: Time) -> Option<Time> {
+        if self.grant(now).is_some() {
+            return Some(self.renew_at);
+        }
+        let observed = self.observed.as_ref()?;
+        Some(observed.since + self.timing.duration + self.timing.margin)
+    }
+
+    /// Reports whether the next tick writes, on the basis of a record that was read just now.
+    pub fn can_acquire(&self, now: Time) -> bool {
+        let is_free = self.call.is_none() && !self.released && self.grant(now).is_none();
+        let is_resolved = self.pending.is_none_or(|pending| pending.read_back);
+        is_free && is_resolved && self.just_read && self.may_acquire(now)
+    }
+
     /// Returns the store's era that this candidate knows of.
     pub fn era(&self) -> StoreEra {
         self.era
@@ -179,6 +206,7 @@
             Event::Conflict => self.conflict(),
             Event::NotApplied => self.not_done(),
             Event::Ambiguous => self.ambiguous(now),
+            Event::Fenced { fence, next } => self.fenced(fence, next),
             Event::Release => return self.release(now),
         }
         None
@@ -394,14 +422,26 @@
         } else {
             sent
         };
+        self.highest_fence = self.highest_fence.max(pending.fence);
+        self.pending = None;
+        if pending.fence <= self.refused_fence {
+            return;
+        }
         self.grant = Some(Grant {
             fence: pending.fence,
             valid_until: from + self.timing.duration - self.timing.margin,
             commands_from: pending.commands_from,
         });
-        self.highest_fence = self.highest_fence.max(pending.fence);
         self.renew_at = sent + self.timing.renewal_interval();
-        self.pending = None;
+    }
+
+    /// Gives up a number that was refused, also where a renewal with it is in flight.
+    fn fenced(&mut self, fence: Fence, next: Fence) {
+        self.refused_fence = self.refused_fence.max(fence);
+        self.highest_fence = self.highest_fence.max(next.saturating_sub(1));
+        if self.grant.is_some_and(|grant| grant.fence <= fence) {
+            self.grant = None;
+        }
     }
 
     fn conflict(&mut self) {
--- a/crates/cassiareel/src/kernel/lease/machine_tests.rs
+++ b/crates/cassiareel/src/kernel/lease/machine_tests.rs
@@ -202,3 +202,24 @@
     });
     assert!(fence.expect("the lease is acquired in time") > 3);
 }
+
+/// The answer to a renewal that was in flight must not give a refused number back.
+#[test]
+fn renewal_in_flight_does_not_revive_a_refused_number() {
+    let mut lease = Lease::new("a".into(), 1, Timing::default());
+    lease.step(secs(0), Event::Tick);
+    lease.step(secs(0), Event::Read { found: None });
+    lease.step(secs(0), Event::Tick);
+    lease.step(secs(0), Event::Written { version: at(1) });
+    let renewal = lease.step(secs(4), Event::Tick);
+    assert!(matches!(renewal, Some(Action::Write { .. })));
+    lease.step(secs(4), Event::Fenced { fence: 1, next: 2 });
+    lease.step(secs(4), Event::Written { version: at(2) });
+    assert_eq!(lease.grant(secs(4)), None);
+    lease.step(secs(5), Event::Tick);
+    let found = Some((at(2), record("a", 1, 1)));
+    lease.step(secs(5), Event::Read { found });
+    lease.step(secs(5), Event::Tick);
+    lease.step(secs(5), Event::Written { version: at(3) });
+    assert_eq!(lease.grant(secs(5)).map(|grant| grant.fence), Some(2));
+}
--- a/crates/cassiareel/src/node/coordination.rs
+++ b/crates/cassiareel/src/node/coordination.rs
@@ -7,9 +7,11 @@
 
 use super::{follow::Follower, Options};
 use crate::{
-    control::{self, lease::Candidate},
+    control::{
+        self,
+        lease::{Candidate, LeaseOptions},
+    },
     kernel::{
-        lease::Timing,
         membership::{Member, NodeState},
         Incarnation,
     },
@@ -80,8 +82,8 @@
         let candidate = Arc::new(Candidate::new(
             options.name.clone(),
             incarnation,
-            Timing::default(),
-            objects.clone(),
+            LeaseOptions::default(),
+            Arc::new(objects.clone()),
             log.clone(),
         ));
         let judge = control::judge::run(moves.clone(), peers.clone(), log.clone());
--- a/crates/cassiareel/src/store/mod.rs
+++ b/crates/cassiareel/src/store/mod.rs
@@ -6,6 +6,7 @@
 Support for another platform takes one more adapter and no change to any decision logic.
 */
 
+mod conditional;
 mod entries;
 mod http_objects;
 mod http_vms;
@@ -16,6 +17,7 @@
 mod version;
 mod vms;
 
+pub use conditional::ConditionalStore;
 pub use http_objects::HttpObjects;
 pub use http_vms::HttpVms;
 pub use memory::{Call, CallCounts, Fault, FaultRates, MemoryObjects, MAX_OBJECT_BYTES};
