Duties: settings, lease, terms, driver, and the platform's calls

Cause: calls that one node at a time makes need a lease with fencing tokens, and calls may be carried out seconds after they were sent. A client can drop what was not sent when a connection is closed, and does not send a request after its limit. The log test also covers the candidate's messages. No duty is built in yet: new_duty in duties/mod.rs returns none.

--- a/crates/cassiareel-relay/src/duties/mod.rs
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -6,7 +6,96 @@
 before the call is sent, since the process may have been suspended in between.
 */
 
+// No duty is built in yet that makes calls.
+#[allow(dead_code)]
+mod driver;
+#[cfg(test)]
+mod driver_tests;
+#[allow(dead_code)]
 mod duty;
+mod kind;
+mod lease;
+mod parts;
 mod target;
 
+use std::sync::{Arc, Mutex};
+
+use futures_util::future::join;
+use slog::{info, warn};
+
+pub use parts::DutyParts;
 pub use target::{DutyError, DutyHolder, DutyTarget, ServerOrder, UsageReport};
+
+use self::{
+    driver::{Driver, TURN},
+    duty::Duty,
+    kind::DutyKind,
+    lease::{hold_lease, new_candidate},
+};
+use crate::{
+    clock,
+    kernel::{CallPace, DutyTerms},
+    state::State,
+};
+
+/// Runs the duties of a deployment until the node is about to stop, and releases their lease then.
+pub(crate) async fn run_duties(state: Arc<State>, parts: DutyParts) {
+    let duties: Vec<Box<dyn Duty>> = kinds(&state, &parts.kinds)
+        .into_iter()
+        .filter_map(|kind| new_duty(kind, &state, &parts))
+        .collect();
+    let Some(driver) = new_driver(&state, &parts).filter(|_| !duties.is_empty()) else {
+        return;
+    };
+    let (running, end) = async_channel::bounded(1);
+    let run = async {
+        driver.run(duties).await;
+        drop(running);
+    };
+    join(run, hold_lease(&state, &driver.candidate, end)).await;
+    if driver.wait_release().await {
+        driver.candidate.release().await;
+    }
+}
+
+/// Returns the kinds of the named duties; others are logged and ignored.
+fn kinds(state: &State, names: &[String]) -> Vec<DutyKind> {
+    let is_unknown = |name: &&String| DutyKind::from_name(name).is_none();
+    for name in names.iter().filter(is_unknown) {
+        warn!(state.log, "unknown duty ignored"; "duty" => name);
+    }
+    let is_named = |kind: &DutyKind| names.iter().any(|name| name == kind.name());
+    let kinds: Vec<DutyKind> = DutyKind::ALL.into_iter().filter(is_named).collect();
+    let named: Vec<&str> = kinds.iter().map(|kind| kind.name()).collect();
+    info!(state.log, "duties configured"; "duties" => named.join(","));
+    kinds
+}
+
+/// Creates a duty.
+fn new_duty(kind: DutyKind, _state: &Arc<State>, _parts: &DutyParts) -> Option<Box<dyn Duty>> {
+    match kind {
+        DutyKind::Usage | DutyKind::Autoscale => None,
+    }
+}
+
+/// Creates the driver; `None` where the settings have no duties.
+fn new_driver(state: &Arc<State>, parts: &DutyParts) -> Option<Driver> {
+    let settings = state.settings.load();
+    let rules = settings.duty_rules()?;
+    let duties = settings.duties.as_ref()?;
+    let node = settings.node.name.clone();
+    let candidate = new_candidate(&node, rules.timing(), parts.store.clone(), &state.log);
+    let leaving = state.clone();
+    Some(Driver {
+        node,
+        candidate: Arc::new(candidate),
+        terms: Mutex::new(DutyTerms::new(rules, clock::now())),
+        pace: Mutex::new(CallPace::new(duties.calls_per_s)),
+        turn: TURN,
+        target: parts.target.clone(),
+        is_leaving: Box::new(move || leaving.is_leaving()),
+        clock: Arc::new(clock::now),
+        metrics: state.metrics.duties.clone(),
+        log: state.log.clone(),
+    })
+}
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -9,6 +9,7 @@
 mod budget;
 #[cfg(test)]
 mod budget_tests;
+mod call_pace;
 mod catalog;
 #[cfg(test)]
 mod catalog_tests;
@@ -18,6 +19,7 @@
 mod continuation;
 #[cfg(test)]
 mod continuation_tests;
+mod duty_terms;
 mod engine_load;
 #[cfg(test)]
 mod engine_load_tests;
@@ -74,9 +76,11 @@
 pub use backoff::{Backoff, StoreStatus};
 pub use baseline::{Baseline, Baselines, LogTimes};
 pub use budget::{RetryBudget, RetryCause};
+pub use call_pace::CallPace;
 pub use catalog::{Catalog, Lookup};
 pub use config_eras::{ConfigEras, ConfigRead};
 pub use continuation::{Continuation, StopReason};
+pub use duty_terms::{CallEnd, DutyRules, DutyTerm, DutyTerms, TermChange};
 pub use engine_load::{
     choose_least_loaded, choose_most_cached, choose_with_room, EngineLoad, PromptDemand,
     RunningRequest, Shortage, EXTRA_PROBED_ENGINES, HOLD_POLL_INTERVAL, MAX_HOLD_PART,
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -39,6 +39,26 @@
     pub call: String,
 }
 
+/// Labels of a counter of a duty's calls.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct DutyCallLabel {
+    /// The duty.
+    pub duty: String,
+    /// The outcome, as the log names it.
+    pub outcome: String,
+}
+
+/// The metrics of the lease on the duties, and of calls.
+#[derive(Clone, Debug, Default)]
+pub struct DutyMetrics {
+    /// 1 while this node holds the lease.
+    pub holder: Gauge,
+    /// The fencing token of the lease that this node held last.
+    pub fence: Gauge,
+    /// Calls, by duty and outcome.
+    pub calls: Family<DutyCallLabel, Counter>,
+}
+
 /// A gauge for each backend server that names a limit, in requests a second.
 type RateGauges = Family<BackendLabel, Gauge<f64, AtomicU64>>;
 
@@ -68,6 +88,8 @@
     pub limit_demand: RateGauges,
     /// What this node sent to them.
     pub limit_share: RateGauges,
+    /// The lease on the duties.
+    pub duties: DutyMetrics,
     /// Requests that are open.
     pub open_requests: Gauge,
     /// The version of the configuration in force.
@@ -96,6 +118,7 @@
             limits: Family::default(),
             limit_demand: Family::default(),
             limit_share: Family::default(),
+            duties: DutyMetrics::default(),
             open_requests: Gauge::default(),
             config_version: Gauge::default(),
             backends: Gauge::default(),
@@ -193,6 +216,17 @@
             "Requests a second that this node sent to it",
             self.limit_share.clone(),
         );
+        registry.register(
+            "duty_holder",
+            "Whether this node holds the lease on the duties",
+            self.duties.holder.clone(),
+        );
+        registry.register(
+            "duty_fence",
+            "Fencing token of the lease that this node held last",
+            self.duties.fence.clone(),
+        );
+        registry.register("duty_calls", "Calls of duties", self.duties.calls.clone());
         registry.register("open_requests", "Open requests", self.open_requests.clone());
         registry.register(
             "config_version",
--- a/crates/cassiareel-relay/src/net/client.rs
+++ b/crates/cassiareel-relay/src/net/client.rs
@@ -7,10 +7,14 @@
     body_budget::BodyBudget,
     runtime::{within, Spawner},
 };
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::Full;
 
 use super::{build_request, read_body, Pool, SendError};
-use crate::source::SourceError;
+use crate::{
+    clock::{self, Moment},
+    source::SourceError,
+};
 
 /// The longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -51,6 +55,15 @@
         self.pool.address()
     }
 
+    /// Causes connections that are closed to drop what was not sent yet: a call that was given up then
+    /// does not arrive later, when a lost link is back.
+    pub fn drop_unsent(self) -> Client {
+        Client {
+            pool: self.pool.drop_unsent(),
+            ..self
+        }
+    }
+
     /// Makes one call. A connection on which a call failed is not used again.
     ///
     /// # Errors
@@ -63,24 +76,39 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<ClientResponse, SourceError> {
-        within(limit, self.exchange(method, path, body))
+        let request =
+            build_request(self.address(), method, path, body).map_err(connection_error)?;
+        self.send(request, limit).await
+    }
+
+    /// Sends one request, as [`Client::call`] does. It is not sent after the limit, where the process was
+    /// suspended before.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Client::call`] does.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<ClientResponse, SourceError> {
+        let end = clock::now() + limit;
+        within(limit, self.exchange(request, end))
             .await
             .unwrap_or(Err(SourceError::Timeout { limit }))
     }
 
     async fn exchange(
         &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
+        request: Request<Full<Bytes>>,
+        end: Moment,
     ) -> Result<ClientResponse, SourceError> {
-        let address = self.address();
-        let request = build_request(address, method, path, body).map_err(connection_error)?;
         let mut lease = self
             .pool
             .take(Duration::MAX, CONNECT_TIMEOUT)
             .await
             .map_err(connection_error)?;
+        check_time(end)?;
         let answer = match lease.conn.send(request.clone()).await {
             Err(SendError::NotSent { .. }) => {
                 lease = self
@@ -88,6 +116,7 @@
                     .open(CONNECT_TIMEOUT)
                     .await
                     .map_err(connection_error)?;
+                check_time(end)?;
                 lease.conn.send(request).await.map_err(connection_error)?
             }
             answer => answer.map_err(connection_error)?,
@@ -105,6 +134,14 @@
     }
 }
 
+/// Checks that a request may still be sent.
+fn check_time(end: Moment) -> Result<(), SourceError> {
+    if clock::now() < end {
+        return Ok(());
+    }
+    Err(connection_error("it was too late to send the request"))
+}
+
 fn connection_error<E>(err: E) -> SourceError
 where
     E: std::fmt::Display,
--- a/crates/cassiareel-relay/src/net/conn.rs
+++ b/crates/cassiareel-relay/src/net/conn.rs
@@ -12,6 +12,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
+use rustix::net::sockopt::set_socket_linger;
 use smol::{net::TcpStream, Async, Task};
 use smol_hyper::rt::FuturesIo;
 use snafu::Snafu;
@@ -104,6 +105,19 @@
         })
     }
 
+    /// Causes the connection to drop what was not sent yet when it is closed. Otherwise the system
+    /// continues to send it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`SendError::NotSent`] where the socket does not accept that.
+    pub(super) fn drop_unsent(&self) -> Result<(), SendError> {
+        let Some(socket) = self.socket.upgrade() else {
+            return Ok(());
+        };
+        set_socket_linger(socket.as_ref(), Some(Duration::ZERO)).map_err(not_sent)
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
--- a/crates/cassiareel-relay/src/net/pool.rs
+++ b/crates/cassiareel-relay/src/net/pool.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     inner: Arc<Inner>,
+    /// Whether closed connections drop what was not sent yet.
+    drops_unsent: bool,
 }
 
 #[derive(Debug)]
@@ -44,6 +46,15 @@
                 spawner,
                 idle: Mutex::default(),
             }),
+            drops_unsent: false,
+        }
+    }
+
+    /// Causes connections that are closed to drop what was not sent yet.
+    pub fn drop_unsent(self) -> Pool {
+        Pool {
+            drops_unsent: true,
+            ..self
         }
     }
 
@@ -71,6 +82,9 @@
     /// Fails with [`SendError::Refused`] or [`SendError::NotSent`].
     pub async fn open(&self, limit: Duration) -> Result<Lease, SendError> {
         let conn = Conn::open(self.inner.address, limit, &self.inner.spawner).await?;
+        if self.drops_unsent {
+            conn.drop_unsent()?;
+        }
         Ok(self.lease(conn))
     }
 
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     clock::{self, Moment},
+    duties::{run_duties, DutyParts},
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{bind_listener, serve_callers, serve_metrics, serve_readiness, OpenRequests},
     kernel::{ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN},
@@ -57,6 +58,8 @@
     pub message_budget: Arc<BodyBudget>,
     /// The headers of the platform.
     pub protocol: Arc<dyn Protocol>,
+    /// The remote sides of the duties, where the deployment names any.
+    pub duties: Option<DutyParts>,
     /// The logger.
     pub log: Logger,
 }
@@ -103,8 +106,10 @@
         spawner.spawn(serve_readiness(state.clone(), ready)),
         spawner.spawn(serve_metrics(state.clone(), metrics)),
     ];
+    let duties = parts.duties;
+    let duties = duties.map(|duties| spawner.spawn(run_duties(state.clone(), duties)));
     let cut = smol::block_on(handle_signals(state.clone(), &parts.file, signals, open));
-    drop(tasks);
+    drop((tasks, duties));
     Ok(cut)
 }
 
--- a/crates/cassiareel-relay/src/settings.rs
+++ b/crates/cassiareel-relay/src/settings.rs
@@ -8,11 +8,14 @@
 
 use std::{collections::BTreeMap, fs, io, net::SocketAddr, path::Path, time::Duration};
 
-use serde::Deserialize;
+use serde::{de, Deserialize, Deserializer};
 use serde_with::{serde_as, DurationMilliSeconds, DurationSeconds};
 use snafu::{ResultExt, Snafu};
 
-use crate::model::{AccountId, DataCentre};
+use crate::{
+    kernel::DutyRules,
+    model::{AccountId, DataCentre},
+};
 
 /// The bodies of requests and responses may take a VM's memory divided by this number.
 const BODY_MEMORY_DIVISOR: u64 = 4;
@@ -37,6 +40,8 @@
     /// How capacity is divided where not all requests can be served.
     #[serde(default)]
     pub admission: Admission,
+    /// The calls that one node at a time makes for the whole fleet, if there are any.
+    pub duties: Option<Duties>,
 }
 
 /// The name and place of a node.
@@ -126,6 +131,10 @@
     /// Requests that a bad version may get beyond that share.
     #[serde(default = "exposure_slack")]
     pub exposure_slack: f64,
+    /// Whether the platform refuses calls of duties with lower fencing tokens than it has seen; it is
+    /// enough if either this or [`Duties::checks_fencing`] says so.
+    #[serde(default)]
+    pub checks_fencing: bool,
 }
 
 /// Returns the share for a deployment that states none.
@@ -165,7 +174,127 @@
     }
 }
 
+/// The shortest duration of the duties' lease.
+const MIN_LEASE: Duration = Duration::from_millis(300);
+
+/// The calls that one node at a time makes for the whole fleet.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Duties {
+    /// The address that takes the calls.
+    pub address: SocketAddr,
+    /// The names of the duties, as a list or as the text of a list.
+    #[serde(default, deserialize_with = "names")]
+    pub kinds: Vec<String>,
+    /// Whether the platform refuses calls with lower fencing tokens than it has seen.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// The number of calls a second that it takes from all nodes together.
+    #[serde(default = "calls_per_s")]
+    pub calls_per_s: f64,
+    /// The duration of the lease on the duties.
+    #[serde(default = "lease_time", rename = "lease_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub lease: Duration,
+    /// The length of a window of usage.
+    #[serde(default = "usage_window", rename = "window_s")]
+    #[serde_as(as = "DurationSeconds<f64>")]
+    pub window: Duration,
+    /// How long after the end of a window its usage is due.
+    #[serde(default = "usage_late", rename = "late_s")]
+    #[serde_as(as = "DurationSeconds<f64>")]
+    pub late: Duration,
+    /// The part by which reported usage may differ from the true one.
+    #[serde(default = "usage_tolerance")]
+    pub tolerance: f64,
+}
+
+/// Returns the rate limit for a deployment that states none.
+fn calls_per_s() -> f64 {
+    1.0
+}
+
+/// Returns the duration of the lease for a deployment that states none.
+fn lease_time() -> Duration {
+    Duration::from_millis(3000)
+}
+
+/// Returns the length of a window for a deployment that states none.
+fn usage_window() -> Duration {
+    Duration::from_secs(5)
+}
+
+/// Returns the time until usage is due for a deployment that states none.
+fn usage_late() -> Duration {
+    Duration::from_secs(10)
+}
+
+/// Returns the tolerance for a deployment that states none.
+fn usage_tolerance() -> f64 {
+    0.05
+}
+
+/// Reads a list of names. A deployment may have no list to fill into the template: an empty text stands
+/// for an empty list, as does "null".
+fn names<'de, D>(reader: D) -> Result<Vec<String>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    /// The two forms of the list.
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Names {
+        List(Vec<String>),
+        Text(String),
+    }
+    /// The list alone, as TOML.
+    #[derive(Deserialize)]
+    struct Line {
+        names: Vec<String>,
+    }
+    let text = match Names::deserialize(reader)? {
+        Names::List(names) => return Ok(names),
+        Names::Text(text) if ["", "null"].contains(&text.trim()) => return Ok(Vec::new()),
+        Names::Text(text) => text,
+    };
+    let line: Line = toml::from_str(&format!("names = {text}")).map_err(de::Error::custom)?;
+    Ok(line.names)
+}
+
+impl Duties {
+    /// Returns a message for each value that is out of range.
+    fn faults(&self) -> Vec<String> {
+        let checks = [
+            (
+                !(1e-3..=1e6).contains(&self.calls_per_s),
+                "duties.calls_per_s is outside 0.001 to 1e6",
+            ),
+            (self.lease < MIN_LEASE, "duties.lease_ms is less than 300"),
+            (self.window.is_zero(), "duties.window_s is 0"),
+            (self.late.is_zero(), "duties.late_s is 0"),
+            (
+                !(0.0..=1.0).contains(&self.tolerance),
+                "duties.tolerance is outside 0 to 1",
+            ),
+        ];
+        messages(&checks)
+    }
+}
+
+/// Returns the messages of the checks that failed.
+fn messages(checks: &[(bool, &str)]) -> Vec<String> {
+    let failed = checks.iter().filter(|(wrong, _)| *wrong);
+    failed.map(|(_, fault)| (*fault).to_owned()).collect()
+}
+
 impl Settings {
+    /// Returns the rules of the duties, if there are any.
+    pub fn duty_rules(&self) -> Option<DutyRules> {
+        let duties = self.duties.as_ref()?;
+        let checks_fencing = duties.checks_fencing || self.bounds.checks_fencing;
+        Some(DutyRules::new(duties.lease, checks_fencing))
+    }
+
     /// Returns the weight of a client account.
     pub fn weight(&self, account: Option<&AccountId>) -> f64 {
         let weights = &self.admission.weights;
@@ -251,11 +380,8 @@
                 "admission.weights has a value outside 0.001 to 1000",
             ),
         ];
-        checks
-            .into_iter()
-            .filter(|(wrong, _)| *wrong)
-            .map(|(_, fault)| fault.to_owned())
-            .collect()
+        let duties = self.duties.iter().flat_map(Duties::faults);
+        messages(&checks).into_iter().chain(duties).collect()
     }
 }
 
--- a/crates/cassiareel-relay/tests/logs.rs
+++ b/crates/cassiareel-relay/tests/logs.rs
@@ -11,16 +11,21 @@
         let path = entry.expect("the sources can be listed").path();
         if path.is_dir() {
             logged(&path, messages);
-            continue;
-        }
-        let text = fs::read_to_string(&path).expect("the sources can be read");
-        for call in CALLS {
-            let found = text.split(call).skip(1).filter_map(message);
-            messages.extend(found);
+        } else {
+            logged_in(&path, messages);
         }
     }
 }
 
+/// Collects the messages in a source.
+fn logged_in(file: &Path, messages: &mut BTreeSet<String>) {
+    let text = fs::read_to_string(file).expect("the sources can be read");
+    for call in CALLS {
+        let found = text.split(call).skip(1).filter_map(message);
+        messages.extend(found);
+    }
+}
+
 /// Returns the first string literal of a call, which is its message.
 fn message(call: &str) -> Option<String> {
     let (_, rest) = call.split_once('"')?;
@@ -44,6 +49,11 @@
     let mut messages = BTreeSet::new();
     logged(&root.join("src"), &mut messages);
     logged(&root.join("../../platform/src"), &mut messages);
+    // The relay's duties use the lease of the other front.
+    logged_in(
+        &root.join("../cassiareel/src/control/lease.rs"),
+        &mut messages,
+    );
     let page = fs::read_to_string(root.join("../../docs/LOGS.md")).expect("the page is there");
     assert_eq!(messages, listed(&page));
 }
--- a/crates/cassiareel/src/control/lease.rs
+++ b/crates/cassiareel/src/control/lease.rs
@@ -247,7 +247,9 @@
                 }
             },
             Err(err) => {
-                warn!(self.log, "lease read failed"; "cause" => %err);
+                if *lock(&self.pause_factor) == 1 {
+                    warn!(self.log, "lease read failed"; "cause" => %err);
+                }
                 Event::ReadFailed
             }
         }
