Usage: counts, merge, clock, messages and duty; first version

Cause: the platform wants the usage of each window of true time from one node. Change: kernel::usage (counts of a node, merge of all nodes' cumulative counts, windows, true time, ledger of fixed windows), the usage meter, the peers' message /usage, the hook in front, and duties::usage over the object API.

--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -20,7 +20,7 @@
     backoff::{Backoff, Backoffs},
     clock::{self, millis, Moment},
     kernel::{Candidate, Health},
-    model::{Entry, Phase, ServiceId},
+    model::{DataCentre, Entry, Phase, ServiceId},
     net::Pool,
     protocol::Load,
 };
@@ -347,6 +347,21 @@
         backends.find(|backend| backend.process == process).cloned()
     }
 
+    /// Returns this node's open requests by service and data centre, as far as there are any.
+    pub(crate) fn open_requests(&self) -> HashMap<(ServiceId, DataCentre), u32> {
+        let services = self.services.load();
+        let mut open = HashMap::new();
+        for backend in services.values().flat_map(|backends| backends.iter()) {
+            let own = backend.open_requests.load(Ordering::Relaxed);
+            if own > 0 {
+                let entry = &backend.entry;
+                let key = (entry.service.clone(), entry.data_centre.clone());
+                *open.entry(key).or_default() += own;
+            }
+        }
+        open
+    }
+
     /// Returns the part of a service's backend servers that became known in the last `span`.
     pub(crate) fn turnover(&self, service: &str, span: Duration, now: Moment) -> f64 {
         let backends = self.of_service(service);
--- a/crates/cassiareel-relay/src/clock.rs
+++ b/crates/cassiareel-relay/src/clock.rs
@@ -6,7 +6,7 @@
 suspension.
 */
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustix::time::{clock_gettime, ClockId};
 
@@ -28,6 +28,18 @@
     Duration::new(secs, nanos)
 }
 
+/// The longest time in which both clocks are read; one that takes longer was interrupted.
+const MAX_READ_TIME: Duration = Duration::from_millis(5);
+
+/// Returns the time of day, counted from the start of 1970, and the moment at which it was read.
+/// Returns `None` where the process was interrupted meanwhile, or the time of day is not set.
+pub(crate) fn time_of_day() -> Option<(Moment, Duration)> {
+    let began = now();
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
+    let took = now().saturating_sub(began);
+    (took <= MAX_READ_TIME).then_some((began + took / 2, time))
+}
+
 /// Converts a time to whole milliseconds, for atomics; returns the largest number where it does not
 /// fit.
 pub(crate) fn millis(time: Duration) -> u64 {
--- a/crates/cassiareel-relay/src/duties/mod.rs
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -6,7 +6,13 @@
 before the call is sent, since the process may have been suspended in between.
 */
 
+// The driver of the lease runs the duties; it is merged separately.
+#[allow(dead_code)]
 mod duty;
 mod target;
+#[allow(dead_code)]
+mod usage;
+#[cfg(test)]
+mod usage_model_tests;
 
 pub use target::{DutyError, DutyHolder, DutyTarget, ServerOrder, UsageReport};
--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -1,6 +1,9 @@
 //! Admits a request: reads it, checks its key, and finds its route.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{atomic::AtomicBool, Arc},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cassiareel::runtime::within;
@@ -116,6 +119,7 @@
         arrived,
         end: arrived + limit,
         sends: SendCount::default(),
+        is_counted: AtomicBool::new(false),
         ask,
     })
 }
--- a/crates/cassiareel-relay/src/front/generation.rs
+++ b/crates/cassiareel-relay/src/front/generation.rs
@@ -194,6 +194,9 @@
             if !self.progress.accept_event(event.id) {
                 return Err("event out of order");
             }
+            if !self.begun {
+                self.request.count_usage(&self.state, now);
+            }
             if run.events == 0 {
                 run.first_event = Some(now);
                 run.place.note_prompt_read();
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     backends::{Backend, LoadGuard},
-    clock,
+    clock::{self, Moment},
     kernel::{self, Shortage},
     model::RouteKind,
     net::read_body,
@@ -239,6 +239,7 @@
     let outcome = outcome.await;
     drop(place);
     let now = clock::now();
+    count_usage(state, request, member, &outcome, sent_at);
     count_trial(trial.as_ref(), &outcome);
     match &outcome {
         AttemptOutcome::Answered(answer) => {
@@ -272,6 +273,30 @@
     outcome
 }
 
+/// Counts the request as usage if it ran. It waited at the backend server for the time beyond the usual
+/// time of service; when a run that was lost began is not known.
+fn count_usage(
+    state: &State,
+    request: &Request,
+    member: &Backend,
+    outcome: &AttemptOutcome,
+    sent_at: Moment,
+) {
+    if state.usage.is_none() {
+        return;
+    }
+    let began = match outcome {
+        AttemptOutcome::NotRun | AttemptOutcome::Unreached => return,
+        AttemptOutcome::Lost | AttemptOutcome::TimedOut => sent_at,
+        AttemptOutcome::Answered(_) => {
+            let usual = member.health().service_time();
+            let usual = usual.map_or(Duration::MAX, |ms| Duration::from_secs_f64(ms / 1000.0));
+            clock::now().saturating_sub(usual).max(sent_at)
+        }
+    };
+    request.count_usage(state, began);
+}
+
 /// Records what a response shows of its service's load. A late response, or one that leaves a queue
 /// behind that makes others late, counts as a request that was not served, so that fewer are
 /// admitted from then on.
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
         Arc,
     },
     time::Duration,
@@ -56,6 +56,8 @@
     pub end: Moment,
     /// The sends that may have led to a run.
     pub sends: SendCount,
+    /// Whether the request was counted as usage.
+    pub is_counted: AtomicBool,
 }
 
 /// The number of sends of a request that may have led to a run.
@@ -108,6 +110,17 @@
         times.record(&self.route.name, &self.service, took);
     }
 
+    /// Counts the request as its client account's usage when its first run began at `at`. Requests to
+    /// public routes have no account.
+    pub(super) fn count_usage(&self, state: &State, at: Moment) {
+        let (Some(meter), Some(account)) = (&state.usage, &self.tenant) else {
+            return;
+        };
+        if !self.is_counted.swap(true, Ordering::Relaxed) {
+            meter.count(account, at);
+        }
+    }
+
     /// Records that the request was rejected for want of `lack`. Returns how long the caller should
     /// wait before it retries.
     pub(super) fn record_rejection(&self, state: &State, lack: Shortage) -> Duration {
@@ -115,6 +128,9 @@
             .admission
             .note_unserved(&self.service, &self.admitted.claim);
         Metrics::count(&state.metrics.no_room, lack.name());
+        if let Some(meter) = &state.usage {
+            meter.demand().record_refusal(&self.service);
+        }
         state
             .admission
             .retry_after(&self.service, self.route.objective)
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -64,6 +64,7 @@
 mod speeds;
 #[cfg(test)]
 mod speeds_tests;
+pub mod usage;
 #[cfg(test)]
 mod verdict_model_tests;
 #[cfg(test)]
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -22,6 +22,7 @@
 #[cfg(test)]
 mod backoff_tests;
 pub mod clock;
+mod demand_counts;
 pub mod duties;
 mod follow;
 mod front;
@@ -39,3 +40,5 @@
 mod signals;
 pub mod source;
 mod state;
+mod usage_meter;
+mod usage_metrics;
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -18,6 +18,8 @@
     registry::Registry,
 };
 
+pub use crate::usage_metrics::UsageMetrics;
+
 /// Labels of a counter by outcome.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Outcome {
@@ -68,6 +70,8 @@
     pub limit_demand: RateGauges,
     /// What this node sent to them.
     pub limit_share: RateGauges,
+    /// Reports of usage.
+    pub usage: UsageMetrics,
     /// Requests that are open.
     pub open_requests: Gauge,
     /// The version of the configuration in force.
@@ -96,6 +100,7 @@
             limits: Family::default(),
             limit_demand: Family::default(),
             limit_share: Family::default(),
+            usage: UsageMetrics::default(),
             open_requests: Gauge::default(),
             config_version: Gauge::default(),
             backends: Gauge::default(),
@@ -156,6 +161,15 @@
             .inc_by(objects as u64);
     }
 
+    /// Counts requests whose counts came after their window was fixed.
+    pub fn count_late_usage(&self, cause: &str, requests: u64) {
+        let labels = Outcome {
+            outcome: cause.to_owned(),
+        };
+        let counter = self.usage.late_counts.get_or_create(&labels);
+        counter.inc_by(requests);
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("answers", "Answers to callers", self.answers.clone());
@@ -193,6 +207,7 @@
             "Requests a second that this node sent to it",
             self.limit_share.clone(),
         );
+        self.usage.register(registry);
         registry.register("open_requests", "Open requests", self.open_requests.clone());
         registry.register(
             "config_version",
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -19,7 +19,7 @@
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{bind_listener, serve_callers, serve_metrics, serve_readiness, OpenRequests},
     kernel::{ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN},
-    peers::{ask_peer_at_start, follow_limits, follow_peers, send_losses, serve_peers},
+    peers::{ask_peer_at_start, follow_limits, follow_peers, send_last_usage, send_losses, send_usage, serve_peers},
     protocol::Protocol,
     settings::Settings,
     signals::{self, Signal},
@@ -77,6 +77,7 @@
         parts.protocol,
         parts.log,
         spawner.clone(),
+        None,
     ));
     let open = OpenRequests::default();
     let (front, ready, metrics, peers) = smol::block_on(async {
@@ -98,6 +99,7 @@
         spawner.spawn(ask_peer_at_start(state.clone())),
         spawner.spawn(send_losses(state.clone())),
         spawner.spawn(follow_limits(state.clone())),
+        spawner.spawn(send_usage(state.clone())),
         spawner.spawn(serve_peers(state.clone(), peers)),
         spawner.spawn(serve_callers(state.clone(), front, open.clone())),
         spawner.spawn(serve_readiness(state.clone(), ready)),
@@ -180,6 +182,7 @@
         info!(state.log, "requests ended"; "open" => open.count());
     }
     wait_until_answered(open, began + grace).await;
+    send_last_usage(state).await;
     let left = open.count();
     info!(state.log, "stopped"; "cut" => left);
     left
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -26,6 +26,7 @@
     members::Members,
     message,
     policy_update::PolicyUpdate,
+    usage,
 };
 use crate::{
     clock::{self, Moment},
@@ -88,6 +89,9 @@
         if request.uri().path() == limits::PATH {
             return limits::serve(&state, request).await;
         }
+        if request.uri().path() == usage::PATH {
+            return usage::serve(&state, request).await;
+        }
         match read_state(&state, request).await {
             Some(known) => answer_request(&state, known).await,
             None => empty_reply(StatusCode::BAD_REQUEST),
--- a/crates/cassiareel-relay/src/peers/mod.rs
+++ b/crates/cassiareel-relay/src/peers/mod.rs
@@ -38,6 +38,7 @@
 mod roster_tests;
 mod store_cache;
 mod unlisted;
+mod usage;
 
 pub(crate) use exchange::{ask_peer_at_start, follow_peers, serve_peers};
 pub(crate) use limits::{follow_limits, record_answer as record_limit_answer};
@@ -46,3 +47,4 @@
 pub(crate) use policy_cache::KnownPolicy;
 pub(crate) use store_cache::StoreCache;
 pub(crate) use unlisted::UnlistedNodes;
+pub(crate) use usage::{send_last_usage, send_usage};
--- a/crates/cassiareel-relay/src/peers/roster.rs
+++ b/crates/cassiareel-relay/src/peers/roster.rs
@@ -121,6 +121,12 @@
             .collect()
     }
 
+    /// Returns the first nodes that read the store, which may include this node.
+    pub(crate) fn first_readers(&self, count: usize, now: Moment) -> Vec<(String, SocketAddr)> {
+        let first = self.forwarders(now).into_iter().take(count);
+        first.map(name_and_address).collect()
+    }
+
     /// Returns the other forwarders in order of preference: the first reader first for a forwarder,
     /// the nearest one first for other nodes, so that these are spread over the forwarders.
     fn forwarders_by_preference(&self, now: Moment) -> Vec<&NodeRecord> {
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -41,6 +41,7 @@
     rollouts::Rollouts,
     settings::Settings,
     source::{NodeRecord, Source},
+    usage_meter::{MeterSettings, UsageMeter},
 };
 
 /// The greatest age of the cached configuration, as a part of the time in which a configuration
@@ -82,6 +83,8 @@
     pub admission: Admission,
     /// The limits that backend servers name for the whole fleet.
     pub server_limits: FleetLimits,
+    /// The usage meter, where a duty needs it.
+    pub usage: Option<Arc<UsageMeter>>,
     /// Nodes that are not in the list of the fleet's nodes yet.
     pub unlisted_nodes: UnlistedNodes,
     /// The headers of the platform.
@@ -148,13 +151,19 @@
         protocol: Arc<dyn Protocol>,
         log: Logger,
         spawner: Spawner,
+        usage: Option<MeterSettings>,
     ) -> State {
         let (read_request_sender, read_requests) = async_channel::bounded(1);
         let body_budget = Arc::new(BodyBudget::new(settings.limits.body_bytes()));
         let server_limits = FleetLimits::new(node_key(&settings.node.name), clock::now());
+        let name = settings.node.name.clone();
+        let store_cache = StoreCache::new(&name, &settings.node.data_centre);
+        let incarnation = store_cache.incarnation;
+        let usage = usage.map(|usage| Arc::new(UsageMeter::new(usage, &name, incarnation)));
         State {
             authority: Mutex::new(ConfigFreshness::new(settings.bounds.revoke)),
-            store_cache: StoreCache::new(&settings.node.name, &settings.node.data_centre),
+            store_cache,
+            usage,
             settings: ArcSwap::from_pointee(settings),
             catalog: ArcSwap::default(),
             backends: Backends::new(spawner.clone()),
