Usage: a holder that takes over fetches the counts of other candidates

Change: the holder fetches the others' counts; replies leave the asker's time out; open counts are written with the fixed windows.

--- a/crates/cassiareel-relay/src/demand_counts.rs
+++ b/crates/cassiareel-relay/src/demand_counts.rs
@@ -34,7 +34,9 @@
     pub(crate) fn counts(&self) -> Vec<(ServiceId, Counts)> {
         let services = lock(&self.services);
         let counts = services.iter();
-        counts.map(|(service, counts)| (service.clone(), *counts)).collect()
+        counts
+            .map(|(service, counts)| (service.clone(), *counts))
+            .collect()
     }
 
     fn change<F>(&self, service: &ServiceId, change: F)
--- a/crates/cassiareel-relay/src/duties/usage.rs
+++ b/crates/cassiareel-relay/src/duties/usage.rs
@@ -10,7 +10,7 @@
 reports no window that ended before.
 */
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, mem, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use cassiareel::store::{Object, Objects, StoreEra, StoreError, StoreVersion};
@@ -23,7 +23,7 @@
 };
 use crate::{
     clock::Moment,
-    kernel::usage::{FixedWindow, Ledger, WindowNumber},
+    kernel::usage::{FixedWindow, History, Ledger, WindowNumber},
     metrics::Metrics,
     usage_meter::{UsageMeter, FLEET_RETENTION},
     usage_metrics::UsageMetrics,
@@ -40,6 +40,9 @@
 /// The time after which a call of the store is repeated that failed.
 const STORE_RETRY: Duration = Duration::from_millis(300);
 
+/// The time after which a write is repeated that the store did not accept as it was.
+const INVALID_RETRY: Duration = Duration::from_secs(5);
+
 /// The time after which a report is sent again, and its longest one after several attempts.
 const SEND_RETRY: Duration = Duration::from_millis(400);
 const MAX_SEND_RETRY: Duration = Duration::from_secs(3);
@@ -48,6 +51,12 @@
 /// or the rate limit.
 const MAX_REFUSALS: u32 = 5;
 
+/// The largest number of counts of open windows that are written with the fixed ones, about 160 kB.
+const MAX_OPEN_COUNTS: usize = 16_384;
+
+/// The interval at which a holder that is about to stop writes the counts of open windows.
+const SAVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The largest number of windows that one write fixes.
 const MAX_WINDOWS: u64 = 12;
 
@@ -60,6 +69,10 @@
     /// The era of the store in which the object was written.
     era: StoreEra,
     windows: Vec<FixedWindow>,
+    /// The counts of windows that are not fixed yet, for a fleet whose nodes all end together; `None`
+    /// where there are too many.
+    #[serde(default)]
+    open: Option<History>,
 }
 
 /// Reports the usage of each window.
@@ -77,6 +90,10 @@
     /// Before this time neither the store nor the platform is called.
     next_store_call: Moment,
     next_report: Moment,
+    /// When the object was last written.
+    written_at: Moment,
+    /// Whether the last call of the store failed, which is logged once.
+    is_failing: bool,
     /// The version of an object that can't be read, which is logged once.
     unreadable: Option<StoreVersion>,
 }
@@ -125,6 +142,8 @@
             attempts: HashMap::new(),
             next_store_call: Moment::ZERO,
             next_report: Moment::ZERO,
+            written_at: Moment::ZERO,
+            is_failing: false,
             unreadable: None,
         }
     }
@@ -164,11 +183,18 @@
         let era = self.store.era();
         let is_restored = stored.as_ref().is_some_and(|stored| stored.era < era);
         let was_empty = stored.is_none();
-        self.merge(stored.map(|stored| stored.windows).unwrap_or_default());
+        self.is_failing = false;
+        if let Some(stored) = stored {
+            self.merge(stored.windows);
+            if let Some(open) = &stored.open {
+                self.meter.merge_history(NAME, open, now);
+            }
+        }
         match &mut self.term {
             Some(term) => {
                 term.version = version;
                 term.must_read = false;
+                term.was_empty &= was_empty;
             }
             None => {
                 self.term = Some(Term {
@@ -196,7 +222,7 @@
                     error!(self.log, "usage windows unreadable"; "cause" => %err);
                     self.unreadable = Some(object.version);
                 }
-                self.next_store_call = (self.now)() + SEND_RETRY;
+                self.next_store_call = (self.now)() + INVALID_RETRY;
                 None
             }
         }
@@ -309,6 +335,7 @@
         };
         let first = self.first_open(&term, now, closed);
         if first > closed {
+            self.save_open(&term, now).await;
             return;
         }
         let last = closed.min(first + MAX_WINDOWS - 1);
@@ -320,13 +347,22 @@
         self.write(&term, new.collect()).await;
     }
 
+    /// Writes the counts of open windows while this node is about to stop, since all nodes may do so.
+    async fn save_open(&mut self, term: &Term, now: Moment) {
+        let is_due = now.saturating_sub(self.written_at) >= SAVE_INTERVAL;
+        if is_due && self.meter.is_leaving() && !term.version.is_none() {
+            self.write(term, Vec::new()).await;
+        }
+    }
+
     /// Returns the first window that is to be fixed.
     fn first_open(&mut self, term: &Term, now: Moment, closed: WindowNumber) -> WindowNumber {
         let rules = self.meter.rules();
         // Windows that another node knows to be fixed must not be fixed anew, even where the store
         // has lost them.
         let fixed = self.meter.fixed().max(self.ledger.last());
-        let Some(fixed) = fixed.filter(|_| !term.may_miss) else {
+        let may_miss = term.may_miss || (term.was_empty && fixed.is_some());
+        let Some(fixed) = fixed.filter(|_| !may_miss) else {
             return self.first_of_term(term, now, fixed);
         };
         let next = fixed + 1;
@@ -368,9 +404,12 @@
 
     /// Writes the object with new windows.
     async fn write(&mut self, term: &Term, new: Vec<FixedWindow>) {
+        let after = new.last().map(|window| window.window);
+        let open = self.meter.history(after.max(self.ledger.last()));
         let stored = StoredWindows {
             era: self.store.era(),
             windows: self.ledger.with_new(&new),
+            open: Some(open).filter(|open| open.len() <= MAX_OPEN_COUNTS),
         };
         let spec = match serde_json::to_value(&stored) {
             Ok(spec) => spec,
@@ -391,11 +430,14 @@
                 for window in &new {
                     self.log_fixed(window);
                 }
-                self.merge(new);
+                self.merge(new.clone());
                 self.update_term(|term| {
                     term.version = version;
-                    term.may_miss = false;
+                    if !new.is_empty() {
+                        (term.may_miss, term.was_empty) = (false, false);
+                    }
                 });
+                (self.written_at, self.is_failing) = ((self.now)(), false);
             }
             Err(StoreError::NotApplied { cause }) => {
                 self.record_store_error("write", &StoreError::NotApplied { cause });
@@ -437,9 +479,14 @@
         let wait = match err {
             StoreError::Throttled { wait } => (*wait).max(STORE_RETRY),
             StoreError::Conflict { .. } => Duration::ZERO,
+            StoreError::Invalid { .. } => INVALID_RETRY,
             _ => STORE_RETRY,
         };
         self.next_store_call = (self.now)() + wait;
+        let is_conflict = matches!(err, StoreError::Conflict { .. });
+        if !is_conflict && mem::replace(&mut self.is_failing, true) {
+            return;
+        }
         warn!(self.log, "usage store call failed"; "call" => call, "cause" => %err,
             "wait_ms" => wait.as_millis() as u64);
     }
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -116,7 +116,7 @@
         let (Some(meter), Some(account)) = (&state.usage, &self.tenant) else {
             return;
         };
-        if !self.is_counted.swap(true, Ordering::Relaxed) {
+        if !account.is_empty() && !self.is_counted.swap(true, Ordering::Relaxed) {
             meter.count(account, at);
         }
     }
--- a/crates/cassiareel-relay/src/kernel/usage/fleet_counts.rs
+++ b/crates/cassiareel-relay/src/kernel/usage/fleet_counts.rs
@@ -11,11 +11,13 @@
     ops::RangeInclusive,
 };
 
-use super::{WindowCounts, WindowNumber};
+use serde::{Deserialize, Serialize};
+
+use super::{History, NumberedCounts, WindowCounts, WindowNumber};
 use crate::model::AccountId;
 
 /// One run of a node's process.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct SenderKey {
     /// The name of the node.
     pub name: String,
@@ -84,6 +86,50 @@
         added
     }
 
+    /// Returns the counts of windows after one.
+    pub fn history(&self, fixed: Option<WindowNumber>) -> History {
+        let mut accounts = AccountTable::default();
+        let (mut counts, mut sums) = (Vec::new(), Vec::new());
+        let first = fixed.map_or(0, |fixed| fixed + 1);
+        for (window, tally) in self.windows.range(first..) {
+            if let Some(folded) = &tally.folded {
+                sums.push((*window, accounts.number(&folded.counts)));
+            }
+            for (sender, requests) in &tally.senders {
+                counts.push((*window, sender.clone(), accounts.number(requests)));
+            }
+        }
+        History {
+            accounts: accounts.names,
+            counts,
+            sums,
+            fixed,
+        }
+    }
+
+    /// Merges what another candidate has. Of two sums of one window the larger is closer to the truth,
+    /// since both lack counts at most.
+    pub fn merge_history(&mut self, history: &History, accepted: &RangeInclusive<WindowNumber>) {
+        for (window, sender, counts) in &history.counts {
+            let counts = WindowCounts {
+                window: *window,
+                counts: history.named(counts).collect(),
+            };
+            self.merge(sender, &[counts], accepted);
+        }
+        for (window, sums) in history.sums.iter().filter(|(w, _)| accepted.contains(w)) {
+            let tally = self.windows.entry(*window).or_default();
+            tally.fold();
+            let Some(folded) = &mut tally.folded else {
+                continue;
+            };
+            for (account, requests) in history.named(sums) {
+                let sum = folded.counts.entry(account).or_default();
+                *sum = (*sum).max(requests);
+            }
+        }
+    }
+
     /// Returns the requests of each account in a window.
     pub fn totals(&self, window: WindowNumber) -> BTreeMap<AccountId, u64> {
         self.windows
@@ -104,13 +150,7 @@
     /// Keeps only the sums of windows before one, which no node sends again.
     pub fn fold_before(&mut self, window: WindowNumber) {
         for tally in self.windows.range_mut(..window).map(|(_, tally)| tally) {
-            if tally.folded.is_none() {
-                tally.folded = Some(Folded {
-                    counts: tally.totals(),
-                    nodes: tally.nodes(),
-                });
-                tally.senders = HashMap::new();
-            }
+            tally.fold();
         }
     }
 
@@ -126,7 +166,44 @@
     }
 }
 
+/// Numbers client accounts.
+#[derive(Debug, Default)]
+struct AccountTable {
+    names: Vec<AccountId>,
+    places: HashMap<AccountId, u32>,
+}
+
+impl AccountTable {
+    /// Returns counts with the place of each account in the table.
+    fn number(&mut self, counts: &BTreeMap<AccountId, u64>) -> NumberedCounts {
+        let number = |(account, requests): (&AccountId, &u64)| (self.place(account), *requests);
+        counts.iter().map(number).collect()
+    }
+
+    fn place(&mut self, account: &AccountId) -> u32 {
+        let next = u32::try_from(self.names.len()).unwrap_or(u32::MAX);
+        let names = &mut self.names;
+        let place = self.places.entry(account.clone()).or_insert_with(|| {
+            names.push(account.clone());
+            next
+        });
+        *place
+    }
+}
+
 impl WindowTally {
+    /// Keeps only the sums.
+    fn fold(&mut self) {
+        if self.folded.is_some() {
+            return;
+        }
+        self.folded = Some(Folded {
+            counts: self.totals(),
+            nodes: self.nodes(),
+        });
+        self.senders = HashMap::new();
+    }
+
     fn totals(&self) -> BTreeMap<AccountId, u64> {
         if let Some(folded) = &self.folded {
             return folded.counts.clone();
--- a/crates/cassiareel-relay/src/kernel/usage/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/usage/mod.rs
@@ -12,6 +12,7 @@
 mod fleet_counts;
 #[cfg(test)]
 mod fleet_counts_tests;
+mod history;
 mod ledger;
 #[cfg(test)]
 mod ledger_tests;
@@ -29,6 +30,7 @@
 
 pub use fixed_window::FixedWindow;
 pub use fleet_counts::{FleetCounts, SenderKey};
+pub use history::{History, NumberedCounts};
 pub use ledger::{Ledger, LedgerChanges};
 pub use message::UsageMessage;
 pub use node_counts::NodeCounts;
--- a/crates/cassiareel-relay/src/kernel/usage/node_counts.rs
+++ b/crates/cassiareel-relay/src/kernel/usage/node_counts.rs
@@ -46,9 +46,9 @@
     {
         let mut changed = Vec::new();
         for (window, counts) in &self.windows {
-            let new = counts.iter().filter(|(_, count)| {
-                count.sequence > known && is_wanted(*window, count.sequence)
-            });
+            let new = counts
+                .iter()
+                .filter(|(_, count)| count.sequence > known && is_wanted(*window, count.sequence));
             changed.extend(new.map(|(account, count)| (count, *window, account)));
         }
         changed.sort_unstable_by_key(|(count, ..)| count.sequence);
--- a/crates/cassiareel-relay/src/kernel/usage/true_clock.rs
+++ b/crates/cassiareel-relay/src/kernel/usage/true_clock.rs
@@ -108,9 +108,11 @@
         self.medians.retain(is_recent);
     }
 
-    /// Reports whether other nodes stated their times.
-    pub fn is_confirmed(&self) -> bool {
-        !self.nodes.is_empty() || !self.medians.is_empty()
+    /// Reports whether at least `count` other nodes' times are known.
+    pub fn is_confirmed(&self, count: u32) -> bool {
+        let stated = self.nodes.values().chain(self.medians.values());
+        let weight: u64 = stated.map(|stated| u64::from(stated.weight)).sum();
+        weight >= u64::from(count)
     }
 
     /// Returns this node's own time of day without its jumps.
@@ -119,9 +121,11 @@
     }
 
     /// Returns the median of the times of day of this node and of those that stated theirs, and their
-    /// number.
-    pub fn median_time(&self, now: Moment) -> Option<(TrueTime, u32)> {
-        let votes = self.own_votes();
+    /// number; `None` where this node does not know its own. The node that asks is left out, since its
+    /// own time would seem to confirm itself.
+    pub fn median_time(&self, asked_by: &str, now: Moment) -> Option<(TrueTime, u32)> {
+        self.own.get()?;
+        let votes = self.own_votes(asked_by);
         let count = u32::try_from(votes.len()).unwrap_or(u32::MAX);
         let offset = weighted_median(votes, self.own.get())?;
         Some((offset + now, count))
@@ -129,14 +133,15 @@
 
     /// Returns the true time at a moment; `None` where nothing is known of it.
     pub fn time(&self, at: Moment) -> Option<TrueTime> {
-        let mut votes = self.own_votes();
+        let mut votes = self.own_votes("");
         votes.extend(self.medians.values().map(|s| (s.offset, s.weight)));
         weighted_median(votes, self.own.get()).map(|offset| offset + at)
     }
 
-    /// Returns the offsets of single nodes, each with the weight 1.
-    fn own_votes(&self) -> Vec<(TimeOffset, u32)> {
-        let nodes = self.nodes.values().map(|stated| stated.offset);
+    /// Returns the offsets of single nodes but one, each with the weight 1.
+    fn own_votes(&self, left_out: &str) -> Vec<(TimeOffset, u32)> {
+        let nodes = self.nodes.iter().filter(|(name, _)| **name != left_out);
+        let nodes = nodes.map(|(_, stated)| stated.offset);
         let all = self.own.get().into_iter().chain(nodes);
         all.map(|offset| (offset, 1)).collect()
     }
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -19,7 +19,10 @@
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{bind_listener, serve_callers, serve_metrics, serve_readiness, OpenRequests},
     kernel::{ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN},
-    peers::{ask_peer_at_start, follow_limits, follow_peers, send_last_usage, send_losses, send_usage, serve_peers},
+    peers::{
+        ask_peer_at_start, follow_limits, follow_peers, send_last_usage, send_losses, send_usage,
+        serve_peers,
+    },
     protocol::Protocol,
     settings::Settings,
     signals::{self, Signal},
@@ -160,6 +163,9 @@
     let began = clock::now();
     let grace = state.settings.load().bounds.grace;
     state.begin_leaving(began);
+    if let Some(meter) = &state.usage {
+        meter.begin_leaving();
+    }
     info!(state.log, "stopping"; "open" => open.count(), "grace_ms" => grace.as_millis() as u64);
     loop {
         let spent = clock::now().saturating_sub(began);
--- a/crates/cassiareel-relay/src/peers/usage.rs
+++ b/crates/cassiareel-relay/src/peers/usage.rs
@@ -15,6 +15,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use futures_util::future::join_all;
 use http::{Method, StatusCode};
 use hyper::body::Incoming;
@@ -25,7 +26,7 @@
 use crate::{
     clock,
     front::{empty_reply, Reply},
-    kernel::usage::{UsageMessage, UsageReply},
+    kernel::usage::{History, UsageMessage, UsageReply},
     model::DemandSample,
     net::{read_body, Client},
     state::State,
@@ -41,6 +42,9 @@
 /// The limit of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The limit of a call that fetches the counts of all nodes, about 0.5 MB from a fleet of 300.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// The limit of the last call of a node that stops.
 const LAST_CALL_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -64,6 +68,9 @@
     let Some(meter) = &state.usage else {
         return empty_reply(StatusCode::NOT_FOUND);
     };
+    if request.method() == Method::GET {
+        return message::encode_reply(state, &meter.history(None));
+    }
     let reading = read_body(request.into_body(), MAX_CALL_BYTES, &state.message_budget);
     let Ok(body) = reading.await else {
         return empty_reply(StatusCode::BAD_REQUEST);
@@ -130,14 +137,23 @@
     clients: &mut HashMap<SocketAddr, Client>,
     limit: Duration,
 ) {
-    let candidates = state.store_cache.roster().first_readers(CANDIDATES, clock::now());
+    let candidates = state
+        .store_cache
+        .roster()
+        .first_readers(CANDIDATES, clock::now());
     let own = state.settings.load().node.name.clone();
-    let is_read = state.nodes_read.load(Ordering::Relaxed);
-    let is_alone = is_read && candidates.iter().all(|(name, _)| *name == own);
+    let members = state.store_cache.members.get();
+    let others = members.map(|(members, _)| {
+        let nodes = members.records.iter();
+        nodes.filter(|node| node.name != own).count()
+    });
     while !observe(meter) {
         Timer::after(RETRY_DELAY).await;
     }
-    meter.advance(clock::now(), is_alone);
+    meter.advance(
+        clock::now(),
+        others.and_then(|others| others.try_into().ok()),
+    );
     let demand = if meter.sends_demand() {
         own_demand(state, meter)
     } else {
@@ -159,7 +175,27 @@
         let client = clients.get(address)?;
         Some(send(state, meter, name, client, message, limit))
     });
-    join_all(calls).await;
+    let asked = meter.to_ask(&names);
+    let asked = candidates.iter().filter(|(name, _)| asked.contains(name));
+    let asks = asked.map(|(name, address)| fetch_history(state, meter, name, *address));
+    futures_lite::future::zip(join_all(calls), join_all(asks)).await;
+}
+
+/// Fetches the counts that another candidate has, for a node that holds the duty since a moment ago.
+async fn fetch_history(state: &State, meter: &UsageMeter, name: &str, address: SocketAddr) {
+    let client = state.client(address);
+    let reply = client.call(Method::GET, PATH, Bytes::new(), HISTORY_TIMEOUT);
+    let reply = reply.await.ok();
+    let reply = reply.filter(|reply| reply.status == StatusCode::OK);
+    let history = reply.and_then(|reply| rmp_serde::from_slice::<History>(&reply.body).ok());
+    match history {
+        Some(history) => {
+            meter.merge_history(name, &history, clock::now());
+            info!(state.log, "usage counts fetched"; "peer" => name,
+                "counts" => history.counts.len(), "fixed" => history.fixed);
+        }
+        None => info!(state.log, "usage counts not fetched"; "peer" => name),
+    }
 }
 
 /// Observes the time of day; fails where the VM was suspended meanwhile.
@@ -215,11 +251,11 @@
     let reply = reply.and_then(|reply| rmp_serde::from_slice(&reply.body).ok());
     match reply {
         Some(reply) => meter.record_reply(name, reply, sent_at, clock::now()),
-        None => {
-            meter.record_silence(name);
+        None if meter.record_silence(name) => {
             info!(state.log, "usage counts not sent"; "peer" => name,
                 "windows" => message.windows.len());
         }
+        None => {}
     }
 }
 
--- a/crates/cassiareel-relay/src/usage_meter.rs
+++ b/crates/cassiareel-relay/src/usage_meter.rs
@@ -7,7 +7,7 @@
 */
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     mem,
     ops::RangeInclusive,
     sync::{Mutex, MutexGuard},
@@ -20,7 +20,7 @@
     clock::Moment,
     demand_counts::DemandCounts,
     kernel::usage::{
-        FleetCounts, NodeCounts, SenderKey, TrueClock, TrueTime, UsageMessage, UsageReply,
+        FleetCounts, History, NodeCounts, SenderKey, TrueClock, TrueTime, UsageMessage, UsageReply,
         WindowNumber, WindowRules,
     },
     model::{AccountId, DemandSample},
@@ -36,6 +36,9 @@
 /// How long requests are held back until other nodes have confirmed the time.
 const MAX_HOLD: Duration = Duration::from_secs(2);
 
+/// The number of other nodes whose times confirm the time: they outvote a node that is off.
+const CONFIRMING_NODES: u32 = 2;
+
 /// The number of requests that are held in the list. More are assigned to windows at once.
 const MAX_HELD: usize = 1 << 16;
 
@@ -78,8 +81,11 @@
     /// The last window that is known to be fixed.
     fixed: Option<WindowNumber>,
     is_holder: bool,
-    /// Whether there are no other nodes that could confirm the time.
-    is_alone: bool,
+    is_leaving: bool,
+    /// The number of other nodes in the fleet; `None` until it is known.
+    others: Option<u32>,
+    /// The candidates that were asked for their counts since this node took over.
+    asked: HashSet<String>,
 }
 
 /// What is known of a candidate.
@@ -161,11 +167,11 @@
         self.lock().clock.observe(now, time_of_day);
     }
 
-    /// Assigns counted requests to windows, and forgets old windows. `is_alone` is whether this node
-    /// knows no other candidate.
-    pub(crate) fn advance(&self, now: Moment, is_alone: bool) {
+    /// Assigns counted requests to windows, and forgets old windows. `others` is the number of other nodes
+    /// in the fleet, where it is known.
+    pub(crate) fn advance(&self, now: Moment, others: Option<u32>) {
         let mut state = self.lock();
-        state.is_alone = is_alone;
+        state.others = others;
         state.clock.forget_old(now);
         self.assign(&mut state, Some(now));
         let Some(time) = state.clock.time(now) else {
@@ -188,9 +194,7 @@
     fn assign(&self, state: &mut MeterState, now: Option<Moment>) {
         let mut held = lock(&self.events);
         let is_due = |at: Moment| now.is_none_or(|now| now.saturating_sub(at) >= MAX_HOLD);
-        let may_assign = state.clock.is_confirmed()
-            || state.is_alone
-            || held.first().is_some_and(|(at, _)| is_due(*at));
+        let may_assign = state.is_confirmed() || held.first().is_some_and(|(at, _)| is_due(*at));
         if !may_assign || state.clock.own_time(Moment::ZERO).is_none() {
             return;
         }
@@ -211,7 +215,7 @@
 
     /// Reports whether other nodes have confirmed the time.
     pub(crate) fn is_confirmed(&self) -> bool {
-        self.lock().clock.is_confirmed()
+        self.lock().is_confirmed()
     }
 
     /// Returns the candidates to which counts are sent: the holder and one more, or all of them where
@@ -245,7 +249,7 @@
     ) -> Option<UsageMessage> {
         let is_waiting = self.holds_requests();
         let mut state = self.lock();
-        let asks_time = is_waiting && !state.clock.is_confirmed() && to != self.own.name;
+        let asks_time = is_waiting && !state.is_confirmed() && to != self.own.name;
         let link = state.links.get(to).cloned().unwrap_or_default();
         let (settled, fixed) = (state.settled, state.fixed);
         // Counts of a fixed window that a candidate has are not sent to others.
@@ -304,13 +308,13 @@
         self.note_fixed(&mut state, reply.fixed, now);
     }
 
-    /// Records that a candidate did not answer.
-    pub(crate) fn record_silence(&self, from: &str) {
+    /// Records that a candidate did not answer; reports whether it had answered before.
+    pub(crate) fn record_silence(&self, from: &str) -> bool {
         let mut state = self.lock();
         let link = state.links.entry(from.to_owned()).or_default();
-        link.is_silent = true;
         link.is_holder = false;
         link.demand = None;
+        !mem::replace(&mut link.is_silent, true)
     }
 
     /// Merges a message; returns the reply, and the counts that came too late.
@@ -350,7 +354,7 @@
             cause: self.late_cause(silent),
         });
         let late = late.collect();
-        (self.reply(&state, message.sequence, now), late)
+        (self.reply(&state, message, now), late)
     }
 
     fn late_cause(&self, silent: Option<Duration>) -> &'static str {
@@ -372,11 +376,11 @@
         first..=rules.window_at(time + rules.late) + 1
     }
 
-    fn reply(&self, state: &MeterState, sequence: u64, now: Moment) -> UsageReply {
-        let median = state.clock.median_time(now);
+    fn reply(&self, state: &MeterState, message: &UsageMessage, now: Moment) -> UsageReply {
+        let median = state.clock.median_time(&message.sender, now);
         UsageReply {
             incarnation: self.own.incarnation,
-            sequence,
+            sequence: message.sequence,
             time: median.map(|(time, _)| time),
             voters: median.map_or(0, |(_, voters)| voters),
             fixed: state.fixed,
@@ -405,9 +409,51 @@
         self.lock().fixed
     }
 
-    /// Records whether this node holds the duty.
+    /// Records whether this node holds the duty. A node that takes over asks the other candidates for
+    /// their counts: they have those of nodes that ended meanwhile.
     pub(crate) fn set_holder(&self, is_holder: bool) {
-        self.lock().is_holder = is_holder;
+        let mut state = self.lock();
+        if is_holder && !state.is_holder {
+            state.asked.clear();
+        }
+        state.is_holder = is_holder;
+    }
+
+    /// Returns the candidates that the holder has still to ask for their counts.
+    pub(crate) fn to_ask(&self, candidates: &[String]) -> Vec<String> {
+        let state = self.lock();
+        let is_new = |name: &&String| **name != self.own.name && !state.asked.contains(*name);
+        let new = candidates
+            .iter()
+            .filter(|name| state.is_holder && is_new(name));
+        new.cloned().collect()
+    }
+
+    /// Returns the counts that this node has from all nodes, of windows after one.
+    pub(crate) fn history(&self, after: Option<WindowNumber>) -> History {
+        let state = self.lock();
+        state.fleet.history(state.fixed.max(after))
+    }
+
+    /// Records that this node is about to stop.
+    pub(crate) fn begin_leaving(&self) {
+        self.lock().is_leaving = true;
+    }
+
+    /// Reports whether this node is about to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.lock().is_leaving
+    }
+
+    /// Merges what another candidate has.
+    pub(crate) fn merge_history(&self, from: &str, history: &History, now: Moment) {
+        let mut state = self.lock();
+        let accepted = self.accepted_windows(&state, now);
+        let first = state.fixed.map_or(0, |fixed| fixed + 1);
+        let accepted = first.max(*accepted.start())..=*accepted.end();
+        state.fleet.merge_history(history, &accepted);
+        self.note_fixed(&mut state, history.fixed, now);
+        state.asked.insert(from.to_owned());
     }
 
     /// Returns the true time; `None` where it is not known.
@@ -448,6 +494,14 @@
     }
 }
 
+impl MeterState {
+    /// Reports whether enough other nodes have confirmed the time.
+    fn is_confirmed(&self) -> bool {
+        let others = self.others.unwrap_or(CONFIRMING_NODES);
+        self.clock.is_confirmed(others.min(CONFIRMING_NODES))
+    }
+}
+
 impl Link {
     /// Reports whether the candidate is to be sent the node's demand.
     fn is_demand_due(&self, demand: &[DemandSample], now: Moment) -> bool {
