--- a/crates/cassiareel-relay/src/duties/mod.rs
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -14,5 +14,7 @@
 mod usage;
 #[cfg(test)]
 mod usage_model_tests;
+#[cfg(test)]
+mod usage_tests;
 
 pub use target::{DutyError, DutyHolder, DutyTarget, ServerOrder, UsageReport};
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -41,4 +41,6 @@
 pub mod source;
 mod state;
 mod usage_meter;
+#[cfg(test)]
+mod usage_meter_tests;
 mod usage_metrics;
