--- a/crates/cassiareel-relay/src/duties/usage_tests.rs
+++ b/crates/cassiareel-relay/src/duties/usage_tests.rs
@@ -116,7 +116,7 @@
 /// a later holder finds there. The first holder ends right after the window was written.
 #[test_case(&[], 5; "written")]
 #[test_case(&[(Call::Create, Fault::LoseAnswer), (Call::Get, Fault::Refuse)], 5; "answer lost")]
-#[test_case(&[(Call::Create, Fault::LoseCall), (Call::Get, Fault::Refuse)], 10; "write lost")]
+#[test_case(&[(Call::Create, Fault::LoseCall), (Call::Create, Fault::LoseCall)], 10; "writes lost")]
 fn only_what_the_store_holds_is_reported(faults: &[(Call, Fault)], told: u64) {
     let store = Arc::new(MemoryObjects::new(1));
     let reports = Reports::default();
@@ -126,7 +126,7 @@
         store.inject_fault(*call, 0, fault.clone());
     }
     // Window 200 ends at 5 s and is closed at 9 s.
-    first.run(5..10, 0, &reports);
+    first.run(5..11, 0, &reports);
     let mut next = Holder::new(&store);
     next.run(0..5, 2, &reports);
     next.run(5..12, 0, &reports);
--- a/crates/cassiareel-relay/src/usage_meter_tests.rs
+++ b/crates/cassiareel-relay/src/usage_meter_tests.rs
@@ -25,7 +25,9 @@
 
 /// Lets a node count requests and send them; returns how many came too late.
 fn send(from: &UsageMeter, to: &UsageMeter, requests: u64) -> u64 {
-    (0..requests).for_each(|_| from.count(&"x".into(), NOW));
+    // Each call counts for another account, so that its counts are not part of later ones.
+    let account = format!("x{requests}").into();
+    (0..requests).for_each(|_| from.count(&account, NOW));
     from.advance(NOW, Some(0));
     let Some(message) = from.message("to", &[], NOW) else {
         return 0;
