--- a/crates/cassiareel-relay/src/duties/usage.rs
+++ b/crates/cassiareel-relay/src/duties/usage.rs
@@ -185,7 +185,11 @@
         let was_empty = stored.is_none();
         self.is_failing = false;
         if let Some(stored) = stored {
-            self.merge(stored.windows);
+            let added = self.merge(stored.windows);
+            // A write without an answer has taken effect.
+            for window in added.into_iter().filter(|_| !is_first) {
+                self.log_fixed(window);
+            }
             if let Some(open) = &stored.open {
                 self.meter.merge_history(NAME, open, now);
             }
@@ -228,8 +232,8 @@
         }
     }
 
-    /// Adds the windows that the store has.
-    fn merge(&mut self, stored: Vec<FixedWindow>) {
+    /// Adds the windows that the store has; returns those that were not known.
+    fn merge(&mut self, stored: Vec<FixedWindow>) -> Vec<WindowNumber> {
         let changes = self.ledger.merge(stored);
         for window in changes.differing {
             Metrics::count(&self.metrics.windows, "differing");
@@ -238,6 +242,7 @@
         if let Some(last) = self.ledger.last() {
             self.meter.set_fixed(last);
         }
+        changes.added
     }
 
     /// Reports each window that is fixed and was not accepted yet.
@@ -427,13 +432,13 @@
         };
         match written {
             Ok(version) => {
-                for window in &new {
+                let is_empty = new.is_empty();
+                for window in self.merge(new) {
                     self.log_fixed(window);
                 }
-                self.merge(new.clone());
                 self.update_term(|term| {
                     term.version = version;
-                    if !new.is_empty() {
+                    if !is_empty {
                         (term.may_miss, term.was_empty) = (false, false);
                     }
                 });
@@ -459,7 +464,10 @@
         }
     }
 
-    fn log_fixed(&self, window: &FixedWindow) {
+    fn log_fixed(&self, window: WindowNumber) {
+        let Some(window) = self.ledger.get(window) else {
+            return;
+        };
         let now = (self.now)();
         let end = self.meter.rules().end(window.window);
         let age = self.meter.time(now).map(|time| time.saturating_sub(end));
