--- a/crates/cassiareel-relay/src/duties/mod.rs
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -6,17 +6,19 @@
 before the call is sent, since the process may have been suspended in between.
 */
 
-// No duty is built in yet that makes calls.
-#[allow(dead_code)]
 mod driver;
 #[cfg(test)]
 mod driver_tests;
-#[allow(dead_code)]
 mod duty;
 mod kind;
 mod lease;
 mod parts;
 mod target;
+mod usage;
+#[cfg(test)]
+mod usage_model_tests;
+#[cfg(test)]
+mod usage_tests;
 
 use std::sync::{Arc, Mutex};
 
@@ -31,11 +33,14 @@
     duty::Duty,
     kind::DutyKind,
     lease::{hold_lease, new_candidate},
+    usage::UsageDuty,
 };
 use crate::{
     clock,
-    kernel::{CallPace, DutyTerms},
+    kernel::{usage::WindowRules, CallPace, DutyTerms},
+    settings::Settings,
     state::State,
+    usage_meter::MeterSettings,
 };
 
 /// Runs the duties of a deployment until the node is about to stop, and releases their lease then.
@@ -72,12 +77,39 @@
 }
 
 /// Creates a duty.
-fn new_duty(kind: DutyKind, _state: &Arc<State>, _parts: &DutyParts) -> Option<Box<dyn Duty>> {
+fn new_duty(kind: DutyKind, state: &Arc<State>, parts: &DutyParts) -> Option<Box<dyn Duty>> {
     match kind {
-        DutyKind::Usage | DutyKind::Autoscale => None,
+        DutyKind::Usage => Some(Box::new(UsageDuty::new(
+            state.usage.clone()?,
+            parts.store.clone(),
+            Arc::new(clock::now),
+            state.log.clone(),
+            state.metrics.usage.clone(),
+        ))),
+        DutyKind::Autoscale => None,
     }
 }
 
+/// Returns what the usage meter needs to know; `None` where the deployment names no duties.
+pub(crate) fn meter_settings(
+    settings: &Settings,
+    parts: Option<&DutyParts>,
+) -> Option<MeterSettings> {
+    let kinds = &parts?.kinds;
+    let duties = settings.duties.as_ref()?;
+    let is_named = |kind: DutyKind| kinds.iter().any(|name| name == kind.name());
+    DutyKind::ALL
+        .into_iter()
+        .any(is_named)
+        .then(|| MeterSettings {
+            rules: WindowRules {
+                length: duties.window,
+                late: duties.late,
+            },
+            sends_demand: is_named(DutyKind::Autoscale),
+        })
+}
+
 /// Creates the driver; `None` where the settings have no duties.
 fn new_driver(state: &Arc<State>, parts: &DutyParts) -> Option<Driver> {
     let settings = state.settings.load();
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -18,6 +18,8 @@
     registry::Registry,
 };
 
+pub use crate::usage_metrics::UsageMetrics;
+
 /// Labels of a counter by outcome.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Outcome {
@@ -90,6 +92,8 @@
     pub limit_share: RateGauges,
     /// The lease on the duties.
     pub duties: DutyMetrics,
+    /// Reports of usage.
+    pub usage: UsageMetrics,
     /// Requests that are open.
     pub open_requests: Gauge,
     /// The version of the configuration in force.
@@ -119,6 +123,7 @@
             limit_demand: Family::default(),
             limit_share: Family::default(),
             duties: DutyMetrics::default(),
+            usage: UsageMetrics::default(),
             open_requests: Gauge::default(),
             config_version: Gauge::default(),
             backends: Gauge::default(),
@@ -179,6 +184,15 @@
             .inc_by(objects as u64);
     }
 
+    /// Counts requests whose counts came after their window was fixed.
+    pub fn count_late_usage(&self, cause: &str, requests: u64) {
+        let labels = Outcome {
+            outcome: cause.to_owned(),
+        };
+        let counter = self.usage.late_counts.get_or_create(&labels);
+        counter.inc_by(requests);
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("answers", "Answers to callers", self.answers.clone());
@@ -227,6 +241,7 @@
             self.duties.fence.clone(),
         );
         registry.register("duty_calls", "Calls of duties", self.duties.calls.clone());
+        self.usage.register(registry);
         registry.register("open_requests", "Open requests", self.open_requests.clone());
         registry.register(
             "config_version",
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -16,11 +16,14 @@
 
 use crate::{
     clock::{self, Moment},
-    duties::{run_duties, DutyParts},
+    duties::{meter_settings, run_duties, DutyParts},
     follow::{follow_nodes, follow_policy, follow_registry, follow_rollouts},
     front::{bind_listener, serve_callers, serve_metrics, serve_readiness, OpenRequests},
     kernel::{ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN},
-    peers::{ask_peer_at_start, follow_limits, follow_peers, send_losses, serve_peers},
+    peers::{
+        ask_peer_at_start, follow_limits, follow_peers, send_last_usage, send_losses, send_usage,
+        serve_peers,
+    },
     protocol::Protocol,
     settings::Settings,
     signals::{self, Signal},
@@ -73,6 +76,7 @@
     let signals = signals::listen()?;
     let spawner = parts.runtime.spawner();
     let listens = parts.settings.listen.clone();
+    let usage = meter_settings(&parts.settings, parts.duties.as_ref());
     let state = Arc::new(State::new(
         parts.settings,
         parts.source,
@@ -80,6 +84,7 @@
         parts.protocol,
         parts.log,
         spawner.clone(),
+        usage,
     ));
     let open = OpenRequests::default();
     let (front, ready, metrics, peers) = smol::block_on(async {
@@ -101,6 +106,7 @@
         spawner.spawn(ask_peer_at_start(state.clone())),
         spawner.spawn(send_losses(state.clone())),
         spawner.spawn(follow_limits(state.clone())),
+        spawner.spawn(send_usage(state.clone())),
         spawner.spawn(serve_peers(state.clone(), peers)),
         spawner.spawn(serve_callers(state.clone(), front, open.clone())),
         spawner.spawn(serve_readiness(state.clone(), ready)),
@@ -163,6 +169,9 @@
     let began = clock::now();
     let grace = state.settings.load().bounds.grace;
     state.begin_leaving(began);
+    if let Some(meter) = &state.usage {
+        meter.begin_leaving();
+    }
     info!(state.log, "stopping"; "open" => open.count(), "grace_ms" => grace.as_millis() as u64);
     loop {
         let spent = clock::now().saturating_sub(began);
@@ -185,6 +194,7 @@
         info!(state.log, "requests ended"; "open" => open.count());
     }
     wait_until_answered(open, began + grace).await;
+    send_last_usage(state).await;
     let left = open.count();
     info!(state.log, "stopped"; "cut" => left);
     left
