Relay: number of backend servers by demand (autoscale duty)

Change: kernel::autoscale decides the number for each data centre from the demand of all nodes, with headroom for a burst and for the loss of a data centre; duties::autoscale orders it once a second at the holder of the lease. Each node samples its own demand (State::sample_demand), counting requests that wait for an engine or are refused. Nothing creates the duty yet.

--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Returns the number of the node's own open requests at it.
+    pub(crate) fn open_requests(&self) -> u32 {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+
     /// Records a load that the backend server reported.
     pub(crate) fn note_load(&self, load: Load, now: Moment) {
         let own = self.open_requests.load(Ordering::Relaxed);
--- a/crates/cassiareel-relay/src/duties/mod.rs
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -6,7 +6,16 @@
 before the call is sent, since the process may have been suspended in between.
 */
 
+#[allow(dead_code)]
+mod autoscale;
+#[allow(dead_code)]
+mod demand;
 mod duty;
+#[allow(dead_code)]
+mod server_losses;
+#[allow(dead_code)]
+mod service_scaling;
 mod target;
 
+pub(crate) use demand::NodeDemand;
 pub use target::{DutyError, DutyHolder, DutyTarget, ServerOrder, UsageReport};
--- a/crates/cassiareel-relay/src/front/admit.rs
+++ b/crates/cassiareel-relay/src/front/admit.rs
@@ -248,6 +248,7 @@
         Err(_) if ask.last_event.is_some() => 0.0,
         Err(excess) => {
             let after = admission.retry_after(service, route.objective);
+            state.record_refusal(service);
             info!(state.log, "account over its share"; "request" => &*ask.id,
                 "service" => &**service, "tenant" => tenant.map(|tenant| tenant.to_string()),
                 "units" => claim.cost, "asked" => excess.demand, "share" => excess.allowance,
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -144,12 +144,14 @@
     request: &Request,
 ) -> Result<ChosenEngine, PickError> {
     let end = request.arrived + request.route.objective.mul_f64(MAX_HOLD_PART);
+    let mut waiting = None;
     loop {
         let found = find_with_capacity(state, request).await;
         let full = matches!(found, Err(PickError::NoCapacity(_)));
         if !full || clock::now() + HOLD_POLL_INTERVAL > end {
             return found;
         }
+        waiting = waiting.or_else(|| state.begin_wait(&request.service));
         Timer::after(HOLD_POLL_INTERVAL).await;
     }
 }
--- a/crates/cassiareel-relay/src/front/handler.rs
+++ b/crates/cassiareel-relay/src/front/handler.rs
@@ -29,6 +29,9 @@
     state::State,
 };
 
+/// The outcomes of requests that were refused for want of capacity.
+const CAPACITY_REFUSALS: [&str; 2] = ["no_room", "no_place"];
+
 /// Handles one request of a caller.
 pub(super) async fn handle(state: Arc<State>, request: http::Request<Incoming>) -> Reply {
     let log = state.log.clone();
@@ -211,6 +214,9 @@
 /// Logs and counts the outcome of a request.
 fn log_request(state: &State, request: &Request, outcome: &str) {
     Metrics::count(&state.metrics.answers, outcome);
+    if CAPACITY_REFUSALS.contains(&outcome) {
+        state.record_refusal(&request.service);
+    }
     let age = request.age();
     state.metrics.latency.observe(age.as_secs_f64());
     info!(state.log, "request"; "request" => &*request.ask.id, "route" => &request.route.name,
--- /dev/null
+++ b/crates/cassiareel-relay/src/kernel/autoscale/autoscaler_tests.rs
@@ -0,0 +1,118 @@
+//! The wanted number by the facts of one moment.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use test_case::test_case;
+
+use super::{
+    Autoscaler, BoundsError, DataCentreInput, DemandCoverage, EngineFacts, ServiceInput, SizeReason,
+};
+use crate::model::ScaleBounds;
+
+const BOOT: Duration = Duration::from_secs(8);
+
+/// Returns the state of a service of plain servers with six slots in `data_centres` data centres.
+fn input(seconds: u64, listed: u32, running: u64, data_centres: usize) -> ServiceInput {
+    let part = DataCentreInput {
+        listed,
+        ready: listed,
+        slots: u64::from(listed) * 6,
+        running,
+        ..DataCentreInput::default()
+    };
+    let names = ["a", "b", "c"].into_iter().take(data_centres);
+    ServiceInput {
+        now: Duration::from_secs(100 + seconds),
+        bounds: ScaleBounds {
+            min: 2,
+            max: 32,
+            boot: BOOT,
+        },
+        engine: None,
+        data_centres: names
+            .map(|name| (Arc::from(name), part))
+            .collect::<BTreeMap<_, _>>(),
+        coverage: DemandCoverage {
+            nodes: 4,
+            known: 4,
+            oldest: Duration::ZERO,
+        },
+        is_rolling_out: false,
+    }
+}
+
+/// Decides each second by the same facts, and returns the last number for the first data centre.
+fn decide(
+    seconds: u64,
+    listed: u32,
+    running: u64,
+    data_centres: usize,
+) -> Option<(u32, SizeReason)> {
+    let mut scaler = Autoscaler::default();
+    let sizes = (0..=seconds).map(|now| scaler.decide(&input(now, listed, running, data_centres)));
+    let last = sizes.last()?.ok()?;
+    last.wanted
+        .values()
+        .next()
+        .map(|wanted| (wanted.count, wanted.reason))
+}
+
+/// Guards against headroom that does not suffice for the loss of a data centre or for a burst, and
+/// against orders before the holder knows what was ordered before.
+#[test_case(2, 10, 60, 3, None; "just began")]
+#[test_case(5, 10, 30, 3, None; "watches")]
+#[test_case(11, 10, 30, 3, Some((10, SizeReason::Listed)); "starts from the listed number")]
+#[test_case(3, 10, 60, 3, Some((32, SizeReason::Demand)); "too few while it watches")]
+#[test_case(90, 30, 60, 3, Some((18, SizeReason::LowDemand)); "three data centres")]
+#[test_case(90, 30, 60, 2, Some((24, SizeReason::LowDemand)); "two data centres")]
+#[test_case(90, 30, 0, 3, Some((2, SizeReason::LowDemand)); "no demand")]
+#[test_case(90, 40, 300, 3, Some((32, SizeReason::Bounds)); "more servers than allowed")]
+fn the_wanted_number(
+    seconds: u64,
+    listed: u32,
+    running: u64,
+    data_centres: usize,
+    wanted: Option<(u32, SizeReason)>,
+) {
+    assert_eq!(decide(seconds, listed, running, data_centres), wanted);
+}
+
+/// Guards against servers that are sized by their slots where prefills bind before.
+#[test_case(None, None, 4.0; "nothing measured")]
+#[test_case(Some(1000), Some(6000), 6.0; "prefills bind")]
+#[test_case(Some(10), Some(6000), 11.0; "memory binds")]
+fn an_engine_at_full_use(prefill: Option<u64>, run: Option<u64>, runs: f64) {
+    let mut input = input(0, 10, 10, 1);
+    input
+        .data_centres
+        .values_mut()
+        .for_each(|part| part.slots = 160);
+    input.engine = Some(EngineFacts {
+        prefill: prefill.map(Duration::from_millis),
+        run: run.map(Duration::from_millis),
+        capacity: 88_000,
+        prompt: 8_000,
+    });
+    assert_eq!(input.full_runs(), Some(runs));
+}
+
+/// Guards against orders by bounds that the operator can't have meant.
+#[test]
+fn invalid_bounds_are_errors() {
+    let mut input = input(0, 10, 10, 1);
+    input.bounds.min = 40;
+    let found = Autoscaler::default().decide(&input);
+    assert_eq!(found, Err(BoundsError::MinAboveMax { min: 40, max: 32 }));
+    input.bounds = ScaleBounds {
+        min: 2,
+        max: 32,
+        boot: Duration::ZERO,
+    };
+    let found = Autoscaler::default().decide(&input);
+    assert_eq!(
+        found,
+        Err(BoundsError::Boot {
+            boot: Duration::ZERO
+        })
+    );
+}
--- a/crates/cassiareel-relay/src/kernel/catalog.rs
+++ b/crates/cassiareel-relay/src/kernel/catalog.rs
@@ -1,9 +1,14 @@
 //! The configuration in force, indexed for requests: routes by host and path prefix, accounts by
 //! key.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
-use crate::model::{Account, AccountId, EngineShape, Limits, Policy, Route, ServiceId};
+use crate::model::{
+    Account, AccountId, EngineShape, Limits, Policy, Route, ScaleBounds, Service, ServiceId,
+};
 
 /// An immutable index of one version of the configuration.
 #[derive(Debug, Default)]
@@ -13,6 +18,7 @@
     keys: HashMap<String, KeyOwner>,
     requires_keys: bool,
     engines: HashMap<ServiceId, EngineShape>,
+    scales: BTreeMap<ServiceId, ScaleBounds>,
     limits: Limits,
 }
 
@@ -59,6 +65,7 @@
             hosts,
             requires_keys: policy.accounts.is_some(),
             keys: index_keys(policy.accounts.unwrap_or_default()),
+            scales: index_scales(&policy.services),
             engines: policy
                 .services
                 .into_iter()
@@ -83,6 +90,16 @@
         self.engines.get(service)
     }
 
+    /// Returns the bounds of a service's size, if it follows the demand.
+    pub fn scale(&self, service: &str) -> Option<&ScaleBounds> {
+        self.scales.get(service)
+    }
+
+    /// Returns the services whose size follows the demand, with its bounds.
+    pub fn scaled_services(&self) -> impl Iterator<Item = (&ServiceId, &ScaleBounds)> {
+        self.scales.iter()
+    }
+
     /// Finds the route and the client account of a request.
     pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Lookup {
         let Some(route) = self.route(host, path) else {
@@ -120,6 +137,13 @@
     }
 }
 
+fn index_scales(services: &[Service]) -> BTreeMap<ServiceId, ScaleBounds> {
+    let scaled = services
+        .iter()
+        .filter_map(|s| Some((s.name.clone(), s.scale?)));
+    scaled.collect()
+}
+
 fn index_keys(accounts: Vec<Account>) -> HashMap<String, KeyOwner> {
     let mut keys = HashMap::new();
     for account in accounts {
--- a/crates/cassiareel-relay/src/kernel/load.rs
+++ b/crates/cassiareel-relay/src/kernel/load.rs
@@ -154,6 +154,11 @@
         self.prefill_time(self.mean_input as u64)
     }
 
+    /// Returns the average length of a prompt, in tokens.
+    pub fn mean_input(&self) -> u64 {
+        self.mean_input as u64
+    }
+
     /// Reports whether a copy of a run's memory may be made: the fuller the engines' memory is, the
     /// fewer copies, since the runs themselves need it first. `random` is a number from 0 to 1.
     pub fn may_copy(&self, random: f64) -> bool {
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -1,5 +1,6 @@
 //! The relay's decisions, as functions of the time and of known facts, without input or output.
 
+mod autoscale;
 mod backoff;
 #[cfg(test)]
 mod backoff_tests;
@@ -71,6 +72,10 @@
 #[cfg(test)]
 mod verdict_restore_model_tests;
 
+pub use autoscale::{
+    Autoscaler, BoundsError, DataCentreInput, DemandCoverage, DemandTotal, EngineFacts,
+    FleetDemand, OrderOutcome, ServerOrders, ServiceInput, ServiceSize, SizeReason, WantedServers,
+};
 pub use backoff::{Backoff, StoreStatus};
 pub use baseline::{Baseline, Baselines, LogTimes};
 pub use budget::{RetryBudget, RetryCause};
--- a/crates/cassiareel-relay/src/kernel/run_times.rs
+++ b/crates/cassiareel-relay/src/kernel/run_times.rs
@@ -46,6 +46,12 @@
         self.services.record(service, took);
     }
 
+    /// Returns the time of a usual run of a service; `None` before one ended, or where most were given up.
+    pub fn usual(&self, service: &str) -> Option<Duration> {
+        let usual = self.services.0.get(service).and_then(RecentRuns::median);
+        usual.filter(|usual| *usual < Duration::MAX)
+    }
+
     /// Returns the times that a run is expected to take. Other routes of its service tell how long a
     /// usual run takes, but not a slow one.
     pub fn expected(&self, route: &str, service: &str) -> ExpectedTimes {
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -39,6 +39,15 @@
     pub call: String,
 }
 
+/// Labels of a gauge by service and data centre.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct SubjectLabel {
+    /// The service.
+    pub service: String,
+    /// The data centre of its backend servers.
+    pub data_centre: String,
+}
+
 /// A gauge for each backend server that names a limit, in requests a second.
 type RateGauges = Family<BackendLabel, Gauge<f64, AtomicU64>>;
 
@@ -68,6 +77,12 @@
     pub limit_demand: RateGauges,
     /// What this node sent to them.
     pub limit_share: RateGauges,
+    /// Orders of numbers of backend servers, by outcome.
+    pub server_orders: Family<Outcome, Counter>,
+    /// The wanted numbers of backend servers, at the node that orders them.
+    pub wanted_servers: Family<SubjectLabel, Gauge>,
+    /// The listed numbers of these.
+    pub listed_servers: Family<SubjectLabel, Gauge>,
     /// Requests that are open.
     pub open_requests: Gauge,
     /// The version of the configuration in force.
@@ -96,6 +111,9 @@
             limits: Family::default(),
             limit_demand: Family::default(),
             limit_share: Family::default(),
+            server_orders: Family::default(),
+            wanted_servers: Family::default(),
+            listed_servers: Family::default(),
             open_requests: Gauge::default(),
             config_version: Gauge::default(),
             backends: Gauge::default(),
@@ -138,6 +156,26 @@
         }
     }
 
+    /// Sets the gauges of a service's backend servers in a data centre.
+    pub fn set_servers(&self, service: &str, data_centre: &str, wanted: Option<u32>, listed: u32) {
+        let labels = SubjectLabel {
+            service: service.to_owned(),
+            data_centre: data_centre.to_owned(),
+        };
+        let listed_servers = self.listed_servers.get_or_create(&labels);
+        listed_servers.set(i64::from(listed));
+        if let Some(wanted) = wanted {
+            let wanted_servers = self.wanted_servers.get_or_create(&labels);
+            wanted_servers.set(i64::from(wanted));
+        }
+    }
+
+    /// Removes the gauges of wanted and listed backend servers, which another node orders.
+    pub fn clear_servers(&self) {
+        self.wanted_servers.clear();
+        self.listed_servers.clear();
+    }
+
     /// Counts one outcome.
     pub fn count(family: &Family<Outcome, Counter>, outcome: &str) {
         let labels = Outcome {
@@ -193,6 +231,21 @@
             "Requests a second that this node sent to it",
             self.limit_share.clone(),
         );
+        registry.register(
+            "server_orders",
+            "Orders of numbers of backend servers",
+            self.server_orders.clone(),
+        );
+        registry.register(
+            "wanted_servers",
+            "Wanted backend servers, at the node that orders them",
+            self.wanted_servers.clone(),
+        );
+        registry.register(
+            "listed_servers",
+            "Listed backend servers, at the node that orders them",
+            self.listed_servers.clone(),
+        );
         registry.register("open_requests", "Open requests", self.open_requests.clone());
         registry.register(
             "config_version",
--- a/crates/cassiareel-relay/src/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/rollouts/mod.rs
@@ -150,6 +150,13 @@
         self.covered.load().contains(&version)
     }
 
+    /// Reports whether a rollout of a service has no verdict yet.
+    pub(crate) fn is_open(&self, service: &ServiceId) -> bool {
+        let active_rollouts = self.active.load();
+        let active = active_rollouts.get(service);
+        active.is_some_and(|active| matches!(active.split, RolloutDecision::Share(_)))
+    }
+
     /// Draws the rule for the version of one request.
     pub(crate) fn version_rule(&self, service: &ServiceId) -> VersionRule {
         let active_rollouts = self.active.load();
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -29,6 +29,7 @@
     admission::Admission,
     backends::{Backend, Backends},
     clock::{self, Moment},
+    duties::NodeDemand,
     kernel::{
         accepts_during_shutdown, Catalog, ConfigFreshness, DataCentreHealth, ReadSchedule,
         RetryBudget, RetryCause, RunTimes, ServiceSpeeds, Shutdown,
@@ -80,6 +81,8 @@
     pub rollouts: Rollouts,
     /// The admission of requests.
     pub admission: Admission,
+    /// The demand for services whose size follows it.
+    pub demand: NodeDemand,
     /// The limits that backend servers name for the whole fleet.
     pub server_limits: FleetLimits,
     /// Nodes that are not in the list of the fleet's nodes yet.
@@ -160,6 +163,7 @@
             backends: Backends::new(spawner.clone()),
             rollouts: Rollouts::default(),
             admission: Admission::default(),
+            demand: NodeDemand::default(),
             server_limits,
             unlisted_nodes: UnlistedNodes::default(),
             protocol,
@@ -253,6 +257,15 @@
         self.catalog()?.engine(service).copied()
     }
 
+    /// Reports whether a rollout of a service is open, or a version may belong to one that this node has
+    /// not read yet.
+    pub(crate) fn is_rolling_out(&self, service: &ServiceId) -> bool {
+        let backends = self.backends.of_service(service);
+        let is_unread =
+            |backend: &Arc<Backend>| !self.rollouts.is_covered(service, &backend.entry.version);
+        self.rollouts.is_open(service) || backends.iter().any(is_unread)
+    }
+
     /// Locks the losses by data centre.
     pub(crate) fn data_centre_losses(&self) -> MutexGuard<'_, DataCentreHealth> {
         lock(&self.data_centre_losses)
