Relay: size engines by the part of their time that prefills take

Change: the wanted number follows from the part of their time that engines spend on prefills, found from the requests that they run; memory and slots bound it.

--- a/crates/cassiareel-relay/src/duties/autoscale.rs
+++ b/crates/cassiareel-relay/src/duties/autoscale.rs
@@ -61,7 +61,7 @@
     due: DueOrder,
     input: DataCentreInput,
     demand: f64,
-    full_runs: f64,
+    target_runs: f64,
 }
 
 impl AutoscaleDuty {
@@ -165,7 +165,7 @@
             "data_centre" => &*ordered.data_centre, "count" => ordered.count,
             "reason" => wanted.reason.name(), "repeat" => due.is_repeat,
             "listed" => due.listed, "ready" => input.ready, "needed" => wanted.needed,
-            "peak" => wanted.peak, "demand" => order.demand, "full_runs" => order.full_runs,
+            "peak" => wanted.peak, "demand" => order.demand, "target_runs" => order.target_runs,
             "running" => input.running, "waiting" => input.waiting, "refused" => input.refused,
             "lost" => input.lost, "fence" => fence, "outcome" => outcome.name(),
             "cause" => answer.as_ref().err().map(ToString::to_string));
@@ -254,7 +254,7 @@
             due,
             input: input.unwrap_or_default(),
             demand: size.demand,
-            full_runs: size.full_runs,
+            target_runs: size.target_runs,
         }
     }
 }
@@ -276,14 +276,14 @@
 /// Returns what this node knows of a service's engines.
 fn engine_facts(state: &State, service: &ServiceId) -> Option<EngineFacts> {
     let shape = state.engine_shape(service)?;
-    let (prefill, prompt) = state.admission.with_load(service, |load| {
-        (load.mean_prefill_time(), load.mean_input())
+    let (prefill, tokens) = state.admission.with_load(service, |load| {
+        (load.mean_prefill_time(), load.mean_tokens())
     });
     Some(EngineFacts {
         prefill: Some(prefill).filter(|prefill| !prefill.is_zero()),
         run: state.run_times().usual(service),
         capacity: shape.capacity,
-        prompt,
+        tokens,
     })
 }
 
--- a/crates/cassiareel-relay/src/duties/mod.rs
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -15,6 +15,8 @@
 mod server_losses;
 #[allow(dead_code)]
 mod service_scaling;
+#[cfg(test)]
+mod service_scaling_tests;
 mod target;
 
 pub(crate) use demand::NodeDemand;
--- a/crates/cassiareel-relay/src/kernel/autoscale/autoscaler.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/autoscaler.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 
 use super::{
-    input::{DataCentreInput, ServiceInput},
+    input::{prefill_part, DataCentreInput, ServiceInput, ASSUMED_RUNS},
     subject::{Situation, Subject, WantedServers},
 };
 use crate::{
@@ -50,6 +50,10 @@
 /// How long no server is removed after the end of a rollout, in starts of a server.
 const ROLLOUT_BOOTS: u32 = 1;
 
+/// The weight of the newest value in the moving averages of what changes slowly: the holder's own runs
+/// of the last tens of seconds show the time of a run.
+const NEWEST_WEIGHT: f64 = 0.05;
+
 /// The longest time that a server may take to start.
 const MAX_BOOT: Duration = Duration::from_secs(86_400);
 
@@ -60,8 +64,12 @@
     subjects: BTreeMap<DataCentre, Subject>,
     /// The demand of all data centres at the last decisions.
     recent: VecDeque<Demand>,
-    /// The number of requests that a server runs at full use, as last known.
-    full_runs: Option<f64>,
+    /// The largest number of requests that a server is to run, as last known.
+    most_runs: Option<f64>,
+    /// The mean number of requests of a server.
+    mean_runs: Option<f64>,
+    /// The mean time of a generation without pauses, in times of a prefill.
+    generation: Option<f64>,
     /// Until when no server is removed.
     hold_until: Moment,
     /// Since when the demand of nearly all nodes is known.
@@ -83,8 +91,8 @@
     pub wanted: BTreeMap<DataCentre, WantedServers>,
     /// The requests of all nodes that run, wait or were refused.
     pub demand: f64,
-    /// The number of requests that a server runs at full use.
-    pub full_runs: f64,
+    /// The number of requests that a server is to run.
+    pub target_runs: f64,
 }
 
 /// Bounds that allow no decision.
@@ -106,6 +114,12 @@
     },
 }
 
+/// Adds a value to a moving average, and returns the average.
+fn smooth(mean: &mut Option<f64>, value: f64) -> f64 {
+    let old = mean.unwrap_or(value);
+    *mean.insert(old + (value - old) * NEWEST_WEIGHT)
+}
+
 /// Checks the bounds of a service's size.
 fn check(bounds: &ScaleBounds) -> Result<(), BoundsError> {
     let ScaleBounds { min, max, boot } = *bounds;
@@ -128,7 +142,6 @@
         check(&input.bounds)?;
         let started = *self.started.get_or_insert(input.now);
         self.note_uncertainty(input);
-        self.full_runs = input.full_runs().or(self.full_runs);
         self.recent.push_back(Demand::of(input));
         if self.recent.len() > AVERAGED {
             self.recent.pop_front();
@@ -138,10 +151,10 @@
                 self.subjects.entry(data_centre.clone()).or_default();
             }
         }
-        let Some(full_runs) = self.full_runs else {
+        let demand = self.mean(|recent| recent.requests.values().sum());
+        let Some(needed_servers) = self.needed_servers(demand, input) else {
             return Ok(ServiceSize::none());
         };
-        let demand = self.mean(|recent| recent.requests.values().sum());
         let situation = Situation {
             now: input.now,
             started,
@@ -150,12 +163,13 @@
             known_since: self.known_since,
             hold_until: self.hold_until,
         };
-        let base = demand * self.headroom() / full_runs / self.subjects.len().max(1) as f64;
+        let base = needed_servers / self.subjects.len().max(1) as f64;
+        let each = needed_servers * LOCAL_HEADROOM / self.headroom() / demand.max(1.0);
         let local: BTreeMap<DataCentre, f64> = self.local_demand();
         let mut wanted = BTreeMap::new();
         for (data_centre, subject) in &mut self.subjects {
             let own = local.get(data_centre).copied().unwrap_or_default();
-            let needed = base.max(own * LOCAL_HEADROOM / full_runs);
+            let needed = base.max(own * each);
             let none = DataCentreInput::default();
             let part = input.data_centres.get(data_centre).unwrap_or(&none);
             if let Some(decided) = subject.decide(needed, part, &situation) {
@@ -165,10 +179,34 @@
         Ok(ServiceSize {
             wanted,
             demand,
-            full_runs,
+            target_runs: demand / needed_servers.max(1.0),
         })
     }
 
+    /// Returns the number of servers that the demand needs, with headroom; `None` where no server is known.
+    ///
+    /// Engines are sized by the part of their time that prefills take, which the number of requests that
+    /// they run shows: it grows faster than that part.
+    fn needed_servers(&mut self, demand: f64, input: &ServiceInput) -> Option<f64> {
+        let headroom = self.headroom();
+        self.most_runs = input.most_runs(headroom).or(self.most_runs);
+        let most = self.most_runs?;
+        let Some(engine) = input.engine else {
+            return Some(demand / most);
+        };
+        let ready = input.ready().max(1) as f64;
+        let runs = demand / ready;
+        let mean_runs = smooth(&mut self.mean_runs, runs);
+        if let Some(generation) = engine.generation(mean_runs) {
+            smooth(&mut self.generation, generation);
+        }
+        let Some(generation) = self.generation else {
+            return Some(demand / most.min(ASSUMED_RUNS));
+        };
+        let part = prefill_part(most, generation).min(1.0 / headroom);
+        Some(ready * prefill_part(runs, generation) / part)
+    }
+
     /// Records what postpones the removal of servers.
     fn note_uncertainty(&mut self, input: &ServiceInput) {
         let boot = input.bounds.boot;
@@ -255,7 +293,7 @@
         ServiceSize {
             wanted: BTreeMap::new(),
             demand: 0.0,
-            full_runs: 0.0,
+            target_runs: 0.0,
         }
     }
 }
--- a/crates/cassiareel-relay/src/kernel/autoscale/input.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/input.rs
@@ -55,32 +55,49 @@
     pub run: Option<Duration>,
     /// The memory of an engine, in tokens.
     pub capacity: u64,
-    /// The length of a usual prompt, in tokens; 0 before one was seen.
-    pub prompt: u64,
+    /// The tokens of a usual request at its end; 0 before one was seen.
+    pub tokens: u64,
 }
 
-/// The number of requests that an engine runs at full use while the time of its prefills is unknown.
-/// An engine of 8 prompt tokens a ms is busy with prefills alone at one prompt of 8,000 tokens a
-/// second, which is 5 to 8 requests where a run takes 5 to 8 s.
-const ASSUMED_FULL_RUNS: f64 = 4.0;
+/// The number of requests that an engine may run while the time of its prefills is unknown. With a
+/// prompt of a second and runs of 5 to 8 s, an engine spends a third of its time on prefills then.
+pub(super) const ASSUMED_RUNS: f64 = 2.5;
 
-/// The smallest number of requests that a server is taken to run at full use.
-const MIN_FULL_RUNS: f64 = 0.5;
+/// The factor over the runs of an engine that its memory is kept free for, in addition to the headroom:
+/// generations pause during prefills, so that requests stay longer where there are more of them.
+const PAUSE_HEADROOM: f64 = 1.35;
+
+/// The smallest number of requests that a server is taken to run.
+const MIN_RUNS: f64 = 0.25;
+
+/// The time of a run where it is unknown.
+const DEFAULT_RUN_TIME: Duration = Duration::from_secs(1);
+
+/// The longest time of a run for which refused requests are counted as demand.
+const MAX_RUN_TIME: Duration = Duration::from_secs(30);
+
+/// The largest part of its time that an engine is taken to spend on prefills.
+const MAX_PREFILL_PART: f64 = 0.9;
 
 impl ServiceInput {
-    /// Returns the number of requests that a server runs at full use: as many as it has slots, and as
-    /// its memory and its prefills allow. `None` where no server is known.
-    pub(super) fn full_runs(&self) -> Option<f64> {
-        let ready: u64 = self.sum(|part| u64::from(part.ready));
-        let slots = self.sum(|part| part.slots);
-        if ready == 0 || slots == 0 {
+    /// Returns the number of servers that take requests.
+    pub(super) fn ready(&self) -> u64 {
+        self.sum(|part| u64::from(part.ready))
+    }
+
+    /// Returns the number of requests that a server is to run at most where it has room for `headroom`
+    /// times the requests: its slots and, for an engine, its memory limit them. `None` where no server
+    /// is known.
+    pub(super) fn most_runs(&self, headroom: f64) -> Option<f64> {
+        let slots = self.sum(|part| part.slots) as f64 / self.ready() as f64;
+        if !slots.is_finite() || slots == 0.0 {
             return None;
         }
-        let slots = slots as f64 / ready as f64;
-        let engine = self
-            .engine
-            .map_or(f64::INFINITY, |engine| engine.full_runs());
-        Some(slots.min(engine).max(MIN_FULL_RUNS))
+        let most = match self.engine {
+            Some(engine) => slots.min(engine.memory_runs()) / (headroom * PAUSE_HEADROOM),
+            None => slots / headroom,
+        };
+        Some(most.max(MIN_RUNS))
     }
 
     /// Returns the time of a usual run.
@@ -100,26 +117,34 @@
     }
 }
 
-/// The time of a run where it is unknown.
-const DEFAULT_RUN_TIME: Duration = Duration::from_secs(1);
-
-/// The longest time of a run for which refused requests are counted as demand.
-const MAX_RUN_TIME: Duration = Duration::from_secs(30);
-
 impl EngineFacts {
-    /// Returns the number of requests that an engine runs at full use. A request occupies the prefill
-    /// of its engine for a part of its run only.
-    fn full_runs(&self) -> f64 {
-        let memory = match self.prompt {
+    /// Returns the number of requests that the memory of an engine holds.
+    fn memory_runs(&self) -> f64 {
+        match self.tokens {
             0 => f64::INFINITY,
-            prompt => self.capacity as f64 / prompt as f64,
-        };
-        let prefill = match (self.prefill, self.run) {
-            (Some(prefill), Some(run)) if !prefill.is_zero() && run < MAX_RUN_TIME => {
-                run.as_secs_f64() / prefill.as_secs_f64()
-            }
-            _ => ASSUMED_FULL_RUNS,
-        };
-        memory.min(prefill).max(1.0)
+            tokens => self.capacity as f64 / tokens as f64,
+        }
     }
+
+    /// Returns the time of a generation without pauses, in times of a usual prefill, where an engine runs
+    /// `runs` requests on average; `None` before both times were measured.
+    pub(super) fn generation(&self, runs: f64) -> Option<f64> {
+        let (prefill, run) = (self.prefill?, self.run?);
+        if prefill.is_zero() || run <= prefill {
+            return None;
+        }
+        let run = run.as_secs_f64() / prefill.as_secs_f64();
+        let part = (runs / run).min(MAX_PREFILL_PART);
+        Some((run - 1.0) * (1.0 - part))
+    }
+}
+
+/// Returns the part of its time that an engine spends on prefills while it runs `runs` requests.
+/// `generation` is the time of a generation without pauses, in times of a prefill.
+///
+/// A request runs for `1 + generation / (1 - part)` prefills, as generations pause during prefills, and
+/// `part` requests come in the time of one. The result solves `runs = part * (1 + generation / (1 - part))`.
+pub(super) fn prefill_part(runs: f64, generation: f64) -> f64 {
+    let sum = 1.0 + generation + runs;
+    (sum - (sum * sum - 4.0 * runs).max(0.0).sqrt()) / 2.0
 }
--- a/crates/cassiareel-relay/src/kernel/autoscale/subject.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/subject.rs
@@ -21,9 +21,9 @@
 /// The part of a server's start between two removals.
 const REMOVAL_INTERVAL_PART: f64 = 0.5;
 
-/// The factor over the recent need that removals leave. It keeps the chance differences of a steady
-/// load from adding what was removed.
-const REMOVAL_MARGIN: f64 = 1.05;
+/// The factor over the wanted number up to which no servers are added: the chance differences of a
+/// steady load, which the headroom covers.
+const TOLERANCE: f64 = 1.05;
 
 /// The factor over the wanted number up to which a need that follows a removal waits for a server's
 /// start: such a small one is noise of a steady load.
@@ -31,7 +31,7 @@
 
 /// The factor by which servers are added again before those that were added last have started: the
 /// demand grows for longer than a start takes.
-const GROWTH_FACTOR: f64 = 1.06;
+const GROWTH_FACTOR: f64 = 1.1;
 
 /// The factor by which servers are added while the last order has no answer. It may be carried out late,
 /// even after the next one, so that few orders with a larger step each are better.
@@ -129,8 +129,6 @@
         at: &Situation,
     ) -> Option<WantedServers> {
         let peak = self.peak.record(needed, at.now, at.quiet_time());
-        let needed = needed.ceil() as u32;
-        let clamped = at.clamp(needed);
         if at.is_pressed {
             self.pressed_at = Some(at.now);
         }
@@ -138,13 +136,13 @@
             self.unanswered_at = Some(at.now);
         }
         match self.wanted {
-            Some(wanted) => self.follow(wanted, clamped, peak, at),
-            None => self.watch(clamped, part.listed, at),
+            Some(wanted) => self.follow(wanted, needed, peak, at),
+            None => self.watch(needed, part.listed, at),
         }
         Some(WantedServers {
             count: self.wanted?,
             baseline: self.baseline,
-            needed,
+            needed: needed.ceil() as u32,
             peak: peak.ceil() as u32,
             reason: self.reason?,
         })
@@ -153,13 +151,14 @@
     /// Watches the servers until all that were ordered before are listed. Where they don't suffice, the
     /// largest number is wanted: the one that was ordered last is unknown, and any other could be below
     /// it.
-    fn watch(&mut self, needed: u32, listed: u32, at: &Situation) {
+    fn watch(&mut self, needed: f64, listed: u32, at: &Situation) {
         self.listed = self.listed.max(listed);
         let watched = at.now.saturating_sub(at.started);
         if watched < MIN_WATCH {
             return;
         }
-        let is_short = needed > self.listed || (at.is_pressed && self.listed > 0);
+        let is_short =
+            at.clamp(needed.ceil() as u32) > self.listed || (at.is_pressed && self.listed > 0);
         if is_short || watched >= at.bounds.boot + MIN_WATCH {
             self.baseline = self.listed;
             let count = if is_short {
@@ -178,28 +177,29 @@
     }
 
     /// Adds or removes servers.
-    fn follow(&mut self, wanted: u32, needed: u32, peak: f64, at: &Situation) {
+    fn follow(&mut self, wanted: u32, needed: f64, peak: f64, at: &Situation) {
         if at.clamp(wanted) != wanted {
             self.set(at.clamp(wanted), SizeReason::Bounds);
             return;
         }
+        let least = at.clamp(needed.ceil() as u32);
         let pressed = at.clamp(scaled(wanted, PRESSED_FACTOR));
-        if at.is_pressed && pressed > wanted.max(needed) {
+        if at.is_pressed && pressed > wanted.max(least) {
             self.add(pressed, SizeReason::Pressure, at);
-        } else if needed > wanted && self.may_add(wanted, needed, at) {
-            let count = needed.max(self.least_growth(wanted, at));
+        } else if least > wanted && self.may_add(wanted, needed, at) {
+            let count = least.max(self.least_growth(wanted, at));
             self.add(at.clamp(count), SizeReason::Demand, at);
-        } else if needed <= wanted {
+        } else if least <= wanted {
             self.remove(wanted, peak, at);
         }
     }
 
-    /// Reports whether the wanted number may rise: always, unless little more is needed right after a
-    /// removal.
-    fn may_add(&self, wanted: u32, needed: u32, at: &Situation) -> bool {
-        at.is_pressed
-            || needed > scaled(wanted, NOISE_FACTOR)
-            || at.is_past(self.removed_at, at.bounds.boot)
+    /// Reports whether the wanted number may rise: not for little more, and right after a removal only
+    /// for much more.
+    fn may_add(&self, wanted: u32, needed: f64, at: &Situation) -> bool {
+        let is_settled = at.is_past(self.removed_at, at.bounds.boot);
+        let factor = if is_settled { TOLERANCE } else { NOISE_FACTOR };
+        at.is_pressed || needed > f64::from(wanted) * factor
     }
 
     /// Returns the least number that is ordered on a growing demand: more than is needed now while the
@@ -220,7 +220,7 @@
     /// Removes a part of the servers that the recent peak leaves idle. A peak that is new may be passed
     /// by the next one.
     fn remove(&mut self, wanted: u32, peak: f64, at: &Situation) {
-        let least = at.clamp((peak * REMOVAL_MARGIN).ceil() as u32);
+        let least = at.clamp(peak.ceil() as u32);
         if least >= wanted || !self.may_remove(at) {
             return;
         }
--- a/crates/cassiareel-relay/src/kernel/load.rs
+++ b/crates/cassiareel-relay/src/kernel/load.rs
@@ -154,9 +154,10 @@
         self.prefill_time(self.mean_input as u64)
     }
 
-    /// Returns the average length of a prompt, in tokens.
-    pub fn mean_input(&self) -> u64 {
-        self.mean_input as u64
+    /// Returns the average number of tokens of a request at its end.
+    pub fn mean_tokens(&self) -> u64 {
+        let output = (self.mean_cost - self.mean_input) / OUTPUT_TOKEN_COST;
+        (self.mean_input + output.max(0.0)) as u64
     }
 
     /// Reports whether a copy of a run's memory may be made: the fuller the engines' memory is, the
