--- a/crates/cassiareel-relay/src/duties/mod.rs
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -6,6 +6,8 @@
 before the call is sent, since the process may have been suspended in between.
 */
 
+mod autoscale;
+mod demand;
 mod driver;
 #[cfg(test)]
 mod driver_tests;
@@ -13,6 +15,10 @@
 mod kind;
 mod lease;
 mod parts;
+mod server_losses;
+mod service_scaling;
+#[cfg(test)]
+mod service_scaling_tests;
 mod target;
 mod usage;
 #[cfg(test)]
@@ -25,10 +31,12 @@
 use futures_util::future::join;
 use slog::{info, warn};
 
+pub(crate) use demand::NodeDemand;
 pub use parts::DutyParts;
 pub use target::{DutyError, DutyHolder, DutyTarget, ServerOrder, UsageReport};
 
 use self::{
+    autoscale::AutoscaleDuty,
     driver::{Driver, TURN},
     duty::Duty,
     kind::DutyKind,
@@ -86,7 +94,7 @@
             state.log.clone(),
             state.metrics.usage.clone(),
         ))),
-        DutyKind::Autoscale => None,
+        DutyKind::Autoscale => Some(Box::new(AutoscaleDuty::new(state.clone()))),
     }
 }
 
--- a/crates/cassiareel-relay/src/duties/usage_model_tests.rs
+++ b/crates/cassiareel-relay/src/duties/usage_model_tests.rs
@@ -10,7 +10,7 @@
 };
 
 use async_trait::async_trait;
-use cassiareel::store::{Call, Fault as StoreFault, MemoryObjects};
+use cassiareel::store::{Call, Fault as StoreFault, MemoryObjects, Objects};
 use slog::{o, Discard, Logger};
 use test_case::test_case;
 
@@ -202,10 +202,10 @@
         };
         let meter = Arc::new(UsageMeter::new(settings, name, self.rng.u64(1..)));
         let steady = Arc::new(AtomicU64::new(0));
-        let (source, store) = (steady.clone(), self.store.clone());
+        let (source, store) = (steady.clone(), self.store.clone() as Arc<dyn Objects>);
         let duty = UsageDuty::new(
             meter.clone(),
-            store,
+            Arc::new(store),
             Arc::new(move || Duration::from_millis(source.load(Ordering::Relaxed))),
             Logger::root(Discard, o!()),
             UsageMetrics::default(),
--- a/crates/cassiareel-relay/src/duties/usage_tests.rs
+++ b/crates/cassiareel-relay/src/duties/usage_tests.rs
@@ -10,7 +10,7 @@
 };
 
 use async_trait::async_trait;
-use cassiareel::store::{Call, Fault, MemoryObjects};
+use cassiareel::store::{Call, Fault, MemoryObjects, Objects};
 use slog::{o, Discard, Logger};
 use test_case::test_case;
 
@@ -76,7 +76,7 @@
         let source = clock.clone();
         let duty = UsageDuty::new(
             meter.clone(),
-            store.clone(),
+            Arc::new(store.clone() as Arc<dyn Objects>),
             Arc::new(move || Duration::from_millis(source.load(Ordering::Relaxed))),
             Logger::root(Discard, o!()),
             UsageMetrics::default(),
--- a/crates/cassiareel-relay/src/front/request.rs
+++ b/crates/cassiareel-relay/src/front/request.rs
@@ -128,9 +128,6 @@
             .admission
             .note_unserved(&self.service, &self.admitted.claim);
         Metrics::count(&state.metrics.no_room, lack.name());
-        if let Some(meter) = &state.usage {
-            meter.demand().record_refusal(&self.service);
-        }
         state
             .admission
             .retry_after(&self.service, self.route.objective)
--- a/crates/cassiareel-relay/src/kernel/load.rs
+++ b/crates/cassiareel-relay/src/kernel/load.rs
@@ -154,6 +154,12 @@
         self.prefill_time(self.mean_input as u64)
     }
 
+    /// Returns the average number of tokens of a request at its end.
+    pub fn mean_tokens(&self) -> u64 {
+        let output = (self.mean_cost - self.mean_input) / OUTPUT_TOKEN_COST;
+        (self.mean_input + output.max(0.0)) as u64
+    }
+
     /// Reports whether a copy of a run's memory may be made: the fuller the engines' memory is, the
     /// fewer copies, since the runs themselves need it first. `random` is a number from 0 to 1.
     pub fn may_copy(&self, random: f64) -> bool {
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -22,7 +22,6 @@
 #[cfg(test)]
 mod backoff_tests;
 pub mod clock;
-mod demand_counts;
 pub mod duties;
 mod follow;
 mod front;
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -61,6 +61,15 @@
     pub calls: Family<DutyCallLabel, Counter>,
 }
 
+/// Labels of a gauge by service and data centre.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct SubjectLabel {
+    /// The service.
+    pub service: String,
+    /// The data centre of its backend servers.
+    pub data_centre: String,
+}
+
 /// A gauge for each backend server that names a limit, in requests a second.
 type RateGauges = Family<BackendLabel, Gauge<f64, AtomicU64>>;
 
@@ -94,6 +103,12 @@
     pub duties: DutyMetrics,
     /// Reports of usage.
     pub usage: UsageMetrics,
+    /// Orders of numbers of backend servers, by outcome.
+    pub server_orders: Family<Outcome, Counter>,
+    /// The wanted numbers of backend servers, at the node that orders them.
+    pub wanted_servers: Family<SubjectLabel, Gauge>,
+    /// The listed numbers of these.
+    pub listed_servers: Family<SubjectLabel, Gauge>,
     /// Requests that are open.
     pub open_requests: Gauge,
     /// The version of the configuration in force.
@@ -124,6 +139,9 @@
             limit_share: Family::default(),
             duties: DutyMetrics::default(),
             usage: UsageMetrics::default(),
+            server_orders: Family::default(),
+            wanted_servers: Family::default(),
+            listed_servers: Family::default(),
             open_requests: Gauge::default(),
             config_version: Gauge::default(),
             backends: Gauge::default(),
@@ -166,6 +184,26 @@
         }
     }
 
+    /// Sets the gauges of a service's backend servers in a data centre.
+    pub fn set_servers(&self, service: &str, data_centre: &str, wanted: Option<u32>, listed: u32) {
+        let labels = SubjectLabel {
+            service: service.to_owned(),
+            data_centre: data_centre.to_owned(),
+        };
+        let listed_servers = self.listed_servers.get_or_create(&labels);
+        listed_servers.set(i64::from(listed));
+        if let Some(wanted) = wanted {
+            let wanted_servers = self.wanted_servers.get_or_create(&labels);
+            wanted_servers.set(i64::from(wanted));
+        }
+    }
+
+    /// Removes the gauges of wanted and listed backend servers, which another node orders.
+    pub fn clear_servers(&self) {
+        self.wanted_servers.clear();
+        self.listed_servers.clear();
+    }
+
     /// Counts one outcome.
     pub fn count(family: &Family<Outcome, Counter>, outcome: &str) {
         let labels = Outcome {
@@ -242,6 +280,21 @@
         );
         registry.register("duty_calls", "Calls of duties", self.duties.calls.clone());
         self.usage.register(registry);
+        registry.register(
+            "server_orders",
+            "Orders of numbers of backend servers",
+            self.server_orders.clone(),
+        );
+        registry.register(
+            "wanted_servers",
+            "Wanted backend servers, at the node that orders them",
+            self.wanted_servers.clone(),
+        );
+        registry.register(
+            "listed_servers",
+            "Listed backend servers, at the node that orders them",
+            self.listed_servers.clone(),
+        );
         registry.register("open_requests", "Open requests", self.open_requests.clone());
         registry.register(
             "config_version",
--- a/crates/cassiareel-relay/src/peers/usage.rs
+++ b/crates/cassiareel-relay/src/peers/usage.rs
@@ -9,7 +9,7 @@
 */
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     net::SocketAddr,
     sync::{atomic::Ordering, Arc},
     time::Duration,
@@ -86,7 +86,12 @@
 
 /// Merges a message; logs counts that came too late.
 fn receive(state: &State, meter: &UsageMeter, message: &UsageMessage) -> UsageReply {
-    let (reply, late) = meter.receive(message, clock::now());
+    let now = clock::now();
+    if let Some(demand) = &message.demand {
+        let mut fleet = state.demand.fleet();
+        fleet.record(&message.sender, message.incarnation, demand.clone(), now);
+    }
+    let (reply, late) = meter.receive(message, now);
     for counts in late {
         log_late(state, &message.sender, counts);
     }
@@ -155,7 +160,7 @@
         others.and_then(|others| others.try_into().ok()),
     );
     let demand = if meter.sends_demand() {
-        own_demand(state, meter)
+        state.sample_demand()
     } else {
         Vec::new()
     };
@@ -258,29 +263,3 @@
         None => {}
     }
 }
-
-/// Returns the demand that this node sees.
-fn own_demand(state: &State, meter: &UsageMeter) -> Vec<DemandSample> {
-    let own = state.settings.load().node.data_centre.clone();
-    let sample = |service, data_centre| DemandSample {
-        service,
-        data_centre,
-        running: 0,
-        waiting: 0,
-        refused: 0,
-    };
-    let mut samples = BTreeMap::new();
-    for (key, running) in state.backends.open_requests() {
-        let (service, data_centre) = key.clone();
-        samples
-            .entry(key)
-            .or_insert_with(|| sample(service, data_centre))
-            .running = running;
-    }
-    for (service, (waiting, refused)) in meter.demand().counts() {
-        let entry = samples.entry((service.clone(), own.clone()));
-        let entry = entry.or_insert_with(|| sample(service, own.clone()));
-        (entry.waiting, entry.refused) = (waiting, refused);
-    }
-    samples.into_values().collect()
-}
--- a/crates/cassiareel-relay/src/usage_meter.rs
+++ b/crates/cassiareel-relay/src/usage_meter.rs
@@ -18,7 +18,6 @@
 
 use crate::{
     clock::Moment,
-    demand_counts::DemandCounts,
     kernel::usage::{
         FleetCounts, History, NodeCounts, SenderKey, TrueClock, TrueTime, UsageMessage, UsageReply,
         WindowNumber, WindowRules,
@@ -46,9 +45,6 @@
 const DEMAND_INTERVAL: Duration = Duration::from_secs(1);
 const DEMAND_REFRESH: Duration = Duration::from_secs(3);
 
-/// How long a node's demand counts.
-const MAX_DEMAND_AGE: Duration = Duration::from_secs(8);
-
 /// The settings of the meter.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct MeterSettings {
@@ -66,7 +62,6 @@
     /// The requests that are not assigned to a window yet.
     events: Mutex<Vec<(Moment, AccountId)>>,
     state: Mutex<MeterState>,
-    demand: DemandCounts,
 }
 
 #[derive(Debug, Default)]
@@ -102,10 +97,9 @@
 }
 
 /// What a candidate knows of a node that sent messages.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Sender {
     heard_at: Moment,
-    demand: Option<(Moment, Vec<DemandSample>)>,
 }
 
 /// Counts that came after their window was fixed.
@@ -132,7 +126,6 @@
             },
             events: Mutex::default(),
             state: Mutex::default(),
-            demand: DemandCounts::default(),
         }
     }
 
@@ -152,11 +145,6 @@
         self.settings.rules
     }
 
-    /// Returns the requests of this node that wait or were refused.
-    pub(crate) fn demand(&self) -> &DemandCounts {
-        &self.demand
-    }
-
     /// Reports whether nodes send their demand.
     pub(crate) fn sends_demand(&self) -> bool {
         self.settings.sends_demand
@@ -337,14 +325,7 @@
         let changes = state.fleet.merge(&key, &message.windows, &accepted);
         let fixed = state.fixed;
         self.note_fixed(&mut state, message.fixed, now);
-        let sender = state.senders.entry(key.name).or_insert(Sender {
-            heard_at: now,
-            demand: None,
-        });
-        sender.heard_at = now;
-        if let Some(demand) = &message.demand {
-            sender.demand = Some((now, demand.clone()));
-        }
+        state.senders.insert(key.name, Sender { heard_at: now });
         let late = changes.into_iter();
         let late = late.filter(|(window, _)| fixed.is_some_and(|fixed| *window <= fixed));
         let late = late.map(|(window, requests)| LateCounts {
@@ -476,19 +457,6 @@
         self.lock().fleet.first()
     }
 
-    /// Returns the demand that nodes stated lately, by node.
-    // The duty to order servers calls it; it is merged separately.
-    #[allow(dead_code)]
-    pub(crate) fn fleet_demand(&self, now: Moment) -> Vec<(String, Vec<DemandSample>)> {
-        let state = self.lock();
-        let recent = state.senders.iter().filter_map(|(name, sender)| {
-            let (at, demand) = sender.demand.as_ref()?;
-            let is_recent = now.saturating_sub(*at) < MAX_DEMAND_AGE;
-            is_recent.then(|| (name.clone(), demand.clone()))
-        });
-        recent.collect()
-    }
-
     fn lock(&self) -> MutexGuard<'_, MeterState> {
         lock(&self.state)
     }
