--- a/crates/cassiareel-relay/src/kernel/rollout.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout.rs
@@ -100,6 +100,9 @@
     pub answers: u64,
     /// The number of these that failed or were slow.
     pub bad: u64,
+    /// The number of bad ones that failed.
+    #[serde(default)]
+    pub failed: u64,
     /// The number of requests that were lost with their backend server; their result is not known.
     #[serde(default)]
     pub lost: u64,
@@ -119,6 +122,7 @@
             sent: self.sent + other.sent,
             answers: self.answers + other.answers,
             bad: self.bad + other.bad,
+            failed: self.failed + other.failed,
             lost: self.lost + other.lost,
             loss_periods: self.loss_periods | other.loss_periods,
             first: self.first.merge(other.first),
@@ -142,12 +146,13 @@
         self.loss_periods |= 1 << period;
     }
 
-    /// Returns the number of bad ones among the known answers.
-    fn failures(self) -> Ratio {
-        Ratio {
+    /// Returns the number of bad ones among the known answers, and of failed ones: where both versions
+    /// are slow, as their servers are overloaded, only failures tell them apart.
+    fn results(self) -> [Ratio; 2] {
+        [self.bad, self.failed].map(|bad| Ratio {
             of: self.answers,
-            bad: self.bad,
-        }
+            bad,
+        })
     }
 
     /// Returns the number of lost ones among the requests that have ended.
@@ -311,16 +316,18 @@
 /// Reports whether the new version has more bad answers than chance explains, or loses its backend
 /// servers again and again.
 fn is_worse(old: Tally, new: Tally) -> bool {
-    let exceeds = |old, new| exceeds(old, new, BAD_DEVIATIONS, BAD_EXTRA_ANSWERS);
+    let exceeds = |(old, new)| exceeds(old, new, BAD_DEVIATIONS, BAD_EXTRA_ANSWERS);
     let recurs = new.loss_periods.count_ones() >= BAD_LOSS_PERIODS;
-    exceeds(old.failures(), new.failures()) || (recurs && exceeds(old.losses(), new.losses()))
+    let mut results = old.results().into_iter().zip(new.results());
+    results.any(exceeds) || (recurs && exceeds((old.losses(), new.losses())))
 }
 
 /// Reports whether the new version would hardly have as many bad answers, or lost servers, if it were as
 /// good as the old one. It can't be complete then.
 fn is_doubtful(old: Tally, new: Tally) -> bool {
     let recurs = new.loss_periods.count_ones() >= DOUBTFUL_LOSS_PERIODS;
-    is_improbable(old.failures(), new.failures())
+    let mut results = old.results().into_iter().zip(new.results());
+    results.any(|(old, new)| is_improbable(old, new))
         || (recurs && is_improbable(old.losses(), new.losses()))
 }
 
--- a/crates/cassiareel-relay/src/kernel/rollout_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout_tests.rs
@@ -87,6 +87,7 @@
         sent,
         answers,
         bad,
+        failed: 0,
         lost: 0,
         loss_periods: 0,
         first: NO_TIMES,
@@ -139,6 +140,8 @@
 #[test_case(&Snapshot { ms: 11_500, old: with_losses(runs(60, 50, 0), 3, 0b10), new: with_losses(runs(20, 14, 0), 5, 0b10), check: COMPLETE }; "a data centre of the new version fails")]
 #[test_case(&Snapshot { ms: 8_000, old: runs(100, 100, 0), new: with_losses(runs(30, 10, 0), 18, 0b1_1110), check: ROLL_BACK }; "the new version loses its servers again and again")]
 #[test_case(&Snapshot { ms: 6_000, old: runs(200, 190, 10), new: runs(16, 14, 4), check: LARGE }; "in doubt for long, the new version gets more")]
+#[test_case(&Snapshot { ms: 11_500, old: Tally { failed: 2, ..runs(426, 331, 50) }, new: Tally { failed: 8, ..runs(38, 31, 9) }, check: ROLL_BACK }; "failures of the new version while both are slow")]
+#[test_case(&Snapshot { ms: 11_500, old: Tally { failed: 2, ..runs(426, 331, 50) }, new: Tally { failed: 1, ..runs(38, 31, 9) }, check: COMPLETE }; "both versions are slow")]
 fn a_rollout_ends_by_evidence(snapshot: &Snapshot) {
     let elapsed = Duration::from_millis(snapshot.ms);
     let decision = JUDGE.decide(elapsed, snapshot.old, snapshot.new);
--- a/crates/cassiareel-relay/src/rollouts/measured_run.rs
+++ b/crates/cassiareel-relay/src/rollouts/measured_run.rs
@@ -117,8 +117,9 @@
     /// Records that the run failed.
     pub(crate) fn note_failure(&self) {
         let mut counts = runtime::lock(&self.counts);
-        self.progress()
-            .record_outcome(true, counts.tally(self.is_new));
+        let tally = counts.tally(self.is_new);
+        tally.failed += 1;
+        self.progress().record_outcome(true, tally);
     }
 
     /// Judges the run by its events and its age so far.
