Duties: a holder that others outrank gives the lease up

Change: a holder that has not been a candidate for 2 s renews no more, and a candidate takes over when the lease has run out.

--- a/crates/cassiareel-relay/src/duties/lease.rs
+++ b/crates/cassiareel-relay/src/duties/lease.rs
@@ -32,6 +32,11 @@
 /// The interval at which a node checks whether it is a candidate.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a holder that is no longer a candidate keeps the lease. The other nodes send the counts that
+/// duties need to the candidates that they know, and a node that starts may take the lease before it knows
+/// most of the fleet.
+const MAX_OUTRANKED: Duration = Duration::from_secs(2);
+
 /// The largest incarnation: a number that every JSON reader can hold exactly.
 const MAX_INCARNATION: u64 = 1 << 53;
 
@@ -55,11 +60,18 @@
     Candidate::new(node.into(), incarnation, options, store, log)
 }
 
-/// Acquires and renews the lease while this node is a candidate, until `end` is closed.
+/// Acquires and renews the lease while this node is a candidate, until `end` is closed. The lease of a
+/// node that others outrank runs out.
 pub(super) async fn hold_lease(state: &State, candidate: &Candidate, end: Receiver<()>) {
+    let mut ranked_at = clock::now();
     while !end.is_closed() {
         let rank = candidate_rank(state);
-        let pause = if rank.is_some() || candidate.grant().is_some() {
+        let now = clock::now();
+        if rank.is_some() {
+            ranked_at = now;
+        }
+        let is_outranked = now.saturating_sub(ranked_at) > MAX_OUTRANKED;
+        let pause = if rank.is_some() || (candidate.grant().is_some() && !is_outranked) {
             candidate.poll().await;
             candidate.poll_delay(poll_factor(rank))
         } else {
