Starts of large fleets: lists from peers, spread over all links

Cause: when all nodes of a fleet of 300 started, each of them read configuration, registry and orders from the store, the registry up to three times, since the store's revision rises between any two pages of a busy store. Forwarders sent whole lists to each querying node, and computed each difference once a query.

Change: - A list of several pages is read once. It claims the revision of its first page; versions are first seen at that of its last page. - In fleets of more than 16 nodes, the forwarders read the store at their start. All others ask peers for all they need in one message, and read the store one after another where no peer has it. - A node sends whole lists as far as its link allows, and names others that have them. Nodes with faster links read the store for the others. - Lists and differences are columns with tables of names, and carry a digest of the resulting list.

--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -20,6 +20,9 @@
 /// The largest factor by which a node's pauses grow with the size of its fleet.
 const MAX_PAUSE_FACTOR: u32 = 12;
 
+/// The status with which the store refuses calls beyond its rate limit.
+const TOO_MANY_REQUESTS: u16 = 429;
+
 /// A series of calls of one kind.
 #[derive(Debug)]
 pub(super) struct StoreCaller {
@@ -69,6 +72,7 @@
             }
             Err(err) => {
                 self.note_failure(state, &err);
+                note_refusal(state, &err);
                 None
             }
         }
@@ -92,6 +96,7 @@
     /// Records a successful call.
     pub(super) fn note_success(&mut self, state: &State) {
         Metrics::count(&state.metrics.store_calls, "answered");
+        state.refusal_pause().record_answer(clock::now());
         self.set_store_lost(state, false);
         self.pauses.record_answer();
         if let Some(since) = self.failing_since.take() {
@@ -141,10 +146,13 @@
         }
     }
 
-    /// Reports whether a call may be made now: not during the pause after a failed one.
+    /// Reports whether a call may be made now: not during the pause after a failed one, nor during
+    /// that of all calls of the node.
     pub(super) fn may_call(&self, state: &State) -> bool {
+        let now = clock::now();
         let back_at = Duration::from_millis(state.store_back_at_ms.load(Ordering::Relaxed));
-        self.pauses.may_call(clock::now(), back_at)
+        let pause_left = state.refusal_pause().remaining(now);
+        pause_left.is_zero() && self.pauses.may_call(now, back_at)
     }
 
     /// Returns the time until `interval` after the start of the last answered call, if it is not over.
@@ -172,7 +180,9 @@
         if self.may_call(state) {
             return;
         }
-        let left = self.pauses.remaining(clock::now());
+        let now = clock::now();
+        let pause_left = state.refusal_pause().remaining(now);
+        let left = self.pauses.remaining(now).max(pause_left);
         if self.probes {
             Timer::after(left).await;
         } else {
@@ -181,6 +191,21 @@
     }
 }
 
+/// Pauses all calls of the node where the store refused one because of its rate limit.
+fn note_refusal(state: &State, err: &SourceError) {
+    let is_limit = matches!(err, SourceError::Refused { status } if *status == TOO_MANY_REQUESTS);
+    if !is_limit {
+        return;
+    }
+    let now = clock::now();
+    let factor = pause_factor(state);
+    let mut pause = state.refusal_pause();
+    if pause.record_refusal(now, factor) {
+        let millis = pause.remaining(now).as_millis() as u64;
+        info!(state.log, "store calls paused"; "pause_ms" => millis);
+    }
+}
+
 /// Returns the factor by which a node's pauses are longer than those of a node that reads the store
 /// for the others: nodes that get updates from peers call the store itself only now and then.
 fn pause_factor(state: &State) -> f64 {
--- a/crates/cassiareel-relay/src/follow/nodes.rs
+++ b/crates/cassiareel-relay/src/follow/nodes.rs
@@ -88,7 +88,9 @@
 async fn read_recent_nodes(state: &State, caller: &mut StoreCaller) -> bool {
     let began = clock::now();
     let reading = state.source.read_records(Freshness::Recent);
-    let Some(read) = caller.call(state, reading).await else {
+    let read = caller.call(state, reading).await;
+    state.nodes_asked.store(true, Ordering::Relaxed);
+    let Some(read) = read else {
         return false;
     };
     let era = read.revision.era();
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -36,7 +36,7 @@
             let before = registry.revision();
             let update = registry.apply(&listing, read);
             log_era(&state, &registry, before);
-            apply_update(&state, &registry, &update);
+            apply_update(&state, &registry, &update, listing.newest());
             state.registry_read.store(true, Ordering::Relaxed);
         }
         caller.wait(&state, next).or(peer_updated).await;
@@ -76,16 +76,22 @@
     }
 }
 
-/// Applies a change to the backend servers that requests use, and logs each of them.
-fn apply_update(state: &State, registry: &Registry, update: &RegistryChanges) {
+/// Applies a change to the backend servers that requests use, and logs each of them. No entry is newer
+/// than `newest`, which is the revision at which versions are first seen: the orders that cover a
+/// version have to be read at the revision of its entry or a later one.
+fn apply_update(
+    state: &State,
+    registry: &Registry,
+    update: &RegistryChanges,
+    newest: StoreRevision,
+) {
     if update.is_empty() {
         return;
     }
     let versions = registry
         .entries()
         .map(|entry| (entry.service.clone(), entry.version.clone()));
-    let revision = registry.revision().unwrap_or_default();
-    if state.rollouts.note_versions(versions, revision) {
+    if state.rollouts.note_versions(versions, newest) {
         state.notify_version();
     }
     state.backends.replace(registry.entries());
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -32,6 +32,9 @@
 mod health;
 #[cfg(test)]
 mod health_tests;
+mod link_budget;
+#[cfg(test)]
+mod link_budget_tests;
 mod load;
 #[cfg(test)]
 mod load_tests;
@@ -44,6 +47,9 @@
 mod read_schedule;
 #[cfg(test)]
 mod read_schedule_tests;
+mod refusal_pause;
+#[cfg(test)]
+mod refusal_pause_tests;
 mod registry;
 #[cfg(test)]
 mod registry_tests;
@@ -64,6 +70,9 @@
 mod speeds;
 #[cfg(test)]
 mod speeds_tests;
+mod start_schedule;
+#[cfg(test)]
+mod start_schedule_tests;
 #[cfg(test)]
 mod verdict_model_tests;
 #[cfg(test)]
@@ -85,10 +94,12 @@
 pub use events::{Event, EventSplitter};
 pub use freshness::ConfigFreshness;
 pub use health::{DataCentreHealth, Health};
+pub use link_budget::LinkBudget;
 pub use load::{max_wait, AdmissionRequest, ServiceLoad};
 pub use order_book::{BookChanges, KnownOrder, OrderBook};
 pub use placement::{choose, Candidate, RequestDemand};
 pub use read_schedule::{remaining, ReadSchedule};
+pub use refusal_pause::RefusalPause;
 pub use registry::{Registry, RegistryChanges};
 pub use rollout::{state_to_report, Exposure, Judge, RolloutDecision, Tally, MIN_SHARE};
 pub use run_times::{ExpectedTimes, RunTimes};
@@ -97,3 +108,4 @@
     accepts_during_shutdown, Shutdown, ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN,
 };
 pub use speeds::{EndedStream, ServiceSpeeds};
+pub use start_schedule::StartSchedule;
--- a/crates/cassiareel-relay/src/kernel/registry_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/registry_tests.rs
@@ -51,6 +51,7 @@
             entries: entries.collect(),
             unreadable: Vec::new(),
             revision: StoreRevision::new(0, *revision),
+            latest: StoreRevision::default(),
         };
         registry.apply(&listing, Duration::from_millis(*at));
     }
@@ -98,6 +99,7 @@
             entries: entries.collect(),
             unreadable: Vec::new(),
             revision: StoreRevision::new(*era, *revision),
+            latest: StoreRevision::default(),
         };
         registry.apply(&listing, Duration::from_millis(*at));
     }
--- /dev/null
+++ b/crates/cassiareel-relay/src/kernel/start_schedule.rs
@@ -0,0 +1,58 @@
+/*!
+When a node that starts reads the store itself.
+
+Where all nodes of a large fleet start at once, the first few read the store, and the others get its
+contents from them. Those that get none read the store one after another, so that the lists of the
+first ones among them can reach the others before their turns.
+*/
+
+use std::time::Duration;
+
+/// The size of a fleet up to which all nodes read the store when they start.
+const MAX_DIRECT_NODES: usize = 16;
+
+/// How long a node waits for the lists of its peers, from its start. A first reader on a slow link
+/// takes about as long to read 3,000 entries.
+const PEER_WAIT: Duration = Duration::from_millis(1000);
+
+/// The time between the first turns of nodes that got no lists.
+const FIRST_STEP: Duration = Duration::from_millis(50);
+
+/// The longest time that the first steps add up to.
+const MAX_FIRST_STEPS: Duration = Duration::from_millis(2000);
+
+/// The time between the turns of any two nodes: the store serves 6,000 calls a second, of which a
+/// node's first reads take about eight.
+const STEP: Duration = Duration::from_millis(3);
+
+/// The turns of the nodes of a fleet that starts.
+///
+/// # Examples
+///
+/// ```
+/// use cassiareel_relay::kernel::StartSchedule;
+///
+/// let schedule = StartSchedule { nodes: 300, first_readers: 4 };
+/// assert!(schedule.read_after(3).is_zero());
+/// assert!(schedule.read_after(4) < schedule.read_after(5));
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartSchedule {
+    /// The number of nodes.
+    pub nodes: usize,
+    /// The number of nodes that read the store at once.
+    pub first_readers: usize,
+}
+
+impl StartSchedule {
+    /// Returns how long after its start the node at a position in the order of all nodes reads the
+    /// store, unless it got lists from a peer before.
+    pub fn read_after(self, position: usize) -> Duration {
+        if self.nodes <= MAX_DIRECT_NODES || position < self.first_readers {
+            return Duration::ZERO;
+        }
+        let turn = u32::try_from(position - self.first_readers).unwrap_or(u32::MAX);
+        let first_steps = FIRST_STEP.saturating_mul(turn).min(MAX_FIRST_STEPS);
+        PEER_WAIT + first_steps + STEP.saturating_mul(turn)
+    }
+}
--- a/crates/cassiareel-relay/src/metrics.rs
+++ b/crates/cassiareel-relay/src/metrics.rs
@@ -60,6 +60,8 @@
     pub held: Family<Outcome, Counter>,
     /// Calls of the store, by outcome.
     pub store_calls: Family<Outcome, Counter>,
+    /// Requests of other nodes for whole lists, by outcome.
+    pub peer_lists: Family<Outcome, Counter>,
     /// Objects, and values of reports, that could not be read, by the calls that read them.
     pub unreadable: Family<CallLabel, Counter>,
     /// The limits that backend servers name for the whole fleet.
@@ -92,6 +94,7 @@
             no_room: Family::default(),
             held: Family::default(),
             store_calls: Family::default(),
+            peer_lists: Family::default(),
             unreadable: Family::default(),
             limits: Family::default(),
             limit_demand: Family::default(),
@@ -173,6 +176,11 @@
             "Calls of the store",
             self.store_calls.clone(),
         );
+        registry.register(
+            "peer_lists",
+            "Requests of other nodes for whole lists",
+            self.peer_lists.clone(),
+        );
         registry.register(
             "unreadable",
             "Objects that could not be read",
--- a/crates/cassiareel-relay/src/net/client.rs
+++ b/crates/cassiareel-relay/src/net/client.rs
@@ -7,7 +7,7 @@
     body_budget::BodyBudget,
     runtime::{within, Spawner},
 };
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 
 use super::{build_request, read_body, Pool, SendError};
 use crate::source::SourceError;
@@ -24,6 +24,8 @@
     pool: Pool,
     /// The memory for answers.
     budget: Arc<BodyBudget>,
+    /// Headers of each request.
+    headers: HeaderMap,
 }
 
 /// The answer to a call.
@@ -43,9 +45,16 @@
         Client {
             pool: Pool::new(address, spawner),
             budget,
+            headers: HeaderMap::new(),
         }
     }
 
+    /// Adds a header to all requests.
+    pub fn with_header(mut self, name: HeaderName, value: HeaderValue) -> Client {
+        self.headers.insert(name, value);
+        self
+    }
+
     /// Returns the address to which it makes calls.
     pub fn address(&self) -> SocketAddr {
         self.pool.address()
@@ -75,7 +84,8 @@
         body: Bytes,
     ) -> Result<ClientResponse, SourceError> {
         let address = self.address();
-        let request = build_request(address, method, path, body).map_err(connection_error)?;
+        let mut request = build_request(address, method, path, body).map_err(connection_error)?;
+        request.headers_mut().extend(self.headers.clone());
         let mut lease = self
             .pool
             .take(Duration::MAX, CONNECT_TIMEOUT)
--- a/crates/cassiareel-relay/src/peers/change.rs
+++ b/crates/cassiareel-relay/src/peers/change.rs
@@ -8,7 +8,12 @@
 use std::collections::{HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, ResultExt};
 
+use super::{
+    list_error::{check_digest, BaseSnafu, ListError, PackedSnafu},
+    packed_entries::PackedEntries,
+};
 use crate::{
     model::{BackendId, Entry, StoreRevision},
     source::Listing,
@@ -29,6 +34,9 @@
     removed: Vec<BackendId>,
     /// The names of entries of the resulting list that could not be read.
     unreadable: Vec<String>,
+    /// The revision that no entry of the resulting list is newer than.
+    #[serde(skip)]
+    latest: StoreRevision,
 }
 
 impl Change {
@@ -47,6 +55,54 @@
                 .cloned()
                 .collect(),
             unreadable: new.unreadable.clone(),
+            latest: new.newest(),
+        }
+    }
+
+    /// Returns the change that has the effect of this one and of `next` after it.
+    pub(crate) fn followed_by(&self, next: &Change) -> Change {
+        let changed = next.changed.iter().map(|entry| &entry.id);
+        let replaced: HashSet<&BackendId> = changed.clone().chain(&next.removed).collect();
+        let added: HashSet<&BackendId> = changed.collect();
+        let kept = self.changed.iter();
+        let kept = kept.filter(|entry| !replaced.contains(&entry.id));
+        let gone = self.removed.iter().filter(|id| !added.contains(id));
+        let gone: HashSet<&BackendId> = gone.chain(&next.removed).collect();
+        Change {
+            from: self.from,
+            to: next.to,
+            changed: kept.chain(&next.changed).cloned().collect(),
+            removed: gone.into_iter().cloned().collect(),
+            unreadable: next.unreadable.clone(),
+            latest: next.latest,
+        }
+    }
+
+    /// Returns the revision of the list to which the change applies.
+    pub(super) fn from(&self) -> StoreRevision {
+        self.from
+    }
+
+    /// Returns the revision of the resulting list.
+    pub(super) fn to(&self) -> StoreRevision {
+        self.to
+    }
+
+    /// Returns the number of entries that are new, changed or removed.
+    pub(super) fn len(&self) -> usize {
+        self.changed.len() + self.removed.len()
+    }
+
+    /// Encodes the change; `digest` is that of the resulting list.
+    pub(super) fn pack(&self, digest: u64) -> PackedChange {
+        PackedChange {
+            from: self.from,
+            to: self.to,
+            latest: self.latest,
+            changed: PackedEntries::pack(&self.changed),
+            removed: self.removed.clone(),
+            unreadable: self.unreadable.clone(),
+            digest,
         }
     }
 
@@ -64,6 +120,44 @@
             entries: kept.chain(self.changed.iter().cloned()).collect(),
             unreadable: self.unreadable.clone(),
             revision: self.to,
+            latest: self.latest,
         })
     }
 }
+
+/// An encoded change.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct PackedChange {
+    from: StoreRevision,
+    to: StoreRevision,
+    latest: StoreRevision,
+    changed: PackedEntries,
+    removed: Vec<BackendId>,
+    unreadable: Vec<String>,
+    /// The digest of the resulting list.
+    digest: u64,
+}
+
+impl PackedChange {
+    /// Applies the change to `old`; returns the resulting list and the decoded change.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the change can't be decoded, or does not lead from `old` to the sender's list.
+    pub(super) fn apply(&self, old: &Listing) -> Result<(Listing, Change), ListError> {
+        let change = Change {
+            from: self.from,
+            to: self.to,
+            latest: self.latest,
+            changed: self.changed.unpack().context(PackedSnafu)?,
+            removed: self.removed.clone(),
+            unreadable: self.unreadable.clone(),
+        };
+        let new = change.apply(old).context(BaseSnafu {
+            from: self.from,
+            held: old.revision,
+        })?;
+        check_digest(&new, self.digest)?;
+        Ok((new, change))
+    }
+}
--- a/crates/cassiareel-relay/src/peers/change_tests.rs
+++ b/crates/cassiareel-relay/src/peers/change_tests.rs
@@ -29,6 +29,7 @@
             .collect(),
         unreadable: vec![format!("bad-{revision}")],
         revision: StoreRevision::new(0, revision),
+        latest: StoreRevision::new(0, revision + 1),
     }
 }
 
--- a/crates/cassiareel-relay/src/peers/fleet_tests.rs
+++ b/crates/cassiareel-relay/src/peers/fleet_tests.rs
@@ -254,6 +254,7 @@
         address: ([10, 0, (i / 250) as u8, (i % 250) as u8], 7000).into(),
         data_centre: Arc::from(["a", "b", "c"][i % 3]),
         counts: Vec::new(),
+        link_mbps: None,
     }
 }
 
--- a/crates/cassiareel-relay/src/peers/losses_tests.rs
+++ b/crates/cassiareel-relay/src/peers/losses_tests.rs
@@ -49,6 +49,7 @@
         address: ([10, 0, (i / 250) as u8, (i % 250) as u8], 7000).into(),
         data_centre: DataCentre::from(["a", "b", "c", "d", "e"][i % 5]),
         counts: Vec::new(),
+        link_mbps: None,
     }
 }
 
--- a/crates/cassiareel-relay/src/peers/members.rs
+++ b/crates/cassiareel-relay/src/peers/members.rs
@@ -7,6 +7,7 @@
 */
 
 use std::{
+    cmp::Reverse,
     collections::{HashMap, HashSet},
     hash::Hasher,
     net::SocketAddr,
@@ -63,6 +64,19 @@
         Arc::new(Members::with_lost(records, self.era, lost_names))
     }
 
+    /// Returns the list without what earlier builds can't decode.
+    pub(crate) fn for_earlier_build(&self) -> Members {
+        let mut members = self.clone();
+        let records = members.records.iter_mut();
+        records.for_each(|record| record.link_mbps = None);
+        members
+    }
+
+    /// Returns the position of a node in the order in which nodes read the store.
+    pub(crate) fn position(&self, name: &str) -> Option<usize> {
+        self.records.iter().position(|node| node.name == name)
+    }
+
     /// Reports whether the store has the record of a node.
     pub(crate) fn is_listed(&self, name: &str) -> bool {
         let is_known = self.records.iter().any(|node| node.name == name);
@@ -70,7 +84,11 @@
     }
 
     fn with_lost(mut records: Vec<NodeRecord>, era: StoreEra, mut lost: Vec<String>) -> Members {
-        records.sort_by_key(|node| (xxh3_64(node.name.as_bytes()), node.name.clone()));
+        // Nodes with faster links come first, since they send lists to many others.
+        records.sort_by_key(|node| {
+            let digest = xxh3_64(node.name.as_bytes());
+            (Reverse(node.link_mbps), digest, node.name.clone())
+        });
         let mut next_rounds: HashMap<DataCentre, usize> = HashMap::new();
         let mut rounds: Vec<(usize, NodeRecord)> = Vec::new();
         for mut record in records {
@@ -98,6 +116,9 @@
         hasher.write(record.name.as_bytes());
         hasher.write(record.address.to_string().as_bytes());
         hasher.write(record.data_centre.as_bytes());
+        if let Some(rate) = record.link_mbps {
+            hasher.write_u32(rate);
+        }
     }
     hasher.write_u64(era);
     lost.iter().for_each(|name| hasher.write(name.as_bytes()));
--- a/crates/cassiareel-relay/src/peers/members_tests.rs
+++ b/crates/cassiareel-relay/src/peers/members_tests.rs
@@ -13,6 +13,7 @@
         address: ([127, 0, 0, 1], port).into(),
         data_centre: Arc::from("z-a"),
         counts: Vec::new(),
+        link_mbps: None,
     }
 }
 
--- a/crates/cassiareel-relay/src/peers/message.rs
+++ b/crates/cassiareel-relay/src/peers/message.rs
@@ -26,14 +26,25 @@
 
 /// Encodes a reply; logs an error and replies with status 500 where it can't be encoded.
 pub(super) fn encode_reply<T>(state: &State, message: &T) -> Reply
+where
+    T: Serialize,
+{
+    encode_sized_reply(state, message).0
+}
+
+/// Encodes a reply, and returns the size of its body too.
+pub(super) fn encode_sized_reply<T>(state: &State, message: &T) -> (Reply, usize)
 where
     T: Serialize,
 {
     match rmp_serde::to_vec(message) {
-        Ok(body) => Response::new(full_body(Bytes::from(body))),
+        Ok(body) => {
+            let size = body.len();
+            (Response::new(full_body(Bytes::from(body))), size)
+        }
         Err(err) => {
             warn!(state.log, "peer reply not encoded"; "cause" => %err);
-            empty_reply(StatusCode::INTERNAL_SERVER_ERROR)
+            (empty_reply(StatusCode::INTERNAL_SERVER_ERROR), 0)
         }
     }
 }
--- a/crates/cassiareel-relay/src/peers/mod.rs
+++ b/crates/cassiareel-relay/src/peers/mod.rs
@@ -14,14 +14,23 @@
 mod cache_state_tests;
 mod cached;
 mod change;
+mod change_chain;
+#[cfg(test)]
+mod change_chain_tests;
 #[cfg(test)]
 mod change_tests;
 mod exchange;
 #[cfg(test)]
 mod fleet_tests;
+mod format;
 mod limits;
 #[cfg(test)]
 mod limits_tests;
+mod list_digest;
+mod list_error;
+mod list_search;
+mod list_server;
+mod lists;
 mod losses;
 #[cfg(test)]
 mod losses_tests;
@@ -29,6 +38,10 @@
 #[cfg(test)]
 mod members_tests;
 mod message;
+mod packed_entries;
+#[cfg(test)]
+mod packed_entries_tests;
+mod packed_listing;
 mod policy_cache;
 #[cfg(test)]
 mod policy_cache_tests;
@@ -40,6 +53,7 @@
 mod unlisted;
 
 pub(crate) use exchange::{ask_peer_at_start, follow_peers, serve_peers};
+pub(crate) use format::{FORMAT_HEADER, MESSAGE_FORMAT};
 pub(crate) use limits::{follow_limits, record_answer as record_limit_answer};
 pub(crate) use losses::send_losses;
 pub(crate) use members::Members;
--- a/crates/cassiareel-relay/src/peers/roster.rs
+++ b/crates/cassiareel-relay/src/peers/roster.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::members::Members;
-use crate::{clock::Moment, model::DataCentre, source::NodeRecord};
+use crate::{clock::Moment, kernel::StartSchedule, model::DataCentre, source::NodeRecord};
 
 /// The smallest number of forwarders, which pass updates on to the other nodes: the first reader
 /// and its standbys. Where there are more data centres, there is one forwarder for each.
@@ -99,6 +99,23 @@
         self.reader_rank(now) < self.forwarder_count
     }
 
+    /// Returns how long after its start the node reads the store where no peer has sent it lists.
+    pub(crate) fn read_after_start(&self) -> Duration {
+        let nodes = self.members.records.len();
+        let schedule = StartSchedule {
+            nodes,
+            first_readers: self.forwarder_count,
+        };
+        schedule.read_after(self.members.position(&self.own).unwrap_or(nodes))
+    }
+
+    /// Returns the name of the node at an address.
+    pub(crate) fn name_of(&self, address: SocketAddr) -> Option<String> {
+        let mut records = self.members.records.iter();
+        let node = records.find(|node| node.address == address);
+        node.map(|node| node.name.clone())
+    }
+
     /// Returns the peer to query. Forwarders query the first reader, so that its updates arrive
     /// over few hops; each other node prefers forwarders of its data centre, in an order of its
     /// own. A node whose values are `overdue` queries the first standby, which reads next.
--- a/crates/cassiareel-relay/src/peers/roster_tests.rs
+++ b/crates/cassiareel-relay/src/peers/roster_tests.rs
@@ -15,6 +15,7 @@
             address: ([10, 0, 0, i as u8], 7000).into(),
             data_centre: Arc::from(["a", "b", "c"][i % 3]),
             counts: Vec::new(),
+            link_mbps: None,
         })
         .collect()
 }
--- a/crates/cassiareel-relay/src/peers/store_cache.rs
+++ b/crates/cassiareel-relay/src/peers/store_cache.rs
@@ -1,7 +1,6 @@
 //! The cache of the store's contents, filled by the node's own reads and by its peers.
 
 use std::{
-    collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -10,7 +9,15 @@
 use event_listener::Event;
 
 use super::{
-    cached::Cached, change::Change, members::Members, policy_cache::PolicyCache, roster::Roster,
+    cached::Cached,
+    change::{Change, PackedChange},
+    change_chain::ChangeChain,
+    list_digest::list_digest,
+    list_error::ListError,
+    list_server::ListServer,
+    members::Members,
+    policy_cache::PolicyCache,
+    roster::Roster,
 };
 use crate::{
     clock::{self, Moment},
@@ -19,13 +26,13 @@
     source::{Listing, Orders, PolicyRead},
 };
 
-/// The number of recent registry listings that are kept to compute changes from.
-const MAX_RECENT_LISTINGS: usize = 8;
-
 /// The time after a restore of the store within which each running node has written its record
 /// again.
 const REJOIN_LIMIT: Duration = Duration::from_secs(60);
 
+/// A listing of the registry and its encoding, where one was encoded.
+type EncodedListing = Option<(Arc<Listing>, Arc<[u8]>)>;
+
 /// The newest known contents of the store.
 #[derive(Debug)]
 pub(crate) struct StoreCache {
@@ -48,8 +55,14 @@
     roster: Mutex<Roster>,
     /// When the first list of nodes of the store's present era was read.
     members_era_at: Mutex<Moment>,
-    /// The most recent listings of the registry, the newest last.
-    recent_listings: Mutex<VecDeque<Arc<Listing>>>,
+    /// The recent changes of the registry.
+    changes: Mutex<ChangeChain>,
+    /// The newest listing of the registry of which the digest was computed, and this digest.
+    digest: Mutex<Option<(Arc<Listing>, u64)>>,
+    /// The newest listing of the registry that was encoded whole, and its encoding.
+    pub packed_listing: Mutex<EncodedListing>,
+    /// The whole lists that are sent to other nodes.
+    list_server: Mutex<ListServer>,
 }
 
 impl StoreCache {
@@ -66,7 +79,10 @@
             incarnation: fastrand::u64(1..),
             roster: Mutex::new(Roster::new(own, data_centre)),
             members_era_at: Mutex::default(),
-            recent_listings: Mutex::default(),
+            changes: Mutex::default(),
+            digest: Mutex::default(),
+            packed_listing: Mutex::default(),
+            list_server: Mutex::default(),
         }
     }
 
@@ -83,37 +99,87 @@
         proof
     }
 
+    /// Locks the whole lists that are sent to other nodes.
+    pub(super) fn list_server(&self) -> MutexGuard<'_, ListServer> {
+        runtime::lock(&self.list_server)
+    }
+
     /// Caches a registry listing, unless it is older than the cached one.
     pub(crate) fn update_listing(&self, listing: Arc<Listing>, began: Moment) {
-        let key = |listing: &Listing| listing.revision;
-        if self.listing.replace_if_newer(listing.clone(), began, key) {
-            let mut recent_listings = runtime::lock(&self.recent_listings);
-            recent_listings.push_back(listing);
-            if recent_listings.len() > MAX_RECENT_LISTINGS {
-                recent_listings.pop_front();
-            }
+        let known = self.listing.get();
+        let older = known.filter(|(known, _)| known.revision < listing.revision);
+        let change = older.map(|(older, _)| Change::between(&older, &listing));
+        if !self.replace_listing(listing, began) {
+            return;
+        }
+        let mut changes = runtime::lock(&self.changes);
+        match change {
+            Some(change) => changes.push(Arc::new(change)),
+            None => changes.clear(),
         }
+    }
+
+    /// Replaces the cached registry listing if the new one is newer; reports whether it was.
+    fn replace_listing(&self, listing: Arc<Listing>, began: Moment) -> bool {
+        let key = |listing: &Listing| listing.revision;
+        let is_new = self.listing.replace_if_newer(listing, began, key);
         self.updated.notify(usize::MAX);
+        is_new
     }
 
     /// Returns the change that turns the listing of an earlier revision into `new`; `None` where
     /// that listing is no longer known.
-    pub(crate) fn change_to(&self, new: &Listing, from: Option<StoreRevision>) -> Option<Change> {
+    pub(super) fn change_to(
+        &self,
+        new: &Listing,
+        from: Option<StoreRevision>,
+    ) -> Option<Arc<Change>> {
         let from = from.filter(|from| *from < new.revision)?;
-        let recent_listings = runtime::lock(&self.recent_listings);
-        let old = recent_listings.iter().find(|old| old.revision == from)?;
-        Some(Change::between(old, new))
+        runtime::lock(&self.changes).change(from, new.revision)
     }
 
-    /// Applies a change to the cached listing. A change of another listing is ignored: the next
-    /// request asks for one that applies.
-    pub(crate) fn apply_change(&self, change: &Change, began: Moment) {
+    /// Returns the digest of a listing, which is kept for the next call.
+    pub(super) fn listing_digest(&self, listing: &Arc<Listing>) -> u64 {
+        let mut kept = runtime::lock(&self.digest);
+        match kept.as_ref() {
+            Some((known, digest)) if Arc::ptr_eq(known, listing) => *digest,
+            _ => {
+                let digest = list_digest(&listing.entries);
+                *kept = Some((listing.clone(), digest));
+                digest
+            }
+        }
+    }
+
+    /// Applies a change of an earlier build to the cached listing. A change of another listing is
+    /// ignored: the next request asks for one that applies.
+    pub(super) fn apply_change(&self, change: &Change, began: Moment) {
         let changed = self.listing.get().and_then(|(held, _)| change.apply(&held));
         if let Some(listing) = changed {
             self.update_listing(Arc::new(listing), began);
         }
     }
 
+    /// Applies a change to the cached listing.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the change does not lead from the cached listing to that of the sender.
+    pub(super) fn apply_packed(
+        &self,
+        change: &PackedChange,
+        began: Moment,
+    ) -> Result<(), ListError> {
+        let Some((held, _)) = self.listing.get() else {
+            return Ok(());
+        };
+        let (listing, change) = change.apply(&held)?;
+        if self.replace_listing(Arc::new(listing), began) {
+            runtime::lock(&self.changes).push(Arc::new(change));
+        }
+        Ok(())
+    }
+
     /// Caches the operator's orders, unless they are older than the cached ones.
     pub(crate) fn update_orders(&self, orders: Arc<Orders>, began: Moment) {
         self.orders
@@ -181,6 +247,11 @@
         self.roster().reader_rank(clock::now())
     }
 
+    /// Returns how long after its start this node reads the store where no peer has sent it lists.
+    pub(crate) fn read_after_start(&self) -> Duration {
+        self.roster().read_after_start()
+    }
+
     /// Reports whether this node passes updates on to others.
     pub(crate) fn is_forwarder(&self) -> bool {
         self.roster().is_forwarder(clock::now())
--- a/crates/cassiareel-relay/src/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/rollouts/mod.rs
@@ -112,6 +112,29 @@
         inner.first_seen.len() > before
     }
 
+    /// Returns the versions in the registry with the revisions at which they were first seen, none of
+    /// them later than `newest`, that of the newest list.
+    pub(crate) fn seen_versions(
+        &self,
+        newest: StoreRevision,
+    ) -> Vec<(ServiceId, Version, StoreRevision)> {
+        let inner = self.lock();
+        let seen = inner.first_seen.iter();
+        let seen = seen.filter(|(_, seen)| **seen <= newest);
+        seen.map(|((service, version), seen)| (service.clone(), version.clone(), *seen))
+            .collect()
+    }
+
+    /// Records versions that a peer has seen in the registry, before this node knows any: an order
+    /// that was written before a version appeared is in each list of orders from the revision on at
+    /// which any node saw that version.
+    pub(crate) fn note_seen(&self, versions: Vec<(ServiceId, Version, StoreRevision)>) {
+        let mut inner = self.lock();
+        for (service, version, seen) in versions {
+            inner.first_seen.entry((service, version)).or_insert(seen);
+        }
+    }
+
     /// Replaces the rollouts by those of the operator's orders at a revision. `is_complete` is
     /// whether that list has all orders: a restored store may lack some for a while, and a version
     /// that appears meanwhile may belong to one of them, unless its service has no other.
--- a/crates/cassiareel-relay/src/settings.rs
+++ b/crates/cassiareel-relay/src/settings.rs
@@ -71,6 +71,10 @@
     pub memory_mb: u64,
     /// File descriptors of a process.
     pub max_fds: u64,
+    /// The rate of the VM's link in Mbit/s, where it is known. Nodes with faster links read the store
+    /// for the others.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
 }
 
 impl Limits {
@@ -79,6 +83,11 @@
         (self.memory_mb << 20) / BODY_MEMORY_DIVISOR
     }
 
+    /// Returns the rate of the link in whole Mbit/s, where it is known.
+    pub fn link_rate(&self) -> Option<u32> {
+        self.link_mbps.map(|rate| rate as u32)
+    }
+
     /// Returns the memory for the bodies of messages of other nodes and of the store, in bytes.
     pub fn message_bytes(&self) -> u64 {
         (self.memory_mb << 20) / MESSAGE_MEMORY_DIVISOR
@@ -217,6 +226,13 @@
             ),
             (self.limits.memory_mb == 0, "limits.memory_mb is 0"),
             (self.limits.max_fds < 256, "limits.max_fds is less than 256"),
+            (
+                !self
+                    .limits
+                    .link_mbps
+                    .is_none_or(|rate| (1.0..=1e6).contains(&rate)),
+                "limits.link_mbps is outside 1 to 1e6",
+            ),
             (bounds.grace.is_zero(), "bounds.grace_s is 0"),
             (bounds.config_apply.is_zero(), "bounds.config_apply_ms is 0"),
             (bounds.drain.is_zero(), "bounds.drain_ms is 0"),
--- a/crates/cassiareel-relay/src/source.rs
+++ b/crates/cassiareel-relay/src/source.rs
@@ -104,15 +104,29 @@
     pub era: StoreEra,
 }
 
-/// The registry at one revision.
+/// The registry, as read from the store.
+///
+/// A list of several pages is not of one moment: an entry that was changed during the read is as it
+/// was when its own page was read.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Listing {
     /// The entries that could be read.
     pub entries: Vec<Entry>,
     /// The names of entries that could not be read; they name no backend server.
     pub unreadable: Vec<String>,
-    /// The revision.
+    /// The revision at the first page: all changes up to it are included.
     pub revision: StoreRevision,
+    /// The revision at the last page: no change after it is included. It is not part of messages of
+    /// earlier builds, which is why [`Listing::newest`] is used instead.
+    #[serde(skip)]
+    pub latest: StoreRevision,
+}
+
+impl Listing {
+    /// Returns the revision that no entry is newer than.
+    pub fn newest(&self) -> StoreRevision {
+        self.latest.max(self.revision)
+    }
 }
 
 /// The operator's orders to roll out services, at one revision.
@@ -137,6 +151,9 @@
     pub data_centre: DataCentre,
     /// The node's counts of rollouts that are under way.
     pub counts: Vec<Counts>,
+    /// The rate of the node's link in Mbit/s, where its settings state it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub link_mbps: Option<u32>,
 }
 
 /// A node's counts of one rollout.
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -1,7 +1,7 @@
 //! The state that all requests of a node share.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -22,6 +22,7 @@
     runtime::{lock, Spawner},
 };
 use event_listener::Event;
+use http::HeaderValue;
 use slog::{info, Logger};
 use smol::Timer;
 
@@ -31,12 +32,12 @@
     clock::{self, Moment},
     kernel::{
         accepts_during_shutdown, Catalog, ConfigFreshness, DataCentreHealth, ReadSchedule,
-        RetryBudget, RetryCause, RunTimes, ServiceSpeeds, Shutdown,
+        RefusalPause, RetryBudget, RetryCause, RunTimes, ServiceSpeeds, Shutdown,
     },
     metrics::Metrics,
     model::{EngineShape, Limits, Prompt, Route, ServiceId},
     net::Client,
-    peers::{Members, StoreCache, UnlistedNodes},
+    peers::{Members, StoreCache, UnlistedNodes, FORMAT_HEADER, MESSAGE_FORMAT},
     protocol::Protocol,
     rollouts::Rollouts,
     settings::Settings,
@@ -50,6 +51,12 @@
 /// How long a node that starts waits for the list of the fleet's nodes.
 const NODES_READ_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long it waits while the call for that list is under way.
+const NODES_CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// The maximum number of peers of other builds that are logged.
+const MAX_OTHER_BUILDS: usize = 1024;
+
 /// How long a node that has just started waits for the first updates from its peers.
 const PEER_UPDATE_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -116,6 +123,12 @@
     pub node_count: AtomicU32,
     /// Whether the fleet's nodes were read.
     pub nodes_read: AtomicBool,
+    /// Whether the first call for the list of the fleet's nodes has ended.
+    pub nodes_asked: AtomicBool,
+    /// The pause of all calls of the store after it refused one because of its rate limit.
+    refusal_pause: Mutex<RefusalPause>,
+    /// The peers of other builds that were logged.
+    other_builds: Mutex<HashSet<String>>,
     /// Whether the registry was read.
     pub registry_read: AtomicBool,
     /// Whether another node was asked for the limits that backend servers name.
@@ -178,6 +191,9 @@
             started: clock::now(),
             node_count: AtomicU32::new(ASSUMED_NODES),
             nodes_read: AtomicBool::new(false),
+            nodes_asked: AtomicBool::new(false),
+            refusal_pause: Mutex::default(),
+            other_builds: Mutex::default(),
             registry_read: AtomicBool::new(false),
             limits_read: AtomicBool::new(false),
             peer_asked: AtomicBool::new(false),
@@ -278,13 +294,34 @@
 
     /// Creates a client for calls to another node.
     pub(crate) fn client(&self, address: SocketAddr) -> Client {
-        Client::new(address, self.spawner.clone(), self.message_budget.clone())
+        let budget = self.message_budget.clone();
+        Client::new(address, self.spawner.clone(), budget)
+            .with_header(FORMAT_HEADER, HeaderValue::from(MESSAGE_FORMAT))
     }
 
-    /// Waits for a short time for the list of the fleet's nodes, which names the peers to query.
+    /// Waits for a short time for the list of the fleet's nodes, which names the peers to query: a
+    /// node that does not know them reads the store as if it were alone.
     pub(crate) async fn wait_nodes_read(&self) {
-        let is_read = || self.nodes_read.load(Ordering::Relaxed);
-        wait_until(clock::now() + NODES_READ_TIMEOUT, is_read).await;
+        let began = clock::now();
+        let is_over = || {
+            let was_asked = self.nodes_asked.load(Ordering::Relaxed);
+            let is_late = clock::now() >= began + NODES_READ_TIMEOUT;
+            self.nodes_read.load(Ordering::Relaxed) || (was_asked && is_late)
+        };
+        wait_until(began + NODES_CALL_TIMEOUT, is_over).await;
+    }
+
+    /// Locks the pause of all calls of the store.
+    pub(crate) fn refusal_pause(&self) -> MutexGuard<'_, RefusalPause> {
+        lock(&self.refusal_pause)
+    }
+
+    /// Logs once that a peer is of another build.
+    pub(crate) fn note_other_build(&self, peer: &str, format: &str) {
+        let mut builds = lock(&self.other_builds);
+        if builds.len() < MAX_OTHER_BUILDS && builds.insert(peer.to_owned()) {
+            info!(self.log, "peer of another build"; "peer" => peer, "format" => format);
+        }
     }
 
     /// Waits for a short time for the first read of the registry.
@@ -294,11 +331,20 @@
     }
 
     /// Reports whether a node that has just started leaves reading the store to others, since the
-    /// first updates from its peers are about to arrive. They take a while where all nodes start at
-    /// once: only where no caller waits yet is that time worth the calls that it saves.
+    /// first lists from its peers are about to arrive: in a large fleet, until its turn to read has
+    /// come, and in a small one where no caller waits yet.
     pub(crate) fn waits_for_peers(&self) -> bool {
         let bootstrap = self.settings.load().node.bootstrap;
-        bootstrap && !self.store_cache.is_forwarder() && self.started_within(PEER_UPDATE_TIMEOUT)
+        let is_first_start = bootstrap && self.started_within(PEER_UPDATE_TIMEOUT);
+        !self.store_cache.is_forwarder()
+            && (is_first_start || self.started_within(self.store_cache.read_after_start()))
+    }
+
+    /// Reports whether the node belongs to a large fleet, and has not got its first lists from peers
+    /// yet nor read them itself.
+    pub(crate) fn needs_first_lists(&self) -> bool {
+        let cache = &self.store_cache;
+        !cache.read_after_start().is_zero() && !cache.is_forwarder() && cache.age().is_none()
     }
 
     /// Returns the times at which configuration and registry are read.
@@ -360,6 +406,7 @@
             address: settings.listen.peers,
             data_centre: settings.node.data_centre.clone(),
             counts: Vec::new(),
+            link_mbps: settings.limits.link_rate(),
         }
     }
 
