Starts of large fleets: a model of 300 nodes, and what it showed

Change: a node whose peers answer that they have lists, but are busy, waits up to 3.5 s for them. Nodes of another data centre are sent to those of their own that have lists. Turns to read are 75 ms apart. A difference is found by the digest of the list that it applies to, so that a list which a node read itself is a base as well.

--- a/crates/cassiareel-relay/src/kernel/link_budget.rs
+++ b/crates/cassiareel-relay/src/kernel/link_budget.rs
@@ -10,7 +10,7 @@
 use crate::clock::Moment;
 
 /// The part of a link that whole lists may use.
-const LIST_PART: f64 = 0.5;
+const LIST_PART: f64 = 0.8;
 
 /// The longest time for which the lists that were sent may take the link. It is a small part of the
 /// seconds within which a server that leaves has to be out of use.
--- a/crates/cassiareel-relay/src/kernel/start_schedule.rs
+++ b/crates/cassiareel-relay/src/kernel/start_schedule.rs
@@ -11,20 +11,26 @@
 /// The size of a fleet up to which all nodes read the store when they start.
 const MAX_DIRECT_NODES: usize = 16;
 
-/// How long a node waits for the lists of its peers, from its start. A first reader on a slow link
-/// takes about as long to read 3,000 entries.
-const PEER_WAIT: Duration = Duration::from_millis(1000);
+/// How long a node waits for the lists of its peers, from its start. A first reader on a fast link
+/// takes about as long to read 3,000 entries, one on a slow link twice as long.
+const PEER_WAIT: Duration = Duration::from_millis(700);
 
 /// The time between the first turns of nodes that got no lists.
-const FIRST_STEP: Duration = Duration::from_millis(50);
+const FIRST_STEP: Duration = Duration::from_millis(75);
 
 /// The longest time that the first steps add up to.
-const MAX_FIRST_STEPS: Duration = Duration::from_millis(2000);
+const MAX_FIRST_STEPS: Duration = Duration::from_millis(2800);
 
 /// The time between the turns of any two nodes: the store serves 6,000 calls a second, of which a
 /// node's first reads take about eight.
 const STEP: Duration = Duration::from_millis(3);
 
+/// How long a node waits after it learnt that a peer has lists, but that its link is busy.
+const BUSY_WAIT: Duration = Duration::from_millis(600);
+
+/// The longest time from its start for which a node waits for such peers.
+const MAX_BUSY_WAIT: Duration = Duration::from_millis(3500);
+
 /// The turns of the nodes of a fleet that starts.
 ///
 /// # Examples
@@ -55,4 +61,13 @@
         let first_steps = FIRST_STEP.saturating_mul(turn).min(MAX_FIRST_STEPS);
         PEER_WAIT + first_steps + STEP.saturating_mul(turn)
     }
+
+    /// Reports whether a node that started `spent` ago still waits for lists. `busy` is how long ago
+    /// a peer answered that it has lists: these are about to arrive, and a read of the store would
+    /// take longer.
+    pub fn waits(self, position: usize, spent: Duration, busy: Option<Duration>) -> bool {
+        let read_after = self.read_after(position);
+        let is_near = busy.is_some_and(|busy| busy < BUSY_WAIT) && spent < MAX_BUSY_WAIT;
+        !read_after.is_zero() && (spent < read_after || is_near)
+    }
 }
--- a/crates/cassiareel-relay/src/kernel/start_schedule_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/start_schedule_tests.rs
@@ -29,6 +29,23 @@
     }
 }
 
+/// A node whose peers are always busy must not wait for them for ever.
+#[test]
+fn a_node_waits_for_busy_peers_for_a_limited_time() {
+    let schedule = StartSchedule {
+        nodes: 300,
+        first_readers: 4,
+    };
+    let waits = |spent: u64, busy: Option<u64>| {
+        let busy = busy.map(Duration::from_millis);
+        schedule.waits(9, Duration::from_millis(spent), busy)
+    };
+    assert!(waits(1000, None) && !waits(1200, None));
+    assert!(waits(1300, Some(500)) && !waits(1300, Some(700)));
+    assert!(!waits(3600, Some(0)));
+    assert!(!schedule.waits(3, Duration::ZERO, Some(Duration::ZERO)));
+}
+
 /// A small fleet is served as soon as each node has read the store.
 #[test]
 fn nodes_of_a_small_fleet_read_at_once() {
--- a/crates/cassiareel-relay/src/net/client.rs
+++ b/crates/cassiareel-relay/src/net/client.rs
@@ -7,7 +7,7 @@
     body_budget::BodyBudget,
     runtime::{within, Spawner},
 };
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
 use super::{build_request, read_body, Pool, SendError};
 use crate::source::SourceError;
@@ -19,7 +19,7 @@
 const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// Makes short calls to one address.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Client {
     pool: Pool,
     /// The memory for answers.
@@ -49,10 +49,11 @@
         }
     }
 
-    /// Adds a header to all requests.
-    pub fn with_header(mut self, name: HeaderName, value: HeaderValue) -> Client {
-        self.headers.insert(name, value);
-        self
+    /// Returns a client with the same connections that adds a header to all requests.
+    pub fn with_header(&self, name: &'static str, value: HeaderValue) -> Client {
+        let mut client = self.clone();
+        client.headers.insert(name, value);
+        client
     }
 
     /// Returns the address to which it makes calls.
--- a/crates/cassiareel-relay/src/peers/change.rs
+++ b/crates/cassiareel-relay/src/peers/change.rs
@@ -93,10 +93,23 @@
         self.changed.len() + self.removed.len()
     }
 
-    /// Encodes the change; `digest` is that of the resulting list.
-    pub(super) fn pack(&self, digest: u64) -> PackedChange {
+    /// Returns the change of a list that has the entries of `new`, but an earlier revision.
+    pub(super) fn of_revision(from: StoreRevision, new: &Listing) -> Change {
+        Change {
+            from,
+            to: new.revision,
+            changed: Vec::new(),
+            removed: Vec::new(),
+            unreadable: new.unreadable.clone(),
+            latest: new.newest(),
+        }
+    }
+
+    /// Encodes the change for a node whose list has the entries to which it applies, at the revision
+    /// `from`; `digest` is that of the resulting list.
+    pub(super) fn pack(&self, from: StoreRevision, digest: u64) -> PackedChange {
         PackedChange {
-            from: self.from,
+            from,
             to: self.to,
             latest: self.latest,
             changed: PackedEntries::pack(&self.changed),
@@ -139,6 +152,11 @@
 }
 
 impl PackedChange {
+    /// Returns the digest of the resulting list.
+    pub(super) fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Applies the change to `old`; returns the resulting list and the decoded change.
     ///
     /// # Errors
--- a/crates/cassiareel-relay/src/peers/change_chain.rs
+++ b/crates/cassiareel-relay/src/peers/change_chain.rs
@@ -24,62 +24,74 @@
 /// Successive changes, the newest last.
 #[derive(Debug, Default)]
 pub(super) struct ChangeChain {
-    changes: VecDeque<Arc<Change>>,
+    links: VecDeque<Link>,
     entries: usize,
     /// Changes to the newest list, by the revision from which they lead to it.
     computed: HashMap<StoreRevision, Arc<Change>>,
 }
 
+/// A change, and the digest of the list to which it applies.
+#[derive(Debug)]
+struct Link {
+    change: Arc<Change>,
+    digest: u64,
+}
+
 impl ChangeChain {
-    /// Adds the change that led to the newest list. Earlier ones are dropped where they do not lead
-    /// to the list to which it applies.
-    pub(super) fn push(&mut self, change: Arc<Change>) {
+    /// Adds the change that led to the newest list; `digest` is that of the list before. Earlier
+    /// changes are dropped where they do not lead to that list.
+    pub(super) fn push(&mut self, change: Arc<Change>, digest: u64) {
         self.computed.clear();
-        if self
-            .changes
-            .back()
-            .is_some_and(|last| last.to() != change.from())
-        {
+        let last = self.links.back().map(|link| link.change.to());
+        if last.is_some_and(|last| last != change.from()) {
             self.clear();
         }
         self.entries += change.len();
-        self.changes.push_back(change);
-        while self.changes.len() > 1 && self.is_too_long() {
-            let dropped = self.changes.pop_front();
-            self.entries -= dropped.map_or(0, |change| change.len());
+        self.links.push_back(Link { change, digest });
+        while self.links.len() > 1 && self.is_too_long() {
+            let dropped = self.links.pop_front();
+            self.entries -= dropped.map_or(0, |link| link.change.len());
         }
     }
 
     /// Forgets all changes.
     pub(super) fn clear(&mut self) {
-        self.changes.clear();
+        self.links.clear();
         self.computed.clear();
         self.entries = 0;
     }
 
-    /// Returns the change that turns the list of revision `from` into that of revision `to`, which is
-    /// the newest; `None` where it is not known.
-    pub(super) fn change(&mut self, from: StoreRevision, to: StoreRevision) -> Option<Arc<Change>> {
-        if self.changes.back()?.to() != to {
+    /// Returns the change to the list of revision `to`, which is the newest, from the list that has
+    /// the revision `from` or the digest `digest`; `None` where that list is not known. Lists that
+    /// nodes have read themselves have revisions of their own, but mostly the same entries.
+    pub(super) fn change(
+        &mut self,
+        from: StoreRevision,
+        digest: Option<u64>,
+        to: StoreRevision,
+    ) -> Option<Arc<Change>> {
+        if self.links.back()?.change.to() != to {
             return None;
         }
-        if let Some(change) = self.computed.get(&from) {
+        let is_base = |link: &Link| match digest {
+            Some(digest) => link.digest == digest,
+            None => link.change.from() == from,
+        };
+        let first = self.links.iter().rposition(is_base)?;
+        let base = self.links[first].change.from();
+        if let Some(change) = self.computed.get(&base) {
             return Some(change.clone());
         }
-        let first = self
-            .changes
-            .iter()
-            .position(|change| change.from() == from)?;
-        let mut rest = self.changes.iter().skip(first);
-        let mut change = rest.next()?.clone();
+        let mut rest = self.links.iter().skip(first);
+        let mut change = rest.next()?.change.clone();
         for next in rest {
-            change = Arc::new(change.followed_by(next));
+            change = Arc::new(change.followed_by(&next.change));
         }
-        self.computed.insert(from, change.clone());
+        self.computed.insert(base, change.clone());
         Some(change)
     }
 
     fn is_too_long(&self) -> bool {
-        self.changes.len() > MAX_CHANGES || self.entries > MAX_ENTRIES
+        self.links.len() > MAX_CHANGES || self.entries > MAX_ENTRIES
     }
 }
--- a/crates/cassiareel-relay/src/peers/exchange.rs
+++ b/crates/cassiareel-relay/src/peers/exchange.rs
@@ -47,6 +47,9 @@
 /// It is missing where it knows none.
 const LIMITS_HEADER: &str = "limits";
 
+/// The header of a request that holds the digest of the sender's list of backend servers.
+const LIST_HEADER: &str = "list";
+
 /// The interval at which a node that needs no peer checks whether it needs one.
 const IDLE_POLL: Duration = Duration::from_millis(250);
 
@@ -130,8 +133,9 @@
             return lists::serve(&state, request).await;
         }
         let format = Format::of(request.headers());
+        let digest = number_header(request.headers(), LIST_HEADER);
         match read_state(&state, request).await {
-            Some(known) if format == Format::Current => answer_request(&state, known).await,
+            Some(known) if format == Format::Current => answer_request(&state, known, digest).await,
             // A build that knows neither format names its own, and reads the earliest one.
             Some(known) => answer_earlier_build(&state, known).await,
             None => empty_reply(StatusCode::BAD_REQUEST),
@@ -151,14 +155,18 @@
 }
 
 /// Waits until there is an update, and replies with it.
-async fn answer_request(state: &State, known: CacheState) -> Reply {
+/// `digest` is that of the list of backend servers that the sender has.
+async fn answer_request(state: &State, known: CacheState, digest: Option<u64>) -> Reply {
     let waited = wait_for_updates(state, &known).await;
     let mut updates = updates_for(state, &known, waited);
     let (mut change, mut is_too_old) = (None, false);
     if let Some((listing, _)) = state.store_cache.listing.get() {
-        let from = state.store_cache.change_to(&listing, known.revision);
-        let digest = || state.store_cache.listing_digest(&listing);
-        change = from.map(|change| change.pack(digest()));
+        let cache = &state.store_cache;
+        let known_change = cache.change_to(&listing, known.revision, digest);
+        change = known_change.zip(known.revision).map(|(change, from)| {
+            let digest = cache.listing_digest(&listing);
+            change.pack(from, digest)
+        });
         let is_needed = updates.listing.as_ref().is_some_and(|l| l.value.is_some());
         // Whole lists of many entries are sent one after another.
         is_too_old = is_needed && change.is_none() && !may_send_whole(&listing);
@@ -185,7 +193,7 @@
     let waited = wait_for_updates(state, &known).await;
     let mut updates = updates_for(state, &known, waited);
     if let Some((listing, _)) = state.store_cache.listing.get() {
-        let change = state.store_cache.change_to(&listing, known.revision);
+        let change = state.store_cache.change_to(&listing, known.revision, None);
         updates.change = change.map(|change| Change::clone(&change));
     }
     if updates.change.is_some() {
@@ -233,11 +241,10 @@
     reply
 }
 
-/// Returns the digest of the limits that the sender of a reply knows.
-fn limits_digest(headers: &HeaderMap) -> u64 {
-    let value = headers.get(LIMITS_HEADER);
-    let text = value.and_then(|value| value.to_str().ok());
-    text.and_then(|text| text.parse().ok()).unwrap_or(0)
+/// Returns the number in a header; `None` where it is missing or none.
+fn number_header(headers: &HeaderMap, name: &str) -> Option<u64> {
+    let text = headers.get(name)?.to_str().ok()?;
+    text.parse().ok()
 }
 
 /// Waits until this node has an update for one whose state is `known`, up to a limit; returns how
@@ -427,6 +434,12 @@
     let body = message::encode_request(state, known)?;
     let limit = known.wait(state.reading()) + state.reading().answer_timeout();
     let began = clock::now();
+    let listing = state.store_cache.listing.get().map(|(listing, _)| listing);
+    let listing = listing.filter(|listing| known.revision == Some(listing.revision));
+    let client = match listing.map(|listing| state.store_cache.listing_digest(&listing)) {
+        Some(digest) => client.with_header(LIST_HEADER, digest.into()),
+        None => client.clone(),
+    };
     let reply = client.call(Method::POST, PATH, body, limit).await;
     let reply = reply.ok().filter(|reply| reply.status == StatusCode::OK)?;
     let format = Format::of(&reply.headers);
@@ -440,7 +453,10 @@
     }
     state.store_cache.updated.notify(usize::MAX);
     state.store_cache.peer_updated.notify(usize::MAX);
-    Some((decoded, limits_digest(&reply.headers)))
+    Some((
+        decoded,
+        number_header(&reply.headers, LIMITS_HEADER).unwrap_or(0),
+    ))
 }
 
 /// Decodes a reply; `None` where it can't be decoded.
--- a/crates/cassiareel-relay/src/peers/format.rs
+++ b/crates/cassiareel-relay/src/peers/format.rs
@@ -5,10 +5,10 @@
 neither send nor read it: they get whole lists, entry by entry, as they expect them.
 */
 
-use http::{HeaderMap, HeaderName};
+use http::HeaderMap;
 
 /// The header that names the format of a message.
-pub(crate) const FORMAT_HEADER: HeaderName = HeaderName::from_static("news-format");
+pub(crate) const FORMAT_HEADER: &str = "news-format";
 
 /// The format that this build sends and reads.
 pub(crate) const MESSAGE_FORMAT: u64 = 2;
--- a/crates/cassiareel-relay/src/peers/list_search.rs
+++ b/crates/cassiareel-relay/src/peers/list_search.rs
@@ -21,7 +21,7 @@
 /// The longest of these pauses.
 const MAX_EMPTY_PAUSE: Duration = Duration::from_millis(300);
 
-/// How often a peer without lists is asked before the next one.
+/// How often the preferred peer, which is near, is asked before one of the others is asked once.
 const ATTEMPTS: usize = 3;
 
 /// How a peer answered.
@@ -52,7 +52,11 @@
             self.asked.insert(source);
             return Some(source);
         }
-        let turn = self.empty_answers / ATTEMPTS;
+        let (round, attempt) = (
+            self.empty_answers / (ATTEMPTS + 1),
+            self.empty_answers % (ATTEMPTS + 1),
+        );
+        let turn = if attempt < ATTEMPTS { 0 } else { round + 1 };
         let peer = peers.get(turn % peers.len().max(1)).copied();
         self.asked.extend(peer);
         peer
--- a/crates/cassiareel-relay/src/peers/lists.rs
+++ b/crates/cassiareel-relay/src/peers/lists.rs
@@ -25,6 +25,7 @@
     format::{Format, FORMAT_HEADER, MESSAGE_FORMAT},
     list_error::{ListError, UndecodableSnafu},
     list_search::{ListAnswer, ListSearch},
+    list_server::{ListsRequest, Place},
     members::Members,
     message,
     packed_listing::PackedListing,
@@ -59,13 +60,6 @@
 /// The longest search of a node whose list is too old for a difference.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// A request for the lists.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-struct ListsRequest {
-    /// The address of the querying node.
-    address: SocketAddr,
-}
-
 /// A version of a service, and the revision at which a node first saw it.
 type SeenVersion = (ServiceId, Version, StoreRevision);
 
@@ -107,7 +101,7 @@
     let Some(request) = request else {
         return empty_reply(StatusCode::BAD_REQUEST);
     };
-    let answer = answer(state, request.address);
+    let answer = answer(state, &request);
     let outcome = match &answer {
         ListsReply::Lists(_) => "sent",
         ListsReply::Busy(_) => "busy",
@@ -123,7 +117,7 @@
     reply
 }
 
-fn answer(state: &State, to: SocketAddr) -> ListsReply {
+fn answer(state: &State, to: &ListsRequest) -> ListsReply {
     let now = clock::now();
     let cache = &state.store_cache;
     // A node that has not asked its peers yet may have an older configuration than these have in
@@ -136,8 +130,12 @@
     if !is_usable {
         return ListsReply::Empty;
     }
-    let link = state.settings.load().limits.link_rate();
-    if let Err(sources) = cache.list_server().admit(to, link, now) {
+    let settings = state.settings.load();
+    let own = Place {
+        data_centre: &settings.node.data_centre,
+        link_mbps: settings.limits.link_rate(),
+    };
+    if let Err(sources) = cache.list_server().admit(to, own, now) {
         return ListsReply::Busy(sources);
     }
     let (listing, read) = listing;
@@ -226,9 +224,12 @@
 
 /// Asks one peer for the lists, and applies them.
 async fn ask(state: &State, peer: SocketAddr) -> Result<(), ListAnswer> {
+    let settings = state.settings.load();
     let own = ListsRequest {
-        address: state.settings.load().listen.peers,
+        address: settings.listen.peers,
+        data_centre: settings.node.data_centre.clone(),
     };
+    drop(settings);
     let body = message::encode_request(state, &own).ok_or(ListAnswer::Failed)?;
     let began = clock::now();
     let client = state.client(peer);
@@ -246,7 +247,10 @@
     let decoded = rmp_serde::from_slice(&reply.body);
     let decoded = decoded.map_err(|err| undecodable(&err));
     let applied = match decoded {
-        Ok(ListsReply::Busy(sources)) => return Err(ListAnswer::Busy(sources)),
+        Ok(ListsReply::Busy(sources)) => {
+            state.note_lists_busy();
+            return Err(ListAnswer::Busy(sources));
+        }
         Ok(ListsReply::Empty) => return Err(ListAnswer::Empty),
         Ok(ListsReply::Lists(lists)) => apply(state, *lists, began),
         Err(err) => Err(err),
--- a/crates/cassiareel-relay/src/peers/mod.rs
+++ b/crates/cassiareel-relay/src/peers/mod.rs
@@ -21,6 +21,8 @@
 mod change_tests;
 mod exchange;
 #[cfg(test)]
+mod fleet_start_tests;
+#[cfg(test)]
 mod fleet_tests;
 mod format;
 mod limits;
@@ -29,6 +31,8 @@
 mod list_digest;
 mod list_error;
 mod list_search;
+#[cfg(test)]
+mod list_search_tests;
 mod list_server;
 mod lists;
 mod losses;
--- a/crates/cassiareel-relay/src/peers/roster.rs
+++ b/crates/cassiareel-relay/src/peers/roster.rs
@@ -99,14 +99,26 @@
         self.reader_rank(now) < self.forwarder_count
     }
 
-    /// Returns how long after its start the node reads the store where no peer has sent it lists.
-    pub(crate) fn read_after_start(&self) -> Duration {
+    /// Reports whether the node gets its first lists from peers, where these have them.
+    pub(crate) fn is_one_of_many(&self) -> bool {
+        let (schedule, position) = self.start_schedule();
+        !schedule.read_after(position).is_zero()
+    }
+
+    /// Reports whether the node, which started `spent` ago, still waits for lists of its peers.
+    /// `busy` is how long ago a peer answered that it has lists, but can't send them yet.
+    pub(crate) fn waits_for_lists(&self, spent: Duration, busy: Option<Duration>) -> bool {
+        let (schedule, position) = self.start_schedule();
+        schedule.waits(position, spent, busy)
+    }
+
+    fn start_schedule(&self) -> (StartSchedule, usize) {
         let nodes = self.members.records.len();
         let schedule = StartSchedule {
             nodes,
             first_readers: self.forwarder_count,
         };
-        schedule.read_after(self.members.position(&self.own).unwrap_or(nodes))
+        (schedule, self.members.position(&self.own).unwrap_or(nodes))
     }
 
     /// Returns the name of the node at an address.
--- a/crates/cassiareel-relay/src/peers/store_cache.rs
+++ b/crates/cassiareel-relay/src/peers/store_cache.rs
@@ -108,13 +108,16 @@
     pub(crate) fn update_listing(&self, listing: Arc<Listing>, began: Moment) {
         let known = self.listing.get();
         let older = known.filter(|(known, _)| known.revision < listing.revision);
-        let change = older.map(|(older, _)| Change::between(&older, &listing));
+        let change = older.map(|(older, _)| {
+            let change = Arc::new(Change::between(&older, &listing));
+            (change, self.listing_digest(&older))
+        });
         if !self.replace_listing(listing, began) {
             return;
         }
         let mut changes = runtime::lock(&self.changes);
         match change {
-            Some(change) => changes.push(Arc::new(change)),
+            Some((change, digest)) => changes.push(change, digest),
             None => changes.clear(),
         }
     }
@@ -127,15 +130,19 @@
         is_new
     }
 
-    /// Returns the change that turns the listing of an earlier revision into `new`; `None` where
-    /// that listing is no longer known.
+    /// Returns the change that turns an earlier listing, which has the revision `from` and, where it
+    /// is known, the digest `digest`, into `new`; `None` where that listing is not known.
     pub(super) fn change_to(
         &self,
-        new: &Listing,
+        new: &Arc<Listing>,
         from: Option<StoreRevision>,
+        digest: Option<u64>,
     ) -> Option<Arc<Change>> {
         let from = from.filter(|from| *from < new.revision)?;
-        runtime::lock(&self.changes).change(from, new.revision)
+        if digest == Some(self.listing_digest(new)) {
+            return Some(Arc::new(Change::of_revision(from, new)));
+        }
+        runtime::lock(&self.changes).change(from, digest, new.revision)
     }
 
     /// Returns the digest of a listing, which is kept for the next call.
@@ -173,9 +180,13 @@
         let Some((held, _)) = self.listing.get() else {
             return Ok(());
         };
+        let before = self.listing_digest(&held);
+        let digest = change.digest();
         let (listing, change) = change.apply(&held)?;
-        if self.replace_listing(Arc::new(listing), began) {
-            runtime::lock(&self.changes).push(Arc::new(change));
+        let listing = Arc::new(listing);
+        if self.replace_listing(listing.clone(), began) {
+            runtime::lock(&self.changes).push(Arc::new(change), before);
+            *runtime::lock(&self.digest) = Some((listing, digest));
         }
         Ok(())
     }
@@ -247,11 +258,6 @@
         self.roster().reader_rank(clock::now())
     }
 
-    /// Returns how long after its start this node reads the store where no peer has sent it lists.
-    pub(crate) fn read_after_start(&self) -> Duration {
-        self.roster().read_after_start()
-    }
-
     /// Reports whether this node passes updates on to others.
     pub(crate) fn is_forwarder(&self) -> bool {
         self.roster().is_forwarder(clock::now())
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -127,6 +127,8 @@
     pub nodes_asked: AtomicBool,
     /// The pause of all calls of the store after it refused one because of its rate limit.
     refusal_pause: Mutex<RefusalPause>,
+    /// When a peer last answered that it has lists, but that its link is busy.
+    lists_busy_at: Mutex<Option<Moment>>,
     /// The peers of other builds that were logged.
     other_builds: Mutex<HashSet<String>>,
     /// Whether the registry was read.
@@ -193,6 +195,7 @@
             nodes_read: AtomicBool::new(false),
             nodes_asked: AtomicBool::new(false),
             refusal_pause: Mutex::default(),
+            lists_busy_at: Mutex::default(),
             other_builds: Mutex::default(),
             registry_read: AtomicBool::new(false),
             limits_read: AtomicBool::new(false),
@@ -311,6 +314,11 @@
         wait_until(began + NODES_CALL_TIMEOUT, is_over).await;
     }
 
+    /// Records that a peer has lists that this node waits for.
+    pub(crate) fn note_lists_busy(&self) {
+        *lock(&self.lists_busy_at) = Some(clock::now());
+    }
+
     /// Locks the pause of all calls of the store.
     pub(crate) fn refusal_pause(&self) -> MutexGuard<'_, RefusalPause> {
         lock(&self.refusal_pause)
@@ -336,15 +344,18 @@
     pub(crate) fn waits_for_peers(&self) -> bool {
         let bootstrap = self.settings.load().node.bootstrap;
         let is_first_start = bootstrap && self.started_within(PEER_UPDATE_TIMEOUT);
+        let now = clock::now();
+        let busy = lock(&self.lists_busy_at).map(|at| now.saturating_sub(at));
+        let spent = now.saturating_sub(self.started);
         !self.store_cache.is_forwarder()
-            && (is_first_start || self.started_within(self.store_cache.read_after_start()))
+            && (is_first_start || self.store_cache.roster().waits_for_lists(spent, busy))
     }
 
     /// Reports whether the node belongs to a large fleet, and has not got its first lists from peers
     /// yet nor read them itself.
     pub(crate) fn needs_first_lists(&self) -> bool {
         let cache = &self.store_cache;
-        !cache.read_after_start().is_zero() && !cache.is_forwarder() && cache.age().is_none()
+        cache.age().is_none() && !cache.is_forwarder() && cache.roster().is_one_of_many()
     }
 
     /// Returns the times at which configuration and registry are read.
