Wake-ups of many nodes: reading the store is left to others first

Cause: all nodes of a data centre that was frozen and goes on read the store at once, before they query a peer.

--- a/crates/cassiareel-relay/src/follow/call.rs
+++ b/crates/cassiareel-relay/src/follow/call.rs
@@ -23,6 +23,10 @@
 /// The status with which the store refuses calls beyond its rate limit.
 const TOO_MANY_REQUESTS: u16 = 429;
 
+/// The longest time by which a task of a small, busy node runs later than it is due. One that runs
+/// even later was suspended.
+const MAX_DELAY: Duration = Duration::from_millis(700);
+
 /// A series of calls of one kind.
 #[derive(Debug)]
 pub(super) struct StoreCaller {
@@ -168,7 +172,11 @@
     pub(super) async fn wait(&self, state: &State, left: Option<Duration>) {
         match left {
             Some(left) => {
+                let due = clock::now() + left;
                 Timer::after(left).await;
+                if clock::now() > due + MAX_DELAY {
+                    state.note_wake();
+                }
             }
             None => self.wait_to_retry(state).await,
         }
--- a/crates/cassiareel-relay/src/follow/policy.rs
+++ b/crates/cassiareel-relay/src/follow/policy.rs
@@ -103,6 +103,7 @@
     let reading = state.reading();
     let left = state.time_to_read(reading, state.store_cache.policy.age());
     left.or_else(|| caller.interval_left(reading.read_age(0)))
+        .or_else(|| state.wake_left())
 }
 
 /// Records a read of the configuration. One that is older than the version in force does not
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -62,6 +62,7 @@
     let reading = state.reading();
     let left = state.time_to_read(reading, state.store_cache.listing.age());
     left.or_else(|| caller.interval_left(reading.read_age(0)))
+        .or_else(|| state.wake_left())
 }
 
 /// Logs that the store was restored, where the registry is of a later era than that of `before`.
--- a/crates/cassiareel-relay/src/follow/rollouts/mod.rs
+++ b/crates/cassiareel-relay/src/follow/rollouts/mod.rs
@@ -153,6 +153,7 @@
             )
         };
         left.or_else(|| self.reader.interval_left(schedule.read_age(0)))
+            .or_else(|| self.state.wake_left())
     }
 
     /// Reports whether the cached orders may lack one that a newer read would show: that of a
--- a/crates/cassiareel-relay/src/kernel/start_schedule.rs
+++ b/crates/cassiareel-relay/src/kernel/start_schedule.rs
@@ -31,6 +31,9 @@
 /// The longest time from its start for which a node waits for such peers.
 const MAX_BUSY_WAIT: Duration = Duration::from_millis(3500);
 
+/// How long a node that was suspended waits for the updates of its peers: these take two hops.
+const WAKE_WAIT: Duration = Duration::from_millis(300);
+
 /// The turns of the nodes of a fleet that starts.
 ///
 /// # Examples
@@ -51,6 +54,16 @@
 }
 
 impl StartSchedule {
+    /// Returns how long after a suspension the node at a position reads the store, unless it got
+    /// updates from a peer before. Many nodes may have been suspended together.
+    pub fn read_after_wake(self, position: usize) -> Duration {
+        if self.nodes <= MAX_DIRECT_NODES || position < self.first_readers {
+            return Duration::ZERO;
+        }
+        let turn = u32::try_from(position - self.first_readers).unwrap_or(u32::MAX);
+        WAKE_WAIT + STEP.saturating_mul(turn)
+    }
+
     /// Returns how long after its start the node at a position in the order of all nodes reads the
     /// store, unless it got lists from a peer before.
     pub fn read_after(self, position: usize) -> Duration {
--- a/crates/cassiareel-relay/src/kernel/start_schedule_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/start_schedule_tests.rs
@@ -21,11 +21,13 @@
         nodes,
         first_readers: 4,
     };
-    let turns: Vec<Duration> = (4..nodes).map(|i| schedule.read_after(i)).collect();
-    for (i, turn) in turns.iter().enumerate() {
-        let second = turns[i..].iter();
-        let second = second.take_while(|later| **later < *turn + Duration::from_secs(1));
-        assert!(second.count() * CALLS < STORE_RATE, "{i}");
+    for read_after in [StartSchedule::read_after, StartSchedule::read_after_wake] {
+        let turns: Vec<Duration> = (4..nodes).map(|i| read_after(schedule, i)).collect();
+        for (i, turn) in turns.iter().enumerate() {
+            let second = turns[i..].iter();
+            let second = second.take_while(|later| **later < *turn + Duration::from_secs(1));
+            assert!(second.count() * CALLS < STORE_RATE, "{i}");
+        }
     }
 }
 
@@ -54,4 +56,5 @@
         first_readers: 4,
     };
     assert!((0..16).all(|i| schedule.read_after(i).is_zero()));
+    assert!((0..16).all(|i| schedule.read_after_wake(i).is_zero()));
 }
--- a/crates/cassiareel-relay/src/peers/packed_entries.rs
+++ b/crates/cassiareel-relay/src/peers/packed_entries.rs
@@ -1,7 +1,7 @@
 /*!
 The compact encoding of backend servers in messages between nodes.
 
-Encoded one by one, 3,000 entries take more than 200 KB, since most of each entry repeats what others
+Encoded one by one, 3,000 entries take about 200 KB, since most of each entry repeats what others
 have too. Here entries are columns, ordered by id: ids without the part that they share with the one
 before, addresses as bytes, start times relative to the earliest one, and everything else as a
 reference into a table of the combinations that occur.
--- a/crates/cassiareel-relay/src/peers/roster.rs
+++ b/crates/cassiareel-relay/src/peers/roster.rs
@@ -112,6 +112,12 @@
         schedule.waits(position, spent, busy)
     }
 
+    /// Returns how long after a suspension the node reads the store where no peer has updated it.
+    pub(crate) fn read_after_wake(&self) -> Duration {
+        let (schedule, position) = self.start_schedule();
+        schedule.read_after_wake(position)
+    }
+
     fn start_schedule(&self) -> (StartSchedule, usize) {
         let nodes = self.members.records.len();
         let schedule = StartSchedule {
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -29,10 +29,10 @@
 use crate::{
     admission::Admission,
     backends::{Backend, Backends},
-    clock::{self, Moment},
+    clock::{self, millis, Moment},
     kernel::{
-        accepts_during_shutdown, Catalog, ConfigFreshness, DataCentreHealth, ReadSchedule,
-        RefusalPause, RetryBudget, RetryCause, RunTimes, ServiceSpeeds, Shutdown,
+        accepts_during_shutdown, remaining, Catalog, ConfigFreshness, DataCentreHealth,
+        ReadSchedule, RefusalPause, RetryBudget, RetryCause, RunTimes, ServiceSpeeds, Shutdown,
     },
     metrics::Metrics,
     model::{EngineShape, Limits, Prompt, Route, ServiceId},
@@ -54,6 +54,9 @@
 /// How long it waits while the call for that list is under way.
 const NODES_CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// The shortest time between two suspensions after which the node leaves reading to others.
+const MIN_WAKE_GAP: Duration = Duration::from_secs(10);
+
 /// The maximum number of peers of other builds that are logged.
 const MAX_OTHER_BUILDS: usize = 1024;
 
@@ -127,6 +130,8 @@
     pub nodes_asked: AtomicBool,
     /// The pause of all calls of the store after it refused one because of its rate limit.
     refusal_pause: Mutex<RefusalPause>,
+    /// When the node was last found to have been suspended, in milliseconds.
+    woke_at_ms: AtomicU64,
     /// When a peer last answered that it has lists, but that its link is busy.
     lists_busy_at: Mutex<Option<Moment>>,
     /// The peers of other builds that were logged.
@@ -195,6 +200,7 @@
             nodes_read: AtomicBool::new(false),
             nodes_asked: AtomicBool::new(false),
             refusal_pause: Mutex::default(),
+            woke_at_ms: AtomicU64::new(0),
             lists_busy_at: Mutex::default(),
             other_builds: Mutex::default(),
             registry_read: AtomicBool::new(false),
@@ -319,6 +325,27 @@
         *lock(&self.lists_busy_at) = Some(clock::now());
     }
 
+    /// Records that the node was suspended until now. A node whose tasks all run late must not wait
+    /// for others again and again.
+    pub(crate) fn note_wake(&self) {
+        let now = millis(clock::now());
+        let last = self.woke_at_ms.load(Ordering::Relaxed);
+        if last == 0 || now.saturating_sub(last) > millis(MIN_WAKE_GAP) {
+            self.woke_at_ms.store(now, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns how long the node, which was suspended, still leaves reading the store to others, whose
+    /// updates are about to arrive.
+    pub(crate) fn wake_left(&self) -> Option<Duration> {
+        let woke_at = Duration::from_millis(self.woke_at_ms.load(Ordering::Relaxed));
+        if woke_at.is_zero() || self.store_cache.is_forwarder() {
+            return None;
+        }
+        let wait = self.store_cache.roster().read_after_wake();
+        remaining(wait, clock::now().saturating_sub(woke_at))
+    }
+
     /// Locks the pause of all calls of the store.
     pub(crate) fn refusal_pause(&self) -> MutexGuard<'_, RefusalPause> {
         lock(&self.refusal_pause)
