Search for lists: short where other updates wait, ended where none are written yet

Cause: a node whose list was too old for a difference searched for 1.2 s, during which its configuration got no updates. A node of a large fleet without a configuration queried no peer as long as none was written.

Change: such a search ends after 0.4 s and goes on after the next updates; the first search ends after 8 s in any case.

--- a/crates/cassiareel-relay/src/peers/lists.rs
+++ b/crates/cassiareel-relay/src/peers/lists.rs
@@ -57,8 +57,9 @@
 /// The longest search of a node that starts. By then it reads the store itself.
 const START_SEARCH_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// The longest search of a node whose list is too old for a difference.
-const SEARCH_TIMEOUT: Duration = Duration::from_millis(1200);
+/// The longest search of a node whose list is too old for a difference. Other updates have to wait for
+/// its end; after them, the search goes on.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A version of a service, and the revision at which a node first saw it.
 type SeenVersion = (ServiceId, Version, StoreRevision);
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -378,11 +378,12 @@
             && (is_first_start || self.store_cache.roster().waits_for_lists(spent, busy))
     }
 
-    /// Reports whether the node belongs to a large fleet, and has not got its first lists from peers
-    /// yet nor read them itself.
+    /// Reports whether the node belongs to a large fleet, and has neither got its first lists from
+    /// peers yet, nor read them itself, nor given up the search for them.
     pub(crate) fn needs_first_lists(&self) -> bool {
         let cache = &self.store_cache;
-        cache.age().is_none() && !cache.is_forwarder() && cache.roster().is_one_of_many()
+        let is_searching = !self.peer_asked.load(Ordering::Relaxed) && cache.age().is_none();
+        is_searching && !cache.is_forwarder() && cache.roster().is_one_of_many()
     }
 
     /// Returns the times at which configuration and registry are read.
