--- a/crates/cassiareel-relay/src/net/client.rs
+++ b/crates/cassiareel-relay/src/net/client.rs
@@ -7,7 +7,7 @@
     body_budget::BodyBudget,
     runtime::{within, Spawner},
 };
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 
 use super::{build_request, read_body, Pool, SendError};
@@ -23,11 +23,13 @@
 const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// Makes short calls to one address.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Client {
     pool: Pool,
     /// The memory for answers.
     budget: Arc<BodyBudget>,
+    /// Headers of each request.
+    headers: HeaderMap,
 }
 
 /// The answer to a call.
@@ -47,9 +49,17 @@
         Client {
             pool: Pool::new(address, spawner),
             budget,
+            headers: HeaderMap::new(),
         }
     }
 
+    /// Returns a client with the same connections that adds a header to all requests.
+    pub fn with_header(&self, name: &'static str, value: HeaderValue) -> Client {
+        let mut client = self.clone();
+        client.headers.insert(name, value);
+        client
+    }
+
     /// Returns the address to which it makes calls.
     pub fn address(&self) -> SocketAddr {
         self.pool.address()
@@ -89,9 +99,10 @@
     /// Fails as [`Client::call`] does.
     pub async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<ClientResponse, SourceError> {
+        request.headers_mut().extend(self.headers.clone());
         let end = clock::now() + limit;
         within(limit, self.exchange(request, end))
             .await
