Duties: model check, and a longer rest after a start

Cause: a call without an answer of a process that crashed or stopped may be carried out up to max_action later. Another node that acted after it and released the lease let the restarted process act within lease_ms: A, B, A. Change: a process that starts rests for max_action and the lease's duration, as it does after a term with an open call. Lease's normalize and mutation are available to other crates' model checks with the feature check. The lease is held where duties are named, also where none of them is built in.

--- a/crates/cassiareel-relay/src/duties/mod.rs
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -40,13 +40,14 @@
 
 /// Runs the duties of a deployment until the node is about to stop, and releases their lease then.
 pub(crate) async fn run_duties(state: Arc<State>, parts: DutyParts) {
-    let duties: Vec<Box<dyn Duty>> = kinds(&state, &parts.kinds)
+    let kinds = kinds(&state, &parts.kinds);
+    let Some(driver) = new_driver(&state, &parts).filter(|_| !kinds.is_empty()) else {
+        return;
+    };
+    let duties: Vec<Box<dyn Duty>> = kinds
         .into_iter()
         .filter_map(|kind| new_duty(kind, &state, &parts))
         .collect();
-    let Some(driver) = new_driver(&state, &parts).filter(|_| !duties.is_empty()) else {
-        return;
-    };
     let (running, end) = async_channel::bounded(1);
     let run = async {
         driver.run(duties).await;
--- a/crates/cassiareel-relay/src/kernel/duty_terms.rs
+++ b/crates/cassiareel-relay/src/kernel/duty_terms.rs
@@ -108,17 +108,18 @@
     refusals: u32,
     /// The deliberate defect that the model check must find.
     #[cfg(test)]
-    pub(crate) mutation: Option<&'static str>,
+    mutation: Option<&'static str>,
 }
 
 impl DutyTerms {
-    /// Creates the terms of a process that started at `now`. Calls of an earlier process on the same
-    /// machine may be as recent as that.
+    /// Creates the terms of a process that started at `now`. An earlier process on the same machine may
+    /// have sent a call just before, which is carried out up to `max_action` later, and another node
+    /// may act in between.
     pub fn new(rules: DutyRules, now: Moment) -> DutyTerms {
         DutyTerms {
             rules,
             term: None,
-            rest_until: now + rules.lease,
+            rest_until: now + rules.max_action + rules.lease,
             open_until: Moment::ZERO,
             refused: 0,
             refusals: 0,
@@ -127,6 +128,24 @@
         }
     }
 
+    /// Creates terms with a deliberate defect that the model check must find.
+    #[cfg(test)]
+    pub(crate) fn with_mutation(
+        rules: DutyRules,
+        now: Moment,
+        mutation: Option<&'static str>,
+    ) -> DutyTerms {
+        let mut terms = DutyTerms::new(rules, now);
+        terms.mutation = mutation;
+        if terms.is_mutated("no rest after a start") {
+            terms.rest_until = now;
+        }
+        if terms.is_mutated("no rest after earlier calls") {
+            terms.rest_until = now + rules.lease;
+        }
+        terms
+    }
+
     /// Returns the rules.
     pub fn rules(&self) -> DutyRules {
         self.rules
@@ -210,7 +229,6 @@
     /// Sets the times that no longer matter to zero, so that a search treats equivalent states as
     /// equal.
     #[cfg(test)]
-    #[allow(dead_code)]
     pub(crate) fn normalize(&mut self, now: Moment) {
         for time in [&mut self.rest_until, &mut self.open_until] {
             if *time <= now {
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -19,6 +19,8 @@
 mod continuation;
 #[cfg(test)]
 mod continuation_tests;
+#[cfg(test)]
+mod duty_model_tests;
 mod duty_terms;
 mod engine_load;
 #[cfg(test)]
--- a/crates/cassiareel/src/kernel/lease/machine.rs
+++ b/crates/cassiareel/src/kernel/lease/machine.rs
@@ -129,9 +129,9 @@
     released: bool,
     // The highest fencing number that was refused; it is never granted again.
     refused_fence: Fence,
-    /// The deliberate defect that the model check must find.
-    #[cfg(test)]
-    pub(crate) mutation: Option<&'static str>,
+    /// The deliberate defect that a model check must find.
+    #[cfg(any(test, feature = "check"))]
+    pub mutation: Option<&'static str>,
 }
 
 impl Lease {
@@ -153,7 +153,7 @@
             just_read: false,
             released: false,
             refused_fence: 0,
-            #[cfg(test)]
+            #[cfg(any(test, feature = "check"))]
             mutation: None,
         }
     }
@@ -437,6 +437,9 @@
 
     /// Gives up a number that was refused, also where a renewal with it is in flight.
     fn fenced(&mut self, fence: Fence, next: Fence) {
+        if self.is_mutated("a refused token is used again") {
+            return;
+        }
         self.refused_fence = self.refused_fence.max(fence);
         self.highest_fence = self.highest_fence.max(next.saturating_sub(1));
         if self.grant.is_some_and(|grant| grant.fence <= fence) {
@@ -499,8 +502,8 @@
 
     /// Sets the times that no longer matter to zero, so that a search treats equivalent states as
     /// equal.
-    #[cfg(test)]
-    pub(crate) fn normalize(&mut self, now: Time) {
+    #[cfg(any(test, feature = "check"))]
+    pub fn normalize(&mut self, now: Time) {
         let wait = self.timing.duration + self.timing.margin;
         if self.call.is_none() {
             self.call_sent = Time::ZERO;
@@ -531,12 +534,12 @@
     }
 
     /// Reports whether the named defect is active.
-    #[cfg(test)]
+    #[cfg(any(test, feature = "check"))]
     fn is_mutated(&self, name: &str) -> bool {
         self.mutation == Some(name)
     }
 
-    #[cfg(not(test))]
+    #[cfg(not(any(test, feature = "check")))]
     fn is_mutated(&self, _name: &str) -> bool {
         false
     }
