--- a/crates/cassiareel-cli/src/args.rs
+++ b/crates/cassiareel-cli/src/args.rs
@@ -73,6 +73,11 @@
     /// Explains how a request was routed.
     #[options(help = "explain why a request was routed as it was")]
     Explain(ExplainArgs),
+    /// Shows the duties of the relay.
+    #[options(
+        help = "show who holds the relay's duties, the last usage windows and server orders"
+    )]
+    Duties(DutiesArgs),
 }
 
 /// Takes no arguments.
@@ -454,6 +459,19 @@
     pub request: String,
 }
 
+/// Shows, from the logs of the relay's nodes, who holds the duties and what was done.
+#[derive(Clone, Debug, Default, Options)]
+pub struct DutiesArgs {
+    /// Print this help.
+    pub help: bool,
+    /// A log file to read; may be repeated.
+    #[options(no_short, meta = "FILE")]
+    pub logs: Vec<PathBuf>,
+    /// More log files.
+    #[options(free)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Global options that take no value.
 const GLOBAL_FLAGS: [&str; 1] = ["--json"];
 
--- a/crates/cassiareel-cli/src/explain_logs.rs
+++ b/crates/cassiareel-cli/src/explain_logs.rs
@@ -13,31 +13,35 @@
 
 use crate::{explain::field_text, Code, Error, Report};
 
-/// A log line of the request.
-struct LogEntry {
-    timestamp: Timestamp,
-    fields: Map<String, Value>,
+/// A log line of a node.
+pub(crate) struct LogEntry {
+    /// When it was written, by the node's clock.
+    pub timestamp: Timestamp,
+    /// All fields.
+    pub fields: Map<String, Value>,
 }
 
 impl LogEntry {
-    /// Parses a line; returns `None` if it is not a log line of the request.
-    fn read(line: &str, request: &str) -> Option<LogEntry> {
+    /// Parses a line; returns `None` if it is not a log line of a node.
+    fn read(line: &str) -> Option<LogEntry> {
         let object = &line[line.find('{')?..];
         let fields: Map<String, Value> = serde_json::from_str(object).ok()?;
-        if fields.get("request")?.as_str()? != request {
-            return None;
-        }
         let timestamp = fields.get("ts")?.as_str()?.parse().ok()?;
         Some(LogEntry { timestamp, fields })
     }
 
     /// Returns a field as text, empty if it is missing.
-    fn text(&self, name: &str) -> String {
+    pub(crate) fn text(&self, name: &str) -> String {
         field_text(&self.fields, name)
     }
 
+    /// Returns a field that is a number without sign, `None` if it is missing or null.
+    pub(crate) fn number(&self, name: &str) -> Option<u64> {
+        self.fields.get(name)?.as_u64()
+    }
+
     /// Reports whether a field is the boolean `true`.
-    fn is_true(&self, name: &str) -> bool {
+    pub(crate) fn is_true(&self, name: &str) -> bool {
         self.fields.get(name).and_then(Value::as_bool) == Some(true)
     }
 
@@ -172,18 +176,9 @@
 ///
 /// Fails if a file can't be read, or if no file has a line of the request.
 pub fn explain_logs(files: &[PathBuf], request: &str) -> Result<Report, Error> {
-    let mut entries = Vec::new();
-    for file in files {
-        // Output of other programs in the same log may not be valid UTF-8.
-        let bytes = fs::read(file).map_err(|err| unreadable_file(file, &err.to_string()))?;
-        let log_text = String::from_utf8_lossy(&bytes);
-        entries.extend(
-            log_text
-                .lines()
-                .filter_map(|line| LogEntry::read(line, request)),
-        );
-    }
-    entries.sort_by_key(|entry| entry.timestamp);
+    let is_wanted =
+        |entry: &LogEntry| entry.fields.get("request").and_then(Value::as_str) == Some(request);
+    let entries = read_logs(files, is_wanted)?;
     let Some(first) = entries.first() else {
         return Err(Error::new(
             Code::Refused,
@@ -208,6 +203,30 @@
     ))
 }
 
+/// Reads the wanted lines of log files, sorted by time.
+///
+/// # Errors
+///
+/// Fails if a file can't be read.
+pub(crate) fn read_logs<Filter>(
+    files: &[PathBuf],
+    is_wanted: Filter,
+) -> Result<Vec<LogEntry>, Error>
+where
+    Filter: Fn(&LogEntry) -> bool,
+{
+    let mut entries = Vec::new();
+    for file in files {
+        // Output of other programs in the same log may not be valid UTF-8.
+        let bytes = fs::read(file).map_err(|err| unreadable_file(file, &err.to_string()))?;
+        let log_text = String::from_utf8_lossy(&bytes);
+        let lines = log_text.lines().filter_map(LogEntry::read);
+        entries.extend(lines.filter(&is_wanted));
+    }
+    entries.sort_by_key(|entry| entry.timestamp);
+    Ok(entries)
+}
+
 /// Returns the error for a log file that can't be read.
 fn unreadable_file(file: &std::path::Path, cause: &str) -> Error {
     Error::new(
--- a/crates/cassiareel-cli/src/lib.rs
+++ b/crates/cassiareel-cli/src/lib.rs
@@ -9,6 +9,8 @@
 mod accounts;
 mod args;
 mod context;
+mod duties;
+mod duty_term;
 mod error;
 mod explain;
 mod explain_logs;
@@ -21,11 +23,13 @@
 mod run;
 mod settings;
 mod status;
+mod usage_window;
 mod wait;
 
 pub use accounts::{accounts, add_account, remove_account};
 pub use args::{globals_first, Args};
 pub use context::Context;
+pub use duties::duties;
 pub use error::{Code, Error};
 pub use explain::{describe_lines, explain, DecisionLine};
 pub use explain_logs::explain_logs;
--- a/crates/cassiareel-cli/src/run.rs
+++ b/crates/cassiareel-cli/src/run.rs
@@ -13,7 +13,7 @@
         AccountArgs, AccountsCommand, ApplyArgs, Command, GetArgs, KeyArgs, KeysCommand,
         MoveCommand, MoveStartArgs, OrdersCommand, SettingsCommand, ShowArgs,
     },
-    change_move, diff_files, explain, explain_logs, get, history, list_keys, list_orders,
+    change_move, diff_files, duties, explain, explain_logs, get, history, list_keys, list_orders,
     move_history, move_status, query_order, remove_account, remove_key, servers,
     settings::{load_accepted, read_draft},
     settle_order, show, start_move, status, validate, versions, wait_for_revision, wait_move,
@@ -67,6 +67,7 @@
             explain_logs(&args.logs, &args.request)
         }
         Some(Command::Explain(args)) => explain(&context.nodes()?, &args.request).await,
+        Some(Command::Duties(args)) => duties(&[args.logs, args.files].concat()),
         None => Err(missing_command()),
     }
 }
