--- a/crates/cassiareel-cli/src/usage_window.rs
+++ b/crates/cassiareel-cli/src/usage_window.rs
@@ -92,7 +92,7 @@
             None if self.is_given_up => "given up".to_owned(),
             None if self.attempts > 0 => {
                 format!(
-                    "not accepted: {} after {} reports",
+                    "not accepted: {}, reports sent: {}",
                     self.outcome, self.attempts
                 )
             }
