Plain services: nodes bound their sends by the queues that answers show

Cause: at a burst of 3 times the capacity, nodes of a large fleet sent by old reports to full servers and from one full server to a second one. Change: kernel::SendRate bounds a node's sends to a contended service (additive increase by a part of the demand, multiplicative decrease by the queue that an answer shows); while it holds, servers are chosen by the expected wait with a random part; after a full server a request goes on only to one with a recently reported free slot. Without a wait beyond a request's longest one nothing changes. Log line 'sends bounded', metric no_room{sends}.

--- a/crates/cassiareel-bench/src/lib.rs
+++ b/crates/cassiareel-bench/src/lib.rs
@@ -10,6 +10,7 @@
 - [`fleet`]: membership of a fleet of nodes in virtual time;
 - [`moves`]: moves between versions in virtual time;
 - [`relay`]: the relay's decisions in virtual time, under the load patterns that they address;
+- [`plain`]: plain services of few servers and many nodes, in virtual time;
 - [`plot`]: charts of the results.
 */
 
@@ -19,6 +20,7 @@
 pub mod load;
 pub mod model;
 pub mod moves;
+pub mod plain;
 pub mod plot;
 pub mod process;
 pub mod relay;
--- a/crates/cassiareel-bench/src/relay/policy.rs
+++ b/crates/cassiareel-bench/src/relay/policy.rs
@@ -229,6 +229,7 @@
         input: view.input,
         peak_tokens: view.input,
         capacity: Some(55_000),
+        contended: false,
     };
     choose(&candidates, need, || random.f64())
 }
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -112,6 +112,15 @@
         ))
     }
 
+    /// Reports whether a candidate that was not tried has a free slot, by a recent report.
+    pub(super) fn has_free_slot(&self) -> bool {
+        let usable = |candidate: &&Candidate| !candidate.excluded && !candidate.tried;
+        self.candidates
+            .iter()
+            .filter(usable)
+            .any(Candidate::has_free_slot)
+    }
+
     /// Returns up to `limit` of the best candidates that were not tried, and marks them as tried.
     pub(super) fn take_preferred(&mut self, limit: usize) -> Vec<Arc<Backend>> {
         std::iter::from_fn(|| self.take_next())
@@ -209,8 +218,14 @@
             input: prompt.input.max(1),
             peak_tokens: prompt.peak_tokens(),
             capacity: Some(engine.capacity),
+            contended: false,
+        },
+        None => RequestDemand {
+            contended: state
+                .admission
+                .with_load(&request.service, |load| load.sends.is_bounded()),
+            ..RequestDemand::default()
         },
-        None => RequestDemand::default(),
     }
 }
 
--- a/crates/cassiareel-relay/src/front/plain.rs
+++ b/crates/cassiareel-relay/src/front/plain.rs
@@ -77,6 +77,8 @@
     let mut ran = 0;
     let mut refused = 0;
     let mut shortage = None;
+    let mut may_send = false;
+    let mut met_full = false;
     let mut failed: Option<FullResponse> = None;
     loop {
         let purpose = if ran == 0 {
@@ -89,11 +91,20 @@
             shortage = candidates.is_limited().then_some(Shortage::Limit);
             break;
         };
+        if met_full && !candidates.has_free_slot() {
+            shortage = Some(Shortage::Time);
+            break;
+        }
         if wait > patience(state, request, request.age()) {
             shortage = Some(Shortage::Time);
             log_overloaded(state, request, &member, wait);
             break;
         }
+        if !may_send && !admit_send(state, request) {
+            shortage = Some(Shortage::Sends);
+            break;
+        }
+        may_send = true;
         let is_first = tried.is_empty();
         if let Some(after) = resend_quarantine(state, request, is_first) {
             if ran == 0 {
@@ -122,7 +133,10 @@
                 }
                 failed = Some(answer);
             }
-            AttemptOutcome::NotRun => refused += 1,
+            AttemptOutcome::NotRun => {
+                refused += 1;
+                met_full |= note_if_full(state, request, &member);
+            }
             AttemptOutcome::Unreached => {
                 refused += 1;
                 if !is_first {
@@ -153,6 +167,34 @@
     }
 }
 
+/// Counts a request and decides whether it may be sent while the service is contended.
+fn admit_send(state: &State, request: &Request) -> bool {
+    let (now, random) = (clock::now(), fastrand::f64());
+    let (may_send, interval) = state.admission.with_load(&request.service, |load| {
+        let may_send = load.sends.admit(now, random);
+        (may_send, load.sends.send_interval())
+    });
+    if !may_send {
+        info!(state.log, "sends bounded"; "request" => &*request.ask.id,
+            "service" => &*request.service, "tenant" => request.tenant.as_deref(),
+            "interval_ms" => interval.as_millis() as u64);
+    }
+    may_send
+}
+
+/// Reports whether a backend server that did not run a request reported that it is full, and records
+/// that.
+fn note_if_full(state: &State, request: &Request, member: &Backend) -> bool {
+    let now = clock::now();
+    let full = member.candidate(now, true).is_full();
+    if full {
+        state
+            .admission
+            .with_load(&request.service, |load| load.sends.record_full(now));
+    }
+    full
+}
+
 /// Returns how long a request is quarantined before a resend. The first send was already decided at
 /// admission.
 fn resend_quarantine(state: &State, request: &Request, is_first: bool) -> Option<Duration> {
@@ -282,15 +324,19 @@
     load: Option<Load>,
     took: Duration,
 ) {
+    let max_wait = patience(state, request, Duration::ZERO);
+    let wait = member.candidate(clock::now(), true).expected_wait();
+    if load.is_some() {
+        state.admission.with_load(&request.service, |service| {
+            service.sends.record_wait(wait, max_wait, clock::now());
+        });
+    }
     let late = match load {
         Some(load) if load.waiting == 0 => {
             member.health().record_service_time(took);
             false
         }
-        Some(_) => {
-            member.candidate(clock::now(), true).expected_wait()
-                > patience(state, request, Duration::ZERO)
-        }
+        Some(_) => wait > max_wait,
         None => took > request.route.objective,
     };
     if late {
--- a/crates/cassiareel-relay/src/kernel/engine_load.rs
+++ b/crates/cassiareel-relay/src/kernel/engine_load.rs
@@ -97,6 +97,8 @@
     Time,
     /// Requests that backend servers take from all nodes, by the limits that they name.
     Limit,
+    /// Sends: as many as a contended plain service can serve were sent already.
+    Sends,
 }
 
 impl Shortage {
@@ -107,6 +109,7 @@
             Shortage::Memory => "memory",
             Shortage::Time => "time",
             Shortage::Limit => "limit",
+            Shortage::Sends => "sends",
         }
     }
 }
--- a/crates/cassiareel-relay/src/kernel/load.rs
+++ b/crates/cassiareel-relay/src/kernel/load.rs
@@ -10,6 +10,7 @@
 
 use cassiareel::kernel::admission::{Throttle, Throttled};
 
+use super::SendRate;
 use crate::{
     clock::Moment,
     model::{AccountId, Prompt},
@@ -65,6 +66,8 @@
 #[derive(Debug, Default)]
 pub struct ServiceLoad {
     throttle: Throttle<(AccountId, u8)>,
+    /// The bound on sends, if it is a plain service.
+    pub sends: SendRate,
     /// The average cost of a request, in prompt tokens.
     mean_cost: f64,
     /// The average length of a prompt, in tokens.
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -55,6 +55,9 @@
 mod run_times_tests;
 #[cfg(test)]
 mod samples;
+mod send_rate;
+#[cfg(test)]
+mod send_rate_tests;
 mod share_draw;
 #[cfg(test)]
 mod share_draw_tests;
@@ -92,6 +95,7 @@
 pub use registry::{Registry, RegistryChanges};
 pub use rollout::{state_to_report, Exposure, Judge, RolloutDecision, Tally, MIN_SHARE};
 pub use run_times::{ExpectedTimes, RunTimes};
+pub use send_rate::SendRate;
 pub use share_draw::ShareDraw;
 pub use shutdown::{
     accepts_during_shutdown, Shutdown, ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN,
--- a/crates/cassiareel-relay/src/kernel/placement.rs
+++ b/crates/cassiareel-relay/src/kernel/placement.rs
@@ -18,6 +18,10 @@
 /// The age at which a reported load counts half.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
+/// The scale of the random part of the cost of a contended server, as a part of its service time. It
+/// keeps nodes with reports of the same moment from sending to the same server.
+const CONTENDED_SPREAD: f64 = 0.33;
+
 /// The cost of another data centre, in milliseconds of waiting.
 const REMOTE_COST_MS: f64 = 2.0;
 
@@ -81,6 +85,8 @@
     pub peak_tokens: u64,
     /// An engine's memory, in tokens; `None` if the service runs no model.
     pub capacity: Option<u64>,
+    /// Whether more is asked of a plain service than it can serve.
+    pub contended: bool,
 }
 
 impl Candidate {
@@ -91,6 +97,16 @@
         f64::from(self.open_requests) + f64::from(self.other_requests) * 0.5f64.powf(half_lives)
     }
 
+    /// Reports whether a recent report showed that it had a free slot.
+    pub fn has_free_slot(&self) -> bool {
+        self.report_age < REPORT_HALF_LIFE && self.open_requests + self.other_requests < self.slots
+    }
+
+    /// Reports whether a recent report showed that it had no free slot.
+    pub fn is_full(&self) -> bool {
+        self.report_age < REPORT_HALF_LIFE && self.open_requests + self.other_requests >= self.slots
+    }
+
     /// Returns the estimated time that a request waits there before it is processed.
     pub fn expected_wait(&self) -> Duration {
         let slots = f64::from(self.slots.max(1));
@@ -144,6 +160,11 @@
             + failing
             + random * BATCH_DELAY_MS;
     }
+    if demand.contended {
+        let wait = candidate.expected_wait().as_secs_f64() * 1000.0;
+        let spread = candidate.service_time.unwrap_or(0.0) * CONTENDED_SPREAD;
+        return wait + remote + failing + spread * gumbel(random);
+    }
     let took = candidate.latency.unwrap_or(50.0);
     let queue = (requests + random - slots + 1.0).max(0.0);
     took * (1.0 + queue / slots)
@@ -153,6 +174,12 @@
         + random * took * 0.1
 }
 
+/// Returns a number of Gumbel's distribution for a uniform one from 0 to 1. Costs with such parts
+/// are lowest with a probability that falls exponentially with the cost.
+fn gumbel(random: f64) -> f64 {
+    (-random.clamp(1e-9, 1.0 - 1e-9).ln()).ln()
+}
+
 /// Returns the mean error rate of the candidates that are not excluded.
 fn mean_error_rate(candidates: &[Candidate]) -> f64 {
     let usable = candidates.iter().filter(|c| !c.excluded);
--- a/crates/cassiareel-relay/src/kernel/placement_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/placement_tests.rs
@@ -10,6 +10,7 @@
     input: 5_000,
     peak_tokens: 6_000,
     capacity: Some(55_000),
+    contended: false,
 };
 
 fn candidate() -> Candidate {
@@ -87,3 +88,26 @@
     chosen.dedup();
     assert!(chosen.len() >= 4, "{chosen:?}");
 }
+
+/// All nodes that know of the same queues would otherwise send to the same server.
+#[test]
+fn requests_for_a_contended_service_are_spread_by_the_expected_wait() {
+    let at = |others| Candidate {
+        slots: 6,
+        other_requests: others,
+        service_time: Some(60.0),
+        ..candidate()
+    };
+    let demand = RequestDemand {
+        contended: true,
+        ..RequestDemand::default()
+    };
+    let candidates = [at(7), at(8), at(20)];
+    let mut random = fastrand::Rng::with_seed(1);
+    let mut counts = [0; 3];
+    for _ in 0..1000 {
+        counts[choose(&candidates, demand, || random.f64()).unwrap()] += 1;
+    }
+    assert!(counts[0] > counts[1] && counts[1] > 200, "{counts:?}");
+    assert!(counts[2] < 20, "{counts:?}");
+}
