Engines: higher priorities go first where room is short

Streams of priority 0 with an objective of 4 s were in time less often than those of priority 2 with 10 s. They were let in only where one prompt or none waited, while the others filled engines up to three prompts and all of the usable memory. The reserve that dominant accounts leave applied to them too, and at a node of a large fleet a single request looks dominant.

Streams now wait no longer than the shortest objective above theirs allows, and leave that priority its part of the places. The priorities follow from the routes, the demand from the runs in engines' reports, which were read already. Without a shorter objective at a higher priority nothing changes.

--- a/crates/cassiareel-bench/src/relay/engine.rs
+++ b/crates/cassiareel-bench/src/relay/engine.rs
@@ -42,6 +42,8 @@
     pub up_at_ms: f64,
     /// Streams whose prompts are being prefilled or wait, with their remaining tokens.
     pub prefilling: VecDeque<(usize, f64)>,
+    /// Priorities of the streams that were accepted.
+    pub priorities: HashMap<usize, u8>,
     /// Streams in generation.
     pub generating: Vec<usize>,
     /// Streams whose prompts are in memory.
@@ -54,8 +56,8 @@
 
 impl Engine {
     /// Accepts a stream with `unread_tokens` prompt tokens to prefill. Returns `false` if the
-    /// engine is full.
-    pub fn try_accept(&mut self, stream: usize, unread_tokens: f64) -> bool {
+    /// engine is full. Prompts wait by priority, behind the one that is being prefilled.
+    pub fn try_accept(&mut self, stream: usize, unread_tokens: f64, priority: u8) -> bool {
         let limit = SLOTS
             + if self.memory.is_some() {
                 QUEUE_SLOTS
@@ -66,13 +68,28 @@
             return false;
         }
         if unread_tokens > 0.0 {
-            self.prefilling.push_back((stream, unread_tokens));
+            self.priorities.insert(stream, priority);
+            let before = |other: &(usize, f64)| self.priority(other.0) <= priority;
+            let at = self
+                .prefilling
+                .iter()
+                .skip(1)
+                .take_while(|o| before(o))
+                .count()
+                + 1;
+            let at = at.min(self.prefilling.len());
+            self.prefilling.insert(at, (stream, unread_tokens));
         } else {
             self.generating.push(stream);
         }
         true
     }
 
+    /// Returns the priority of an accepted stream.
+    fn priority(&self, stream: usize) -> u8 {
+        self.priorities.get(&stream).copied().unwrap_or(0)
+    }
+
     /// Cancels a stream; its prompt stays in memory.
     pub fn cancel(&mut self, stream: usize) {
         self.prefilling.retain(|(other, _)| *other != stream);
--- a/crates/cassiareel-bench/src/relay/node.rs
+++ b/crates/cassiareel-bench/src/relay/node.rs
@@ -32,6 +32,7 @@
         let run = |(stream, tokens): (&usize, &f64)| RunningRequest {
             tokens: *tokens as u64,
             generated: streams[*stream].generated as u64,
+            priority: streams[*stream].class.priority,
         };
         self.0.push_back(EngineSnapshot {
             prefilling: engine.prefilling.len() as u64,
--- a/crates/cassiareel-bench/src/relay/pattern.rs
+++ b/crates/cassiareel-bench/src/relay/pattern.rs
@@ -41,6 +41,11 @@
     pub(super) flood_factor: f64,
     /// The busy time, as a range of fractions of the duration.
     pub(super) busy_part: std::ops::Range<f64>,
+    /// Numbers of nodes and engines.
+    pub(super) nodes: usize,
+    pub(super) engines: usize,
+    /// Fraction of streams of the higher priority; zero if all have one priority.
+    pub(super) premium_part: f64,
 }
 
 /// Number of client accounts, which all have the same usual rate.
@@ -60,6 +65,9 @@
             memory_tokens: None,
             flood_factor: 1.0,
             busy_part: 1.0 / 3.0..0.5,
+            nodes: 6,
+            engines: 36,
+            premium_part: 0.0,
         }
     }
 
@@ -86,6 +94,36 @@
         }
     }
 
+    /// Returns `factor` times the load for 15 seconds on a deployment of 70 nodes and 96 engines of
+    /// bounded memory, where a tenth of the streams have a higher priority and a shorter objective.
+    pub fn premium_overload(factor: f64) -> Pattern {
+        Pattern {
+            name: "overload of two priorities",
+            ..Pattern::overload(factor).with_premium()
+        }
+    }
+
+    /// Returns a load on the same deployment in which one account sends `factor` times its usual
+    /// rate for 8 seconds.
+    pub fn premium_flood(factor: f64) -> Pattern {
+        Pattern {
+            name: "flood of two priorities",
+            ..Pattern::flood(factor).with_premium()
+        }
+    }
+
+    /// Returns the load on 70 nodes and 96 engines, with a tenth of the streams of the higher
+    /// priority.
+    fn with_premium(self) -> Pattern {
+        Pattern {
+            rate: 25.0,
+            nodes: 70,
+            engines: 96,
+            premium_part: 0.1,
+            ..self
+        }
+    }
+
     /// Returns three times the load for a sixth of the duration.
     pub fn burst() -> Pattern {
         Pattern {
--- a/crates/cassiareel-bench/src/relay/policy.rs
+++ b/crates/cassiareel-bench/src/relay/policy.rs
@@ -1,6 +1,6 @@
 //! Policies that choose an engine for a prompt: the relay's own, and simple ones to compare with.
 
-use std::time::Duration;
+use std::{cell::RefCell, time::Duration};
 
 use cassiareel_relay::kernel::{
     choose, choose_least_loaded, choose_with_room, Candidate, EngineLoad, PromptDemand,
@@ -30,6 +30,8 @@
     pub refuse_late: bool,
     /// Whether streams start only where there is room, and accounts get their shares.
     pub admit: bool,
+    /// Whether streams of a lower priority leave room to those of a higher one.
+    pub order_priorities: bool,
 }
 
 /// The relay with all its decisions.
@@ -41,6 +43,7 @@
     find_prompt: true,
     refuse_late: true,
     admit: true,
+    order_priorities: true,
 };
 
 /// Simple policies, the relay as it was before it searched for the engines that hold prompts, and
@@ -82,6 +85,7 @@
     find_prompt: false,
     refuse_late: false,
     admit: false,
+    order_priorities: false,
 };
 
 /// The data that a policy may use.
@@ -100,6 +104,8 @@
     pub demand: Option<PromptDemand>,
     /// Memory of each engine in tokens; zero if unbounded.
     pub capacity: u64,
+    /// Priorities of the runs in the reports that were read.
+    pub seen: RefCell<Vec<u8>>,
 }
 
 /// Chooses an engine for a prompt.
@@ -195,7 +201,10 @@
 /// Returns the reported loads of engines, adjusted by the node's own unread prompts there.
 fn reported_loads(view: &View<'_>, probed: &[usize]) -> Vec<Option<EngineLoad>> {
     let to_load = |engine: &usize| Some(reported_load(view, *engine));
-    probed.iter().map(to_load).collect()
+    let loads: Vec<Option<EngineLoad>> = probed.iter().map(to_load).collect();
+    let runs = loads.iter().flatten().flat_map(|load| &load.runs);
+    view.seen.borrow_mut().extend(runs.map(|run| run.priority));
+    loads
 }
 
 /// Returns the reported load of one engine.
--- a/crates/cassiareel-bench/src/relay/result.rs
+++ b/crates/cassiareel-bench/src/relay/result.rs
@@ -2,7 +2,10 @@
 
 use std::fmt;
 
-use super::stream::Stream;
+use super::{
+    pattern::ACCOUNTS,
+    stream::{Class, Stream, PREMIUM, STANDARD},
+};
 
 /// The figures of one run.
 #[derive(Clone, Debug, Default)]
@@ -13,6 +16,10 @@
     pub in_time: usize,
     /// Fraction of streams that were complete and in time, of the accounts with their usual rate.
     pub others_in_time: f64,
+    /// Fractions of streams that were complete and in time, of the higher and the lower priority.
+    pub priority_in_time: [f64; 2],
+    /// The smallest fraction in time of streams of one account or of a third of the prompt sizes.
+    pub worst_in_time: f64,
     /// Number of streams that were refused.
     pub refused: usize,
     /// Number of tokens that were prefilled more than once.
@@ -32,6 +39,8 @@
         let served_others = other_accounts.iter().filter(|s| s.is_in_time()).count();
         Outcome {
             others_in_time: served_others as f64 / other_accounts.len().max(1) as f64,
+            priority_in_time: [PREMIUM, STANDARD].map(|class| in_time_part(streams, class)),
+            worst_in_time: worst_in_time(streams),
             stream_count: streams.len(),
             in_time: streams.iter().filter(|s| s.is_in_time()).count(),
             refused: streams.iter().filter(|s| s.refused).count(),
@@ -73,6 +82,29 @@
     }
 }
 
+/// Returns the fraction of the streams of a class that were complete and in time.
+fn in_time_part(streams: &[Stream], class: Class) -> f64 {
+    part_in_time(streams, |s| s.class == class)
+}
+
+/// Returns the smallest fraction in time of streams of one account or of a third of the prompt
+/// sizes.
+fn worst_in_time(streams: &[Stream]) -> f64 {
+    let accounts = (0..ACCOUNTS).map(|account| part_in_time(streams, |s| s.account == account));
+    let sizes = (0..3).map(|third| part_in_time(streams, |s| s.size_third() == third));
+    accounts.chain(sizes).fold(1.0, f64::min)
+}
+
+/// Returns the fraction of some of the streams that were complete and in time.
+fn part_in_time<F>(streams: &[Stream], counts: F) -> f64
+where
+    F: Fn(&Stream) -> bool,
+{
+    let counted: Vec<&Stream> = streams.iter().filter(|s| counts(s)).collect();
+    let in_time = counted.iter().filter(|s| s.is_in_time()).count();
+    in_time as f64 / counted.len().max(1) as f64
+}
+
 fn sorted<I>(values: I) -> Vec<f64>
 where
     I: Iterator<Item = f64>,
--- a/crates/cassiareel-bench/src/relay/run.rs
+++ b/crates/cassiareel-bench/src/relay/run.rs
@@ -1,11 +1,11 @@
 //! Simulates a load pattern in time steps.
 
-use std::time::Duration;
+use std::{cell::RefCell, time::Duration};
 
 use cassiareel_relay::{
     kernel::{
-        AdmissionRequest, EndedStream, PromptDemand, ServiceSpeeds, HOLD_POLL_INTERVAL,
-        MAX_HOLD_PART,
+        max_wait, AdmissionRequest, EndedStream, PromptDemand, Rivals, ServiceSpeeds,
+        HOLD_POLL_INTERVAL, MAX_HOLD_PART,
     },
     model::{AccountId, Prompt, ServiceId},
     settings::Admission,
@@ -17,15 +17,13 @@
     pattern::{Pattern, ACCOUNTS},
     policy::{policy, reported_load, NodeConfig, Policy, View},
     result::Outcome,
-    stream::{Stream, StreamState, MAX_FIRST_EVENT_MS},
+    stream::{Class, Stream, StreamState, ONLY_CLASS, PREMIUM, PROMPT_TOKENS, STANDARD},
 };
 
 /// Duration of a time step in milliseconds.
 const STEP_MS: f64 = 5.0;
 
-/// Numbers of engines, nodes and data centres.
-const ENGINES: usize = 36;
-const NODES: usize = 6;
+/// Number of data centres.
 const DATA_CENTRES: usize = 3;
 
 /// Probability that a crash of a data centre includes an engine there.
@@ -51,20 +49,34 @@
 }
 
 /// Returns nodes without load.
-fn new_nodes() -> Vec<LocalLoad> {
-    (0..NODES).map(|_| LocalLoad::new(ENGINES)).collect()
+fn new_nodes(pattern: &Pattern) -> Vec<LocalLoad> {
+    (0..pattern.nodes)
+        .map(|_| LocalLoad::new(pattern.engines))
+        .collect()
 }
 
-/// Returns the admission request of a stream of an account.
-fn admission_request(account: usize) -> AdmissionRequest {
+/// Returns the admission request of a stream.
+fn admission_request(stream: &Stream) -> AdmissionRequest {
     AdmissionRequest {
-        account: AccountId::from(account.to_string()),
-        priority: 0,
+        account: AccountId::from(stream.account.to_string()),
+        priority: stream.class.priority,
         weight: 1.0,
         cost: 1.0,
     }
 }
 
+/// The priorities and objectives of the streams where there are two.
+const CLASSES: [(u8, Duration); 2] = [
+    (
+        PREMIUM.priority,
+        Duration::from_millis(PREMIUM.objective_ms as u64),
+    ),
+    (
+        STANDARD.priority,
+        Duration::from_millis(STANDARD.objective_ms as u64),
+    ),
+];
+
 fn millis(time: f64) -> Duration {
     Duration::from_secs_f64(time.max(0.0) / 1000.0)
 }
@@ -104,10 +116,10 @@
             load_rng: fastrand::Rng::with_seed(seed),
             policy_rng: fastrand::Rng::with_seed(!seed),
             now: 0.0,
-            engines: (0..ENGINES).map(engine).collect(),
-            registered_starts: vec![0; ENGINES],
-            reports: vec![Reports::default(); ENGINES],
-            nodes: new_nodes(),
+            engines: (0..pattern.engines).map(engine).collect(),
+            registered_starts: vec![0; pattern.engines],
+            reports: vec![Reports::default(); pattern.engines],
+            nodes: new_nodes(pattern),
             streams: Vec::new(),
             speeds: ServiceSpeeds::default(),
             service: ServiceId::from("model"),
@@ -137,7 +149,7 @@
             if !self.is_due(crash.at_ms) {
                 continue;
             }
-            for engine in 0..ENGINES {
+            for engine in 0..self.pattern.engines {
                 let hit = self.engines[engine].data_centre == crash.data_centre
                     && self.load_rng.f64() < CRASHED_PART;
                 if !hit {
@@ -148,7 +160,7 @@
                 }
             }
         }
-        for engine in 0..ENGINES {
+        for engine in 0..self.pattern.engines {
             let readmitted_at = self.engines[engine].up_at_ms - DOWNTIME_MS + REGISTRY_DELAY_MS;
             if readmitted_at > 0.0 && self.is_due(readmitted_at) {
                 self.registered_starts[engine] = self.engines[engine].starts;
@@ -170,7 +182,7 @@
                     self.streams[stream].copy = None;
                 }
             }
-            self.nodes = new_nodes();
+            self.nodes = new_nodes(self.pattern);
         }
         if self.is_due(node_outage.back_ms) {
             for stream in self.streams.iter_mut().filter(|s| s.resumed) {
@@ -195,14 +207,17 @@
         } else {
             self.load_rng.usize(1..ACCOUNTS)
         };
+        let class = self.draw_class();
         self.streams.push(Stream {
             account,
+            class,
             reserved_part: None,
             next_send: 0.0,
-            node: self.load_rng.usize(0..NODES),
+            node: self.load_rng.usize(0..self.pattern.nodes),
             arrived_at: self.now,
+            asked_at: self.now,
             deadline: self.now + self.pattern.deadline_ms,
-            prompt_tokens: self.load_rng.u64(3_400..7_000),
+            prompt_tokens: self.load_rng.u64(PROMPT_TOKENS),
             unread_tokens: 0,
             output_tokens: self.load_rng.f64() * 700.0 + 690.0,
             generated: 0.0,
@@ -216,6 +231,15 @@
         });
     }
 
+    /// Draws the class of a new stream.
+    fn draw_class(&mut self) -> Class {
+        match self.pattern.premium_part {
+            0.0 => ONLY_CLASS,
+            part if self.load_rng.f64() < part => PREMIUM,
+            _ => STANDARD,
+        }
+    }
+
     /// Sends all pending streams whose time has come.
     fn send_pending(&mut self) {
         for stream in 0..self.streams.len() {
@@ -236,7 +260,7 @@
         if let Some((engine, starts)) = self.streams[stream].copy.take() {
             let is_same_process =
                 self.engines[engine].starts == starts && self.engines[engine].up_at_ms <= self.now;
-            if is_same_process && self.engines[engine].try_accept(stream, 0.0) {
+            if is_same_process && self.engines[engine].try_accept(stream, 0.0, 0) {
                 self.engines[engine].cached_prompts.insert(stream);
                 self.note_start(stream, engine, 0);
                 return;
@@ -244,9 +268,9 @@
         }
         if self.config.find_prompt && self.streams[stream].resumed {
             let holds = |engine: &usize| self.engines[*engine].cached_prompts.contains(&stream);
-            let holder = (0..ENGINES).find(holds);
+            let holder = (0..self.pattern.engines).find(holds);
             if let Some(engine) = holder.filter(|e| self.engines[*e].up_at_ms <= self.now) {
-                if self.engines[engine].try_accept(stream, 0.0) {
+                if self.engines[engine].try_accept(stream, 0.0, 0) {
                     self.note_start(stream, engine, 0);
                     return;
                 }
@@ -281,7 +305,7 @@
         }
         let now = millis(self.now);
         let admitted = self.nodes[entry.node].load.admit(
-            &admission_request(entry.account),
+            &admission_request(entry),
             now,
             self.policy_rng.f64(),
         );
@@ -290,41 +314,99 @@
     }
 
     /// Returns the demand of a stream that has not started; `None` for others.
-    fn demand(&self, stream: usize) -> Option<PromptDemand> {
+    fn demand(&mut self, stream: usize) -> Option<PromptDemand> {
         let entry = &self.streams[stream];
         if !self.config.admit || entry.resumed || entry.generated > 0.0 {
             return None;
         }
-        Some(PromptDemand {
+        let demand = PromptDemand {
             input: entry.prompt_tokens,
             peak_tokens: entry.prompt_tokens + entry.output_tokens as u64,
             reserved_part: entry.reserved_part.unwrap_or(0.0),
             prefill_time: millis(entry.prompt_tokens as f64 / PREFILL_TOKENS_PER_MS),
-            max_wait: millis(MAX_FIRST_EVENT_MS * Admission::default().wait_part),
-        })
+            max_wait: self.max_wait(entry),
+            priority: entry.class.priority,
+            ..PromptDemand::default()
+        };
+        Some(self.apply_precedence(demand, stream))
+    }
+
+    /// Changes what a stream needs by the priorities that compete for engines.
+    fn apply_precedence(&mut self, demand: PromptDemand, stream: usize) -> PromptDemand {
+        if self.pattern.premium_part == 0.0 || !self.config.order_priorities {
+            return demand;
+        }
+        let entry = &self.streams[stream];
+        let (priority, objective) = (entry.class.priority, millis(entry.class.objective_ms));
+        let rivals = Rivals::new(&CLASSES, priority, objective);
+        let read = millis(entry.prompt_tokens as f64 / PREFILL_TOKENS_PER_MS);
+        let age = millis(self.now - entry.asked_at);
+        let left = objective.saturating_sub(age).saturating_sub(read);
+        let part = Admission::default().wait_part;
+        let priorities = &mut self.nodes[entry.node].load.priorities;
+        let precedence = priorities.precedence(rivals, priority, millis(self.now));
+        precedence.apply(demand, left, part)
+    }
+
+    /// Returns the longest time that a stream may wait for earlier ones.
+    fn max_wait(&self, stream: &Stream) -> Duration {
+        let part = Admission::default().wait_part;
+        if self.pattern.premium_part == 0.0 {
+            return millis(stream.class.objective_ms * part);
+        }
+        let read = millis(stream.prompt_tokens as f64 / PREFILL_TOKENS_PER_MS);
+        let objective = millis(stream.class.objective_ms);
+        let age = millis(self.now - stream.asked_at);
+        max_wait(objective, age, read, part)
     }
 
-    /// Refuses a stream.
+    /// Refuses a stream. Where there are two priorities, its caller comes back to another node at
+    /// the time that the refusal names, as long as its objective has not passed.
     fn refuse(&mut self, stream: usize) {
+        if self.pattern.premium_part > 0.0 && self.come_back(stream) {
+            return;
+        }
         self.streams[stream].state = StreamState::Ended;
         self.streams[stream].refused = true;
     }
 
+    /// Sends a refused stream to another node later. Returns `false` if no time is left to it.
+    fn come_back(&mut self, stream: usize) -> bool {
+        let Stream { node, class, .. } = self.streams[stream];
+        let load = &mut self.nodes[node].load;
+        let objective = millis(class.objective_ms);
+        let delay = load.retry_after(objective, millis(self.now), self.policy_rng.f64());
+        let asked_at = self.now + delay.as_secs_f64() * 1000.0;
+        if asked_at >= self.streams[stream].arrived_at + class.objective_ms {
+            return false;
+        }
+        let entry = &mut self.streams[stream];
+        entry.node = self.policy_rng.usize(0..self.pattern.nodes);
+        entry.asked_at = asked_at;
+        entry.next_send = asked_at;
+        entry.reserved_part = None;
+        true
+    }
+
     /// Sends a stream to the engine that the policy chooses. Engines that turn out to be gone or
     /// full are excluded.
     fn dispatch_prompt(&mut self, stream: usize) {
-        let (node, input) = (
-            self.streams[stream].node,
-            self.streams[stream].prompt_tokens,
-        );
+        let Stream {
+            node,
+            prompt_tokens: input,
+            class: Class { priority, .. },
+            ..
+        } = self.streams[stream];
         if !self.admit(stream) {
             self.refuse(stream);
             return;
         }
         let demand = self.demand(stream);
         let mut preference_rng = fastrand::Rng::with_seed(stream as u64);
-        let preference_ranks: Vec<f64> = (0..ENGINES).map(|_| preference_rng.f64()).collect();
-        let mut excluded = vec![false; ENGINES];
+        let preference_ranks: Vec<f64> = (0..self.pattern.engines)
+            .map(|_| preference_rng.f64())
+            .collect();
+        let mut excluded = vec![false; self.pattern.engines];
         loop {
             let view = View {
                 local: &self.nodes[node],
@@ -334,18 +416,22 @@
                 input,
                 demand,
                 capacity: self.pattern.memory_tokens.unwrap_or(0.0) as u64,
+                seen: RefCell::default(),
             };
-            let Some(engine) = self.policy.pick(&view, &mut self.policy_rng) else {
+            let picked = self.policy.pick(&view, &mut self.policy_rng);
+            let seen = view.seen.take();
+            let Some(engine) = picked else {
+                self.record_priorities(node, &seen);
                 let entry = &self.streams[stream];
                 if demand.is_some()
-                    && self.now - entry.arrived_at > MAX_FIRST_EVENT_MS * MAX_HOLD_PART
+                    && self.now - entry.asked_at > entry.class.objective_ms * MAX_HOLD_PART
                 {
-                    let (now, admission_request) =
-                        (millis(self.now), admission_request(entry.account));
+                    let (now, admission_request) = (millis(self.now), admission_request(entry));
                     self.nodes[node]
                         .load
                         .record_unserved(&admission_request, now);
                     self.refuse(stream);
+                    return;
                 }
                 self.streams[stream].next_send =
                     self.now + HOLD_POLL_INTERVAL.as_secs_f64() * 1000.0;
@@ -354,15 +440,18 @@
             if let Some(demand) = &demand {
                 let reported = reported_load(&view, engine);
                 let tokens_to_reserve = reported.tokens_to_reserve(demand) as f64;
-                if reported.is_tight(demand) && !self.engines[engine].has_room(tokens_to_reserve) {
+                let is_full =
+                    reported.is_tight(demand) && !self.engines[engine].has_room(tokens_to_reserve);
+                if is_full {
                     excluded[engine] = true;
                     continue;
                 }
             }
+            self.record_priorities(node, &seen);
             let is_registered = self.registered_starts[engine] == self.engines[engine].starts;
             let is_cached = self.engines[engine].cached_prompts.contains(&stream);
             let unread = if is_cached { 0 } else { input };
-            if is_registered && self.engines[engine].try_accept(stream, unread as f64) {
+            if is_registered && self.engines[engine].try_accept(stream, unread as f64, priority) {
                 let is_retry = self.streams[stream].generated > 0.0;
                 self.reread_tokens += if is_retry { unread } else { 0 };
                 self.note_start(stream, engine, unread);
@@ -372,6 +461,14 @@
         }
     }
 
+    /// Records the priorities of runs that a node has seen in reports.
+    fn record_priorities(&mut self, node: usize, seen: &[u8]) {
+        let now = millis(self.now);
+        let priorities = &mut self.nodes[node].load.priorities;
+        seen.iter()
+            .for_each(|priority| priorities.record(*priority, now));
+    }
+
     /// Records that an engine accepted a stream, and chooses the engine for the copy of its memory.
     fn note_start(&mut self, stream: usize, engine: usize, unread: u64) {
         let local = &mut self.nodes[self.streams[stream].node];
@@ -389,7 +486,7 @@
             return None;
         }
         let data_centre = self.engines[engine].data_centre;
-        let candidates: Vec<usize> = (0..ENGINES)
+        let candidates: Vec<usize> = (0..self.pattern.engines)
             .filter(|other| self.engines[*other].data_centre != data_centre)
             .collect();
         let holder = self.policy_rng.choice(candidates)?;
@@ -421,7 +518,7 @@
     }
 
     fn advance(&mut self) {
-        for engine in 0..ENGINES {
+        for engine in 0..self.pattern.engines {
             self.reports[engine].record(&self.engines[engine], &self.streams);
             for signal in self.engines[engine].advance(STEP_MS) {
                 match signal {
--- a/crates/cassiareel-bench/src/relay/stream.rs
+++ b/crates/cassiareel-bench/src/relay/stream.rs
@@ -3,8 +3,35 @@
 /// Number of tokens in an event.
 pub(super) const TOKENS_PER_EVENT: f64 = 8.0;
 
-/// Longest time to the first event that counts as in time, in milliseconds.
-pub(super) const MAX_FIRST_EVENT_MS: f64 = 4500.0;
+/// Numbers of tokens of prompts.
+pub(super) const PROMPT_TOKENS: std::ops::Range<u64> = 3_400..7_000;
+
+/// The priority of a stream, and its objective.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Class {
+    /// The priority, 0 being the highest.
+    pub priority: u8,
+    /// Longest time to the first event that counts as in time, in milliseconds.
+    pub objective_ms: f64,
+}
+
+/// The class of all streams where there is one priority.
+pub(super) const ONLY_CLASS: Class = Class {
+    priority: 0,
+    objective_ms: 4500.0,
+};
+
+/// The class of the streams of the higher priority.
+pub(super) const PREMIUM: Class = Class {
+    priority: 0,
+    objective_ms: 4000.0,
+};
+
+/// The class of the streams of the lower priority.
+pub(super) const STANDARD: Class = Class {
+    priority: 2,
+    objective_ms: 10_000.0,
+};
 
 /// Longest pause between events that counts as in time, in milliseconds.
 const MAX_PAUSE_MS: f64 = 700.0;
@@ -25,6 +52,8 @@
 pub(super) struct Stream {
     /// Index of the client account.
     pub account: usize,
+    /// The priority and the objective.
+    pub class: Class,
     /// Fraction of an engine's room that it leaves to others; `None` until it is admitted.
     pub reserved_part: Option<f64>,
     /// Time of the next attempt to send it while it is pending, in milliseconds.
@@ -33,6 +62,8 @@
     pub node: usize,
     /// Time of arrival in milliseconds.
     pub arrived_at: f64,
+    /// Time of arrival at its node in milliseconds; later where its caller came back.
+    pub asked_at: f64,
     /// Time at which its caller gives up, in milliseconds.
     pub deadline: f64,
     /// Number of prompt tokens.
@@ -76,6 +107,12 @@
         self.generated >= self.output_tokens
     }
 
+    /// Returns the third of all prompt sizes that its prompt belongs to, from 0.
+    pub fn size_third(&self) -> u64 {
+        let width = (PROMPT_TOKENS.end - PROMPT_TOKENS.start).div_ceil(3);
+        (self.prompt_tokens - PROMPT_TOKENS.start) / width
+    }
+
     /// Returns the number of events that the caller has received.
     pub fn events(&self) -> u64 {
         (self.generated / TOKENS_PER_EVENT) as u64
@@ -85,7 +122,7 @@
     pub fn is_in_time(&self) -> bool {
         let first = self
             .first_event
-            .is_some_and(|at| at - self.arrived_at <= MAX_FIRST_EVENT_MS);
+            .is_some_and(|at| at - self.arrived_at <= self.class.objective_ms);
         self.generated >= self.output_tokens && first && self.longest_pause <= MAX_PAUSE_MS
     }
 }
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -27,8 +27,8 @@
     clock,
     kernel::{
         choose_least_loaded, choose_most_cached, choose_with_room, max_wait, EngineLoad,
-        PromptDemand, RunningRequest, Shortage, EXTRA_PROBED_ENGINES, HOLD_POLL_INTERVAL,
-        MAX_HOLD_PART, PROBED_ENGINES,
+        Precedence, PromptDemand, Rivals, RunningRequest, Shortage, EXTRA_PROBED_ENGINES,
+        HOLD_POLL_INTERVAL, MAX_HOLD_PART, PROBED_ENGINES,
     },
     protocol::{MemoryCopy, Report},
     state::State,
@@ -160,7 +160,8 @@
     request: &Request,
 ) -> Result<ChosenEngine, PickError> {
     let mut candidates = CandidateSet::new(state, request, &[], Purpose::New);
-    let want = requirements(state, request);
+    let usual = requirements(state, request);
+    let mut want = usual;
     let mut asked = 0;
     let mut silent = None;
     let mut lack = None;
@@ -168,6 +169,7 @@
         let engines = candidates.take_preferred(batch);
         let loads = query_loads(state, request, &engines).await;
         asked += engines.len();
+        want = apply_precedence(state, request, usual);
         match claim_engine(state, request, &engines, loads, &want).await {
             Ok(chosen) => return Ok(chosen),
             Err(Some(found)) => lack = Some(found),
@@ -187,7 +189,9 @@
             info!(state.log, "no engine with capacity"; "request" => &*request.ask.id,
                 "service" => &*request.service, "tenant" => request.tenant.as_deref(),
                 "asked" => asked, "lack" => lack.name(), "tokens" => want.peak_tokens,
-                "patience_ms" => want.max_wait.as_millis() as u64, "reserve" => want.reserved_part);
+                "patience_ms" => want.max_wait.as_millis() as u64, "reserve" => want.reserved_part,
+                "priority" => request.priority, "left_part" => want.left_part,
+                "extra_fill" => want.extra_fill);
             Err(PickError::NoCapacity(lack))
         }
     }
@@ -278,9 +282,34 @@
         reserved_part: request.admitted.reserve,
         prefill_time: usual,
         max_wait: max_wait(objective, request.age(), read, part),
+        priority: request.priority,
+        ..PromptDemand::default()
     }
 }
 
+/// Changes what a request needs by the priorities that compete for the service's engines, as the
+/// engines' reports show.
+fn apply_precedence(state: &State, request: &Request, demand: PromptDemand) -> PromptDemand {
+    let read = state
+        .admission
+        .with_load(&request.service, |load| load.prefill_time(demand.input));
+    let objective = request.route.objective;
+    let left = objective.saturating_sub(request.age()).saturating_sub(read);
+    let part = state.settings.load().admission.wait_part;
+    precedence(state, request).apply(demand, left, part)
+}
+
+/// Returns how a request stands to those of other priorities of its service.
+fn precedence(state: &State, request: &Request) -> Precedence {
+    let (service, priority) = (&request.service, request.priority);
+    let rivals = state.catalog().map_or_else(Rivals::default, |catalog| {
+        catalog.rivals(service, priority, request.route.objective)
+    });
+    state.admission.with_load(service, |load| {
+        load.priorities.precedence(rivals, priority, clock::now())
+    })
+}
+
 /// Chooses the least loaded engine of the first few in the request's order of preference.
 async fn least_loaded(
     state: &Arc<State>,
@@ -319,6 +348,9 @@
     let fills = loads.iter().flatten().filter_map(EngineLoad::memory_fill);
     state.admission.with_load(&request.service, |load| {
         fills.for_each(|fill| load.record_fill(fill));
+        let now = clock::now();
+        let runs = loads.iter().flatten().flat_map(|engine| &engine.runs);
+        runs.for_each(|run| load.priorities.record(run.priority, now));
     });
     loads
 }
@@ -401,9 +433,10 @@
 /// Returns the requests for which an engine generates, from its report.
 fn running_requests(state: &State, request: &Request, report: &Report) -> Vec<RunningRequest> {
     let paces = state.speeds();
-    let run = |(tokens, events): &(u64, u64)| RunningRequest {
+    let run = |(tokens, events, priority): &(u64, u64, u64)| RunningRequest {
         tokens: *tokens,
         generated: paces.tokens(&request.service, *events),
+        priority: u8::try_from(*priority).unwrap_or(u8::MAX),
     };
     report.per_request.iter().map(run).collect()
 }
--- a/crates/cassiareel-relay/src/kernel/catalog.rs
+++ b/crates/cassiareel-relay/src/kernel/catalog.rs
@@ -1,8 +1,9 @@
 //! The configuration in force, indexed for requests: routes by host and path prefix, accounts by
 //! key.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use super::Rivals;
 use crate::model::{Account, AccountId, EngineShape, Limits, Policy, Route, ServiceId};
 
 /// An immutable index of one version of the configuration.
@@ -13,9 +14,13 @@
     keys: HashMap<String, KeyOwner>,
     requires_keys: bool,
     engines: HashMap<ServiceId, EngineShape>,
+    classes: HashMap<ServiceId, Vec<Class>>,
     limits: Limits,
 }
 
+/// The priority and the objective of a route for streams.
+type Class = (u8, Duration);
+
 /// The routes of one host by prefix.
 type Prefixes = HashMap<String, Arc<Route>>;
 
@@ -47,6 +52,7 @@
 impl Catalog {
     /// Indexes a version of the configuration.
     pub fn new(policy: Policy) -> Catalog {
+        let classes = index_classes(&policy.routes);
         let mut hosts: HashMap<String, Prefixes> = HashMap::new();
         for route in policy.routes {
             hosts
@@ -65,6 +71,7 @@
                 .filter_map(|s| s.engine.map(|engine| (s.name, engine)))
                 .collect(),
             limits: policy.limits,
+            classes,
         }
     }
 
@@ -83,6 +90,12 @@
         self.engines.get(service)
     }
 
+    /// Returns the rivals of a stream for the engines of a service.
+    pub fn rivals(&self, service: &str, priority: u8, objective: Duration) -> Rivals {
+        let classes = self.classes.get(service).map_or(&[][..], Vec::as_slice);
+        Rivals::new(classes, priority, objective)
+    }
+
     /// Finds the route and the client account of a request.
     pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Lookup {
         let Some(route) = self.route(host, path) else {
@@ -120,6 +133,21 @@
     }
 }
 
+/// Returns the priorities and objectives of each service's routes for streams.
+fn index_classes(routes: &[Route]) -> HashMap<ServiceId, Vec<Class>> {
+    let mut classes: HashMap<ServiceId, Vec<Class>> = HashMap::new();
+    for route in routes.iter().filter(|route| route.kind.is_stream()) {
+        for target in &route.targets {
+            let known = classes.entry(target.service.clone()).or_default();
+            let class = (route.priority, route.objective);
+            if !known.contains(&class) {
+                known.push(class);
+            }
+        }
+    }
+    classes
+}
+
 fn index_keys(accounts: Vec<Account>) -> HashMap<String, KeyOwner> {
     let mut keys = HashMap::new();
     for account in accounts {
--- a/crates/cassiareel-relay/src/kernel/engine_load.rs
+++ b/crates/cassiareel-relay/src/kernel/engine_load.rs
@@ -52,6 +52,8 @@
     pub tokens: u64,
     /// The part of these tokens that was generated.
     pub generated: u64,
+    /// Its priority, 0 being the highest.
+    pub priority: u8,
 }
 
 /// The load that an engine reported.
@@ -84,6 +86,12 @@
     pub prefill_time: Duration,
     /// The longest time that the prompt may wait for earlier ones.
     pub max_wait: Duration,
+    /// The priority, 0 being the highest.
+    pub priority: u8,
+    /// The part of an engine's places that is left to higher priorities.
+    pub left_part: f64,
+    /// The part of an engine's memory that it may fill besides the usual one.
+    pub extra_fill: f64,
 }
 
 /// The resource that an engine is short of.
@@ -123,10 +131,11 @@
             return None;
         }
         let usable = 1.0 - demand.reserved_part;
-        if self.slots > 0 && (requests + 1) as f64 > (self.slots as f64 * usable).max(1.0) {
+        let places = self.slots as f64 * usable - self.left_places(demand);
+        if self.slots > 0 && (requests + 1) as f64 > places.max(1.0) {
             return Some(Shortage::Place);
         }
-        let memory = self.capacity as f64 * MAX_MEMORY_FILL * usable;
+        let memory = self.capacity as f64 * (MAX_MEMORY_FILL + demand.extra_fill) * usable;
         if self.capacity > 0 && self.peak_tokens(demand) > memory {
             return Some(Shortage::Memory);
         }
@@ -155,6 +164,7 @@
         let unread = RunningRequest {
             tokens: demand.input,
             generated: 0,
+            priority: demand.priority,
         };
         let coming = std::iter::repeat_n(unread, self.prefilling as usize + 1);
         let mut runs: Vec<RunningRequest> = self.runs.iter().copied().chain(coming).collect();
@@ -170,6 +180,17 @@
         peak as f64
     }
 
+    /// Returns the number of places that are left to higher priorities: their part of all places,
+    /// less the ones that they have.
+    fn left_places(&self, demand: &PromptDemand) -> f64 {
+        let part = (self.slots as f64 * demand.left_part).floor();
+        if part < 1.0 {
+            return 0.0;
+        }
+        let higher = self.runs.iter().filter(|r| r.priority < demand.priority);
+        (part - higher.count() as f64).max(0.0)
+    }
+
     /// Returns the memory to reserve for the new prompt and for the growth of all running requests,
     /// in tokens. The reservation fails if others took that memory since the engine's report.
     pub fn tokens_to_reserve(&self, demand: &PromptDemand) -> u64 {
--- a/crates/cassiareel-relay/src/kernel/engine_load_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/engine_load_tests.rs
@@ -63,6 +63,9 @@
     reserved_part: 0.0,
     prefill_time: Duration::from_secs(1),
     max_wait: Duration::from_millis(1500),
+    priority: 0,
+    left_part: 0.0,
+    extra_fill: 0.0,
 };
 
 /// Returns the load of an engine whose generating requests are half done.
@@ -70,6 +73,7 @@
     let run = RunningRequest {
         tokens: 5500,
         generated: 500,
+        priority: 0,
     };
     EngineLoad {
         prefilling,
--- a/crates/cassiareel-relay/src/kernel/load.rs
+++ b/crates/cassiareel-relay/src/kernel/load.rs
@@ -10,7 +10,7 @@
 
 use cassiareel::kernel::admission::{Throttle, Throttled};
 
-use super::SendRate;
+use super::{PriorityDemand, SendRate};
 use crate::{
     clock::Moment,
     model::{AccountId, Prompt},
@@ -68,6 +68,8 @@
     throttle: Throttle<(AccountId, u8)>,
     /// The bound on sends, if it is a plain service.
     pub sends: SendRate,
+    /// The demand by priority, if it runs a model.
+    pub priorities: PriorityDemand,
     /// The average cost of a request, in prompt tokens.
     mean_cost: f64,
     /// The average length of a prompt, in tokens.
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -41,6 +41,9 @@
 mod placement;
 #[cfg(test)]
 mod placement_tests;
+mod precedence;
+#[cfg(test)]
+mod precedence_tests;
 mod read_schedule;
 #[cfg(test)]
 mod read_schedule_tests;
@@ -91,6 +94,7 @@
 pub use load::{max_wait, AdmissionRequest, ServiceLoad};
 pub use order_book::{BookChanges, KnownOrder, OrderBook};
 pub use placement::{choose, Candidate, RequestDemand};
+pub use precedence::{Precedence, PriorityDemand, Rivals};
 pub use read_schedule::{remaining, ReadSchedule};
 pub use registry::{Registry, RegistryChanges};
 pub use rollout::{state_to_report, Exposure, Judge, RolloutDecision, Tally, MIN_SHARE};
--- a/crates/cassiareel-relay/src/protocol.rs
+++ b/crates/cassiareel-relay/src/protocol.rs
@@ -177,8 +177,9 @@
     pub events: u64,
     /// Requests for which the engine generates.
     pub generating: u64,
-    /// For each request for which the engine generates, its tokens in memory and its events.
-    pub per_request: Vec<(u64, u64)>,
+    /// For each request for which the engine generates, its tokens in memory, its events
+    /// and its priority.
+    pub per_request: Vec<(u64, u64, u64)>,
     /// Memory in use that can't be freed, in tokens.
     pub used_tokens: u64,
     /// All of the engine's memory, in tokens; zero where it is not reported.
