Engines: a place that is found goes to the held stream that goes first

Each held stream queried engines on its own, so that a place went to whichever asked next. Where a service's routes have a higher priority with a shorter objective, a stream that finds room passes it to the held one of its node with the higher priority, or else with less time left, if it needs no more memory.

--- a/crates/cassiareel-bench/src/relay/run.rs
+++ b/crates/cassiareel-bench/src/relay/run.rs
@@ -1,6 +1,6 @@
 //! Simulates a load pattern in time steps.
 
-use std::{cell::RefCell, time::Duration};
+use std::{cell::RefCell, cmp::Ordering, time::Duration};
 
 use cassiareel_relay::{
     kernel::{
@@ -433,8 +433,7 @@
                     self.refuse(stream);
                     return;
                 }
-                self.streams[stream].next_send =
-                    self.now + HOLD_POLL_INTERVAL.as_secs_f64() * 1000.0;
+                self.hold(stream);
                 return;
             };
             if let Some(demand) = &demand {
@@ -448,6 +447,10 @@
                 }
             }
             self.record_priorities(node, &seen);
+            if demand.is_some() && self.pass_place(stream, engine) {
+                self.hold(stream);
+                return;
+            }
             let is_registered = self.registered_starts[engine] == self.engines[engine].starts;
             let is_cached = self.engines[engine].cached_prompts.contains(&stream);
             let unread = if is_cached { 0 } else { input };
@@ -461,6 +464,45 @@
         }
     }
 
+    /// Holds a stream until its next attempt.
+    fn hold(&mut self, stream: usize) {
+        self.streams[stream].next_send = self.now + HOLD_POLL_INTERVAL.as_secs_f64() * 1000.0;
+    }
+
+    /// Passes an engine with room to the held stream of the node that goes first: of a higher
+    /// priority, or with less time left. Returns `false` if no stream goes before this one.
+    fn pass_place(&mut self, stream: usize, engine: usize) -> bool {
+        if self.pattern.premium_part == 0.0 || !self.config.order_priorities {
+            return false;
+        }
+        let rank = |s: &Stream| (s.class.priority, s.asked_at + s.class.objective_ms);
+        let (node, own) = (self.streams[stream].node, &self.streams[stream]);
+        let needed = |s: &Stream| s.prompt_tokens as f64 + s.output_tokens;
+        let goes_before = |other: &usize| {
+            let held = &self.streams[*other];
+            let is_held = held.state == StreamState::Pending && held.reserved_part.is_some();
+            is_held && held.node == node && rank(held) < rank(own) && needed(held) <= needed(own)
+        };
+        let held = (0..self.streams.len()).filter(goes_before);
+        let first = held.min_by(|a, b| {
+            let ranks = (rank(&self.streams[*a]), rank(&self.streams[*b]));
+            ranks.0.partial_cmp(&ranks.1).unwrap_or(Ordering::Equal)
+        });
+        let Some(first) = first else {
+            return false;
+        };
+        let Stream {
+            prompt_tokens,
+            class,
+            ..
+        } = self.streams[first];
+        if !self.engines[engine].try_accept(first, prompt_tokens as f64, class.priority) {
+            return false;
+        }
+        self.note_start(first, engine, prompt_tokens);
+        true
+    }
+
     /// Records the priorities of runs that a node has seen in reports.
     fn record_priorities(&mut self, node: usize, seen: &[u8]) {
         let now = millis(self.now);
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -128,6 +128,12 @@
             .collect()
     }
 
+    /// Reports whether the request may be sent to the backend server with this number.
+    pub(super) fn allows(&self, number: u64) -> bool {
+        let position = self.members.iter().position(|m| m.number == number);
+        position.is_some_and(|index| !self.candidates[index].excluded)
+    }
+
     /// Returns the best candidate that was not tried, and marks it as tried.
     fn take_next(&mut self) -> Option<Arc<Backend>> {
         let chosen = choose(&self.candidates, self.need, fastrand::f64)?;
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -10,9 +10,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cassiareel::kernel::quota::Purpose;
+use cassiareel::{kernel::quota::Purpose, runtime::within};
 use futures_util::future::join_all;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use smol::Timer;
 
 use super::{
@@ -24,7 +24,8 @@
 };
 use crate::{
     backends::Backend,
-    clock,
+    clock::{self, Moment},
+    holds::{EnginePlace, HoldRank},
     kernel::{
         choose_least_loaded, choose_most_cached, choose_with_room, max_wait, EngineLoad,
         Precedence, PromptDemand, Rivals, RunningRequest, Shortage, EXTRA_PROBED_ENGINES,
@@ -96,6 +97,15 @@
         }
     }
 
+    /// Returns an engine that another stream passed on.
+    fn from_place(place: EnginePlace) -> ChosenEngine {
+        ChosenEngine {
+            idle: place.idle,
+            reservation: place.reservation,
+            ..ChosenEngine::without_load(place.member)
+        }
+    }
+
     /// Returns an engine with the load that it reported, if any.
     fn with_load(member: &Arc<Backend>, reported: Option<&EngineLoad>) -> ChosenEngine {
         ChosenEngine {
@@ -144,6 +154,9 @@
     request: &Request,
 ) -> Result<ChosenEngine, PickError> {
     let end = request.arrived + request.route.objective.mul_f64(MAX_HOLD_PART);
+    if rivals(state, request) != Rivals::default() {
+        return wait_in_order(state, request, end).await;
+    }
     loop {
         let found = find_with_capacity(state, request).await;
         let full = matches!(found, Err(PickError::NoCapacity(_)));
@@ -154,6 +167,67 @@
     }
 }
 
+/// Queries engines until one has capacity, and passes it to the held stream of the node that goes
+/// first.
+async fn wait_in_order(
+    state: &Arc<State>,
+    request: &Request,
+    end: Moment,
+) -> Result<ChosenEngine, PickError> {
+    let rank = (request.priority, request.arrived + request.route.objective);
+    let tokens = request.ask.prompt.peak_tokens();
+    loop {
+        let found = find_with_capacity(state, request).await;
+        let error = match found {
+            Ok(chosen) => match pass_place(state, request, rank, chosen) {
+                Some(own) => return Ok(own),
+                None => PickError::NoCapacity(Shortage::Place),
+            },
+            Err(PickError::NoEngine) => return Err(PickError::NoEngine),
+            Err(error) => error,
+        };
+        if clock::now() + HOLD_POLL_INTERVAL > end {
+            return Err(error);
+        }
+        let hold = state.holds.hold(&request.service, rank, tokens);
+        let passed = within(HOLD_POLL_INTERVAL, hold.place()).await.flatten();
+        let Some(place) = passed.or_else(|| hold.take()) else {
+            continue;
+        };
+        if let Some(chosen) = accept_place(state, request, place) {
+            return Ok(chosen);
+        }
+    }
+}
+
+/// Passes an engine to a held stream that goes before the request; returns it if there is none.
+fn pass_place(
+    state: &State,
+    request: &Request,
+    rank: HoldRank,
+    chosen: ChosenEngine,
+) -> Option<ChosenEngine> {
+    let tokens = request.ask.prompt.peak_tokens();
+    let place = EnginePlace {
+        member: chosen.member,
+        idle: chosen.idle,
+        reservation: chosen.reservation,
+    };
+    let own = state.holds.pass(&request.service, rank, tokens, place);
+    if own.is_none() {
+        debug!(state.log, "place passed on"; "request" => &*request.ask.id,
+            "service" => &*request.service, "priority" => request.priority);
+    }
+    own.map(ChosenEngine::from_place)
+}
+
+/// Accepts an engine that another stream passed on, if the request may use it.
+fn accept_place(state: &State, request: &Request, place: EnginePlace) -> Option<ChosenEngine> {
+    let is_usable =
+        CandidateSet::new(state, request, &[], Purpose::New).allows(place.member.number);
+    is_usable.then(|| ChosenEngine::from_place(place))
+}
+
 /// Queries a few engines for capacity, and then more of them if the first have none.
 async fn find_with_capacity(
     state: &Arc<State>,
@@ -301,12 +375,17 @@
 
 /// Returns how a request stands to those of other priorities of its service.
 fn precedence(state: &State, request: &Request) -> Precedence {
-    let (service, priority) = (&request.service, request.priority);
-    let rivals = state.catalog().map_or_else(Rivals::default, |catalog| {
-        catalog.rivals(service, priority, request.route.objective)
-    });
-    state.admission.with_load(service, |load| {
-        load.priorities.precedence(rivals, priority, clock::now())
+    let rivals = rivals(state, request);
+    state.admission.with_load(&request.service, |load| {
+        load.priorities
+            .precedence(rivals, request.priority, clock::now())
+    })
+}
+
+/// Returns the other priorities of a request's service by the routes.
+fn rivals(state: &State, request: &Request) -> Rivals {
+    state.catalog().map_or_else(Rivals::default, |catalog| {
+        catalog.rivals(&request.service, request.priority, request.route.objective)
     })
 }
 
--- a/crates/cassiareel-relay/src/kernel/precedence.rs
+++ b/crates/cassiareel-relay/src/kernel/precedence.rs
@@ -111,7 +111,7 @@
             return Precedence::default();
         }
         let (higher, lower) = self.parts(priority, now);
-        let yields = higher >= MIN_URGENT_PART && higher <= MAX_FIRST_PART;
+        let yields = (MIN_URGENT_PART..=MAX_FIRST_PART).contains(&higher);
         Precedence {
             yields_to: rivals.shorter.filter(|_| yields),
             higher_part: if yields && rivals.shorter.is_some() {
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -25,6 +25,9 @@
 pub mod duties;
 mod follow;
 mod front;
+mod holds;
+#[cfg(test)]
+mod holds_tests;
 pub mod kernel;
 pub mod metrics;
 pub mod model;
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -29,6 +29,7 @@
     admission::Admission,
     backends::{Backend, Backends},
     clock::{self, Moment},
+    holds::{EnginePlace, Holds},
     kernel::{
         accepts_during_shutdown, Catalog, ConfigFreshness, DataCentreHealth, ReadSchedule,
         RetryBudget, RetryCause, RunTimes, ServiceSpeeds, Shutdown,
@@ -80,6 +81,8 @@
     pub rollouts: Rollouts,
     /// The admission of requests.
     pub admission: Admission,
+    /// The streams that wait for an engine with room.
+    pub holds: Holds<EnginePlace>,
     /// The limits that backend servers name for the whole fleet.
     pub server_limits: FleetLimits,
     /// Nodes that are not in the list of the fleet's nodes yet.
@@ -160,6 +163,7 @@
             backends: Backends::new(spawner.clone()),
             rollouts: Rollouts::default(),
             admission: Admission::default(),
+            holds: Holds::default(),
             server_limits,
             unlisted_nodes: UnlistedNodes::default(),
             protocol,
