--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -112,6 +112,15 @@
         ))
     }
 
+    /// Reports whether a candidate that was not tried has a free slot, by a recent report.
+    pub(super) fn has_free_slot(&self) -> bool {
+        let usable = |candidate: &&Candidate| !candidate.excluded && !candidate.tried;
+        self.candidates
+            .iter()
+            .filter(usable)
+            .any(Candidate::has_free_slot)
+    }
+
     /// Returns up to `limit` of the best candidates that were not tried, and marks them as tried.
     pub(super) fn take_preferred(&mut self, limit: usize) -> Vec<Arc<Backend>> {
         std::iter::from_fn(|| self.take_next())
@@ -119,6 +128,12 @@
             .collect()
     }
 
+    /// Reports whether the request may be sent to the backend server with this number.
+    pub(super) fn allows(&self, number: u64) -> bool {
+        let position = self.members.iter().position(|m| m.number == number);
+        position.is_some_and(|index| !self.candidates[index].excluded)
+    }
+
     /// Returns the best candidate that was not tried, and marks it as tried.
     fn take_next(&mut self) -> Option<Arc<Backend>> {
         let chosen = choose(&self.candidates, self.need, fastrand::f64)?;
@@ -209,8 +224,14 @@
             input: prompt.input.max(1),
             peak_tokens: prompt.peak_tokens(),
             capacity: Some(engine.capacity),
+            contended: false,
+        },
+        None => RequestDemand {
+            contended: state
+                .admission
+                .with_load(&request.service, |load| load.sends.is_bounded()),
+            ..RequestDemand::default()
         },
-        None => RequestDemand::default(),
     }
 }
 
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -10,9 +10,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cassiareel::kernel::quota::Purpose;
+use cassiareel::{kernel::quota::Purpose, runtime::within};
 use futures_util::future::join_all;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use smol::Timer;
 
 use super::{
@@ -24,11 +24,12 @@
 };
 use crate::{
     backends::Backend,
-    clock,
+    clock::{self, Moment},
+    holds::{EnginePlace, HoldRank},
     kernel::{
         choose_least_loaded, choose_most_cached, choose_with_room, max_wait, EngineLoad,
-        PromptDemand, RunningRequest, Shortage, EXTRA_PROBED_ENGINES, HOLD_POLL_INTERVAL,
-        MAX_HOLD_PART, PROBED_ENGINES,
+        Precedence, PromptDemand, Rivals, RunningRequest, Shortage, EXTRA_PROBED_ENGINES,
+        HOLD_POLL_INTERVAL, MAX_HOLD_PART, PROBED_ENGINES,
     },
     protocol::{MemoryCopy, Report},
     state::State,
@@ -96,6 +97,15 @@
         }
     }
 
+    /// Returns an engine that another stream passed on.
+    fn from_place(place: EnginePlace) -> ChosenEngine {
+        ChosenEngine {
+            idle: place.idle,
+            reservation: place.reservation,
+            ..ChosenEngine::without_load(place.member)
+        }
+    }
+
     /// Returns an engine with the load that it reported, if any.
     fn with_load(member: &Arc<Backend>, reported: Option<&EngineLoad>) -> ChosenEngine {
         ChosenEngine {
@@ -144,6 +154,9 @@
     request: &Request,
 ) -> Result<ChosenEngine, PickError> {
     let end = request.arrived + request.route.objective.mul_f64(MAX_HOLD_PART);
+    if rivals(state, request) != Rivals::default() {
+        return wait_in_order(state, request, end).await;
+    }
     let mut waiting = None;
     loop {
         let found = find_with_capacity(state, request).await;
@@ -156,13 +169,75 @@
     }
 }
 
+/// Queries engines until one has capacity, and passes it to the held stream of the node that goes
+/// first.
+async fn wait_in_order(
+    state: &Arc<State>,
+    request: &Request,
+    end: Moment,
+) -> Result<ChosenEngine, PickError> {
+    let rank = (request.priority, request.arrived + request.route.objective);
+    let tokens = request.ask.prompt.peak_tokens();
+    loop {
+        let found = find_with_capacity(state, request).await;
+        let error = match found {
+            Ok(chosen) => match pass_place(state, request, rank, chosen) {
+                Some(own) => return Ok(own),
+                None => PickError::NoCapacity(Shortage::Place),
+            },
+            Err(PickError::NoEngine) => return Err(PickError::NoEngine),
+            Err(error) => error,
+        };
+        if clock::now() + HOLD_POLL_INTERVAL > end {
+            return Err(error);
+        }
+        let hold = state.holds.hold(&request.service, rank, tokens);
+        let passed = within(HOLD_POLL_INTERVAL, hold.place()).await.flatten();
+        let Some(place) = passed.or_else(|| hold.take()) else {
+            continue;
+        };
+        if let Some(chosen) = accept_place(state, request, place) {
+            return Ok(chosen);
+        }
+    }
+}
+
+/// Passes an engine to a held stream that goes before the request; returns it if there is none.
+fn pass_place(
+    state: &State,
+    request: &Request,
+    rank: HoldRank,
+    chosen: ChosenEngine,
+) -> Option<ChosenEngine> {
+    let tokens = request.ask.prompt.peak_tokens();
+    let place = EnginePlace {
+        member: chosen.member,
+        idle: chosen.idle,
+        reservation: chosen.reservation,
+    };
+    let own = state.holds.pass(&request.service, rank, tokens, place);
+    if own.is_none() {
+        debug!(state.log, "place passed on"; "request" => &*request.ask.id,
+            "service" => &*request.service, "priority" => request.priority);
+    }
+    own.map(ChosenEngine::from_place)
+}
+
+/// Accepts an engine that another stream passed on, if the request may use it.
+fn accept_place(state: &State, request: &Request, place: EnginePlace) -> Option<ChosenEngine> {
+    let is_usable =
+        CandidateSet::new(state, request, &[], Purpose::New).allows(place.member.number);
+    is_usable.then(|| ChosenEngine::from_place(place))
+}
+
 /// Queries a few engines for capacity, and then more of them if the first have none.
 async fn find_with_capacity(
     state: &Arc<State>,
     request: &Request,
 ) -> Result<ChosenEngine, PickError> {
     let mut candidates = CandidateSet::new(state, request, &[], Purpose::New);
-    let want = requirements(state, request);
+    let usual = requirements(state, request);
+    let mut want = usual;
     let mut asked = 0;
     let mut silent = None;
     let mut lack = None;
@@ -170,6 +245,7 @@
         let engines = candidates.take_preferred(batch);
         let loads = query_loads(state, request, &engines).await;
         asked += engines.len();
+        want = apply_precedence(state, request, usual);
         match claim_engine(state, request, &engines, loads, &want).await {
             Ok(chosen) => return Ok(chosen),
             Err(Some(found)) => lack = Some(found),
@@ -189,7 +265,9 @@
             info!(state.log, "no engine with capacity"; "request" => &*request.ask.id,
                 "service" => &*request.service, "tenant" => request.tenant.as_deref(),
                 "asked" => asked, "lack" => lack.name(), "tokens" => want.peak_tokens,
-                "patience_ms" => want.max_wait.as_millis() as u64, "reserve" => want.reserved_part);
+                "patience_ms" => want.max_wait.as_millis() as u64, "reserve" => want.reserved_part,
+                "priority" => request.priority, "left_part" => want.left_part,
+                "extra_fill" => want.extra_fill);
             Err(PickError::NoCapacity(lack))
         }
     }
@@ -280,9 +358,39 @@
         reserved_part: request.admitted.reserve,
         prefill_time: usual,
         max_wait: max_wait(objective, request.age(), read, part),
+        priority: request.priority,
+        ..PromptDemand::default()
     }
 }
 
+/// Changes what a request needs by the priorities that compete for the service's engines, as the
+/// engines' reports show.
+fn apply_precedence(state: &State, request: &Request, demand: PromptDemand) -> PromptDemand {
+    let read = state
+        .admission
+        .with_load(&request.service, |load| load.prefill_time(demand.input));
+    let objective = request.route.objective;
+    let left = objective.saturating_sub(request.age()).saturating_sub(read);
+    let part = state.settings.load().admission.wait_part;
+    precedence(state, request).apply(demand, left, part)
+}
+
+/// Returns how a request stands to those of other priorities of its service.
+fn precedence(state: &State, request: &Request) -> Precedence {
+    let rivals = rivals(state, request);
+    state.admission.with_load(&request.service, |load| {
+        load.priorities
+            .precedence(rivals, request.priority, clock::now())
+    })
+}
+
+/// Returns the other priorities of a request's service by the routes.
+fn rivals(state: &State, request: &Request) -> Rivals {
+    state.catalog().map_or_else(Rivals::default, |catalog| {
+        catalog.rivals(&request.service, request.priority, request.route.objective)
+    })
+}
+
 /// Chooses the least loaded engine of the first few in the request's order of preference.
 async fn least_loaded(
     state: &Arc<State>,
@@ -321,6 +429,9 @@
     let fills = loads.iter().flatten().filter_map(EngineLoad::memory_fill);
     state.admission.with_load(&request.service, |load| {
         fills.for_each(|fill| load.record_fill(fill));
+        let now = clock::now();
+        let runs = loads.iter().flatten().flat_map(|engine| &engine.runs);
+        runs.for_each(|run| load.priorities.record(run.priority, now));
     });
     loads
 }
@@ -403,9 +514,10 @@
 /// Returns the requests for which an engine generates, from its report.
 fn running_requests(state: &State, request: &Request, report: &Report) -> Vec<RunningRequest> {
     let paces = state.speeds();
-    let run = |(tokens, events): &(u64, u64)| RunningRequest {
+    let run = |(tokens, events, priority): &(u64, u64, u64)| RunningRequest {
         tokens: *tokens,
         generated: paces.tokens(&request.service, *events),
+        priority: u8::try_from(*priority).unwrap_or(u8::MAX),
     };
     report.per_request.iter().map(run).collect()
 }
--- a/crates/cassiareel-relay/src/kernel/catalog.rs
+++ b/crates/cassiareel-relay/src/kernel/catalog.rs
@@ -4,8 +4,10 @@
 use std::{
     collections::{BTreeMap, HashMap},
     sync::Arc,
+    time::Duration,
 };
 
+use super::Rivals;
 use crate::model::{
     Account, AccountId, EngineShape, Limits, Policy, Route, ScaleBounds, Service, ServiceId,
 };
@@ -19,9 +21,13 @@
     requires_keys: bool,
     engines: HashMap<ServiceId, EngineShape>,
     scales: BTreeMap<ServiceId, ScaleBounds>,
+    classes: HashMap<ServiceId, Vec<Class>>,
     limits: Limits,
 }
 
+/// The priority and the objective of a route for streams.
+type Class = (u8, Duration);
+
 /// The routes of one host by prefix.
 type Prefixes = HashMap<String, Arc<Route>>;
 
@@ -53,6 +59,7 @@
 impl Catalog {
     /// Indexes a version of the configuration.
     pub fn new(policy: Policy) -> Catalog {
+        let classes = index_classes(&policy.routes);
         let mut hosts: HashMap<String, Prefixes> = HashMap::new();
         for route in policy.routes {
             hosts
@@ -72,6 +79,7 @@
                 .filter_map(|s| s.engine.map(|engine| (s.name, engine)))
                 .collect(),
             limits: policy.limits,
+            classes,
         }
     }
 
@@ -100,6 +108,12 @@
         self.scales.iter()
     }
 
+    /// Returns the rivals of a stream for the engines of a service.
+    pub fn rivals(&self, service: &str, priority: u8, objective: Duration) -> Rivals {
+        let classes = self.classes.get(service).map_or(&[][..], Vec::as_slice);
+        Rivals::new(classes, priority, objective)
+    }
+
     /// Finds the route and the client account of a request.
     pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Lookup {
         let Some(route) = self.route(host, path) else {
@@ -144,6 +158,21 @@
     scaled.collect()
 }
 
+/// Returns the priorities and objectives of each service's routes for streams.
+fn index_classes(routes: &[Route]) -> HashMap<ServiceId, Vec<Class>> {
+    let mut classes: HashMap<ServiceId, Vec<Class>> = HashMap::new();
+    for route in routes.iter().filter(|route| route.kind.is_stream()) {
+        for target in &route.targets {
+            let known = classes.entry(target.service.clone()).or_default();
+            let class = (route.priority, route.objective);
+            if !known.contains(&class) {
+                known.push(class);
+            }
+        }
+    }
+    classes
+}
+
 fn index_keys(accounts: Vec<Account>) -> HashMap<String, KeyOwner> {
     let mut keys = HashMap::new();
     for account in accounts {
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -49,6 +49,9 @@
 mod placement;
 #[cfg(test)]
 mod placement_tests;
+mod precedence;
+#[cfg(test)]
+mod precedence_tests;
 mod read_schedule;
 #[cfg(test)]
 mod read_schedule_tests;
@@ -66,6 +69,9 @@
 mod run_times_tests;
 #[cfg(test)]
 mod samples;
+mod send_rate;
+#[cfg(test)]
+mod send_rate_tests;
 mod share_draw;
 #[cfg(test)]
 mod share_draw_tests;
@@ -110,11 +116,13 @@
 pub use load::{max_wait, AdmissionRequest, ServiceLoad};
 pub use order_book::{BookChanges, KnownOrder, OrderBook};
 pub use placement::{choose, Candidate, RequestDemand};
+pub use precedence::{Precedence, PriorityDemand, Rivals};
 pub use read_schedule::{remaining, ReadSchedule};
 pub use refusal_pause::RefusalPause;
 pub use registry::{Registry, RegistryChanges};
 pub use rollout::{state_to_report, Exposure, Judge, RolloutDecision, Tally, MIN_SHARE};
 pub use run_times::{ExpectedTimes, RunTimes};
+pub use send_rate::SendRate;
 pub use share_draw::ShareDraw;
 pub use shutdown::{
     accepts_during_shutdown, Shutdown, ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN,
--- a/crates/cassiareel-relay/src/state.rs
+++ b/crates/cassiareel-relay/src/state.rs
@@ -31,6 +31,7 @@
     backends::{Backend, Backends},
     clock::{self, millis, Moment},
     duties::NodeDemand,
+    holds::{EnginePlace, Holds},
     kernel::{
         accepts_during_shutdown, remaining, Catalog, ConfigFreshness, DataCentreHealth,
         ReadSchedule, RefusalPause, RetryBudget, RetryCause, RunTimes, ServiceSpeeds, Shutdown,
@@ -94,6 +95,8 @@
     pub admission: Admission,
     /// The demand for services whose size follows it.
     pub demand: NodeDemand,
+    /// The streams that wait for an engine with room.
+    pub holds: Holds<EnginePlace>,
     /// The limits that backend servers name for the whole fleet.
     pub server_limits: FleetLimits,
     /// The usage meter, where a duty needs it.
@@ -193,6 +196,7 @@
             rollouts: Rollouts::default(),
             admission: Admission::default(),
             demand: NodeDemand::default(),
+            holds: Holds::default(),
             server_limits,
             unlisted_nodes: UnlistedNodes::default(),
             protocol,
