Load header: read the fourth figure, how long work takes at this moment

Servers of some deployments add to their load how long work takes on their machine now (100 is as usual). The parser ignored it. It is now read from 1 to 2,000; any other value is ignored and the three counts hold. Each backend server keeps it as kernel::WorkPace, whose deviation from the usual halves each 100 ms and ends after 500 ms; Candidate::work_factor carries it. Nothing is chosen by it yet. The log line 'sent' carries it as work_percent.

--- a/crates/cassiareel-bench/src/plain/run.rs
+++ b/crates/cassiareel-bench/src/plain/run.rs
@@ -123,6 +123,7 @@
                     running,
                     waiting,
                     slots: self.pattern.slots as u32,
+                    work_percent: None,
                 };
                 self.answer(
                     request,
--- a/crates/cassiareel-bench/src/plain/server.rs
+++ b/crates/cassiareel-bench/src/plain/server.rs
@@ -20,6 +20,7 @@
             running: self.running as u32,
             waiting: self.waiting.len() as u32,
             slots: slots as u32,
+            work_percent: None,
         }
     }
 }
--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -19,7 +19,7 @@
 use crate::{
     backoff::{Backoff, Backoffs},
     clock::{self, millis, Moment},
-    kernel::{Candidate, Health},
+    kernel::{Candidate, Health, WorkPace},
     model::{Entry, Phase, ServiceId},
     net::Pool,
     protocol::Load,
@@ -59,6 +59,7 @@
 struct ReportedLoad {
     others: u32,
     at: Moment,
+    pace: WorkPace,
 }
 
 impl Backend {
@@ -98,6 +99,7 @@
             report_age: now.saturating_sub(reported.at),
             latency: health.latency(),
             service_time: health.service_time(),
+            work_factor: reported.pace.factor(now),
             error_rate: health.error_rate(),
             suspect: health.is_suspect(now),
             preference_rank: 0.0,
@@ -110,10 +112,10 @@
     pub(crate) fn note_load(&self, load: Load, now: Moment) {
         let own = self.open_requests.load(Ordering::Relaxed);
         let all = load.running + load.waiting;
-        *lock(&self.reported) = ReportedLoad {
-            others: all.saturating_sub(own),
-            at: now,
-        };
+        let mut reported = lock(&self.reported);
+        reported.others = all.saturating_sub(own);
+        reported.at = now;
+        reported.pace.record(load.work_percent, now);
     }
 
     /// Returns the key of its process, which is the same on all nodes.
--- a/crates/cassiareel-relay/src/front/send.rs
+++ b/crates/cassiareel-relay/src/front/send.rs
@@ -72,6 +72,14 @@
             SendOutcome::TimedOut => String::new(),
         }
     }
+
+    /// Returns the work time that the response reports, in hundredths of the usual one, for logs.
+    fn work_percent(&self) -> Option<u32> {
+        match self {
+            SendOutcome::Head(head) => head.answer.load?.work_percent,
+            _ => None,
+        }
+    }
 }
 
 /// The head of a response, and the connection from which its body is still to be read.
@@ -155,7 +163,7 @@
         "outcome" => sent.name(), "detail" => sent.detail(),
         "backup" => options.backup.as_ref().map(|b| b.entry.id.to_string()),
         "from_copy" => options.copy.is_some(), "after" => options.last_event,
-        "took_ms" => took.as_millis() as u64);
+        "work_percent" => sent.work_percent(), "took_ms" => took.as_millis() as u64);
     sent
 }
 
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -73,6 +73,9 @@
 mod verdict_replace_model_tests;
 #[cfg(test)]
 mod verdict_restore_model_tests;
+mod work_pace;
+#[cfg(test)]
+mod work_pace_tests;
 
 pub use backoff::{Backoff, StoreStatus};
 pub use baseline::{Baseline, Baselines, LogTimes};
@@ -101,3 +104,4 @@
     accepts_during_shutdown, Shutdown, ANSWER_MARGIN, BALANCER_DELAY, HAND_OVER_MARGIN,
 };
 pub use speeds::{EndedStream, ServiceSpeeds};
+pub use work_pace::WorkPace;
--- a/crates/cassiareel-relay/src/kernel/placement.rs
+++ b/crates/cassiareel-relay/src/kernel/placement.rs
@@ -64,6 +64,9 @@
     pub latency: Option<f64>,
     /// The mean time to an answer without a wait, in milliseconds.
     pub service_time: Option<f64>,
+    /// How long work takes there at this moment, as a factor of its mean; `None` if the backend
+    /// server reports no work times.
+    pub work_factor: Option<f64>,
     /// The share of its answers that fail.
     pub error_rate: f64,
     /// Its place in the prompt's order of preference, from 0 for the most preferred one to 1.
--- a/crates/cassiareel-relay/src/protocol.rs
+++ b/crates/cassiareel-relay/src/protocol.rs
@@ -162,6 +162,8 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, where it is reported. 100 is as usual.
+    pub work_percent: Option<u32>,
 }
 
 /// The part of an engine's report that concerns one request. A report is some hundred milliseconds
