Plain services: choose by work times and usual loads

Cause: a node of a large fleet hears of a server about once a second. The rule let reports fade to nothing within a second, so that servers with old reports counted as idle and were overrun in turns.

Change: where a usable server of a plain service reports work times, old reports approach the server's usual load, the time is the server's mean times its reported work time (half believed after 50 ms), and the random part is Gumbel's. kernel::ReportedLoad keeps the state. Services without work times and engines are chosen as before.

--- a/crates/cassiareel-bench/src/plain/mod.rs
+++ b/crates/cassiareel-bench/src/plain/mod.rs
@@ -6,12 +6,15 @@
 the rest. The seed determines what arrives; sums over accounts in a hash map make runs differ a little.
 */
 
+mod choice;
 mod node;
 mod pattern;
 mod result;
 mod run;
 mod server;
+mod speed;
 
+pub use choice::{Choice, Estimate};
 pub use node::Rules;
 pub use pattern::PlainPattern;
 pub use result::PlainOutcome;
--- a/crates/cassiareel-bench/src/plain/node.rs
+++ b/crates/cassiareel-bench/src/plain/node.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use cassiareel_relay::{
-    kernel::{choose, max_wait, AdmissionRequest, Candidate, Health, RequestDemand, ServiceLoad},
+    kernel::{
+        max_wait, AdmissionRequest, Candidate, Health, ReportedLoad, RequestDemand, ServiceLoad,
+    },
     protocol::Load,
     settings::Admission,
 };
 
-use super::run::millis;
+use super::{choice::Choice, run::millis};
 
 /// The decisions of nodes.
 #[derive(Clone, Copy, Debug)]
@@ -17,6 +19,8 @@
     pub name: &'static str,
     /// Whether nodes bound their sends by the queues that their answers show.
     pub bound_sends: bool,
+    /// How a server is chosen.
+    pub choice: Choice,
 }
 
 impl Rules {
@@ -24,11 +28,13 @@
     pub const UNBOUNDED: Rules = Rules {
         name: "unbounded",
         bound_sends: false,
+        choice: Choice::Relay,
     };
     /// The relay's decisions.
     pub const RELAY: Rules = Rules {
         name: "relay",
         bound_sends: true,
+        choice: Choice::Relay,
     };
 }
 
@@ -36,8 +42,7 @@
 #[derive(Clone, Debug, Default)]
 struct Known {
     open: u32,
-    others: u32,
-    reported_at: Duration,
+    reported: ReportedLoad,
     health: Health,
 }
 
@@ -88,7 +93,7 @@
             contended: self.load.sends.is_bounded(),
             ..RequestDemand::default()
         };
-        let chosen = choose(&candidates, demand, || random.f64())?;
+        let chosen = rules.choice.choose(&candidates, demand, random)?;
         let patience = patience(request, now - request.arrived);
         let is_first = request.tried.is_empty();
         let has_slot = |candidate: &Candidate| !candidate.tried && candidate.has_free_slot();
@@ -112,11 +117,13 @@
             local: server % 3 == request.node % 3,
             slots: slots as u32,
             open_requests: known.open,
-            other_requests: known.others,
-            report_age: millis(now).saturating_sub(known.reported_at),
+            other_requests: known.reported.others(),
+            usual_requests: known.reported.usual_others(millis(now)),
+            report_age: known.reported.age(millis(now)),
             latency: known.health.latency(),
             service_time: known.health.service_time(),
             error_rate: known.health.error_rate(),
+            work_factor: known.reported.work_factor(millis(now)),
             tried: request.tried.contains(&server),
             ..Candidate::default()
         }
@@ -133,8 +140,11 @@
     ) {
         let now = answer.now;
         let known = &mut self.known[server];
-        known.others = (answer.load.running + answer.load.waiting).saturating_sub(known.open);
-        known.reported_at = millis(now);
+        let requests = answer.load.running + answer.load.waiting;
+        let percent = answer.load.work_percent;
+        known
+            .reported
+            .record(requests, known.open, percent, millis(now));
         known.open -= 1;
         if !answer.ran {
             if rules.bound_sends && self.candidate(server, slots, request, now).is_full() {
--- a/crates/cassiareel-bench/src/plain/pattern.rs
+++ b/crates/cassiareel-bench/src/plain/pattern.rs
@@ -23,6 +23,8 @@
     pub burst_ms: Range<f64>,
     /// Time during which requests arrive, in milliseconds.
     pub duration_ms: f64,
+    /// Whether servers differ in speed, and change it all the time.
+    pub uneven: bool,
 }
 
 impl PlainPattern {
@@ -38,6 +40,18 @@
             burst,
             burst_ms: 5_000.0..17_000.0,
             duration_ms: 22_000.0,
+            uneven: false,
+        }
+    }
+
+    /// Returns a steady load of `usual` times the capacity of servers of uneven speed.
+    pub fn uneven(nodes: usize, servers: usize, usual: f64) -> PlainPattern {
+        PlainPattern {
+            usual,
+            burst_ms: 0.0..0.0,
+            duration_ms: 30_000.0,
+            uneven: true,
+            ..PlainPattern::burst(nodes, servers, usual)
         }
     }
 
--- a/crates/cassiareel-bench/src/plain/result.rs
+++ b/crates/cassiareel-bench/src/plain/result.rs
@@ -25,6 +25,10 @@
     pub calm_asked: usize,
     /// Those that were served in time.
     pub calm_in_time: usize,
+    /// Requests that waited while a slot of another server was free, times the milliseconds.
+    pub idle_wait_ms: f64,
+    /// The work at each server, its requests over its speed, each 100 ms.
+    pub work: Vec<f64>,
     /// Requests that the servers could have run in the burst.
     pub capacity: f64,
 }
@@ -42,6 +46,8 @@
         self.refusal_ms.extend(other.refusal_ms);
         self.calm_asked += other.calm_asked;
         self.calm_in_time += other.calm_in_time;
+        self.idle_wait_ms += other.idle_wait_ms;
+        self.work.extend(other.work);
         self.capacity += other.capacity;
         self
     }
@@ -63,14 +69,28 @@
 
     /// Returns a quantile of the time from arrival to refusal, in milliseconds.
     pub fn refusal_quantile(&self, quantile: f64) -> f64 {
-        let mut times = self.refusal_ms.clone();
-        times.sort_by(f64::total_cmp);
-        let index = (times.len() as f64 * quantile) as usize;
-        times
-            .get(index.min(times.len().saturating_sub(1)))
-            .copied()
-            .unwrap_or(0.0)
+        self::quantile(&self.refusal_ms, quantile)
     }
+
+    /// Returns the 99th percentile of the work at a server over the mean.
+    pub fn work_excess(&self) -> f64 {
+        let mean = self.work.iter().sum::<f64>() / self.work.len().max(1) as f64;
+        quantile(&self.work, 0.99) / mean.max(f64::EPSILON)
+    }
+
+    /// Returns the time that a request waits on the mean while a slot of another server is free, in
+    /// milliseconds.
+    pub fn mean_idle_wait(&self) -> f64 {
+        self.idle_wait_ms / (self.asked + self.calm_asked).max(1) as f64
+    }
+}
+
+fn quantile(values: &[f64], quantile: f64) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let index = (sorted.len() as f64 * quantile) as usize;
+    let last = sorted.len().saturating_sub(1);
+    sorted.get(index.min(last)).copied().unwrap_or(0.0)
 }
 
 impl fmt::Display for PlainOutcome {
--- a/crates/cassiareel-bench/src/plain/run.rs
+++ b/crates/cassiareel-bench/src/plain/run.rs
@@ -13,6 +13,7 @@
     pattern::PlainPattern,
     result::PlainOutcome,
     server::Server,
+    speed::Speed,
 };
 
 /// Objectives of requests, in milliseconds.
@@ -30,6 +31,9 @@
 /// Servers that may reject a request before it is given up.
 const MAX_REFUSALS: usize = 4;
 
+/// Time between measurements of the work at servers, in milliseconds.
+const SAMPLE_MS: f64 = 100.0;
+
 /// Microseconds in a millisecond, the unit of event times.
 const MICROS: f64 = 1000.0;
 
@@ -42,6 +46,8 @@
 enum Event {
     /// The next request arrives at a node.
     Arrival,
+    /// The work at servers is measured.
+    Sample,
     /// A request arrives at a server.
     AtServer { request: usize, server: usize },
     /// A server has done the work of a request.
@@ -53,6 +59,7 @@
         ran: bool,
         running: u32,
         waiting: u32,
+        work_percent: Option<u32>,
     },
 }
 
@@ -61,6 +68,7 @@
     rules: Rules,
     nodes: Vec<Node>,
     servers: Vec<Server>,
+    speeds: Vec<Speed>,
     requests: BTreeMap<usize, Request>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     scheduled: u64,
@@ -79,6 +87,7 @@
             .map(|_| Node::new(pattern.servers))
             .collect(),
         servers: vec![Server::default(); pattern.servers],
+        speeds: speeds(pattern, seed),
         requests: BTreeMap::new(),
         events: BinaryHeap::new(),
         scheduled: 0,
@@ -88,14 +97,27 @@
         outcome: PlainOutcome::default(),
     };
     run.schedule(0.0, Event::Arrival);
+    run.schedule(SAMPLE_MS, Event::Sample);
     while let Some(Reverse((at, _, event))) = run.events.pop() {
-        run.now = at as f64 / MICROS;
+        let now = at as f64 / MICROS;
+        run.outcome.idle_wait_ms += (now - run.now) * run.waiting_beside_idle();
+        run.now = now;
         run.handle(event);
     }
     run.outcome.capacity = pattern.burst_capacity();
     run.outcome
 }
 
+/// Returns the speeds of a pattern's servers.
+fn speeds(pattern: &PlainPattern, seed: u64) -> Vec<Speed> {
+    let last = pattern.servers.saturating_sub(1).max(1) as f64;
+    let speed = |server: usize| match pattern.uneven {
+        true => Speed::uneven(server as f64 / last, seed * 1000 + server as u64),
+        false => Speed::even(),
+    };
+    (0..pattern.servers).map(speed).collect()
+}
+
 impl Run<'_> {
     fn schedule(&mut self, after_ms: f64, event: Event) {
         self.scheduled += 1;
@@ -110,6 +132,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival => self.arrive(),
+            Event::Sample => self.sample(),
             Event::AtServer { request, server } => self.reach(request, server),
             Event::Done { request, server } => self.finish(request, server),
             Event::Answered {
@@ -118,12 +141,13 @@
                 ran,
                 running,
                 waiting,
+                work_percent,
             } => {
                 let load = cassiareel_relay::protocol::Load {
                     running,
                     waiting,
                     slots: self.pattern.slots as u32,
-                    work_percent: None,
+                    work_percent,
                 };
                 self.answer(
                     request,
@@ -138,6 +162,30 @@
         }
     }
 
+    /// Returns the number of requests that wait while a slot of another server is free.
+    fn waiting_beside_idle(&self) -> f64 {
+        let waiting: usize = self.servers.iter().map(|server| server.waiting.len()).sum();
+        let slots = self.pattern.slots;
+        let free: usize = self
+            .servers
+            .iter()
+            .map(|server| slots - server.running)
+            .sum();
+        waiting.min(free) as f64
+    }
+
+    /// Measures the work at each server: its requests over its speed.
+    fn sample(&mut self) {
+        if self.now > self.pattern.duration_ms {
+            return;
+        }
+        for (server, speed) in self.servers.iter().zip(&mut self.speeds) {
+            let requests = server.running + server.waiting.len();
+            self.outcome.work.push(requests as f64 / speed.at(self.now));
+        }
+        self.schedule(SAMPLE_MS, Event::Sample);
+    }
+
     fn arrive(&mut self) {
         let gap = -self.random.f64().max(1e-12).ln() / self.pattern.rate_at(self.now) * 1000.0;
         if self.now + gap < self.pattern.duration_ms {
@@ -222,10 +270,8 @@
     fn begin(&mut self, request: usize, server: usize) {
         self.servers[server].running += 1;
         let factor = WORK_RANGE.start + self.random.f64() * (WORK_RANGE.end - WORK_RANGE.start);
-        self.schedule(
-            self.pattern.work_ms * factor,
-            Event::Done { request, server },
-        );
+        let took = self.speeds[server].time_of(self.pattern.work_ms * factor, self.now);
+        self.schedule(took, Event::Done { request, server });
     }
 
     fn finish(&mut self, id: usize, server: usize) {
@@ -245,6 +291,7 @@
             ran,
             running: load.running,
             waiting: load.waiting,
+            work_percent: self.speeds[server].work_percent(self.now),
         };
         self.schedule(way, event);
     }
--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -19,7 +19,7 @@
 use crate::{
     backoff::{Backoff, Backoffs},
     clock::{self, millis, Moment},
-    kernel::{Candidate, Health, WorkPace},
+    kernel::{Candidate, Health, ReportedLoad},
     model::{Entry, Phase, ServiceId},
     net::Pool,
     protocol::Load,
@@ -54,14 +54,6 @@
     health: Mutex<Health>,
 }
 
-/// The load that it reported last.
-#[derive(Clone, Copy, Debug, Default)]
-struct ReportedLoad {
-    others: u32,
-    at: Moment,
-    pace: WorkPace,
-}
-
 impl Backend {
     fn new(number: u64, entry: Entry, backoff: Arc<Backoff>, spawner: &Spawner) -> Backend {
         Backend {
@@ -95,11 +87,12 @@
             open_requests: self.open_requests.load(Ordering::Relaxed),
             unread_tokens: self.unread_tokens.load(Ordering::Relaxed),
             peak_tokens: self.tokens.load(Ordering::Relaxed),
-            other_requests: reported.others,
-            report_age: now.saturating_sub(reported.at),
+            other_requests: reported.others(),
+            usual_requests: reported.usual_others(now),
+            report_age: reported.age(now),
             latency: health.latency(),
             service_time: health.service_time(),
-            work_factor: reported.pace.factor(now),
+            work_factor: reported.work_factor(now),
             error_rate: health.error_rate(),
             suspect: health.is_suspect(now),
             preference_rank: 0.0,
@@ -111,11 +104,8 @@
     /// Records a load that the backend server reported.
     pub(crate) fn note_load(&self, load: Load, now: Moment) {
         let own = self.open_requests.load(Ordering::Relaxed);
-        let all = load.running + load.waiting;
-        let mut reported = lock(&self.reported);
-        reported.others = all.saturating_sub(own);
-        reported.at = now;
-        reported.pace.record(load.work_percent, now);
+        let requests = load.running + load.waiting;
+        lock(&self.reported).record(requests, own, load.work_percent, now);
     }
 
     /// Returns the key of its process, which is the same on all nodes.
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -47,6 +47,9 @@
 mod registry;
 #[cfg(test)]
 mod registry_tests;
+mod reported_load;
+#[cfg(test)]
+mod reported_load_tests;
 mod rollout;
 #[cfg(test)]
 mod rollout_tests;
@@ -96,6 +99,7 @@
 pub use placement::{choose, Candidate, RequestDemand};
 pub use read_schedule::{remaining, ReadSchedule};
 pub use registry::{Registry, RegistryChanges};
+pub use reported_load::ReportedLoad;
 pub use rollout::{state_to_report, Exposure, Judge, RolloutDecision, Tally, MIN_SHARE};
 pub use run_times::{ExpectedTimes, RunTimes};
 pub use send_rate::SendRate;
--- a/crates/cassiareel-relay/src/kernel/placement.rs
+++ b/crates/cassiareel-relay/src/kernel/placement.rs
@@ -4,7 +4,8 @@
 A node knows its own open requests exactly, and those of others only from loads that are reported
 late. Many nodes see the same late reports; if all of them chose the least loaded backend server,
 their requests would meet there. The estimate therefore adds a random part as large as the
-uncertainty, and own open requests count in full.
+uncertainty, and own open requests count in full. Backend servers that report how long work takes at
+the moment are compared by that and by their usual loads (docs/design/even-load.md).
 
 For engines, each prompt has its own order of preference, the same on all nodes: a caller that
 reconnects after a node or a connection was lost finds its prompt still in memory, without any node
@@ -22,9 +23,23 @@
 /// keeps nodes with reports of the same moment from sending to the same server.
 const CONTENDED_SPREAD: f64 = 0.33;
 
+/// The age at which a reported load counts half and the usual one half, where backend servers report
+/// work times.
+const PACED_HALF_LIFE: Duration = Duration::from_millis(150);
+
+/// The scale of the random part of the cost there, as a part of the service time.
+const PACED_SPREAD: f64 = 0.3;
+
+/// The cost of full slots there, as a multiple of the service time. An estimate below the number of
+/// slots is often wrong, so a request may wait although the estimate shows none.
+const PACED_FILL_COST: f64 = 2.0;
+
 /// The cost of another data centre, in milliseconds of waiting.
 const REMOTE_COST_MS: f64 = 2.0;
 
+/// The time to an answer assumed of a backend server that has given none, in milliseconds.
+const UNKNOWN_SERVICE_MS: f64 = 50.0;
+
 /// The prompt tokens that an engine prefills in a millisecond, assumed in estimates.
 const PREFILL_TOKENS_PER_MS: f64 = 5.0;
 
@@ -58,7 +73,9 @@
     pub peak_tokens: u64,
     /// The number of other nodes' requests there, according to the last load report.
     pub other_requests: u32,
-    /// The age of that report.
+    /// The number of other nodes' requests there that is usual, according to all load reports.
+    pub usual_requests: f64,
+    /// The age of the last report.
     pub report_age: Duration,
     /// The mean time to an answer in milliseconds.
     pub latency: Option<f64>,
@@ -100,6 +117,23 @@
         f64::from(self.open_requests) + f64::from(self.other_requests) * 0.5f64.powf(half_lives)
     }
 
+    /// Returns the number of the node's own open requests plus those of others, which approach the
+    /// usual number as their report ages.
+    fn expected_requests(&self) -> f64 {
+        let half_lives = self.report_age.as_secs_f64() / PACED_HALF_LIFE.as_secs_f64();
+        let deviation = f64::from(self.other_requests) - self.usual_requests;
+        f64::from(self.open_requests) + self.usual_requests + deviation * (-half_lives).exp2()
+    }
+
+    /// Returns the cost of its distance.
+    fn remote_cost(&self) -> f64 {
+        if self.local {
+            0.0
+        } else {
+            REMOTE_COST_MS
+        }
+    }
+
     /// Reports whether a recent report showed that it had a free slot.
     pub fn has_free_slot(&self) -> bool {
         self.report_age < REPORT_HALF_LIFE && self.open_requests + self.other_requests < self.slots
@@ -126,10 +160,15 @@
     R: FnMut() -> f64,
 {
     let errors = mean_error_rate(candidates);
+    let paced = demand.input == 0 && candidates.iter().any(|c| c.work_factor.is_some());
     let mut best: Option<(u32, f64, usize)> = None;
     for (i, candidate) in candidates.iter().enumerate().filter(|(_, c)| !c.excluded) {
         let class = class(candidate, demand);
-        let cost = cost(candidate, demand, errors, random());
+        let cost = match paced {
+            true => paced_cost(candidate, random()),
+            false => cost(candidate, demand, random()),
+        };
+        let cost = cost + failure_cost(candidate, errors);
         let better = best.is_none_or(|(c, k, _)| (class, cost) < (c, k));
         if better {
             best = Some((class, cost, i));
@@ -148,33 +187,44 @@
 }
 
 /// Returns a rough estimate of the time until the request is served, in milliseconds.
-fn cost(candidate: &Candidate, demand: RequestDemand, errors: f64, random: f64) -> f64 {
+fn cost(candidate: &Candidate, demand: RequestDemand, random: f64) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
     let requests = candidate.estimated_requests();
-    let remote = if candidate.local { 0.0 } else { REMOTE_COST_MS };
-    let failing = (candidate.error_rate - errors - ERROR_RATE_TOLERANCE).max(0.0) * ERROR_COST_MS;
+    let remote = candidate.remote_cost();
     if demand.input > 0 {
         let prefill = candidate.unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
         let preference = candidate.preference_rank * PREFERENCE_COST_MS;
-        return prefill
-            + requests * BATCH_DELAY_MS
-            + preference
-            + remote
-            + failing
-            + random * BATCH_DELAY_MS;
+        return prefill + requests * BATCH_DELAY_MS + preference + remote + random * BATCH_DELAY_MS;
     }
     if demand.contended {
         let wait = candidate.expected_wait().as_secs_f64() * 1000.0;
         let spread = candidate.service_time.unwrap_or(0.0) * CONTENDED_SPREAD;
-        return wait + remote + failing + spread * gumbel(random);
+        return wait + remote + spread * gumbel(random);
     }
-    let took = candidate.latency.unwrap_or(50.0);
+    let took = candidate.latency.unwrap_or(UNKNOWN_SERVICE_MS);
     let queue = (requests + random - slots + 1.0).max(0.0);
-    took * (1.0 + queue / slots)
-        + took * requests / slots * 0.3
-        + remote
-        + failing
-        + random * took * 0.1
+    took * (1.0 + queue / slots) + took * requests / slots * 0.3 + remote + random * took * 0.1
+}
+
+/// Returns the estimate for a plain service whose backend servers report work times.
+///
+/// An old report says nothing of the queue, but the mean of reports tells which servers usually have
+/// one: those of low speed, or those that other nodes prefer.
+fn paced_cost(candidate: &Candidate, random: f64) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let requests = candidate.expected_requests();
+    let queue = (requests + 1.0 - slots).max(0.0);
+    let mean = candidate.service_time.unwrap_or(UNKNOWN_SERVICE_MS);
+    let took = mean * candidate.work_factor.unwrap_or(1.0);
+    let times = 1.0 + (queue + requests * PACED_FILL_COST) / slots;
+    // The random part can be negative, and would favour slow machines if it grew with their factor.
+    let spread = mean * PACED_SPREAD * gumbel(random);
+    took * times + spread + candidate.remote_cost()
+}
+
+/// Returns the cost of a candidate that fails more often than its service, in milliseconds.
+fn failure_cost(candidate: &Candidate, errors: f64) -> f64 {
+    (candidate.error_rate - errors - ERROR_RATE_TOLERANCE).max(0.0) * ERROR_COST_MS
 }
 
 /// Returns a number of Gumbel's distribution for a uniform one from 0 to 1. Costs with such parts
--- a/crates/cassiareel-relay/src/kernel/placement_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/placement_tests.rs
@@ -21,6 +21,16 @@
     }
 }
 
+/// A backend server of a plain service that reports work times.
+fn paced() -> Candidate {
+    Candidate {
+        slots: 6,
+        service_time: Some(60.0),
+        work_factor: Some(1.0),
+        ..candidate()
+    }
+}
+
 struct Case {
     demand: RequestDemand,
     /// A candidate that must not be chosen, and one that must.
@@ -55,12 +65,46 @@
     Candidate { slots: 6, error_rate: 0.6, ..candidate() },
     Candidate { slots: 6, error_rate: 0.14, open_requests: 3, ..candidate() },
 ]}; "a backend server that fails far more often than its service")]
+#[test_case(&Case { demand: RequestDemand::default(), pair: [
+    Candidate { work_factor: Some(4.0), ..paced() },
+    Candidate { work_factor: Some(1.0), open_requests: 1, ..paced() },
+]}; "a machine that is slow now")]
+#[test_case(&Case { demand: RequestDemand::default(), pair: [
+    Candidate { usual_requests: 9.0, report_age: Duration::from_secs(2), ..paced() },
+    Candidate { usual_requests: 2.0, other_requests: 4, report_age: Duration::from_secs(2), ..paced() },
+]}; "an old report of an idle server that usually has a queue")]
+#[test_case(&Case { demand: RequestDemand::default(), pair: [
+    Candidate { usual_requests: 3.0, other_requests: 12, ..paced() },
+    Candidate { usual_requests: 5.0, other_requests: 2, work_factor: None, ..paced() },
+]}; "a new report of a queue, beside a server that reports no work time")]
+#[test_case(&Case { demand: RequestDemand::default(), pair: [
+    Candidate { error_rate: 0.6, work_factor: Some(0.5), ..paced() },
+    Candidate { error_rate: 0.14, open_requests: 3, ..paced() },
+]}; "a fast backend server that fails far more often than its service")]
+#[test_case(&Case { demand: ENGINE_DEMAND, pair: [
+    Candidate { unread_tokens: 5_000, work_factor: Some(0.25), ..candidate() },
+    Candidate { open_requests: 2, work_factor: Some(4.0), ..candidate() },
+]}; "work times say nothing of engines")]
 fn the_load_decides(case: &Case) {
     for random in [0.0, 0.5, 0.99] {
         assert_eq!(choose(&case.pair, case.demand, || random), Some(1));
     }
 }
 
+/// Usual loads must not change how services without work times are served.
+#[test]
+fn usual_loads_decide_only_where_work_times_are_reported() {
+    let at = |usual_requests| Candidate {
+        usual_requests,
+        work_factor: None,
+        ..paced()
+    };
+    for random in [0.0, 0.5, 0.99] {
+        let chosen = choose(&[at(30.0), at(0.0)], RequestDemand::default(), || random);
+        assert_eq!(chosen, Some(0));
+    }
+}
+
 #[test]
 fn nothing_is_chosen_if_all_are_excluded() {
     let excluded = Candidate {
--- a/crates/cassiareel-relay/src/kernel/work_pace.rs
+++ b/crates/cassiareel-relay/src/kernel/work_pace.rs
@@ -5,11 +5,11 @@
 use crate::clock::Moment;
 
 /// The age at which half of a report's deviation from the usual is believed. Machines change their
-/// speed each 50 to 200 ms.
-const HALF_LIFE: Duration = Duration::from_millis(100);
+/// speed each 50 to 200 ms; with 100 ms, nodes of a small fleet follow reports that no longer hold.
+const HALF_LIFE: Duration = Duration::from_millis(50);
 
 /// The age from which on a report says nothing.
-const MAX_AGE: Duration = Duration::from_millis(500);
+const MAX_AGE: Duration = Duration::from_millis(300);
 
 /// The range of believed factors. A wrong report of a very short time would draw all requests to one
 /// backend server, and one of a very long time would keep them all away.
