--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -178,6 +178,7 @@
 ) -> Result<ChosenEngine, PickError> {
     let rank = (request.priority, request.arrived + request.route.objective);
     let tokens = request.ask.prompt.peak_tokens();
+    let mut waiting = None;
     loop {
         let found = find_with_capacity(state, request).await;
         let error = match found {
@@ -191,6 +192,7 @@
         if clock::now() + HOLD_POLL_INTERVAL > end {
             return Err(error);
         }
+        waiting = waiting.or_else(|| state.begin_wait(&request.service));
         let hold = state.holds.hold(&request.service, rank, tokens);
         let passed = within(HOLD_POLL_INTERVAL, hold.place()).await.flatten();
         let Some(place) = passed.or_else(|| hold.take()) else {
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -61,6 +61,9 @@
 mod registry;
 #[cfg(test)]
 mod registry_tests;
+mod reported_load;
+#[cfg(test)]
+mod reported_load_tests;
 mod rollout;
 #[cfg(test)]
 mod rollout_tests;
@@ -91,6 +94,9 @@
 mod verdict_replace_model_tests;
 #[cfg(test)]
 mod verdict_restore_model_tests;
+mod work_pace;
+#[cfg(test)]
+mod work_pace_tests;
 
 pub use autoscale::{
     Autoscaler, BoundsError, DataCentreInput, DemandCoverage, DemandTotal, EngineFacts,
@@ -120,6 +126,7 @@
 pub use read_schedule::{remaining, ReadSchedule};
 pub use refusal_pause::RefusalPause;
 pub use registry::{Registry, RegistryChanges};
+pub use reported_load::ReportedLoad;
 pub use rollout::{state_to_report, Exposure, Judge, RolloutDecision, Tally, MIN_SHARE};
 pub use run_times::{ExpectedTimes, RunTimes};
 pub use send_rate::SendRate;
@@ -129,3 +136,4 @@
 };
 pub use speeds::{EndedStream, ServiceSpeeds};
 pub use start_schedule::StartSchedule;
+pub use work_pace::WorkPace;
