--- a/crates/cassiareel-bench/src/bin/load_report.rs
+++ b/crates/cassiareel-bench/src/bin/load_report.rs
@@ -106,8 +106,8 @@
         match text(&line, "msg") {
             "request" => {
                 let known = objectives.get(text(&line, "route")).copied();
-                let told = line["objective_ms"].as_u64();
-                let objective = told.or(known).unwrap_or(args.objective_ms);
+                let stated = line["objective_ms"].as_u64();
+                let objective = stated.or(known).unwrap_or(args.objective_ms);
                 self.count_request(&line, at, objective);
             }
             "sent" => self.count_send(&line, at),
--- a/crates/cassiareel-relay/src/duties/usage_model_tests.rs
+++ b/crates/cassiareel-relay/src/duties/usage_model_tests.rs
@@ -1,4 +1,4 @@
-//! Simulates fleets in virtual time: what the platform is told of each window under faults.
+//! Simulates fleets in virtual time: what the platform receives for each window under faults.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -90,7 +90,7 @@
     AllKilled,
 }
 
-/// What the platform was told.
+/// What the platform received.
 struct Platform {
     reports: BTreeMap<u64, (BTreeMap<AccountId, u64>, u64)>,
     differing: Vec<u64>,
@@ -531,7 +531,7 @@
     }
 }
 
-/// Runs a fleet; returns what the platform was told, and the true counts.
+/// Runs a fleet; returns what the platform received, and the true counts.
 fn run(count: usize, fault: Fault) -> Fleet {
     let mut fleet = Fleet {
         nodes: Vec::new(),
@@ -618,11 +618,11 @@
         let due = RULES.due_time(window).as_millis() as u64;
         delays += usize::from(*at > due);
         for (account, truth) in &fleet.truth[&window] {
-            let told = counts.get(account).copied().unwrap_or(0);
-            let error = told.abs_diff(*truth) as f64 / *truth as f64;
+            let reported = counts.get(account).copied().unwrap_or(0);
+            let error = reported.abs_diff(*truth) as f64 / *truth as f64;
             assert!(
                 error <= TOLERANCE,
-                "{} nodes, window {}, {account}: {told} of {truth}",
+                "{} nodes, window {}, {account}: {reported} of {truth}",
                 fleet.nodes.len(),
                 window - first
             );
@@ -648,10 +648,10 @@
         for window in first..last {
             let report = platform.reports.get(&window);
             let (counts, _) = report.unwrap_or_else(|| panic!("no window {}", window - first));
-            let told: u64 = counts.values().sum();
+            let reported: u64 = counts.values().sum();
             let truth: u64 = fleet.truth.get(&window).map_or(0, |t| t.values().sum());
-            assert!(told <= truth + truth / 20, "{told} of {truth}");
-            lost += truth.saturating_sub(told);
+            assert!(reported <= truth + truth / 20, "{reported} of {truth}");
+            lost += truth.saturating_sub(reported);
         }
         assert!(lost <= 600 * lost_ms / 1_000, "{count} nodes: {lost} lost");
     }
--- a/crates/cassiareel-relay/src/usage_meter.rs
+++ b/crates/cassiareel-relay/src/usage_meter.rs
@@ -99,7 +99,7 @@
 /// What a candidate knows of a node that sent messages.
 #[derive(Clone, Copy, Debug)]
 struct Sender {
-    heard_at: Moment,
+    received_at: Moment,
 }
 
 /// Counts that came after their window was fixed.
@@ -174,7 +174,7 @@
         let is_recent = |age: Duration| age < FLEET_RETENTION;
         state
             .senders
-            .retain(|_, sender| is_recent(now.saturating_sub(sender.heard_at)));
+            .retain(|_, sender| is_recent(now.saturating_sub(sender.received_at)));
     }
 
     /// Assigns counted requests to windows, unless they wait for the time to be confirmed; without
@@ -319,13 +319,16 @@
         if let Some(time) = message.time.filter(|_| key != self.own) {
             state.clock.record_node(&key.name, time, now);
         }
-        let last = state.senders.get(&key.name).map(|sender| sender.heard_at);
+        let last = state
+            .senders
+            .get(&key.name)
+            .map(|sender| sender.received_at);
         let silent = last.map(|last| now.saturating_sub(last));
         let accepted = self.accepted_windows(&state, now);
         let changes = state.fleet.merge(&key, &message.windows, &accepted);
         let fixed = state.fixed;
         self.note_fixed(&mut state, message.fixed, now);
-        state.senders.insert(key.name, Sender { heard_at: now });
+        state.senders.insert(key.name, Sender { received_at: now });
         let late = changes.into_iter();
         let late = late.filter(|(window, _)| fixed.is_some_and(|fixed| *window <= fixed));
         let late = late.map(|(window, requests)| LateCounts {
