Rollouts: slow answers make a version doubtful only where most are bad

Change: the probability applies to failed answers; for slow ones the earlier criterion holds (more than half of the known runs, and 2.5 deviations and two more than expected).

--- a/crates/cassiareel-relay/src/kernel/rollout.rs
+++ b/crates/cassiareel-relay/src/kernel/rollout.rs
@@ -69,13 +69,23 @@
 /// The number of bad answers in addition to that, since few answers are weak evidence.
 const BAD_EXTRA_ANSWERS: f64 = 3.0;
 
-/// The probability below which the bad answers of a version that is as good as the old one make it
+/// The probability below which the failures of a version that is as good as the old one make it
 /// doubtful. A good version that is rolled back costs another rollout, a bad one that is complete gets all
 /// requests.
 const DOUBTFUL_PROBABILITY: f64 = 0.02;
 
-/// The number of bad answers below which no version is doubtful, since single ones have many causes.
-const MIN_DOUBTFUL_ANSWERS: u64 = 3;
+/// The number of failures below which no version is doubtful, since single ones have many causes.
+const MIN_DOUBTFUL_FAILURES: u64 = 3;
+
+/// The share of bad answers above which a version may be doubtful that fails as little as the old one:
+/// a few slow servers make many answers slow.
+const DOUBTFUL_RATE: f64 = 0.5;
+
+/// The number of standard deviations by which such a version's bad answers exceed the expected number.
+const DOUBTFUL_DEVIATIONS: f64 = 2.5;
+
+/// The number of bad answers in addition to that.
+const DOUBTFUL_EXTRA_ANSWERS: f64 = 2.0;
 
 /// The number of parts into which a rollout's duration is divided to tell losses that recur from those
 /// of one moment.
@@ -146,13 +156,21 @@
         self.loss_periods |= 1 << period;
     }
 
-    /// Returns the number of bad ones among the known answers, and of failed ones: where both versions
-    /// are slow, as their servers are overloaded, only failures tell them apart.
-    fn results(self) -> [Ratio; 2] {
-        [self.bad, self.failed].map(|bad| Ratio {
+    /// Returns the number of bad ones among the known answers.
+    fn results(self) -> Ratio {
+        Ratio {
+            of: self.answers,
+            bad: self.bad,
+        }
+    }
+
+    /// Returns the number of failed ones among the known answers: where both versions are slow, as their
+    /// servers are overloaded, only failures tell them apart.
+    fn failures(self) -> Ratio {
+        Ratio {
             of: self.answers,
-            bad,
-        })
+            bad: self.failed,
+        }
     }
 
     /// Returns the number of lost ones among the requests that have ended.
@@ -318,26 +336,29 @@
 fn is_worse(old: Tally, new: Tally) -> bool {
     let exceeds = |(old, new)| exceeds(old, new, BAD_DEVIATIONS, BAD_EXTRA_ANSWERS);
     let recurs = new.loss_periods.count_ones() >= BAD_LOSS_PERIODS;
-    let mut results = old.results().into_iter().zip(new.results());
-    results.any(exceeds) || (recurs && exceeds((old.losses(), new.losses())))
+    exceeds((old.results(), new.results()))
+        || exceeds((old.failures(), new.failures()))
+        || (recurs && exceeds((old.losses(), new.losses())))
 }
 
-/// Reports whether the new version would hardly have as many bad answers, or lost servers, if it were as
-/// good as the old one. It can't be complete then.
+/// Reports whether the new version would hardly have as many failures, or lost servers, if it were as good
+/// as the old one, or whether most of its answers are bad. It can't be complete then.
 fn is_doubtful(old: Tally, new: Tally) -> bool {
     let recurs = new.loss_periods.count_ones() >= DOUBTFUL_LOSS_PERIODS;
-    let mut results = old.results().into_iter().zip(new.results());
-    results.any(|(old, new)| is_improbable(old, new))
+    let (known, bad) = (old.results(), new.results());
+    let is_mostly_bad = bad.rate() > DOUBTFUL_RATE
+        && exceeds(known, bad, DOUBTFUL_DEVIATIONS, DOUBTFUL_EXTRA_ANSWERS);
+    is_mostly_bad
+        || is_improbable(old.failures(), new.failures())
         || (recurs && is_improbable(old.losses(), new.losses()))
 }
 
-/// Reports whether a version with the old one's rate of bad answers would hardly have those of the new
-/// one.
+/// Reports whether a version with the old one's rate would hardly have the bad ones of the new one.
 fn is_improbable(old: Ratio, new: Ratio) -> bool {
     // One bad answer more than was seen, since few answers say little about a rate.
     let rate = (old.bad + 1) as f64 / (old.of + 2) as f64;
     let rate = rate.max(MIN_EXPECTED_RATE);
-    new.bad >= MIN_DOUBTFUL_ANSWERS && probability_of(new, rate) < DOUBTFUL_PROBABILITY
+    new.bad >= MIN_DOUBTFUL_FAILURES && probability_of(new, rate) < DOUBTFUL_PROBABILITY
 }
 
 /// Returns the probability that as many answers or more are bad at a given rate (binomial distribution).
