Duties: one constant for the number of candidates

Cause: the lease and the messages of usage counts had a constant each; nodes that send counts to fewer candidates than may hold the lease would be reported without them. Change: peers::usage uses the one of duties::lease. Measured: clippy of the relay clean; no test was run for it, behaviour is the same.

--- a/crates/cassiareel-relay/src/duties/lease.rs
+++ b/crates/cassiareel-relay/src/duties/lease.rs
@@ -20,7 +20,7 @@
 const NAME: &str = "duties";
 
 /// The number of nodes that are candidates: the first reader of the store and its first standbys.
-const CANDIDATES: usize = 3;
+pub(crate) const CANDIDATES: usize = 3;
 
 /// The number of candidates that read the lease at the full rate. The others read it at half that
 /// rate: they are needed only where two nodes are lost at the same time.
--- a/crates/cassiareel-relay/src/duties/mod.rs
+++ b/crates/cassiareel-relay/src/duties/mod.rs
@@ -32,6 +32,7 @@
 use slog::{info, warn};
 
 pub(crate) use demand::NodeDemand;
+pub(crate) use lease::CANDIDATES;
 pub use parts::DutyParts;
 pub use target::{DutyError, DutyHolder, DutyTarget, ServerOrder, UsageReport};
 
--- a/crates/cassiareel-relay/src/peers/usage.rs
+++ b/crates/cassiareel-relay/src/peers/usage.rs
@@ -25,6 +25,7 @@
 use super::message;
 use crate::{
     clock,
+    duties::CANDIDATES,
     front::{empty_reply, Reply},
     kernel::usage::{History, UsageMessage, UsageReply},
     model::DemandSample,
@@ -57,9 +58,6 @@
 /// The interval at which a time of day is observed that could not be.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// The number of candidates.
-const CANDIDATES: usize = 3;
-
 /// The candidates that this node knows: its own name may be among them.
 type Candidates = Vec<(String, SocketAddr)>;
 
