Stops: a node that was suspended waits for requests that arrived meanwhile

The process is suspended in its stop and wakes when the stop may end. The stop's check ran before the connections were read, saw no open request, and the process exited with a request unread in its socket. Ruled out: the closing of idle connections, which reads each connection first.

--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -44,6 +44,9 @@
 /// The interval at which a stopping node checks what is still open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The time between two of these checks from which on the process counts as suspended meanwhile.
+const SUSPENDED_AFTER: Duration = Duration::from_millis(500);
+
 /// The interval at which the settings file is read again, since it may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -152,12 +155,13 @@
 }
 
 /// Waits until the answers to ended requests are written: until shortly before `end`, and for a time
-/// in any case, since a process that was suspended gets here late.
-async fn wait_until_answered(open: &OpenRequests, end: Moment) {
+/// in any case, since a process that was suspended gets here late. Requests may still be read before
+/// `settled`.
+async fn wait_until_answered(open: &OpenRequests, end: Moment, settled: Moment) {
     let last = end
         .saturating_sub(EXIT_MARGIN)
         .max(clock::now() + MIN_ANSWER_TIME);
-    while open.count() > 0 && clock::now() < last {
+    while (open.count() > 0 || clock::now() < settled) && clock::now() < last {
         Timer::after(CHECK_INTERVAL).await;
     }
 }
@@ -167,6 +171,9 @@
 /// callers have a part.
 async fn stop(state: &State, open: &OpenRequests) -> usize {
     let began = clock::now();
+    let mut checked = began;
+    // After a suspension, requests that arrived meanwhile are not counted as open yet.
+    let mut settled = began;
     let grace = state.settings.load().bounds.grace;
     state.begin_leaving(began);
     if let Some(meter) = &state.usage {
@@ -174,8 +181,14 @@
     }
     info!(state.log, "stopping"; "open" => open.count(), "grace_ms" => grace.as_millis() as u64);
     loop {
-        let spent = clock::now().saturating_sub(began);
-        let done = spent >= ACCEPT_AFTER_STOP.min(grace / 2) && open.count() == 0;
+        let now = clock::now();
+        if now.saturating_sub(checked) >= SUSPENDED_AFTER {
+            settled = now + MIN_ANSWER_TIME;
+        }
+        checked = now;
+        let spent = now.saturating_sub(began);
+        let is_idle = open.count() == 0 && now >= settled;
+        let done = spent >= ACCEPT_AFTER_STOP.min(grace / 2) && is_idle;
         if done || spent + ANSWER_MARGIN >= grace {
             break;
         }
@@ -193,7 +206,7 @@
     if open.count() > 0 {
         info!(state.log, "requests ended"; "open" => open.count());
     }
-    wait_until_answered(open, began + grace).await;
+    wait_until_answered(open, began + grace, settled).await;
     send_last_usage(state).await;
     let left = open.count();
     info!(state.log, "stopped"; "cut" => left);
