Registry changes: linear time, and prompts found among thousands of engines

Ruled out: time until nodes serve after all were killed (streams of that window are in time), and refusals. Change: backend servers are looked up by their process's key; the random part spans eight places, as many as a search queries, and searches have none. Up to 300 engines the random part is as before.

--- a/crates/cassiareel-relay/src/backends.rs
+++ b/crates/cassiareel-relay/src/backends.rs
@@ -358,13 +358,18 @@
         I: Iterator<Item = &'a Entry>,
     {
         let old = self.services.load_full();
+        let known: HashMap<ProcessKey, &Arc<Backend>> = old
+            .values()
+            .flat_map(|backends| backends.iter())
+            .map(|backend| (backend.process, backend))
+            .collect();
         let mut services: HashMap<ServiceId, Vec<Arc<Backend>>> = HashMap::new();
-        let mut kept = Vec::new();
+        let mut kept = HashSet::new();
         let mut addresses = HashSet::new();
         for entry in newest_by_address(entries) {
             addresses.insert(entry.address);
-            let backend = self.keep_or_add(&old, entry);
-            kept.push(backend.number);
+            let backend = self.keep_or_add(&known, entry);
+            kept.insert(backend.number);
             services
                 .entry(entry.service.clone())
                 .or_default()
@@ -390,19 +395,16 @@
     /// Returns the backend server of a known process, or creates one.
     fn keep_or_add(
         &self,
-        old: &HashMap<ServiceId, ServiceBackends>,
+        known: &HashMap<ProcessKey, &Arc<Backend>>,
         entry: &Entry,
     ) -> Arc<Backend> {
-        let known = old
-            .get(&entry.service)
-            .and_then(|backends| backends.iter().find(|m| m.entry.is_same_process(entry)));
-        match known {
-            Some(backend) => {
+        match known.get(&entry.process_key()) {
+            Some(backend) if backend.entry.is_same_process(entry) => {
                 let draining = entry.phase == Phase::Draining;
                 backend.is_draining.store(draining, Ordering::Relaxed);
-                backend.clone()
+                Arc::clone(backend)
             }
-            None => {
+            _ => {
                 let number = self.next_number.fetch_add(1, Ordering::Relaxed);
                 let backoff = self.backoffs.get_or_create(entry.process_key());
                 Arc::new(Backend::new(number, entry.clone(), backoff, &self.spawner))
--- a/crates/cassiareel-relay/src/follow/registry.rs
+++ b/crates/cassiareel-relay/src/follow/registry.rs
@@ -116,10 +116,7 @@
             "removed" => update.removed.len(), "revision" => revision);
         return;
     }
-    for entry in registry
-        .entries()
-        .filter(|e| update.changed.contains(&e.id))
-    {
+    for entry in update.changed.iter().filter_map(|id| registry.entry(id)) {
         info!(state.log, "backend added"; "backend" => &*entry.id, "service" => &*entry.service,
             "address" => %entry.address, "data_centre" => &*entry.data_centre,
             "version" => &*entry.version, "phase" => ?entry.phase);
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -123,7 +123,15 @@
 
     /// Returns up to `limit` of the best candidates that were not tried, and marks them as tried.
     pub(super) fn take_preferred(&mut self, limit: usize) -> Vec<Arc<Backend>> {
-        std::iter::from_fn(|| self.take_next())
+        std::iter::from_fn(|| self.take_next(fastrand::f64))
+            .take(limit)
+            .collect()
+    }
+
+    /// Returns the same without the random part of costs: the engines at which other nodes most
+    /// likely run the request's prompt.
+    pub(super) fn take_most_preferred(&mut self, limit: usize) -> Vec<Arc<Backend>> {
+        std::iter::from_fn(|| self.take_next(|| 0.0))
             .take(limit)
             .collect()
     }
@@ -135,8 +143,11 @@
     }
 
     /// Returns the best candidate that was not tried, and marks it as tried.
-    fn take_next(&mut self) -> Option<Arc<Backend>> {
-        let chosen = choose(&self.candidates, self.need, fastrand::f64)?;
+    fn take_next<R>(&mut self, random: R) -> Option<Arc<Backend>>
+    where
+        R: FnMut() -> f64,
+    {
+        let chosen = choose(&self.candidates, self.need, random)?;
         let candidate = &mut self.candidates[chosen];
         if candidate.tried {
             return None;
--- a/crates/cassiareel-relay/src/front/engines.rs
+++ b/crates/cassiareel-relay/src/front/engines.rs
@@ -29,15 +29,12 @@
     kernel::{
         choose_least_loaded, choose_most_cached, choose_with_room, max_wait, EngineLoad,
         Precedence, PromptDemand, Rivals, RunningRequest, Shortage, EXTRA_PROBED_ENGINES,
-        HOLD_POLL_INTERVAL, MAX_HOLD_PART, PROBED_ENGINES,
+        HOLD_POLL_INTERVAL, MAX_HOLD_PART, PROBED_ENGINES, SEARCHED_ENGINES,
     },
     protocol::{MemoryCopy, Report},
     state::State,
 };
 
-/// Number of engines that are queried for the prompt of a resumed stream.
-const MAX_SEARCHED: usize = 8;
-
 /// Timeout for an engine's answer to a query.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -461,8 +458,8 @@
     request: &Request,
     part: u64,
 ) -> Option<Arc<Backend>> {
-    let mut engines =
-        CandidateSet::new(state, request, &[], Purpose::Ongoing).take_preferred(MAX_SEARCHED);
+    let mut candidates = CandidateSet::new(state, request, &[], Purpose::Ongoing);
+    let mut engines = candidates.take_most_preferred(SEARCHED_ENGINES);
     let queries = engines.iter().map(|e| query_prompt_tokens(state, part, e));
     let kept = join_all(queries).await;
     let chosen = choose_most_cached(&kept);
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -121,7 +121,7 @@
 pub use link_budget::LinkBudget;
 pub use load::{max_wait, AdmissionRequest, ServiceLoad};
 pub use order_book::{BookChanges, KnownOrder, OrderBook};
-pub use placement::{choose, Candidate, RequestDemand};
+pub use placement::{choose, Candidate, RequestDemand, SEARCHED_ENGINES};
 pub use precedence::{Precedence, PriorityDemand, Rivals};
 pub use read_schedule::{remaining, ReadSchedule};
 pub use refusal_pause::RefusalPause;
--- a/crates/cassiareel-relay/src/kernel/placement.rs
+++ b/crates/cassiareel-relay/src/kernel/placement.rs
@@ -49,6 +49,9 @@
 /// The cost of a prompt's least preferred engine, in milliseconds of waiting.
 const PREFERENCE_COST_MS: f64 = 1500.0;
 
+/// The number of engines that are queried for the prompt of a resumed stream.
+pub const SEARCHED_ENGINES: usize = 8;
+
 /// The part of an engine's memory that the node's own requests may fill.
 const MAX_MEMORY_FILL: f64 = 0.9;
 
@@ -160,13 +163,14 @@
     R: FnMut() -> f64,
 {
     let errors = mean_error_rate(candidates);
+    let spread = engine_spread(candidates);
     let paced = demand.input == 0 && candidates.iter().any(|c| c.work_factor.is_some());
     let mut best: Option<(u32, f64, usize)> = None;
     for (i, candidate) in candidates.iter().enumerate().filter(|(_, c)| !c.excluded) {
         let class = class(candidate, demand);
         let cost = match paced {
             true => paced_cost(candidate, random()),
-            false => cost(candidate, demand, random()),
+            false => cost(candidate, demand, spread, random()),
         };
         let cost = cost + failure_cost(candidate, errors);
         let better = best.is_none_or(|(c, k, _)| (class, cost) < (c, k));
@@ -186,15 +190,27 @@
     u32::from(candidate.tried) * 4 + u32::from(candidate.suspect) * 2 + u32::from(full)
 }
 
-/// Returns a rough estimate of the time until the request is served, in milliseconds.
-fn cost(candidate: &Candidate, demand: RequestDemand, random: f64) -> f64 {
+/// Returns the scale of the random part of an engine's cost, in milliseconds.
+///
+/// The more engines there are, the less the costs of their places in the order of preference differ.
+/// The random part moves a choice by no more places than a search for the prompt queries: otherwise
+/// a caller that reconnects to another node of a large fleet would not find its prompt.
+fn engine_spread(candidates: &[Candidate]) -> f64 {
+    let usable = candidates.iter().filter(|c| !c.excluded).count().max(1);
+    let place_cost = PREFERENCE_COST_MS / usable as f64;
+    BATCH_DELAY_MS.min(place_cost * SEARCHED_ENGINES as f64)
+}
+
+/// Returns a rough estimate of the time until the request is served, in milliseconds; `spread` is the
+/// scale of the random part for engines.
+fn cost(candidate: &Candidate, demand: RequestDemand, spread: f64, random: f64) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
     let requests = candidate.estimated_requests();
     let remote = candidate.remote_cost();
     if demand.input > 0 {
         let prefill = candidate.unread_tokens as f64 / PREFILL_TOKENS_PER_MS;
         let preference = candidate.preference_rank * PREFERENCE_COST_MS;
-        return prefill + requests * BATCH_DELAY_MS + preference + remote + random * BATCH_DELAY_MS;
+        return prefill + requests * BATCH_DELAY_MS + preference + remote + random * spread;
     }
     if demand.contended {
         let wait = candidate.expected_wait().as_secs_f64() * 1000.0;
--- a/crates/cassiareel-relay/src/kernel/placement_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/placement_tests.rs
@@ -4,7 +4,8 @@
 
 use test_case::test_case;
 
-use super::{choose, Candidate, RequestDemand};
+use super::{choose, Candidate, RequestDemand, SEARCHED_ENGINES};
+use crate::kernel::PROBED_ENGINES;
 
 const ENGINE_DEMAND: RequestDemand = RequestDemand {
     input: 5_000,
@@ -155,3 +156,53 @@
     assert!(counts[0] > counts[1] && counts[1] > 200, "{counts:?}");
     assert!(counts[2] < 20, "{counts:?}");
 }
+
+struct Search {
+    engines: usize,
+    /// Whether the caller reconnects to a node of the data centre where its prompt was read.
+    same_data_centre: bool,
+    /// The least share of searches that find the prompt.
+    found: f64,
+}
+
+/// Chooses engines one after another, as a node of the data centre `near` does, out of three.
+fn take_engines<R>(ranks: &[f64], near: usize, count: usize, mut random: R) -> Vec<usize>
+where
+    R: FnMut() -> f64,
+{
+    let engine = |(i, rank): (usize, &f64)| Candidate {
+        local: i % 3 == near,
+        preference_rank: *rank,
+        ..candidate()
+    };
+    let mut engines: Vec<Candidate> = ranks.iter().enumerate().map(engine).collect();
+    (0..count)
+        .filter_map(|_| {
+            let chosen = choose(&engines, ENGINE_DEMAND, &mut random)?;
+            engines[chosen].tried = true;
+            Some(chosen)
+        })
+        .collect()
+}
+
+/// In a fleet of thousands of engines, the random part of costs once moved choices by dozens of
+/// places, and callers whose nodes had been killed had their prompts read again.
+#[test_case(&Search { engines: 120, same_data_centre: true, found: 0.95 }; "120 engines")]
+#[test_case(&Search { engines: 300, same_data_centre: true, found: 0.95 }; "300 engines")]
+#[test_case(&Search { engines: 3_000, same_data_centre: true, found: 0.95 }; "3000 engines")]
+#[test_case(&Search { engines: 3_000, same_data_centre: false, found: 0.85 }; "3000 engines, another data centre")]
+fn a_search_finds_the_engine_that_another_node_chose(case: &Search) {
+    const SEARCHES: usize = 100;
+    let mut random = fastrand::Rng::with_seed(3);
+    let mut found = 0;
+    for _ in 0..SEARCHES {
+        let ranks: Vec<f64> = (0..case.engines).map(|_| random.f64()).collect();
+        let probed = take_engines(&ranks, 0, PROBED_ENGINES, || random.f64());
+        let chosen = probed[random.usize(..probed.len())];
+        let near = usize::from(!case.same_data_centre);
+        let searched = take_engines(&ranks, near, SEARCHED_ENGINES, || 0.0);
+        found += usize::from(searched.contains(&chosen));
+    }
+    let share = found as f64 / SEARCHES as f64;
+    assert!(share >= case.found, "found in {share}");
+}
--- a/crates/cassiareel-relay/src/kernel/registry.rs
+++ b/crates/cassiareel-relay/src/kernel/registry.rs
@@ -114,6 +114,11 @@
         self.entries.values().map(|known| &known.entry)
     }
 
+    /// Returns the entry in use that has an id.
+    pub fn entry(&self, id: &BackendId) -> Option<&Entry> {
+        self.entries.get(id).map(|known| &known.entry)
+    }
+
     /// Returns the known revision; `None` before the first listing.
     pub fn revision(&self) -> Option<StoreRevision> {
         self.revision
--- a/crates/cassiareel-relay/src/lib.rs
+++ b/crates/cassiareel-relay/src/lib.rs
@@ -18,6 +18,8 @@
 
 mod admission;
 mod backends;
+#[cfg(test)]
+mod backends_tests;
 mod backoff;
 #[cfg(test)]
 mod backoff_tests;
