Autoscaling and shares: false signs of want of room

The logs show that nearly all refusals had a reserve of 0.33: a request counted itself as evidence that its account dominates the node, which it always does at a node that gets one stream in 3 s. Ruled out: full engines (2.5 of about 8 possible runs each). After the return to the full number, the same number was tried again 16 s later. Change: the dominance of an account is computed from its earlier requests; servers are added for refusals from 5% of the requests on; a number of ready servers at which that happened is not ordered again for ten starts.

--- a/crates/cassiareel-relay/src/kernel/autoscale/autoscaler.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/autoscaler.rs
@@ -35,6 +35,14 @@
 /// single one may have other causes.
 const MIN_REFUSED: u64 = 2;
 
+/// The part of the requests within [`AVERAGED`] decisions that has to be refused for that. Nodes refuse
+/// a few for the room that they leave to other accounts, also where engines have room for them, and
+/// callers that return find it.
+const MIN_REFUSED_PART: f64 = 0.05;
+
+/// The time between two decisions.
+const INTERVAL: Duration = Duration::from_secs(1);
+
 /// The number of waiting requests for each ready server from which on servers are added.
 const MAX_WAITING_PART: f64 = 0.1;
 
@@ -236,7 +244,17 @@
         let most = (ready * MAX_WAITING_PART).max(1.0);
         let is_waiting = |demand: &Demand| demand.waiting as f64 > most;
         let last = self.recent.iter().rev().take(2);
-        refused >= MIN_REFUSED || (self.recent.len() > 1 && last.clone().all(is_waiting))
+        let is_refusing =
+            refused >= MIN_REFUSED && refused as f64 >= self.begun(input) * MIN_REFUSED_PART;
+        is_refusing || (self.recent.len() > 1 && last.clone().all(is_waiting))
+    }
+
+    /// Returns the number of requests that began within the last decisions: the demand's part of a run's
+    /// time.
+    fn begun(&self, input: &ServiceInput) -> f64 {
+        let demand: f64 = self.mean(|recent| recent.requests.values().sum());
+        let span = INTERVAL * self.recent.len() as u32;
+        demand * span.as_secs_f64() / input.run_time().as_secs_f64()
     }
 
     /// Returns the factor over the demand that servers are kept for.
--- a/crates/cassiareel-relay/src/kernel/autoscale/autoscaler_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/autoscaler_tests.rs
@@ -99,6 +99,35 @@
     assert!((found - runs).abs() < 0.05, "{found}");
 }
 
+/// Decides each second for `seconds`, where `refused` requests are refused at the second `at`; returns
+/// the last wanted number for the first data centre. The servers follow the orders.
+fn decide_with_refusals(seconds: u64, at: u64, refused: u64) -> u32 {
+    let mut scaler = Autoscaler::default();
+    let mut count = 30;
+    for now in 0..=seconds {
+        let mut input = input(now, count, 60, 3);
+        if now == at {
+            let first = input.data_centres.values_mut().next();
+            first.expect("a data centre").refused = refused;
+        }
+        let size = scaler.decide(&input).expect("the bounds are valid");
+        let wanted = size.wanted.values().next();
+        count = wanted.map_or(count, |wanted| wanted.count);
+    }
+    count
+}
+
+/// Guards against servers that are added for the few requests that nodes refuse also where servers are
+/// idle, and against removals that lead back to a number that did not suffice. The service needs 17.
+#[test_case(90, 70, 0, 17; "none refused")]
+#[test_case(72, 70, 20, 17; "one in twenty-seven refused")]
+#[test_case(72, 70, 60, 32; "one in nine refused")]
+#[test_case(140, 70, 60, 18; "not back to the same number")]
+#[test_case(240, 70, 60, 17; "the number is tried again later")]
+fn servers_are_added_for_refusals(seconds: u64, at: u64, refused: u64, wanted: u32) {
+    assert_eq!(decide_with_refusals(seconds, at, refused), wanted);
+}
+
 /// Guards against orders by bounds that the operator can't have meant.
 #[test]
 fn invalid_bounds_are_errors() {
--- a/crates/cassiareel-relay/src/kernel/autoscale/subject.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/subject.rs
@@ -21,6 +21,10 @@
 /// The part of a server's start between two removals.
 const REMOVAL_INTERVAL_PART: f64 = 0.5;
 
+/// How long a number of servers at which requests were refused or waited is not ordered again, in starts
+/// of a server. The next removal would otherwise lead back to it.
+const SHORT_BOOTS: u32 = 10;
+
 /// The factor over the wanted number up to which no servers are added: the chance differences of a
 /// steady load, which the headroom covers.
 const TOLERANCE: f64 = 1.05;
@@ -96,6 +100,8 @@
     reason: Option<SizeReason>,
     peak: RecentPeak,
     pressed_at: Option<Moment>,
+    /// The largest number of ready servers that did not suffice, and when it last did not.
+    short: Option<(u32, Moment)>,
     added_at: Option<Moment>,
     removed_at: Option<Moment>,
 }
@@ -130,6 +136,10 @@
     ) -> Option<WantedServers> {
         let peak = self.peak.record(needed, at.now, at.quiet_time());
         if at.is_pressed {
+            // Servers that were added for it are not ready before a start's time has passed.
+            if at.is_past(self.pressed_at, at.bounds.boot) {
+                self.short = Some((part.ready.max(self.short_count(at)), at.now));
+            }
             self.pressed_at = Some(at.now);
         }
         if part.is_unanswered {
@@ -212,6 +222,15 @@
         scaled(wanted, if is_growing { GROWTH_FACTOR } else { 1.0 })
     }
 
+    /// Returns the largest number of ready servers that did not suffice lately; 0 if there is none.
+    fn short_count(&self, at: &Situation) -> u32 {
+        let span = at.bounds.boot * SHORT_BOOTS;
+        let short = self
+            .short
+            .filter(|(_, since)| !at.is_past(Some(*since), span));
+        short.map_or(0, |(count, _)| count)
+    }
+
     fn add(&mut self, count: u32, reason: SizeReason, at: &Situation) {
         self.added_at = Some(at.now);
         self.set(count, reason);
@@ -220,7 +239,7 @@
     /// Removes a part of the servers that the recent peak leaves idle. A peak that is new may be passed
     /// by the next one.
     fn remove(&mut self, wanted: u32, peak: f64, at: &Situation) {
-        let least = at.clamp(peak.ceil() as u32);
+        let least = at.clamp((peak.ceil() as u32).max(self.short_count(at) + 1));
         if least >= wanted || !self.may_remove(at) {
             return;
         }
--- a/crates/cassiareel/src/kernel/admission/throttle.rs
+++ b/crates/cassiareel/src/kernel/admission/throttle.rs
@@ -135,7 +135,9 @@
         own.requested += units / weight;
         let requested = own.requested;
         let (total_requested, total_served) = self.totals();
-        let reserve = reserve(requested * weight, total_requested, total_served);
+        // The request itself is no evidence: at a node that gets few requests, it is most of the demand.
+        let earlier = requested * weight - units;
+        let reserve = reserve(earlier, total_requested - units, total_served - units);
         if total_requested - total_served < TOLERATED_UNSERVED_UNITS {
             return Ok(reserve);
         }
@@ -229,6 +231,9 @@
 /// Returns the fraction of capacity that an account must leave free if it requests `own` of
 /// `requested` units, of which `served` were served.
 fn reserve(own: f64, requested: f64, served: f64) -> f64 {
+    if requested <= NEGLIGIBLE_UNITS {
+        return 0.0;
+    }
     let dominance =
         (own / requested - DOMINANT_SHARE.start) / (DOMINANT_SHARE.end - DOMINANT_SHARE.start);
     let others = requested - own;
