Shares, autoscaling, stops: faults and wording from a reading of the diff

Change: nothing is reserved where others ask for nothing; the part of refused requests is computed at the known nodes; numbers that did not suffice are kept for ten minutes at most, are logged ('short'), and never keep the largest number; one type detects suspensions in both loops of a stop. One constant for the interval of decisions.

--- a/crates/cassiareel-relay/src/backends_tests.rs
+++ b/crates/cassiareel-relay/src/backends_tests.rs
@@ -51,6 +51,8 @@
     );
 }
 
+/// Guards against processes that lose their state in a change of the registry, and against restarted ones
+/// that inherit it.
 #[test]
 fn processes_that_stay_keep_their_state() {
     let runtime = Runtime::new("backends", 1);
@@ -62,14 +64,14 @@
     all[2].phase = Phase::Draining;
     backends.replace(all.iter());
     let find = |id: &str| {
-        let members = backends.of_service("s");
-        members.iter().find(|m| &*m.entry.id == id).cloned()
+        let after = backends.of_service("s");
+        after.iter().find(|b| &*b.entry.id == id).cloned()
     };
-    let number = |id: &str| find(id).map(|member| member.number);
-    let old = |id: &str| before.iter().find(|m| &*m.entry.id == id).cloned();
-    assert_eq!(number("i-0"), old("i-0").map(|m| m.number));
-    assert_ne!(number("i-1"), old("i-1").map(|m| m.number));
-    assert!(old("i-1").is_some_and(|member| member.has_ended()));
-    assert_eq!(number("i-2"), old("i-2").map(|m| m.number));
-    assert!(find("i-2").is_some_and(|member| member.is_leaving()));
+    let number = |id: &str| find(id).map(|backend| backend.number);
+    let old = |id: &str| before.iter().find(|b| &*b.entry.id == id).cloned();
+    assert_eq!(number("i-0"), old("i-0").map(|b| b.number));
+    assert_ne!(number("i-1"), old("i-1").map(|b| b.number));
+    assert!(old("i-1").is_some_and(|backend| backend.has_ended()));
+    assert_eq!(number("i-2"), old("i-2").map(|b| b.number));
+    assert!(find("i-2").is_some_and(|backend| backend.is_leaving()));
 }
--- a/crates/cassiareel-relay/src/duties/autoscale.rs
+++ b/crates/cassiareel-relay/src/duties/autoscale.rs
@@ -3,7 +3,6 @@
 use std::{
     collections::{BTreeMap, HashMap},
     sync::{atomic::Ordering, Arc},
-    time::Duration,
 };
 
 use async_trait::async_trait;
@@ -20,16 +19,13 @@
     clock::{self, Moment},
     kernel::{
         BoundsError, DataCentreInput, DemandCoverage, DemandTotal, EngineFacts, ServiceInput,
-        ServiceSize,
+        ServiceSize, DECISION_INTERVAL,
     },
     metrics::Metrics,
     model::{DataCentre, ScaleBounds, ServiceId},
     state::State,
 };
 
-/// The interval between decisions.
-const DECISION_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The number of servers that are counted as lost where a whole data centre is suspect.
 const SUSPECT_LOSSES: u32 = 3;
 
@@ -165,7 +161,7 @@
             "data_centre" => &*ordered.data_centre, "count" => ordered.count,
             "reason" => wanted.reason.name(), "repeat" => due.is_repeat,
             "listed" => due.listed, "ready" => input.ready, "needed" => wanted.needed,
-            "peak" => wanted.peak, "demand" => order.demand, "target_runs" => order.target_runs,
+            "peak" => wanted.peak, "short" => wanted.short, "demand" => order.demand, "target_runs" => order.target_runs,
             "running" => input.running, "waiting" => input.waiting, "refused" => input.refused,
             "lost" => input.lost, "fence" => fence, "outcome" => outcome.name(),
             "cause" => answer.as_ref().err().map(ToString::to_string));
--- a/crates/cassiareel-relay/src/front/choose.rs
+++ b/crates/cassiareel-relay/src/front/choose.rs
@@ -128,8 +128,8 @@
             .collect()
     }
 
-    /// Returns the same without the random part of costs: the engines at which other nodes most
-    /// likely run the request's prompt.
+    /// Returns up to `limit` of the best candidates that were not tried, by cost without its random
+    /// part, and marks them as tried. Other nodes most likely chose these for the same prompt.
     pub(super) fn take_most_preferred(&mut self, limit: usize) -> Vec<Arc<Backend>> {
         std::iter::from_fn(|| self.take_next(|| 0.0))
             .take(limit)
--- a/crates/cassiareel-relay/src/kernel/autoscale/autoscaler.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/autoscaler.rs
@@ -35,13 +35,13 @@
 /// single one may have other causes.
 const MIN_REFUSED: u64 = 2;
 
-/// The part of the requests within [`AVERAGED`] decisions that has to be refused for that. Nodes refuse
-/// a few for the room that they leave to other accounts, also where engines have room for them, and
-/// callers that return find it.
+/// The smallest part of the requests of these decisions that has to be refused before servers are added. A
+/// node also refuses a few requests to leave room for other accounts while engines have room; retries of
+/// these succeed. The run of a plain service counts as a second, so that fewer refusals add servers there.
 const MIN_REFUSED_PART: f64 = 0.05;
 
 /// The time between two decisions.
-const INTERVAL: Duration = Duration::from_secs(1);
+pub const DECISION_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The number of waiting requests for each ready server from which on servers are added.
 const MAX_WAITING_PART: f64 = 0.1;
@@ -88,6 +88,8 @@
 #[derive(Clone, Debug, Default)]
 struct Demand {
     requests: BTreeMap<DataCentre, f64>,
+    /// The estimated number of requests that began at the known nodes.
+    started: f64,
     refused: u64,
     waiting: u64,
 }
@@ -244,19 +246,11 @@
         let most = (ready * MAX_WAITING_PART).max(1.0);
         let is_waiting = |demand: &Demand| demand.waiting as f64 > most;
         let last = self.recent.iter().rev().take(2);
-        let is_refusing =
-            refused >= MIN_REFUSED && refused as f64 >= self.begun(input) * MIN_REFUSED_PART;
+        let started: f64 = self.recent.iter().map(|demand| demand.started).sum();
+        let is_refusing = refused >= MIN_REFUSED && refused as f64 >= started * MIN_REFUSED_PART;
         is_refusing || (self.recent.len() > 1 && last.clone().all(is_waiting))
     }
 
-    /// Returns the number of requests that began within the last decisions: the demand's part of a run's
-    /// time.
-    fn begun(&self, input: &ServiceInput) -> f64 {
-        let demand: f64 = self.mean(|recent| recent.requests.values().sum());
-        let span = INTERVAL * self.recent.len() as u32;
-        demand * span.as_secs_f64() / input.run_time().as_secs_f64()
-    }
-
     /// Returns the factor over the demand that servers are kept for.
     fn headroom(&self) -> f64 {
         let parts = self.subjects.len() as f64;
@@ -292,13 +286,16 @@
         let run = input.run_time().as_secs_f64();
         let requests = |part: &DataCentreInput| {
             let open = (part.running + part.waiting) as f64;
-            (open + part.refused as f64 * run) * factor
+            open + part.refused as f64 * run
         };
+        let known: f64 = input.data_centres.values().map(requests).sum();
         let parts = input.data_centres.iter();
         Demand {
             requests: parts
-                .map(|(name, part)| (name.clone(), requests(part)))
+                .map(|(name, part)| (name.clone(), requests(part) * factor))
                 .collect(),
+            // Little's law: the requests in a service are their rate times the time of a run.
+            started: known * DECISION_INTERVAL.as_secs_f64() / run,
             refused: input.sum(|part| part.refused),
             waiting: input.sum(|part| part.waiting),
         }
--- a/crates/cassiareel-relay/src/kernel/autoscale/autoscaler_tests.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/autoscaler_tests.rs
@@ -1,6 +1,6 @@
 //! The wanted number by the facts of one moment.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration};
 
 use test_case::test_case;
 
@@ -99,33 +99,57 @@
     assert!((found - runs).abs() < 0.05, "{found}");
 }
 
-/// Decides each second for `seconds`, where `refused` requests are refused at the second `at`; returns
-/// the last wanted number for the first data centre. The servers follow the orders.
-fn decide_with_refusals(seconds: u64, at: u64, refused: u64) -> u32 {
+/// Refusals at a service with 30 servers in each of three data centres.
+struct Refusals {
+    /// The seconds in which requests are refused.
+    at: Range<u64>,
+    /// The number of refused requests in each of these.
+    refused: u64,
+    /// The number of requests that run in each data centre.
+    running: u64,
+    /// How many of four nodes are known.
+    known: u32,
+    /// The second of the last decision.
+    seconds: u64,
+    /// The wanted number then.
+    wanted: u32,
+}
+
+const ONE_IN_TEN: Refusals = Refusals {
+    at: 70..71,
+    refused: 60,
+    running: 60,
+    known: 4,
+    seconds: 72,
+    wanted: 32,
+};
+
+/// Guards against servers that are added for the few requests that nodes refuse also where servers are
+/// idle, and against removals that lead back to a number that did not suffice. Without refusals, 60
+/// requests need 17 servers.
+#[test_case(&Refusals { refused: 0, wanted: 17, ..ONE_IN_TEN }; "none")]
+#[test_case(&Refusals { refused: 20, wanted: 17, ..ONE_IN_TEN }; "one in twenty-eight")]
+#[test_case(&ONE_IN_TEN; "one in ten")]
+#[test_case(&Refusals { refused: 10, running: 20, known: 2, ..ONE_IN_TEN }; "at the known half of the nodes")]
+#[test_case(&Refusals { seconds: 140, wanted: 18, ..ONE_IN_TEN }; "not back to the same number")]
+#[test_case(&Refusals { seconds: 240, wanted: 17, ..ONE_IN_TEN }; "the number is tried again later")]
+#[test_case(&Refusals { at: 70..120, seconds: 240, wanted: 17, ..ONE_IN_TEN }; "all servers were needed for a while")]
+fn servers_are_added_for_refusals(case: &Refusals) {
     let mut scaler = Autoscaler::default();
     let mut count = 30;
-    for now in 0..=seconds {
-        let mut input = input(now, count, 60, 3);
-        if now == at {
-            let first = input.data_centres.values_mut().next();
-            first.expect("a data centre").refused = refused;
+    for now in 0..=case.seconds {
+        // The servers follow the orders.
+        let mut input = input(now, count, case.running, 3);
+        input.coverage.known = case.known;
+        let first = input.data_centres.values_mut().next();
+        if case.at.contains(&now) {
+            first.expect("a data centre").refused = case.refused;
         }
         let size = scaler.decide(&input).expect("the bounds are valid");
         let wanted = size.wanted.values().next();
         count = wanted.map_or(count, |wanted| wanted.count);
     }
-    count
-}
-
-/// Guards against servers that are added for the few requests that nodes refuse also where servers are
-/// idle, and against removals that lead back to a number that did not suffice. The service needs 17.
-#[test_case(90, 70, 0, 17; "none refused")]
-#[test_case(72, 70, 20, 17; "one in twenty-seven refused")]
-#[test_case(72, 70, 60, 32; "one in nine refused")]
-#[test_case(140, 70, 60, 18; "not back to the same number")]
-#[test_case(240, 70, 60, 17; "the number is tried again later")]
-fn servers_are_added_for_refusals(seconds: u64, at: u64, refused: u64, wanted: u32) {
-    assert_eq!(decide_with_refusals(seconds, at, refused), wanted);
+    assert_eq!(count, case.wanted);
 }
 
 /// Guards against orders by bounds that the operator can't have meant.
--- a/crates/cassiareel-relay/src/kernel/autoscale/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/mod.rs
@@ -25,7 +25,7 @@
 mod server_orders_tests;
 mod subject;
 
-pub use autoscaler::{Autoscaler, BoundsError, ServiceSize};
+pub use autoscaler::{Autoscaler, BoundsError, ServiceSize, DECISION_INTERVAL};
 pub use fleet_demand::{DemandCoverage, DemandTotal, FleetDemand};
 pub use input::{DataCentreInput, EngineFacts, ServiceInput};
 pub use server_orders::{OrderOutcome, ServerOrders};
--- a/crates/cassiareel-relay/src/kernel/autoscale/subject.rs
+++ b/crates/cassiareel-relay/src/kernel/autoscale/subject.rs
@@ -21,10 +21,13 @@
 /// The part of a server's start between two removals.
 const REMOVAL_INTERVAL_PART: f64 = 0.5;
 
-/// How long a number of servers at which requests were refused or waited is not ordered again, in starts
-/// of a server. The next removal would otherwise lead back to it.
+/// How long removals don't return to a number of servers at which requests were refused or waited, in
+/// starts of a server.
 const SHORT_BOOTS: u32 = 10;
 
+/// The longest such time.
+const MAX_SHORT_TIME: Duration = Duration::from_secs(600);
+
 /// The factor over the wanted number up to which no servers are added: the chance differences of a
 /// steady load, which the headroom covers.
 const TOLERANCE: f64 = 1.05;
@@ -70,6 +73,9 @@
     pub needed: u32,
     /// What it needed at most lately.
     pub peak: u32,
+    /// The largest number of ready servers that did not suffice lately, which removals keep above; 0 if
+    /// there is none.
+    pub short: u32,
     /// Why the number is what it is.
     pub reason: SizeReason,
 }
@@ -100,7 +106,7 @@
     reason: Option<SizeReason>,
     peak: RecentPeak,
     pressed_at: Option<Moment>,
-    /// The largest number of ready servers that did not suffice, and when it last did not.
+    /// The largest number of ready servers that did not suffice lately, and when it did not.
     short: Option<(u32, Moment)>,
     added_at: Option<Moment>,
     removed_at: Option<Moment>,
@@ -136,10 +142,7 @@
     ) -> Option<WantedServers> {
         let peak = self.peak.record(needed, at.now, at.quiet_time());
         if at.is_pressed {
-            // Servers that were added for it are not ready before a start's time has passed.
-            if at.is_past(self.pressed_at, at.bounds.boot) {
-                self.short = Some((part.ready.max(self.short_count(at)), at.now));
-            }
+            self.note_short(part.ready, at);
             self.pressed_at = Some(at.now);
         }
         if part.is_unanswered {
@@ -154,6 +157,7 @@
             baseline: self.baseline,
             needed: needed.ceil() as u32,
             peak: peak.ceil() as u32,
+            short: self.short_count(at),
             reason: self.reason?,
         })
     }
@@ -222,9 +226,18 @@
         scaled(wanted, if is_growing { GROWTH_FACTOR } else { 1.0 })
     }
 
+    /// Records that a number of ready servers did not suffice. While servers that were added still
+    /// start, it says nothing, and the largest number can't be exceeded.
+    fn note_short(&mut self, ready: u32, at: &Situation) {
+        let is_complete = at.is_past(self.added_at, at.bounds.boot);
+        if is_complete && ready < at.bounds.max && ready >= self.short_count(at) {
+            self.short = Some((ready, at.now));
+        }
+    }
+
     /// Returns the largest number of ready servers that did not suffice lately; 0 if there is none.
     fn short_count(&self, at: &Situation) -> u32 {
-        let span = at.bounds.boot * SHORT_BOOTS;
+        let span = (at.bounds.boot * SHORT_BOOTS).min(MAX_SHORT_TIME);
         let short = self
             .short
             .filter(|(_, since)| !at.is_past(Some(*since), span));
--- a/crates/cassiareel-relay/src/kernel/mod.rs
+++ b/crates/cassiareel-relay/src/kernel/mod.rs
@@ -101,6 +101,7 @@
 pub use autoscale::{
     Autoscaler, BoundsError, DataCentreInput, DemandCoverage, DemandTotal, EngineFacts,
     FleetDemand, OrderOutcome, ServerOrders, ServiceInput, ServiceSize, SizeReason, WantedServers,
+    DECISION_INTERVAL,
 };
 pub use backoff::{Backoff, StoreStatus};
 pub use baseline::{Baseline, Baselines, LogTimes};
--- a/crates/cassiareel-relay/src/kernel/placement.rs
+++ b/crates/cassiareel-relay/src/kernel/placement.rs
@@ -163,7 +163,10 @@
     R: FnMut() -> f64,
 {
     let errors = mean_error_rate(candidates);
-    let spread = engine_spread(candidates);
+    let spread = match demand.input {
+        0 => 0.0,
+        _ => engine_spread(candidates),
+    };
     let paced = demand.input == 0 && candidates.iter().any(|c| c.work_factor.is_some());
     let mut best: Option<(u32, f64, usize)> = None;
     for (i, candidate) in candidates.iter().enumerate().filter(|(_, c)| !c.excluded) {
@@ -193,8 +196,8 @@
 /// Returns the scale of the random part of an engine's cost, in milliseconds.
 ///
 /// The more engines there are, the less the costs of their places in the order of preference differ.
-/// The random part moves a choice by no more places than a search for the prompt queries: otherwise
-/// a caller that reconnects to another node of a large fleet would not find its prompt.
+/// The random part spans, on average, as many places as a search for the prompt queries: otherwise a
+/// caller that reconnects to another node of a large fleet would not find its prompt.
 fn engine_spread(candidates: &[Candidate]) -> f64 {
     let usable = candidates.iter().filter(|c| !c.excluded).count().max(1);
     let place_cost = PREFERENCE_COST_MS / usable as f64;
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -44,8 +44,12 @@
 /// The interval at which a stopping node checks what is still open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The time between two of these checks from which on the process counts as suspended meanwhile.
-const SUSPENDED_AFTER: Duration = Duration::from_millis(500);
+/// The shortest time between two of these checks that counts as a suspension of the process. A busy VM
+/// runs timers late by less.
+const MIN_SUSPENSION: Duration = Duration::from_millis(500);
+
+/// How long after a suspension requests that arrived during it may be read.
+const READ_TIME_AFTER_SUSPENSION: Duration = Duration::from_millis(200);
 
 /// The interval at which the settings file is read again, since it may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
@@ -154,14 +158,44 @@
     }
 }
 
+/// The checks of a stopping node, which detect that the process was suspended between two of them.
+struct StopChecks {
+    last: Moment,
+    /// Until when requests that arrived during a suspension may be read.
+    read_until: Moment,
+}
+
+impl StopChecks {
+    fn new(now: Moment) -> StopChecks {
+        StopChecks {
+            last: now,
+            read_until: now,
+        }
+    }
+
+    /// Records a check; reports whether requests that arrived during a suspension may not be read yet.
+    fn is_reading(&mut self, now: Moment) -> bool {
+        if now.saturating_sub(self.last) >= MIN_SUSPENSION {
+            self.read_until = now + READ_TIME_AFTER_SUSPENSION;
+        }
+        self.last = now;
+        now < self.read_until
+    }
+}
+
 /// Waits until the answers to ended requests are written: until shortly before `end`, and for a time
-/// in any case, since a process that was suspended gets here late. Requests may still be read before
-/// `settled`.
-async fn wait_until_answered(open: &OpenRequests, end: Moment, settled: Moment) {
+/// in any case, since a process that was suspended gets here late.
+async fn wait_until_answered(open: &OpenRequests, end: Moment, checks: &mut StopChecks) {
     let last = end
         .saturating_sub(EXIT_MARGIN)
         .max(clock::now() + MIN_ANSWER_TIME);
-    while (open.count() > 0 || clock::now() < settled) && clock::now() < last {
+    loop {
+        let now = clock::now();
+        let is_reading = checks.is_reading(now);
+        let is_done = open.count() == 0 || now >= last;
+        if is_done && !is_reading {
+            return;
+        }
         Timer::after(CHECK_INTERVAL).await;
     }
 }
@@ -171,9 +205,7 @@
 /// callers have a part.
 async fn stop(state: &State, open: &OpenRequests) -> usize {
     let began = clock::now();
-    let mut checked = began;
-    // After a suspension, requests that arrived meanwhile are not counted as open yet.
-    let mut settled = began;
+    let mut checks = StopChecks::new(began);
     let grace = state.settings.load().bounds.grace;
     state.begin_leaving(began);
     if let Some(meter) = &state.usage {
@@ -182,12 +214,8 @@
     info!(state.log, "stopping"; "open" => open.count(), "grace_ms" => grace.as_millis() as u64);
     loop {
         let now = clock::now();
-        if now.saturating_sub(checked) >= SUSPENDED_AFTER {
-            settled = now + MIN_ANSWER_TIME;
-        }
-        checked = now;
         let spent = now.saturating_sub(began);
-        let is_idle = open.count() == 0 && now >= settled;
+        let is_idle = !checks.is_reading(now) && open.count() == 0;
         let done = spent >= ACCEPT_AFTER_STOP.min(grace / 2) && is_idle;
         if done || spent + ANSWER_MARGIN >= grace {
             break;
@@ -206,7 +234,7 @@
     if open.count() > 0 {
         info!(state.log, "requests ended"; "open" => open.count());
     }
-    wait_until_answered(open, began + grace, settled).await;
+    wait_until_answered(open, began + grace, &mut checks).await;
     send_last_usage(state).await;
     let left = open.count();
     info!(state.log, "stopped"; "cut" => left);
--- a/crates/cassiareel/src/kernel/admission/throttle.rs
+++ b/crates/cassiareel/src/kernel/admission/throttle.rs
@@ -34,7 +34,8 @@
 /// The largest fraction of capacity that is kept free.
 const MAX_RESERVE: f64 = 0.33;
 
-/// Demand, in units, at or below which an account is dropped.
+/// Demand, in units, at or below which an account is dropped, and demand of the others at or below which
+/// nothing is reserved for them.
 const NEGLIGIBLE_UNITS: f64 = 0.01;
 
 /// Recent demand and service of one account.
@@ -135,7 +136,8 @@
         own.requested += units / weight;
         let requested = own.requested;
         let (total_requested, total_served) = self.totals();
-        // The request itself is no evidence: at a node that gets few requests, it is most of the demand.
+        // The request itself is not counted: at a node with few requests, it would make its own account
+        // dominant.
         let earlier = requested * weight - units;
         let reserve = reserve(earlier, total_requested - units, total_served - units);
         if total_requested - total_served < TOLERATED_UNSERVED_UNITS {
@@ -231,12 +233,12 @@
 /// Returns the fraction of capacity that an account must leave free if it requests `own` of
 /// `requested` units, of which `served` were served.
 fn reserve(own: f64, requested: f64, served: f64) -> f64 {
-    if requested <= NEGLIGIBLE_UNITS {
+    let others = requested - own;
+    if others <= NEGLIGIBLE_UNITS {
         return 0.0;
     }
     let dominance =
         (own / requested - DOMINANT_SHARE.start) / (DOMINANT_SHARE.end - DOMINANT_SHARE.start);
-    let others = requested - own;
     let needed = RESERVE_FACTOR * others / served.max(others);
     needed.clamp(0.0, MAX_RESERVE) * dominance.clamp(0.0, 1.0)
 }
--- a/crates/cassiareel/src/kernel/admission/throttle_tests.rs
+++ b/crates/cassiareel/src/kernel/admission/throttle_tests.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use test_case::test_case;
+
 use super::Throttle;
 
 /// A service with a fixed capacity, and the load on one of its nodes.
@@ -171,3 +173,32 @@
         assert!(next.is_ok(), "after {first} served requests: {next:?}");
     }
 }
+
+/// The units that accounts requested before, and the reserve of a further request of the first one.
+struct Reserve {
+    earlier: &'static [(&'static str, f64)],
+    /// Whether none of them were served.
+    is_unserved: bool,
+    reserve: std::ops::RangeInclusive<f64>,
+}
+
+/// Guards against a request that makes its own account dominant, which refused streams of calm accounts
+/// at nodes with few requests, and against a reserve that is not a number.
+#[test_case(&Reserve { earlier: &[], is_unserved: false, reserve: 0.0..=0.0 }; "the first request of a node")]
+#[test_case(&Reserve { earlier: &[("b", 0.5)], is_unserved: false, reserve: 0.0..=0.0 }; "its account's first request")]
+#[test_case(&Reserve { earlier: &[("a", 1.0)], is_unserved: true, reserve: 0.0..=0.0 }; "alone and not served")]
+#[test_case(&Reserve { earlier: &[("a", 1.0), ("b", 3.0)], is_unserved: false, reserve: 0.0..=0.0 }; "a quarter of the demand")]
+#[test_case(&Reserve { earlier: &[("a", 4.0), ("b", 1.0)], is_unserved: false, reserve: 0.3..=0.33 }; "most of the demand")]
+fn a_dominant_account_leaves_room_by_its_earlier_requests(case: &Reserve) {
+    let mut throttle = Throttle::default();
+    let now = Duration::from_secs(1);
+    for (account, units) in case.earlier {
+        let _ = throttle.admit(account, 1.0, *units, now, 0.0);
+        if case.is_unserved {
+            throttle.record_unserved(account, *units, now);
+        }
+    }
+    let reserve = throttle.admit(&"a", 1.0, 1.0, now, 0.0);
+    let reserve = reserve.expect("a random number of 0 admits");
+    assert!(case.reserve.contains(&reserve), "{reserve}");
+}
