Stops: reason of the suspension's threshold; a long line

Cause: the comment said that a busy VM runs timers late by less than 500 ms, while follow/call.rs allows 700 ms for that. Change: the comment says what a false detection does; one line is broken.

--- a/crates/cassiareel-relay/src/duties/autoscale.rs
+++ b/crates/cassiareel-relay/src/duties/autoscale.rs
@@ -161,7 +161,8 @@
             "data_centre" => &*ordered.data_centre, "count" => ordered.count,
             "reason" => wanted.reason.name(), "repeat" => due.is_repeat,
             "listed" => due.listed, "ready" => input.ready, "needed" => wanted.needed,
-            "peak" => wanted.peak, "short" => wanted.short, "demand" => order.demand, "target_runs" => order.target_runs,
+            "peak" => wanted.peak, "short" => wanted.short, "demand" => order.demand,
+            "target_runs" => order.target_runs,
             "running" => input.running, "waiting" => input.waiting, "refused" => input.refused,
             "lost" => input.lost, "fence" => fence, "outcome" => outcome.name(),
             "cause" => answer.as_ref().err().map(ToString::to_string));
--- a/crates/cassiareel-relay/src/node.rs
+++ b/crates/cassiareel-relay/src/node.rs
@@ -44,8 +44,8 @@
 /// The interval at which a stopping node checks what is still open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The shortest time between two of these checks that counts as a suspension of the process. A busy VM
-/// runs timers late by less.
+/// The shortest time between two of these checks that counts as a suspension of the process. Where a
+/// busy VM runs a timer that late, the exit is only delayed by [`READ_TIME_AFTER_SUSPENSION`].
 const MIN_SUSPENSION: Duration = Duration::from_millis(500);
 
 /// How long after a suspension requests that arrived during it may be read.
