--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -8,7 +8,7 @@
     fs::File,
     io::{self, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    path::{Path, PathBuf},
+    path::Path,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
@@ -25,7 +25,9 @@
 impl Record {
     pub fn create(path: &str) -> Record {
         Record {
-            file: Arc::new(Mutex::new(File::create(path).expect("the record can be written"))),
+            file: Arc::new(Mutex::new(
+                File::create(path).expect("the record can be written"),
+            )),
             began: Instant::now(),
         }
     }
@@ -33,7 +35,8 @@
     pub fn line(&self, text: &str) {
         let line = format!("{:>7} ms  {text}\n", self.began.elapsed().as_millis());
         let mut file = self.file.lock().unwrap();
-        file.write_all(line.as_bytes()).expect("the record can be written");
+        file.write_all(line.as_bytes())
+            .expect("the record can be written");
     }
 }
 
@@ -59,7 +62,10 @@
     pub fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target.split_once('?')?;
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.filter(|(known, _)| *known == name).map(|(_, value)| value).next()
+        pairs
+            .filter(|(known, _)| *known == name)
+            .map(|(_, value)| value)
+            .next()
     }
 }
 
@@ -117,7 +123,8 @@
         let mut lines = text.split("\r\n");
         let first = lines.next().unwrap_or_default().to_owned();
         let headers = lines.filter_map(|line| line.split_once(':'));
-        let headers = headers.map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()));
+        let headers =
+            headers.map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()));
         Ok(Some((first, headers.collect())))
     }
 
@@ -250,12 +257,20 @@
     objects: BTreeMap<(String, String), Object>,
 }
 
+/// The number of objects on one page of a list.
+const PAGE_ITEMS: usize = 50;
+
+/// The time of one answer of the store.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+
 /// The platform's store: objects by kind and name with one revision counter.
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
     objects: Arc<Mutex<Objects>>,
     silent: Arc<Mutex<bool>>,
+    /// Whether calls are refused with 503: nothing was done.
+    busy: Arc<Mutex<bool>>,
 }
 
 impl Store {
@@ -265,6 +280,7 @@
             address,
             objects: Arc::default(),
             silent: Arc::default(),
+            busy: Arc::default(),
         };
         let serving = store.clone();
         serve(listener, move |conn| serving.serve_one(conn));
@@ -282,10 +298,14 @@
         object.spec = spec.to_owned();
     }
 
-    pub fn remove(&self, kind: &str, name: &str) {
-        let mut objects = self.objects.lock().unwrap();
-        objects.revision += 1;
-        objects.objects.remove(&(kind.to_owned(), name.to_owned()));
+    /// Returns the number of objects of a kind.
+    pub fn count(&self, kind: &str) -> usize {
+        let objects = self.objects.lock().unwrap();
+        objects
+            .objects
+            .keys()
+            .filter(|(known, _)| known == kind)
+            .count()
     }
 
     /// Partitions the nodes from the store, or ends the partition: calls get no answer.
@@ -293,8 +313,22 @@
         *self.silent.lock().unwrap() = silent;
     }
 
+    /// Takes the store down, or brings it back: calls are refused with 503.
+    pub fn set_busy(&self, busy: bool) {
+        *self.busy.lock().unwrap() = busy;
+    }
+
     fn serve_one(&self, mut conn: Conn) -> io::Result<()> {
         while let Some(request) = conn.read_request()? {
+            thread::sleep(ANSWER_TIME);
+            if *self.busy.lock().unwrap() {
+                conn.answer(
+                    "503 Service Unavailable",
+                    "Content-Type: application/json\r\n",
+                    "{}",
+                )?;
+                continue;
+            }
             if *self.silent.lock().unwrap() {
                 // Neither this call nor a later one on this connection gets an answer.
                 thread::sleep(Duration::from_secs(300));
@@ -316,10 +350,21 @@
         let mut objects = self.objects.lock().unwrap();
         match (request.method.as_str(), name) {
             ("GET", None) => {
-                let known = objects.objects.iter().filter(|((k, _), _)| *k == kind);
+                let after = request.query("after").unwrap_or_default();
+                let known = objects
+                    .objects
+                    .iter()
+                    .filter(|((k, n), _)| *k == kind && n.as_str() > after);
                 let items: Vec<String> = known.map(|((_, n), o)| format_object(n, o)).collect();
-                let (items, at) = (items.join(","), objects.revision);
-                ("200 OK", format!("{{\"items\":[{items}],\"more\":false,\"at\":{at}}}"))
+                let has_more = items.len() > PAGE_ITEMS;
+                let (items, at) = (
+                    items[..items.len().min(PAGE_ITEMS)].join(","),
+                    objects.revision,
+                );
+                (
+                    "200 OK",
+                    format!("{{\"items\":[{items}],\"more\":{has_more},\"at\":{at}}}"),
+                )
             }
             ("GET", Some(name)) => match objects.objects.get(&(kind, name.clone())) {
                 Some(object) => ("200 OK", format_object(&name, object)),
@@ -334,7 +379,8 @@
                 objects.write(&kind, &name, &body, false)
             }
             ("PUT", Some(name)) => {
-                let Some(known) = objects.objects.get(&(kind.clone(), name.clone())).cloned() else {
+                let Some(known) = objects.objects.get(&(kind.clone(), name.clone())).cloned()
+                else {
                     return ("404 Not Found", "{}".to_owned());
                 };
                 let metadata = member(&body, "metadata").unwrap_or("{}").to_owned();
@@ -355,13 +401,23 @@
 }
 
 impl Objects {
-    fn write(&mut self, kind: &str, name: &str, body: &str, is_status: bool) -> (&'static str, String) {
+    fn write(
+        &mut self,
+        kind: &str,
+        name: &str,
+        body: &str,
+        is_status: bool,
+    ) -> (&'static str, String) {
         let part = if is_status { "status" } else { "spec" };
         let value = member(body, part).unwrap_or("null").to_owned();
         let next = self.revision + 1;
         let key = (kind.to_owned(), name.to_owned());
         let object = self.objects.entry(key).or_default();
-        let old = if is_status { &mut object.status } else { &mut object.spec };
+        let old = if is_status {
+            &mut object.status
+        } else {
+            &mut object.spec
+        };
         if *old != value {
             *old = value;
             object.revision = next;
@@ -372,8 +428,18 @@
 }
 
 fn format_object(name: &str, object: &Object) -> String {
-    let Object { revision, spec, status } = object;
-    let or_null = |text: &str| if text.is_empty() { "null".to_owned() } else { text.to_owned() };
+    let Object {
+        revision,
+        spec,
+        status,
+    } = object;
+    let or_null = |text: &str| {
+        if text.is_empty() {
+            "null".to_owned()
+        } else {
+            text.to_owned()
+        }
+    };
     format!(
         "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{revision},\"created-rev\":1,\
          \"finalizers\":[],\"deleting\":false}},\"spec\":{},\"status\":{}}}",
@@ -395,18 +461,54 @@
 pub struct Node {
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    pub settings: PathBuf,
-    fields: [SocketAddr; 5],
+    pub peers: SocketAddr,
+    setup: Setup,
     child: Child,
 }
 
+/// What the platform fills into the settings of a node.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub name: String,
+    /// The store, and the node's addresses for callers, readiness, metrics and peers.
+    pub addresses: [SocketAddr; 5],
+    /// The bounds on a new configuration and a server's leaving, and on withdrawn keys.
+    pub apply_ms: u64,
+    pub revoke_ms: u64,
+}
+
+impl Setup {
+    pub fn new(name: &str, store: SocketAddr) -> Setup {
+        Setup {
+            name: name.to_owned(),
+            addresses: [
+                store,
+                free_address(),
+                free_address(),
+                free_address(),
+                free_address(),
+            ],
+            apply_ms: 2000,
+            revoke_ms: 5000,
+        }
+    }
+}
+
 impl Node {
     /// Starts a node and waits until it is ready. `revoke_ms` is the bound on withdrawn keys.
     pub fn start(dir: &Path, store: SocketAddr, revoke_ms: u64) -> Result<Node, String> {
-        let fields = [store, free_address(), free_address(), free_address(), free_address()];
-        let settings = dir.join("settings");
-        std::fs::write(&settings, settings_text(&fields, revoke_ms)).map_err(|e| e.to_string())?;
-        let log = File::create(dir.join("node.log")).map_err(|e| e.to_string())?;
+        let setup = Setup::new("front-zone-a-1", store);
+        let node = Node::spawn(dir, Setup { revoke_ms, ..setup })?;
+        node.wait_ready()?;
+        Ok(node)
+    }
+
+    /// Starts a node.
+    pub fn spawn(dir: &Path, setup: Setup) -> Result<Node, String> {
+        let settings = dir.join(format!("{}.settings", setup.name));
+        std::fs::write(&settings, settings_text(&setup)).map_err(|e| e.to_string())?;
+        let log =
+            File::create(dir.join(format!("{}.log", setup.name))).map_err(|e| e.to_string())?;
         let errors = log.try_clone().map_err(|e| e.to_string())?;
         let child = Command::new("target/release/cassiareel-platform")
             .env_clear()
@@ -417,44 +519,42 @@
             .stderr(errors)
             .spawn()
             .map_err(|e| format!("the node does not start: {e}"))?;
-        let node = Node {
-            front: fields[1],
-            ready: fields[2],
-            settings,
-            fields,
+        Ok(Node {
+            front: setup.addresses[1],
+            ready: setup.addresses[2],
+            peers: setup.addresses[4],
+            setup,
             child,
-        };
-        let end = Instant::now() + Duration::from_secs(20);
-        while !node.is_ready(Duration::from_millis(500)) {
-            if Instant::now() > end {
-                return Err("the node is not ready after 20 s".to_owned());
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-        Ok(node)
+        })
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Replaces the settings file by one with another bound on withdrawn keys.
-    pub fn write_settings(&self, revoke_ms: u64) -> io::Result<()> {
-        let new = self.settings.with_extension("new");
-        std::fs::write(&new, settings_text(&self.fields, revoke_ms))?;
-        std::fs::rename(&new, &self.settings)
+    pub fn wait_ready(&self) -> Result<(), String> {
+        if wait_for(Duration::from_secs(25), || {
+            self.is_ready(Duration::from_millis(500))
+        }) {
+            return Ok(());
+        }
+        Err("the node is not ready after 25 s".to_owned())
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill").args([&format!("-{name}"), &pid]).status();
-        assert!(status.is_ok_and(|status| status.success()), "the signal is sent");
+    /// Kills the processes of all nodes, and starts them again a second later with the same settings.
+    pub fn restart_all(nodes: Vec<Node>, dir: &Path) -> Result<Vec<Node>, String> {
+        let setups: Vec<Setup> = nodes.iter().map(|node| node.setup.clone()).collect();
+        drop(nodes);
+        thread::sleep(Duration::from_secs(1));
+        setups
+            .into_iter()
+            .map(|setup| Node::spawn(dir, setup))
+            .collect()
     }
 
     /// Asks for readiness as the balancer does.
     pub fn is_ready(&self, limit: Duration) -> bool {
-        let status = call(self.ready, "GET /-/ready HTTP/1.1\r\nHost: node\r\n\r\n", limit);
+        let status = call(
+            self.ready,
+            "GET /-/ready HTTP/1.1\r\nHost: node\r\n\r\n",
+            limit,
+        );
         status.is_ok_and(|answer| answer.status == 200)
     }
 }
@@ -466,14 +566,19 @@
     }
 }
 
-fn settings_text(fields: &[SocketAddr; 5], revoke_ms: u64) -> String {
-    let [store, front, ready, metrics, peers] = fields;
+fn settings_text(setup: &Setup) -> String {
+    let Setup {
+        name,
+        addresses: [store, front, ready, metrics, peers],
+        apply_ms,
+        revoke_ms,
+    } = setup;
     format!(
-        "[node]\nname = \"front-zone-a-1\"\ndata_centre = \"zone-a\"\nbootstrap = true\n\n\
+        "[node]\nname = \"{name}\"\ndata_centre = \"zone-a\"\n\n\
          [listen]\nfront = \"{front}\"\nready = \"{ready}\"\nmetrics = \"{metrics}\"\npeers = \"{peers}\"\n\n\
          [limits]\nmemory_mb = 110\nmax_fds = 4100\nlink_mbps = 1000.0\n\n\
          [store]\naddress = \"{store}\"\n\n\
-         [bounds]\ngrace_s = 8\nconfig_apply_ms = 2000\ndrain_ms = 2000\nrevoke_ms = {revoke_ms}\n\
+         [bounds]\ngrace_s = 8\nconfig_apply_ms = {apply_ms}\ndrain_ms = {apply_ms}\nrevoke_ms = {revoke_ms}\n\
          retry_ratio = 0.8\nretry_window_s = 10\nretry_slack = 150\n\
          exposure_share = 0.1\nexposure_slack = 50\n"
     )
--- a/review/standins-2/endless.rs
+++ b/review/standins-2/endless.rs
@@ -53,7 +53,10 @@
 impl Servers {
     fn serve_one(&self, number: usize, mut conn: Conn) -> io::Result<()> {
         while let Some(request) = conn.read_request()? {
-            let id = request.header("x-cassiareel-request-id").unwrap_or("-").to_owned();
+            let id = request
+                .header("x-cassiareel-request-id")
+                .unwrap_or("-")
+                .to_owned();
             // The server that gets the next request is the one in trouble.
             let garbles = std::mem::take(&mut *self.is_due.lock().unwrap());
             if garbles {
@@ -72,7 +75,9 @@
 
     /// Writes interim heads until the caller closes, or the time of the disruption is over.
     fn write_endless(&self, number: usize, id: &str, mut conn: Conn) -> io::Result<()> {
-        self.record.line(&format!("server-{number}: answers {id} with interim heads without end"));
+        self.record.line(&format!(
+            "server-{number}: answers {id} with interim heads without end"
+        ));
         let block = interim_head().repeat(100);
         let (began, mut bytes) = (Instant::now(), 0_u64);
         let written = loop {
@@ -88,9 +93,15 @@
             }
             bytes += block.len() as u64;
         };
-        let cause = if written.is_err() { "the caller closed" } else { "its time was over" };
+        let cause = if written.is_err() {
+            "the caller closed"
+        } else {
+            "its time was over"
+        };
         let millis = began.elapsed().as_millis();
-        self.record.line(&format!("server-{number}: ends after {millis} ms and {bytes} bytes, since {cause}"));
+        self.record.line(&format!(
+            "server-{number}: ends after {millis} ms and {bytes} bytes, since {cause}"
+        ));
         written
     }
 }
@@ -98,7 +109,11 @@
 /// Returns an interim head with many short headers.
 fn interim_head() -> String {
     let letters = 'a'..='i';
-    let names = letters.clone().flat_map(|first| letters.clone().map(move |second| format!("{first}{second}")));
+    let names = letters.clone().flat_map(|first| {
+        letters
+            .clone()
+            .map(move |second| format!("{first}{second}"))
+    });
     let headers: String = names.map(|name| format!("{name}: 1\r\n")).collect();
     format!("HTTP/1.1 102 Processing\r\n{headers}\r\n")
 }
@@ -127,7 +142,11 @@
         let (listener, address) = listen();
         let shared = servers.clone();
         serve(listener, move |conn| shared.serve_one(number, conn));
-        store.put("servers", &format!("i-{number}"), &entry("desk", address, 6, "ready"));
+        store.put(
+            "servers",
+            &format!("i-{number}"),
+            &entry("desk", address, 6, "ready"),
+        );
     }
     let node = Node::start(dir, store.address, 5000)?;
     record.line("the node is ready");
@@ -137,7 +156,10 @@
             return Err(format!("a lookup before the disruption got {status:?}"));
         }
     }
-    record.line(&format!("{} lookups answered before the disruption", servers.answers.load(Ordering::SeqCst)));
+    record.line(&format!(
+        "{} lookups answered before the disruption",
+        servers.answers.load(Ordering::SeqCst)
+    ));
     *servers.is_due.lock().unwrap() = has_trouble();
     // Lookups go on until one reaches the server in trouble.
     let reached = Instant::now();
@@ -157,15 +179,23 @@
             let (front, record) = (node.front, record.clone());
             thread::spawn(move || {
                 let (status, took) = look_up(front, &format!("lookup-{number}"));
-                let text = status.map_or("no answer".to_owned(), |status| format!("status {status}"));
-                record.line(&format!("caller: lookup-{number} {text} after {} ms", took.as_millis()));
+                let text =
+                    status.map_or("no answer".to_owned(), |status| format!("status {status}"));
+                record.line(&format!(
+                    "caller: lookup-{number} {text} after {} ms",
+                    took.as_millis()
+                ));
                 (status, took)
             })
         })
         .collect();
     let is_ready = node.is_ready(Duration::from_secs(1));
-    record.line(&format!("balancer: the node answers the readiness check with 200: {is_ready}"));
-    let answers = callers.into_iter().map(|caller| caller.join().unwrap_or((None, TIMEOUT)));
+    record.line(&format!(
+        "balancer: the node answers the readiness check with 200: {is_ready}"
+    ));
+    let answers = callers
+        .into_iter()
+        .map(|caller| caller.join().unwrap_or((None, TIMEOUT)));
     let open: Vec<Option<u16>> = answers
         .filter(|(status, took)| status.is_none() || *took > TIMEOUT)
         .map(|(status, _)| status)
@@ -179,13 +209,18 @@
     ));
     thread::sleep(TROUBLE_TIME);
     let (status, _) = look_up(node.front, "after");
-    record.line(&format!("caller: a lookup after the disruption got {status:?}"));
+    record.line(&format!(
+        "caller: a lookup after the disruption got {status:?}"
+    ));
     Ok(2 * unanswered <= open.len())
 }
 
 fn main() {
     let mut args = std::env::args().skip(1);
-    let (file, dir) = (args.next().expect("a record"), args.next().expect("a folder"));
+    let (file, dir) = (
+        args.next().expect("a record"),
+        args.next().expect("a folder"),
+    );
     let record = Record::create(&file);
     let outcome = play(&record, Path::new(&dir));
     process::exit(finish(&record, outcome));
