--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,14 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+dir=$(mktemp -d) || exit 2
+# The case and the nodes that it starts are one process group, of which nothing stays.
+set -m
+timeout 100 target/review-2/shadowed "$here/record.txt" "$dir" &
+pid=$!
+trap 'kill -KILL -- "-$pid" 2>/dev/null; rm -rf "$dir"' EXIT
+wait "$pid"
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in restart endless refused outage; do
+for name in restart endless refused outage shadowed; do
     rustc --edition 2021 -O -A dead_code -o "target/review-2/$name" "review/standins-2/$name.rs"
 done
